--- /dev/null
+++ b/include/base/Clock.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+
+namespace waxwing {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+using WallTime = std::chrono::system_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+using Millis = std::chrono::milliseconds;
+
+/** Source of time. Decisions read time only through this interface, so that tests can drive it. */
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    /** Monotonic time; never goes back. Thread safe. */
+    virtual SteadyTime now() const = 0;
+    /** Wall time for reports and tickets; may jump. Thread safe. */
+    virtual WallTime wallNow() const = 0;
+};
+
+/** The clocks of the operating system. */
+class SystemClock final : public Clock
+{
+public:
+    SteadyTime now() const override;
+    WallTime wallNow() const override;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/include/base/Metrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "include/base/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace waxwing {
+
+/** Counters and latency distributions (Boost.Accumulators) by name. Not thread safe: the node's thread only. */
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+    /** Adds @p by to the counter @p name, made at first use. */
+    void count(const std::string &name, std::uint64_t by = 1);
+    /** Adds a sample to the distribution @p name, made at first use. */
+    void observe(const std::string &name, Duration value);
+    std::uint64_t counter(const std::string &name) const;
+    /** Every metric as one JSON document; latencies in milliseconds. */
+    std::string json() const;
+
+private:
+    struct Distribution;
+    std::map<std::string, std::uint64_t> counters_;
+    std::map<std::string, std::unique_ptr<Distribution>> distributions_;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/include/member/NodeRecord.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "include/base/Error.h"
+#include "include/base/Ids.h"
+#include "include/member/Record.h"
+
+#include <map>
+#include <string>
+
+namespace waxwing {
+
+enum class NodeState : std::uint8_t {
+    Up = 1,
+    /** Others found it gone; it may refute that. */
+    Down = 2,
+    /** It left in good order. */
+    Left = 3,
+};
+
+const char *nodeStateName(NodeState state);
+
+/** What every node knows of every other one. */
+struct NodeRecord {
+    NodeRef ref;
+    std::string address;
+    std::uint16_t peerPort = 0;
+    std::uint16_t httpPort = 0;
+    std::string zone;
+    std::string region;
+    NodeState state = NodeState::Up;
+    /** Services with announced servers here, and how many are in service. */
+    std::map<std::string, std::uint32_t> services;
+};
+
+/** @p sequence orders the records of one incarnation. Thread safe. */
+Record toRecord(const NodeRecord &node, std::uint64_t sequence);
+/** Errors: Malformed. Thread safe. */
+Expected<NodeRecord> nodeFromRecord(const Record &record);
+
+} // namespace waxwing
--- /dev/null
+++ b/include/member/RecordTable.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "include/member/Record.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace waxwing {
+
+/** Key and version of a record, without its payload. */
+struct RecordName {
+    RecordKind kind = RecordKind::Node;
+    std::string key;
+    RecordVersion version;
+};
+
+/**
+ * The replicated map of a node: the highest version seen of every record, with one hash for each bucket of keys,
+ * so that two nodes find their differences by comparing a few hundred bytes. Not thread safe.
+ */
+class RecordTable
+{
+public:
+    static constexpr std::size_t bucketCount = 64;
+    using BucketHashes = std::array<std::uint64_t, bucketCount>;
+    using Id = std::pair<RecordKind, std::string>;
+
+    /** Called after a record was replaced by a higher version. */
+    using ChangeHook = std::function<void(const Record &)>;
+
+    /** @p onChange may be empty. */
+    explicit RecordTable(ChangeHook onChange = {});
+
+    /** Takes @p record if its version is higher than the one held. Returns whether it was taken. */
+    bool merge(const Record &record);
+    /** The record held, or null. Valid until the next merge or drop. */
+    const Record *find(RecordKind kind, const std::string &key) const;
+    /** Forgets a record locally, as for expired ones; a peer may offer it again. */
+    void drop(RecordKind kind, const std::string &key);
+    std::vector<const Record *> all(RecordKind kind) const;
+    /** Records of @p kind whose keys begin with @p prefix. */
+    std::vector<const Record *> withPrefix(RecordKind kind, const std::string &prefix) const;
+    std::size_t size() const;
+
+    const BucketHashes &bucketHashes() const;
+    /** Buckets whose hash differs from @p other's. */
+    std::vector<std::uint32_t> differingBuckets(const BucketHashes &other) const;
+    /** Names of the records in @p bucket. @pre bucket < bucketCount. */
+    std::vector<RecordName> namesIn(std::uint32_t bucket) const;
+    /** Records of @p bucket that are newer here than in @p theirs, or missing there. */
+    std::vector<Record> newerThan(std::uint32_t bucket, const std::vector<RecordName> &theirs) const;
+    /** True if @p theirs names a record that is missing or older here. */
+    bool lacksAny(const std::vector<RecordName> &theirs) const;
+
+private:
+    static std::uint32_t bucketOf(const Id &id);
+    static std::uint64_t hashOf(const Record &record);
+
+    ChangeHook onChange_;
+    std::map<Id, Record> records_;
+    std::array<std::map<Id, RecordVersion>, bucketCount> buckets_;
+    BucketHashes hashes_{};
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/include/node/Node.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/base/Error.h"
+#include "include/settings/NodeSettings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace waxwing {
+
+/**
+ * A whole node of the fleet: every service on one thread and one io_context. Not thread safe.
+ */
+class Node
+{
+public:
+    /**
+     * Builds the services and starts to listen. @p incarnation must grow with each start of the same node.
+     * Errors: Unavailable if a port can't be had. @pre the calling thread has the fiber scheduler of @p ioContext;
+     * @p clock outlives the node.
+     */
+    static Expected<std::unique_ptr<Node>> MakeStarted(boost::asio::io_context &ioContext, const Clock &clock,
+                                                       const NodeSettings &settings, std::uint64_t incarnation);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /** Takes over what can change while running: limits and times. */
+    void reload(const NodeSettings &settings);
+    /**
+     * Graceful stop: takes no new work, sends its servers to other homes, hands over its claims, finishes what is in
+     * flight and tells the fleet. @pre called from a fiber. Returns false if work was still running at the time limit.
+     */
+    bool stop();
+
+private:
+    struct Parts;
+    explicit Node(std::unique_ptr<Parts> parts);
+    std::unique_ptr<Parts> parts_;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/include/report/BurnRecorder.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "include/base/Clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+/** How requests of a class ended, as a caller saw it. */
+struct BurnCounts {
+    std::uint64_t good = 0;
+    std::uint64_t late = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+
+    std::uint64_t total() const;
+    std::uint64_t bad() const;
+    void add(const BurnCounts &other);
+};
+
+/** How a request ended. */
+enum class BurnResult {
+    Good,
+    Late,
+    Failed,
+    Refused,
+    Unknown,
+};
+
+/** One slice of time of one class. */
+struct BurnSlice {
+    WallTime start;
+    BurnCounts counts;
+};
+
+/**
+ * Counts results by class and slice of time, for the report on service-level burn. Holds three days.
+ * Not thread safe.
+ */
+class BurnRecorder
+{
+public:
+    static constexpr Millis slice = std::chrono::minutes(5);
+    static constexpr Millis memory = std::chrono::hours(72);
+
+    /** @pre @p clock outlives the recorder. */
+    explicit BurnRecorder(const Clock &clock);
+    void record(const std::string &service, const std::string &className, BurnResult result);
+    /** Slices by "service/class", oldest first. */
+    const std::map<std::string, std::deque<BurnSlice>> &slices() const;
+    /** JSON of all slices. */
+    std::string json() const;
+
+private:
+    const Clock &clock_;
+    std::map<std::string, std::deque<BurnSlice>> slices_;
+};
+
+/** Burn of one class over one window: 1 means that the budget is spent exactly at the allowed rate. */
+struct BurnFigure {
+    std::string label;
+    BurnCounts counts;
+    double burn = 0.0;
+};
+
+/** Burn over the last 1 h, 6 h and 3 d before @p now, for a target such as 0.999. Thread safe. */
+std::vector<BurnFigure> burnFigures(const std::deque<BurnSlice> &slices, double successRate, WallTime now);
+
+} // namespace waxwing
--- /dev/null
+++ b/include/settings/NodeSettings.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/base/Findings.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+/** An IP number and a port. */
+struct Endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    std::string text() const;
+    bool operator<(const Endpoint &other) const;
+    bool operator==(const Endpoint &other) const;
+};
+
+/** Reads "127.0.0.1:8080"; a fault is a finding at @p place. Thread safe. */
+Endpoint parseEndpoint(const std::string &text, const std::string &place, Findings &findings);
+
+/** Settings that a running node takes over at SIGHUP. */
+struct NodeLimits {
+    std::uint64_t bodyBytes = 1024 * 1024;
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint32_t callerConnections = 20000;
+    std::uint32_t queuePerClass = 64;
+    std::uint32_t claims = 100000;
+    std::uint64_t claimAnswerBytes = 32U * 1024 * 1024;
+    /** Claims with a caller's own key that this node may write to the object API each second. */
+    std::uint32_t keyWritesPerSecond = 20;
+    /** Bytes of requests and answers each second that this node may move between regions. */
+    std::uint64_t regionBytesPerSecond = 8U * 1024 * 1024;
+};
+
+/** Times of the control protocols. */
+struct NodeTimes {
+    Millis ticketValidity = std::chrono::hours(1);
+    Millis announceTimeout = std::chrono::seconds(2);
+    Millis ping = std::chrono::seconds(1);
+    Millis pingTimeout = std::chrono::seconds(3);
+    Millis antiEntropy = std::chrono::seconds(2);
+    Millis watch = std::chrono::seconds(30);
+    Millis stopWithin = std::chrono::seconds(20);
+    Millis firstEjection = std::chrono::seconds(5);
+    Millis ramp = std::chrono::seconds(10);
+};
+
+/** What a node learns from its settings file: its own place in the world, and nothing about servers. */
+struct NodeSettings {
+    std::string node;
+    std::string zone;
+    std::string region;
+    Endpoint callers;
+    Endpoint peers;
+    Endpoint operators;
+    /** Where other nodes reach the peer port, if that differs from where it listens. */
+    Endpoint advertisedPeers;
+    Endpoint objectApi;
+    /** Peer endpoints of some nodes, to join through while the object API is away. */
+    std::vector<Endpoint> seeds;
+    NodeLimits limits;
+    NodeTimes times;
+};
+
+/** Reads and checks a settings document as a whole; each fault is a finding with its place. Thread safe. */
+NodeSettings parseNodeSettings(const std::string &text, const std::string &source, Findings &findings);
+
+} // namespace waxwing
--- /dev/null
+++ b/include/wire/Messages.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/base/Error.h"
+#include "include/base/HttpMessage.h"
+#include "include/base/Ids.h"
+#include "include/member/RecordTable.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace waxwing {
+
+/** Version of the node-to-node protocol; a node refuses messages of another one. */
+constexpr int wireVersion = 1;
+
+/** What happened to a request, as told to its caller. */
+enum class Outcome : std::uint8_t {
+    Ran = 1,
+    /** Provably never handed to a server. */
+    NotRun = 2,
+    /** May have run; never reported as not run. */
+    Unknown = 3,
+};
+
+const char *outcomeName(Outcome outcome);
+
+/** First message on a link: who speaks. */
+struct Hello {
+    NodeRef from;
+};
+
+/** Who is asked to do what with a request. */
+enum class ExecStage : std::uint8_t {
+    /** To the incarnation that owns the ticket: claim it, then run it. */
+    Claim = 1,
+    /** To a home: hand it to one of its servers, at most once. */
+    Run = 2,
+};
+
+/** A request on its way through the fleet. */
+struct Exec {
+    std::uint64_t id = 0;
+    ExecStage stage = ExecStage::Run;
+    std::string service;
+    std::string className;
+    std::string customer;
+    /** Ticket text; empty for unkeyed work. */
+    std::string ticket;
+    Millis remaining{0};
+    HttpRequest request;
+};
+
+/** The end of an Exec, sent exactly once by whoever took it. */
+struct ExecReply {
+    std::uint64_t id = 0;
+    Outcome outcome = Outcome::Unknown;
+    /** Stable word for the refusal or fault; empty if the request ran. */
+    std::string reason;
+    /** When to ask again; zero if asking again makes no sense. */
+    Millis retryAfter{0};
+    std::string server;
+    /** Free slots and queued requests at the home, for the sender's next choice. */
+    std::int32_t freeSlots = 0;
+    std::int32_t queued = 0;
+    HttpResponse response;
+};
+
+/** The sender no longer wants the answer to its Exec. */
+struct Cancel {
+    std::uint64_t id = 0;
+};
+
+/** Records that changed, passed on. */
+struct RecordsPush {
+    std::vector<Record> records;
+};
+
+/** Summary of the sender's record table. */
+struct DigestOffer {
+    RecordTable::BucketHashes hashes{};
+};
+
+/** Names in buckets that differ; @p answer is set on the second leg, which asks for nothing back. */
+struct BucketNames {
+    bool answer = false;
+    std::vector<std::pair<std::uint32_t, std::vector<RecordName>>> buckets;
+};
+
+struct Ping {
+    std::uint64_t id = 0;
+};
+
+struct Pong {
+    std::uint64_t id = 0;
+};
+
+/** One finished claim, handed to the successor at a graceful stop. */
+struct ClaimTransfer {
+    std::string ticket;
+    std::uint64_t requestDigest = 0;
+    Outcome outcome = Outcome::Unknown;
+    HttpResponse response;
+};
+
+/** An incarnation whose tickets were decided at the sender, and its age then. */
+struct ClaimOwner {
+    NodeRef ref;
+    Millis age{0};
+};
+
+/** All claims of a leaving node; acknowledged with a Pong of the same id. */
+struct ClaimHandover {
+    std::uint64_t id = 0;
+    std::vector<ClaimOwner> owners;
+    std::vector<ClaimTransfer> claims;
+};
+
+using Message = std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, DigestOffer, BucketNames, Ping, Pong,
+                             ClaimHandover>;
+
+/** CBOR of @p message. Thread safe. */
+std::string encodeMessage(const Message &message);
+/** Errors: Malformed, for anything that is not exactly one message of this version. Thread safe. */
+Expected<Message> decodeMessage(const std::string &bytes);
+
+} // namespace waxwing
--- /dev/null
+++ b/src/base/JsonReader.cpp
@@ -0,0 +1,164 @@
+#include "include/base/JsonReader.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace waxwing {
+
+namespace {
+const nlohmann::json nullValue;
+}
+
+JsonReader::JsonReader(const nlohmann::json &value, std::string place, Findings &findings)
+    : value_(value)
+    , place_(std::move(place))
+    , findings_(findings)
+{
+    if (!value_.is_object()) {
+        findings_.add(place_.empty() ? "/" : place_, "must be an object");
+    }
+}
+
+bool JsonReader::has(const std::string &key) const
+{
+    return value_.is_object() && value_.contains(key);
+}
+
+std::string JsonReader::placeOf(const std::string &key) const
+{
+    return place_ + "/" + key;
+}
+
+const nlohmann::json *JsonReader::field(const std::string &key)
+{
+    read_.insert(key);
+    return has(key) ? &value_.at(key) : nullptr;
+}
+
+std::string JsonReader::text(const std::string &key, const std::string &fallback)
+{
+    const nlohmann::json *found = field(key);
+    if (found == nullptr) {
+        return fallback;
+    }
+    if (!found->is_string()) {
+        findings_.add(placeOf(key), "must be a string");
+        return fallback;
+    }
+    return found->get<std::string>();
+}
+
+std::string JsonReader::requiredText(const std::string &key)
+{
+    if (!has(key)) {
+        read_.insert(key);
+        findings_.add(placeOf(key), "is missing");
+        return {};
+    }
+    return text(key, {});
+}
+
+bool JsonReader::flag(const std::string &key, bool fallback)
+{
+    const nlohmann::json *found = field(key);
+    if (found != nullptr && !found->is_boolean()) {
+        findings_.add(placeOf(key), "must be true or false");
+        return fallback;
+    }
+    return found == nullptr ? fallback : found->get<bool>();
+}
+
+std::int64_t JsonReader::integer(const std::string &key, std::int64_t fallback, std::int64_t least, std::int64_t most)
+{
+    const nlohmann::json *found = field(key);
+    if (found == nullptr) {
+        return fallback;
+    }
+    const bool tooLarge = found->is_number_unsigned()
+        && found->get<std::uint64_t>() > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    if (!found->is_number_integer() || tooLarge || found->get<std::int64_t>() < least
+        || found->get<std::int64_t>() > most) {
+        findings_.add(placeOf(key),
+                      "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return found->get<std::int64_t>();
+}
+
+Millis JsonReader::duration(const std::string &key, Millis fallback, Millis least, Millis most)
+{
+    const nlohmann::json *found = field(key);
+    if (found == nullptr) {
+        return fallback;
+    }
+    const auto parsed = found->is_string() ? parseDuration(found->get<std::string>())
+                                           : fail(ErrorCode::Malformed, "must be a duration such as \"250ms\"");
+    if (!parsed) {
+        findings_.add(placeOf(key), parsed.error().message);
+        return fallback;
+    }
+    if (*parsed < least || *parsed > most) {
+        findings_.add(placeOf(key), "must be from " + durationText(least) + " to " + durationText(most));
+        return fallback;
+    }
+    return *parsed;
+}
+
+double JsonReader::share(const std::string &key, double fallback)
+{
+    const nlohmann::json *found = field(key);
+    if (found == nullptr) {
+        return fallback;
+    }
+    const auto parsed = found->is_string() ? parseShare(found->get<std::string>())
+                                           : fail(ErrorCode::Malformed, "must be a share such as \"99.9%\"");
+    if (!parsed) {
+        findings_.add(placeOf(key), parsed.error().message);
+        return fallback;
+    }
+    return *parsed;
+}
+
+const nlohmann::json &JsonReader::child(const std::string &key)
+{
+    const nlohmann::json *found = field(key);
+    return found == nullptr ? nullValue : *found;
+}
+
+void JsonReader::rejectUnknown()
+{
+    if (!value_.is_object()) {
+        return;
+    }
+    for (const auto &item : value_.items()) {
+        if (read_.count(item.key()) == 0) {
+            findings_.add(placeOf(item.key()), "unknown field");
+        }
+    }
+}
+
+nlohmann::json parseJsonWithComments(const std::string &text, const std::string &source, Findings &findings)
+{
+    try {
+        return nlohmann::json::parse(text, nullptr, true, true);
+    } catch (const nlohmann::json::parse_error &error) {
+        const std::size_t end = std::min(error.byte > 0 ? error.byte - 1 : 0, text.size());
+        const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), '\n');
+        const std::size_t lastBreak = end == 0 ? std::string::npos : text.rfind('\n', end - 1);
+        const std::size_t column = lastBreak == std::string::npos ? end + 1 : end - lastBreak;
+        findings.add(source + ":" + std::to_string(line) + ":" + std::to_string(column), error.what());
+        return {};
+    }
+}
+
+Expected<double> parseShare(const std::string &text)
+{
+    char *end = nullptr;
+    const double percent = std::strtod(text.c_str(), &end);
+    if (end == text.c_str() || std::string(end) != "%" || !(percent >= 0.0 && percent <= 100.0)) {
+        return fail(ErrorCode::Malformed, "not a share from 0% to 100%: \"" + text + "\"");
+    }
+    return percent / 100.0;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,118 @@
+#include "include/base/EventLog.h"
+#include "include/node/Node.h"
+#include "src/fiber/FiberLoop.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace {
+
+using namespace waxwing;
+
+constexpr int exitUsage = 2;
+constexpr int exitSettings = 3;
+constexpr int exitListen = 4;
+constexpr int exitUncleanStop = 5;
+
+std::optional<NodeSettings> readSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    Findings findings;
+    NodeSettings settings = parseNodeSettings(text.str(), path, findings);
+    if (!findings.empty()) {
+        for (const Finding &finding : findings.all()) {
+            const bool hasFile = finding.place.compare(0, path.size(), path) == 0;
+            std::cerr << (hasFile ? "" : path + " ") << finding.place << ": " << finding.message << "\n";
+        }
+        return std::nullopt;
+    }
+    return settings;
+}
+
+/** Grows with each start, since VMs keep nothing: wall time in microseconds. */
+std::uint64_t newIncarnation()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+int runNode(const std::string &path, const NodeSettings &settings)
+{
+    boost::asio::io_context ioContext(1);
+    installFiberScheduler(ioContext);
+    const SystemClock clock;
+    auto node = Node::MakeStarted(ioContext, clock, settings, newIncarnation());
+    if (!node) {
+        std::cerr << node.error().message << "\n";
+        return exitListen;
+    }
+    boost::asio::signal_set signals(ioContext, SIGTERM, SIGINT, SIGHUP);
+    while (true) {
+        int signal = 0;
+        await([&](auto handle) {
+            signals.async_wait([&signal, handle](boost::system::error_code error, int number) mutable {
+                signal = number;
+                handle(error);
+            });
+        });
+        if (signal != SIGHUP) {
+            break;
+        }
+        if (const std::optional<NodeSettings> changed = readSettings(path)) {
+            (*node)->reload(*changed);
+        }
+    }
+    const bool clean = (*node)->stop();
+    std::cerr.flush();
+    // Loops that sleep still hold references into the node; ending here is simpler and safer than unwinding them.
+    std::_Exit(clean ? 0 : exitUncleanStop);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    po::options_description options("waxwingd: one node of the fleet\n"
+                                    "exit: 0 stopped cleanly, 2 usage, 3 settings, 4 can't listen, 5 work was cut at the stop");
+    options.add_options()("help,h", "print this")("settings,s", po::value<std::string>(), "settings file (JSON with comments)")(
+        "check", "only check the settings");
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, options), values);
+    } catch (const po::error &error) {
+        std::cerr << error.what() << "\n" << options;
+        return exitUsage;
+    }
+    if (values.count("help") != 0) {
+        std::cout << options;
+        return 0;
+    }
+    if (values.count("settings") == 0) {
+        std::cerr << options;
+        return exitUsage;
+    }
+    const std::string path = values["settings"].as<std::string>();
+    const std::optional<NodeSettings> settings = readSettings(path);
+    if (!settings) {
+        return exitSettings;
+    }
+    if (values.count("check") != 0) {
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    setUpLogging();
+    return runNode(path, *settings);
+}
--- /dev/null
+++ b/src/fiber/FiberLoop.cpp
@@ -0,0 +1,116 @@
+#include "src/fiber/FiberLoop.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/scheduler.hpp>
+
+namespace waxwing {
+
+namespace {
+
+constexpr std::size_t stackBytes = 128 * 1024;
+
+/**
+ * Round robin over ready fibers; with none ready the thread sleeps in the io_context until a handler or a
+ * fiber's timer is due. Blocking there, instead of polling, keeps an idle node at next to no processor time.
+ */
+class AsioScheduler final : public boost::fibers::algo::algorithm
+{
+public:
+    explicit AsioScheduler(boost::asio::io_context &ioContext)
+        : ioContext_(ioContext)
+        , work_(boost::asio::make_work_guard(ioContext))
+    {
+    }
+
+    void awakened(boost::fibers::context *fiber) noexcept override
+    {
+        fiber->ready_link(ready_);
+    }
+
+    boost::fibers::context *pick_next() noexcept override
+    {
+        if (ready_.empty()) {
+            return nullptr;
+        }
+        boost::fibers::context *fiber = &ready_.front();
+        ready_.pop_front();
+        return fiber;
+    }
+
+    bool has_ready_fibers() const noexcept override
+    {
+        return !ready_.empty();
+    }
+
+    void suspend_until(const std::chrono::steady_clock::time_point &wakeUp) noexcept override
+    {
+        if (wakeUp == std::chrono::steady_clock::time_point::max()) {
+            ioContext_.run_one();
+        } else {
+            ioContext_.run_one_until(wakeUp);
+        }
+        ioContext_.poll();
+    }
+
+    void notify() noexcept override
+    {
+        boost::asio::post(ioContext_, [] {});
+    }
+
+private:
+    boost::asio::io_context &ioContext_;
+    // Without work of its own the io_context would stop when idle, and waiting in it would return at once for ever.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    boost::fibers::scheduler::ready_queue_type ready_;
+};
+
+} // namespace
+
+void installFiberScheduler(boost::asio::io_context &ioContext)
+{
+    boost::fibers::use_scheduling_algorithm<AsioScheduler>(ioContext);
+}
+
+void spawnFiber(std::function<void()> body)
+{
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, boost::fibers::fixedsize_stack(stackBytes),
+                         std::move(body))
+        .detach();
+}
+
+void sleepFor(boost::asio::io_context &ioContext, Duration length)
+{
+    boost::asio::steady_timer timer(ioContext, length);
+    await([&](auto handler) { timer.async_wait(std::move(handler)); });
+}
+
+void FiberGate::wait()
+{
+    if (open_) {
+        return;
+    }
+    waiter_ = boost::fibers::context::active();
+    waiter_->suspend();
+}
+
+void FiberGate::open()
+{
+    if (open_) {
+        return;
+    }
+    open_ = true;
+    if (waiter_ != nullptr) {
+        boost::fibers::context::active()->schedule(waiter_);
+    }
+}
+
+bool FiberGate::isOpen() const
+{
+    return open_;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/fiber/FiberLoop.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "include/base/Clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <functional>
+#include <utility>
+
+namespace waxwing {
+
+/** Result of one asynchronous operation: its error and how many bytes it moved. */
+struct IoResult {
+    boost::system::error_code error;
+    std::size_t bytes = 0;
+};
+
+/** Makes this thread's fiber scheduler wait inside @p ioContext. Call once per thread, before the first fiber. */
+void installFiberScheduler(boost::asio::io_context &ioContext);
+
+/** Starts @p body as a detached fiber with a stack of our own size. Exceptions end the process: none may escape. */
+void spawnFiber(std::function<void()> body);
+
+/** Suspends the calling fiber for @p length. @pre called from a fiber of the loop's thread. */
+void sleepFor(boost::asio::io_context &ioContext, Duration length);
+
+/** Wakes one waiting fiber once. Needs no lock: waiter and waker share the loop's thread. */
+class FiberGate
+{
+public:
+    /** Suspends until open() was called; returns at once if it already was. @pre at most one waiter. */
+    void wait();
+    /** Lets the waiter go on. Repeated calls do nothing. */
+    void open();
+    bool isOpen() const;
+
+private:
+    bool open_ = false;
+    boost::fibers::context *waiter_ = nullptr;
+};
+
+/**
+ * Runs an Asio operation and suspends the calling fiber until its handler ran.
+ * @p start receives the handler and passes it to the operation.
+ */
+template<typename Start>
+IoResult await(Start start)
+{
+    FiberGate gate;
+    IoResult result;
+    start([&](boost::system::error_code error, auto... rest) {
+        result.error = error;
+        if constexpr (sizeof...(rest) == 1) {
+            if constexpr ((std::is_convertible_v<decltype(rest), std::size_t> && ...)) {
+                ((result.bytes = rest), ...);
+            }
+        }
+        gate.open();
+    });
+    gate.wait();
+    return result;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/floor/HomeFloor.cpp
@@ -0,0 +1,217 @@
+#include "include/floor/HomeFloor.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace waxwing {
+
+namespace {
+
+/** Lost servers count towards a floor given as a share for this long, so that deaths are not followed by ejections. */
+constexpr Millis capacityMemory = std::chrono::minutes(15);
+
+} // namespace
+
+const Pledge *PledgeSheet::find(const NodeRef &home) const
+{
+    const auto found = std::find_if(pledges.begin(), pledges.end(), [&](const Pledge &one) { return one.home == home; });
+    return found == pledges.end() ? nullptr : &*found;
+}
+
+void PledgeSheet::set(const Pledge &pledge)
+{
+    erase(pledge.home);
+    pledges.push_back(pledge);
+}
+
+void PledgeSheet::erase(const NodeRef &home)
+{
+    pledges.erase(std::remove_if(pledges.begin(), pledges.end(), [&](const Pledge &one) { return one.home == home; }),
+                  pledges.end());
+}
+
+std::string PledgeSheet::json() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const Pledge &one : pledges) {
+        list.push_back({{"home", one.home.id},
+                        {"incarnation", one.home.incarnation},
+                        {"pledge", one.pledge},
+                        {"capacity", one.capacity}});
+    }
+    return nlohmann::json{{"pledges", list}}.dump();
+}
+
+Expected<PledgeSheet> PledgeSheet::parse(std::uint64_t version, const std::string &text)
+{
+    try {
+        PledgeSheet sheet;
+        sheet.version = version;
+        const nlohmann::json document = nlohmann::json::parse(text);
+        for (const nlohmann::json &one : document.at("pledges")) {
+            sheet.pledges.push_back(Pledge{{one.at("home").get<std::string>(), one.at("incarnation").get<std::uint64_t>()},
+                                           one.at("pledge").get<std::uint32_t>(),
+                                           one.at("capacity").get<std::uint32_t>()});
+        }
+        return sheet;
+    } catch (const nlohmann::json::exception &error) {
+        return fail(ErrorCode::Malformed, std::string("pledge sheet: ") + error.what());
+    }
+}
+
+std::uint32_t requiredServers(const CapacityFloor &floor, const PledgeSheet &sheet)
+{
+    std::uint32_t capacity = 0;
+    for (const Pledge &one : sheet.pledges) {
+        capacity += one.capacity;
+    }
+    const auto byShare = static_cast<std::uint32_t>(std::ceil(floor.share * capacity - 1e-9));
+    return std::max(floor.servers, byShare);
+}
+
+HomeFloor::HomeFloor(NodeRef self, InServiceOf inServiceOf)
+    : self_(std::move(self))
+    , inServiceOf_(std::move(inServiceOf))
+{
+}
+
+void HomeFloor::setFloor(const CapacityFloor &floor)
+{
+    floor_ = floor;
+}
+
+void HomeFloor::setCapacity(std::uint32_t announced, std::uint32_t inService, SteadyTime now)
+{
+    inService_ = inService;
+    if (announced >= capacity_ || now - capacitySince_ >= capacityMemory) {
+        capacity_ = announced;
+        capacitySince_ = now;
+    }
+}
+
+std::uint32_t HomeFloor::coveredByOthers(const PledgeSheet &sheet) const
+{
+    std::uint32_t covered = 0;
+    for (const Pledge &one : sheet.pledges) {
+        if (one.home == self_) {
+            continue;
+        }
+        // A pledge of a home that is gone, or that has lost its servers, keeps nothing in service.
+        covered += std::min(one.pledge, inServiceOf_(one.home).value_or(0));
+    }
+    return covered;
+}
+
+std::uint32_t HomeFloor::mustKeep() const
+{
+    const std::uint32_t required = requiredServers(floor_, sheet_);
+    const std::uint32_t covered = coveredByOthers(sheet_);
+    return std::max(believed_, required > covered ? required - covered : 0);
+}
+
+bool HomeFloor::mayEject() const
+{
+    return registered_ && inService_ >= 1 && inService_ - 1 >= mustKeep();
+}
+
+std::uint32_t HomeFloor::pledge() const
+{
+    return believed_;
+}
+
+bool HomeFloor::absorbGoneHome(PledgeSheet &sheet, Pledge &mine) const
+{
+    for (const Pledge &gone : sheet.pledges) {
+        if (gone.home == self_ || inServiceOf_(gone.home).has_value()) {
+            continue;
+        }
+        const std::uint32_t spare = inService_ > mine.pledge ? inService_ - mine.pledge : 0;
+        const std::uint32_t moved = std::min(spare, gone.pledge);
+        if (moved == 0 && gone.pledge > 0) {
+            continue;
+        }
+        mine.pledge += moved;
+        Pledge rest = gone;
+        rest.pledge -= moved;
+        // What was moved and what is left add up to what stood there, so the sum is unchanged.
+        sheet.erase(rest.home);
+        if (rest.pledge > 0) {
+            sheet.set(rest);
+        }
+        return true;
+    }
+    return false;
+}
+
+bool HomeFloor::moveTowardsFairShare(PledgeSheet &sheet, Pledge &mine) const
+{
+    const std::uint32_t required = requiredServers(floor_, sheet);
+    const std::uint32_t covered = coveredByOthers(sheet);
+    std::uint32_t total = 0;
+    for (const Pledge &one : sheet.pledges) {
+        total += one.capacity;
+    }
+    const double exact = total == 0 ? required : static_cast<double>(required) * mine.capacity / total;
+    const auto fair = std::min<std::uint32_t>(mine.capacity, static_cast<std::uint32_t>(std::ceil(exact)));
+    const std::uint32_t least = required > covered ? required - covered : 0;
+    // Lowering is allowed only as far as the others' covered pledges and this one still add up to the floor.
+    const std::uint32_t wanted = std::max(fair, std::min(least, mine.capacity));
+    if (wanted == mine.pledge || (wanted < mine.pledge && covered + wanted < required)) {
+        return false;
+    }
+    mine.pledge = wanted;
+    return true;
+}
+
+std::optional<PledgeSheet> HomeFloor::proposal()
+{
+    if (capacity_ == 0 && !registered_) {
+        return std::nullopt;
+    }
+    PledgeSheet next = sheet_;
+    const Pledge *known = next.find(self_);
+    Pledge mine = known != nullptr ? *known : Pledge{self_, capacity_, capacity_};
+    bool changed = known == nullptr || mine.capacity != capacity_;
+    mine.capacity = capacity_;
+    next.set(mine);
+    if (known != nullptr) {
+        changed = absorbGoneHome(next, mine) || moveTowardsFairShare(next, mine) || changed;
+        next.set(mine);
+    }
+    if (!changed) {
+        return std::nullopt;
+    }
+    // The belief is raised before the write: if its answer is lost the home keeps the stricter promise.
+    believed_ = std::max(believed_, mine.pledge);
+    pending_ = next;
+    return next;
+}
+
+void HomeFloor::accepted(std::uint64_t version)
+{
+    if (!pending_) {
+        return;
+    }
+    sheet_ = *pending_;
+    sheet_.version = version;
+    pending_.reset();
+    registered_ = true;
+    believed_ = sheet_.find(self_)->pledge;
+}
+
+void HomeFloor::rejected(std::optional<PledgeSheet> current)
+{
+    pending_.reset();
+    if (!current || current->version <= sheet_.version) {
+        return;
+    }
+    sheet_ = std::move(*current);
+    const Pledge *mine = sheet_.find(self_);
+    registered_ = mine != nullptr;
+    // No entry: others took this home for gone and moved its pledge to themselves. It starts over.
+    believed_ = mine != nullptr ? mine->pledge : capacity_;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/health/ServerHealth.cpp
@@ -0,0 +1,175 @@
+#include "include/health/ServerHealth.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+const char *serverPhaseName(ServerPhase phase)
+{
+    switch (phase) {
+    case ServerPhase::Ramp:
+        return "ramp";
+    case ServerPhase::InService:
+        return "in-service";
+    case ServerPhase::Ejected:
+        return "ejected";
+    case ServerPhase::Probation:
+        return "probation";
+    }
+    return "ejected";
+}
+
+ServerHealth::ServerHealth(std::unique_ptr<Detector> detector, HealthTuning tuning, SteadyTime now)
+    : detector_(std::move(detector))
+    , tuning_(tuning)
+    , phaseSince_(now)
+    , ejectedUntil_(now)
+    , ejection_(0)
+{
+}
+
+int ServerHealth::goodNeeded() const
+{
+    const int doublings = std::min(relapses_, 3);
+    return std::min(tuning_.mostGoodToReturn, tuning_.goodToReturn << doublings);
+}
+
+void ServerHealth::add(Evidence evidence, double peerBadShare, SteadyTime now)
+{
+    if (phase_ == ServerPhase::Ejected) {
+        return;
+    }
+    if (phase_ == ServerPhase::Probation) {
+        if (evidence != Evidence::Good) {
+            eject(now);
+        } else if (++goodInProbation_ >= goodNeeded()) {
+            startRamp(now);
+        }
+        return;
+    }
+    const bool warming = phase_ == ServerPhase::Ramp && coldStart_;
+    if (warming && (evidence == Evidence::Late || evidence == Evidence::StillWaiting)) {
+        // A cold start is slow without being sick; failures still count.
+        return;
+    }
+    detector_->add(evidence, peerBadShare, now);
+}
+
+void ServerHealth::tick(SteadyTime now)
+{
+    switch (phase_) {
+    case ServerPhase::Ramp:
+        if (now - phaseSince_ >= tuning_.ramp) {
+            phase_ = ServerPhase::InService;
+            phaseSince_ = now;
+        }
+        break;
+    case ServerPhase::InService:
+        if (relapses_ > 0 && now - phaseSince_ >= tuning_.forgiveAfter) {
+            relapses_ = 0;
+            ejection_ = Millis(0);
+        }
+        break;
+    case ServerPhase::Ejected:
+        if (now >= ejectedUntil_) {
+            startProbation(now);
+        }
+        break;
+    case ServerPhase::Probation:
+        break;
+    }
+}
+
+void ServerHealth::eject(SteadyTime now)
+{
+    const bool first = ejection_ == Millis(0);
+    ejection_ = first ? tuning_.firstEjection : std::min(tuning_.longestEjection, ejection_ * 2);
+    relapses_ += first ? 0 : 1;
+    ejectedUntil_ = now + ejection_;
+    phase_ = ServerPhase::Ejected;
+    phaseSince_ = now;
+    detector_->reset();
+}
+
+void ServerHealth::restarted(SteadyTime now)
+{
+    detector_->reset();
+    startRamp(now);
+    coldStart_ = true;
+}
+
+void ServerHealth::startProbation(SteadyTime now)
+{
+    phase_ = ServerPhase::Probation;
+    phaseSince_ = now;
+    goodInProbation_ = 0;
+}
+
+void ServerHealth::startRamp(SteadyTime now)
+{
+    phase_ = ServerPhase::Ramp;
+    phaseSince_ = now;
+    coldStart_ = false;
+    detector_->reset();
+}
+
+ServerPhase ServerHealth::phase() const
+{
+    return phase_;
+}
+
+bool ServerHealth::wantsEjection() const
+{
+    return countsAsInService() && detector_->sick();
+}
+
+double ServerHealth::suspicion() const
+{
+    return detector_->suspicion();
+}
+
+bool ServerHealth::countsAsInService() const
+{
+    return phase_ == ServerPhase::Ramp || phase_ == ServerPhase::InService;
+}
+
+std::uint32_t ServerHealth::usableSlots(std::uint32_t slots, SteadyTime now) const
+{
+    switch (phase_) {
+    case ServerPhase::InService:
+        return slots;
+    case ServerPhase::Ejected:
+        return 0;
+    case ServerPhase::Probation:
+        return std::min<std::uint32_t>(1, slots);
+    case ServerPhase::Ramp:
+        break;
+    }
+    const double part = std::chrono::duration<double>(now - phaseSince_) / std::chrono::duration<double>(tuning_.ramp);
+    const auto usable = static_cast<std::uint32_t>(part * slots) + 1;
+    return std::min(slots, usable);
+}
+
+bool ServerHealth::accepts(bool idempotent, SteadyTime now) const
+{
+    if (phase_ == ServerPhase::Ejected) {
+        return false;
+    }
+    if (phase_ == ServerPhase::Probation) {
+        // Trying a doubtful server with work that can't be sent again would risk that work.
+        return idempotent || now - phaseSince_ >= tuning_.probationWithoutTrial;
+    }
+    return true;
+}
+
+Millis ServerHealth::currentEjection() const
+{
+    return ejection_;
+}
+
+int ServerHealth::relapses() const
+{
+    return relapses_;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/home/ServiceHome.cpp
@@ -0,0 +1,461 @@
+#include "include/home/ServiceHome.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+namespace waxwing {
+
+namespace {
+
+/** Results count half after this long in the share of bad ones among peers. */
+constexpr Millis resultHalfLife = std::chrono::seconds(5);
+/** Good results assumed of a service of which little is known. */
+constexpr double priorGood = 20.0;
+constexpr double typicalSmoothing = 0.1;
+constexpr double suspectAt = 0.3;
+constexpr Millis leastRetryAfter{200};
+constexpr Millis mostRetryAfter{30000};
+
+double decay(SteadyTime since, SteadyTime now)
+{
+    const double halves = std::chrono::duration<double>(now - since) / std::chrono::duration<double>(resultHalfLife);
+    return std::exp2(-std::max(0.0, halves));
+}
+
+std::string decimal(double value)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", value);
+    return text.data();
+}
+
+} // namespace
+
+ServiceHome::ServiceHome(std::string service, NodeRef self, HomeTuning tuning, DetectorFactory detectors,
+                         HomeFloor::InServiceOf inServiceOf)
+    : service_(std::move(service))
+    , tuning_(tuning)
+    , detectors_(std::move(detectors))
+    , floor_(std::move(self), std::move(inServiceOf))
+    , queue_(tuning.queuePerClass)
+{
+}
+
+void ServiceHome::setIntent(const ServiceIntent &intent)
+{
+    intent_ = intent;
+    floor_.setFloor(intent_.strictestFloor());
+}
+
+EjectionCare ServiceHome::mostCareful() const
+{
+    EjectionCare care = EjectionCare::Fast;
+    for (const ClassIntent &one : intent_.classes) {
+        care = std::max(care, one.care);
+    }
+    return care;
+}
+
+bool ServiceHome::announce(const Announcement &announcement, SteadyTime now)
+{
+    auto found = servers_.find(announcement.server);
+    if (found == servers_.end()) {
+        servers_.emplace(announcement.server,
+                         Server(announcement, ServerHealth(detectors_(mostCareful()), tuning_.health, now), now));
+        refreshFloor(now);
+        return true;
+    }
+    Server &server = found->second;
+    const bool newProcess = server.announced.incarnation != announcement.incarnation;
+    if (newProcess) {
+        server.health.restarted(now);
+        server.dead = false;
+    }
+    if (!server.dead) {
+        server.announced = announcement;
+        server.lastAnnounced = now;
+    }
+    refreshFloor(now);
+    return newProcess;
+}
+
+bool ServiceHome::isPresent(const Server &server, SteadyTime now) const
+{
+    const bool silent = now - server.lastAnnounced >= tuning_.announceTimeout;
+    return !server.dead && !silent && server.announced.state == ServerState::Serving;
+}
+
+bool ServiceHome::isHealthy(const Server &server, SteadyTime now) const
+{
+    return isPresent(server, now) && server.health.countsAsInService();
+}
+
+std::uint32_t ServiceHome::usableSlots(const Server &server, SteadyTime now) const
+{
+    if (!isPresent(server, now)) {
+        return 0;
+    }
+    const std::uint32_t usable = server.health.usableSlots(server.announced.slots, now);
+    // A sick server that the floor keeps in service gets as little work as keeps its evidence coming.
+    return server.keptForFloor ? std::min<std::uint32_t>(1, usable) : usable;
+}
+
+std::uint32_t ServiceHome::totalUsableSlots(SteadyTime now) const
+{
+    std::uint32_t slots = 0;
+    for (const auto &[name, server] : servers_) {
+        slots += usableSlots(server, now);
+    }
+    return slots;
+}
+
+ServiceHome::Server *ServiceHome::pick(const ClassIntent &intent, const std::set<std::string> &exclude, SteadyTime now)
+{
+    Server *best = nullptr;
+    double bestLoad = 0.0;
+    for (auto &[name, server] : servers_) {
+        const std::uint32_t usable = usableSlots(server, now);
+        if (server.inFlight >= usable || exclude.count(name) != 0 || !server.health.accepts(intent.idempotent, now)) {
+            continue;
+        }
+        if (server.health.phase() == ServerPhase::Probation && intent.idempotent) {
+            // A trial comes first, else a server could never show that it is well again while others have room.
+            return &server;
+        }
+        const double load = static_cast<double>(server.inFlight) / usable + server.health.suspicion()
+            + (server.keptForFloor ? 10.0 : 0.0);
+        if (best == nullptr || load < bestLoad) {
+            best = &server;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+bool ServiceHome::classMayStart(const std::string &className, SteadyTime now) const
+{
+    const bool otherHadWork = std::any_of(classes_.begin(), classes_.end(), [&](const auto &entry) {
+        const bool recent = now - entry.second.lastSeen < tuning_.classMemory;
+        return entry.first != className && recent;
+    });
+    if (!otherHadWork) {
+        return true;
+    }
+    const auto found = classes_.find(className);
+    const std::uint32_t held = found == classes_.end() ? 0 : found->second.inFlight;
+    const double allowed = std::max(1.0, std::floor(tuning_.classShare * totalUsableSlots(now)));
+    return held + 1 <= allowed;
+}
+
+void ServiceHome::assign(Server &server, std::uint64_t id, const std::string &className)
+{
+    ++server.inFlight;
+    ++classes_[className].inFlight;
+    classOf_[id] = className;
+}
+
+Duration ServiceHome::expectedWait(const std::string &className, SteadyTime now) const
+{
+    const auto found = classes_.find(className);
+    const Duration typical = found == classes_.end() ? Duration(0) : found->second.typical;
+    const std::uint32_t slots = std::max<std::uint32_t>(1, totalUsableSlots(now));
+    const auto ahead = static_cast<std::int64_t>(queue_.sizeOf(className) + 1);
+    return typical * ahead / slots;
+}
+
+Admission ServiceHome::refusal(std::string reason, Duration retryAfter) const
+{
+    Admission out;
+    out.reason = std::move(reason);
+    out.retryAfter = std::clamp(std::chrono::duration_cast<Millis>(retryAfter), leastRetryAfter, mostRetryAfter);
+    return out;
+}
+
+Admission ServiceHome::submit(const HomeRequest &request, SteadyTime now)
+{
+    const ClassIntent *intent = intent_.classNamed(request.className);
+    if (intent == nullptr) {
+        return refusal("unknown-class", mostRetryAfter);
+    }
+    ClassLoad &load = classes_[request.className];
+    load.lastSeen = now;
+    if (request.deadline <= now) {
+        return refusal("deadline-passed", leastRetryAfter);
+    }
+    const bool anyPresent = std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
+        return usableSlots(entry.second, now) > 0 && request.exclude.count(entry.first) == 0;
+    });
+    if (!anyPresent) {
+        return refusal("no-server", std::chrono::seconds(1));
+    }
+    if (queue_.sizeOf(request.className) == 0 && classMayStart(request.className, now)) {
+        if (Server *server = pick(*intent, request.exclude, now)) {
+            assign(*server, request.id, request.className);
+            Admission out;
+            out.kind = Admission::Kind::Assigned;
+            out.server = server->announced.server;
+            return out;
+        }
+    }
+    // Work that would only time out in the queue is refused now, while the caller can still go elsewhere.
+    const Duration wait = expectedWait(request.className, now);
+    if (now + wait + load.typical > request.deadline) {
+        return refusal("would-miss-deadline", wait);
+    }
+    if (!queue_.push(QueuedRequest{request.id, request.className, request.customer, request.deadline})) {
+        return refusal("queue-full", wait);
+    }
+    excluded_[request.id] = request.exclude;
+    Admission out;
+    out.kind = Admission::Kind::Queued;
+    return out;
+}
+
+void ServiceHome::release(std::uint64_t id, const std::string &server, Duration took)
+{
+    const auto found = servers_.find(server);
+    if (found != servers_.end() && found->second.inFlight > 0) {
+        --found->second.inFlight;
+    }
+    const auto className = classOf_.find(id);
+    if (className == classOf_.end()) {
+        return;
+    }
+    ClassLoad &load = classes_[className->second];
+    load.inFlight -= load.inFlight > 0 ? 1 : 0;
+    const auto shift = std::chrono::duration_cast<Duration>((took - load.typical) * typicalSmoothing);
+    load.typical = load.typical == Duration(0) ? took : load.typical + shift;
+    classOf_.erase(className);
+}
+
+bool ServiceHome::cancel(std::uint64_t id)
+{
+    excluded_.erase(id);
+    return queue_.remove(id);
+}
+
+void ServiceHome::count(Server &server, bool bad, SteadyTime now)
+{
+    const double kept = decay(server.countedAt, now);
+    server.good = server.good * kept + (bad ? 0.0 : 1.0);
+    server.bad = server.bad * kept + (bad ? 1.0 : 0.0);
+    server.countedAt = now;
+}
+
+double ServiceHome::badShareWithout(const std::string &except) const
+{
+    double good = priorGood + peerGood_;
+    double bad = peerBad_;
+    for (const auto &[name, server] : servers_) {
+        if (name != except) {
+            good += server.good * decay(server.countedAt, now_);
+            bad += server.bad * decay(server.countedAt, now_);
+        }
+    }
+    return bad / (good + bad);
+}
+
+void ServiceHome::addEvidence(const std::string &name, Evidence evidence, SteadyTime now)
+{
+    now_ = now;
+    const auto found = servers_.find(name);
+    if (found == servers_.end()) {
+        return;
+    }
+    Server &server = found->second;
+    if (evidence != Evidence::StillWaiting) {
+        count(server, evidence != Evidence::Good, now);
+    }
+    server.health.add(evidence, badShareWithout(name), now);
+}
+
+void ServiceHome::addPeerEvidence(bool bad, SteadyTime now)
+{
+    const double kept = decay(peerCountedAt_, now);
+    peerGood_ = peerGood_ * kept + (bad ? 0.0 : 1.0);
+    peerBad_ = peerBad_ * kept + (bad ? 1.0 : 0.0);
+    peerCountedAt_ = now;
+}
+
+void ServiceHome::noteDeath(const std::string &name)
+{
+    const auto found = servers_.find(name);
+    if (found != servers_.end()) {
+        found->second.dead = true;
+    }
+}
+
+ServiceHome::Due ServiceHome::poll(SteadyTime now)
+{
+    Due due;
+    for (const QueuedRequest &expired : queue_.takeExpired(now)) {
+        excluded_.erase(expired.id);
+        due.expired.push_back(expired.id);
+    }
+    Server *chosen = nullptr;
+    const auto mayStart = [&](const QueuedRequest &one) {
+        const ClassIntent *intent = intent_.classNamed(one.className);
+        if (intent == nullptr || !classMayStart(one.className, now)) {
+            return false;
+        }
+        chosen = pick(*intent, excluded_[one.id], now);
+        return chosen != nullptr;
+    };
+    QueuedRequest next;
+    while (queue_.pop(mayStart, next)) {
+        excluded_.erase(next.id);
+        assign(*chosen, next.id, next.className);
+        due.assigned.push_back(Assignment{next.id, chosen->announced.server});
+    }
+    return due;
+}
+
+void ServiceHome::refreshFloor(SteadyTime now)
+{
+    std::uint32_t announced = 0;
+    std::uint32_t healthy = 0;
+    for (const auto &[name, server] : servers_) {
+        const bool counts = isPresent(server, now);
+        announced += counts ? 1 : 0;
+        healthy += isHealthy(server, now) ? 1 : 0;
+    }
+    floor_.setCapacity(announced, healthy, now);
+}
+
+void ServiceHome::ejectSick(std::vector<HomeDecision> &decisions, SteadyTime now)
+{
+    std::vector<Server *> sick;
+    std::size_t healthy = 0;
+    std::size_t suspects = 0;
+    for (auto &[name, server] : servers_) {
+        const bool inService = isHealthy(server, now);
+        healthy += inService ? 1 : 0;
+        suspects += inService && server.health.suspicion() >= suspectAt ? 1 : 0;
+        if (inService && server.health.wantsEjection()) {
+            sick.push_back(&server);
+        } else {
+            server.keptForFloor = false;
+        }
+    }
+    if (sick.empty()) {
+        return;
+    }
+    std::sort(sick.begin(), sick.end(),
+              [](const Server *a, const Server *b) { return a->health.suspicion() > b->health.suspicion(); });
+    const bool serviceIsSlow = healthy > 1 && static_cast<double>(suspects) > tuning_.suspectShare * healthy;
+    for (Server *server : sick) {
+        const std::string &name = server->announced.server;
+        const std::vector<std::pair<std::string, std::string>> evidence
+            = {{"suspicion", decimal(server->health.suspicion())},
+               {"peerBadShare", decimal(badShareWithout(name))},
+               {"suspects", std::to_string(suspects)},
+               {"inService", std::to_string(healthy)},
+               {"mustKeep", std::to_string(floor_.mustKeep())}};
+        refreshFloor(now);
+        if (!serviceIsSlow && floor_.mayEject()) {
+            server->health.eject(now);
+            server->keptForFloor = false;
+            decisions.push_back(HomeDecision{"server_ejected", name, evidence});
+            decisions.back().evidence.emplace_back("for", std::to_string(server->health.currentEjection().count()) + "ms");
+            refreshFloor(now);
+        } else if (!server->keptForFloor && !serviceIsSlow) {
+            server->keptForFloor = true;
+            decisions.push_back(HomeDecision{"server_kept_for_floor", name, evidence});
+        } else if (serviceIsSlow && lastSlowService_ != name) {
+            lastSlowService_ = name;
+            decisions.push_back(HomeDecision{"service_slow_nobody_ejected", name, evidence});
+        }
+    }
+}
+
+std::vector<HomeDecision> ServiceHome::tick(SteadyTime now)
+{
+    now_ = now;
+    std::vector<HomeDecision> decisions;
+    for (auto it = servers_.begin(); it != servers_.end();) {
+        Server &server = it->second;
+        const ServerPhase before = server.health.phase();
+        server.health.tick(now);
+        if (server.health.phase() != before) {
+            decisions.push_back(HomeDecision{"server_phase", it->first,
+                                             {{"from", serverPhaseName(before)},
+                                              {"to", serverPhaseName(server.health.phase())}}});
+        }
+        const bool forget = now - server.lastAnnounced >= tuning_.forgetAfter && server.inFlight == 0;
+        if (forget) {
+            decisions.push_back(HomeDecision{"server_forgotten", it->first, {}});
+            it = servers_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    ejectSick(decisions, now);
+    refreshFloor(now);
+    return decisions;
+}
+
+HomeFloor &ServiceHome::floor()
+{
+    return floor_;
+}
+
+std::uint32_t ServiceHome::inService() const
+{
+    std::uint32_t healthy = 0;
+    for (const auto &[name, server] : servers_) {
+        healthy += isHealthy(server, now_) ? 1 : 0;
+    }
+    return healthy;
+}
+
+std::uint32_t ServiceHome::freeSlots(SteadyTime now) const
+{
+    std::uint32_t free = 0;
+    for (const auto &[name, server] : servers_) {
+        const std::uint32_t usable = usableSlots(server, now);
+        free += usable > server.inFlight ? usable - server.inFlight : 0;
+    }
+    return free;
+}
+
+bool ServiceHome::hasRoomBeside(const std::set<std::string> &exclude, SteadyTime now) const
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
+        return exclude.count(entry.first) == 0 && entry.second.inFlight < usableSlots(entry.second, now);
+    });
+}
+
+std::size_t ServiceHome::queued() const
+{
+    return queue_.size();
+}
+
+std::size_t ServiceHome::inFlight() const
+{
+    return classOf_.size();
+}
+
+std::vector<ServerView> ServiceHome::servers() const
+{
+    std::vector<ServerView> views;
+    for (const auto &[name, server] : servers_) {
+        views.push_back(ServerView{server.announced, server.health.phase(), isPresent(server, now_), server.inFlight,
+                                   server.health.suspicion(), server.keptForFloor});
+    }
+    return views;
+}
+
+const Announcement *ServiceHome::find(const std::string &server) const
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? nullptr : &found->second.announced;
+}
+
+bool ServiceHome::hasNoServers() const
+{
+    return servers_.empty();
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/http/HttpClient.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/base/HttpMessage.h"
+#include "include/settings/NodeSettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+enum class ExchangeFailure {
+    /** No connection could be made. */
+    Connect,
+    /** The peer closed or reset the connection. */
+    Reset,
+    /** The time allowed ran out. */
+    Timeout,
+    /** The answer ended before its whole body had come. */
+    Cut,
+    /** The answer was not HTTP. */
+    Garbled,
+};
+
+const char *exchangeFailureName(ExchangeFailure failure);
+
+/** Why an exchange failed, and whether a byte of the request may have reached the peer. */
+struct ExchangeError {
+    ExchangeFailure failure = ExchangeFailure::Connect;
+    bool mayHaveSentBytes = false;
+};
+
+/** Lets another fiber end an exchange early. Not thread safe. */
+class ExchangeCancel
+{
+public:
+    /** Ends the exchange; it fails as Timeout. Does nothing when none is running. */
+    void cancel();
+
+private:
+    friend class HttpClient;
+    std::function<void()> hook_;
+};
+
+/**
+ * HTTP/1.1 client with one pool of kept-open connections for each endpoint. Not thread safe.
+ * A connection that saw a timeout, a cut, a cancellation or a surplus byte is never used again, so that a late
+ * answer can't be taken for the answer to the next request.
+ */
+class HttpClient
+{
+public:
+    explicit HttpClient(boost::asio::io_context &ioContext);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /** Sends @p request and returns the whole answer. @pre called from a fiber; @p allowed > 0. */
+    tl::expected<HttpResponse, ExchangeError> exchange(const Endpoint &endpoint, const HttpRequest &request,
+                                                       Duration allowed, ExchangeCancel *cancel = nullptr);
+    /** True if something accepts connections at @p endpoint. @pre called from a fiber. */
+    bool accepts(const Endpoint &endpoint, Duration allowed);
+    /** Closes kept-open connections to @p endpoint. */
+    void forget(const Endpoint &endpoint);
+
+private:
+    struct Connection;
+    std::unique_ptr<Connection> takeIdle(const Endpoint &endpoint);
+
+    boost::asio::io_context &ioContext_;
+    std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle_;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,263 @@
+#include "src/http/HttpServer.h"
+
+#include "src/fiber/FiberLoop.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <list>
+#include <optional>
+
+namespace waxwing {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+constexpr Millis acceptPause{20};
+}
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+    State(boost::asio::io_context &context, Handler handlerIn, HttpLimits limitsIn, RejectHook onRejectIn)
+        : ioContext(context)
+        , acceptor(context)
+        , handler(std::move(handlerIn))
+        , limits(limitsIn)
+        , onReject(std::move(onRejectIn))
+    {
+    }
+
+    /** One connection as the server sees it; draining closes the ones that wait for a request. */
+    struct Connection {
+        explicit Connection(tcp::socket socket)
+            : stream(std::move(socket))
+        {
+        }
+        beast::tcp_stream stream;
+        bool waiting = false;
+    };
+
+    void acceptLoop();
+    void serve(Connection &connection);
+    std::optional<HttpRequest> readRequest(Connection &connection, beast::flat_buffer &buffer, bool &keepAlive);
+    bool writeReply(Connection &connection, HttpReply reply, bool keepAlive);
+    void reject(Connection &connection, beast::error_code error);
+
+    boost::asio::io_context &ioContext;
+    tcp::acceptor acceptor;
+    Handler handler;
+    HttpLimits limits;
+    RejectHook onReject;
+    std::list<std::shared_ptr<Connection>> open;
+    std::size_t inFlight = 0;
+    bool draining = false;
+};
+
+void HttpServer::State::acceptLoop()
+{
+    while (!draining) {
+        tcp::socket socket(ioContext);
+        const IoResult accepted = await([&](auto handle) { acceptor.async_accept(socket, std::move(handle)); });
+        if (draining || accepted.error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (accepted.error) {
+            // Out of descriptors: accepting again at once would spin until one is free.
+            sleepFor(ioContext, acceptPause);
+            continue;
+        }
+        if (open.size() >= limits.connections) {
+            if (onReject) {
+                onReject("too-many-connections");
+            }
+            continue;
+        }
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        open.push_back(std::make_shared<Connection>(std::move(socket)));
+        spawnFiber([self = shared_from_this(), place = std::prev(open.end())] {
+            const std::shared_ptr<Connection> connection = *place;
+            self->serve(*connection);
+            self->open.erase(place);
+        });
+    }
+}
+
+void HttpServer::State::reject(Connection &connection, beast::error_code error)
+{
+    unsigned status = 400;
+    if (error == http::error::body_limit) {
+        status = 413;
+    } else if (error == http::error::header_limit) {
+        status = 431;
+    }
+    if (onReject) {
+        onReject(error.message());
+    }
+    HttpResponse response = jsonResponse(status, "{\"error\":\"" + error.message() + "\"}\n");
+    response.headers.emplace_back("Waxwing-Outcome", "not-run");
+    writeReply(connection, HttpReply{std::move(response), AfterResponse::Close}, false);
+}
+
+std::optional<HttpRequest> HttpServer::State::readRequest(Connection &connection, beast::flat_buffer &buffer,
+                                                          bool &keepAlive)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    connection.stream.expires_after(limits.idle);
+    connection.waiting = true;
+    const IoResult header = await([&](auto handle) {
+        http::async_read_header(connection.stream, buffer, parser, std::move(handle));
+    });
+    connection.waiting = false;
+    IoResult body = header;
+    if (!header.error) {
+        connection.stream.expires_after(limits.message);
+        body = await([&](auto handle) { http::async_read(connection.stream, buffer, parser, std::move(handle)); });
+    }
+    if (body.error) {
+        const bool malformed = body.error.category() == http::make_error_code(http::error::bad_method).category()
+            && body.error != http::error::end_of_stream && body.error != http::error::partial_message;
+        if (malformed) {
+            reject(connection, body.error);
+        }
+        return std::nullopt;
+    }
+    connection.stream.expires_never();
+    auto message = parser.release();
+    keepAlive = message.keep_alive();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+bool HttpServer::State::writeReply(Connection &connection, HttpReply reply, bool keepAlive)
+{
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(reply.response.status);
+    for (const auto &[name, value] : reply.response.headers) {
+        if (!isHopByHop(name)) {
+            message.insert(name, value);
+        }
+    }
+    message.keep_alive(keepAlive);
+    message.body() = std::move(reply.response.body);
+    message.prepare_payload();
+    if (reply.after == AfterResponse::CutBody) {
+        message.body().resize(message.body().size() / 2);
+    }
+    connection.stream.expires_after(limits.message);
+    const IoResult written = await([&](auto handle) {
+        http::async_write(connection.stream, message, std::move(handle));
+    });
+    return !written.error;
+}
+
+void HttpServer::State::serve(Connection &connection)
+{
+    beast::flat_buffer buffer;
+    bool keepAlive = true;
+    while (keepAlive && !draining) {
+        std::optional<HttpRequest> request = readRequest(connection, buffer, keepAlive);
+        if (!request) {
+            break;
+        }
+        ++inFlight;
+        HttpReply reply = handler(std::move(*request));
+        keepAlive = keepAlive && reply.after == AfterResponse::KeepOpen && !draining;
+        const bool reset = reply.after == AfterResponse::Reset;
+        if (reset) {
+            boost::system::error_code ignored;
+            connection.stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        } else {
+            keepAlive = writeReply(connection, std::move(reply), keepAlive) && keepAlive;
+        }
+        --inFlight;
+    }
+    beast::error_code ignored;
+    if (!keepAlive) {
+        connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    connection.stream.close();
+}
+
+Expected<std::unique_ptr<HttpServer>> HttpServer::MakeListening(boost::asio::io_context &ioContext,
+                                                                const std::string &address, std::uint16_t port,
+                                                                Handler handler, HttpLimits limits,
+                                                                RejectHook onReject)
+{
+    auto state = std::make_shared<State>(ioContext, std::move(handler), limits, std::move(onReject));
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(address, error);
+    if (error) {
+        return fail(ErrorCode::Malformed, "not an IP number: " + address);
+    }
+    const tcp::endpoint endpoint(ip, port);
+    state->acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        state->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        state->acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        state->acceptor.listen(1024, error);
+    }
+    if (error) {
+        return fail(ErrorCode::Unavailable, "listen on " + address + ":" + std::to_string(port) + ": " + error.message());
+    }
+    spawnFiber([state] { state->acceptLoop(); });
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> state)
+    : state_(std::move(state))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    drain();
+}
+
+std::uint16_t HttpServer::port() const
+{
+    boost::system::error_code ignored;
+    return state_->acceptor.local_endpoint(ignored).port();
+}
+
+std::size_t HttpServer::requestsInFlight() const
+{
+    return state_->inFlight;
+}
+
+std::size_t HttpServer::connections() const
+{
+    return state_->open.size();
+}
+
+void HttpServer::drain()
+{
+    if (state_->draining) {
+        return;
+    }
+    state_->draining = true;
+    boost::system::error_code ignored;
+    state_->acceptor.close(ignored);
+    for (const auto &connection : state_->open) {
+        if (connection->waiting) {
+            connection->stream.cancel();
+        }
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/http/HttpServer.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/base/Error.h"
+#include "include/base/HttpMessage.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace waxwing {
+
+/** Bounds on what one caller may make the server hold. */
+struct HttpLimits {
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 1024 * 1024;
+    std::size_t connections = 20000;
+    Millis idle = std::chrono::seconds(60);
+    Millis message = std::chrono::seconds(15);
+};
+
+/** What a handler wants done with its connection after (or instead of) the response. */
+enum class AfterResponse {
+    KeepOpen,
+    Close,
+    /** Sends only the first half of the body, then resets. For stand-ins that produce faults. */
+    CutBody,
+    /** Sends nothing and resets. For stand-ins that produce faults. */
+    Reset,
+};
+
+struct HttpReply {
+    HttpResponse response;
+    AfterResponse after = AfterResponse::KeepOpen;
+};
+
+/**
+ * An HTTP/1.1 server (Boost.Beast): one fiber for each connection on the thread of the io_context.
+ * Not thread safe.
+ */
+class HttpServer
+{
+public:
+    using Handler = std::function<HttpReply(HttpRequest)>;
+    /** Called with a short reason for each message that was refused before it reached the handler. */
+    using RejectHook = std::function<void(const std::string &reason)>;
+
+    /** Listens on @p address:@p port (0 picks a free one). Errors: Unavailable. */
+    static Expected<std::unique_ptr<HttpServer>> MakeListening(boost::asio::io_context &ioContext,
+                                                               const std::string &address, std::uint16_t port,
+                                                               Handler handler, HttpLimits limits = {},
+                                                               RejectHook onReject = {});
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    std::uint16_t port() const;
+    std::size_t requestsInFlight() const;
+    std::size_t connections() const;
+    /** Takes no new connection and closes each kept-open one after the response it is working on. */
+    void drain();
+
+private:
+    struct State;
+    explicit HttpServer(std::shared_ptr<State> state);
+    std::shared_ptr<State> state_;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/link/PeerHub.cpp
@@ -0,0 +1,569 @@
+#include "src/link/PeerHub.h"
+
+#include "src/fiber/FiberLoop.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <map>
+#include <vector>
+
+namespace waxwing {
+
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using websocketpp::connection_hdl;
+
+constexpr long openTimeoutMs = 1000;
+constexpr long closeTimeoutMs = 500;
+constexpr std::size_t mostMessageBytes = 8 * 1024 * 1024;
+constexpr std::size_t mostBufferedBytes = 16 * 1024 * 1024;
+constexpr Millis helloTimeout{1500};
+
+/** Waits for something that may never come: opened by its event or by its timer, whichever is first. */
+struct TimedGate {
+    TimedGate(boost::asio::io_context &ioContext, Duration allowed)
+        : timer(ioContext, allowed)
+    {
+    }
+
+    void wait()
+    {
+        timer.async_wait([gate = gate](boost::system::error_code) { gate->open(); });
+        gate->wait();
+        timer.cancel();
+    }
+
+    std::shared_ptr<FiberGate> gate = std::make_shared<FiberGate>();
+    boost::asio::steady_timer timer;
+};
+
+} // namespace
+
+struct PeerHub::State : std::enable_shared_from_this<PeerHub::State> {
+    /** One WebSocket, in either direction. */
+    struct Link {
+        LinkId id = 0;
+        bool outgoing = false;
+        connection_hdl handle;
+        Endpoint endpoint;
+        NodeRef peer;
+        bool helloDone = false;
+        bool closed = false;
+        SteadyTime since = std::chrono::steady_clock::now();
+        std::vector<std::shared_ptr<FiberGate>> waiters;
+    };
+    using LinkPtr = std::shared_ptr<Link>;
+
+    struct Pending {
+        LinkPtr link;
+        std::shared_ptr<FiberGate> gate;
+        bool answered = false;
+        bool linkLost = false;
+        ExecReply reply;
+    };
+
+    State(boost::asio::io_context &context, NodeRef selfIn, Hooks hooksIn)
+        : ioContext(context)
+        , self(std::move(selfIn))
+        , hooks(std::move(hooksIn))
+    {
+    }
+
+    void setUp();
+    LinkPtr addLink(bool outgoing, connection_hdl handle);
+    LinkPtr openTo(const Endpoint &endpoint);
+    Expected<LinkPtr> linkTo(const NodeRef &to, const Endpoint &endpoint);
+    Expected<void> awaitHello(const LinkPtr &link);
+    tl::expected<ExecReply, CallError> ask(const NodeRef &to, const Endpoint &endpoint,
+                                           const std::function<Message(std::uint64_t)> &messageOf, Duration allowed,
+                                           const std::function<void(std::uint64_t)> &onSent);
+    bool sendOn(const LinkPtr &link, const Message &message);
+    void onFrame(const LinkPtr &link, const std::string &payload);
+    void onClosed(const LinkPtr &link);
+    void closeLink(const LinkPtr &link, websocketpp::close::status::value code);
+    static void wake(Link &link);
+    void finishPending(std::uint64_t id, const LinkPtr &link, ExecReply reply);
+
+    boost::asio::io_context &ioContext;
+    NodeRef self;
+    Hooks hooks;
+    Server server;
+    Client client;
+    std::uint16_t port = 0;
+    bool listening = false;
+    bool stopped = false;
+    LinkId nextLink = 1;
+    std::uint64_t nextCall = 1;
+    std::map<LinkId, LinkPtr> links;
+    std::map<NodeRef, LinkPtr> outgoing;
+    std::map<Endpoint, LinkPtr> opening;
+    std::map<std::uint64_t, std::shared_ptr<Pending>> pending;
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+};
+
+void PeerHub::State::setUp()
+{
+    for (auto *log : {&server.get_alog(), &client.get_alog()}) {
+        log->clear_channels(websocketpp::log::alevel::all);
+    }
+    server.clear_error_channels(websocketpp::log::elevel::all);
+    client.clear_error_channels(websocketpp::log::elevel::all);
+    server.init_asio(&ioContext);
+    client.init_asio(&ioContext);
+    server.set_reuse_addr(true);
+    server.set_open_handshake_timeout(openTimeoutMs);
+    server.set_close_handshake_timeout(closeTimeoutMs);
+    server.set_max_message_size(mostMessageBytes);
+    client.set_open_handshake_timeout(openTimeoutMs);
+    client.set_close_handshake_timeout(closeTimeoutMs);
+    client.set_max_message_size(mostMessageBytes);
+    const auto noDelay = [](auto &endpoint) {
+        endpoint.set_tcp_pre_init_handler({});
+        endpoint.set_socket_init_handler([](connection_hdl, boost::asio::ip::tcp::socket &socket) {
+            boost::system::error_code ignored;
+            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        });
+    };
+    noDelay(server);
+    noDelay(client);
+    server.set_open_handler([self = weak_from_this()](connection_hdl handle) {
+        const auto state = self.lock();
+        if (!state || state->stopped) {
+            return;
+        }
+        const LinkPtr link = state->addLink(false, handle);
+        const auto connection = state->server.get_con_from_hdl(handle);
+        connection->set_message_handler([self, link](connection_hdl, const Server::message_ptr &message) {
+            if (const auto owner = self.lock()) {
+                owner->onFrame(link, message->get_payload());
+            }
+        });
+        connection->set_close_handler([self, link](connection_hdl) {
+            if (const auto owner = self.lock()) {
+                owner->onClosed(link);
+            }
+        });
+        state->sendOn(link, Hello{state->self});
+    });
+}
+
+PeerHub::State::LinkPtr PeerHub::State::addLink(bool isOutgoing, connection_hdl handle)
+{
+    auto link = std::make_shared<Link>();
+    link->id = nextLink++;
+    link->outgoing = isOutgoing;
+    link->handle = std::move(handle);
+    links[link->id] = link;
+    return link;
+}
+
+void PeerHub::State::wake(Link &link)
+{
+    for (const auto &gate : link.waiters) {
+        gate->open();
+    }
+    link.waiters.clear();
+}
+
+PeerHub::State::LinkPtr PeerHub::State::openTo(const Endpoint &endpoint)
+{
+    const auto found = opening.find(endpoint);
+    if (found != opening.end()) {
+        return found->second;
+    }
+    websocketpp::lib::error_code error;
+    const auto connection = client.get_connection("ws://" + endpoint.text() + "/", error);
+    if (error) {
+        return nullptr;
+    }
+    const LinkPtr link = addLink(true, connection->get_handle());
+    link->endpoint = endpoint;
+    opening[endpoint] = link;
+    const std::weak_ptr<State> weak = weak_from_this();
+    connection->set_open_handler([weak, link](connection_hdl) {
+        const auto state = weak.lock();
+        if (!state) {
+            return;
+        }
+        if (link->closed) {
+            // Given up before it opened: left open it would be a link that nobody owns.
+            websocketpp::lib::error_code ignored;
+            state->client.close(link->handle, websocketpp::close::status::going_away, "", ignored);
+            return;
+        }
+        state->sendOn(link, Hello{state->self});
+    });
+    connection->set_message_handler([weak, link](connection_hdl, const Client::message_ptr &message) {
+        if (const auto state = weak.lock()) {
+            state->onFrame(link, message->get_payload());
+        }
+    });
+    const auto closed = [weak, link](connection_hdl) {
+        if (const auto state = weak.lock()) {
+            state->onClosed(link);
+        }
+    };
+    connection->set_close_handler(closed);
+    connection->set_fail_handler(closed);
+    client.connect(connection);
+    return link;
+}
+
+Expected<void> PeerHub::State::awaitHello(const LinkPtr &link)
+{
+    if (!link->helloDone && !link->closed) {
+        TimedGate timed(ioContext, helloTimeout);
+        link->waiters.push_back(timed.gate);
+        timed.wait();
+    }
+    if (link->closed) {
+        return fail(ErrorCode::Unavailable, "no link to " + link->endpoint.text());
+    }
+    if (!link->helloDone) {
+        closeLink(link, websocketpp::close::status::going_away);
+        return fail(ErrorCode::Timeout, "no hello from " + link->endpoint.text());
+    }
+    return {};
+}
+
+Expected<PeerHub::State::LinkPtr> PeerHub::State::linkTo(const NodeRef &to, const Endpoint &endpoint)
+{
+    if (stopped) {
+        return fail(ErrorCode::Unavailable, "stopping");
+    }
+    const auto found = outgoing.find(to);
+    if (found != outgoing.end()) {
+        return found->second;
+    }
+    const LinkPtr link = openTo(endpoint);
+    if (!link) {
+        return fail(ErrorCode::Unavailable, "can't connect to " + endpoint.text());
+    }
+    const Expected<void> hello = awaitHello(link);
+    if (!hello) {
+        return tl::unexpected<Error>(hello.error());
+    }
+    if (link->peer != to) {
+        return fail(ErrorCode::NotFound, "at " + endpoint.text() + " is " + link->peer.text() + ", not " + to.text());
+    }
+    return link;
+}
+
+bool PeerHub::State::sendOn(const LinkPtr &link, const Message &message)
+{
+    if (link->closed) {
+        return false;
+    }
+    const std::string bytes = encodeMessage(message);
+    websocketpp::lib::error_code error;
+    const auto sendVia = [&](auto &endpoint) {
+        const auto connection = endpoint.get_con_from_hdl(link->handle, error);
+        if (!error && connection->get_buffered_amount() > mostBufferedBytes) {
+            error = websocketpp::error::make_error_code(websocketpp::error::send_queue_full);
+        }
+        if (!error) {
+            error = connection->send(bytes, websocketpp::frame::opcode::binary);
+        }
+    };
+    if (link->outgoing) {
+        sendVia(client);
+    } else {
+        sendVia(server);
+    }
+    if (!error) {
+        sent += bytes.size();
+    }
+    return !error;
+}
+
+void PeerHub::State::closeLink(const LinkPtr &link, websocketpp::close::status::value code)
+{
+    if (link->closed) {
+        return;
+    }
+    websocketpp::lib::error_code ignored;
+    if (link->outgoing) {
+        client.close(link->handle, code, "", ignored);
+    } else {
+        server.close(link->handle, code, "", ignored);
+    }
+    onClosed(link);
+}
+
+void PeerHub::State::onFrame(const LinkPtr &link, const std::string &payload)
+{
+    if (link->closed) {
+        return;
+    }
+    received += payload.size();
+    Expected<Message> message = decodeMessage(payload);
+    const bool helloFirst = link->helloDone || (message && std::holds_alternative<Hello>(*message));
+    if (!message || !helloFirst) {
+        if (hooks.onGarbage) {
+            hooks.onGarbage(message ? "message before hello" : message.error().message);
+        }
+        closeLink(link, websocketpp::close::status::unsupported_data);
+        return;
+    }
+    if (const auto *hello = std::get_if<Hello>(&*message)) {
+        link->peer = hello->from;
+        link->helloDone = true;
+        if (link->outgoing) {
+            outgoing[link->peer] = link;
+            opening.erase(link->endpoint);
+        }
+        wake(*link);
+    } else if (const auto *ping = std::get_if<Ping>(&*message)) {
+        sendOn(link, Pong{ping->id});
+    } else if (const auto *pong = std::get_if<Pong>(&*message)) {
+        finishPending(pong->id, link, ExecReply{});
+    } else if (auto *reply = std::get_if<ExecReply>(&*message)) {
+        finishPending(reply->id, link, std::move(*reply));
+    } else if (hooks.onMessage) {
+        hooks.onMessage(link->id, link->peer, std::move(*message));
+    }
+}
+
+void PeerHub::State::finishPending(std::uint64_t id, const LinkPtr &link, ExecReply reply)
+{
+    const auto found = pending.find(id);
+    if (found == pending.end() || found->second->link != link) {
+        return;
+    }
+    found->second->answered = true;
+    found->second->reply = std::move(reply);
+    found->second->gate->open();
+}
+
+void PeerHub::State::onClosed(const LinkPtr &link)
+{
+    if (link->closed) {
+        return;
+    }
+    link->closed = true;
+    wake(*link);
+    links.erase(link->id);
+    const auto opened = opening.find(link->endpoint);
+    if (opened != opening.end() && opened->second == link) {
+        opening.erase(opened);
+    }
+    for (const auto &[id, call] : pending) {
+        if (call->link == link) {
+            call->linkLost = true;
+            call->gate->open();
+        }
+    }
+    const auto found = outgoing.find(link->peer);
+    if (found != outgoing.end() && found->second == link) {
+        outgoing.erase(found);
+        if (hooks.onLinkLost && !stopped) {
+            hooks.onLinkLost(link->peer);
+        }
+    }
+}
+
+PeerHub::PeerHub(boost::asio::io_context &ioContext, NodeRef self, Hooks hooks)
+    : state_(std::make_shared<State>(ioContext, std::move(self), std::move(hooks)))
+{
+    state_->setUp();
+}
+
+PeerHub::~PeerHub()
+{
+    stop();
+}
+
+Expected<void> PeerHub::listen(const Endpoint &endpoint)
+{
+    boost::system::error_code bad;
+    const auto ip = boost::asio::ip::make_address(endpoint.address, bad);
+    websocketpp::lib::error_code error;
+    state_->server.listen(boost::asio::ip::tcp::endpoint(ip, endpoint.port), error);
+    if (!error) {
+        state_->server.start_accept(error);
+    }
+    if (bad || error) {
+        return fail(ErrorCode::Unavailable, "listen on " + endpoint.text() + ": " + error.message());
+    }
+    state_->listening = true;
+    state_->port = state_->server.get_local_endpoint(bad).port();
+    return {};
+}
+
+std::uint16_t PeerHub::port() const
+{
+    return state_->port;
+}
+
+Expected<NodeRef> PeerHub::discover(const Endpoint &endpoint)
+{
+    for (const auto &[peer, link] : state_->outgoing) {
+        if (link->endpoint == endpoint) {
+            return peer;
+        }
+    }
+    const State::LinkPtr link = state_->openTo(endpoint);
+    if (!link) {
+        return fail(ErrorCode::Unavailable, "can't connect to " + endpoint.text());
+    }
+    const Expected<void> hello = state_->awaitHello(link);
+    if (!hello) {
+        return tl::unexpected<Error>(hello.error());
+    }
+    return link->peer;
+}
+
+Expected<void> PeerHub::send(const NodeRef &to, const Endpoint &endpoint, const Message &message)
+{
+    const auto link = state_->linkTo(to, endpoint);
+    if (!link) {
+        return tl::unexpected<Error>(link.error());
+    }
+    if (!state_->sendOn(*link, message)) {
+        return fail(ErrorCode::Unavailable, "link to " + to.text() + " takes no more");
+    }
+    return {};
+}
+
+tl::expected<ExecReply, CallError> PeerHub::State::ask(const NodeRef &to, const Endpoint &endpoint,
+                                                       const std::function<Message(std::uint64_t)> &messageOf,
+                                                       Duration allowed,
+                                                       const std::function<void(std::uint64_t)> &onSent)
+{
+    const auto link = linkTo(to, endpoint);
+    if (!link) {
+        return tl::unexpected<CallError>(CallError{false, link.error().message});
+    }
+    const std::uint64_t id = nextCall++;
+    const auto call = std::make_shared<Pending>();
+    TimedGate timed(ioContext, allowed);
+    call->link = *link;
+    call->gate = timed.gate;
+    pending[id] = call;
+    if (!sendOn(*link, messageOf(id))) {
+        pending.erase(id);
+        return tl::unexpected<CallError>(CallError{false, "link takes no more"});
+    }
+    if (onSent) {
+        onSent(id);
+    }
+    timed.wait();
+    pending.erase(id);
+    if (call->answered) {
+        return std::move(call->reply);
+    }
+    return tl::unexpected<CallError>(CallError{true, call->linkLost ? "link lost" : "no answer in time"});
+}
+
+tl::expected<ExecReply, CallError> PeerHub::call(const NodeRef &to, const Endpoint &endpoint, Exec exec,
+                                                 Duration allowed, const std::function<void(std::uint64_t)> &onSent)
+{
+    std::uint64_t sentId = 0;
+    const auto noteSent = [&](std::uint64_t id) {
+        sentId = id;
+        if (onSent) {
+            onSent(id);
+        }
+    };
+    auto answer = state_->ask(to, endpoint, [&](std::uint64_t id) {
+        exec.id = id;
+        return Message(std::move(exec));
+    }, allowed, noteSent);
+    const auto link = state_->outgoing.find(to);
+    if (!answer && sentId != 0 && link != state_->outgoing.end()) {
+        state_->sendOn(link->second, Cancel{sentId});
+    }
+    return answer;
+}
+
+Expected<void> PeerHub::callAcknowledged(const NodeRef &to, const Endpoint &endpoint, ClaimHandover message,
+                                         Duration allowed)
+{
+    const auto answer = state_->ask(to, endpoint, [&](std::uint64_t id) {
+        message.id = id;
+        return Message(message);
+    }, allowed, {});
+    return answer ? Expected<void>() : fail(ErrorCode::Timeout, answer.error().reason);
+}
+
+Expected<void> PeerHub::ping(const NodeRef &to, const Endpoint &endpoint, Duration allowed)
+{
+    const auto answer = state_->ask(to, endpoint, [](std::uint64_t id) { return Message(Ping{id}); }, allowed, {});
+    return answer ? Expected<void>() : fail(ErrorCode::Timeout, answer.error().reason);
+}
+
+void PeerHub::closeStrangers(Duration olderThan)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const auto links = state_->links;
+    for (const auto &[id, link] : links) {
+        if (!link->outgoing && !link->helloDone && now - link->since >= olderThan) {
+            state_->closeLink(link, websocketpp::close::status::policy_violation);
+        }
+    }
+}
+
+void PeerHub::cancelCall(std::uint64_t id)
+{
+    const auto found = state_->pending.find(id);
+    if (found != state_->pending.end()) {
+        found->second->gate->open();
+    }
+}
+
+void PeerHub::reply(LinkId link, const Message &message)
+{
+    const auto found = state_->links.find(link);
+    if (found != state_->links.end()) {
+        state_->sendOn(found->second, message);
+    }
+}
+
+void PeerHub::drop(const NodeRef &peer)
+{
+    const auto found = state_->outgoing.find(peer);
+    if (found != state_->outgoing.end()) {
+        const State::LinkPtr link = found->second;
+        state_->closeLink(link, websocketpp::close::status::going_away);
+    }
+}
+
+std::size_t PeerHub::openLinks() const
+{
+    return state_->links.size();
+}
+
+std::uint64_t PeerHub::bytesSent() const
+{
+    return state_->sent;
+}
+
+std::uint64_t PeerHub::bytesReceived() const
+{
+    return state_->received;
+}
+
+void PeerHub::stop()
+{
+    if (state_->stopped) {
+        return;
+    }
+    state_->stopped = true;
+    websocketpp::lib::error_code ignored;
+    if (state_->listening) {
+        state_->server.stop_listening(ignored);
+    }
+    const auto links = state_->links;
+    for (const auto &[id, link] : links) {
+        state_->closeLink(link, websocketpp::close::status::going_away);
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/link/PeerHub.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/base/Error.h"
+#include "include/settings/NodeSettings.h"
+#include "include/wire/Messages.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace waxwing {
+
+/** Why a message could not be sent or answered, and whether it may have left this node. */
+struct CallError {
+    bool mayHaveLeft = false;
+    std::string reason;
+};
+
+/** Names one link for answers; valid until the link closes. */
+using LinkId = std::uint64_t;
+
+/**
+ * Links to other nodes: WebSocket (websocketpp) with one CBOR message in each binary frame.
+ *
+ * A link that this node opened is known to lead to one incarnation: the peer says Hello first, and a peer that is
+ * not the expected one is not used. An answer is taken only on the link that carried its question, so an answer from
+ * an earlier run of the peer is never taken for a later one's. Not thread safe: the node's thread only.
+ */
+class PeerHub
+{
+public:
+    struct Hooks {
+        /** A message other than Hello, Ping, Pong and ExecReply. */
+        std::function<void(LinkId link, const NodeRef &from, Message message)> onMessage;
+        /** Bytes that were no message; the link is closed. */
+        std::function<void(const std::string &reason)> onGarbage;
+        /** An outgoing link closed or went silent. */
+        std::function<void(const NodeRef &peer)> onLinkLost;
+    };
+
+    PeerHub(boost::asio::io_context &ioContext, NodeRef self, Hooks hooks);
+    ~PeerHub();
+    PeerHub(const PeerHub &) = delete;
+    PeerHub &operator=(const PeerHub &) = delete;
+
+    /** Errors: Unavailable. */
+    Expected<void> listen(const Endpoint &endpoint);
+    std::uint16_t port() const;
+
+    /** The incarnation that answers at @p endpoint. Errors: Unavailable, Timeout. @pre called from a fiber. */
+    Expected<NodeRef> discover(const Endpoint &endpoint);
+    /** Sends without waiting for an answer; opens the link if need be. @pre called from a fiber. */
+    Expected<void> send(const NodeRef &to, const Endpoint &endpoint, const Message &message);
+    /**
+     * Sends @p exec (its id is set here) and waits for the reply. @p onSent is called with the id as soon as the
+     * message left. @pre called from a fiber.
+     */
+    tl::expected<ExecReply, CallError> call(const NodeRef &to, const Endpoint &endpoint, Exec exec, Duration allowed,
+                                            const std::function<void(std::uint64_t id)> &onSent = {});
+    /** Sends a message that the peer acknowledges with a Pong of its id. @pre called from a fiber. */
+    Expected<void> callAcknowledged(const NodeRef &to, const Endpoint &endpoint, ClaimHandover message,
+                                    Duration allowed);
+    /** Measures whether the peer answers. @pre called from a fiber. */
+    Expected<void> ping(const NodeRef &to, const Endpoint &endpoint, Duration allowed);
+    /** Ends a call of this node early: the caller gets an error and the peer a Cancel. */
+    void cancelCall(std::uint64_t id);
+    /** Answers on the link that a message came from; does nothing if it has closed. */
+    void reply(LinkId link, const Message &message);
+    /** Closes incoming links that have not said Hello within @p olderThan. */
+    void closeStrangers(Duration olderThan);
+    /** Closes the outgoing link to @p peer. */
+    void drop(const NodeRef &peer);
+    /** Incarnations to which a link is open. */
+    std::size_t openLinks() const;
+    /** Bytes of messages sent and received since the start. */
+    std::uint64_t bytesSent() const;
+    std::uint64_t bytesReceived() const;
+    /** Closes every link and stops listening. */
+    void stop();
+
+private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/node/ClaimService.cpp
@@ -0,0 +1,330 @@
+#include "src/node/ClaimService.h"
+
+#include "include/intent/ClassIntent.h"
+#include "include/poison/PoisonRegistry.h"
+#include "src/fiber/FiberLoop.h"
+#include "src/node/DispatchService.h"
+#include "src/node/GossipService.h"
+#include "src/node/NodeCore.h"
+#include "src/platform/ObjectApi.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+
+constexpr Millis forwardGrace{200};
+constexpr Millis pollWhileStopping{20};
+constexpr Millis ackTimeout{2000};
+constexpr Millis boundKeyMemory = std::chrono::minutes(10);
+constexpr std::size_t mostBoundKeys = 10000;
+const std::string keyKind = "key";
+
+/** Object names are short and safe; the key itself stands in the value. */
+std::string keyObjectName(const std::string &service, const std::string &key)
+{
+    const std::string text = service + "\n" + key;
+    constexpr std::uint64_t secondSeed = 0x9e3779b97f4a7c15ULL;
+    return hexText(stableHash(text)) + hexText(stableHash(text, secondSeed));
+}
+
+ClaimLimits limitsOf(const NodeSettings &settings)
+{
+    ClaimLimits limits;
+    limits.entries = settings.limits.claims;
+    limits.answerBytes = settings.limits.claimAnswerBytes;
+    limits.validity = settings.times.ticketValidity;
+    return limits;
+}
+
+std::optional<Ticket> ticketIn(const StoredObject &object)
+{
+    const nlohmann::json value = nlohmann::json::parse(object.value, nullptr, false);
+    if (!value.is_object() || !value.contains("ticket") || !value["ticket"].is_string()) {
+        return std::nullopt;
+    }
+    const Expected<Ticket> ticket = Ticket::parse(value["ticket"].get<std::string>());
+    return ticket ? std::optional<Ticket>(*ticket) : std::nullopt;
+}
+
+} // namespace
+
+ClaimService::ClaimService(NodeCore &core)
+    : core_(core)
+    , mint_(core.self, core.clock)
+    , table_(core.self, core.clock, limitsOf(core.settings))
+    , keyWrites_(core.settings.limits.keyWritesPerSecond, core.settings.limits.keyWritesPerSecond * 2.0, core.clock.now())
+{
+}
+
+ExecReply ClaimService::makeReply(Outcome outcome, const std::string &reason, Millis retryAfter)
+{
+    ExecReply reply;
+    reply.outcome = outcome;
+    reply.reason = reason;
+    reply.retryAfter = retryAfter;
+    return reply;
+}
+
+std::string ClaimService::mintTicket()
+{
+    return mint_.mint().text();
+}
+
+tl::expected<Ticket, ExecReply> ClaimService::bindKey(const std::string &key, const Exec &exec)
+{
+    const auto refuse = [](Outcome outcome, const char *reason) {
+        return tl::unexpected<ExecReply>(makeReply(outcome, reason, Millis(1000)));
+    };
+    const std::string name = keyObjectName(exec.service, key);
+    const auto known = boundKeys_.find(name);
+    if (known != boundKeys_.end()) {
+        return *Ticket::parse(known->second.first);
+    }
+    // Until the store has answered, an earlier attempt with this key through another node can't be ruled out, so
+    // these refusals say "unknown"; the key makes it safe to ask again.
+    if (!keyWrites_.tryTake(1.0, core_.clock.now())) {
+        return refuse(Outcome::Unknown, "key-writes-spent");
+    }
+    ObjectApi &api = core_.service<ObjectApi>("platform");
+    const Ticket ticket = mint_.mint();
+    const auto wallMs = std::chrono::duration_cast<Millis>(core_.clock.wallNow().time_since_epoch()).count();
+    const nlohmann::json value = {{"ticket", ticket.text()}, {"at", wallMs}};
+    const UpdateResult created = api.update(keyKind, name, 0, value.dump());
+    std::optional<Ticket> bound;
+    switch (created.kind) {
+    case UpdateResult::Kind::Stored:
+        bound = ticket;
+        break;
+    case UpdateResult::Kind::Conflict:
+        bound = created.current ? ticketIn(*created.current) : std::nullopt;
+        break;
+    case UpdateResult::Kind::NotStored:
+        break;
+    case UpdateResult::Kind::Unknown: {
+        // The write may have taken effect although its answer was lost: whichever ticket stands there is the one.
+        const auto standing = api.read(keyKind, name);
+        bound = standing && *standing ? ticketIn(**standing) : std::nullopt;
+        break;
+    }
+    }
+    if (!bound) {
+        core_.metrics.count("key_bind_failures");
+        return refuse(Outcome::Unknown, "key-store-away");
+    }
+    if (boundKeys_.size() < mostBoundKeys) {
+        boundKeys_[name] = {bound->text(), core_.clock.now()};
+    }
+    return *bound;
+}
+
+ExecReply ClaimService::run(const std::string &key, Exec exec, const ClassIntent &cls)
+{
+    Ticket ticket;
+    if (Ticket::looksLikeTicket(key)) {
+        const Expected<Ticket> parsed = Ticket::parse(key);
+        if (!parsed) {
+            return makeReply(Outcome::NotRun, "malformed-ticket", Millis(0));
+        }
+        ticket = *parsed;
+    } else {
+        const auto bound = bindKey(key, exec);
+        if (!bound) {
+            return bound.error();
+        }
+        ticket = *bound;
+    }
+    exec.ticket = ticket.text();
+    exec.stage = ExecStage::Claim;
+    const NodeRef holder = core_.service<GossipService>("gossip").claimHolder(ticket.owner);
+    if (holder == core_.self || table_.hasAdopted(ticket.owner)) {
+        return claimHere(exec, cls);
+    }
+    return passToOwner(holder, exec);
+}
+
+ExecReply ClaimService::passToOwner(const NodeRef &holder, const Exec &exec)
+{
+    GossipService &gossip = core_.service<GossipService>("gossip");
+    const std::optional<Endpoint> endpoint = gossip.peerEndpoint(holder);
+    const NodeRecord *node = gossip.node(holder.id);
+    const bool gone = node != nullptr && (holder.incarnation < node->ref.incarnation || node->state == NodeState::Left);
+    if (!endpoint || gone) {
+        // The owner's memory went with it. An earlier attempt may have run, and nobody can tell any more.
+        core_.metrics.count("claims_owner_gone");
+        return makeReply(Outcome::Unknown, gone || node == nullptr ? "ticket-owner-gone" : "ticket-owner-unknown", Millis(0));
+    }
+    const auto answer = core_.service<PeerHub>("peers").call(holder, *endpoint, exec, exec.remaining + forwardGrace);
+    if (answer) {
+        return *answer;
+    }
+    return makeReply(Outcome::Unknown, "ticket-owner-unreachable", Millis(1000));
+}
+
+void ClaimService::start(const Ticket &ticket, const Exec &exec, const ClassIntent &cls)
+{
+    // A fiber of its own: the claim goes on to its end although the attempt that began it may stop waiting.
+    spawnFiber([this, ticket, exec, cls] {
+        Exec work = exec;
+        work.stage = ExecStage::Run;
+        const ExecReply reply
+            = core_.service<DispatchService>("dispatch").run(work, cls, std::make_shared<RunControl>());
+        table_.finish(ticket, ClaimEnd{reply.outcome, reply.response});
+        const auto found = waiting_.find(ticket.text());
+        if (found == waiting_.end()) {
+            return;
+        }
+        const std::vector<WaiterPtr> waiters = std::move(found->second);
+        waiting_.erase(found);
+        for (const WaiterPtr &waiter : waiters) {
+            waiter->reply = reply;
+            waiter->gate.open();
+        }
+    });
+}
+
+ExecReply ClaimService::waitForEnd(const Ticket &ticket, Duration allowed)
+{
+    const auto waiter = std::make_shared<Waiter>();
+    waiting_[ticket.text()].push_back(waiter);
+    boost::asio::steady_timer timer(core_.ioContext, allowed);
+    timer.async_wait([waiter](boost::system::error_code) { waiter->gate.open(); });
+    waiter->gate.wait();
+    timer.cancel();
+    return waiter->reply ? *waiter->reply : makeReply(Outcome::Unknown, "still-running", Millis(1000));
+}
+
+ExecReply ClaimService::replay(const Ticket &ticket) const
+{
+    const ClaimEnd *end = table_.endOf(ticket);
+    ExecReply reply = makeReply(Outcome::Ran, {}, Millis(0));
+    if (end != nullptr) {
+        reply.response = end->response;
+        reply.response.headers.emplace_back("Waxwing-Replayed", "true");
+    }
+    return reply;
+}
+
+ExecReply ClaimService::refused(ClaimVerdict verdict) const
+{
+    const std::string reason = claimVerdictName(verdict);
+    switch (verdict) {
+    case ClaimVerdict::Start:
+    case ClaimVerdict::Running:
+    case ClaimVerdict::Replay:
+    case ClaimVerdict::NotOwner:
+    case ClaimVerdict::InDoubt:
+    case ClaimVerdict::Expired:
+        return makeReply(Outcome::Unknown, reason, Millis(0));
+    case ClaimVerdict::AnswerNotKept:
+        return makeReply(Outcome::Ran, reason, Millis(0));
+    case ClaimVerdict::OtherRequest:
+        return makeReply(Outcome::NotRun, reason, Millis(0));
+    case ClaimVerdict::Full:
+    case ClaimVerdict::Stopping:
+        return makeReply(Outcome::NotRun, reason, Millis(1000));
+    }
+    return makeReply(Outcome::Unknown, reason, Millis(0));
+}
+
+ExecReply ClaimService::claimHere(const Exec &exec, const ClassIntent &cls)
+{
+    const Expected<Ticket> ticket = Ticket::parse(exec.ticket);
+    if (!ticket) {
+        return makeReply(Outcome::NotRun, "malformed-ticket", Millis(0));
+    }
+    const ClaimVerdict verdict = table_.begin(*ticket, mint_.age(), requestDigest(exec.service, exec.request));
+    core_.metrics.count(std::string("claim_") + claimVerdictName(verdict));
+    switch (verdict) {
+    case ClaimVerdict::Start:
+        start(*ticket, exec, cls);
+        return waitForEnd(*ticket, exec.remaining + forwardGrace);
+    case ClaimVerdict::Running:
+        return waitForEnd(*ticket, exec.remaining);
+    case ClaimVerdict::Replay:
+        return replay(*ticket);
+    case ClaimVerdict::AnswerNotKept:
+    case ClaimVerdict::InDoubt:
+    case ClaimVerdict::OtherRequest:
+    case ClaimVerdict::Expired:
+    case ClaimVerdict::Full:
+    case ClaimVerdict::Stopping:
+    case ClaimVerdict::NotOwner:
+        break;
+    }
+    return refused(verdict);
+}
+
+void ClaimService::adopt(const ClaimHandover &handover)
+{
+    table_.adopt(handover);
+    for (const ClaimOwner &owner : handover.owners) {
+        core_.events.write(Severity::Info, "claims_adopted",
+                           {{"owner", owner.ref.text()}, {"claims", std::to_string(handover.claims.size())}});
+    }
+}
+
+void ClaimService::handOver(Duration within)
+{
+    const SteadyTime until = core_.clock.now() + within;
+    table_.stopClaiming();
+    while (table_.running() > 0 && core_.clock.now() < until) {
+        sleepFor(core_.ioContext, pollWhileStopping);
+    }
+    if (table_.running() > 0) {
+        core_.events.write(Severity::Error, "claims_not_handed_over",
+                           {{"running", std::to_string(table_.running())}});
+        return;
+    }
+    const ClaimHandover handover = table_.handOver(mint_.age());
+    GossipService &gossip = core_.service<GossipService>("gossip");
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    const auto wallMs = std::chrono::duration_cast<Millis>(core_.clock.wallNow().time_since_epoch()).count();
+    for (const std::string &id : gossip.upIds()) {
+        const NodeRecord *node = gossip.node(id);
+        if (id == core_.self.id || node == nullptr) {
+            continue;
+        }
+        const NodeRef successor = node->ref;
+        const Endpoint endpoint{node->address, node->peerPort};
+        if (!peers.callAcknowledged(successor, endpoint, handover, ackTimeout)) {
+            // It may have adopted them all the same, which does no harm: only the one that is named is ever asked.
+            continue;
+        }
+        const nlohmann::json body = {successor.id, successor.incarnation};
+        for (const ClaimOwner &owner : handover.owners) {
+            gossip.publishNow(Record{RecordKind::Successor, owner.ref.text(),
+                                     RecordVersion{static_cast<std::uint64_t>(wallMs), 0}, nlohmann::json::to_cbor(body)});
+        }
+        core_.events.write(Severity::Info, "claims_handed_over",
+                           {{"to", successor.text()}, {"claims", std::to_string(handover.claims.size())}});
+        return;
+    }
+    core_.events.write(Severity::Warning, "claims_not_handed_over", {{"reason", "no other node"}});
+}
+
+void ClaimService::expire()
+{
+    table_.expire();
+    const SteadyTime now = core_.clock.now();
+    for (auto it = boundKeys_.begin(); it != boundKeys_.end();) {
+        it = now - it->second.second >= boundKeyMemory ? boundKeys_.erase(it) : std::next(it);
+    }
+    const double rate = core_.settings.limits.keyWritesPerSecond;
+    keyWrites_.setRate(rate, rate * 2.0);
+}
+
+std::size_t ClaimService::size() const
+{
+    return table_.size();
+}
+
+std::size_t ClaimService::running() const
+{
+    return table_.running();
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/node/DispatchService.cpp
@@ -0,0 +1,189 @@
+#include "src/node/DispatchService.h"
+
+#include "include/intent/ClassIntent.h"
+#include "src/node/GossipService.h"
+#include "src/node/HomeService.h"
+#include "src/node/NodeCore.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+
+/** A home's verdict may come this much after the request's time, and is worth the wait: it tells run from not run. */
+constexpr Millis verdictGrace{250};
+constexpr Millis leastTime{2};
+constexpr int mostHomes = 4;
+/** An idempotent request waits this many times its response time for a home that says nothing. */
+constexpr int silentHomeFactor = 2;
+
+bool isFinalReason(const std::string &reason)
+{
+    return reason == "request-ends-servers" || reason == "cancelled";
+}
+
+std::size_t bytesOf(const HttpRequest &request)
+{
+    std::size_t bytes = request.target.size() + request.body.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
+} // namespace
+
+DispatchService::DispatchService(NodeCore &core)
+    : core_(core)
+    , chooser_([&core] { return core.random(); })
+    , regionBytes_(static_cast<double>(core.settings.limits.regionBytesPerSecond),
+                   static_cast<double>(core.settings.limits.regionBytesPerSecond), core.clock.now())
+{
+}
+
+std::vector<HomeCandidate> DispatchService::candidates(const std::string &service) const
+{
+    std::vector<HomeCandidate> found;
+    for (const NodeRecord *node : core_.service<GossipService>("gossip").homesOf(service)) {
+        HomeCandidate candidate;
+        candidate.node = node->ref;
+        candidate.servers = node->services.at(service);
+        if (node->ref == core_.self) {
+            candidate.distance = Distance::SameNode;
+        } else if (node->zone == core_.settings.zone) {
+            candidate.distance = Distance::SameZone;
+        } else if (node->region == core_.settings.region) {
+            candidate.distance = Distance::SameRegion;
+        } else {
+            candidate.distance = Distance::OtherRegion;
+        }
+        found.push_back(candidate);
+    }
+    return found;
+}
+
+bool DispatchService::regionHasRoom(const HomeCandidate &home, std::size_t bytes)
+{
+    if (home.distance != Distance::OtherRegion) {
+        return true;
+    }
+    const SteadyTime now = core_.clock.now();
+    if (!regionBytes_.hasAny(now)) {
+        core_.metrics.count("spill_refused_region_bytes");
+        return false;
+    }
+    regionBytes_.take(static_cast<double>(bytes), now);
+    core_.metrics.count("region_bytes_out", bytes);
+    return true;
+}
+
+ExecReply DispatchService::runRemote(const HomeCandidate &home, const Exec &exec, const ClassIntent &cls,
+                                     const RunControlPtr &control)
+{
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    const std::optional<Endpoint> endpoint = core_.service<GossipService>("gossip").peerEndpoint(home.node);
+    ExecReply reply;
+    reply.id = exec.id;
+    if (!endpoint || !regionHasRoom(home, bytesOf(exec.request))) {
+        reply.outcome = Outcome::NotRun;
+        reply.reason = endpoint ? "region-bytes-spent" : "no-home";
+        reply.retryAfter = Millis(1000);
+        return reply;
+    }
+    const Millis patience = cls.idempotent ? std::min(exec.remaining, cls.responseTime * silentHomeFactor) : exec.remaining;
+    const auto answer = peers.call(home.node, *endpoint, exec, patience + verdictGrace, [&](std::uint64_t id) {
+        control->interrupt = [&peers, id] { peers.cancelCall(id); };
+    });
+    control->interrupt = {};
+    const SteadyTime now = core_.clock.now();
+    if (answer) {
+        chooser_.notePathGood(home.node);
+        chooser_.noteLoad(exec.service, home.node, answer->freeSlots, answer->queued, now);
+        if (home.distance == Distance::OtherRegion) {
+            regionBytes_.take(static_cast<double>(answer->response.body.size()), now);
+            core_.metrics.count("region_bytes_in", answer->response.body.size());
+        }
+        return *answer;
+    }
+    if (!control->cancelled) {
+        // Not an ejection: the home stays this node's last resort, and other nodes are not told.
+        chooser_.notePathFailure(home.node, now);
+        core_.events.write(Severity::Warning, "path_failed",
+                           {{"home", home.node.text()}, {"service", exec.service}, {"reason", answer.error().reason}});
+    }
+    reply.outcome = answer.error().mayHaveLeft ? Outcome::Unknown : Outcome::NotRun;
+    reply.reason = answer.error().mayHaveLeft ? "home-silent" : "home-unreachable";
+    reply.retryAfter = Millis(500);
+    return reply;
+}
+
+ExecReply DispatchService::runAt(const HomeCandidate &home, const Exec &exec, const ClassIntent &cls,
+                                 const RunControlPtr &control)
+{
+    chooser_.noteSent(exec.service, home.node);
+    ExecReply reply;
+    if (home.distance == Distance::SameNode) {
+        reply = core_.service<HomeService>("homes").run(exec, control);
+        chooser_.noteLoad(exec.service, home.node, reply.freeSlots, reply.queued, core_.clock.now());
+    } else {
+        const SteadyTime started = core_.clock.now();
+        reply = runRemote(home, exec, cls, control);
+        const bool late = core_.clock.now() - started > cls.responseTime;
+        if (reply.outcome != Outcome::NotRun) {
+            core_.service<HomeService>("homes").addPeerEvidence(exec.service, late);
+        }
+    }
+    chooser_.noteDone(exec.service, home.node);
+    return reply;
+}
+
+ExecReply DispatchService::run(const Exec &exec, const ClassIntent &cls, const RunControlPtr &control)
+{
+    const SteadyTime deadline = core_.clock.now() + exec.remaining;
+    std::set<NodeRef> tried;
+    ExecReply reply;
+    reply.outcome = Outcome::NotRun;
+    reply.reason = "no-home";
+    reply.retryAfter = Millis(1000);
+    bool mayHaveRun = false;
+    RetryBudget &budget = budgets_[exec.service];
+    budget.noteAttempt();
+    for (int homes = 0; homes < mostHomes; ++homes) {
+        const SteadyTime now = core_.clock.now();
+        const std::vector<HomeCandidate> all = candidates(exec.service);
+        const HomeCandidate *home = chooser_.choose(exec.service, all, tried, now);
+        const auto left = std::chrono::duration_cast<Millis>(deadline - now);
+        // A refusal cost the home nothing, so moving on to a home with room is not a retry; a silent home is one.
+        const bool isRetry = reply.outcome == Outcome::Unknown;
+        if (home == nullptr || left < leastTime || (isRetry && !budget.tryRetry())) {
+            break;
+        }
+        Exec next = exec;
+        next.remaining = left;
+        const ExecReply answer = runAt(*home, next, cls, control);
+        tried.insert(home->node);
+        // The answer of a home that ran it, or its reason for a refusal, outranks "no room" at the next one.
+        const bool keepEarlier = homes > 0 && answer.outcome == Outcome::NotRun && mayHaveRun;
+        if (!keepEarlier) {
+            reply = answer;
+        }
+        mayHaveRun = mayHaveRun || answer.outcome != Outcome::NotRun;
+        const bool done = answer.outcome == Outcome::Ran || isFinalReason(answer.reason) || control->cancelled
+            || (answer.outcome == Outcome::Unknown && !cls.idempotent);
+        if (done) {
+            break;
+        }
+    }
+    reply.id = exec.id;
+    return reply;
+}
+
+void DispatchService::expire()
+{
+    chooser_.expire(core_.clock.now());
+    const auto rate = static_cast<double>(core_.settings.limits.regionBytesPerSecond);
+    regionBytes_.setRate(rate, rate);
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/node/FloorService.cpp
@@ -0,0 +1,79 @@
+#include "src/node/FloorService.h"
+
+#include "src/fiber/FiberLoop.h"
+#include "src/node/HomeService.h"
+#include "src/node/NodeCore.h"
+#include "src/platform/ObjectApi.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+
+constexpr Millis every{500};
+constexpr Millis longestPause = std::chrono::seconds(30);
+const std::string pledgeKind = "pledge";
+
+} // namespace
+
+FloorService::FloorService(NodeCore &core)
+    : core_(core)
+{
+}
+
+void FloorService::start()
+{
+    spawnFiber([this] { loop(); });
+}
+
+bool FloorService::writeProposal(const std::string &service, ServiceHome &home)
+{
+    HomeFloor &floor = home.floor();
+    const std::optional<PledgeSheet> proposal = floor.proposal();
+    if (!proposal) {
+        return true;
+    }
+    const UpdateResult result
+        = core_.service<ObjectApi>("platform").update(pledgeKind, service, proposal->version, proposal->json());
+    switch (result.kind) {
+    case UpdateResult::Kind::Stored:
+        floor.accepted(result.version);
+        core_.events.write(Severity::Info, "pledge_written",
+                           {{"service", service}, {"pledge", std::to_string(floor.pledge())},
+                            {"mustKeep", std::to_string(floor.mustKeep())}});
+        return true;
+    case UpdateResult::Kind::Conflict: {
+        std::optional<PledgeSheet> current;
+        if (result.current) {
+            const Expected<PledgeSheet> parsed = PledgeSheet::parse(result.current->version, result.current->value);
+            current = parsed ? std::optional<PledgeSheet>(*parsed) : std::nullopt;
+        }
+        floor.rejected(std::move(current));
+        return true;
+    }
+    case UpdateResult::Kind::NotStored:
+    case UpdateResult::Kind::Unknown:
+        floor.rejected(std::nullopt);
+        return false;
+    }
+    return false;
+}
+
+void FloorService::loop()
+{
+    Millis pause = every;
+    while (!core_.stopping) {
+        const Millis jitter(static_cast<std::int64_t>(core_.random() % static_cast<std::uint64_t>(pause.count())));
+        sleepFor(core_.ioContext, pause / 2 + jitter);
+        bool reached = true;
+        for (const auto &[service, home] : core_.service<HomeService>("homes").homes()) {
+            if (!core_.stopping && reached) {
+                reached = writeProposal(service, *home);
+            }
+        }
+        pause = reached ? every : std::min(longestPause, pause * 2);
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/node/GossipService.cpp
@@ -0,0 +1,513 @@
+#include "src/node/GossipService.h"
+
+#include "include/member/Ring.h"
+#include "src/fiber/FiberLoop.h"
+#include "src/node/NodeCore.h"
+#include "src/platform/ObjectApi.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+
+/** Changes are gathered for this long, so that a burst travels in few messages. */
+constexpr Millis flushEvery{30};
+constexpr Millis joinEvery{1000};
+/** Poison and successor records carry their time as the version and are dropped when they are older. */
+constexpr Millis shortLivedMemory = std::chrono::hours(2);
+/** A node's own records stay below this; its last word is above every guess of others. */
+constexpr std::uint64_t leftSequence = 1ULL << 40;
+constexpr std::size_t mostRecordsInPush = 500;
+const std::string nodeKind = "node";
+
+std::uint64_t wallMs(const Clock &clock)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<Millis>(clock.wallNow().time_since_epoch()).count());
+}
+
+} // namespace
+
+GossipService::GossipService(NodeCore &core)
+    : core_(core)
+    , table_([this](const Record &record) { applied(record); })
+{
+}
+
+void GossipService::onRecord(RecordKind kind, RecordHook hook)
+{
+    hooks_[kind].push_back(std::move(hook));
+}
+
+void GossipService::start()
+{
+    own_.ref = core_.self;
+    own_.address = core_.settings.advertisedPeers.address;
+    own_.peerPort = core_.settings.advertisedPeers.port;
+    own_.httpPort = core_.settings.operators.port;
+    own_.zone = core_.settings.zone;
+    own_.region = core_.settings.region;
+    publishSelf();
+    spawnFiber([this] { joinLoop(); });
+    spawnFiber([this] { pingLoop(); });
+    spawnFiber([this] { antiEntropyLoop(); });
+    spawnFiber([this] { flushLoop(); });
+}
+
+bool GossipService::isStale(const Record &record) const
+{
+    const bool shortLived = record.kind == RecordKind::Poison || record.kind == RecordKind::Successor;
+    const std::uint64_t now = wallMs(core_.clock);
+    return shortLived && record.version.major + static_cast<std::uint64_t>(shortLivedMemory.count()) < now;
+}
+
+void GossipService::dropStale()
+{
+    for (const RecordKind kind : {RecordKind::Poison, RecordKind::Successor}) {
+        for (const Record *record : table_.all(kind)) {
+            if (isStale(*record)) {
+                const std::string key = record->key;
+                table_.drop(kind, key);
+            }
+        }
+    }
+}
+
+void GossipService::takeRecord(const Record &record, const NodeRef &from)
+{
+    if (isStale(record)) {
+        return;
+    }
+    if (record.kind == RecordKind::Node) {
+        const Expected<NodeRecord> node = nodeFromRecord(record);
+        if (!node) {
+            core_.metrics.count("gossip_bad_records");
+            return;
+        }
+        const bool aboutSelf = node->ref.id == core_.self.id && !left_;
+        if (aboutSelf && node->ref != core_.self && core_.self.incarnation < node->ref.incarnation) {
+            core_.events.write(Severity::Error, "node_id_in_use", {{"node", node->ref.text()}});
+            return;
+        }
+        if (aboutSelf && node->ref == core_.self && node->state != NodeState::Up) {
+            refute(*node, record.version.minor);
+            return;
+        }
+    }
+    if (table_.merge(record)) {
+        outbox_[{record.kind, record.key}] = {from.id};
+    } else {
+        // The sender has it already, so it need not be told.
+        const auto waiting = outbox_.find({record.kind, record.key});
+        if (waiting != outbox_.end()) {
+            waiting->second.insert(from.id);
+        }
+    }
+}
+
+void GossipService::applied(const Record &record)
+{
+    if (record.kind == RecordKind::Node) {
+        const Expected<NodeRecord> parsed = nodeFromRecord(record);
+        if (parsed) {
+            const auto known = nodes_.find(parsed->ref.id);
+            const bool changed = known == nodes_.end() || known->second.state != parsed->state
+                || known->second.ref != parsed->ref;
+            if (known != nodes_.end()) {
+                for (const auto &[service, servers] : known->second.services) {
+                    homes_[service].erase(parsed->ref.id);
+                }
+            }
+            for (const auto &[service, servers] : parsed->services) {
+                homes_[service].insert(parsed->ref.id);
+            }
+            if (changed) {
+                core_.events.write(Severity::Info, "node_state",
+                                   {{"node", parsed->ref.text()}, {"state", nodeStateName(parsed->state)},
+                                    {"zone", parsed->zone}});
+            }
+            nodes_[parsed->ref.id] = *parsed;
+        }
+    }
+    const auto hooks = hooks_.find(record.kind);
+    if (hooks == hooks_.end()) {
+        return;
+    }
+    for (const RecordHook &hook : hooks->second) {
+        hook(record);
+    }
+}
+
+void GossipService::publish(const Record &record)
+{
+    if (table_.merge(record)) {
+        outbox_[{record.kind, record.key}] = {};
+    }
+}
+
+void GossipService::publishNow(const Record &record)
+{
+    if (table_.merge(record)) {
+        push({record}, {});
+    }
+}
+
+void GossipService::publishSelf()
+{
+    publish(toRecord(own_, sequence_++));
+}
+
+void GossipService::publishServices(std::map<std::string, std::uint32_t> services)
+{
+    if (services == own_.services || left_) {
+        return;
+    }
+    own_.services = std::move(services);
+    publishSelf();
+}
+
+void GossipService::refute(const NodeRecord &claim, std::uint64_t sequence)
+{
+    core_.events.write(Severity::Warning, "down_refuted", {{"claimed", nodeStateName(claim.state)}});
+    sequence_ = std::max(sequence_, sequence + 1);
+    publishSelf();
+}
+
+void GossipService::declareDown(const NodeRecord &gone)
+{
+    const Record *held = table_.find(RecordKind::Node, gone.ref.id);
+    if (held == nullptr || held->version.major != gone.ref.incarnation) {
+        return;
+    }
+    NodeRecord down = gone;
+    down.state = NodeState::Down;
+    down.services.clear();
+    core_.events.write(Severity::Warning, "node_declared_down", {{"node", gone.ref.text()}, {"reason", "silent"}});
+    publish(toRecord(down, held->version.minor + 1));
+}
+
+void GossipService::leave()
+{
+    own_.state = NodeState::Left;
+    own_.services.clear();
+    left_ = true;
+    sequence_ = leftSequence;
+    publishSelf();
+    std::vector<Record> last;
+    for (const auto &[id, except] : outbox_) {
+        if (const Record *record = table_.find(id.first, id.second)) {
+            last.push_back(*record);
+        }
+    }
+    outbox_.clear();
+    push(last, {});
+}
+
+void GossipService::push(const std::vector<Record> &records, const std::set<std::string> &except)
+{
+    if (records.empty()) {
+        return;
+    }
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    for (const std::string &id : partners()) {
+        const NodeRecord *to = node(id);
+        if (to == nullptr || except.count(id) != 0) {
+            continue;
+        }
+        for (std::size_t start = 0; start < records.size(); start += mostRecordsInPush) {
+            const std::size_t end = std::min(records.size(), start + mostRecordsInPush);
+            const RecordsPush part{{records.begin() + static_cast<std::ptrdiff_t>(start),
+                                    records.begin() + static_cast<std::ptrdiff_t>(end)}};
+            // Opening a link may take a while; one slow partner must not hold up the others.
+            spawnFiber([&peers, ref = to->ref, endpoint = Endpoint{to->address, to->peerPort}, part] {
+                (void)peers.send(ref, endpoint, part);
+            });
+        }
+    }
+}
+
+void GossipService::flushLoop()
+{
+    while (!core_.stopping) {
+        sleepFor(core_.ioContext, flushEvery);
+        std::map<std::set<std::string>, std::vector<Record>> groups;
+        for (const auto &[id, except] : outbox_) {
+            if (const Record *record = table_.find(id.first, id.second)) {
+                groups[except].push_back(*record);
+            }
+        }
+        outbox_.clear();
+        for (const auto &[except, records] : groups) {
+            push(records, except);
+        }
+    }
+}
+
+std::vector<std::string> GossipService::partners() const
+{
+    return gossipPartners(core_.self.id, upIds());
+}
+
+bool GossipService::handle(LinkId link, const NodeRef &from, const Message &message)
+{
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    if (const auto *records = std::get_if<RecordsPush>(&message)) {
+        for (const Record &record : records->records) {
+            takeRecord(record, from);
+        }
+        return true;
+    }
+    if (const auto *digest = std::get_if<DigestOffer>(&message)) {
+        BucketNames names;
+        for (const std::uint32_t bucket : table_.differingBuckets(digest->hashes)) {
+            names.buckets.emplace_back(bucket, table_.namesIn(bucket));
+        }
+        if (!names.buckets.empty()) {
+            peers.reply(link, names);
+        }
+        return true;
+    }
+    if (const auto *names = std::get_if<BucketNames>(&message)) {
+        BucketNames back;
+        back.answer = true;
+        std::vector<Record> newer;
+        for (const auto &[bucket, theirs] : names->buckets) {
+            for (Record &record : table_.newerThan(bucket, theirs)) {
+                newer.push_back(std::move(record));
+            }
+            if (table_.lacksAny(theirs)) {
+                back.buckets.emplace_back(bucket, table_.namesIn(bucket));
+            }
+        }
+        for (std::size_t start = 0; start < newer.size(); start += mostRecordsInPush) {
+            const std::size_t end = std::min(newer.size(), start + mostRecordsInPush);
+            peers.reply(link, RecordsPush{{newer.begin() + static_cast<std::ptrdiff_t>(start),
+                                           newer.begin() + static_cast<std::ptrdiff_t>(end)}});
+        }
+        if (!names->answer && !back.buckets.empty()) {
+            peers.reply(link, back);
+        }
+        return true;
+    }
+    return false;
+}
+
+void GossipService::offerDigest(const NodeRef &to)
+{
+    const std::optional<Endpoint> endpoint = peerEndpoint(to);
+    if (endpoint) {
+        (void)core_.service<PeerHub>("peers").send(to, *endpoint, DigestOffer{table_.bucketHashes()});
+    }
+}
+
+void GossipService::antiEntropyLoop()
+{
+    while (!core_.stopping) {
+        sleepFor(core_.ioContext, core_.settings.times.antiEntropy);
+        dropStale();
+        const std::vector<std::string> candidates = partners();
+        if (candidates.empty() || core_.stopping) {
+            continue;
+        }
+        const NodeRecord *chosen = node(candidates[core_.random() % candidates.size()]);
+        if (chosen != nullptr) {
+            offerDigest(NodeRef(chosen->ref));
+        }
+    }
+}
+
+void GossipService::joinThrough(const Endpoint &endpoint)
+{
+    if (endpoint == core_.settings.advertisedPeers || endpoint == core_.settings.peers) {
+        return;
+    }
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    const Expected<NodeRef> ref = peers.discover(endpoint);
+    if (ref && *ref != core_.self) {
+        (void)peers.send(*ref, endpoint, DigestOffer{table_.bucketHashes()});
+        (void)peers.send(*ref, endpoint, RecordsPush{{*table_.find(RecordKind::Node, core_.self.id)}});
+    }
+}
+
+void GossipService::joinFromStore()
+{
+    ObjectApi &api = core_.service<ObjectApi>("platform");
+    const Expected<ObjectChanges> known = api.list(nodeKind);
+    if (!known) {
+        return;
+    }
+    std::uint64_t ownVersion = 0;
+    std::vector<std::string> values;
+    for (const StoredObject &object : known->objects) {
+        if (object.name == core_.self.id) {
+            ownVersion = object.version;
+        } else {
+            values.push_back(object.value);
+        }
+    }
+    const nlohmann::json own = {{"peers", core_.settings.advertisedPeers.text()}, {"incarnation", core_.self.incarnation}};
+    (void)api.update(nodeKind, core_.self.id, ownVersion, own.dump());
+    std::shuffle(values.begin(), values.end(), core_.random);
+    constexpr std::size_t enough = 3;
+    for (std::size_t i = 0; i < values.size() && i < enough; ++i) {
+        Findings findings;
+        const nlohmann::json value = nlohmann::json::parse(values[i], nullptr, false);
+        const bool readable = value.is_object() && value.contains("peers") && value["peers"].is_string();
+        if (readable) {
+            joinThrough(parseEndpoint(value["peers"].get<std::string>(), "", findings));
+        }
+    }
+}
+
+void GossipService::joinLoop()
+{
+    bool registered = false;
+    while (!core_.stopping) {
+        const bool alone = upIds().size() <= 1;
+        if (!registered || alone) {
+            joinFromStore();
+            registered = true;
+        }
+        if (alone) {
+            for (const Endpoint &seed : core_.settings.seeds) {
+                joinThrough(seed);
+            }
+        }
+        // Nodes that were declared down may only have been cut off: both halves must find each other again.
+        std::vector<Endpoint> down;
+        for (const auto &[id, one] : nodes_) {
+            if (one.state == NodeState::Down) {
+                down.push_back(Endpoint{one.address, one.peerPort});
+            }
+        }
+        if (!down.empty()) {
+            joinThrough(down[core_.random() % down.size()]);
+        }
+        sleepFor(core_.ioContext, joinEvery);
+    }
+}
+
+void GossipService::pingLoop()
+{
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    while (!core_.stopping) {
+        sleepFor(core_.ioContext, core_.settings.times.ping);
+        peers.closeStrangers(core_.settings.times.pingTimeout);
+        std::set<std::string> watched;
+        for (const std::string &id : partners()) {
+            const NodeRecord *one = node(id);
+            if (one == nullptr) {
+                continue;
+            }
+            watched.insert(id);
+            silentSince_.emplace(id, core_.clock.now());
+            spawnFiber([this, &peers, ref = one->ref, endpoint = Endpoint{one->address, one->peerPort}] {
+                const Expected<void> pong = peers.ping(ref, endpoint, core_.settings.times.ping);
+                const NodeRecord *now = node(ref.id);
+                if (pong) {
+                    silentSince_.erase(ref.id);
+                } else if (now != nullptr && now->ref == ref && now->state == NodeState::Up && !core_.stopping) {
+                    const auto since = silentSince_.find(ref.id);
+                    const bool tooLong = since != silentSince_.end()
+                        && core_.clock.now() - since->second >= core_.settings.times.pingTimeout;
+                    if (tooLong) {
+                        peers.drop(ref);
+                        declareDown(NodeRecord(*now));
+                        silentSince_.erase(ref.id);
+                    }
+                }
+            });
+        }
+        for (auto it = silentSince_.begin(); it != silentSince_.end();) {
+            it = watched.count(it->first) == 0 ? silentSince_.erase(it) : std::next(it);
+        }
+    }
+}
+
+const RecordTable &GossipService::table() const
+{
+    return table_;
+}
+
+const NodeRecord *GossipService::node(const std::string &id) const
+{
+    const auto found = nodes_.find(id);
+    return found == nodes_.end() ? nullptr : &found->second;
+}
+
+std::vector<const NodeRecord *> GossipService::nodes() const
+{
+    std::vector<const NodeRecord *> all;
+    for (const auto &[id, one] : nodes_) {
+        all.push_back(&one);
+    }
+    return all;
+}
+
+std::vector<std::string> GossipService::upIds() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, one] : nodes_) {
+        if (one.state == NodeState::Up) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::vector<const NodeRecord *> GossipService::homesOf(const std::string &service) const
+{
+    std::vector<const NodeRecord *> found;
+    const auto homes = homes_.find(service);
+    if (homes == homes_.end()) {
+        return found;
+    }
+    for (const std::string &id : homes->second) {
+        const NodeRecord *one = node(id);
+        if (one != nullptr && one->state == NodeState::Up) {
+            found.push_back(one);
+        }
+    }
+    return found;
+}
+
+bool GossipService::isUp(const NodeRef &ref) const
+{
+    const NodeRecord *one = node(ref.id);
+    return one != nullptr && one->ref == ref && one->state == NodeState::Up;
+}
+
+std::optional<Endpoint> GossipService::peerEndpoint(const NodeRef &ref) const
+{
+    const NodeRecord *one = node(ref.id);
+    if (one == nullptr || one->ref != ref) {
+        return std::nullopt;
+    }
+    return Endpoint{one->address, one->peerPort};
+}
+
+NodeRef GossipService::claimHolder(const NodeRef &owner) const
+{
+    NodeRef holder = owner;
+    std::set<NodeRef> seen;
+    while (seen.insert(holder).second) {
+        const Record *next = table_.find(RecordKind::Successor, holder.text());
+        const nlohmann::json body = next == nullptr ? nlohmann::json() : nlohmann::json::from_cbor(next->payload, true, false);
+        const bool readable = body.is_array() && body.size() == 2 && body[0].is_string() && body[1].is_number_unsigned();
+        if (!readable) {
+            break;
+        }
+        holder = NodeRef{body[0].get<std::string>(), body[1].get<std::uint64_t>()};
+    }
+    return holder;
+}
+
+bool GossipService::hasLeft() const
+{
+    return left_;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,219 @@
+#include "include/node/Node.h"
+
+#include "include/report/BurnRecorder.h"
+#include "src/fiber/FiberLoop.h"
+#include "src/link/PeerHub.h"
+#include "src/node/ClaimService.h"
+#include "src/node/DispatchService.h"
+#include "src/node/FloorService.h"
+#include "src/node/GossipService.h"
+#include "src/node/HomeService.h"
+#include "src/node/IngressService.h"
+#include "src/node/IntentService.h"
+#include "src/node/NodeCore.h"
+#include "src/node/OperatorApi.h"
+#include "src/node/PoisonService.h"
+#include "src/platform/ObjectApi.h"
+
+namespace waxwing {
+
+namespace {
+
+constexpr Millis housekeeping{1000};
+constexpr Millis stopPoll{20};
+/** News of the leaving travels this long before the links close. */
+constexpr Millis lastWords{150};
+
+} // namespace
+
+struct Node::Parts {
+    Parts(boost::asio::io_context &ioContext, const Clock &clock, const NodeSettings &settings,
+          std::uint64_t incarnation)
+        : core(ioContext, clock, settings, incarnation, incarnation)
+        , platform(core.client, settings.objectApi)
+        , burn(clock)
+    {
+    }
+
+    Expected<void> build();
+    Expected<void> listen();
+    void route(LinkId link, const NodeRef &from, const Message &message);
+    void housekeepingLoop();
+
+    NodeCore core;
+    ObjectApi platform;
+    BurnRecorder burn;
+    std::unique_ptr<PeerHub> peers;
+    std::unique_ptr<GossipService> gossip;
+    std::unique_ptr<IntentService> intents;
+    std::unique_ptr<PoisonService> poison;
+    std::unique_ptr<HomeService> homes;
+    std::unique_ptr<DispatchService> dispatch;
+    std::unique_ptr<ClaimService> claims;
+    std::unique_ptr<FloorService> floors;
+    std::unique_ptr<IngressService> ingress;
+    std::unique_ptr<OperatorApi> operators;
+    std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> operatorServer;
+};
+
+Expected<void> Node::Parts::build()
+{
+    Kernel &kernel = core.kernel;
+    PeerHub::Hooks hooks;
+    hooks.onMessage = [this](LinkId link, const NodeRef &from, const Message &message) { route(link, from, message); };
+    hooks.onGarbage = [this](const std::string &reason) {
+        core.metrics.count("link_garbage");
+        core.events.write(Severity::Warning, "link_garbage", {{"reason", reason}});
+    };
+    peers = std::make_unique<PeerHub>(core.ioContext, core.self, std::move(hooks));
+    Expected<void> ok = kernel.provide("platform", platform);
+    // Each service finds the earlier ones by name while it is built.
+    const auto add = [&](const std::string &name, auto &slot, auto make) {
+        if (ok) {
+            slot = make();
+            ok = kernel.provide(name, *slot);
+        }
+    };
+    ok = ok ? kernel.provide("burn", burn) : ok;
+    ok = ok ? kernel.provide("peers", *peers) : ok;
+    add("gossip", gossip, [&] { return std::make_unique<GossipService>(core); });
+    add("intents", intents, [&] { return std::make_unique<IntentService>(core); });
+    add("poison", poison, [&] { return std::make_unique<PoisonService>(core); });
+    add("homes", homes, [&] { return std::make_unique<HomeService>(core); });
+    add("dispatch", dispatch, [&] { return std::make_unique<DispatchService>(core); });
+    add("claims", claims, [&] { return std::make_unique<ClaimService>(core); });
+    add("floors", floors, [&] { return std::make_unique<FloorService>(core); });
+    add("ingress", ingress, [&] { return std::make_unique<IngressService>(core); });
+    add("operators", operators, [&] { return std::make_unique<OperatorApi>(core); });
+    return ok;
+}
+
+Expected<void> Node::Parts::listen()
+{
+    const Expected<void> peerPort = peers->listen(core.settings.peers);
+    if (!peerPort) {
+        return peerPort;
+    }
+    if (core.settings.advertisedPeers.port == 0) {
+        core.settings.advertisedPeers.port = peers->port();
+    }
+    HttpLimits limits;
+    limits.bodyBytes = core.settings.limits.bodyBytes;
+    limits.headerBytes = core.settings.limits.headerBytes;
+    limits.connections = core.settings.limits.callerConnections;
+    const auto onReject = [this](const std::string &reason) {
+        core.metrics.count("http_rejected");
+        core.events.write(Severity::Warning, "http_rejected", {{"reason", reason}});
+    };
+    auto operatorHttp = HttpServer::MakeListening(core.ioContext, core.settings.operators.address,
+                                                  core.settings.operators.port,
+                                                  [this](const HttpRequest &request) { return operators->handle(request); },
+                                                  limits, onReject);
+    if (!operatorHttp) {
+        return tl::unexpected<Error>(operatorHttp.error());
+    }
+    operatorServer = std::move(*operatorHttp);
+    core.settings.operators.port = operatorServer->port();
+    auto callerHttp = HttpServer::MakeListening(core.ioContext, core.settings.callers.address, core.settings.callers.port,
+                                                [this](HttpRequest request) { return ingress->handle(std::move(request)); },
+                                                limits, onReject);
+    if (!callerHttp) {
+        return tl::unexpected<Error>(callerHttp.error());
+    }
+    callerServer = std::move(*callerHttp);
+    core.settings.callers.port = callerServer->port();
+    return {};
+}
+
+void Node::Parts::route(LinkId link, const NodeRef &from, const Message &message)
+{
+    if (gossip->handle(link, from, message)) {
+        return;
+    }
+    if (const auto *exec = std::get_if<Exec>(&message)) {
+        ingress->handleExec(link, *exec);
+    } else if (const auto *cancel = std::get_if<Cancel>(&message)) {
+        ingress->handleCancel(link, cancel->id);
+    } else if (const auto *handover = std::get_if<ClaimHandover>(&message)) {
+        claims->adopt(*handover);
+        peers->reply(link, Pong{handover->id});
+    }
+}
+
+void Node::Parts::housekeepingLoop()
+{
+    while (!core.stopping) {
+        sleepFor(core.ioContext, housekeeping);
+        claims->expire();
+        dispatch->expire();
+        poison->expire();
+    }
+}
+
+Expected<std::unique_ptr<Node>> Node::MakeStarted(boost::asio::io_context &ioContext, const Clock &clock,
+                                                  const NodeSettings &settings, std::uint64_t incarnation)
+{
+    auto parts = std::make_unique<Parts>(ioContext, clock, settings, incarnation);
+    Expected<void> ok = parts->build();
+    ok = ok ? parts->listen() : ok;
+    if (!ok) {
+        return tl::unexpected<Error>(ok.error());
+    }
+    parts->gossip->start();
+    parts->intents->start();
+    parts->homes->start();
+    parts->floors->start();
+    spawnFiber([raw = parts.get()] { raw->housekeepingLoop(); });
+    parts->core.events.write(Severity::Info, "node_started",
+                             {{"node", parts->core.self.text()},
+                              {"callers", parts->core.settings.callers.text()},
+                              {"peers", parts->core.settings.advertisedPeers.text()},
+                              {"operators", parts->core.settings.operators.text()}});
+    return std::unique_ptr<Node>(new Node(std::move(parts)));
+}
+
+Node::Node(std::unique_ptr<Parts> parts)
+    : parts_(std::move(parts))
+{
+}
+
+Node::~Node() = default;
+
+void Node::reload(const NodeSettings &settings)
+{
+    // Names and addresses stay: others know the node by them.
+    parts_->core.settings.limits = settings.limits;
+    parts_->core.settings.times = settings.times;
+    parts_->core.events.write(Severity::Info, "settings_reloaded", {{"node", parts_->core.self.text()}});
+}
+
+bool Node::stop()
+{
+    NodeCore &core = parts_->core;
+    const SteadyTime until = core.clock.now() + core.settings.times.stopWithin;
+    const auto left = [&] { return std::max(Duration(0), until - core.clock.now()); };
+    core.events.write(Severity::Info, "node_stopping", {{"node", core.self.text()}});
+    core.draining = true;
+    parts_->callerServer->drain();
+    parts_->homes->sendServersAway();
+    parts_->claims->handOver(left());
+    const auto busy = [&] {
+        return parts_->ingress->running() > 0 || parts_->homes->running() > 0
+            || parts_->callerServer->requestsInFlight() > 0 || parts_->homes->presentServers() > 0;
+    };
+    while (busy() && left() > Duration(0)) {
+        sleepFor(core.ioContext, stopPoll);
+    }
+    const bool clean = parts_->ingress->running() == 0 && parts_->homes->running() == 0;
+    parts_->gossip->leave();
+    sleepFor(core.ioContext, lastWords);
+    core.stopping = true;
+    parts_->operatorServer->drain();
+    parts_->peers->stop();
+    core.events.write(clean ? Severity::Info : Severity::Error, "node_stopped",
+                      {{"node", core.self.text()}, {"cleanly", clean ? "yes" : "no"}});
+    return clean;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/report/BurnRecorder.cpp
@@ -0,0 +1,122 @@
+#include "include/report/BurnRecorder.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace waxwing {
+
+namespace {
+
+struct Window {
+    const char *label;
+    std::chrono::hours length;
+};
+
+constexpr std::array<Window, 3> windows
+    = {Window{"1h", std::chrono::hours(1)}, Window{"6h", std::chrono::hours(6)}, Window{"3d", std::chrono::hours(72)}};
+
+WallTime sliceStart(WallTime at)
+{
+    const auto sinceEpoch = std::chrono::duration_cast<Millis>(at.time_since_epoch());
+    return WallTime(sinceEpoch - sinceEpoch % BurnRecorder::slice);
+}
+
+} // namespace
+
+std::uint64_t BurnCounts::total() const
+{
+    return good + bad();
+}
+
+std::uint64_t BurnCounts::bad() const
+{
+    return late + failed + refused + unknown;
+}
+
+void BurnCounts::add(const BurnCounts &other)
+{
+    good += other.good;
+    late += other.late;
+    failed += other.failed;
+    refused += other.refused;
+    unknown += other.unknown;
+}
+
+BurnRecorder::BurnRecorder(const Clock &clock)
+    : clock_(clock)
+{
+}
+
+void BurnRecorder::record(const std::string &service, const std::string &className, BurnResult result)
+{
+    std::deque<BurnSlice> &all = slices_[service + "/" + className];
+    const WallTime start = sliceStart(clock_.wallNow());
+    if (all.empty() || all.back().start < start) {
+        all.push_back(BurnSlice{start, {}});
+        while (start - all.front().start > memory) {
+            all.pop_front();
+        }
+    }
+    BurnCounts &counts = all.back().counts;
+    switch (result) {
+    case BurnResult::Good:
+        ++counts.good;
+        break;
+    case BurnResult::Late:
+        ++counts.late;
+        break;
+    case BurnResult::Failed:
+        ++counts.failed;
+        break;
+    case BurnResult::Refused:
+        ++counts.refused;
+        break;
+    case BurnResult::Unknown:
+        ++counts.unknown;
+        break;
+    }
+}
+
+const std::map<std::string, std::deque<BurnSlice>> &BurnRecorder::slices() const
+{
+    return slices_;
+}
+
+std::string BurnRecorder::json() const
+{
+    nlohmann::json out = nlohmann::json::object();
+    for (const auto &[name, all] : slices_) {
+        nlohmann::json list = nlohmann::json::array();
+        for (const BurnSlice &one : all) {
+            const BurnCounts &c = one.counts;
+            const auto ms = std::chrono::duration_cast<Millis>(one.start.time_since_epoch()).count();
+            list.push_back({ms, c.good, c.late, c.failed, c.refused, c.unknown});
+        }
+        out[name] = std::move(list);
+    }
+    return out.dump();
+}
+
+std::vector<BurnFigure> burnFigures(const std::deque<BurnSlice> &slices, double successRate, WallTime now)
+{
+    std::vector<BurnFigure> figures;
+    for (const Window &window : windows) {
+        BurnFigure figure;
+        figure.label = window.label;
+        for (const BurnSlice &one : slices) {
+            if (now - one.start <= window.length) {
+                figure.counts.add(one.counts);
+            }
+        }
+        const double allowed = 1.0 - successRate;
+        if (figure.counts.total() > 0 && allowed > 0.0) {
+            const double badShare = static_cast<double>(figure.counts.bad()) / static_cast<double>(figure.counts.total());
+            figure.burn = badShare / allowed;
+        }
+        figures.push_back(figure);
+    }
+    return figures;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/route/HomeChooser.cpp
@@ -0,0 +1,131 @@
+#include "include/route/HomeChooser.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+
+/** Load that was heard longer ago than this says nothing any more. */
+constexpr Millis loadMemory = std::chrono::seconds(2);
+constexpr Millis idleMemory = std::chrono::seconds(60);
+constexpr Millis firstPathPause{500};
+constexpr int mostPathDoublings = 6;
+constexpr double busyCost = 8.0;
+constexpr double badPathCost = 1000.0;
+
+double distanceCost(Distance distance)
+{
+    switch (distance) {
+    case Distance::SameNode:
+        return 0.0;
+    case Distance::SameZone:
+        return 0.25;
+    case Distance::SameRegion:
+        return 1.0;
+    case Distance::OtherRegion:
+        return 6.0;
+    }
+    return 6.0;
+}
+
+} // namespace
+
+HomeChooser::HomeChooser(Random random)
+    : random_(std::move(random))
+{
+}
+
+double HomeChooser::cost(const std::string &service, const HomeCandidate &candidate, SteadyTime now) const
+{
+    double cost = distanceCost(candidate.distance);
+    if (isPathBad(candidate.node, now)) {
+        cost += badPathCost;
+    }
+    const auto found = loads_.find({service, candidate.node});
+    if (found == loads_.end()) {
+        return cost;
+    }
+    const Load &load = found->second;
+    const bool fresh = now - load.heardAt < loadMemory;
+    const double servers = std::max<std::uint32_t>(1, candidate.servers);
+    cost += load.inFlight / servers;
+    if (fresh) {
+        cost += load.queued / servers + (load.freeSlots <= 0 ? busyCost : 0.0);
+    }
+    return cost;
+}
+
+const HomeCandidate *HomeChooser::choose(const std::string &service, const std::vector<HomeCandidate> &candidates,
+                                         const std::set<NodeRef> &tried, SteadyTime now) const
+{
+    const HomeCandidate *best = nullptr;
+    double bestCost = 0.0;
+    // Starting at a random place spreads equal costs over all homes.
+    const std::size_t start = candidates.empty() ? 0 : random_() % candidates.size();
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const HomeCandidate &candidate = candidates[(start + i) % candidates.size()];
+        if (candidate.servers == 0 || tried.count(candidate.node) != 0) {
+            continue;
+        }
+        const double candidateCost = cost(service, candidate, now);
+        if (best == nullptr || candidateCost < bestCost) {
+            best = &candidate;
+            bestCost = candidateCost;
+        }
+    }
+    return best;
+}
+
+void HomeChooser::noteSent(const std::string &service, const NodeRef &home)
+{
+    ++loads_[{service, home}].inFlight;
+}
+
+void HomeChooser::noteLoad(const std::string &service, const NodeRef &home, std::int32_t freeSlots,
+                           std::int32_t queued, SteadyTime now)
+{
+    Load &load = loads_[{service, home}];
+    load.freeSlots = freeSlots;
+    load.queued = queued;
+    load.heardAt = now;
+}
+
+void HomeChooser::noteDone(const std::string &service, const NodeRef &home)
+{
+    const auto found = loads_.find({service, home});
+    if (found != loads_.end() && found->second.inFlight > 0) {
+        --found->second.inFlight;
+    }
+}
+
+void HomeChooser::notePathFailure(const NodeRef &home, SteadyTime now)
+{
+    Path &path = paths_[home];
+    path.badUntil = now + firstPathPause * (1 << std::min(path.failures, mostPathDoublings));
+    ++path.failures;
+}
+
+void HomeChooser::notePathGood(const NodeRef &home)
+{
+    paths_.erase(home);
+}
+
+bool HomeChooser::isPathBad(const NodeRef &home, SteadyTime now) const
+{
+    const auto found = paths_.find(home);
+    return found != paths_.end() && now < found->second.badUntil;
+}
+
+void HomeChooser::expire(SteadyTime now)
+{
+    for (auto it = loads_.begin(); it != loads_.end();) {
+        const bool idle = it->second.inFlight == 0 && now - it->second.heardAt >= idleMemory;
+        it = idle ? loads_.erase(it) : std::next(it);
+    }
+    for (auto it = paths_.begin(); it != paths_.end();) {
+        it = now - it->second.badUntil >= idleMemory ? paths_.erase(it) : std::next(it);
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/settings/NodeSettings.cpp
@@ -0,0 +1,167 @@
+#include "include/settings/NodeSettings.h"
+
+#include "include/base/Ids.h"
+#include "include/base/JsonReader.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <limits>
+#include <tuple>
+
+namespace waxwing {
+
+namespace {
+
+constexpr Millis shortest{1};
+constexpr Millis longest = std::chrono::hours(24);
+
+bool isIpNumber(const std::string &text)
+{
+    in6_addr scratch{};
+    return inet_pton(AF_INET, text.c_str(), &scratch) == 1 || inet_pton(AF_INET6, text.c_str(), &scratch) == 1;
+}
+
+Endpoint requiredEndpoint(JsonReader &reader, const std::string &key, Findings &findings)
+{
+    const std::string text = reader.requiredText(key);
+    return text.empty() ? Endpoint{} : parseEndpoint(text, reader.placeOf(key), findings);
+}
+
+void readListen(const nlohmann::json &value, NodeSettings &settings, Findings &findings)
+{
+    JsonReader reader(value, "/listen", findings);
+    settings.callers = requiredEndpoint(reader, "callers", findings);
+    settings.peers = requiredEndpoint(reader, "peers", findings);
+    settings.operators = requiredEndpoint(reader, "operators", findings);
+    settings.advertisedPeers = settings.peers;
+    if (reader.has("advertisedPeers")) {
+        settings.advertisedPeers = requiredEndpoint(reader, "advertisedPeers", findings);
+    }
+    reader.rejectUnknown();
+    const bool ports = settings.callers.port != 0 && settings.callers == settings.operators;
+    if (ports || (settings.peers.port != 0 && settings.callers == settings.peers)
+        || (settings.peers.port != 0 && settings.operators == settings.peers)) {
+        findings.add("/listen", "callers, peers and operators must differ");
+    }
+}
+
+void readLimits(const nlohmann::json &value, NodeLimits &limits, Findings &findings)
+{
+    if (value.is_null()) {
+        return;
+    }
+    constexpr std::int64_t million = 1000000;
+    JsonReader reader(value, "/limits", findings);
+    const auto read = [&](const char *key, auto &field, std::int64_t least, std::int64_t most) {
+        field = static_cast<std::decay_t<decltype(field)>>(
+            reader.integer(key, static_cast<std::int64_t>(field), least, most));
+    };
+    read("bodyBytes", limits.bodyBytes, 1024, 64 * million);
+    read("headerBytes", limits.headerBytes, 1024, million);
+    read("callerConnections", limits.callerConnections, 1, million);
+    read("queuePerClass", limits.queuePerClass, 1, 100000);
+    read("claims", limits.claims, 1, 10 * million);
+    read("claimAnswerBytes", limits.claimAnswerBytes, 0, 1024 * million);
+    read("keyWritesPerSecond", limits.keyWritesPerSecond, 0, 1000);
+    read("regionBytesPerSecond", limits.regionBytesPerSecond, 0, 10000 * million);
+    reader.rejectUnknown();
+}
+
+void readTimes(const nlohmann::json &value, NodeTimes &times, Findings &findings)
+{
+    if (value.is_null()) {
+        return;
+    }
+    JsonReader reader(value, "/times", findings);
+    const auto read = [&](const char *key, Millis &field) { field = reader.duration(key, field, shortest, longest); };
+    read("ticketValidity", times.ticketValidity);
+    read("announceTimeout", times.announceTimeout);
+    read("ping", times.ping);
+    read("pingTimeout", times.pingTimeout);
+    read("antiEntropy", times.antiEntropy);
+    read("watch", times.watch);
+    read("stopWithin", times.stopWithin);
+    read("firstEjection", times.firstEjection);
+    read("ramp", times.ramp);
+    reader.rejectUnknown();
+    if (times.pingTimeout <= times.ping) {
+        findings.add("/times/pingTimeout", "must be longer than /times/ping");
+    }
+}
+
+} // namespace
+
+std::string Endpoint::text() const
+{
+    return address + ":" + std::to_string(port);
+}
+
+bool Endpoint::operator<(const Endpoint &other) const
+{
+    return std::tie(address, port) < std::tie(other.address, other.port);
+}
+
+bool Endpoint::operator==(const Endpoint &other) const
+{
+    return port == other.port && address == other.address;
+}
+
+Endpoint parseEndpoint(const std::string &text, const std::string &place, Findings &findings)
+{
+    Endpoint endpoint;
+    const std::size_t colon = text.rfind(':');
+    const char *end = text.data() + text.size();
+    unsigned port = 0;
+    const bool hasPort = colon != std::string::npos && colon + 1 < text.size();
+    const auto parsed = hasPort ? std::from_chars(text.data() + colon + 1, end, port) : std::from_chars_result{};
+    endpoint.address = text.substr(0, colon);
+    if (!hasPort || parsed.ec != std::errc() || parsed.ptr != end || port > std::numeric_limits<std::uint16_t>::max()
+        || !isIpNumber(endpoint.address)) {
+        findings.add(place, "must be an IP number and a port such as 127.0.0.1:8080, not \"" + text + "\"");
+        return {};
+    }
+    endpoint.port = static_cast<std::uint16_t>(port);
+    return endpoint;
+}
+
+NodeSettings parseNodeSettings(const std::string &text, const std::string &source, Findings &findings)
+{
+    NodeSettings settings;
+    const nlohmann::json document = parseJsonWithComments(text, source, findings);
+    if (!findings.empty()) {
+        return settings;
+    }
+    JsonReader reader(document, "", findings);
+    settings.node = reader.requiredText("node");
+    settings.zone = reader.requiredText("zone");
+    settings.region = reader.requiredText("region");
+    if (!settings.node.empty() && !isName(settings.node)) {
+        findings.add("/node", "is 1 to 63 letters, digits, '-', '_' or '.'");
+    }
+    if (!reader.has("listen")) {
+        findings.add("/listen", "is missing");
+    }
+    const nlohmann::json &listen = reader.child("listen");
+    if (!listen.is_null()) {
+        readListen(listen, settings, findings);
+    }
+    settings.objectApi = requiredEndpoint(reader, "objectApi", findings);
+    const nlohmann::json &seeds = reader.child("seeds");
+    if (!seeds.is_null() && !seeds.is_array()) {
+        findings.add("/seeds", "must be a list of endpoints");
+    }
+    for (std::size_t i = 0; seeds.is_array() && i < seeds.size(); ++i) {
+        const std::string place = "/seeds/" + std::to_string(i);
+        if (!seeds[i].is_string()) {
+            findings.add(place, "must be a string");
+            continue;
+        }
+        settings.seeds.push_back(parseEndpoint(seeds[i].get<std::string>(), place, findings));
+    }
+    readLimits(reader.child("limits"), settings.limits, findings);
+    readTimes(reader.child("times"), settings.times, findings);
+    reader.rejectUnknown();
+    return settings;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/wire/Messages.cpp
@@ -0,0 +1,351 @@
+#include "include/wire/Messages.h"
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+
+namespace waxwing {
+
+namespace {
+
+using nlohmann::json;
+
+enum class Type : int {
+    Hello = 1,
+    Exec,
+    ExecReply,
+    Cancel,
+    RecordsPush,
+    DigestOffer,
+    BucketNames,
+    Ping,
+    Pong,
+    ClaimHandover,
+};
+
+/** Positions 0 and 1 of each message hold the protocol version and the type. */
+constexpr std::size_t body = 2;
+constexpr std::size_t mostHeaders = 1000;
+
+json bytesOf(const std::string &text)
+{
+    return json::binary({text.begin(), text.end()});
+}
+
+std::string textOf(const json &value)
+{
+    const json::binary_t &bytes = value.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+json headersOf(const HeaderList &headers)
+{
+    json out = json::array();
+    for (const auto &[name, value] : headers) {
+        out.push_back(bytesOf(name));
+        out.push_back(bytesOf(value));
+    }
+    return out;
+}
+
+HeaderList headersFrom(const json &value)
+{
+    HeaderList headers;
+    if (!value.is_array() || value.size() % 2 != 0 || value.size() / 2 > mostHeaders) {
+        throw json::other_error::create(501, "bad header list", &value);
+    }
+    for (std::size_t i = 0; i < value.size(); i += 2) {
+        headers.emplace_back(textOf(value[i]), textOf(value[i + 1]));
+    }
+    return headers;
+}
+
+json start(Type type)
+{
+    return json::array({wireVersion, static_cast<int>(type)});
+}
+
+template<typename... Fields>
+json with(Type type, Fields &&...fields)
+{
+    json out = start(type);
+    (out.push_back(std::forward<Fields>(fields)), ...);
+    return out;
+}
+
+json requestOf(const HttpRequest &request)
+{
+    return json::array({request.method, bytesOf(request.target), headersOf(request.headers), bytesOf(request.body)});
+}
+
+HttpRequest requestFrom(const json &value)
+{
+    return HttpRequest{value.at(0).get<std::string>(), textOf(value.at(1)), headersFrom(value.at(2)),
+                       textOf(value.at(3))};
+}
+
+json responseOf(const HttpResponse &response)
+{
+    return json::array({response.status, headersOf(response.headers), bytesOf(response.body)});
+}
+
+HttpResponse responseFrom(const json &value)
+{
+    return HttpResponse{value.at(0).get<unsigned>(), headersFrom(value.at(1)), textOf(value.at(2))};
+}
+
+Outcome outcomeFrom(const json &value)
+{
+    const int number = value.get<int>();
+    if (number < static_cast<int>(Outcome::Ran) || number > static_cast<int>(Outcome::Unknown)) {
+        throw json::other_error::create(501, "unknown outcome", &value);
+    }
+    return static_cast<Outcome>(number);
+}
+
+RecordKind kindFrom(const json &value)
+{
+    const int number = value.get<int>();
+    if (number < static_cast<int>(RecordKind::Node) || number > static_cast<int>(RecordKind::Successor)) {
+        throw json::other_error::create(501, "unknown record kind", &value);
+    }
+    return static_cast<RecordKind>(number);
+}
+
+json recordOf(const Record &record)
+{
+    return json::array({static_cast<int>(record.kind), bytesOf(record.key), record.version.major, record.version.minor,
+                        json::binary(record.payload)});
+}
+
+Record recordFrom(const json &value)
+{
+    return Record{kindFrom(value.at(0)), textOf(value.at(1)),
+                  RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()},
+                  value.at(4).get_binary()};
+}
+
+json nameOf(const RecordName &name)
+{
+    return json::array({static_cast<int>(name.kind), bytesOf(name.key), name.version.major, name.version.minor});
+}
+
+RecordName nameFrom(const json &value)
+{
+    return RecordName{kindFrom(value.at(0)), textOf(value.at(1)),
+                      RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()}};
+}
+
+struct Encoder {
+    json operator()(const Hello &m) const
+    {
+        return with(Type::Hello, m.from.id, m.from.incarnation);
+    }
+    json operator()(const Exec &m) const
+    {
+        return with(Type::Exec, m.id, static_cast<int>(m.stage), m.service, m.className, bytesOf(m.customer),
+                    bytesOf(m.ticket), m.remaining.count(), requestOf(m.request));
+    }
+    json operator()(const ExecReply &m) const
+    {
+        return with(Type::ExecReply, m.id, static_cast<int>(m.outcome), m.reason, m.retryAfter.count(), m.server,
+                    m.freeSlots, m.queued, responseOf(m.response));
+    }
+    json operator()(const Cancel &m) const
+    {
+        return with(Type::Cancel, m.id);
+    }
+    json operator()(const RecordsPush &m) const
+    {
+        json records = json::array();
+        for (const Record &record : m.records) {
+            records.push_back(recordOf(record));
+        }
+        return with(Type::RecordsPush, std::move(records));
+    }
+    json operator()(const DigestOffer &m) const
+    {
+        return with(Type::DigestOffer, json(m.hashes));
+    }
+    json operator()(const BucketNames &m) const
+    {
+        json buckets = json::array();
+        for (const auto &[bucket, names] : m.buckets) {
+            json list = json::array();
+            for (const RecordName &name : names) {
+                list.push_back(nameOf(name));
+            }
+            buckets.push_back(json::array({bucket, std::move(list)}));
+        }
+        return with(Type::BucketNames, m.answer, std::move(buckets));
+    }
+    json operator()(const Ping &m) const
+    {
+        return with(Type::Ping, m.id);
+    }
+    json operator()(const Pong &m) const
+    {
+        return with(Type::Pong, m.id);
+    }
+    json operator()(const ClaimHandover &m) const
+    {
+        json claims = json::array();
+        for (const ClaimTransfer &claim : m.claims) {
+            claims.push_back(json::array({bytesOf(claim.ticket), claim.requestDigest, static_cast<int>(claim.outcome),
+                                          responseOf(claim.response)}));
+        }
+        json owners = json::array();
+        for (const ClaimOwner &owner : m.owners) {
+            owners.push_back(json::array({owner.ref.id, owner.ref.incarnation, owner.age.count()}));
+        }
+        return with(Type::ClaimHandover, m.id, std::move(owners), std::move(claims));
+    }
+};
+
+Exec execFrom(const json &in)
+{
+    Exec m;
+    m.id = in.at(body).get<std::uint64_t>();
+    const int stage = in.at(body + 1).get<int>();
+    if (stage != static_cast<int>(ExecStage::Claim) && stage != static_cast<int>(ExecStage::Run)) {
+        throw json::other_error::create(501, "unknown stage", &in);
+    }
+    m.stage = static_cast<ExecStage>(stage);
+    m.service = in.at(body + 2).get<std::string>();
+    m.className = in.at(body + 3).get<std::string>();
+    m.customer = textOf(in.at(body + 4));
+    m.ticket = textOf(in.at(body + 5));
+    m.remaining = Millis(in.at(body + 6).get<std::int32_t>());
+    m.request = requestFrom(in.at(body + 7));
+    return m;
+}
+
+ExecReply execReplyFrom(const json &in)
+{
+    ExecReply m;
+    m.id = in.at(body).get<std::uint64_t>();
+    m.outcome = outcomeFrom(in.at(body + 1));
+    m.reason = in.at(body + 2).get<std::string>();
+    m.retryAfter = Millis(in.at(body + 3).get<std::int32_t>());
+    m.server = in.at(body + 4).get<std::string>();
+    m.freeSlots = in.at(body + 5).get<std::int32_t>();
+    m.queued = in.at(body + 6).get<std::int32_t>();
+    m.response = responseFrom(in.at(body + 7));
+    return m;
+}
+
+BucketNames bucketNamesFrom(const json &in)
+{
+    BucketNames m;
+    m.answer = in.at(body).get<bool>();
+    for (const json &entry : in.at(body + 1)) {
+        const auto bucket = entry.at(0).get<std::uint32_t>();
+        if (bucket >= RecordTable::bucketCount) {
+            throw json::other_error::create(501, "bucket out of range", &in);
+        }
+        std::vector<RecordName> names;
+        for (const json &name : entry.at(1)) {
+            names.push_back(nameFrom(name));
+        }
+        m.buckets.emplace_back(bucket, std::move(names));
+    }
+    return m;
+}
+
+DigestOffer digestFrom(const json &in)
+{
+    const json &hashes = in.at(body);
+    if (!hashes.is_array() || hashes.size() != RecordTable::bucketCount) {
+        throw json::other_error::create(501, "wrong number of buckets", &in);
+    }
+    DigestOffer m;
+    for (std::size_t i = 0; i < hashes.size(); ++i) {
+        m.hashes[i] = hashes[i].get<std::uint64_t>();
+    }
+    return m;
+}
+
+ClaimHandover handoverFrom(const json &in)
+{
+    ClaimHandover m;
+    m.id = in.at(body).get<std::uint64_t>();
+    for (const json &owner : in.at(body + 1)) {
+        m.owners.push_back(ClaimOwner{{owner.at(0).get<std::string>(), owner.at(1).get<std::uint64_t>()},
+                                      Millis(owner.at(2).get<std::int64_t>())});
+    }
+    for (const json &claim : in.at(body + 2)) {
+        m.claims.push_back(ClaimTransfer{textOf(claim.at(0)), claim.at(1).get<std::uint64_t>(),
+                                         outcomeFrom(claim.at(2)), responseFrom(claim.at(3))});
+    }
+    return m;
+}
+
+Message messageFrom(Type type, const json &in)
+{
+    switch (type) {
+    case Type::Hello:
+        return Hello{NodeRef{in.at(body).get<std::string>(), in.at(body + 1).get<std::uint64_t>()}};
+    case Type::Exec:
+        return execFrom(in);
+    case Type::ExecReply:
+        return execReplyFrom(in);
+    case Type::Cancel:
+        return Cancel{in.at(body).get<std::uint64_t>()};
+    case Type::RecordsPush: {
+        RecordsPush m;
+        for (const json &record : in.at(body)) {
+            m.records.push_back(recordFrom(record));
+        }
+        return m;
+    }
+    case Type::DigestOffer:
+        return digestFrom(in);
+    case Type::BucketNames:
+        return bucketNamesFrom(in);
+    case Type::Ping:
+        return Ping{in.at(body).get<std::uint64_t>()};
+    case Type::Pong:
+        return Pong{in.at(body).get<std::uint64_t>()};
+    case Type::ClaimHandover:
+        return handoverFrom(in);
+    }
+    throw json::other_error::create(501, "unknown message type", &in);
+}
+
+} // namespace
+
+const char *outcomeName(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Ran:
+        return "ran";
+    case Outcome::NotRun:
+        return "not-run";
+    case Outcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::string encodeMessage(const Message &message)
+{
+    std::string out;
+    json::to_cbor(std::visit(Encoder(), message), out);
+    return out;
+}
+
+Expected<Message> decodeMessage(const std::string &bytes)
+{
+    try {
+        const json in = json::from_cbor(bytes);
+        const int version = in.at(0).get<int>();
+        if (version != wireVersion) {
+            return fail(ErrorCode::Malformed, "protocol version " + std::to_string(version));
+        }
+        return messageFrom(static_cast<Type>(in.at(1).get<int>()), in);
+    } catch (const json::exception &error) {
+        return fail(ErrorCode::Malformed, error.what());
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/tests/standins/backend.cpp
@@ -0,0 +1,272 @@
+/**
+ * Stand-in for a backend server: announces itself, works in slots, keeps a ledger of every execution, and on demand
+ * fails gray: its health endpoint answers well while real work stalls, slows, errs, is cut or garbled.
+ */
+#include "include/home/Announcement.h"
+#include "src/http/HttpClient.h"
+#include "src/http/HttpServer.h"
+#include "tests/standins/StandinMain.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <random>
+
+namespace {
+
+using namespace waxwing;
+using nlohmann::json;
+
+constexpr Millis announceEvery{500};
+constexpr Millis announceTimeout{400};
+const std::string poisonMark = "ends-the-server";
+
+/** How real work fails; the health endpoint stays well. */
+struct Mode {
+    std::string name = "ok";
+    /** Share of requests that are affected. */
+    double share = 1.0;
+    double factor = 5.0;
+};
+
+struct Options {
+    std::string service;
+    std::string name;
+    std::vector<std::string> homes;
+    std::string ledger;
+    std::uint32_t slots = 3;
+    Millis work{5};
+    Millis coldFor{0};
+    std::uint64_t seed = 1;
+};
+
+class Backend
+{
+public:
+    Backend(boost::asio::io_context &ioContext, Options options)
+        : ioContext_(ioContext)
+        , client_(ioContext)
+        , options_(std::move(options))
+        , random_(options_.seed)
+        , startedAt_(std::chrono::steady_clock::now())
+        , incarnation_(static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count() / 1000))
+    {
+        if (!options_.ledger.empty()) {
+            ledger_.open(options_.ledger, std::ios::app);
+        }
+    }
+
+    HttpReply handle(const HttpRequest &request)
+    {
+        if (request.target == "/healthz") {
+            return HttpReply{jsonResponse(200, "{\"healthy\":true}"), AfterResponse::KeepOpen};
+        }
+        if (request.target.compare(0, 2, "/_") == 0) {
+            return control(request);
+        }
+        return work(request);
+    }
+
+    void announceLoop(std::uint16_t port)
+    {
+        port_ = port;
+        while (!gone_) {
+            announceOnce();
+            sleepFor(ioContext_, announceEvery);
+        }
+    }
+
+    /** Drains: announces it, finishes what runs, leaves. */
+    void stop()
+    {
+        state_ = ServerState::Draining;
+        announceOnce();
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (running_ > 0 && std::chrono::steady_clock::now() < until) {
+            sleepFor(ioContext_, Millis(10));
+        }
+        state_ = ServerState::Leaving;
+        announceOnce();
+        gone_ = true;
+    }
+
+private:
+    void announceOnce()
+    {
+        Announcement announcement;
+        announcement.service = options_.service;
+        announcement.server = options_.name;
+        announcement.incarnation = incarnation_;
+        announcement.address = "127.0.0.1";
+        announcement.port = port_;
+        announcement.slots = options_.slots;
+        announcement.connections = 400;
+        announcement.state = state_;
+        for (std::size_t tried = 0; tried < options_.homes.size(); ++tried) {
+            Findings ignored;
+            const Endpoint home = parseEndpoint(options_.homes[home_ % options_.homes.size()], "", ignored);
+            const auto answer = client_.exchange(home, HttpRequest{"POST", "/v1/announce", {}, announcementJson(announcement)},
+                                                 announceTimeout);
+            const json body = answer ? json::parse(answer->body, nullptr, false) : json();
+            if (answer && answer->status == 200 && body.is_object() && !body.value("move", false)) {
+                return;
+            }
+            ++home_;
+        }
+    }
+
+    HttpReply control(const HttpRequest &request)
+    {
+        if (request.target == "/_ledger") {
+            return HttpReply{jsonResponse(200, json{{"executions", executions_}, {"mostRunning", mostRunning_}}.dump()),
+                             AfterResponse::KeepOpen};
+        }
+        const json body = json::parse(request.body, nullptr, false);
+        if (request.target != "/_mode" || !body.is_object()) {
+            return HttpReply{jsonResponse(400, "{\"error\":\"POST /_mode or GET /_ledger\"}"), AfterResponse::KeepOpen};
+        }
+        mode_.name = body.value("mode", std::string("ok"));
+        mode_.share = body.value("share", 1.0);
+        mode_.factor = body.value("factor", 5.0);
+        options_.work = Millis(body.value("workMs", options_.work.count()));
+        return HttpReply{jsonResponse(200, "{}"), AfterResponse::KeepOpen};
+    }
+
+    bool affected()
+    {
+        return std::uniform_real_distribution<double>(0.0, 1.0)(random_) < mode_.share;
+    }
+
+    bool isOutNow() const
+    {
+        // Flapping: two seconds well, two seconds out.
+        const auto age = std::chrono::steady_clock::now() - startedAt_;
+        return (age / std::chrono::seconds(2)) % 2 == 1;
+    }
+
+    void noteExecution(const HttpRequest &request)
+    {
+        ++executions_;
+        const std::string id(headerValue(request.headers, "X-Request-Id"));
+        const std::string key(headerValue(request.headers, "Idempotency-Key"));
+        ledger_ << options_.name << " " << (id.empty() ? "-" : id) << " " << (key.empty() ? "-" : key) << " "
+                << request.method << " " << request.target << "\n"
+                << std::flush;
+    }
+
+    HttpReply shed()
+    {
+        HttpReply reply{jsonResponse(503, "{\"error\":\"busy\"}"), AfterResponse::KeepOpen};
+        reply.response.headers.emplace_back("Waxwing-Not-Run", "true");
+        reply.response.headers.emplace_back("Retry-After", "1");
+        return reply;
+    }
+
+    HttpReply work(const HttpRequest &request)
+    {
+        const bool hit = mode_.name != "ok" && affected() && (mode_.name != "flap" || isOutNow());
+        if (running_ >= options_.slots || (hit && mode_.name == "shed")) {
+            return shed();
+        }
+        if (request.body.find(poisonMark) != std::string::npos || request.target.find(poisonMark) != std::string::npos) {
+            noteExecution(request);
+            std::_Exit(9);
+        }
+        ++running_;
+        mostRunning_ = std::max(mostRunning_, running_);
+        noteExecution(request);
+        Millis length = options_.work;
+        const auto age = std::chrono::steady_clock::now() - startedAt_;
+        if (age < options_.coldFor) {
+            length *= 4;
+        }
+        if (hit && (mode_.name == "stall" || mode_.name == "flap")) {
+            length = std::chrono::seconds(30);
+        } else if (hit && mode_.name == "slow") {
+            length = Millis(static_cast<std::int64_t>(static_cast<double>(length.count()) * mode_.factor));
+        }
+        sleepFor(ioContext_, length);
+        --running_;
+        return answer(request, hit);
+    }
+
+    HttpReply answer(const HttpRequest &request, bool hit)
+    {
+        const std::string id(headerValue(request.headers, "X-Request-Id"));
+        const json body = {{"server", options_.name}, {"request", id}, {"method", request.method}, {"target", request.target},
+                           {"bytes", request.body.size()}, {"padding", std::string(200, 'x')}};
+        HttpReply reply{jsonResponse(200, body.dump()), AfterResponse::KeepOpen};
+        reply.response.headers.emplace_back("X-Request-Id", id);
+        if (hit && mode_.name == "errors") {
+            reply.response.status = 500;
+        } else if (hit && mode_.name == "cut") {
+            reply.after = AfterResponse::CutBody;
+        } else if (hit && mode_.name == "reset") {
+            reply.after = AfterResponse::Reset;
+        }
+        return reply;
+    }
+
+    boost::asio::io_context &ioContext_;
+    HttpClient client_;
+    Options options_;
+    std::mt19937_64 random_;
+    std::chrono::steady_clock::time_point startedAt_;
+    std::uint64_t incarnation_;
+    std::ofstream ledger_;
+    Mode mode_;
+    ServerState state_ = ServerState::Serving;
+    std::size_t home_ = 0;
+    std::uint16_t port_ = 0;
+    std::uint32_t running_ = 0;
+    std::uint32_t mostRunning_ = 0;
+    std::uint64_t executions_ = 0;
+    bool gone_ = false;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    po::options_description options("stand-in for a backend server");
+    // clang-format off
+    options.add_options()
+        ("service", po::value<std::string>()->required(), "service name")
+        ("name", po::value<std::string>()->required(), "server name")
+        ("homes", po::value<std::string>()->required(), "operator endpoints of nodes, separated by commas")
+        ("ledger", po::value<std::string>()->default_value(""), "file to append executions to")
+        ("slots", po::value<std::uint32_t>()->default_value(3), "requests worked on at once")
+        ("work-ms", po::value<int>()->default_value(5), "time that a request takes")
+        ("cold-ms", po::value<int>()->default_value(0), "after the start work takes four times as long, for this time")
+        ("seed", po::value<std::uint64_t>()->default_value(1), "random seed")
+        ("port", po::value<std::uint16_t>()->default_value(0), "0 picks a free one");
+    // clang-format on
+    return standin::runStandin(argc, argv, options, [](boost::asio::io_context &ioContext, const po::variables_map &values) {
+        Options parsed;
+        parsed.service = values["service"].as<std::string>();
+        parsed.name = values["name"].as<std::string>();
+        boost::algorithm::split(parsed.homes, values["homes"].as<std::string>(), boost::algorithm::is_any_of(","));
+        parsed.ledger = values["ledger"].as<std::string>();
+        parsed.slots = values["slots"].as<std::uint32_t>();
+        parsed.work = Millis(values["work-ms"].as<int>());
+        parsed.coldFor = Millis(values["cold-ms"].as<int>());
+        parsed.seed = values["seed"].as<std::uint64_t>();
+        Backend backend(ioContext, parsed);
+        auto server = HttpServer::MakeListening(ioContext, "127.0.0.1", values["port"].as<std::uint16_t>(),
+                                                [&](const HttpRequest &request) { return backend.handle(request); });
+        if (!server) {
+            std::cerr << server.error().message << "\n";
+            return 1;
+        }
+        spawnFiber([&] { backend.announceLoop((*server)->port()); });
+        standin::printPort("port", (*server)->port());
+        standin::waitForStop(ioContext);
+        backend.stop();
+        (*server)->drain();
+        sleepFor(ioContext, Millis(50));
+        return 0;
+    });
+}
--- /dev/null
+++ b/tests/standins/faultproxy.cpp
@@ -0,0 +1,220 @@
+/**
+ * TCP proxy that injects faults between two processes: delay, silence in one direction, reset, a cut after some
+ * bytes, a freeze, and a limit on bytes a second. Faults are set while it runs over a control port.
+ */
+#include "src/http/HttpServer.h"
+#include "include/settings/NodeSettings.h"
+#include "tests/standins/StandinMain.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <list>
+
+namespace {
+
+using namespace waxwing;
+using nlohmann::json;
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::size_t chunk = 16 * 1024;
+constexpr Millis holdPoll{5};
+
+/** Faults of one direction. */
+struct Faults {
+    std::int64_t delayMs = 0;
+    /** Bytes are held back, as by a one-way cut, and go on when the cut heals. */
+    bool hold = false;
+    /** Bytes a second; 0: no limit. */
+    std::int64_t bytesPerSecond = 0;
+    /** Cut the connection once this many bytes have passed in total; -1: never. */
+    std::int64_t cutAfter = -1;
+};
+
+class Proxy
+{
+public:
+    Proxy(boost::asio::io_context &ioContext, Endpoint target)
+        : ioContext_(ioContext)
+        , acceptor_(ioContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , target_(std::move(target))
+    {
+    }
+
+    std::uint16_t port() const
+    {
+        return acceptor_.local_endpoint().port();
+    }
+
+    void setTarget(const Endpoint &target)
+    {
+        target_ = target;
+    }
+
+    void acceptLoop()
+    {
+        while (true) {
+            auto pair = std::make_shared<Pair>(ioContext_);
+            const IoResult accepted = await([&](auto handle) { acceptor_.async_accept(pair->caller, std::move(handle)); });
+            if (accepted.error) {
+                return;
+            }
+            pairs_.push_back(pair);
+            spawnFiber([this, pair] { serve(pair); });
+        }
+    }
+
+    HttpReply control(const HttpRequest &request)
+    {
+        const json body = json::parse(request.body, nullptr, false);
+        if (request.target != "/_fault" || !body.is_object()) {
+            return HttpReply{jsonResponse(400, "{\"error\":\"POST /_fault\"}"), AfterResponse::KeepOpen};
+        }
+        read(body.value("toTarget", json::object()), toTarget_);
+        read(body.value("fromTarget", json::object()), fromTarget_);
+        if (body.value("reset", false)) {
+            for (const auto &pair : pairs_) {
+                reset(*pair);
+            }
+        }
+        if (body.contains("target")) {
+            Findings ignored;
+            target_ = parseEndpoint(body["target"].get<std::string>(), "", ignored);
+        }
+        return HttpReply{jsonResponse(200, "{}"), AfterResponse::KeepOpen};
+    }
+
+private:
+    struct Pair {
+        explicit Pair(boost::asio::io_context &ioContext)
+            : caller(ioContext)
+            , target(ioContext)
+        {
+        }
+        tcp::socket caller;
+        tcp::socket target;
+        int pumps = 2;
+    };
+
+    static void read(const json &value, Faults &faults)
+    {
+        faults.delayMs = value.value("delayMs", faults.delayMs);
+        faults.hold = value.value("hold", faults.hold);
+        faults.bytesPerSecond = value.value("bytesPerSecond", faults.bytesPerSecond);
+        faults.cutAfter = value.value("cutAfter", faults.cutAfter);
+    }
+
+    static void reset(Pair &pair)
+    {
+        boost::system::error_code ignored;
+        for (tcp::socket *socket : {&pair.caller, &pair.target}) {
+            socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+    }
+
+    void serve(const std::shared_ptr<Pair> &pair)
+    {
+        const tcp::endpoint endpoint(boost::asio::ip::make_address(target_.address), target_.port);
+        const IoResult connected = await([&](auto handle) { pair->target.async_connect(endpoint, std::move(handle)); });
+        if (connected.error) {
+            reset(*pair);
+            pairs_.remove(pair);
+            return;
+        }
+        boost::system::error_code ignored;
+        pair->caller.set_option(tcp::no_delay(true), ignored);
+        pair->target.set_option(tcp::no_delay(true), ignored);
+        spawnFiber([this, pair] { pump(pair, pair->caller, pair->target, toTarget_); });
+        pump(pair, pair->target, pair->caller, fromTarget_);
+    }
+
+    void pump(const std::shared_ptr<Pair> &pair, tcp::socket &from, tcp::socket &to, Faults &faults)
+    {
+        std::array<char, chunk> buffer{};
+        while (true) {
+            const std::size_t most = faults.bytesPerSecond > 0
+                ? std::min<std::size_t>(chunk, static_cast<std::size_t>(std::max<std::int64_t>(1, faults.bytesPerSecond / 50)))
+                : chunk;
+            const IoResult got = await([&](auto handle) {
+                from.async_read_some(boost::asio::buffer(buffer.data(), most), std::move(handle));
+            });
+            if (got.error) {
+                break;
+            }
+            std::size_t bytes = got.bytes;
+            wait(faults, bytes);
+            const bool cut = faults.cutAfter >= 0 && static_cast<std::int64_t>(bytes) >= faults.cutAfter;
+            if (cut) {
+                bytes = static_cast<std::size_t>(faults.cutAfter);
+            }
+            const IoResult sent = await([&](auto handle) {
+                boost::asio::async_write(to, boost::asio::buffer(buffer.data(), bytes), std::move(handle));
+            });
+            if (cut) {
+                reset(*pair);
+            } else if (faults.cutAfter > 0) {
+                faults.cutAfter -= static_cast<std::int64_t>(bytes);
+            }
+            if (sent.error || cut) {
+                break;
+            }
+        }
+        boost::system::error_code ignored;
+        to.shutdown(tcp::socket::shutdown_send, ignored);
+        if (--pair->pumps == 0) {
+            pairs_.remove(pair);
+        }
+    }
+
+    void wait(const Faults &faults, std::size_t bytes)
+    {
+        if (faults.delayMs > 0) {
+            sleepFor(ioContext_, Millis(faults.delayMs));
+        }
+        if (faults.bytesPerSecond > 0) {
+            sleepFor(ioContext_, Millis(1000 * static_cast<std::int64_t>(bytes) / faults.bytesPerSecond));
+        }
+        while (faults.hold) {
+            sleepFor(ioContext_, holdPoll);
+        }
+    }
+
+    boost::asio::io_context &ioContext_;
+    tcp::acceptor acceptor_;
+    Endpoint target_;
+    Faults toTarget_;
+    Faults fromTarget_;
+    std::list<std::shared_ptr<Pair>> pairs_;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    po::options_description options("TCP proxy that injects faults");
+    options.add_options()("target", po::value<std::string>()->default_value("127.0.0.1:1"), "where connections go on to");
+    return standin::runStandin(argc, argv, options, [](boost::asio::io_context &ioContext, const po::variables_map &values) {
+        Findings findings;
+        const Endpoint target = parseEndpoint(values["target"].as<std::string>(), "--target", findings);
+        if (!findings.empty()) {
+            std::cerr << findings.text();
+            return 2;
+        }
+        Proxy proxy(ioContext, target);
+        auto control = HttpServer::MakeListening(ioContext, "127.0.0.1", 0,
+                                                 [&](const HttpRequest &request) { return proxy.control(request); });
+        if (!control) {
+            std::cerr << control.error().message << "\n";
+            return 1;
+        }
+        spawnFiber([&] { proxy.acceptLoop(); });
+        standin::printPort("port", proxy.port());
+        standin::printPort("control", (*control)->port());
+        standin::waitForStop(ioContext);
+        return 0;
+    });
+}
--- /dev/null
+++ b/tests/standins/objectapi.cpp
@@ -0,0 +1,251 @@
+/**
+ * Stand-in for the platform's object API: versions, conditional updates, watches, counted calls, and on demand an
+ * outage, slowness, or answers that are lost after the write took effect.
+ */
+#include "src/http/HttpServer.h"
+#include "tests/standins/StandinMain.h"
+
+#include <nlohmann/json.hpp>
+
+#include <list>
+#include <map>
+#include <vector>
+
+namespace {
+
+using namespace waxwing;
+using nlohmann::json;
+
+constexpr std::size_t mostValueBytes = 1000000;
+
+struct Object {
+    std::string kind;
+    std::string name;
+    std::uint64_t version = 0;
+    bool deleted = false;
+    json value;
+
+    json toJson() const
+    {
+        return {{"kind", kind}, {"name", name}, {"version", version}, {"deleted", deleted}, {"value", value}};
+    }
+};
+
+struct Faults {
+    bool outage = false;
+    std::int64_t slowMs = 0;
+    int loseAnswers = 0;
+};
+
+struct Target {
+    std::string kind;
+    std::string name;
+    std::map<std::string, std::string> query;
+};
+
+Target parseTarget(const std::string &target)
+{
+    const std::string root = "/v1/objects/";
+    Target out;
+    const std::size_t question = target.find('?');
+    const std::string path = target.substr(0, question);
+    if (path.compare(0, root.size(), root) == 0) {
+        const std::string rest = path.substr(root.size());
+        const std::size_t slash = rest.find('/');
+        out.kind = rest.substr(0, slash);
+        out.name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    }
+    std::size_t at = question;
+    while (at != std::string::npos && at < target.size()) {
+        const std::size_t equals = target.find('=', at);
+        const std::size_t next = target.find('&', at + 1);
+        if (equals != std::string::npos) {
+            out.query[target.substr(at + 1, equals - at - 1)] = target.substr(equals + 1, next - equals - 1);
+        }
+        at = next;
+    }
+    return out;
+}
+
+class Store
+{
+public:
+    explicit Store(boost::asio::io_context &ioContext)
+        : ioContext_(ioContext)
+    {
+    }
+
+    HttpReply handle(const HttpRequest &request)
+    {
+        if (request.target.compare(0, 2, "/_") == 0) {
+            return control(request);
+        }
+        ++calls_[request.method];
+        if (faults_.outage) {
+            return HttpReply{{}, AfterResponse::Reset};
+        }
+        if (faults_.slowMs > 0) {
+            sleepFor(ioContext_, Millis(faults_.slowMs));
+        }
+        const Target target = parseTarget(request.target);
+        if (target.kind.empty()) {
+            return reply(404, {{"error", "unknown path"}});
+        }
+        if (request.method == "GET") {
+            return target.name.empty() ? list(target) : read(target);
+        }
+        const HttpReply answer = request.method == "PUT" ? update(target, request.body) : remove(target);
+        if (faults_.loseAnswers > 0) {
+            --faults_.loseAnswers;
+            return HttpReply{{}, AfterResponse::Reset};
+        }
+        return answer;
+    }
+
+private:
+    static HttpReply reply(unsigned status, const json &body)
+    {
+        return HttpReply{jsonResponse(status, body.dump()), AfterResponse::KeepOpen};
+    }
+
+    HttpReply control(const HttpRequest &request)
+    {
+        if (request.target == "/_stats") {
+            return reply(200, {{"calls", calls_}, {"revision", revision_}, {"objects", objects_.size()}});
+        }
+        const json body = json::parse(request.body, nullptr, false);
+        if (request.target != "/_fault" || !body.is_object()) {
+            return reply(400, {{"error", "POST /_fault with an object, or GET /_stats"}});
+        }
+        faults_.outage = body.value("outage", faults_.outage);
+        faults_.slowMs = body.value("slowMs", faults_.slowMs);
+        faults_.loseAnswers = body.value("loseAnswers", faults_.loseAnswers);
+        if (faults_.outage) {
+            wakeAll();
+        }
+        return reply(200, json::object());
+    }
+
+    HttpReply read(const Target &target)
+    {
+        const auto found = objects_.find({target.kind, target.name});
+        if (found == objects_.end() || found->second.deleted) {
+            return reply(404, {{"error", "no such object"}});
+        }
+        return reply(200, found->second.toJson());
+    }
+
+    HttpReply list(const Target &target)
+    {
+        const auto since = target.query.find("since");
+        const auto wait = target.query.find("waitMs");
+        const std::uint64_t from = since == target.query.end() ? 0 : std::stoull(since->second);
+        const std::int64_t waitMs = wait == target.query.end() ? 0 : std::stoll(wait->second);
+        if (from > 0 && waitMs > 0 && !changedSince(target.kind, from)) {
+            const auto gate = std::make_shared<FiberGate>();
+            waiting_.push_back(gate);
+            boost::asio::steady_timer timer(ioContext_, Millis(waitMs));
+            timer.async_wait([gate](boost::system::error_code) { gate->open(); });
+            gate->wait();
+            timer.cancel();
+            waiting_.remove(gate);
+        }
+        if (faults_.outage) {
+            return HttpReply{{}, AfterResponse::Reset};
+        }
+        json objects = json::array();
+        for (const auto &[id, object] : objects_) {
+            const bool wanted = id.first == target.kind && object.version > from && (from > 0 || !object.deleted);
+            if (wanted) {
+                objects.push_back(object.toJson());
+            }
+        }
+        return reply(200, {{"revision", revision_}, {"complete", from == 0}, {"objects", objects}});
+    }
+
+    bool changedSince(const std::string &kind, std::uint64_t from) const
+    {
+        for (const auto &[id, object] : objects_) {
+            if (id.first == kind && object.version > from) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    HttpReply conflict(const Object *current)
+    {
+        return reply(409, {{"error", "version"}, {"current", current == nullptr ? json() : current->toJson()}});
+    }
+
+    HttpReply update(const Target &target, const std::string &text)
+    {
+        const json body = json::parse(text, nullptr, false);
+        if (!body.is_object() || !body.contains("version") || !body.contains("value")) {
+            return reply(400, {{"error", "version and value are needed"}});
+        }
+        if (text.size() > mostValueBytes) {
+            return reply(413, {{"error", "value too large"}});
+        }
+        Object &object = objects_[{target.kind, target.name}];
+        const std::uint64_t standing = object.deleted ? 0 : object.version;
+        if (body["version"].get<std::uint64_t>() != standing) {
+            return conflict(standing == 0 ? nullptr : &object);
+        }
+        object = Object{target.kind, target.name, ++revision_, false, body["value"]};
+        wakeAll();
+        return reply(200, {{"version", object.version}});
+    }
+
+    HttpReply remove(const Target &target)
+    {
+        const auto found = objects_.find({target.kind, target.name});
+        if (found == objects_.end() || found->second.deleted) {
+            return reply(404, {{"error", "no such object"}});
+        }
+        const auto version = target.query.find("version");
+        if (version != target.query.end() && std::stoull(version->second) != found->second.version) {
+            return conflict(&found->second);
+        }
+        found->second.deleted = true;
+        found->second.version = ++revision_;
+        found->second.value = nullptr;
+        wakeAll();
+        return reply(200, {{"version", found->second.version}});
+    }
+
+    void wakeAll()
+    {
+        for (const auto &gate : waiting_) {
+            gate->open();
+        }
+    }
+
+    boost::asio::io_context &ioContext_;
+    std::map<std::pair<std::string, std::string>, Object> objects_;
+    std::map<std::string, std::uint64_t> calls_;
+    std::list<std::shared_ptr<FiberGate>> waiting_;
+    Faults faults_;
+    std::uint64_t revision_ = 1;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    po::options_description options("stand-in for the platform's object API");
+    options.add_options()("port", po::value<std::uint16_t>()->default_value(0), "0 picks a free one");
+    return standin::runStandin(argc, argv, options, [](boost::asio::io_context &ioContext, const po::variables_map &values) {
+        Store store(ioContext);
+        auto server = HttpServer::MakeListening(ioContext, "127.0.0.1", values["port"].as<std::uint16_t>(),
+                                                [&](const HttpRequest &request) { return store.handle(request); });
+        if (!server) {
+            std::cerr << server.error().message << "\n";
+            return 1;
+        }
+        standin::printPort("port", (*server)->port());
+        standin::waitForStop(ioContext);
+        return 0;
+    });
+}
