--- /dev/null
+++ b/bench/detectors.cpp
@@ -0,0 +1,145 @@
+/**
+ * Compares detectors on the same scripted faults: detection time of the sick server and false ejections, for the
+ * settings of both users and for little and much traffic. Run: bench-detectors [quick|full]; full adds the long
+ * healthy runs.
+ */
+#include "tests/support/HomeRig.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+
+namespace {
+
+using namespace waxwing;
+using namespace waxwing::testing;
+using std::chrono::seconds;
+
+struct Fault {
+    const char *name;
+    std::function<void(FakeServer &, SteadyTime now)> set;
+    bool wholeService = false;
+    /** Time after which the fault ends; zero: it stays. */
+    Millis lasts{0};
+    /** Nobody should leave. */
+    bool harmless = false;
+};
+
+struct Choice {
+    const char *name;
+    DetectorFactory make;
+};
+
+const std::vector<Choice> choices = {
+    {"consecutive", [](EjectionCare care) { return std::make_unique<ConsecutiveDetector>(care); }},
+    {"outlier", [](EjectionCare care) { return std::make_unique<OutlierDetector>(care); }},
+    {"cusum", [](EjectionCare care) { return std::make_unique<CusumDetector>(care); }},
+};
+
+const std::vector<Fault> faults = {
+    {"stall 100%", [](FakeServer &s, SteadyTime) { s.stallShare = 1.0; }, false, Millis(0), false},
+    {"stall 20%", [](FakeServer &s, SteadyTime) { s.stallShare = 0.2; }, false, Millis(0), false},
+    {"slow x5", [](FakeServer &s, SteadyTime) { s.slowFactor = 5.0; }, false, Millis(0), false},
+    {"errors 30%", [](FakeServer &s, SteadyTime) { s.errorShare = 0.3; }, false, Millis(0), false},
+    {"flapping 2 s", [](FakeServer &s, SteadyTime) { s.flapEvery = seconds(2); }, false, Millis(0), false},
+    {"cold start 5 s",
+     [](FakeServer &s, SteadyTime now) {
+         ++s.incarnation;
+         s.coldUntil = now + seconds(5);
+     },
+     false, Millis(0), true},
+    {"short burst 300 ms", [](FakeServer &s, SteadyTime) { s.slowFactor = 5.0; }, false, Millis(300), true},
+    {"whole service slow", [](FakeServer &s, SteadyTime) { s.slowFactor = 6.0; }, true, Millis(0), true},
+};
+
+constexpr int runs = 21;
+constexpr seconds faultAt{20};
+constexpr seconds watched{40};
+
+void compare(EjectionCare care, double rate)
+{
+    for (const Fault &fault : faults) {
+        for (const Choice &choice : choices) {
+            std::vector<double> detection;
+            int missed = 0;
+            int wrong = 0;
+            for (int run = 0; run < runs; ++run) {
+                RigPlan plan;
+                plan.rate = rate;
+                plan.care = care;
+                plan.detectors = choice.make;
+                plan.seed = static_cast<std::uint64_t>(run) + 1;
+                HomeRig rig(plan);
+                rig.at(faultAt, [&] {
+                    rig.forgetFirstLate();
+                    for (const std::string &name : rig.serverNames()) {
+                        if (fault.wholeService || name == "s3") {
+                            fault.set(rig.server(name), rig.now());
+                        }
+                    }
+                });
+                if (fault.lasts > Millis(0)) {
+                    rig.at(faultAt + fault.lasts, [&] { rig.server("s3") = FakeServer{}; });
+                }
+                rig.runUntil(faultAt + watched);
+                bool found = false;
+                for (const Ejection &ejection : rig.ejections()) {
+                    const bool right =
+                        ejection.server == "s3" && ejection.at >= rig.start() + faultAt && !fault.harmless;
+                    wrong += right ? 0 : 1;
+                    if (right && !found) {
+                        found = true;
+                        const SteadyTime from = std::max(rig.firstLate("s3"), rig.start() + faultAt);
+                        detection.push_back(std::chrono::duration<double>(ejection.at - from).count());
+                    }
+                }
+                missed += found || fault.harmless ? 0 : 1;
+            }
+            std::sort(detection.begin(), detection.end());
+            const auto quantile = [&](double q) {
+                return detection.empty()
+                           ? -1.0
+                           : detection[static_cast<std::size_t>(q * static_cast<double>(detection.size() - 1))];
+            };
+            std::printf("%-9s %5.0f/s  %-20s %-12s median %6.2f s  worst %6.2f s  missed %2d/%d  false %d\n",
+                        ejectionCareName(care), rate, fault.name, choice.name, quantile(0.5), quantile(1.0), missed,
+                        runs, wrong);
+            std::fflush(stdout);
+        }
+    }
+}
+
+void healthy(EjectionCare care, double rate, std::chrono::hours length)
+{
+    for (const Choice &choice : choices) {
+        RigPlan plan;
+        plan.rate = rate;
+        plan.care = care;
+        plan.detectors = choice.make;
+        HomeRig rig(plan);
+        rig.runUntil(length);
+        const double days = static_cast<double>(length.count()) / 24.0 * plan.servers;
+        std::printf("healthy %-9s %5.0f/s %4ld h  %-12s false ejections %zu  a server and day %.4f  requests %llu\n",
+                    ejectionCareName(care), rate, static_cast<long>(length.count()), choice.name,
+                    rig.ejections().size(), static_cast<double>(rig.ejections().size()) / days,
+                    static_cast<unsigned long long>(rig.started));
+        std::fflush(stdout);
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const bool full = argc > 1 && std::strcmp(argv[1], "full") == 0;
+    for (const EjectionCare care : {EjectionCare::Fast, EjectionCare::Careful}) {
+        for (const double rate : {10.0, 300.0}) {
+            compare(care, rate);
+        }
+    }
+    for (const EjectionCare care : {EjectionCare::Fast, EjectionCare::Careful}) {
+        healthy(care, 10.0, std::chrono::hours(full ? 168 : 24));
+        healthy(care, 300.0, std::chrono::hours(full ? 24 : 1));
+    }
+    return 0;
+}
--- a/include/claim/Ticket.h
+++ b/include/claim/Ticket.h
@@ -16,7 +16,7 @@
 struct Ticket {
     NodeRef owner;
     /** Owner's monotonic time since its start; other nodes don't interpret it. */
-    Millis mintedAt{ 0 };
+    Millis mintedAt{0};
     std::uint64_t sequence = 0;
 
     /** "wx1.ID.INCARNATION.MINTED.SEQUENCE", numbers in hexadecimal. Thread safe. */
--- a/include/health/Detector.h
+++ b/include/health/Detector.h
@@ -21,6 +21,9 @@
     Failed,
 };
 
+/** After a request became late, each further step of this length is StillWaiting evidence. Thread safe. */
+Millis lateStepOf(Millis responseTime);
+
 /** Decides from evidence whether one server is sick. Not thread safe. */
 class Detector
 {
--- a/include/home/ServiceHome.h
+++ b/include/home/ServiceHome.h
@@ -38,7 +38,7 @@
     std::string server;
     /** Stable word for a refusal. */
     std::string reason;
-    Millis retryAfter{ 0 };
+    Millis retryAfter{0};
 };
 
 /** A decision of the home that explains itself: an event name and its fields. */
@@ -59,8 +59,9 @@
     /** Largest share of the usable slots that one class may hold while another class had work lately. */
     double classShare = 0.75;
     Millis classMemory = std::chrono::seconds(10);
-    /** Nobody is ejected while more than this share of the servers is under suspicion: the service is slow. */
-    double suspectShare = 0.5;
+    /** Nobody is ejected while the median of the other servers has a larger share of bad results: the service is slow.
+     */
+    double slowServiceShare = 0.05;
 };
 
 /** One server for reports. */
@@ -143,6 +144,8 @@
         ServerHealth health;
         SteadyTime lastAnnounced;
         std::uint32_t inFlight = 0;
+        /** Order of the last hand-over, so that equally loaded servers take turns. */
+        std::uint64_t lastTurn = 0;
         bool dead = false;
         bool keptForFloor = false;
         /** Decaying counts of results. */
@@ -154,7 +157,7 @@
         std::uint32_t inFlight = 0;
         SteadyTime lastSeen;
         /** Smoothed time that a server works on one request. */
-        Duration typical{ 0 };
+        Duration typical{0};
     };
 
     bool isPresent(const Server &server, SteadyTime now) const;
@@ -162,6 +165,8 @@
     std::uint32_t usableSlots(const Server &server, SteadyTime now) const;
     std::uint32_t totalUsableSlots(SteadyTime now) const;
     Server *pick(const ClassIntent &intent, const std::set<std::string> &exclude, SteadyTime now);
+    Server *pickRamping(const std::set<std::string> &exclude, SteadyTime now);
+    bool serviceIsSlow(const std::string &except, SteadyTime now) const;
     bool classMayStart(const std::string &className, SteadyTime now) const;
     void assign(Server &server, std::uint64_t id, const std::string &className);
     Duration expectedWait(const std::string &className, SteadyTime now) const;
@@ -181,6 +186,7 @@
     std::map<std::string, ClassLoad> classes_;
     std::map<std::uint64_t, std::string> classOf_;
     std::map<std::uint64_t, std::set<std::string>> excluded_;
+    std::uint64_t turn_ = 0;
     double peerGood_ = 0.0;
     double peerBad_ = 0.0;
     SteadyTime peerCountedAt_;
--- a/include/intent/ClassIntent.h
+++ b/include/intent/ClassIntent.h
@@ -40,13 +40,13 @@
     std::vector<RouteRule> routes;
     bool idempotent = false;
     /** A request that takes longer is late. */
-    Millis responseTime{ 1000 };
+    Millis responseTime{1000};
     /** Share of requests that must succeed in time. */
     double successRate = 0.99;
     CapacityFloor floor;
     EjectionCare care = EjectionCare::Balanced;
     /** A request that names no deadline gets this one. */
-    Millis deadline{ 5000 };
+    Millis deadline{5000};
 };
 
 /** Every class of one service; the unit that operators write and that is checked as a whole. */
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -49,7 +49,7 @@
     std::string customer;
     /** Ticket text; empty for unkeyed work. */
     std::string ticket;
-    Millis remaining{ 0 };
+    Millis remaining{0};
     HttpRequest request;
 };
 
@@ -60,7 +60,7 @@
     /** Stable word for the refusal or fault; empty if the request ran. */
     std::string reason;
     /** When to ask again; zero if asking again makes no sense. */
-    Millis retryAfter{ 0 };
+    Millis retryAfter{0};
     std::string server;
     /** Free slots and queued requests at the home, for the sender's next choice. */
     std::int32_t freeSlots = 0;
@@ -108,7 +108,7 @@
 /** An incarnation whose tickets were decided at the sender, and its age then. */
 struct ClaimOwner {
     NodeRef ref;
-    Millis age{ 0 };
+    Millis age{0};
 };
 
 /** All claims of a leaving node; acknowledged with a Pong of the same id. */
--- a/src/base/DurationText.cpp
+++ b/src/base/DurationText.cpp
@@ -12,7 +12,7 @@
     std::int64_t millis;
 };
 
-constexpr std::array<Unit, 4> units = { Unit{ "h", 3600000 }, Unit{ "m", 60000 }, Unit{ "s", 1000 }, Unit{ "ms", 1 } };
+constexpr std::array<Unit, 4> units = {Unit{"h", 3600000}, Unit{"m", 60000}, Unit{"s", 1000}, Unit{"ms", 1}};
 constexpr std::int64_t largestCount = 100000000;
 
 } // namespace
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -25,7 +25,7 @@
 
 tl::unexpected<Error> fail(ErrorCode code, std::string message)
 {
-    return tl::unexpected<Error>(Error{ code, std::move(message) });
+    return tl::unexpected<Error>(Error{code, std::move(message)});
 }
 
 } // namespace waxwing
--- a/src/base/EventLog.cpp
+++ b/src/base/EventLog.cpp
@@ -52,7 +52,7 @@
 
 void EventLog::write(Severity severity, std::string name, std::vector<EventField> fields)
 {
-    events_.push_back(Event{ clock_.wallNow(), std::move(name), std::move(fields) });
+    events_.push_back(Event{clock_.wallNow(), std::move(name), std::move(fields)});
     if (events_.size() > capacity_) {
         events_.pop_front();
     }
@@ -86,7 +86,7 @@
 std::vector<Event> EventLog::newest(std::size_t count) const
 {
     const std::size_t skip = events_.size() > count ? events_.size() - count : 0;
-    return { events_.begin() + static_cast<std::ptrdiff_t>(skip), events_.end() };
+    return {events_.begin() + static_cast<std::ptrdiff_t>(skip), events_.end()};
 }
 
 void setUpLogging()
--- a/src/base/Findings.cpp
+++ b/src/base/Findings.cpp
@@ -6,13 +6,13 @@
 
 void Findings::add(std::string place, std::string message)
 {
-    all_.push_back(Finding{ std::move(place), std::move(message) });
+    all_.push_back(Finding{std::move(place), std::move(message)});
 }
 
 void Findings::addAll(const Findings &other, const std::string &prefix)
 {
     for (const Finding &finding : other.all_) {
-        all_.push_back(Finding{ prefix + finding.place, finding.message });
+        all_.push_back(Finding{prefix + finding.place, finding.message});
     }
 }
 
--- a/src/base/HttpMessage.cpp
+++ b/src/base/HttpMessage.cpp
@@ -28,17 +28,16 @@
 
 bool isHopByHop(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 9> names = {
-        "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-        "transfer-encoding", "upgrade",    "content-length"
-    };
+    static constexpr std::array<std::string_view, 9> names = {"connection",          "keep-alive", "proxy-authenticate",
+                                                              "proxy-authorization", "te",         "trailer",
+                                                              "transfer-encoding",   "upgrade",    "content-length"};
     return std::any_of(names.begin(), names.end(),
                        [&](std::string_view known) { return equalsIgnoringCase(known, name); });
 }
 
 HttpResponse jsonResponse(unsigned status, std::string body)
 {
-    return HttpResponse{ status, { { "Content-Type", "application/json" } }, std::move(body) };
+    return HttpResponse{status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
 
 } // namespace waxwing
--- a/src/base/Ids.cpp
+++ b/src/base/Ids.cpp
@@ -38,7 +38,7 @@
 {
     std::array<char, 16> digits{};
     const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
-    return { digits.data(), end.ptr };
+    return {digits.data(), end.ptr};
 }
 
 bool isName(const std::string &text)
--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -15,13 +15,13 @@
 namespace acc = boost::accumulators;
 
 namespace {
-constexpr std::array<double, 3> probabilities = { 0.5, 0.9, 0.99 };
+constexpr std::array<double, 3> probabilities = {0.5, 0.9, 0.99};
 }
 
 struct Metrics::Distribution {
     acc::accumulator_set<double,
                          acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max, acc::tag::extended_p_square>>
-        samples{ acc::tag::extended_p_square::probabilities = probabilities };
+        samples{acc::tag::extended_p_square::probabilities = probabilities};
 };
 
 Metrics::Metrics() = default;
@@ -49,13 +49,13 @@
 
 std::string Metrics::json() const
 {
-    nlohmann::json out = { { "counters", counters_ }, { "latenciesMs", nlohmann::json::object() } };
+    nlohmann::json out = {{"counters", counters_}, {"latenciesMs", nlohmann::json::object()}};
     for (const auto &[name, distribution] : distributions_) {
         const auto &samples = distribution->samples;
         const auto quantiles = acc::extended_p_square(samples);
-        out["latenciesMs"][name] = { { "count", acc::count(samples) }, { "mean", acc::mean(samples) },
-                                     { "max", acc::max(samples) },     { "p50", quantiles[0] },
-                                     { "p90", quantiles[1] },          { "p99", quantiles[2] } };
+        out["latenciesMs"][name] = {{"count", acc::count(samples)}, {"mean", acc::mean(samples)},
+                                    {"max", acc::max(samples)},     {"p50", quantiles[0]},
+                                    {"p90", quantiles[1]},          {"p99", quantiles[2]}};
     }
     return out.dump(2);
 }
--- a/src/claim/ClaimTable.cpp
+++ b/src/claim/ClaimTable.cpp
@@ -160,13 +160,13 @@
 {
     assert(stopping_ && running_ == 0);
     ClaimHandover handover;
-    handover.owners.push_back(ClaimOwner{ self_, ownAge });
+    handover.owners.push_back(ClaimOwner{self_, ownAge});
     for (const auto &[owner, adopted] : adopted_) {
-        handover.owners.push_back(ClaimOwner{ owner, ageOf(owner, ownAge).value_or(adopted.age) });
+        handover.owners.push_back(ClaimOwner{owner, ageOf(owner, ownAge).value_or(adopted.age)});
     }
     for (const auto &[key, entry] : entries_) {
         const Outcome outcome = entry.answerKept ? entry.end.outcome : Outcome::Unknown;
-        handover.claims.push_back(ClaimTransfer{ key, entry.digest, outcome, entry.end.response });
+        handover.claims.push_back(ClaimTransfer{key, entry.digest, outcome, entry.end.response});
     }
     return handover;
 }
@@ -175,7 +175,7 @@
 {
     const SteadyTime now = clock_.now();
     for (const ClaimOwner &owner : handover.owners) {
-        adopted_[owner.ref] = Adopted{ owner.age, now };
+        adopted_[owner.ref] = Adopted{owner.age, now};
     }
     for (const ClaimTransfer &claim : handover.claims) {
         // Held even above the limit of entries: a claim that were dropped here could be started again.
@@ -184,7 +184,7 @@
         entry.dropAt = now + limits_.validity;
         const auto [place, isNew] = entries_.emplace(claim.ticket, std::move(entry));
         if (isNew) {
-            store(place->second, ClaimEnd{ claim.outcome, claim.response });
+            store(place->second, ClaimEnd{claim.outcome, claim.response});
             dropOrder_.emplace(place->second.dropAt, claim.ticket);
         }
     }
--- a/src/claim/Ticket.cpp
+++ b/src/claim/Ticket.cpp
@@ -46,7 +46,7 @@
         rest = rest.substr(0, dot);
     }
     Ticket ticket;
-    ticket.owner = { std::string(rest), numbers[0] };
+    ticket.owner = {std::string(rest), numbers[0]};
     if (!isName(ticket.owner.id) || numbers[1] > longestAgeMs) {
         return fail(ErrorCode::Malformed, "not a ticket: bad node name or age");
     }
@@ -63,7 +63,7 @@
 
 Ticket TicketMint::mint()
 {
-    return Ticket{ self_, age(), next_++ };
+    return Ticket{self_, age(), next_++};
 }
 
 Millis TicketMint::age() const
--- a/src/ctl/BurnPage.cpp
+++ b/src/ctl/BurnPage.cpp
@@ -91,19 +91,17 @@
         nlohmann::json windows = nlohmann::json::array();
         for (const BurnFigure &figure : one.figures) {
             const BurnCounts &c = figure.counts;
-            windows.push_back({ { "window", figure.label },
-                                { "requests", c.total() },
-                                { "good", c.good },
-                                { "late", c.late },
-                                { "failed", c.failed },
-                                { "refused", c.refused },
-                                { "unknown", c.unknown },
-                                { "burn", figure.burn } });
+            windows.push_back({{"window", figure.label},
+                               {"requests", c.total()},
+                               {"good", c.good},
+                               {"late", c.late},
+                               {"failed", c.failed},
+                               {"refused", c.refused},
+                               {"unknown", c.unknown},
+                               {"burn", figure.burn}});
         }
-        out.push_back({ { "class", one.name },
-                        { "target", one.successRate },
-                        { "verdict", verdict(one) },
-                        { "windows", windows } });
+        out.push_back(
+            {{"class", one.name}, {"target", one.successRate}, {"verdict", verdict(one)}, {"windows", windows}});
     }
     return out.dump(2) + "\n";
 }
--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -23,8 +23,8 @@
 using nlohmann::json;
 
 const std::string serviceObjects = "service";
-constexpr Millis confirmPoll{ 50 };
-constexpr Millis settlePoll{ 200 };
+constexpr Millis confirmPoll{50};
+constexpr Millis settlePoll{200};
 constexpr int settleTries = 10;
 
 std::string newOperation()
@@ -46,7 +46,7 @@
 {
     json list = json::array();
     for (const Finding &finding : findings.all()) {
-        list.push_back({ { "place", finding.place }, { "message", finding.message } });
+        list.push_back({{"place", finding.place}, {"message", finding.message}});
     }
     return list;
 }
@@ -71,10 +71,9 @@
 CtlExit Commands::run()
 {
     static const std::map<std::string, CtlExit (Commands::*)()> commands = {
-        { "check", &Commands::check },   { "apply", &Commands::apply },   { "diff", &Commands::diff },
-        { "get", &Commands::read },      { "status", &Commands::status }, { "explain", &Commands::explain },
-        { "report", &Commands::report }, { "remove", &Commands::remove }
-    };
+        {"check", &Commands::check},   {"apply", &Commands::apply},   {"diff", &Commands::diff},
+        {"get", &Commands::read},      {"status", &Commands::status}, {"explain", &Commands::explain},
+        {"report", &Commands::report}, {"remove", &Commands::remove}};
     const auto command = options_.words.empty() ? commands.end() : commands.find(options_.words.front());
     if (command == commands.end()) {
         std::cerr << "unknown command" << (options_.words.empty() ? "" : " " + options_.words.front())
@@ -105,7 +104,7 @@
         return CtlExit::Ok;
     }
     if (options_.json) {
-        std::cout << json{ { "findings", findingsJson(findings) } }.dump(2) << "\n";
+        std::cout << json{{"findings", findingsJson(findings)}}.dump(2) << "\n";
     } else {
         std::cerr << findings.text();
     }
@@ -162,55 +161,55 @@
         const json now = *standing ? json::parse((*standing)->value, nullptr, false) : json();
         const std::uint64_t version = *standing ? (*standing)->version : 0;
         if (now.is_object() && now.value("operation", "") == operation) {
-            return Applied{ service, "accepted", version, "found again by its operation id" };
+            return Applied{service, "accepted", version, "found again by its operation id"};
         }
         if (version != base) {
-            return Applied{ service, "conflict", version,
-                            "changed meanwhile:\n" + describeChange(withoutOperation(value), withoutOperation(now)) };
+            return Applied{service, "conflict", version,
+                           "changed meanwhile:\n" + describeChange(withoutOperation(value), withoutOperation(now))};
         }
         const UpdateResult again = api_.update(serviceObjects, service, base, value.dump());
         if (again.kind == UpdateResult::Kind::Stored) {
-            return Applied{ service, "accepted", again.version, "" };
+            return Applied{service, "accepted", again.version, ""};
         }
     }
-    return Applied{ service, "unknown", 0, "the object API gave no answer; run the same apply again" };
+    return Applied{service, "unknown", 0, "the object API gave no answer; run the same apply again"};
 }
 
 Commands::Applied Commands::applyOne(const std::string &service, const IntentDocument &document)
 {
     const auto standing = api_.read(serviceObjects, service);
     if (!standing) {
-        return Applied{ service, "unavailable", 0, standing.error().message };
+        return Applied{service, "unavailable", 0, standing.error().message};
     }
     const std::uint64_t version = *standing ? (*standing)->version : 0;
     const json before = *standing ? withoutOperation(json::parse((*standing)->value, nullptr, false)) : json();
     if (before == document.intents) {
-        return Applied{ service, "unchanged", version, "" };
+        return Applied{service, "unchanged", version, ""};
     }
     if (document.revision != 0 && document.revision != version) {
-        return Applied{ service, "conflict", version,
-                        "your file starts from revision " + std::to_string(document.revision) + ", revision "
-                            + std::to_string(version) + " stands; yours -> standing:\n"
-                            + describeChange(document.intents, before) };
+        return Applied{service, "conflict", version,
+                       "your file starts from revision " + std::to_string(document.revision) + ", revision "
+                           + std::to_string(version) + " stands; yours -> standing:\n"
+                           + describeChange(document.intents, before)};
     }
     json value = document.intents;
     value["operation"] = newOperation();
     const UpdateResult result = api_.update(serviceObjects, service, version, value.dump());
     switch (result.kind) {
     case UpdateResult::Kind::Stored:
-        return Applied{ service, "accepted", result.version,
-                        describeChange(before.is_null() ? json::object() : before, document.intents) };
+        return Applied{service, "accepted", result.version,
+                       describeChange(before.is_null() ? json::object() : before, document.intents)};
     case UpdateResult::Kind::Conflict: {
         const json now = result.current ? withoutOperation(json::parse(result.current->value, nullptr, false)) : json();
-        return Applied{ service, "conflict", result.current ? result.current->version : 0,
-                        "another operator was first; before -> standing:\n" + describeChange(before, now) };
+        return Applied{service, "conflict", result.current ? result.current->version : 0,
+                       "another operator was first; before -> standing:\n" + describeChange(before, now)};
     }
     case UpdateResult::Kind::NotStored:
-        return Applied{ service, "unavailable", 0, result.message };
+        return Applied{service, "unavailable", 0, result.message};
     case UpdateResult::Kind::Unknown:
         return settleUnknown(service, value, version);
     }
-    return Applied{ service, "unknown", 0, "" };
+    return Applied{service, "unknown", 0, ""};
 }
 
 CtlExit Commands::apply()
@@ -226,14 +225,12 @@
     }
     std::vector<Applied> applied;
     CtlExit exit = CtlExit::Ok;
-    json out = { { "services", json::array() } };
+    json out = {{"services", json::array()}};
     for (const auto &[service, document] : file) {
         applied.push_back(applyOne(service, document));
         const Applied &one = applied.back();
-        out["services"].push_back({ { "service", one.service },
-                                    { "result", one.result },
-                                    { "revision", one.revision },
-                                    { "detail", one.detail } });
+        out["services"].push_back(
+            {{"service", one.service}, {"result", one.result}, {"revision", one.revision}, {"detail", one.detail}});
         if (!options_.json) {
             std::cout << one.service << ": " << one.result << " (revision " << one.revision << ")\n" << one.detail;
             std::cout << (one.detail.empty() || one.detail.back() == '\n' ? "" : "\n");
@@ -340,7 +337,7 @@
         }
         services[object.name] = std::move(value);
     }
-    std::cout << json{ { "services", services } }.dump(2) << "\n";
+    std::cout << json{{"services", services}}.dump(2) << "\n";
     return CtlExit::Ok;
 }
 
@@ -447,7 +444,7 @@
         for (const auto &item : view.items()) {
             for (const json &row : item.value()) {
                 const auto number = [&](std::size_t i) { return row.at(i).get<std::uint64_t>(); };
-                const BurnCounts counts{ number(1), number(2), number(3), number(4), number(5) };
+                const BurnCounts counts{number(1), number(2), number(3), number(4), number(5)};
                 merged[item.key()][row.at(0).get<std::int64_t>()].add(counts);
             }
         }
@@ -468,7 +465,7 @@
         one.name = name;
         one.successRate = targets.count(name) != 0 ? targets[name] : one.successRate;
         for (const auto &[ms, counts] : slices) {
-            one.slices.push_back(BurnSlice{ WallTime(Millis(ms)), counts });
+            one.slices.push_back(BurnSlice{WallTime(Millis(ms)), counts});
         }
         one.figures = burnFigures(one.slices, one.successRate, std::chrono::system_clock::now());
         classes.push_back(std::move(one));
--- a/src/ctl/Commands.h
+++ b/src/ctl/Commands.h
@@ -30,7 +30,7 @@
     Endpoint node;
     bool json = false;
     bool wait = false;
-    Millis timeout{ 10000 };
+    Millis timeout{10000};
     std::string html;
 };
 
--- a/src/ctl/FleetClient.cpp
+++ b/src/ctl/FleetClient.cpp
@@ -3,7 +3,7 @@
 namespace waxwing {
 
 namespace {
-constexpr Millis callTimeout{ 2000 };
+constexpr Millis callTimeout{2000};
 }
 
 FleetClient::FleetClient(HttpClient &client, Endpoint first)
@@ -13,7 +13,7 @@
 
 Expected<nlohmann::json> FleetClient::view(const Endpoint &operators, const std::string &target)
 {
-    const auto answer = client_.exchange(operators, HttpRequest{ "GET", target, {}, {} }, callTimeout);
+    const auto answer = client_.exchange(operators, HttpRequest{"GET", target, {}, {}}, callTimeout);
     if (!answer) {
         return fail(ErrorCode::Unavailable,
                     "node at " + operators.text() + ": " + exchangeFailureName(answer.error().failure));
--- a/src/floor/HomeFloor.cpp
+++ b/src/floor/HomeFloor.cpp
@@ -37,12 +37,12 @@
 {
     nlohmann::json list = nlohmann::json::array();
     for (const Pledge &one : pledges) {
-        list.push_back({ { "home", one.home.id },
-                         { "incarnation", one.home.incarnation },
-                         { "pledge", one.pledge },
-                         { "capacity", one.capacity } });
+        list.push_back({{"home", one.home.id},
+                        {"incarnation", one.home.incarnation},
+                        {"pledge", one.pledge},
+                        {"capacity", one.capacity}});
     }
-    return nlohmann::json{ { "pledges", list } }.dump();
+    return nlohmann::json{{"pledges", list}}.dump();
 }
 
 Expected<PledgeSheet> PledgeSheet::parse(std::uint64_t version, const std::string &text)
@@ -53,9 +53,9 @@
         const nlohmann::json document = nlohmann::json::parse(text);
         for (const nlohmann::json &one : document.at("pledges")) {
             sheet.pledges.push_back(
-                Pledge{ { one.at("home").get<std::string>(), one.at("incarnation").get<std::uint64_t>() },
-                        one.at("pledge").get<std::uint32_t>(),
-                        one.at("capacity").get<std::uint32_t>() });
+                Pledge{{one.at("home").get<std::string>(), one.at("incarnation").get<std::uint64_t>()},
+                       one.at("pledge").get<std::uint32_t>(),
+                       one.at("capacity").get<std::uint32_t>()});
         }
         return sheet;
     } catch (const nlohmann::json::exception &error) {
@@ -198,7 +198,7 @@
     }
     PledgeSheet next = sheet_;
     const Pledge *known = next.find(self_);
-    Pledge mine = known != nullptr ? *known : Pledge{ self_, capacity_, capacity_ };
+    Pledge mine = known != nullptr ? *known : Pledge{self_, capacity_, capacity_};
     bool changed = known == nullptr || mine.capacity != capacity_;
     mine.capacity = capacity_;
     next.set(mine);
--- a/src/health/Detector.cpp
+++ b/src/health/Detector.cpp
@@ -16,6 +16,9 @@
 /** A healthy server's late request ends within a further step about half of the time. */
 constexpr double stillWaitingRatio = 0.65;
 
+constexpr Millis leastLateStep{25};
+constexpr Millis mostLateStep{110};
+
 int consecutiveLimit(EjectionCare care)
 {
     switch (care) {
@@ -36,6 +39,11 @@
 
 } // namespace
 
+Millis lateStepOf(Millis responseTime)
+{
+    return std::clamp(responseTime / 4, leastLateStep, mostLateStep);
+}
+
 ConsecutiveDetector::ConsecutiveDetector(EjectionCare care)
     : limit_(consecutiveLimit(care))
 { }
@@ -74,7 +82,7 @@
         return;
     }
     peerBadShare_ = peerBadShare;
-    window_.push_back(Sample{ now, isBad(evidence) });
+    window_.push_back(Sample{now, isBad(evidence)});
     bad_ += isBad(evidence) ? 1 : 0;
     while (now - window_.front().at > outlierWindow) {
         bad_ -= window_.front().bad ? 1 : 0;
--- a/src/home/Announcement.cpp
+++ b/src/home/Announcement.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::array<ServerState, 4> states = { ServerState::Starting, ServerState::Serving, ServerState::Draining,
-                                                ServerState::Leaving };
+constexpr std::array<ServerState, 4> states = {ServerState::Starting, ServerState::Serving, ServerState::Draining,
+                                               ServerState::Leaving};
 constexpr std::int64_t mostSlots = 10000;
 constexpr std::int64_t mostConnections = 1000000;
 
@@ -42,7 +42,7 @@
     JsonReader reader(document, "", findings);
     out.service = reader.requiredText("service");
     out.server = reader.requiredText("server");
-    for (const char *field : { "service", "server" }) {
+    for (const char *field : {"service", "server"}) {
         const std::string &value = std::string(field) == "service" ? out.service : out.server;
         if (!value.empty() && !isName(value)) {
             findings.add(reader.placeOf(field), "is 1 to 63 letters, digits, '-', '_' or '.'");
@@ -74,14 +74,14 @@
 
 std::string announcementJson(const Announcement &announcement)
 {
-    const nlohmann::json body = { { "service", announcement.service },
-                                  { "server", announcement.server },
-                                  { "incarnation", announcement.incarnation },
-                                  { "address", announcement.address },
-                                  { "port", announcement.port },
-                                  { "slots", announcement.slots },
-                                  { "connections", announcement.connections },
-                                  { "state", serverStateName(announcement.state) } };
+    const nlohmann::json body = {{"service", announcement.service},
+                                 {"server", announcement.server},
+                                 {"incarnation", announcement.incarnation},
+                                 {"address", announcement.address},
+                                 {"port", announcement.port},
+                                 {"slots", announcement.slots},
+                                 {"connections", announcement.connections},
+                                 {"state", serverStateName(announcement.state)}};
     return body.dump();
 }
 
--- a/src/home/ServiceHome.cpp
+++ b/src/home/ServiceHome.cpp
@@ -10,13 +10,13 @@
 namespace {
 
 /** Results count half after this long in the share of bad ones among peers. */
-constexpr Millis resultHalfLife = std::chrono::seconds(5);
+constexpr Millis resultHalfLife = std::chrono::seconds(1);
 /** Good results assumed of a service of which little is known. */
-constexpr double priorGood = 20.0;
+constexpr double priorGood = 3.0;
 constexpr double typicalSmoothing = 0.1;
 constexpr double suspectAt = 0.3;
-constexpr Millis leastRetryAfter{ 200 };
-constexpr Millis mostRetryAfter{ 30000 };
+constexpr Millis leastRetryAfter{200};
+constexpr Millis mostRetryAfter{30000};
 
 double decay(SteadyTime since, SteadyTime now)
 {
@@ -129,13 +129,33 @@
             // work and so give no evidence, and stay in doubt for ever.
             return &server;
         }
-        const double load = static_cast<double>(server.inFlight) / usable + server.health.suspicion()
-                            + (server.keptForFloor ? 10.0 : 0.0);
-        if (best == nullptr || load < bestLoad) {
+        // A small suspicion must not count: at little traffic an idle server would never win against spotless ones, get no
+        // work, and so neither clear itself nor be found out.
+        const double doubt = server.health.suspicion() >= suspectAt ? server.health.suspicion() : 0.0;
+        const double load = static_cast<double>(server.inFlight) / usable + doubt + (server.keptForFloor ? 10.0 : 0.0);
+        const bool better =
+            best == nullptr || load < bestLoad || (load == bestLoad && server.lastTurn < best->lastTurn);
+        if (better) {
             best = &server;
             bestLoad = load;
         }
     }
+    return best != nullptr ? best : pickRamping(exclude, now);
+}
+
+ServiceHome::Server *ServiceHome::pickRamping(const std::set<std::string> &exclude, SteadyTime now)
+{
+    // The ramp spares a newly started server while others have room. When nobody has, as after a restart of the whole
+    // service, a slow answer is better than a refusal.
+    Server *best = nullptr;
+    for (auto &[name, server] : servers_) {
+        const bool ramping =
+            server.health.phase() == ServerPhase::Ramp && isPresent(server, now) && !server.keptForFloor;
+        const bool hasSlot = server.inFlight < server.announced.slots && exclude.count(name) == 0;
+        if (ramping && hasSlot && (best == nullptr || server.inFlight < best->inFlight)) {
+            best = &server;
+        }
+    }
     return best;
 }
 
@@ -157,6 +177,7 @@
 void ServiceHome::assign(Server &server, std::uint64_t id, const std::string &className)
 {
     ++server.inFlight;
+    server.lastTurn = ++turn_;
     ++classes_[className].inFlight;
     classOf_[id] = className;
 }
@@ -209,7 +230,7 @@
     if (now + wait + load.typical > request.deadline) {
         return refusal("would-miss-deadline", wait);
     }
-    if (!queue_.push(QueuedRequest{ request.id, request.className, request.customer, request.deadline })) {
+    if (!queue_.push(QueuedRequest{request.id, request.className, request.customer, request.deadline})) {
         return refusal("queue-full", wait);
     }
     excluded_[request.id] = request.exclude;
@@ -312,7 +333,7 @@
     while (queue_.pop(mayStart, next)) {
         excluded_.erase(next.id);
         assign(*chosen, next.id, next.className);
-        due.assigned.push_back(Assignment{ next.id, chosen->announced.server });
+        due.assigned.push_back(Assignment{next.id, chosen->announced.server});
     }
     return due;
 }
@@ -332,53 +353,65 @@
 void ServiceHome::ejectSick(std::vector<HomeDecision> &decisions, SteadyTime now)
 {
     std::vector<Server *> sick;
-    std::size_t healthy = 0;
-    std::size_t suspects = 0;
     for (auto &[name, server] : servers_) {
-        const bool inService = isHealthy(server, now);
-        healthy += inService ? 1 : 0;
-        suspects += inService && server.health.suspicion() >= suspectAt ? 1 : 0;
-        if (inService && server.health.wantsEjection()) {
+        if (isHealthy(server, now) && server.health.wantsEjection()) {
             sick.push_back(&server);
         } else {
             server.keptForFloor = false;
         }
     }
-    if (sick.empty()) {
-        return;
-    }
     std::sort(sick.begin(), sick.end(),
               [](const Server *a, const Server *b) { return a->health.suspicion() > b->health.suspicion(); });
-    const bool serviceIsSlow = healthy > 1 && static_cast<double>(suspects) > tuning_.suspectShare * healthy;
     for (Server *server : sick) {
         const std::string &name = server->announced.server;
         const std::vector<std::pair<std::string, std::string>> evidence = {
-            { "suspicion", decimal(server->health.suspicion()) },
-            { "peerBadShare", decimal(badShareWithout(name)) },
-            { "suspects", std::to_string(suspects) },
-            { "inService", std::to_string(healthy) },
-            { "mustKeep", std::to_string(floor_.mustKeep()) }
-        };
+            {"suspicion", decimal(server->health.suspicion())},
+            {"peerBadShare", decimal(badShareWithout(name))},
+            {"inService", std::to_string(inService())},
+            {"mustKeep", std::to_string(floor_.mustKeep())}};
         refreshFloor(now);
-        if (!serviceIsSlow && floor_.mayEject()) {
+        const bool slow = serviceIsSlow(name, now);
+        if (!slow && floor_.mayEject()) {
             server->health.eject(now);
             server->keptForFloor = false;
-            decisions.push_back(HomeDecision{ "server_ejected", name, evidence });
+            decisions.push_back(HomeDecision{"server_ejected", name, evidence});
             decisions.back().evidence.emplace_back("for",
                                                    std::to_string(server->health.currentEjection().count()) + "ms");
             refreshFloor(now);
-        } else if (!serviceIsSlow) {
+        } else if (!slow) {
             floor_.noteBlocked();
             if (server->keptForFloor) {
                 continue;
             }
             server->keptForFloor = true;
-            decisions.push_back(HomeDecision{ "server_kept_for_floor", name, evidence });
+            decisions.push_back(HomeDecision{"server_kept_for_floor", name, evidence});
         } else if (lastSlowService_ != name) {
             lastSlowService_ = name;
-            decisions.push_back(HomeDecision{ "service_slow_nobody_ejected", name, evidence });
+            decisions.push_back(HomeDecision{"service_slow_nobody_ejected", name, evidence});
+        }
+    }
+}
+
+bool ServiceHome::serviceIsSlow(const std::string &except, SteadyTime now) const
+{
+    // Judged by the median, so that a few other sick servers don't keep this one in service, while a slow service
+    // shows in more than half of its servers whichever of them was found late first.
+    std::vector<double> shares;
+    for (const auto &[name, server] : servers_) {
+        const double kept = decay(server.countedAt, now);
+        const double all = (server.good + server.bad) * kept;
+        if (name != except && isHealthy(server, now) && all > 0.0) {
+            shares.push_back(server.bad * kept / (all + 1.0));
         }
     }
+    if (shares.empty()) {
+        const double kept = decay(peerCountedAt_, now);
+        const double all = (peerGood_ + peerBad_) * kept;
+        shares.push_back(peerBad_ * kept / (all + 1.0));
+    }
+    const auto middle = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 2);
+    std::nth_element(shares.begin(), middle, shares.end());
+    return *middle > tuning_.slowServiceShare;
 }
 
 std::vector<HomeDecision> ServiceHome::tick(SteadyTime now)
@@ -390,14 +423,14 @@
         const ServerPhase before = server.health.phase();
         server.health.tick(now);
         if (server.health.phase() != before) {
-            decisions.push_back(HomeDecision{
-                "server_phase",
-                it->first,
-                { { "from", serverPhaseName(before) }, { "to", serverPhaseName(server.health.phase()) } } });
+            decisions.push_back(
+                HomeDecision{"server_phase",
+                             it->first,
+                             {{"from", serverPhaseName(before)}, {"to", serverPhaseName(server.health.phase())}}});
         }
         const bool forget = now - server.lastAnnounced >= tuning_.forgetAfter && server.inFlight == 0;
         if (forget) {
-            decisions.push_back(HomeDecision{ "server_forgotten", it->first, {} });
+            decisions.push_back(HomeDecision{"server_forgotten", it->first, {}});
             it = servers_.erase(it);
         } else {
             ++it;
@@ -453,8 +486,8 @@
 {
     std::vector<ServerView> views;
     for (const auto &[name, server] : servers_) {
-        views.push_back(ServerView{ server.announced, server.health.phase(), isPresent(server, now_), server.inFlight,
-                                    server.health.suspicion(), server.keptForFloor });
+        views.push_back(ServerView{server.announced, server.health.phase(), isPresent(server, now_), server.inFlight,
+                                   server.health.suspicion(), server.keptForFloor});
     }
     return views;
 }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -119,7 +119,7 @@
 {
     const auto deadline = std::chrono::steady_clock::now() + allowed;
     const auto failed = [](ExchangeFailure failure, bool sent) {
-        return tl::unexpected<ExchangeError>(ExchangeError{ failure, sent });
+        return tl::unexpected<ExchangeError>(ExchangeError{failure, sent});
     };
     std::unique_ptr<Connection> connection = takeIdle(endpoint);
     const bool reused = connection != nullptr;
@@ -141,7 +141,7 @@
                 cancel->hook_ = {};
             }
         }
-    } const guard{ cancel };
+    } const guard{cancel};
 
     connection->stream.expires_at(deadline);
     if (!reused) {
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -16,7 +16,7 @@
 using tcp = boost::asio::ip::tcp;
 
 namespace {
-constexpr Millis acceptPause{ 20 };
+constexpr Millis acceptPause{20};
 }
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -97,7 +97,7 @@
     }
     HttpResponse response = jsonResponse(status, "{\"error\":\"" + error.message() + "\"}\n");
     response.headers.emplace_back("Waxwing-Outcome", "not-run");
-    writeReply(connection, HttpReply{ std::move(response), AfterResponse::Close }, false);
+    writeReply(connection, HttpReply{std::move(response), AfterResponse::Close}, false);
 }
 
 std::optional<HttpRequest> HttpServer::State::readRequest(Connection &connection, beast::flat_buffer &buffer,
--- a/src/intent/ClassIntent.cpp
+++ b/src/intent/ClassIntent.cpp
@@ -16,8 +16,8 @@
 
 bool namesWeightOrAddress(const std::string &key)
 {
-    static const std::vector<std::string> forbidden = { "weight",  "weights",  "address",   "addresses", "server",
-                                                        "servers", "endpoint", "endpoints", "host",      "hosts" };
+    static const std::vector<std::string> forbidden = {"weight",  "weights",  "address",   "addresses", "server",
+                                                       "servers", "endpoint", "endpoints", "host",      "hosts"};
     return std::find(forbidden.begin(), forbidden.end(), key) != forbidden.end();
 }
 
@@ -66,7 +66,7 @@
 
 EjectionCare parseCare(const std::string &text, const std::string &place, Findings &findings)
 {
-    for (const EjectionCare care : { EjectionCare::Fast, EjectionCare::Balanced, EjectionCare::Careful }) {
+    for (const EjectionCare care : {EjectionCare::Fast, EjectionCare::Balanced, EjectionCare::Careful}) {
         if (text == ejectionCareName(care)) {
             return care;
         }
@@ -144,7 +144,7 @@
         for (std::size_t i = 0; i < one.routes.size(); ++i) {
             const RouteRule &rule = one.routes[i];
             const std::vector<std::string> methods =
-                rule.methods.empty() ? std::vector<std::string>{ "*" } : rule.methods;
+                rule.methods.empty() ? std::vector<std::string>{"*"} : rule.methods;
             for (const std::string &method : methods) {
                 const auto [place, isNew] = owners.emplace(method + " " + rule.prefix, one.name);
                 if (!isNew) {
--- a/src/limit/FairQueue.cpp
+++ b/src/limit/FairQueue.cpp
@@ -22,7 +22,7 @@
         customer->waiting.push_back(std::move(request));
         return true;
     }
-    Customer added{ request.customer, {} };
+    Customer added{request.customer, {}};
     added.waiting.push_back(std::move(request));
     queue.turns.push_back(std::move(added));
     return true;
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -23,7 +23,7 @@
 constexpr long closeTimeoutMs = 500;
 constexpr std::size_t mostMessageBytes = 8 * 1024 * 1024;
 constexpr std::size_t mostBufferedBytes = 16 * 1024 * 1024;
-constexpr Millis helloTimeout{ 1500 };
+constexpr Millis helloTimeout{1500};
 
 /** Waits for something that may never come: opened by its event or by its timer, whichever is first. */
 struct TimedGate {
@@ -108,7 +108,7 @@
 
 void PeerHub::State::setUp()
 {
-    for (auto *log : { &server.get_alog(), &client.get_alog() }) {
+    for (auto *log : {&server.get_alog(), &client.get_alog()}) {
         log->clear_channels(websocketpp::log::alevel::all);
     }
     server.clear_error_channels(websocketpp::log::elevel::all);
@@ -148,7 +148,7 @@
                 owner->onClosed(link);
             }
         });
-        state->sendOn(link, Hello{ state->self });
+        state->sendOn(link, Hello{state->self});
     });
 }
 
@@ -196,7 +196,7 @@
             state->client.close(link->handle, websocketpp::close::status::going_away, "", ignored);
             return;
         }
-        state->sendOn(link, Hello{ state->self });
+        state->sendOn(link, Hello{state->self});
     });
     connection->set_message_handler([weak, link](connection_hdl, const Client::message_ptr &message) {
         if (const auto state = weak.lock()) {
@@ -319,7 +319,7 @@
         }
         wake(*link);
     } else if (const auto *ping = std::get_if<Ping>(&*message)) {
-        sendOn(link, Pong{ ping->id });
+        sendOn(link, Pong{ping->id});
     } else if (const auto *pong = std::get_if<Pong>(&*message)) {
         finishPending(pong->id, link, ExecReply{});
     } else if (auto *reply = std::get_if<ExecReply>(&*message)) {
@@ -437,7 +437,7 @@
 {
     const auto link = linkTo(to, endpoint);
     if (!link) {
-        return tl::unexpected<CallError>(CallError{ false, link.error().message });
+        return tl::unexpected<CallError>(CallError{false, link.error().message});
     }
     const std::uint64_t id = nextCall++;
     const auto call = std::make_shared<Pending>();
@@ -447,7 +447,7 @@
     pending[id] = call;
     if (!sendOn(*link, messageOf(id))) {
         pending.erase(id);
-        return tl::unexpected<CallError>(CallError{ false, "link takes no more" });
+        return tl::unexpected<CallError>(CallError{false, "link takes no more"});
     }
     if (onSent) {
         onSent(id);
@@ -457,7 +457,7 @@
     if (call->answered) {
         return std::move(call->reply);
     }
-    return tl::unexpected<CallError>(CallError{ true, call->linkLost ? "link lost" : "no answer in time" });
+    return tl::unexpected<CallError>(CallError{true, call->linkLost ? "link lost" : "no answer in time"});
 }
 
 tl::expected<ExecReply, CallError> PeerHub::call(const NodeRef &to, const Endpoint &endpoint, Exec exec,
@@ -479,7 +479,7 @@
         allowed, noteSent);
     const auto link = state_->outgoing.find(to);
     if (!answer && sentId != 0 && link != state_->outgoing.end()) {
-        state_->sendOn(link->second, Cancel{ sentId });
+        state_->sendOn(link->second, Cancel{sentId});
     }
     return answer;
 }
@@ -498,7 +498,7 @@
 
 Expected<void> PeerHub::ping(const NodeRef &to, const Endpoint &endpoint, Duration allowed)
 {
-    const auto answer = state_->ask(to, endpoint, [](std::uint64_t id) { return Message(Ping{ id }); }, allowed, {});
+    const auto answer = state_->ask(to, endpoint, [](std::uint64_t id) { return Message(Ping{id}); }, allowed, {});
     return answer ? Expected<void>() : fail(ErrorCode::Timeout, answer.error().reason);
 }
 
--- a/src/member/NodeRecord.cpp
+++ b/src/member/NodeRecord.cpp
@@ -21,10 +21,9 @@
 {
     const nlohmann::json body = {
         node.ref.id, node.ref.incarnation,         node.address, node.peerPort, node.httpPort, node.zone,
-        node.region, static_cast<int>(node.state), node.services
-    };
-    return Record{ RecordKind::Node, node.ref.id, RecordVersion{ node.ref.incarnation, sequence },
-                   nlohmann::json::to_cbor(body) };
+        node.region, static_cast<int>(node.state), node.services};
+    return Record{RecordKind::Node, node.ref.id, RecordVersion{node.ref.incarnation, sequence},
+                  nlohmann::json::to_cbor(body)};
 }
 
 Expected<NodeRecord> nodeFromRecord(const Record &record)
@@ -32,7 +31,7 @@
     try {
         const nlohmann::json body = nlohmann::json::from_cbor(record.payload);
         NodeRecord node;
-        node.ref = { body.at(0).get<std::string>(), body.at(1).get<std::uint64_t>() };
+        node.ref = {body.at(0).get<std::string>(), body.at(1).get<std::uint64_t>()};
         node.address = body.at(2).get<std::string>();
         node.peerPort = body.at(3).get<std::uint16_t>();
         node.httpPort = body.at(4).get<std::uint16_t>();
--- a/src/member/RecordTable.cpp
+++ b/src/member/RecordTable.cpp
@@ -114,7 +114,7 @@
 {
     std::vector<RecordName> names;
     for (const auto &[id, version] : buckets_[bucket]) {
-        names.push_back(RecordName{ id.first, id.second, version });
+        names.push_back(RecordName{id.first, id.second, version});
     }
     return names;
 }
--- a/src/node/ClaimService.cpp
+++ b/src/node/ClaimService.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-constexpr Millis forwardGrace{ 200 };
-constexpr Millis pollWhileStopping{ 20 };
-constexpr Millis ackTimeout{ 2000 };
+constexpr Millis forwardGrace{200};
+constexpr Millis pollWhileStopping{20};
+constexpr Millis ackTimeout{2000};
 constexpr Millis boundKeyMemory = std::chrono::minutes(10);
 constexpr std::size_t mostBoundKeys = 10000;
 const std::string keyKind = "key";
@@ -92,7 +92,7 @@
     ObjectApi &api = core_.service<ObjectApi>("platform");
     const Ticket ticket = mint_.mint();
     const auto wallMs = std::chrono::duration_cast<Millis>(core_.clock.wallNow().time_since_epoch()).count();
-    const nlohmann::json value = { { "ticket", ticket.text() }, { "at", wallMs } };
+    const nlohmann::json value = {{"ticket", ticket.text()}, {"at", wallMs}};
     const UpdateResult created = api.update(keyKind, name, 0, value.dump());
     std::optional<Ticket> bound;
     switch (created.kind) {
@@ -116,7 +116,7 @@
         return refuse(Outcome::Unknown, "key-store-away");
     }
     if (boundKeys_.size() < mostBoundKeys) {
-        boundKeys_[name] = { bound->text(), core_.clock.now() };
+        boundKeys_[name] = {bound->text(), core_.clock.now()};
     }
     return *bound;
 }
@@ -173,7 +173,7 @@
         work.stage = ExecStage::Run;
         const ExecReply reply =
             core_.service<DispatchService>("dispatch").run(work, cls, std::make_shared<RunControl>());
-        table_.finish(ticket, ClaimEnd{ reply.outcome, reply.response });
+        table_.finish(ticket, ClaimEnd{reply.outcome, reply.response});
         const auto found = waiting_.find(ticket.text());
         if (found == waiting_.end()) {
             return;
@@ -264,7 +264,7 @@
     table_.adopt(handover);
     for (const ClaimOwner &owner : handover.owners) {
         core_.events.write(Severity::Info, "claims_adopted",
-                           { { "owner", owner.ref.text() }, { "claims", std::to_string(handover.claims.size()) } });
+                           {{"owner", owner.ref.text()}, {"claims", std::to_string(handover.claims.size())}});
     }
 }
 
@@ -276,8 +276,7 @@
         sleepFor(core_.ioContext, pollWhileStopping);
     }
     if (table_.running() > 0) {
-        core_.events.write(Severity::Error, "claims_not_handed_over",
-                           { { "running", std::to_string(table_.running()) } });
+        core_.events.write(Severity::Error, "claims_not_handed_over", {{"running", std::to_string(table_.running())}});
         return;
     }
     const ClaimHandover handover = table_.handOver(mint_.age());
@@ -290,22 +289,22 @@
             continue;
         }
         const NodeRef successor = node->ref;
-        const Endpoint endpoint{ node->address, node->peerPort };
+        const Endpoint endpoint{node->address, node->peerPort};
         if (!peers.callAcknowledged(successor, endpoint, handover, ackTimeout)) {
             // It may have adopted them all the same, which does no harm: only the one that is named is ever asked.
             continue;
         }
-        const nlohmann::json body = { successor.id, successor.incarnation };
+        const nlohmann::json body = {successor.id, successor.incarnation};
         for (const ClaimOwner &owner : handover.owners) {
-            gossip.publishNow(Record{ RecordKind::Successor, owner.ref.text(),
-                                      RecordVersion{ static_cast<std::uint64_t>(wallMs), 0 },
-                                      nlohmann::json::to_cbor(body) });
+            gossip.publishNow(Record{RecordKind::Successor, owner.ref.text(),
+                                     RecordVersion{static_cast<std::uint64_t>(wallMs), 0},
+                                     nlohmann::json::to_cbor(body)});
         }
         core_.events.write(Severity::Info, "claims_handed_over",
-                           { { "to", successor.text() }, { "claims", std::to_string(handover.claims.size()) } });
+                           {{"to", successor.text()}, {"claims", std::to_string(handover.claims.size())}});
         return;
     }
-    core_.events.write(Severity::Warning, "claims_not_handed_over", { { "reason", "no other node" } });
+    core_.events.write(Severity::Warning, "claims_not_handed_over", {{"reason", "no other node"}});
 }
 
 void ClaimService::expire()
--- a/src/node/DispatchService.cpp
+++ b/src/node/DispatchService.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 /** A home's verdict may come this much after the request's time, and is worth the wait: it tells run from not run. */
-constexpr Millis verdictGrace{ 250 };
-constexpr Millis leastTime{ 2 };
+constexpr Millis verdictGrace{250};
+constexpr Millis leastTime{2};
 constexpr int mostHomes = 4;
 constexpr unsigned firstServerError = 500;
 /** An idempotent request waits this many times its response time for a home that says nothing. */
@@ -110,9 +110,8 @@
     if (!control->cancelled) {
         // Not an ejection: the home stays this node's last resort, and other nodes are not told.
         chooser_.notePathFailure(home.node, now);
-        core_.events.write(
-            Severity::Warning, "path_failed",
-            { { "home", home.node.text() }, { "service", exec.service }, { "reason", answer.error().reason } });
+        core_.events.write(Severity::Warning, "path_failed",
+                           {{"home", home.node.text()}, {"service", exec.service}, {"reason", answer.error().reason}});
     }
     reply.outcome = answer.error().mayHaveLeft ? Outcome::Unknown : Outcome::NotRun;
     reply.reason = answer.error().mayHaveLeft ? "home-silent" : "home-unreachable";
--- a/src/node/FloorService.cpp
+++ b/src/node/FloorService.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-constexpr Millis every{ 500 };
+constexpr Millis every{500};
 constexpr Millis longestPause = std::chrono::seconds(30);
-constexpr Millis leastBetweenReads{ 2000 };
+constexpr Millis leastBetweenReads{2000};
 const std::string pledgeKind = "pledge";
 
 } // namespace
@@ -66,9 +66,9 @@
     case UpdateResult::Kind::Stored:
         floor.accepted(result.version);
         core_.events.write(Severity::Info, "pledge_written",
-                           { { "service", service },
-                             { "pledge", std::to_string(floor.pledge()) },
-                             { "mustKeep", std::to_string(floor.mustKeep()) } });
+                           {{"service", service},
+                            {"pledge", std::to_string(floor.pledge())},
+                            {"mustKeep", std::to_string(floor.mustKeep())}});
         return true;
     case UpdateResult::Kind::Conflict: {
         std::optional<PledgeSheet> current;
--- a/src/node/GossipService.cpp
+++ b/src/node/GossipService.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 /** Changes are gathered for this long, so that a burst travels in few messages. */
-constexpr Millis flushEvery{ 30 };
-constexpr Millis joinEvery{ 1000 };
+constexpr Millis flushEvery{30};
+constexpr Millis joinEvery{1000};
 /** Poison and successor records carry their time as the version and are dropped when they are older. */
 constexpr Millis shortLivedMemory = std::chrono::hours(2);
 /** A node's own records stay below this; its last word is above every guess of others. */
@@ -64,7 +64,7 @@
 
 void GossipService::dropStale()
 {
-    for (const RecordKind kind : { RecordKind::Poison, RecordKind::Successor }) {
+    for (const RecordKind kind : {RecordKind::Poison, RecordKind::Successor}) {
         for (const Record *record : table_.all(kind)) {
             if (isStale(*record)) {
                 const std::string key = record->key;
@@ -87,7 +87,7 @@
         }
         const bool aboutSelf = node->ref.id == core_.self.id && !left_;
         if (aboutSelf && node->ref != core_.self && core_.self.incarnation < node->ref.incarnation) {
-            core_.events.write(Severity::Error, "node_id_in_use", { { "node", node->ref.text() } });
+            core_.events.write(Severity::Error, "node_id_in_use", {{"node", node->ref.text()}});
             return;
         }
         if (aboutSelf && node->ref == core_.self && node->state != NodeState::Up) {
@@ -96,10 +96,10 @@
         }
     }
     if (table_.merge(record)) {
-        outbox_[{ record.kind, record.key }] = { from.id };
+        outbox_[{record.kind, record.key}] = {from.id};
     } else {
         // The sender has it already, so it need not be told.
-        const auto waiting = outbox_.find({ record.kind, record.key });
+        const auto waiting = outbox_.find({record.kind, record.key});
         if (waiting != outbox_.end()) {
             waiting->second.insert(from.id);
         }
@@ -123,10 +123,9 @@
                 homes_[service].insert(parsed->ref.id);
             }
             if (changed) {
-                core_.events.write(Severity::Info, "node_state",
-                                   { { "node", parsed->ref.text() },
-                                     { "state", nodeStateName(parsed->state) },
-                                     { "zone", parsed->zone } });
+                core_.events.write(
+                    Severity::Info, "node_state",
+                    {{"node", parsed->ref.text()}, {"state", nodeStateName(parsed->state)}, {"zone", parsed->zone}});
             }
             nodes_[parsed->ref.id] = *parsed;
         }
@@ -143,14 +142,14 @@
 void GossipService::publish(const Record &record)
 {
     if (table_.merge(record)) {
-        outbox_[{ record.kind, record.key }] = {};
+        outbox_[{record.kind, record.key}] = {};
     }
 }
 
 void GossipService::publishNow(const Record &record)
 {
     if (table_.merge(record)) {
-        push({ record }, {});
+        push({record}, {});
     }
 }
 
@@ -170,7 +169,7 @@
 
 void GossipService::refute(const NodeRecord &claim, std::uint64_t sequence)
 {
-    core_.events.write(Severity::Warning, "down_refuted", { { "claimed", nodeStateName(claim.state) } });
+    core_.events.write(Severity::Warning, "down_refuted", {{"claimed", nodeStateName(claim.state)}});
     sequence_ = std::max(sequence_, sequence + 1);
     publishSelf();
 }
@@ -184,8 +183,7 @@
     NodeRecord down = gone;
     down.state = NodeState::Down;
     down.services.clear();
-    core_.events.write(Severity::Warning, "node_declared_down",
-                       { { "node", gone.ref.text() }, { "reason", "silent" } });
+    core_.events.write(Severity::Warning, "node_declared_down", {{"node", gone.ref.text()}, {"reason", "silent"}});
     publish(toRecord(down, held->version.minor + 1));
 }
 
@@ -219,10 +217,10 @@
         }
         for (std::size_t start = 0; start < records.size(); start += mostRecordsInPush) {
             const std::size_t end = std::min(records.size(), start + mostRecordsInPush);
-            const RecordsPush part{ { records.begin() + static_cast<std::ptrdiff_t>(start),
-                                      records.begin() + static_cast<std::ptrdiff_t>(end) } };
+            const RecordsPush part{{records.begin() + static_cast<std::ptrdiff_t>(start),
+                                    records.begin() + static_cast<std::ptrdiff_t>(end)}};
             // Opening a link may take a while; one slow partner must not hold up the others.
-            spawnFiber([&peers, ref = to->ref, endpoint = Endpoint{ to->address, to->peerPort }, part] {
+            spawnFiber([&peers, ref = to->ref, endpoint = Endpoint{to->address, to->peerPort}, part] {
                 (void)peers.send(ref, endpoint, part);
             });
         }
@@ -284,8 +282,8 @@
         }
         for (std::size_t start = 0; start < newer.size(); start += mostRecordsInPush) {
             const std::size_t end = std::min(newer.size(), start + mostRecordsInPush);
-            peers.reply(link, RecordsPush{ { newer.begin() + static_cast<std::ptrdiff_t>(start),
-                                             newer.begin() + static_cast<std::ptrdiff_t>(end) } });
+            peers.reply(link, RecordsPush{{newer.begin() + static_cast<std::ptrdiff_t>(start),
+                                           newer.begin() + static_cast<std::ptrdiff_t>(end)}});
         }
         if (!names->answer && !back.buckets.empty()) {
             peers.reply(link, back);
@@ -299,7 +297,7 @@
 {
     const std::optional<Endpoint> endpoint = peerEndpoint(to);
     if (endpoint) {
-        (void)core_.service<PeerHub>("peers").send(to, *endpoint, DigestOffer{ table_.bucketHashes() });
+        (void)core_.service<PeerHub>("peers").send(to, *endpoint, DigestOffer{table_.bucketHashes()});
     }
 }
 
@@ -327,8 +325,8 @@
     PeerHub &peers = core_.service<PeerHub>("peers");
     const Expected<NodeRef> ref = peers.discover(endpoint);
     if (ref && *ref != core_.self) {
-        (void)peers.send(*ref, endpoint, DigestOffer{ table_.bucketHashes() });
-        (void)peers.send(*ref, endpoint, RecordsPush{ { *table_.find(RecordKind::Node, core_.self.id) } });
+        (void)peers.send(*ref, endpoint, DigestOffer{table_.bucketHashes()});
+        (void)peers.send(*ref, endpoint, RecordsPush{{*table_.find(RecordKind::Node, core_.self.id)}});
     }
 }
 
@@ -348,8 +346,8 @@
             values.push_back(object.value);
         }
     }
-    const nlohmann::json own = { { "peers", core_.settings.advertisedPeers.text() },
-                                 { "incarnation", core_.self.incarnation } };
+    const nlohmann::json own = {{"peers", core_.settings.advertisedPeers.text()},
+                                {"incarnation", core_.self.incarnation}};
     (void)api.update(nodeKind, core_.self.id, ownVersion, own.dump());
     std::shuffle(values.begin(), values.end(), core_.random);
     constexpr std::size_t enough = 3;
@@ -381,7 +379,7 @@
         std::vector<Endpoint> down;
         for (const auto &[id, one] : nodes_) {
             if (one.state == NodeState::Down) {
-                down.push_back(Endpoint{ one.address, one.peerPort });
+                down.push_back(Endpoint{one.address, one.peerPort});
             }
         }
         if (!down.empty()) {
@@ -405,7 +403,7 @@
             }
             watched.insert(id);
             silentSince_.emplace(id, core_.clock.now());
-            spawnFiber([this, &peers, ref = one->ref, endpoint = Endpoint{ one->address, one->peerPort }] {
+            spawnFiber([this, &peers, ref = one->ref, endpoint = Endpoint{one->address, one->peerPort}] {
                 const Expected<void> pong = peers.ping(ref, endpoint, core_.settings.times.ping);
                 const NodeRecord *now = node(ref.id);
                 if (pong) {
@@ -487,7 +485,7 @@
     if (one == nullptr || one->ref != ref) {
         return std::nullopt;
     }
-    return Endpoint{ one->address, one->peerPort };
+    return Endpoint{one->address, one->peerPort};
 }
 
 NodeRef GossipService::claimHolder(const NodeRef &owner) const
@@ -503,7 +501,7 @@
         if (!readable) {
             break;
         }
-        holder = NodeRef{ body[0].get<std::string>(), body[1].get<std::uint64_t>() };
+        holder = NodeRef{body[0].get<std::string>(), body[1].get<std::uint64_t>()};
     }
     return holder;
 }
--- a/src/node/HomeService.cpp
+++ b/src/node/HomeService.cpp
@@ -15,23 +15,16 @@
 
 namespace {
 
-constexpr Millis busyTick{ 20 };
-constexpr Millis idleTick{ 100 };
+constexpr Millis busyTick{20};
+constexpr Millis idleTick{100};
 constexpr Millis suspectMemory = std::chrono::seconds(10);
-constexpr Millis aliveProbe{ 250 };
-constexpr Millis leastTimeForRetry{ 5 };
-constexpr Millis mostLateStep{ 100 };
-constexpr Millis leastLateStep{ 20 };
+constexpr Millis aliveProbe{250};
+constexpr Millis leastTimeForRetry{5};
 constexpr unsigned firstServerError = 500;
 constexpr unsigned unavailable = 503;
 constexpr const char *notRunHeader = "Waxwing-Not-Run";
 constexpr const char *deadlineHeader = "Waxwing-Deadline-Ms";
 
-Millis lateStepOf(Millis responseTime)
-{
-    return std::clamp(responseTime / 8, leastLateStep, mostLateStep);
-}
-
 /** 501 and 505 speak of the request, 503 of load; the rest are faults of the server. */
 bool isServerFault(unsigned status)
 {
@@ -121,7 +114,7 @@
     const auto home = homes_.find(service);
     const std::shared_ptr<const ServiceIntent> intent = core_.service<IntentService>("intents").find(service);
     if (home != homes_.end() && home->second) {
-        home->second->setIntent(intent ? *intent : ServiceIntent{ service, {} });
+        home->second->setIntent(intent ? *intent : ServiceIntent{service, {}});
     }
 }
 
@@ -131,10 +124,10 @@
     const Announcement announcement = parseAnnouncement(body, findings);
     if (!findings.empty()) {
         core_.metrics.count("announcements_refused");
-        core_.events.write(Severity::Warning, "announcement_refused", { { "findings", findings.text() } });
-        nlohmann::json out = { { "findings", nlohmann::json::array() } };
+        core_.events.write(Severity::Warning, "announcement_refused", {{"findings", findings.text()}});
+        nlohmann::json out = {{"findings", nlohmann::json::array()}};
         for (const Finding &finding : findings.all()) {
-            out["findings"].push_back({ { "place", finding.place }, { "message", finding.message } });
+            out["findings"].push_back({{"place", finding.place}, {"message", finding.message}});
         }
         return jsonResponse(400, out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
     }
@@ -144,10 +137,10 @@
     const std::optional<Announcement> before = known != nullptr ? std::optional<Announcement>(*known) : std::nullopt;
     if (home.announce(announcement, now)) {
         core_.events.write(Severity::Info, "server_announced",
-                           { { "service", announcement.service },
-                             { "server", announcement.server },
-                             { "incarnation", std::to_string(announcement.incarnation) },
-                             { "state", serverStateName(announcement.state) } });
+                           {{"service", announcement.service},
+                            {"server", announcement.server},
+                            {"incarnation", std::to_string(announcement.incarnation)},
+                            {"state", serverStateName(announcement.state)}});
         for (const Suspect &suspect : suspects_) {
             const bool sameServer = suspect.service == announcement.service && suspect.server == announcement.server;
             if (sameServer && suspect.incarnation != announcement.incarnation) {
@@ -157,10 +150,10 @@
         }
     } else if (before && before->state != announcement.state) {
         core_.events.write(Severity::Info, "server_state",
-                           { { "service", announcement.service },
-                             { "server", announcement.server },
-                             { "from", serverStateName(before->state) },
-                             { "to", serverStateName(announcement.state) } });
+                           {{"service", announcement.service},
+                            {"server", announcement.server},
+                            {"from", serverStateName(before->state)},
+                            {"to", serverStateName(announcement.state)}});
     }
     pollQueue(home);
     nlohmann::json homes = nlohmann::json::array();
@@ -170,8 +163,7 @@
             homes.push_back(node->address + ":" + std::to_string(node->httpPort));
         }
     }
-    return jsonResponse(200,
-                        nlohmann::json{ { "home", core_.self.id }, { "move", sendAway_ }, { "homes", homes } }.dump());
+    return jsonResponse(200, nlohmann::json{{"home", core_.self.id}, {"move", sendAway_}, {"homes", homes}}.dump());
 }
 
 void HomeService::pollQueue(ServiceHome &home)
@@ -258,11 +250,11 @@
     const Announcement *announced = run.home->find(run.server);
     bool died = false;
     if (abrupt && !cutShort && announced != nullptr) {
-        died = !core_.client.accepts(Endpoint{ announced->address, announced->port }, aliveProbe);
+        died = !core_.client.accepts(Endpoint{announced->address, announced->port}, aliveProbe);
         if (died) {
             noteDeath(run, run.server, incarnation);
         } else {
-            suspects_.push_back(Suspect{ run.exec.service, run.server, incarnation, run.digest, now });
+            suspects_.push_back(Suspect{run.exec.service, run.server, incarnation, run.digest, now});
         }
     }
     if (!died && !cutShort && error.failure != ExchangeFailure::Timeout) {
@@ -287,7 +279,7 @@
         run.notRun("no-server", Millis(1000));
         return false;
     }
-    const Endpoint endpoint{ announced->address, announced->port };
+    const Endpoint endpoint{announced->address, announced->port};
     const std::uint64_t incarnation = announced->incarnation;
     if (core_.service<PoisonService>("poison").mustRefuse(run.digest)) {
         run.home->release(run.id, run.server, Duration(0));
@@ -298,8 +290,8 @@
     const Millis left = std::max(Millis(1), std::chrono::duration_cast<Millis>(run.deadline - started));
     request.headers.emplace_back(deadlineHeader, std::to_string(left.count()));
 
-    attempts_.push_back(Attempt{ run.exec.service, run.server, started, run.cls->responseTime, 0, run.cls->idempotent,
-                                 false, run.tried, run.control });
+    attempts_.push_back(Attempt{run.exec.service, run.server, started, run.cls->responseTime, 0, run.cls->idempotent,
+                                false, run.tried, run.control});
     const auto current = std::prev(attempts_.end());
     ExchangeCancel exchange;
     run.control->interrupt = [&exchange] { exchange.cancel(); };
@@ -343,7 +335,7 @@
 
 ExecReply HomeService::run(const Exec &exec, const RunControlPtr &control)
 {
-    RunState run{ exec, control, nullptr, nullptr, nullptr, nextId_++, 0, {}, {}, {}, false, {} };
+    RunState run{exec, control, nullptr, nullptr, nullptr, nextId_++, 0, {}, {}, {}, false, {}};
     run.reply.id = exec.id;
     run.intent = core_.service<IntentService>("intents").find(exec.service);
     run.cls = run.intent ? run.intent->classNamed(exec.className) : nullptr;
@@ -405,7 +397,7 @@
 void HomeService::logDecisions(const std::string &service, const std::vector<HomeDecision> &decisions)
 {
     for (const HomeDecision &decision : decisions) {
-        std::vector<EventField> fields = { { "service", service }, { "server", decision.server } };
+        std::vector<EventField> fields = {{"service", service}, {"server", decision.server}};
         fields.insert(fields.end(), decision.evidence.begin(), decision.evidence.end());
         core_.events.write(Severity::Warning, decision.event, std::move(fields));
         core_.metrics.count("decision_" + decision.event);
--- a/src/node/HomeService.h
+++ b/src/node/HomeService.h
@@ -50,7 +50,7 @@
         std::string service;
         std::string server;
         SteadyTime startedAt;
-        Millis responseTime{ 0 };
+        Millis responseTime{0};
         int lateSteps = 0;
         bool idempotent = false;
         bool movedOn = false;
--- a/src/node/IngressService.cpp
+++ b/src/node/IngressService.cpp
@@ -78,7 +78,7 @@
 {
     core_.metrics.count("refused_" + reason);
     HttpReply reply;
-    const nlohmann::json body = { { "outcome", "not-run" }, { "reason", reason }, { "message", message } };
+    const nlohmann::json body = {{"outcome", "not-run"}, {"reason", reason}, {"message", message}};
     reply.response = jsonResponse(status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
     reply.response.headers.emplace_back(outcomeHeader, "not-run");
     reply.response.headers.emplace_back(reasonHeader, reason);
@@ -96,9 +96,9 @@
         if (request.target != "/.waxwing/ticket" || request.method != "POST") {
             return refuse(404, "unknown-path", "POST /.waxwing/ticket is the only path here", Millis(0));
         }
-        return HttpReply{ jsonResponse(200,
-                                       "{\"ticket\":\"" + core_.service<ClaimService>("claims").mintTicket() + "\"}\n"),
-                          AfterResponse::KeepOpen };
+        return HttpReply{
+            jsonResponse(200, "{\"ticket\":\"" + core_.service<ClaimService>("claims").mintTicket() + "\"}\n"),
+            AfterResponse::KeepOpen};
     }
     if (core_.draining) {
         return refuse(503, "stopping", "this node is stopping; another one will serve you", Millis(200));
@@ -181,20 +181,20 @@
     record(admitted, reply, took);
     if (reply.outcome != Outcome::Ran) {
         core_.events.write(Severity::Info, "request_not_answered",
-                           { { "service", admitted.exec.service },
-                             { "class", admitted.exec.className },
-                             { "outcome", outcomeName(reply.outcome) },
-                             { "reason", reply.reason },
-                             { "server", reply.server },
-                             { "customer", admitted.exec.customer },
-                             { "key", admitted.key } });
+                           {{"service", admitted.exec.service},
+                            {"class", admitted.exec.className},
+                            {"outcome", outcomeName(reply.outcome)},
+                            {"reason", reply.reason},
+                            {"server", reply.server},
+                            {"customer", admitted.exec.customer},
+                            {"key", admitted.key}});
     }
     HttpReply out;
     const bool hasAnswer = reply.outcome == Outcome::Ran && reply.reason.empty();
     if (hasAnswer) {
         out.response = std::move(reply.response);
     } else {
-        const nlohmann::json body = { { "outcome", outcomeName(reply.outcome) }, { "reason", reply.reason } };
+        const nlohmann::json body = {{"outcome", outcomeName(reply.outcome)}, {"reason", reply.reason}};
         out.response = jsonResponse(statusOf(reply), body.dump() + "\n");
         out.response.headers.emplace_back(reasonHeader, reply.reason);
     }
@@ -223,9 +223,9 @@
             reply = core_.service<ClaimService>("claims").claimHere(exec, *cls);
         } else if (cls != nullptr) {
             const auto control = std::make_shared<RunControl>();
-            remote_[{ link, exec.id }] = control;
+            remote_[{link, exec.id}] = control;
             reply = core_.service<HomeService>("homes").run(exec, control);
-            remote_.erase({ link, exec.id });
+            remote_.erase({link, exec.id});
         }
         reply.id = exec.id;
         core_.service<PeerHub>("peers").reply(link, reply);
@@ -234,7 +234,7 @@
 
 void IngressService::handleCancel(LinkId link, std::uint64_t id)
 {
-    const auto found = remote_.find({ link, id });
+    const auto found = remote_.find({link, id});
     if (found != remote_.end()) {
         found->second->cancel();
     }
--- a/src/node/IntentService.cpp
+++ b/src/node/IntentService.cpp
@@ -18,15 +18,14 @@
 namespace {
 
 constexpr std::size_t watchers = 3;
-constexpr Millis firstBackoff{ 250 };
-constexpr Millis longestBackoff{ 5000 };
-constexpr Millis watcherCheck{ 1000 };
+constexpr Millis firstBackoff{250};
+constexpr Millis longestBackoff{5000};
+constexpr Millis watcherCheck{1000};
 
 Record recordOf(const StoredObject &object)
 {
-    const nlohmann::json body = { object.deleted, object.value };
-    return Record{ RecordKind::Service, object.name, RecordVersion{ object.version, 0 },
-                   nlohmann::json::to_cbor(body) };
+    const nlohmann::json body = {object.deleted, object.value};
+    return Record{RecordKind::Service, object.name, RecordVersion{object.version, 0}, nlohmann::json::to_cbor(body)};
 }
 
 } // namespace
@@ -62,7 +61,7 @@
     entry.refusal.clear();
     if (body[0].get<bool>()) {
         entry.intent.reset();
-        core_.events.write(Severity::Info, "config_removed", { { "service", record.key }, { "revision", revision } });
+        core_.events.write(Severity::Info, "config_removed", {{"service", record.key}, {"revision", revision}});
     } else {
         Findings findings;
         const std::string text = body[1].get<std::string>();
@@ -75,11 +74,11 @@
             // Written past the checks or by a newer release: the version in force stays, and says why.
             entry.refusal = findings.text();
             core_.events.write(Severity::Error, "config_refused",
-                               { { "service", record.key }, { "revision", revision }, { "findings", entry.refusal } });
+                               {{"service", record.key}, {"revision", revision}, {"findings", entry.refusal}});
             return;
         }
         entry.intent = std::make_shared<const ServiceIntent>(std::move(parsed));
-        core_.events.write(Severity::Info, "config_in_force", { { "service", record.key }, { "revision", revision } });
+        core_.events.write(Severity::Info, "config_in_force", {{"service", record.key}, {"revision", revision}});
     }
     for (const ChangeHook &hook : hooks_) {
         hook(record.key);
@@ -124,7 +123,7 @@
             for (const auto &[name, entry] : std::map<std::string, Entry>(entries_)) {
                 const bool gone = listed.count(name) == 0 && entry.intent && entry.revision <= changes->revision;
                 if (gone) {
-                    gossip.publish(recordOf(StoredObject{ serviceKind, name, changes->revision, true, {} }));
+                    gossip.publish(recordOf(StoredObject{serviceKind, name, changes->revision, true, {}}));
                 }
             }
         }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -19,10 +19,10 @@
 
 namespace {
 
-constexpr Millis housekeeping{ 1000 };
-constexpr Millis stopPoll{ 20 };
+constexpr Millis housekeeping{1000};
+constexpr Millis stopPoll{20};
 /** News of the leaving travels this long before the links close. */
-constexpr Millis lastWords{ 150 };
+constexpr Millis lastWords{150};
 
 } // namespace
 
@@ -63,7 +63,7 @@
     hooks.onMessage = [this](LinkId link, const NodeRef &from, const Message &message) { route(link, from, message); };
     hooks.onGarbage = [this](const std::string &reason) {
         core.metrics.count("link_garbage");
-        core.events.write(Severity::Warning, "link_garbage", { { "reason", reason } });
+        core.events.write(Severity::Warning, "link_garbage", {{"reason", reason}});
     };
     peers = std::make_unique<PeerHub>(core.ioContext, core.self, std::move(hooks));
     Expected<void> ok = kernel.provide("platform", platform);
@@ -103,7 +103,7 @@
     limits.connections = core.settings.limits.callerConnections;
     const auto onReject = [this](const std::string &reason) {
         core.metrics.count("http_rejected");
-        core.events.write(Severity::Warning, "http_rejected", { { "reason", reason } });
+        core.events.write(Severity::Warning, "http_rejected", {{"reason", reason}});
     };
     auto operatorHttp = HttpServer::MakeListening(
         core.ioContext, core.settings.operators.address, core.settings.operators.port,
@@ -139,7 +139,7 @@
         ingress->handleCancel(link, cancel->id);
     } else if (const auto *handover = std::get_if<ClaimHandover>(&message)) {
         claims->adopt(*handover);
-        peers->reply(link, Pong{ handover->id });
+        peers->reply(link, Pong{handover->id});
     }
 }
 
@@ -168,10 +168,10 @@
     parts->floors->start();
     spawnFiber([raw = parts.get()] { raw->housekeepingLoop(); });
     parts->core.events.write(Severity::Info, "node_started",
-                             { { "node", parts->core.self.text() },
-                               { "callers", parts->core.settings.callers.text() },
-                               { "peers", parts->core.settings.advertisedPeers.text() },
-                               { "operators", parts->core.settings.operators.text() } });
+                             {{"node", parts->core.self.text()},
+                              {"callers", parts->core.settings.callers.text()},
+                              {"peers", parts->core.settings.advertisedPeers.text()},
+                              {"operators", parts->core.settings.operators.text()}});
     return std::unique_ptr<Node>(new Node(std::move(parts)));
 }
 
@@ -186,7 +186,7 @@
     // Names and addresses stay: others know the node by them.
     parts_->core.settings.limits = settings.limits;
     parts_->core.settings.times = settings.times;
-    parts_->core.events.write(Severity::Info, "settings_reloaded", { { "node", parts_->core.self.text() } });
+    parts_->core.events.write(Severity::Info, "settings_reloaded", {{"node", parts_->core.self.text()}});
 }
 
 bool Node::stop()
@@ -194,7 +194,7 @@
     NodeCore &core = parts_->core;
     const SteadyTime until = core.clock.now() + core.settings.times.stopWithin;
     const auto left = [&] { return std::max(Duration(0), until - core.clock.now()); };
-    core.events.write(Severity::Info, "node_stopping", { { "node", core.self.text() } });
+    core.events.write(Severity::Info, "node_stopping", {{"node", core.self.text()}});
     core.draining = true;
     parts_->callerServer->drain();
     parts_->homes->sendServersAway();
@@ -213,7 +213,7 @@
     parts_->operatorServer->drain();
     parts_->peers->stop();
     core.events.write(clean ? Severity::Info : Severity::Error, "node_stopped",
-                      { { "node", core.self.text() }, { "cleanly", clean ? "yes" : "no" } });
+                      {{"node", core.self.text()}, {"cleanly", clean ? "yes" : "no"}});
     return clean;
 }
 
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -23,7 +23,7 @@
         : ioContext(context)
         , clock(clockIn)
         , settings(std::move(settingsIn))
-        , self{ settings.node, incarnation }
+        , self{settings.node, incarnation}
         , events(clockIn)
         , client(context)
         , random(seed)
--- a/src/node/OperatorApi.cpp
+++ b/src/node/OperatorApi.cpp
@@ -36,7 +36,7 @@
             fields[field.first] = field.second;
         }
         const auto ms = std::chrono::duration_cast<Millis>(event.at.time_since_epoch()).count();
-        list.push_back({ { "at", ms }, { "event", event.name }, { "fields", fields } });
+        list.push_back({{"at", ms}, {"event", event.name}, {"fields", fields}});
     }
     return list;
 }
@@ -64,14 +64,14 @@
 {
     json list = json::array();
     for (const ServerView &view : home.servers()) {
-        list.push_back({ { "server", view.announced.server },
-                         { "state", serverStateName(view.announced.state) },
-                         { "phase", serverPhaseName(view.phase) },
-                         { "present", view.present },
-                         { "slots", view.announced.slots },
-                         { "inFlight", view.inFlight },
-                         { "suspicion", view.suspicion },
-                         { "keptForFloor", view.keptForFloor } });
+        list.push_back({{"server", view.announced.server},
+                        {"state", serverStateName(view.announced.state)},
+                        {"phase", serverPhaseName(view.phase)},
+                        {"present", view.present},
+                        {"slots", view.announced.slots},
+                        {"inFlight", view.inFlight},
+                        {"suspicion", view.suspicion},
+                        {"keptForFloor", view.keptForFloor}});
     }
     return list;
 }
@@ -93,7 +93,7 @@
 HttpReply OperatorApi::handle(const HttpRequest &request)
 {
     const auto reply = [](unsigned status, std::string body) {
-        return HttpReply{ jsonResponse(status, std::move(body)), AfterResponse::KeepOpen };
+        return HttpReply{jsonResponse(status, std::move(body)), AfterResponse::KeepOpen};
     };
     const std::size_t question = request.target.find('?');
     const std::string path = request.target.substr(0, question);
@@ -101,7 +101,7 @@
         if (request.method != "POST") {
             return reply(405, "{\"error\":\"POST an announcement here\"}\n");
         }
-        return HttpReply{ core_.service<HomeService>("homes").announce(request.body), AfterResponse::KeepOpen };
+        return HttpReply{core_.service<HomeService>("homes").announce(request.body), AfterResponse::KeepOpen};
     }
     const auto view = views_.find(path);
     if (view == views_.end() || request.method != "GET") {
@@ -109,7 +109,7 @@
         for (const auto &[name, function] : views_) {
             known += " " + name;
         }
-        return reply(404, dump({ { "error", "unknown path" }, { "known", "POST /v1/announce, GET" + known } }));
+        return reply(404, dump({{"error", "unknown path"}, {"known", "POST /v1/announce, GET" + known}}));
     }
     // Every view has at most one argument, whatever its name.
     const std::size_t equals =
@@ -124,43 +124,43 @@
     const PeerHub &peers = core_.service<PeerHub>("peers");
     json services = json::object();
     for (const auto &[service, home] : core_.service<HomeService>("homes").homes()) {
-        services[service] = { { "servers", serversJson(*home) },
-                              { "inService", home->inService() },
-                              { "mustKeep", home->floor().mustKeep() },
-                              { "pledge", home->floor().pledge() },
-                              { "queued", home->queued() },
-                              { "inFlight", home->inFlight() } };
+        services[service] = {{"servers", serversJson(*home)},
+                             {"inService", home->inService()},
+                             {"mustKeep", home->floor().mustKeep()},
+                             {"pledge", home->floor().pledge()},
+                             {"queued", home->queued()},
+                             {"inFlight", home->inFlight()}};
     }
     const IntentService &intents = core_.service<IntentService>("intents");
-    return dump({ { "node", core_.self.id },
-                  { "incarnation", hexText(core_.self.incarnation) },
-                  { "zone", core_.settings.zone },
-                  { "region", core_.settings.region },
-                  { "draining", core_.draining },
-                  { "nodesUp", gossip.upIds().size() },
-                  { "records", gossip.table().size() },
-                  { "links", peers.openLinks() },
-                  { "linkBytesSent", peers.bytesSent() },
-                  { "linkBytesReceived", peers.bytesReceived() },
-                  { "configurations", intents.size() },
-                  { "claims", core_.service<ClaimService>("claims").size() },
-                  { "requestsRunning", core_.service<IngressService>("ingress").running() },
-                  { "residentBytes", residentBytes() },
-                  { "processorSeconds", processorSeconds() },
-                  { "homeOf", services } });
+    return dump({{"node", core_.self.id},
+                 {"incarnation", hexText(core_.self.incarnation)},
+                 {"zone", core_.settings.zone},
+                 {"region", core_.settings.region},
+                 {"draining", core_.draining},
+                 {"nodesUp", gossip.upIds().size()},
+                 {"records", gossip.table().size()},
+                 {"links", peers.openLinks()},
+                 {"linkBytesSent", peers.bytesSent()},
+                 {"linkBytesReceived", peers.bytesReceived()},
+                 {"configurations", intents.size()},
+                 {"claims", core_.service<ClaimService>("claims").size()},
+                 {"requestsRunning", core_.service<IngressService>("ingress").running()},
+                 {"residentBytes", residentBytes()},
+                 {"processorSeconds", processorSeconds()},
+                 {"homeOf", services}});
 }
 
 std::string OperatorApi::nodes() const
 {
     json list = json::array();
     for (const NodeRecord *node : core_.service<GossipService>("gossip").nodes()) {
-        list.push_back({ { "node", node->ref.id },
-                         { "incarnation", hexText(node->ref.incarnation) },
-                         { "state", nodeStateName(node->state) },
-                         { "zone", node->zone },
-                         { "region", node->region },
-                         { "operators", node->address + ":" + std::to_string(node->httpPort) },
-                         { "services", node->services } });
+        list.push_back({{"node", node->ref.id},
+                        {"incarnation", hexText(node->ref.incarnation)},
+                        {"state", nodeStateName(node->state)},
+                        {"zone", node->zone},
+                        {"region", node->region},
+                        {"operators", node->address + ":" + std::to_string(node->httpPort)},
+                        {"services", node->services}});
     }
     return dump(list);
 }
@@ -171,7 +171,7 @@
     json out = json::object();
     for (const auto &[name, revision] : intents.revisions()) {
         if (service.empty() || service == name) {
-            out[name] = { { "revision", revision }, { "refusal", intents.refusal(name) } };
+            out[name] = {{"revision", revision}, {"refusal", intents.refusal(name)}};
         }
     }
     return dump(out);
@@ -179,8 +179,7 @@
 
 std::string OperatorApi::explain(const std::string &subject) const
 {
-    return dump(
-        { { "node", core_.self.id }, { "subject", subject }, { "events", eventsJson(core_.events.about(subject)) } });
+    return dump({{"node", core_.self.id}, {"subject", subject}, {"events", eventsJson(core_.events.about(subject))}});
 }
 
 std::string OperatorApi::newestEvents(const std::string &count) const
@@ -188,7 +187,7 @@
     const long asked = std::strtol(count.c_str(), nullptr, 10);
     const std::size_t wanted =
         asked > 0 ? std::min<std::size_t>(mostEvents, static_cast<std::size_t>(asked)) : defaultEvents;
-    return dump({ { "node", core_.self.id }, { "events", eventsJson(core_.events.newest(wanted)) } });
+    return dump({{"node", core_.self.id}, {"events", eventsJson(core_.events.newest(wanted))}});
 }
 
 } // namespace waxwing
--- a/src/node/PoisonService.cpp
+++ b/src/node/PoisonService.cpp
@@ -32,14 +32,12 @@
     if (!registry_.noteDeath(digest, server)) {
         return;
     }
-    core_.events.write(Severity::Warning, "server_died_with_request",
-                       { { "server", server },
-                         { "digest", hexText(digest) },
-                         { "deaths", std::to_string(registry_.deaths(digest)) } });
+    core_.events.write(
+        Severity::Warning, "server_died_with_request",
+        {{"server", server}, {"digest", hexText(digest)}, {"deaths", std::to_string(registry_.deaths(digest))}});
     const auto ms = std::chrono::duration_cast<Millis>(core_.clock.wallNow().time_since_epoch()).count();
     const Record record{
-        RecordKind::Poison, hexText(digest) + separator + server, RecordVersion{ static_cast<std::uint64_t>(ms), 0 }, {}
-    };
+        RecordKind::Poison, hexText(digest) + separator + server, RecordVersion{static_cast<std::uint64_t>(ms), 0}, {}};
     // At once rather than with the next batch: the caller may send the same request to another node.
     core_.service<GossipService>("gossip").publishNow(record);
 }
--- a/src/platform/ObjectApi.cpp
+++ b/src/platform/ObjectApi.cpp
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr Millis callTimeout{ 2000 };
+constexpr Millis callTimeout{2000};
 constexpr unsigned httpOk = 200;
 constexpr unsigned httpNotFound = 404;
 constexpr unsigned httpConflict = 409;
@@ -47,7 +47,7 @@
 
 Expected<std::optional<StoredObject>> ObjectApi::read(const std::string &kind, const std::string &name)
 {
-    const auto answer = client_.exchange(endpoint_, HttpRequest{ "GET", path(kind, name), {}, {} }, callTimeout);
+    const auto answer = client_.exchange(endpoint_, HttpRequest{"GET", path(kind, name), {}, {}}, callTimeout);
     if (!answer) {
         return failed(answer.error());
     }
@@ -66,7 +66,7 @@
 
 Expected<ObjectChanges> ObjectApi::changes(const std::string &target, Duration allowed)
 {
-    const auto answer = client_.exchange(endpoint_, HttpRequest{ "GET", target, {}, {} }, allowed);
+    const auto answer = client_.exchange(endpoint_, HttpRequest{"GET", target, {}, {}}, allowed);
     if (!answer) {
         return failed(answer.error());
     }
@@ -101,7 +101,7 @@
 
 UpdateResult ObjectApi::change(const std::string &method, const std::string &target, const std::string &body)
 {
-    const auto answer = client_.exchange(endpoint_, HttpRequest{ method, target, {}, body }, callTimeout);
+    const auto answer = client_.exchange(endpoint_, HttpRequest{method, target, {}, body}, callTimeout);
     UpdateResult result;
     if (!answer) {
         result.kind = answer.error().mayHaveSentBytes ? UpdateResult::Kind::Unknown : UpdateResult::Kind::NotStored;
--- a/src/report/BurnRecorder.cpp
+++ b/src/report/BurnRecorder.cpp
@@ -13,9 +13,8 @@
     std::chrono::hours length;
 };
 
-constexpr std::array<Window, 3> windows = { Window{ "1h", std::chrono::hours(1) },
-                                            Window{ "6h", std::chrono::hours(6) },
-                                            Window{ "3d", std::chrono::hours(72) } };
+constexpr std::array<Window, 3> windows = {Window{"1h", std::chrono::hours(1)}, Window{"6h", std::chrono::hours(6)},
+                                           Window{"3d", std::chrono::hours(72)}};
 
 WallTime sliceStart(WallTime at)
 {
@@ -53,7 +52,7 @@
     std::deque<BurnSlice> &all = slices_[service + "/" + className];
     const WallTime start = sliceStart(clock_.wallNow());
     if (all.empty() || all.back().start < start) {
-        all.push_back(BurnSlice{ start, {} });
+        all.push_back(BurnSlice{start, {}});
         while (start - all.front().start > memory) {
             all.pop_front();
         }
@@ -91,7 +90,7 @@
         for (const BurnSlice &one : all) {
             const BurnCounts &c = one.counts;
             const auto ms = std::chrono::duration_cast<Millis>(one.start.time_since_epoch()).count();
-            list.push_back({ ms, c.good, c.late, c.failed, c.refused, c.unknown });
+            list.push_back({ms, c.good, c.late, c.failed, c.refused, c.unknown});
         }
         out[name] = std::move(list);
     }
--- a/src/route/HomeChooser.cpp
+++ b/src/route/HomeChooser.cpp
@@ -9,7 +9,7 @@
 /** Load that was heard longer ago than this says nothing any more. */
 constexpr Millis loadMemory = std::chrono::seconds(2);
 constexpr Millis idleMemory = std::chrono::seconds(60);
-constexpr Millis firstPathPause{ 500 };
+constexpr Millis firstPathPause{500};
 constexpr int mostPathDoublings = 6;
 constexpr double busyCost = 8.0;
 constexpr double badPathCost = 1000.0;
@@ -45,7 +45,7 @@
     if (isPathBad(candidate.node, now)) {
         cost += badPathCost;
     }
-    const auto found = loads_.find({ service, candidate.node });
+    const auto found = loads_.find({service, candidate.node});
     if (found == loads_.end()) {
         return cost;
     }
@@ -85,13 +85,13 @@
 
 void HomeChooser::noteSent(const std::string &service, const NodeRef &home)
 {
-    ++loads_[{ service, home }].inFlight;
+    ++loads_[{service, home}].inFlight;
 }
 
 void HomeChooser::noteLoad(const std::string &service, const NodeRef &home, std::int32_t freeSlots, std::int32_t queued,
                            SteadyTime now)
 {
-    Load &load = loads_[{ service, home }];
+    Load &load = loads_[{service, home}];
     load.freeSlots = freeSlots;
     load.queued = queued;
     load.heardAt = now;
@@ -99,7 +99,7 @@
 
 void HomeChooser::noteDone(const std::string &service, const NodeRef &home, bool failed, SteadyTime now)
 {
-    const auto found = loads_.find({ service, home });
+    const auto found = loads_.find({service, home});
     if (found == loads_.end()) {
         return;
     }
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Millis shortest{ 1 };
+constexpr Millis shortest{1};
 constexpr Millis longest = std::chrono::hours(24);
 
 bool isIpNumber(const std::string &text)
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -29,13 +29,13 @@
 
 json bytesOf(const std::string &text)
 {
-    return json::binary({ text.begin(), text.end() });
+    return json::binary({text.begin(), text.end()});
 }
 
 std::string textOf(const json &value)
 {
     const json::binary_t &bytes = value.get_binary();
-    return { bytes.begin(), bytes.end() };
+    return {bytes.begin(), bytes.end()};
 }
 
 json headersOf(const HeaderList &headers)
@@ -62,7 +62,7 @@
 
 json start(Type type)
 {
-    return json::array({ wireVersion, static_cast<int>(type) });
+    return json::array({wireVersion, static_cast<int>(type)});
 }
 
 template<typename... Fields>
@@ -75,23 +75,23 @@
 
 json requestOf(const HttpRequest &request)
 {
-    return json::array({ request.method, bytesOf(request.target), headersOf(request.headers), bytesOf(request.body) });
+    return json::array({request.method, bytesOf(request.target), headersOf(request.headers), bytesOf(request.body)});
 }
 
 HttpRequest requestFrom(const json &value)
 {
-    return HttpRequest{ value.at(0).get<std::string>(), textOf(value.at(1)), headersFrom(value.at(2)),
-                        textOf(value.at(3)) };
+    return HttpRequest{value.at(0).get<std::string>(), textOf(value.at(1)), headersFrom(value.at(2)),
+                       textOf(value.at(3))};
 }
 
 json responseOf(const HttpResponse &response)
 {
-    return json::array({ response.status, headersOf(response.headers), bytesOf(response.body) });
+    return json::array({response.status, headersOf(response.headers), bytesOf(response.body)});
 }
 
 HttpResponse responseFrom(const json &value)
 {
-    return HttpResponse{ value.at(0).get<unsigned>(), headersFrom(value.at(1)), textOf(value.at(2)) };
+    return HttpResponse{value.at(0).get<unsigned>(), headersFrom(value.at(1)), textOf(value.at(2))};
 }
 
 Outcome outcomeFrom(const json &value)
@@ -114,26 +114,26 @@
 
 json recordOf(const Record &record)
 {
-    return json::array({ static_cast<int>(record.kind), bytesOf(record.key), record.version.major, record.version.minor,
-                         json::binary(record.payload) });
+    return json::array({static_cast<int>(record.kind), bytesOf(record.key), record.version.major, record.version.minor,
+                        json::binary(record.payload)});
 }
 
 Record recordFrom(const json &value)
 {
-    return Record{ kindFrom(value.at(0)), textOf(value.at(1)),
-                   RecordVersion{ value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>() },
-                   value.at(4).get_binary() };
+    return Record{kindFrom(value.at(0)), textOf(value.at(1)),
+                  RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()},
+                  value.at(4).get_binary()};
 }
 
 json nameOf(const RecordName &name)
 {
-    return json::array({ static_cast<int>(name.kind), bytesOf(name.key), name.version.major, name.version.minor });
+    return json::array({static_cast<int>(name.kind), bytesOf(name.key), name.version.major, name.version.minor});
 }
 
 RecordName nameFrom(const json &value)
 {
-    return RecordName{ kindFrom(value.at(0)), textOf(value.at(1)),
-                       RecordVersion{ value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>() } };
+    return RecordName{kindFrom(value.at(0)), textOf(value.at(1)),
+                      RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()}};
 }
 
 struct Encoder {
@@ -175,7 +175,7 @@
             for (const RecordName &name : names) {
                 list.push_back(nameOf(name));
             }
-            buckets.push_back(json::array({ bucket, std::move(list) }));
+            buckets.push_back(json::array({bucket, std::move(list)}));
         }
         return with(Type::BucketNames, m.answer, std::move(buckets));
     }
@@ -191,12 +191,12 @@
     {
         json claims = json::array();
         for (const ClaimTransfer &claim : m.claims) {
-            claims.push_back(json::array({ bytesOf(claim.ticket), claim.requestDigest, static_cast<int>(claim.outcome),
-                                           responseOf(claim.response) }));
+            claims.push_back(json::array({bytesOf(claim.ticket), claim.requestDigest, static_cast<int>(claim.outcome),
+                                          responseOf(claim.response)}));
         }
         json owners = json::array();
         for (const ClaimOwner &owner : m.owners) {
-            owners.push_back(json::array({ owner.ref.id, owner.ref.incarnation, owner.age.count() }));
+            owners.push_back(json::array({owner.ref.id, owner.ref.incarnation, owner.age.count()}));
         }
         return with(Type::ClaimHandover, m.id, std::move(owners), std::move(claims));
     }
@@ -270,12 +270,12 @@
     ClaimHandover m;
     m.id = in.at(body).get<std::uint64_t>();
     for (const json &owner : in.at(body + 1)) {
-        m.owners.push_back(ClaimOwner{ { owner.at(0).get<std::string>(), owner.at(1).get<std::uint64_t>() },
-                                       Millis(owner.at(2).get<std::int64_t>()) });
+        m.owners.push_back(ClaimOwner{{owner.at(0).get<std::string>(), owner.at(1).get<std::uint64_t>()},
+                                      Millis(owner.at(2).get<std::int64_t>())});
     }
     for (const json &claim : in.at(body + 2)) {
-        m.claims.push_back(ClaimTransfer{ textOf(claim.at(0)), claim.at(1).get<std::uint64_t>(),
-                                          outcomeFrom(claim.at(2)), responseFrom(claim.at(3)) });
+        m.claims.push_back(ClaimTransfer{textOf(claim.at(0)), claim.at(1).get<std::uint64_t>(),
+                                         outcomeFrom(claim.at(2)), responseFrom(claim.at(3))});
     }
     return m;
 }
@@ -284,13 +284,13 @@
 {
     switch (type) {
     case Type::Hello:
-        return Hello{ NodeRef{ in.at(body).get<std::string>(), in.at(body + 1).get<std::uint64_t>() } };
+        return Hello{NodeRef{in.at(body).get<std::string>(), in.at(body + 1).get<std::uint64_t>()}};
     case Type::Exec:
         return execFrom(in);
     case Type::ExecReply:
         return execReplyFrom(in);
     case Type::Cancel:
-        return Cancel{ in.at(body).get<std::uint64_t>() };
+        return Cancel{in.at(body).get<std::uint64_t>()};
     case Type::RecordsPush: {
         RecordsPush m;
         for (const json &record : in.at(body)) {
@@ -303,9 +303,9 @@
     case Type::BucketNames:
         return bucketNamesFrom(in);
     case Type::Ping:
-        return Ping{ in.at(body).get<std::uint64_t>() };
+        return Ping{in.at(body).get<std::uint64_t>()};
     case Type::Pong:
-        return Pong{ in.at(body).get<std::uint64_t>() };
+        return Pong{in.at(body).get<std::uint64_t>()};
     case Type::ClaimHandover:
         return handoverFrom(in);
     }
--- a/tests/integration/AtMostOnceTest.cpp
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -1,4 +1,4 @@
-#include "tests/integration/Fleet.h"
+#include "tests/support/Fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
@@ -46,7 +46,7 @@
     // must be told of the one seat that was booked.
     Fleet fleet;
     const std::string ticket = fleet.ticket(0);
-    for (const std::string &key : { ticket, std::string("own-key-1") }) {
+    for (const std::string &key : {ticket, std::string("own-key-1")}) {
         const std::string id = "resent-" + std::to_string(key == ticket);
         for (int node = 0; node < 3; ++node) {
             const Answer answer = fleet.book(node, id, key);
@@ -105,13 +105,13 @@
     Answer first;
     Answer second;
     const std::string ticket = fleet.ticket(0);
-    together({ [&] { first = fleet.book(0, "dies", ticket); },
-               [&] {
-                   pause(Millis(120));
-                   for (const std::string &name : { std::string("s0"), std::string("s3") }) {
-                       fleet.server(name).kill();
-                   }
-               } });
+    together({[&] { first = fleet.book(0, "dies", ticket); },
+              [&] {
+                  pause(Millis(120));
+                  for (const std::string &name : {std::string("s0"), std::string("s3")}) {
+                      fleet.server(name).kill();
+                  }
+              }});
     second = fleet.book(2, "dies", ticket);
     CHECK(first.outcome == "unknown");
     CHECK(second.outcome == "unknown");
@@ -160,10 +160,10 @@
     plan.proxies = true;
     Fleet fleet(plan);
     const std::string ticket = fleet.ticket(1);
-    fleet.proxyFault(1, { { "fromTarget", { { "hold", true } } } });
+    fleet.proxyFault(1, {{"fromTarget", {{"hold", true}}}});
     const Answer cut = fleet.book(0, "one-way", ticket);
     CHECK(cut.outcome == "unknown");
-    fleet.proxyFault(1, { { "fromTarget", { { "hold", false } } } });
+    fleet.proxyFault(1, {{"fromTarget", {{"hold", false}}}});
     Answer again;
     CHECK(eventually(
         [&] {
@@ -179,8 +179,8 @@
     // Story: a gray server closes connections in the middle of answers. Half a calendar shown as a whole one would make
     // a manager book a course that is full.
     Fleet fleet;
-    fleet.serverMode("s0", { { "mode", "cut" } });
-    fleet.serverMode("s3", { { "mode", "reset" } });
+    fleet.serverMode("s0", {{"mode", "cut"}});
+    fleet.serverMode("s3", {{"mode", "reset"}});
     int whole = 0;
     for (int i = 0; i < 40; ++i) {
         const std::string id = "cut-" + std::to_string(i);
@@ -202,13 +202,13 @@
     // Story: the store is away for hours. Bookings with tickets go on. A caller's own key can't be looked up, so
     // whether an earlier attempt ran isn't known and nobody is told that it did not.
     Fleet fleet;
-    fleet.apiFault({ { "outage", true } });
+    fleet.apiFault({{"outage", true}});
     CHECK(fleet.book(0, "away-ticket", fleet.ticket(0)).outcome == "ran");
     const Answer own = fleet.book(0, "away-own", "own-away");
     CHECK(own.outcome == "unknown");
     CHECK(own.reason == "key-store-away");
     CHECK_FALSE(headerValue(own.headers, "Retry-After").empty());
-    fleet.apiFault({ { "outage", false } });
+    fleet.apiFault({{"outage", false}});
     CHECK(eventually([&] { return fleet.book(1, "away-own", "own-away").outcome == "ran"; }));
     CHECK(fleet.executions()["away-own"] == 1);
 }
@@ -216,7 +216,7 @@
 TEST_CASE("booking, write of its key took effect but its answer was lost, runs once")
 {
     Fleet fleet;
-    fleet.apiFault({ { "loseAnswers", 1 } });
+    fleet.apiFault({{"loseAnswers", 1}});
     CHECK(fleet.book(0, "lost-write", "own-lost").outcome == "ran");
     CHECK(fleet.book(2, "lost-write", "own-lost").outcome == "ran");
     CHECK(fleet.executions()["lost-write"] == 1);
--- a/tests/integration/ConfigTest.cpp
+++ b/tests/integration/ConfigTest.cpp
@@ -1,4 +1,4 @@
-#include "tests/integration/Fleet.h"
+#include "tests/support/Fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
@@ -24,28 +24,28 @@
     // Story: the store is away and a VM is replaced. Were the new node to wait for the store it would refuse callers
     // for hours; were it to start with nothing in force the accepted configuration would have gone back.
     Fleet fleet;
-    REQUIRE(fleet.ctl({ "apply", fleet.intentsFile("400ms"), "--wait" }) == 0);
+    REQUIRE(fleet.ctl({"apply", fleet.intentsFile("400ms"), "--wait"}) == 0);
     const std::uint64_t accepted = revisionAt(fleet, 0);
-    fleet.apiFault({ { "outage", true } });
+    fleet.apiFault({{"outage", true}});
     fleet.node(2).kill();
     fleet.startNode(2);
     CHECK(eventually([&] { return revisionAt(fleet, 2) == accepted; }));
     CHECK(eventually([&] { return fleet.read(2, "after-outage").outcome == "ran"; }));
-    fleet.apiFault({ { "outage", false } });
+    fleet.apiFault({{"outage", false}});
 }
 
 TEST_CASE("configuration, two operators race, one wins and the other is told what changed")
 {
     Fleet fleet;
     std::string mine;
-    REQUIRE(fleet.ctl({ "get" }, &mine) == 0);
+    REQUIRE(fleet.ctl({"get"}, &mine) == 0);
     const std::string path = fleet.directory() + "/race.json";
     nlohmann::json document = nlohmann::json::parse(mine);
     document["services"]["course-desk"]["classes"]["booking"]["responseTime"] = "700ms";
     std::ofstream(path) << document.dump(2);
-    REQUIRE(fleet.ctl({ "apply", fleet.intentsFile("500ms") }) == 0);
+    REQUIRE(fleet.ctl({"apply", fleet.intentsFile("500ms")}) == 0);
     std::string output;
-    CHECK(fleet.ctl({ "apply", path }, &output) == 4);
+    CHECK(fleet.ctl({"apply", path}, &output) == 4);
     CHECK(output.find("responseTime") != std::string::npos);
     CHECK(output.find("500ms") != std::string::npos);
 }
@@ -54,13 +54,13 @@
 {
     Fleet fleet;
     const std::uint64_t before = revisionAt(fleet, 0);
-    fleet.apiFault({ { "loseAnswers", 1 } });
+    fleet.apiFault({{"loseAnswers", 1}});
     std::string output;
-    CHECK(fleet.ctl({ "apply", fleet.intentsFile("450ms"), "--wait" }, &output) == 0);
+    CHECK(fleet.ctl({"apply", fleet.intentsFile("450ms"), "--wait"}, &output) == 0);
     INFO(output);
     CHECK(output.find("operation id") != std::string::npos);
     CHECK(revisionAt(fleet, 2) > before);
-    CHECK(fleet.ctl({ "apply", fleet.intentsFile("450ms") }, &output) == 0);
+    CHECK(fleet.ctl({"apply", fleet.intentsFile("450ms")}, &output) == 0);
     CHECK(output.find("unchanged") != std::string::npos);
 }
 
@@ -69,10 +69,10 @@
     Fleet fleet;
     fleet.node(2).signal(SIGSTOP);
     std::string output;
-    CHECK(fleet.ctl({ "apply", fleet.intentsFile("350ms"), "--wait", "--timeout", "2s" }, &output) == 6);
+    CHECK(fleet.ctl({"apply", fleet.intentsFile("350ms"), "--wait", "--timeout", "2s"}, &output) == 6);
     CHECK(output.find("n2") != std::string::npos);
     fleet.node(2).signal(SIGCONT);
-    CHECK(fleet.ctl({ "apply", fleet.intentsFile("350ms"), "--wait" }, &output) == 0);
+    CHECK(fleet.ctl({"apply", fleet.intentsFile("350ms"), "--wait"}, &output) == 0);
 }
 
 TEST_CASE("intents, weights and addresses and other faults, are all reported with their places")
@@ -82,12 +82,12 @@
     std::ofstream(path) << R"({"services": {"course-desk": {"classes": {"booking": {
         "routes": [{"prefix": "bookings", "weight": 3}], "responseTime": "soon", "address": "10.0.0.1"}}}}})";
     std::string output;
-    CHECK(fleet.ctl({ "apply", path }, &output) == 3);
-    for (const char *place : { "/routes/0/weight", "/routes/0/prefix", "/responseTime", "/address", "/idempotent" }) {
+    CHECK(fleet.ctl({"apply", path}, &output) == 3);
+    for (const char *place : {"/routes/0/weight", "/routes/0/prefix", "/responseTime", "/address", "/idempotent"}) {
         INFO(place);
         CHECK(output.find(place) != std::string::npos);
     }
     std::ofstream(path) << "{\n \"services\": {,}\n}";
-    CHECK(fleet.ctl({ "check", path }, &output) == 3);
+    CHECK(fleet.ctl({"check", path}, &output) == 3);
     CHECK(output.find(":2:") != std::string::npos);
 }
--- a/tests/integration/GrayTest.cpp
+++ b/tests/integration/GrayTest.cpp
@@ -1,4 +1,4 @@
-#include "tests/integration/Fleet.h"
+#include "tests/support/Fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
@@ -49,9 +49,9 @@
     bool returned = false;
     bodies.emplace_back([&] {
         pause(Millis(500));
-        fleet.serverMode("s0", { { "mode", "stall" } });
+        fleet.serverMode("s0", {{"mode", "stall"}});
         left = eventually([&] { return serverView(fleet, 0, "s0").value("phase", "") == "ejected"; });
-        fleet.serverMode("s0", { { "mode", "ok" } });
+        fleet.serverMode("s0", {{"mode", "ok"}});
         returned = eventually([&] { return serverView(fleet, 0, "s0").value("phase", "") == "in-service"; },
                               std::chrono::seconds(20));
         stop = true;
@@ -62,7 +62,7 @@
     CHECK(seen["ran"] > 100);
     CHECK(seen["ran"] >= 49 * (seen["unknown"] + seen["not-run"] + seen[""]));
     std::string output;
-    CHECK(fleet.ctl({ "explain", "s0" }, &output) == 0);
+    CHECK(fleet.ctl({"explain", "s0"}, &output) == 0);
     CHECK(output.find("server_ejected") != std::string::npos);
     CHECK(output.find("suspicion=") != std::string::npos);
 }
@@ -80,8 +80,8 @@
     std::vector<std::function<void()>> bodies;
     addReaders(fleet, bodies, stop, seen);
     bodies.emplace_back([&] {
-        for (const char *name : { "s0", "s1", "s2" }) {
-            fleet.serverMode(name, { { "mode", "stall" } });
+        for (const char *name : {"s0", "s1", "s2"}) {
+            fleet.serverMode(name, {{"mode", "stall"}});
         }
         for (int i = 0; i < 50; ++i) {
             least = std::min(least, fleet.inService());
@@ -98,7 +98,7 @@
     // Story: one certificate lookup crashes each server that runs it and its caller keeps sending it. After the second
     // crash no server may get it; the caller is told so finally, and other callers notice nothing.
     Fleet fleet;
-    const HttpRequest poison{ "GET", "/sessions/ends-the-server", {}, {} };
+    const HttpRequest poison{"GET", "/sessions/ends-the-server", {}, {}};
     Answer last;
     for (int i = 0; i < 6; ++i) {
         last = fleet.send(i % 3, poison);
@@ -120,7 +120,7 @@
 TEST_CASE("shedding server, says that it did not run the work, is not held to be sick")
 {
     Fleet fleet;
-    fleet.serverMode("s0", { { "mode", "shed" } });
+    fleet.serverMode("s0", {{"mode", "shed"}});
     for (int i = 0; i < 60; ++i) {
         CHECK(fleet.book(0, "shed-" + std::to_string(i), "").outcome != "unknown");
     }
--- a/tests/integration/LeavingTest.cpp
+++ b/tests/integration/LeavingTest.cpp
@@ -1,4 +1,4 @@
-#include "tests/integration/Fleet.h"
+#include "tests/support/Fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/tests/integration/main.cpp
+++ b/tests/integration/main.cpp
@@ -1,5 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT
-#include "tests/integration/Fleet.h"
+#include "tests/support/Fleet.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/tests/standins/backend.cpp
+++ b/tests/standins/backend.cpp
@@ -19,8 +19,8 @@
 using namespace waxwing;
 using nlohmann::json;
 
-constexpr Millis announceEvery{ 500 };
-constexpr Millis announceTimeout{ 400 };
+constexpr Millis announceEvery{500};
+constexpr Millis announceTimeout{400};
 const std::string poisonMark = "ends-the-server";
 
 /** How real work fails; the health endpoint stays well. */
@@ -37,8 +37,8 @@
     std::vector<std::string> homes;
     std::string ledger;
     std::uint32_t slots = 3;
-    Millis work{ 5 };
-    Millis coldFor{ 0 };
+    Millis work{5};
+    Millis coldFor{0};
     std::uint64_t seed = 1;
 };
 
@@ -61,7 +61,7 @@
     HttpReply handle(const HttpRequest &request, const CallerWatchPtr &caller)
     {
         if (request.target == "/healthz") {
-            return HttpReply{ jsonResponse(200, "{\"healthy\":true}"), AfterResponse::KeepOpen };
+            return HttpReply{jsonResponse(200, "{\"healthy\":true}"), AfterResponse::KeepOpen};
         }
         if (request.target.compare(0, 2, "/_") == 0) {
             return control(request);
@@ -108,7 +108,7 @@
             Findings ignored;
             const Endpoint home = parseEndpoint(options_.homes[home_ % options_.homes.size()], "", ignored);
             const auto answer = client_.exchange(
-                home, HttpRequest{ "POST", "/v1/announce", {}, announcementJson(announcement) }, announceTimeout);
+                home, HttpRequest{"POST", "/v1/announce", {}, announcementJson(announcement)}, announceTimeout);
             const json body = answer ? json::parse(answer->body, nullptr, false) : json();
             if (answer && answer->status == 200 && body.is_object() && !body.value("move", false)) {
                 return;
@@ -120,20 +120,18 @@
     HttpReply control(const HttpRequest &request)
     {
         if (request.target == "/_ledger") {
-            return HttpReply{ jsonResponse(
-                                  200, json{ { "executions", executions_ }, { "mostRunning", mostRunning_ } }.dump()),
-                              AfterResponse::KeepOpen };
+            return HttpReply{jsonResponse(200, json{{"executions", executions_}, {"mostRunning", mostRunning_}}.dump()),
+                             AfterResponse::KeepOpen};
         }
         const json body = json::parse(request.body, nullptr, false);
         if (request.target != "/_mode" || !body.is_object()) {
-            return HttpReply{ jsonResponse(400, "{\"error\":\"POST /_mode or GET /_ledger\"}"),
-                              AfterResponse::KeepOpen };
+            return HttpReply{jsonResponse(400, "{\"error\":\"POST /_mode or GET /_ledger\"}"), AfterResponse::KeepOpen};
         }
         mode_.name = body.value("mode", std::string("ok"));
         mode_.share = body.value("share", 1.0);
         mode_.factor = body.value("factor", 5.0);
         options_.work = Millis(body.value("workMs", options_.work.count()));
-        return HttpReply{ jsonResponse(200, "{}"), AfterResponse::KeepOpen };
+        return HttpReply{jsonResponse(200, "{}"), AfterResponse::KeepOpen};
     }
 
     bool affected()
@@ -160,7 +158,7 @@
 
     HttpReply shed()
     {
-        HttpReply reply{ jsonResponse(503, "{\"error\":\"busy\"}"), AfterResponse::KeepOpen };
+        HttpReply reply{jsonResponse(503, "{\"error\":\"busy\"}"), AfterResponse::KeepOpen};
         reply.response.headers.emplace_back("Waxwing-Not-Run", "true");
         reply.response.headers.emplace_back("Retry-After", "1");
         return reply;
@@ -202,10 +200,10 @@
     HttpReply answer(const HttpRequest &request, bool hit)
     {
         const std::string id(headerValue(request.headers, "X-Request-Id"));
-        const json body = { { "server", options_.name },      { "request", id },
-                            { "method", request.method },     { "target", request.target },
-                            { "bytes", request.body.size() }, { "padding", std::string(200, 'x') } };
-        HttpReply reply{ jsonResponse(200, body.dump()), AfterResponse::KeepOpen };
+        const json body = {{"server", options_.name},      {"request", id},
+                           {"method", request.method},     {"target", request.target},
+                           {"bytes", request.body.size()}, {"padding", std::string(200, 'x')}};
+        HttpReply reply{jsonResponse(200, body.dump()), AfterResponse::KeepOpen};
         reply.response.headers.emplace_back("X-Request-Id", id);
         if (hit && mode_.name == "errors") {
             reply.response.status = 500;
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -20,7 +20,7 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr std::size_t chunk = 16 * 1024;
-constexpr Millis holdPoll{ 5 };
+constexpr Millis holdPoll{5};
 
 /** Faults of one direction. */
 struct Faults {
@@ -70,7 +70,7 @@
     {
         const json body = json::parse(request.body, nullptr, false);
         if (request.target != "/_fault" || !body.is_object()) {
-            return HttpReply{ jsonResponse(400, "{\"error\":\"POST /_fault\"}"), AfterResponse::KeepOpen };
+            return HttpReply{jsonResponse(400, "{\"error\":\"POST /_fault\"}"), AfterResponse::KeepOpen};
         }
         read(body.value("toTarget", json::object()), toTarget_);
         read(body.value("fromTarget", json::object()), fromTarget_);
@@ -83,7 +83,7 @@
             Findings ignored;
             target_ = parseEndpoint(body["target"].get<std::string>(), "", ignored);
         }
-        return HttpReply{ jsonResponse(200, "{}"), AfterResponse::KeepOpen };
+        return HttpReply{jsonResponse(200, "{}"), AfterResponse::KeepOpen};
     }
 
 private:
@@ -108,7 +108,7 @@
     static void reset(Pair &pair)
     {
         boost::system::error_code ignored;
-        for (tcp::socket *socket : { &pair.caller, &pair.target }) {
+        for (tcp::socket *socket : {&pair.caller, &pair.target}) {
             socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
             socket->close(ignored);
         }
--- a/tests/standins/objectapi.cpp
+++ b/tests/standins/objectapi.cpp
@@ -27,9 +27,7 @@
 
     json toJson() const
     {
-        return {
-            { "kind", kind }, { "name", name }, { "version", version }, { "deleted", deleted }, { "value", value }
-        };
+        return {{"kind", kind}, {"name", name}, {"version", version}, {"deleted", deleted}, {"value", value}};
     }
 };
 
@@ -83,14 +81,14 @@
         }
         ++calls_[request.method];
         if (faults_.outage) {
-            return HttpReply{ {}, AfterResponse::Reset };
+            return HttpReply{{}, AfterResponse::Reset};
         }
         if (faults_.slowMs > 0) {
             sleepFor(ioContext_, Millis(faults_.slowMs));
         }
         const Target target = parseTarget(request.target);
         if (target.kind.empty()) {
-            return reply(404, { { "error", "unknown path" } });
+            return reply(404, {{"error", "unknown path"}});
         }
         if (request.method == "GET") {
             return target.name.empty() ? list(target) : read(target);
@@ -98,7 +96,7 @@
         const HttpReply answer = request.method == "PUT" ? update(target, request.body) : remove(target);
         if (faults_.loseAnswers > 0) {
             --faults_.loseAnswers;
-            return HttpReply{ {}, AfterResponse::Reset };
+            return HttpReply{{}, AfterResponse::Reset};
         }
         return answer;
     }
@@ -106,17 +104,17 @@
 private:
     static HttpReply reply(unsigned status, const json &body)
     {
-        return HttpReply{ jsonResponse(status, body.dump()), AfterResponse::KeepOpen };
+        return HttpReply{jsonResponse(status, body.dump()), AfterResponse::KeepOpen};
     }
 
     HttpReply control(const HttpRequest &request)
     {
         if (request.target == "/_stats") {
-            return reply(200, { { "calls", calls_ }, { "revision", revision_ }, { "objects", objects_.size() } });
+            return reply(200, {{"calls", calls_}, {"revision", revision_}, {"objects", objects_.size()}});
         }
         const json body = json::parse(request.body, nullptr, false);
         if (request.target != "/_fault" || !body.is_object()) {
-            return reply(400, { { "error", "POST /_fault with an object, or GET /_stats" } });
+            return reply(400, {{"error", "POST /_fault with an object, or GET /_stats"}});
         }
         faults_.outage = body.value("outage", faults_.outage);
         faults_.slowMs = body.value("slowMs", faults_.slowMs);
@@ -129,9 +127,9 @@
 
     HttpReply read(const Target &target)
     {
-        const auto found = objects_.find({ target.kind, target.name });
+        const auto found = objects_.find({target.kind, target.name});
         if (found == objects_.end() || found->second.deleted) {
-            return reply(404, { { "error", "no such object" } });
+            return reply(404, {{"error", "no such object"}});
         }
         return reply(200, found->second.toJson());
     }
@@ -152,7 +150,7 @@
             waiting_.remove(gate);
         }
         if (faults_.outage) {
-            return HttpReply{ {}, AfterResponse::Reset };
+            return HttpReply{{}, AfterResponse::Reset};
         }
         json objects = json::array();
         for (const auto &[id, object] : objects_) {
@@ -161,7 +159,7 @@
                 objects.push_back(object.toJson());
             }
         }
-        return reply(200, { { "revision", revision_ }, { "complete", from == 0 }, { "objects", objects } });
+        return reply(200, {{"revision", revision_}, {"complete", from == 0}, {"objects", objects}});
     }
 
     bool changedSince(const std::string &kind, std::uint64_t from) const
@@ -176,33 +174,33 @@
 
     HttpReply conflict(const Object *current)
     {
-        return reply(409, { { "error", "version" }, { "current", current == nullptr ? json() : current->toJson() } });
+        return reply(409, {{"error", "version"}, {"current", current == nullptr ? json() : current->toJson()}});
     }
 
     HttpReply update(const Target &target, const std::string &text)
     {
         const json body = json::parse(text, nullptr, false);
         if (!body.is_object() || !body.contains("version") || !body.contains("value")) {
-            return reply(400, { { "error", "version and value are needed" } });
+            return reply(400, {{"error", "version and value are needed"}});
         }
         if (text.size() > mostValueBytes) {
-            return reply(413, { { "error", "value too large" } });
+            return reply(413, {{"error", "value too large"}});
         }
-        Object &object = objects_[{ target.kind, target.name }];
+        Object &object = objects_[{target.kind, target.name}];
         const std::uint64_t standing = object.deleted ? 0 : object.version;
         if (body["version"].get<std::uint64_t>() != standing) {
             return conflict(standing == 0 ? nullptr : &object);
         }
-        object = Object{ target.kind, target.name, ++revision_, false, body["value"] };
+        object = Object{target.kind, target.name, ++revision_, false, body["value"]};
         wakeAll();
-        return reply(200, { { "version", object.version } });
+        return reply(200, {{"version", object.version}});
     }
 
     HttpReply remove(const Target &target)
     {
-        const auto found = objects_.find({ target.kind, target.name });
+        const auto found = objects_.find({target.kind, target.name});
         if (found == objects_.end() || found->second.deleted) {
-            return reply(404, { { "error", "no such object" } });
+            return reply(404, {{"error", "no such object"}});
         }
         const auto version = target.query.find("version");
         if (version != target.query.end() && std::stoull(version->second) != found->second.version) {
@@ -212,7 +210,7 @@
         found->second.version = ++revision_;
         found->second.value = nullptr;
         wakeAll();
-        return reply(200, { { "version", found->second.version } });
+        return reply(200, {{"version", found->second.version}});
     }
 
     void wakeAll()
--- a/tests/integration/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -1,4 +1,4 @@
-#include "tests/integration/Fleet.h"
+#include "tests/support/Fleet.h"
 
 #include "src/fiber/FiberLoop.h"
 
@@ -6,24 +6,32 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 #include <unistd.h>
 
 namespace waxwing::testing {
 
 namespace {
 
+/** A fleet that can't be set up is no result of a test: it ends with what was missing. */
+void must(bool done, const std::string &what)
+{
+    if (!done) {
+        throw std::runtime_error("test fleet: " + what);
+    }
+}
+
 namespace bp = boost::process;
 using nlohmann::json;
 
-constexpr Millis poll{ 10 };
-constexpr Millis controlTimeout{ 3000 };
+constexpr Millis poll{10};
+constexpr Millis controlTimeout{3000};
 
 struct Loop {
-    boost::asio::io_context ioContext{ 1 };
+    boost::asio::io_context ioContext{1};
     std::unique_ptr<HttpClient> client;
 };
 
@@ -42,9 +50,9 @@
         boost::system::error_code error;
         boost::asio::ip::tcp::acceptor probe(loop().ioContext);
         probe.open(boost::asio::ip::tcp::v4(), error);
-        probe.bind({ boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(next) }, error);
+        probe.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(next)}, error);
         if (!error) {
-            return Endpoint{ "127.0.0.1", static_cast<std::uint16_t>(next) };
+            return Endpoint{"127.0.0.1", static_cast<std::uint16_t>(next)};
         }
     }
 }
@@ -59,8 +67,7 @@
 
 json post(const Endpoint &endpoint, const std::string &target, const json &body)
 {
-    const auto answer =
-        loop().client->exchange(endpoint, HttpRequest{ "POST", target, {}, body.dump() }, controlTimeout);
+    const auto answer = loop().client->exchange(endpoint, HttpRequest{"POST", target, {}, body.dump()}, controlTimeout);
     return answer ? json::parse(answer->body, nullptr, false) : json();
 }
 
@@ -154,7 +161,7 @@
         at = text.find("\n" + mark);
         return at != std::string::npos && text.find('\n', at + 1) != std::string::npos;
     });
-    REQUIRE(at != std::string::npos);
+    must(at != std::string::npos, "at != std::string::npos");
     return static_cast<std::uint16_t>(std::stoi(text.substr(at + 1 + mark.size())));
 }
 
@@ -162,21 +169,21 @@
     : plan_(std::move(plan))
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "waxwing-test-XXXXXX").string();
-    REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    must(mkdtemp(pattern.data()) != nullptr, "mkdtemp(pattern.data()) != nullptr");
     directory_ = pattern;
     apiProcess_ = std::make_unique<Process>("tests/standins/standin-objectapi", std::vector<std::string>{},
                                             directory_ + "/api.log");
-    api_ = Endpoint{ "127.0.0.1", apiProcess_->printed("port") };
+    api_ = Endpoint{"127.0.0.1", apiProcess_->printed("port")};
     for (int i = 0; i < plan_.nodes; ++i) {
         callers_.push_back(freeEndpoint());
         operators_.push_back(freeEndpoint());
         peers_.push_back(freeEndpoint());
         if (plan_.proxies) {
             proxies_.push_back(std::make_unique<Process>("tests/standins/standin-faultproxy",
-                                                         std::vector<std::string>{ "--target", peers_.back().text() },
+                                                         std::vector<std::string>{"--target", peers_.back().text()},
                                                          directory_ + "/proxy" + std::to_string(i) + ".log"));
-            proxyEndpoints_.push_back(Endpoint{ "127.0.0.1", proxies_.back()->printed("port") });
-            proxyControls_.push_back(Endpoint{ "127.0.0.1", proxies_.back()->printed("control") });
+            proxyEndpoints_.push_back(Endpoint{"127.0.0.1", proxies_.back()->printed("port")});
+            proxyControls_.push_back(Endpoint{"127.0.0.1", proxies_.back()->printed("control")});
         }
     }
     for (int i = 0; i < plan_.nodes; ++i) {
@@ -184,13 +191,14 @@
     }
     // A server that finds no listener yet would announce itself to the next home, and tests count on theirs.
     for (int i = 0; i < plan_.nodes; ++i) {
-        REQUIRE(eventually([this, i] { return view(i, "/v1/status").is_object(); }));
+        must(eventually([this, i] { return view(i, "/v1/status").is_object(); }), "every node answers");
     }
     for (int i = 0; i < plan_.nodes * plan_.serversPerNode; ++i) {
-        startServer("s" + std::to_string(i), i % plan_.nodes);
+        const auto kind = static_cast<std::size_t>(i / plan_.nodes) % plan_.services.size();
+        startServer("s" + std::to_string(i), i % plan_.nodes, plan_.services[kind]);
     }
     applyIntents();
-    REQUIRE(eventually([this] { return settled(); }, std::chrono::seconds(15)));
+    must(eventually([this] { return settled(); }, std::chrono::seconds(30)), "every node knows every server");
 }
 
 Fleet::~Fleet()
@@ -209,15 +217,13 @@
 {
     const auto i = static_cast<std::size_t>(index);
     json settings = {
-        { "node", "n" + std::to_string(index) },
-        { "zone", "z" + std::to_string(index) },
-        { "region", "palermo" },
-        { "listen",
-          { { "callers", callers_[i].text() }, { "peers", peers_[i].text() }, { "operators", operators_[i].text() } } },
-        { "objectApi", api_.text() },
-        { "seeds", json::array() },
-        { "times", { { "ramp", plan_.ramp }, { "firstEjection", "2s" }, { "antiEntropy", "1s" } } }
-    };
+        {"node", "n" + std::to_string(index)},
+        {"zone", "z" + std::to_string(index)},
+        {"region", index * plan_.regions / plan_.nodes == 0 ? "palermo" : "catania"},
+        {"listen", {{"callers", callers_[i].text()}, {"peers", peers_[i].text()}, {"operators", operators_[i].text()}}},
+        {"objectApi", api_.text()},
+        {"seeds", json::array()},
+        {"times", {{"ramp", plan_.ramp}, {"firstEjection", "2s"}, {"antiEntropy", "1s"}}}};
     for (std::size_t other = 0; other < peers_.size(); ++other) {
         settings["seeds"].push_back((plan_.proxies ? proxyEndpoints_[other] : peers_[other]).text());
     }
@@ -233,12 +239,12 @@
 {
     nodes_[index].reset();
     nodes_[index] = std::make_unique<Process>(
-        "waxwingd", std::vector<std::string>{ "--settings", settingsFile(index) },
+        "waxwingd", std::vector<std::string>{"--settings", settingsFile(index)},
         directory_ + "/n" + std::to_string(index) + "-"
             + std::to_string(std::chrono::steady_clock::now().time_since_epoch().count()) + ".log");
 }
 
-void Fleet::startServer(const std::string &name, int home)
+void Fleet::startServer(const std::string &name, int home, const std::string &service)
 {
     std::string homes = operators(home).text();
     for (int i = 0; i < plan_.nodes; ++i) {
@@ -247,8 +253,8 @@
     servers_[name].reset();
     servers_[name] = std::make_unique<Process>(
         "tests/standins/standin-backend",
-        std::vector<std::string>{ "--service", "course-desk", "--name", name, "--homes", homes, "--ledger",
-                                  directory_ + "/ledger." + name, "--work-ms", std::to_string(plan_.workMs) },
+        std::vector<std::string>{"--service", service, "--name", name, "--homes", homes, "--ledger",
+                                 directory_ + "/ledger." + name, "--work-ms", std::to_string(plan_.workMs)},
         directory_ + "/" + name + ".log");
 }
 
@@ -273,36 +279,39 @@
 
 void Fleet::serverMode(const std::string &name, const json &mode)
 {
-    const json answer = post(Endpoint{ "127.0.0.1", server(name).printed("port") }, "/_mode", mode);
-    REQUIRE(answer.is_object());
+    const json answer = post(Endpoint{"127.0.0.1", server(name).printed("port")}, "/_mode", mode);
+    must(answer.is_object(), "answer.is_object()");
 }
 
 void Fleet::apiFault(const json &fault)
 {
-    REQUIRE(post(api_, "/_fault", fault).is_object());
+    must(post(api_, "/_fault", fault).is_object(), "post(api_, '/_fault', fault).is_object()");
 }
 
 void Fleet::proxyFault(int node, const json &fault)
 {
-    REQUIRE(post(proxyControls_.at(static_cast<std::size_t>(node)), "/_fault", fault).is_object());
+    must(post(proxyControls_.at(static_cast<std::size_t>(node)), "/_fault", fault).is_object(),
+         "post(proxyControls_.at(static_cast<std::size_t>(node)), '/_f");
 }
 
 json Fleet::view(int node, const std::string &target)
 {
-    const auto answer = loop().client->exchange(operators(node), HttpRequest{ "GET", target, {}, {} }, controlTimeout);
+    const auto answer = loop().client->exchange(operators(node), HttpRequest{"GET", target, {}, {}}, controlTimeout);
     return answer ? json::parse(answer->body, nullptr, false) : json();
 }
 
 json Fleet::apiStats()
 {
-    const auto answer = loop().client->exchange(api_, HttpRequest{ "GET", "/_stats", {}, {} }, controlTimeout);
+    const auto answer = loop().client->exchange(api_, HttpRequest{"GET", "/_stats", {}, {}}, controlTimeout);
     return answer ? json::parse(answer->body, nullptr, false) : json();
 }
 
 Answer Fleet::send(int node, const HttpRequest &request, Millis allowed)
 {
     HttpRequest addressed = request;
-    addressed.headers.emplace_back("Host", "course-desk");
+    if (headerValue(request.headers, "Host").empty()) {
+        addressed.headers.emplace_back("Host", plan_.services.front());
+    }
     const auto got = loop().client->exchange(callers(node), addressed, allowed);
     Answer answer;
     if (!got) {
@@ -319,12 +328,12 @@
 
 Answer Fleet::read(int node, const std::string &id)
 {
-    return send(node, HttpRequest{ "GET", "/sessions/" + id, { { "X-Request-Id", id } }, {} });
+    return send(node, HttpRequest{"GET", "/sessions/" + id, {{"X-Request-Id", id}}, {}});
 }
 
 Answer Fleet::book(int node, const std::string &id, const std::string &key, const std::string &body)
 {
-    HttpRequest request{ "POST", "/bookings", { { "X-Request-Id", id } }, body };
+    HttpRequest request{"POST", "/bookings", {{"X-Request-Id", id}}, body};
     if (!key.empty()) {
         request.headers.emplace_back("Idempotency-Key", key);
     }
@@ -333,14 +342,14 @@
 
 std::string Fleet::ticket(int node)
 {
-    const json body = json::parse(send(node, HttpRequest{ "POST", "/.waxwing/ticket", {}, {} }).body, nullptr, false);
+    const json body = json::parse(send(node, HttpRequest{"POST", "/.waxwing/ticket", {}, {}}).body, nullptr, false);
     return body.is_object() ? body.value("ticket", "") : "";
 }
 
 int Fleet::ctl(const std::vector<std::string> &words, std::string *output, int node)
 {
     std::vector<std::string> arguments = words;
-    arguments.insert(arguments.end(), { "--api", api_.text(), "--node", operators(node).text() });
+    arguments.insert(arguments.end(), {"--api", api_.text(), "--node", operators(node).text()});
     static int run = 0;
     Process process("waxwingctl", arguments, directory_ + "/ctl" + std::to_string(++run) + ".log");
     const int code = process.waitForExit();
@@ -353,19 +362,19 @@
 std::string Fleet::intentsFile(const std::string &responseTime)
 {
     const auto classOf = [&](const char *method, const char *prefix, bool idempotent) {
-        return json{ { "routes", { { { "methods", { method } }, { "prefix", prefix } } } },
-                     { "idempotent", idempotent },
-                     { "responseTime", responseTime },
-                     { "successRate", "99.5%" },
-                     { "healthyCapacityFloor", plan_.floor },
-                     { "ejection", plan_.ejection },
-                     { "deadline", "3s" } };
+        return json{{"routes", {{{"methods", {method}}, {"prefix", prefix}}}},
+                    {"idempotent", idempotent},
+                    {"responseTime", responseTime},
+                    {"successRate", "99.5%"},
+                    {"healthyCapacityFloor", plan_.floor},
+                    {"ejection", plan_.ejection},
+                    {"deadline", "3s"}};
     };
-    const json document = { { "services",
-                              { { "course-desk",
-                                  { { "classes",
-                                      { { "calendar", classOf("GET", "/sessions", true) },
-                                        { "booking", classOf("POST", "/bookings", false) } } } } } } } };
+    json document = {{"services", json::object()}};
+    for (const std::string &service : plan_.services) {
+        document["services"][service]["classes"] = {{"calendar", classOf("GET", "/sessions", true)},
+                                                    {"booking", classOf("POST", "/bookings", false)}};
+    }
     const std::string path = directory_ + "/intents-" + responseTime + ".json";
     std::ofstream(path) << document.dump(2);
     return path;
@@ -376,11 +385,10 @@
     std::string output;
     const bool applied = eventually(
         [&] {
-            return ctl({ "apply", intentsFile(), "--wait" }, &output) == 0;
+            return ctl({"apply", intentsFile(), "--wait"}, &output) == 0;
         },
         std::chrono::seconds(20));
-    INFO(output);
-    REQUIRE(applied);
+    must(applied, "intents in force: " + output);
 }
 
 std::map<std::string, int> Fleet::executions() const
@@ -404,7 +412,9 @@
     for (int i = 0; i < plan_.nodes; ++i) {
         const json status = view(i, "/v1/status");
         if (status.is_object()) {
-            total += status["homeOf"].value("course-desk", json::object()).value("inService", 0);
+            for (const json &home : status["homeOf"]) {
+                total += home.value("inService", 0);
+            }
         }
     }
     return total;
@@ -416,7 +426,10 @@
         const json nodes = view(i, "/v1/nodes");
         int homes = 0;
         for (const json &node : nodes.is_array() ? nodes : json::array()) {
-            const int here = node["services"].value("course-desk", 0);
+            int here = 0;
+            for (const json &count : node["services"]) {
+                here += count.get<int>();
+            }
             homes += node.value("state", "") == "up" && here == plan_.serversPerNode ? 1 : 0;
         }
         if (homes != plan_.nodes) {
@@ -451,4 +464,9 @@
     return directory_;
 }
 
+const Plan &Fleet::plan() const
+{
+    return plan_;
+}
+
 } // namespace waxwing::testing
--- a/tests/integration/Fleet.h
+++ b/tests/support/Fleet.h
@@ -66,6 +66,9 @@
     std::string ramp = "200ms";
     /** Nodes' peer ports are reached through a fault proxy each. */
     bool proxies = false;
+    /** Servers are dealt to these in turn; requests go to the first unless they say otherwise. */
+    std::vector<std::string> services = {"course-desk"};
+    int regions = 1;
 };
 
 /** A fleet of real processes on loopback: object API stand-in, nodes, backend servers and, if wanted, proxies. */
@@ -78,7 +81,7 @@
     Fleet &operator=(const Fleet &) = delete;
 
     void startNode(int index);
-    void startServer(const std::string &name, int home);
+    void startServer(const std::string &name, int home, const std::string &service = "course-desk");
     Process &node(int index);
     Process &server(const std::string &name);
     std::vector<std::string> serverNames() const;
@@ -110,6 +113,7 @@
     Endpoint peers(int node) const;
     Endpoint api() const;
     std::string directory() const;
+    const Plan &plan() const;
 
 private:
     std::string settingsFile(int node);
--- /dev/null
+++ b/tests/support/Scenario.cpp
@@ -0,0 +1,417 @@
+#include "tests/support/Scenario.h"
+
+#include "include/base/DurationText.h"
+#include "include/base/JsonReader.h"
+#include "tests/support/HomeRig.h"
+
+#include <memory>
+#include <sstream>
+
+namespace waxwing::testing {
+
+namespace {
+
+struct Word {
+    std::string text;
+    int line = 0;
+    int column = 0;
+};
+
+using Line = std::vector<Word>;
+
+struct SyntaxError {
+    Word at;
+    std::string message;
+};
+
+[[noreturn]] void wrong(const Word &at, const std::string &message)
+{
+    throw SyntaxError{at, message};
+}
+
+std::vector<Line> wordsOf(const std::string &text)
+{
+    std::vector<Line> lines;
+    std::istringstream in(text);
+    std::string raw;
+    for (int number = 1; std::getline(in, raw); ++number) {
+        Line line;
+        const std::string code = raw.substr(0, raw.find('#'));
+        std::size_t at = 0;
+        while ((at = code.find_first_not_of(" \t", at)) != std::string::npos) {
+            const std::size_t end = std::min(code.find_first_of(" \t", at), code.size());
+            line.push_back(Word{code.substr(at, end - at), number, static_cast<int>(at) + 1});
+            at = end;
+        }
+        if (!line.empty()) {
+            lines.push_back(std::move(line));
+        }
+    }
+    return lines;
+}
+
+/** Reads the words of one line in order; a missing or wrong one is an error at its place. */
+class Reader
+{
+public:
+    explicit Reader(const Line &line)
+        : line_(line)
+    { }
+    bool done() const
+    {
+        return next_ >= line_.size();
+    }
+    const Word &word()
+    {
+        if (done()) {
+            Word after = line_.back();
+            after.column += static_cast<int>(after.text.size());
+            wrong(after, "the line ends too early");
+        }
+        return line_[next_++];
+    }
+    bool accept(const std::string &text)
+    {
+        const bool is = !done() && line_[next_].text == text;
+        next_ += is ? 1 : 0;
+        return is;
+    }
+    void expect(const std::string &text)
+    {
+        const Word &found = word();
+        if (found.text != text) {
+            wrong(found, "expected \"" + text + "\"");
+        }
+    }
+    double number()
+    {
+        const Word &found = word();
+        char *end = nullptr;
+        const double value = std::strtod(found.text.c_str(), &end);
+        if (end == found.text.c_str() || *end != '\0') {
+            wrong(found, "not a number");
+        }
+        return value;
+    }
+    Millis duration()
+    {
+        const Word &found = word();
+        const auto value = parseDuration(found.text);
+        if (!value) {
+            wrong(found, value.error().message);
+        }
+        return *value;
+    }
+    double share()
+    {
+        const Word &found = word();
+        const auto value = parseShare(found.text);
+        if (!value) {
+            wrong(found, value.error().message);
+        }
+        return *value;
+    }
+    void finish()
+    {
+        if (!done()) {
+            wrong(line_[next_], "unexpected word");
+        }
+    }
+
+private:
+    const Line &line_;
+    std::size_t next_ = 0;
+};
+
+using Action = std::function<void(HomeRig &)>;
+
+Action parseAction(Reader &reader, const RigPlan &plan)
+{
+    reader.expect("server");
+    const Word name = reader.word();
+    const bool all = name.text == "all";
+    bool known = all;
+    for (int i = 0; i < plan.servers; ++i) {
+        known = known || name.text == "s" + std::to_string(i);
+    }
+    if (!known) {
+        wrong(name, "no such server");
+    }
+    const Word verb = reader.word();
+    std::function<void(FakeServer &, SteadyTime)> set;
+    if (verb.text == "stall") {
+        set = [share = reader.share()](FakeServer &s, SteadyTime) { s.stallShare = share; };
+    } else if (verb.text == "errors") {
+        set = [share = reader.share()](FakeServer &s, SteadyTime) { s.errorShare = share; };
+    } else if (verb.text == "slow") {
+        set = [factor = reader.number()](FakeServer &s, SteadyTime) { s.slowFactor = factor; };
+    } else if (verb.text == "flap") {
+        set = [period = reader.duration()](FakeServer &s, SteadyTime) { s.flapEvery = period; };
+    } else if (verb.text == "cold") {
+        set = [length = reader.duration()](FakeServer &s, SteadyTime now) {
+            ++s.incarnation;
+            s.coldUntil = now + length;
+        };
+    } else if (verb.text == "well") {
+        set = [](FakeServer &s, SteadyTime) { s = FakeServer{}; };
+    } else if (verb.text == "silent") {
+        set = [](FakeServer &s, SteadyTime) { s.announces = false; };
+    } else if (verb.text == "drain") {
+        set = [](FakeServer &s, SteadyTime) { s.state = ServerState::Draining; };
+    } else {
+        wrong(verb, "unknown fault");
+    }
+    return [all, name = name.text, set](HomeRig &rig) {
+        for (const std::string &one : rig.serverNames()) {
+            if (all || one == name) {
+                set(rig.server(one), rig.now());
+            }
+        }
+    };
+}
+
+/** A condition that is looked at every 10 ms. */
+struct Condition {
+    std::string server;
+    bool out = true;
+
+    bool holds(const HomeRig &rig) const
+    {
+        return rig.isOut(server) == out;
+    }
+};
+
+Condition parseCondition(Reader &reader)
+{
+    reader.expect("server");
+    Condition condition;
+    condition.server = reader.word().text;
+    const Word &state = reader.word();
+    if (state.text != "out" && state.text != "in") {
+        wrong(state, "expected \"out\" or \"in\"");
+    }
+    condition.out = state.text == "out";
+    return condition;
+}
+
+/** A scenario while it runs. */
+class Run
+{
+public:
+    ScenarioResult run(const std::vector<Line> &lines)
+    {
+        for (const Line &line : lines) {
+            statement(line);
+        }
+        if (lines.empty() || !ended_) {
+            wrong(lines.empty() ? Word{"", 1, 1} : lines.back().back(), "the scenario has no end");
+        }
+        if (result_.story.empty()) {
+            wrong(lines.front().front(), "the scenario has no story");
+        }
+        return result_;
+    }
+
+private:
+    void statement(const Line &line)
+    {
+        Reader reader(line);
+        const Word &first = reader.word();
+        if (first.text == "story") {
+            while (!reader.done()) {
+                result_.story += reader.word().text + " ";
+            }
+            return;
+        }
+        if (first.text == "service") {
+            service(reader, first);
+            return;
+        }
+        if (!rig_) {
+            wrong(first, "the service comes first");
+        }
+        if (first.text == "at") {
+            const Millis when = reader.duration();
+            const Action action = parseAction(reader, plan_);
+            rig_->at(when, [this, action] { action(*rig_); });
+        } else if (first.text == "when") {
+            const Condition condition = parseCondition(reader);
+            reader.expect("then");
+            whens_.push_back({condition, parseAction(reader, plan_), false});
+        } else if (first.text == "expect") {
+            expectation(reader, first);
+        } else if (first.text == "end") {
+            const Millis length = reader.duration();
+            reader.finish();
+            end(length);
+        } else {
+            wrong(first, "unknown statement");
+        }
+        reader.finish();
+    }
+
+    void service(Reader &reader, const Word &at)
+    {
+        if (rig_) {
+            wrong(at, "there is one service");
+        }
+        while (!reader.done()) {
+            const Word &key = reader.word();
+            if (key.text == "servers") {
+                plan_.servers = static_cast<int>(reader.number());
+            } else if (key.text == "slots") {
+                plan_.slots = static_cast<std::uint32_t>(reader.number());
+            } else if (key.text == "rate") {
+                plan_.rate = reader.number();
+            } else if (key.text == "response") {
+                plan_.responseTime = reader.duration();
+            } else if (key.text == "floor") {
+                plan_.floor.servers = static_cast<std::uint32_t>(reader.number());
+            } else if (key.text == "seed") {
+                plan_.seed = static_cast<std::uint64_t>(reader.number());
+            } else if (key.text == "writes") {
+                plan_.idempotentShare = 1.0 - reader.share();
+            } else if (key.text == "care") {
+                care(reader.word());
+            } else {
+                wrong(key, "unknown property of the service");
+            }
+        }
+        rig_ = std::make_unique<HomeRig>(plan_);
+    }
+
+    void care(const Word &word)
+    {
+        for (const EjectionCare one : {EjectionCare::Fast, EjectionCare::Balanced, EjectionCare::Careful}) {
+            if (word.text == ejectionCareName(one)) {
+                plan_.care = one;
+                return;
+            }
+        }
+        wrong(word, "care is fast, balanced or careful");
+    }
+
+    void fail(const Word &at, const std::string &what)
+    {
+        result_.failures.push_back("line " + std::to_string(at.line) + ": " + what);
+    }
+
+    void expectation(Reader &reader, const Word &at)
+    {
+        ++result_.expectations;
+        if (reader.accept("within")) {
+            const Millis within = reader.duration();
+            reader.expect("of");
+            const Millis from = reader.duration();
+            watches_.push_back({at, parseCondition(reader), from, within, false, false});
+        } else if (reader.accept("never")) {
+            if (reader.accept("below")) {
+                const auto least = static_cast<std::uint32_t>(reader.number());
+                checks_.emplace_back([this, at, least] {
+                    if (rig_->leastInService() < least) {
+                        fail(at, "in service fell to " + std::to_string(rig_->leastInService()));
+                    }
+                });
+            } else {
+                watches_.push_back({at, parseCondition(reader), Millis(0), Millis(0), true, false});
+            }
+        } else if (reader.accept("ejections")) {
+            reader.expect("at");
+            reader.expect("most");
+            const auto most = static_cast<std::size_t>(reader.number());
+            checks_.emplace_back([this, at, most] {
+                if (rig_->ejections().size() > most) {
+                    fail(at, std::to_string(rig_->ejections().size()) + " ejections");
+                }
+            });
+        } else {
+            reader.expect("good");
+            reader.expect("at");
+            reader.expect("least");
+            const double least = reader.share();
+            checks_.emplace_back([this, at, least] {
+                const auto all = static_cast<double>(rig_->good + rig_->late + rig_->failed + rig_->refused);
+                const double share = all > 0 ? static_cast<double>(rig_->good) / all : 0.0;
+                if (share < least) {
+                    fail(at, "good were " + std::to_string(share * 100.0) + "%");
+                }
+            });
+        }
+    }
+
+    void end(Millis length)
+    {
+        constexpr Millis step{10};
+        for (Millis now = step; now <= length; now += step) {
+            rig_->runUntil(now);
+            for (When &when : whens_) {
+                if (!when.done && when.condition.holds(*rig_)) {
+                    when.done = true;
+                    when.action(*rig_);
+                }
+            }
+            for (Watch &watch : watches_) {
+                observe(watch, now);
+            }
+        }
+        for (const Watch &watch : watches_) {
+            if (!watch.never && !watch.seen) {
+                fail(watch.at, "did not come true in time");
+            }
+        }
+        for (const auto &check : checks_) {
+            check();
+        }
+        ended_ = true;
+    }
+
+    struct When {
+        Condition condition;
+        Action action;
+        bool done;
+    };
+    struct Watch {
+        Word at;
+        Condition condition;
+        Millis from;
+        Millis within;
+        bool never;
+        bool seen;
+    };
+
+    void observe(Watch &watch, Millis now)
+    {
+        if (watch.seen || !watch.condition.holds(*rig_)) {
+            return;
+        }
+        if (watch.never) {
+            watch.seen = true;
+            fail(watch.at, "came true at " + durationText(now));
+        } else if (now >= watch.from && now <= watch.from + watch.within) {
+            watch.seen = true;
+        }
+    }
+
+    RigPlan plan_;
+    std::unique_ptr<HomeRig> rig_;
+    ScenarioResult result_;
+    std::vector<When> whens_;
+    std::vector<Watch> watches_;
+    std::vector<std::function<void()>> checks_;
+    bool ended_ = false;
+};
+
+} // namespace
+
+Expected<ScenarioResult> runScenario(const std::string &text)
+{
+    try {
+        return Run().run(wordsOf(text));
+    } catch (const SyntaxError &error) {
+        return fail(ErrorCode::Malformed, std::to_string(error.at.line) + ":" + std::to_string(error.at.column) + ": "
+                                              + error.message
+                                              + (error.at.text.empty() ? "" : " (\"" + error.at.text + "\")"));
+    }
+}
+
+} // namespace waxwing::testing
--- a/tests/unit/ClaimTableTest.cpp
+++ b/tests/unit/ClaimTableTest.cpp
@@ -14,10 +14,10 @@
 
 struct OwnerFixture {
     ManualClock clock;
-    NodeRef self{ "n1", 42 };
-    ClaimLimits limits{ 4, 1000, std::chrono::minutes(10) };
-    TicketMint mint{ self, clock };
-    ClaimTable table{ self, clock, limits };
+    NodeRef self{"n1", 42};
+    ClaimLimits limits{4, 1000, std::chrono::minutes(10)};
+    TicketMint mint{self, clock};
+    ClaimTable table{self, clock, limits};
 
     ClaimVerdict begin(const Ticket &ticket)
     {
@@ -27,21 +27,20 @@
 
 ClaimEnd ran(const std::string &body)
 {
-    return ClaimEnd{ Outcome::Ran, HttpResponse{ 200, {}, body } };
+    return ClaimEnd{Outcome::Ran, HttpResponse{200, {}, body}};
 }
 
 } // namespace
 
 TEST_CASE("ticket, written and read, is the same")
 {
-    const Ticket ticket{ { "rack-3.n1", 0xabcdef }, Millis(123456), 99 };
+    const Ticket ticket{{"rack-3.n1", 0xabcdef}, Millis(123456), 99};
     const auto parsed = Ticket::parse(ticket.text());
     REQUIRE(parsed);
     CHECK(parsed->owner == ticket.owner);
     CHECK(parsed->mintedAt == ticket.mintedAt);
     CHECK(parsed->sequence == ticket.sequence);
-    for (const char *bad :
-         { "", "wx1.", "wx1.n1.1.2", "wx1.n1.x.1.1", "wx2.n1.1.1.1", "wx1..1.1.1", "wx1.a b.1.1.1" }) {
+    for (const char *bad : {"", "wx1.", "wx1.n1.1.2", "wx1.n1.x.1.1", "wx2.n1.1.1.1", "wx1..1.1.1", "wx1.a b.1.1.1"}) {
         INFO(bad);
         CHECK_FALSE(Ticket::parse(bad));
     }
@@ -62,7 +61,7 @@
 {
     const Ticket ticket = mint.mint();
     begin(ticket);
-    table.finish(ticket, ClaimEnd{ Outcome::Unknown, {} });
+    table.finish(ticket, ClaimEnd{Outcome::Unknown, {}});
     CHECK(begin(ticket) == ClaimVerdict::InDoubt);
 }
 
@@ -70,7 +69,7 @@
 {
     const Ticket ticket = mint.mint();
     begin(ticket);
-    table.finish(ticket, ClaimEnd{ Outcome::NotRun, {} });
+    table.finish(ticket, ClaimEnd{Outcome::NotRun, {}});
     CHECK(begin(ticket) == ClaimVerdict::Start);
 }
 
@@ -108,8 +107,8 @@
 
 TEST_CASE_FIXTURE(OwnerFixture, "ticket, of another incarnation or from the future, is not this owner's")
 {
-    CHECK(begin(Ticket{ { "n1", 41 }, Millis(0), 1 }) == ClaimVerdict::NotOwner);
-    CHECK(begin(Ticket{ self, std::chrono::hours(5), 1 }) == ClaimVerdict::NotOwner);
+    CHECK(begin(Ticket{{"n1", 41}, Millis(0), 1}) == ClaimVerdict::NotOwner);
+    CHECK(begin(Ticket{self, std::chrono::hours(5), 1}) == ClaimVerdict::NotOwner);
 }
 
 TEST_CASE_FIXTURE(OwnerFixture, "handover, used and unused and old tickets, are decided by the successor alike")
@@ -125,7 +124,7 @@
     table.stopClaiming();
     CHECK(begin(mint.mint()) == ClaimVerdict::Stopping);
 
-    const NodeRef next{ "n2", 50 };
+    const NodeRef next{"n2", 50};
     ManualClock nextClock;
     TicketMint nextMint(next, nextClock);
     ClaimTable successor(next, nextClock, limits);
@@ -156,13 +155,13 @@
         std::map<NodeRef, NodeRef> successors;
         std::uint64_t incarnation = 1;
         const auto addOwner = [&](const std::string &id) {
-            Owner owner{ { id, incarnation++ }, nullptr, nullptr, false };
+            Owner owner{{id, incarnation++}, nullptr, nullptr, false};
             owner.mint = std::make_unique<TicketMint>(owner.ref, clock);
             owner.table =
-                std::make_unique<ClaimTable>(owner.ref, clock, ClaimLimits{ 1000, 10000, std::chrono::minutes(1) });
+                std::make_unique<ClaimTable>(owner.ref, clock, ClaimLimits{1000, 10000, std::chrono::minutes(1)});
             owners.push_back(std::move(owner));
         };
-        for (const char *id : { "a", "b", "c" }) {
+        for (const char *id : {"a", "b", "c"}) {
             addOwner(id);
         }
         const auto live = [&]() -> Owner & {
@@ -214,7 +213,7 @@
                 if (!owner.dead) {
                     ++ledger[woken.ticket.text()];
                     owner.table->finish(woken.ticket,
-                                        ClaimEnd{ random() % 4 == 0 ? Outcome::Unknown : Outcome::Ran, {} });
+                                        ClaimEnd{random() % 4 == 0 ? Outcome::Unknown : Outcome::Ran, {}});
                 }
             } else if (!tickets.empty()) {
                 const Ticket ticket = tickets[random() % tickets.size()];
@@ -237,14 +236,14 @@
                 if (end == 0) {
                     // Its caller hears nothing in time, which is "unknown".
                     told[ticket.text()] = Outcome::Unknown;
-                    frozen.push_back(Frozen{ static_cast<std::size_t>(at - owners.begin()), ticket });
+                    frozen.push_back(Frozen{static_cast<std::size_t>(at - owners.begin()), ticket});
                 } else if (end == 1) {
-                    at->table->finish(ticket, ClaimEnd{ Outcome::NotRun, {} });
+                    at->table->finish(ticket, ClaimEnd{Outcome::NotRun, {}});
                     told[ticket.text()] = Outcome::NotRun;
                 } else {
                     ++ledger[ticket.text()];
                     told[ticket.text()] = end == 2 ? Outcome::Unknown : Outcome::Ran;
-                    at->table->finish(ticket, ClaimEnd{ told[ticket.text()], {} });
+                    at->table->finish(ticket, ClaimEnd{told[ticket.text()], {}});
                 }
             }
         }
--- a/tests/unit/HomeFloorTest.cpp
+++ b/tests/unit/HomeFloorTest.cpp
@@ -65,12 +65,12 @@
                 }
                 return std::nullopt;
             };
-            homes.emplace_back(NodeRef{ std::string(1, static_cast<char>('a' + i)), 1 }, view);
+            homes.emplace_back(NodeRef{std::string(1, static_cast<char>('a' + i)), 1}, view);
         }
         for (std::size_t i = 0; i < homes.size(); ++i) {
             homes[i].servers = servers[i];
             homes[i].inService = servers[i];
-            homes[i].floor.setFloor(CapacityFloor{ required, 0.0 });
+            homes[i].floor.setFloor(CapacityFloor{required, 0.0});
             refresh(homes[i]);
         }
     }
@@ -195,7 +195,7 @@
 Walk walkAll(const World &from, std::uint32_t required, std::size_t most)
 {
     std::set<std::string> seen;
-    std::vector<World> frontier = { from };
+    std::vector<World> frontier = {from};
     Walk walk;
     walk.least = from.total();
     for (; !frontier.empty() && seen.size() < most; ++walk.depth) {
@@ -241,12 +241,12 @@
     // home is paused and taken for gone, its pledge is moved to another, and it wakes and goes on ejecting. Whatever
     // the order, at least two of the four servers must stay in service.
     constexpr std::uint32_t required = 2;
-    World fresh(required, { 2, 1, 1 });
+    World fresh(required, {2, 1, 1});
     World settled = fresh;
     settle(settled);
     const Walk fromSettled = walkAll(settled, required, 30000);
     const Walk fromFresh = walkAll(fresh, required, 10000);
-    for (const Walk &walk : { fromSettled, fromFresh }) {
+    for (const Walk &walk : {fromSettled, fromFresh}) {
         MESSAGE("states " << walk.states << ", steps deep " << walk.depth << ", complete " << walk.complete
                           << ", least in service " << walk.least);
     }
@@ -283,8 +283,8 @@
 
 TEST_CASE("floor, home that never reached the store, ejects nothing")
 {
-    HomeFloor floor(NodeRef{ "a", 1 }, [](const NodeRef &) { return std::nullopt; });
-    floor.setFloor(CapacityFloor{ 1, 0.0 });
+    HomeFloor floor(NodeRef{"a", 1}, [](const NodeRef &) { return std::nullopt; });
+    floor.setFloor(CapacityFloor{1, 0.0});
     floor.setCapacity(5, 5, start);
     CHECK_FALSE(floor.mayEject());
     floor.proposal();
@@ -294,8 +294,8 @@
 
 TEST_CASE("floor, servers that died, count before any ejection")
 {
-    HomeFloor floor(NodeRef{ "a", 1 }, [](const NodeRef &) { return std::nullopt; });
-    floor.setFloor(CapacityFloor{ 3, 0.0 });
+    HomeFloor floor(NodeRef{"a", 1}, [](const NodeRef &) { return std::nullopt; });
+    floor.setFloor(CapacityFloor{3, 0.0});
     floor.setCapacity(4, 4, start);
     Store store;
     for (int i = 0; i < 4; ++i) {
@@ -312,10 +312,10 @@
 TEST_CASE("pledge sheet, written and read, is the same and garbage is refused")
 {
     PledgeSheet sheet;
-    sheet.set(Pledge{ { "a", 7 }, 2, 3 });
+    sheet.set(Pledge{{"a", 7}, 2, 3});
     const auto parsed = PledgeSheet::parse(4, sheet.json());
     REQUIRE(parsed);
-    CHECK(parsed->find({ "a", 7 })->pledge == 2);
+    CHECK(parsed->find({"a", 7})->pledge == 2);
     CHECK_FALSE(PledgeSheet::parse(1, "{}"));
     CHECK_FALSE(PledgeSheet::parse(1, "nonsense"));
 }
--- /dev/null
+++ b/tools/demo.cpp
@@ -0,0 +1,147 @@
+/**
+ * The main job on loopback: three nodes in different zones, six backend servers of two services, both users' kinds of
+ * work; one server is killed and one frozen meanwhile. Prints what happened and why. Exits with 1 if a promise broke.
+ */
+#include "tests/support/Fleet.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+
+namespace {
+
+using namespace waxwing;
+using namespace waxwing::testing;
+
+constexpr int clients = 12;
+constexpr Millis servedFor{8000};
+
+struct Tally {
+    std::map<std::string, std::map<std::string, int>> outcomes;
+    std::map<std::string, std::string> booked;
+    int wrongAnswers = 0;
+    int number = 0;
+    bool stop = false;
+};
+
+void readOnce(Fleet &fleet, Tally &tally, int node, const std::string &service)
+{
+    const std::string id = "read-" + std::to_string(++tally.number);
+    const Answer answer =
+        fleet.send(node, HttpRequest{"GET", "/sessions/" + id, {{"Host", service}, {"X-Request-Id", id}}, {}});
+    ++tally.outcomes[service + " reads"][answer.outcome.empty() ? "no answer" : answer.outcome];
+    const bool whole = answer.status != 200 || answer.body.find("\"" + id + "\"") != std::string::npos;
+    tally.wrongAnswers += whole ? 0 : 1;
+}
+
+/** A booking or redemption with a ticket, sent again through the other nodes until its outcome is known. */
+void writeOnce(Fleet &fleet, Tally &tally, int node, const std::string &service)
+{
+    const std::string id = "write-" + std::to_string(++tally.number);
+    const std::string ticket = fleet.ticket(node);
+    std::string outcome;
+    for (int attempt = 0; attempt < 3 && outcome != "ran"; ++attempt) {
+        const HttpRequest request{
+            "POST", "/bookings", {{"Host", service}, {"X-Request-Id", id}, {"Idempotency-Key", ticket}}, "one"};
+        outcome = fleet.send((node + attempt) % fleet.plan().nodes, request).outcome;
+        if (outcome != "ran") {
+            pause(Millis(100));
+        }
+    }
+    ++tally.outcomes[service + " writes"][outcome.empty() ? "no answer" : outcome];
+    tally.booked[id] = outcome;
+}
+
+int judge(Fleet &fleet, const Tally &tally)
+{
+    int broken = tally.wrongAnswers;
+    const std::map<std::string, int> executions = fleet.executions();
+    for (const auto &[id, outcome] : tally.booked) {
+        const auto found = executions.find(id);
+        const int count = found == executions.end() ? 0 : found->second;
+        const bool wrong = count > 1 || (outcome == "not-run" && count > 0) || (outcome == "ran" && count != 1);
+        if (wrong) {
+            std::printf("BROKEN: %s was told %s and ran %d times\n", id.c_str(), outcome.c_str(), count);
+            ++broken;
+        }
+    }
+    return broken;
+}
+
+int runDemo()
+{
+    Plan plan;
+    plan.services = {"course-desk", "voucher-ledger"};
+    plan.floor = "2 servers";
+    plan.workMs = 20;
+    Fleet fleet(plan);
+    std::printf("three nodes and six servers are up; serving for %lld s\n",
+                static_cast<long long>(servedFor.count() / 1000));
+    Tally tally;
+    std::vector<std::function<void()>> bodies;
+    for (int client = 0; client < clients; ++client) {
+        bodies.emplace_back([&, client] {
+            const std::string &service = fleet.plan().services[static_cast<std::size_t>(client % 2)];
+            while (!tally.stop) {
+                if (client % 3 == 0) {
+                    writeOnce(fleet, tally, client % 3, service);
+                } else {
+                    readOnce(fleet, tally, client % 3, service);
+                }
+                pause(Millis(15));
+            }
+        });
+    }
+    bodies.emplace_back([&] {
+        pause(servedFor / 4);
+        std::printf("killing server s0 of course-desk\n");
+        fleet.server("s0").kill();
+        pause(servedFor / 4);
+        std::printf("freezing server s4 of voucher-ledger\n");
+        fleet.server("s4").signal(SIGSTOP);
+        pause(servedFor / 2);
+        tally.stop = true;
+    });
+    together(bodies);
+    fleet.server("s4").signal(SIGCONT);
+    for (const auto &[kind, outcomes] : tally.outcomes) {
+        std::printf("%-22s", kind.c_str());
+        for (const auto &[outcome, count] : outcomes) {
+            std::printf("  %s %d", outcome.c_str(), count);
+        }
+        std::printf("\n");
+    }
+    std::string output;
+    for (const char *subject : {"s0", "s4"}) {
+        fleet.ctl({"explain", subject}, &output);
+        std::printf("why %s:\n%s", subject, output.c_str());
+    }
+    fleet.ctl({"report", "burn"}, &output);
+    std::printf("%s", output.c_str());
+    int broken = judge(fleet, tally);
+    for (int node = 0; node < fleet.plan().nodes; ++node) {
+        fleet.node(node).signal(SIGTERM);
+        const int code = fleet.node(node).waitForExit();
+        std::printf("node n%d stopped with %d\n", node, code);
+        broken += code == 0 ? 0 : 1;
+    }
+    std::printf(broken == 0 ? "every promise held\n" : "%d promises broken\n", broken);
+    return broken == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    setUpLoop();
+    int code = 1;
+    try {
+        code = runDemo();
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "%s\n", error.what());
+    }
+    std::fflush(nullptr);
+    std::_Exit(code);
+}
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -34,12 +34,12 @@
     std::string writePath;
     double writeShare = 0.0;
     double rate = 100.0;
-    std::chrono::seconds length{ 10 };
+    std::chrono::seconds length{10};
     std::size_t mostOpen = 1000;
     std::uint64_t seed = 1;
     std::size_t bodyBytes = 200;
     bool ticket = false;
-    Millis allowed{ 5000 };
+    Millis allowed{5000};
 };
 
 /** What one run found. */
@@ -103,7 +103,7 @@
 
     nlohmann::json status(const Endpoint &operators)
     {
-        const auto answer = client_.exchange(operators, HttpRequest{ "GET", "/v1/status", {}, {} }, options_.allowed);
+        const auto answer = client_.exchange(operators, HttpRequest{"GET", "/v1/status", {}, {}}, options_.allowed);
         return answer ? nlohmann::json::parse(answer->body, nullptr, false) : nlohmann::json();
     }
 
@@ -114,11 +114,11 @@
         HttpRequest request;
         request.method = write ? "POST" : "GET";
         request.target = write ? options_.writePath : options_.path + "/" + std::to_string(id);
-        request.headers = { { "Host", options_.service }, { "X-Request-Id", std::to_string(id) } };
+        request.headers = {{"Host", options_.service}, {"X-Request-Id", std::to_string(id)}};
         request.body = write ? std::string(options_.bodyBytes, 'b') : std::string();
         if (write && throughFleet && options_.ticket) {
             const auto ticket =
-                client_.exchange(target, HttpRequest{ "POST", "/.waxwing/ticket", {}, {} }, options_.allowed);
+                client_.exchange(target, HttpRequest{"POST", "/.waxwing/ticket", {}, {}}, options_.allowed);
             const auto body = ticket ? nlohmann::json::parse(ticket->body, nullptr, false) : nlohmann::json();
             if (body.is_object()) {
                 request.headers.emplace_back("Idempotency-Key", body.value("ticket", ""));
@@ -171,10 +171,10 @@
         std::printf(" %s=%llu", outcome.c_str(), static_cast<unsigned long long>(count));
     }
     std::printf("\n");
-    return { { "requests", result.latenciesMs.size() }, { "rate", rate },
-             { "p50", result.quantile(0.5) },           { "p90", result.quantile(0.9) },
-             { "p99", result.quantile(0.99) },          { "p999", result.quantile(0.999) },
-             { "outcomes", result.outcomes },           { "notStarted", result.notStarted } };
+    return {{"requests", result.latenciesMs.size()}, {"rate", rate},
+            {"p50", result.quantile(0.5)},           {"p90", result.quantile(0.9)},
+            {"p99", result.quantile(0.99)},          {"p999", result.quantile(0.999)},
+            {"outcomes", result.outcomes},           {"notStarted", result.notStarted}};
 }
 
 int runAll(boost::asio::io_context &ioContext, const Options &options, bool asJson)
@@ -206,9 +206,9 @@
             (after.value("processorSeconds", 0.0) - before[i].value("processorSeconds", 0.0)) / fleet.seconds;
         std::printf("node %-8s %.3f cores  %.1f MB resident\n", after.value("node", "").c_str(), cores,
                     after.value("residentBytes", 0.0) / 1e6);
-        out["nodes"].push_back({ { "node", after.value("node", "") },
-                                 { "cores", cores },
-                                 { "residentBytes", after.value("residentBytes", 0.0) } });
+        out["nodes"].push_back({{"node", after.value("node", "")},
+                                {"cores", cores},
+                                {"residentBytes", after.value("residentBytes", 0.0)}});
     }
     if (asJson) {
         std::printf("%s\n", out.dump().c_str());
