--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -176,6 +176,7 @@
     });
     memorySlope("node record, parsed", nodes, [](int size) {
         auto parsed = std::make_shared<std::vector<NodeRecord>>();
+        parsed->reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i) {
             parsed->push_back(sampleNode(i, 54));
         }
@@ -268,6 +269,7 @@
     points.clear();
     for (const int members : {26, 260, 650, 1300, 2600}) {
         std::vector<std::string> ids;
+        ids.reserve(static_cast<std::size_t>(members));
         for (int i = 0; i < members; ++i) {
             ids.push_back("node-" + std::to_string(i));
         }
@@ -344,6 +346,7 @@
         std::mt19937_64 random(1);
         HomeChooser chooser([&] { return random(); });
         std::vector<HomeCandidate> homes;
+        homes.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i) {
             homes.push_back(HomeCandidate{NodeRef{"node-" + std::to_string(i), 1}, Distance::SameZone, 2});
         }
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -1,7 +1,8 @@
 /**
  * What one node spends on control as the fleet grows: real processes on loopback, no callers. For each size it prints
  * processor time, memory, link bytes and object API calls, and how long changes take to be in force everywhere.
- * Run: bench-fleet [SIZE...]
+ * Run: bench-fleet [NODES or NODESxSERVERS ...]
+ *      bench-fleet load RATE...   requests a second, straight and through three nodes, side by side
  */
 #include "tests/support/Fleet.h"
 
@@ -42,11 +43,50 @@
     return sum;
 }
 
-void measure(int nodes)
+std::string joined(const std::vector<std::string> &parts)
+{
+    std::string out;
+    for (const std::string &part : parts) {
+        out += (out.empty() ? "" : ",") + part;
+    }
+    return out;
+}
+
+/** Open-loop load on three nodes and twelve servers, straight and through the fleet. */
+void measureLoad(const std::vector<std::string> &rates)
+{
+    Plan plan;
+    plan.serversPerNode = 4;
+    plan.slots = 64;
+    plan.workMs = 2;
+    Fleet fleet(plan);
+    pause(Millis(1000));
+    std::vector<std::string> callers;
+    std::vector<std::string> operators;
+    std::vector<std::string> servers;
+    for (int i = 0; i < plan.nodes; ++i) {
+        callers.push_back(fleet.callers(i).text());
+        operators.push_back(fleet.operators(i).text());
+    }
+    for (const std::string &name : fleet.serverNames()) {
+        servers.push_back("127.0.0.1:" + std::to_string(fleet.server(name).printed("port")));
+    }
+    for (const std::string &rate : rates) {
+        Process load("waxwing-load",
+                     {"--fleet", joined(callers), "--direct", joined(servers), "--operators", joined(operators),
+                      "--service", "course-desk", "--rate", rate, "--seconds", "6", "--write-share", "0.1"},
+                     fleet.directory() + "/load.log");
+        load.waitForExit(std::chrono::seconds(60));
+        std::printf("== %s requests/s over three nodes\n%s", rate.c_str(), load.output().c_str());
+        std::fflush(stdout);
+    }
+}
+
+void measure(int nodes, int serversPerNode)
 {
     Plan plan;
     plan.nodes = nodes;
-    plan.serversPerNode = 2;
+    plan.serversPerNode = serversPerNode;
     plan.floor = "1 servers";
     Fleet fleet(plan);
     pause(Millis(3000));
@@ -55,11 +95,12 @@
     const Totals after = totals(fleet);
     const double seconds = std::chrono::duration<double>(observed).count();
     const double each = 1.0 / nodes;
-    std::printf("idle %3d nodes  processor %.4f%% of a core  memory %.1f MB  links out %.0f in %.0f B/s a node  "
-                "object API %.2f calls/s in all\n",
-                nodes, 100.0 * (after.processor - before.processor) / seconds * each, after.memory * each / 1e6,
-                (after.sent - before.sent) / seconds * each, (after.received - before.received) / seconds * each,
-                (after.calls - before.calls) / seconds);
+    std::printf(
+        "idle %3d nodes x %d servers  processor %.4f%% of a core  memory %.1f MB  links out %.0f in %.0f B/s a node  "
+        "object API %.2f calls/s in all\n",
+        nodes, serversPerNode, 100.0 * (after.processor - before.processor) / seconds * each, after.memory * each / 1e6,
+        (after.sent - before.sent) / seconds * each, (after.received - before.received) / seconds * each,
+        (after.calls - before.calls) / seconds);
     std::vector<double> times;
     const Totals beforeChanges = totals(fleet);
     for (int i = 0; i < changes; ++i) {
@@ -88,15 +129,17 @@
 int main(int argc, char **argv)
 {
     setUpLoop();
-    std::vector<int> sizes;
-    for (int i = 1; i < argc; ++i) {
-        sizes.push_back(std::atoi(argv[i]));
+    std::vector<std::string> words(argv + 1, argv + argc);
+    if (words.size() > 1 && words.front() == "load") {
+        measureLoad({words.begin() + 1, words.end()});
+        std::_Exit(0);
     }
-    if (sizes.empty()) {
-        sizes = {3, 6, 12, 24, 36};
+    if (words.empty()) {
+        words = {"3", "6", "12", "24", "36"};
     }
-    for (const int size : sizes) {
-        measure(size);
+    for (const std::string &word : words) {
+        const std::size_t cross = word.find('x');
+        measure(std::atoi(word.c_str()), cross == std::string::npos ? 2 : std::atoi(word.c_str() + cross + 1));
     }
     std::_Exit(0);
 }
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -24,16 +24,16 @@
 
 /** Settings that a running node takes over at SIGHUP. */
 struct NodeLimits {
-    std::uint64_t bodyBytes = 1024 * 1024;
+    std::uint64_t bodyBytes = 1024UL * 1024;
     std::uint32_t headerBytes = 16 * 1024;
     std::uint32_t callerConnections = 20000;
     std::uint32_t queuePerClass = 64;
     std::uint32_t claims = 100000;
-    std::uint64_t claimAnswerBytes = 32U * 1024 * 1024;
+    std::uint64_t claimAnswerBytes = 32UL * 1024 * 1024;
     /** Claims with a caller's own key that this node may write to the object API each second. */
     std::uint32_t keyWritesPerSecond = 20;
     /** Bytes of requests and answers each second that this node may move between regions. */
-    std::uint64_t regionBytesPerSecond = 8U * 1024 * 1024;
+    std::uint64_t regionBytesPerSecond = 8UL * 1024 * 1024;
 };
 
 /** Times of the control protocols. */
--- a/src/ctl/IntentFile.cpp
+++ b/src/ctl/IntentFile.cpp
@@ -50,7 +50,7 @@
         const nlohmann::json::json_pointer pointer(path);
         const std::string before = operation == "add" ? "(none)" : from.at(pointer).dump();
         const std::string after = operation == "remove" ? "(none)" : step.at("value").dump();
-        out += "  " + path + ": " + before + " -> " + after + "\n";
+        out.append("  ").append(path).append(": ").append(before).append(" -> ").append(after).append("\n");
     }
     return out;
 }
--- a/src/fiber/FiberLoop.cpp
+++ b/src/fiber/FiberLoop.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t stackBytes = 128 * 1024;
+constexpr std::size_t stackBytes = 128UL * 1024;
 
 /**
  * Round robin over ready fibers; with none ready the thread sleeps in the io_context until a handler or a
--- a/src/home/ServiceHome.cpp
+++ b/src/home/ServiceHome.cpp
@@ -129,8 +129,8 @@
             // work and so give no evidence, and stay in doubt for ever.
             return &server;
         }
-        // A small suspicion must not count: at little traffic an idle server would never win against spotless ones, get no
-        // work, and so neither clear itself nor be found out.
+        // A small suspicion must not count: at little traffic an idle server would never win against spotless ones, get
+        // no work, and so neither clear itself nor be found out.
         const double doubt = server.health.suspicion() >= suspectAt ? server.health.suspicion() : 0.0;
         const double load = static_cast<double>(server.inFlight) / usable + doubt + (server.keptForFloor ? 10.0 : 0.0);
         const bool better =
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -16,7 +16,7 @@
 /** Bounds on what one caller may make the server hold. */
 struct HttpLimits {
     std::uint32_t headerBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 1024 * 1024;
+    std::uint64_t bodyBytes = 1024UL * 1024;
     std::size_t connections = 20000;
     Millis idle = std::chrono::seconds(60);
     Millis message = std::chrono::seconds(15);
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -21,8 +21,8 @@
 
 constexpr long openTimeoutMs = 1000;
 constexpr long closeTimeoutMs = 500;
-constexpr std::size_t mostMessageBytes = 8 * 1024 * 1024;
-constexpr std::size_t mostBufferedBytes = 16 * 1024 * 1024;
+constexpr std::size_t mostMessageBytes = 8UL * 1024 * 1024;
+constexpr std::size_t mostBufferedBytes = 16UL * 1024 * 1024;
 constexpr Millis helloTimeout{1500};
 
 /** Waits for something that may never come: opened by its event or by its timer, whichever is first. */
@@ -124,26 +124,26 @@
     client.set_max_message_size(mostMessageBytes);
     const auto noDelay = [](auto &endpoint) {
         endpoint.set_tcp_pre_init_handler({});
-        endpoint.set_socket_init_handler([](connection_hdl, boost::asio::ip::tcp::socket &socket) {
+        endpoint.set_socket_init_handler([](const connection_hdl &, boost::asio::ip::tcp::socket &socket) {
             boost::system::error_code ignored;
             socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
         });
     };
     noDelay(server);
     noDelay(client);
-    server.set_open_handler([self = weak_from_this()](connection_hdl handle) {
+    server.set_open_handler([self = weak_from_this()](const connection_hdl &handle) {
         const auto state = self.lock();
         if (!state || state->stopped) {
             return;
         }
         const LinkPtr link = state->addLink(false, handle);
         const auto connection = state->server.get_con_from_hdl(handle);
-        connection->set_message_handler([self, link](connection_hdl, const Server::message_ptr &message) {
+        connection->set_message_handler([self, link](const connection_hdl &, const Server::message_ptr &message) {
             if (const auto owner = self.lock()) {
                 owner->onFrame(link, message->get_payload());
             }
         });
-        connection->set_close_handler([self, link](connection_hdl) {
+        connection->set_close_handler([self, link](const connection_hdl &) {
             if (const auto owner = self.lock()) {
                 owner->onClosed(link);
             }
@@ -185,7 +185,7 @@
     link->endpoint = endpoint;
     opening[endpoint] = link;
     const std::weak_ptr<State> weak = weak_from_this();
-    connection->set_open_handler([weak, link](connection_hdl) {
+    connection->set_open_handler([weak, link](const connection_hdl &) {
         const auto state = weak.lock();
         if (!state) {
             return;
@@ -198,12 +198,12 @@
         }
         state->sendOn(link, Hello{state->self});
     });
-    connection->set_message_handler([weak, link](connection_hdl, const Client::message_ptr &message) {
+    connection->set_message_handler([weak, link](const connection_hdl &, const Client::message_ptr &message) {
         if (const auto state = weak.lock()) {
             state->onFrame(link, message->get_payload());
         }
     });
-    const auto closed = [weak, link](connection_hdl) {
+    const auto closed = [weak, link](const connection_hdl &) {
         if (const auto state = weak.lock()) {
             state->onClosed(link);
         }
--- a/src/node/IngressService.cpp
+++ b/src/node/IngressService.cpp
@@ -23,7 +23,6 @@
 constexpr std::size_t longestKey = 256;
 constexpr std::size_t longestCustomer = 128;
 constexpr unsigned firstServerError = 500;
-constexpr std::int64_t mostTickets = 1000;
 
 std::string withoutPort(std::string_view host)
 {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -90,7 +90,7 @@
 
 Expected<void> Node::Parts::listen()
 {
-    const Expected<void> peerPort = peers->listen(core.settings.peers);
+    Expected<void> peerPort = peers->listen(core.settings.peers);
     if (!peerPort) {
         return peerPort;
     }
--- a/tests/integration/AtMostOnceTest.cpp
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -12,7 +12,9 @@
 void checkLedgers(const Fleet &fleet, const std::map<std::string, std::string> &lastOutcomes)
 {
     const std::map<std::string, int> executions = fleet.executions();
-    for (const auto &[id, outcome] : lastOutcomes) {
+    for (const auto &told : lastOutcomes) {
+        const std::string &id = told.first;
+        const std::string &outcome = told.second;
         const auto found = executions.find(id);
         const int count = found == executions.end() ? 0 : found->second;
         INFO("request " << id << " told " << outcome);
@@ -90,9 +92,10 @@
     });
     together(bodies);
     checkLedgers(fleet, told);
+    int fresh = 0;
     // Fresh work after the kill, with tickets of live nodes, is refused no longer than the fleet takes to notice.
     CHECK(eventually(
-        [&] { return fleet.book(0, "fresh-" + std::to_string(std::rand()), fleet.ticket(0)).outcome == "ran"; }));
+        [&] { return fleet.book(0, "fresh-" + std::to_string(++fresh), fleet.ticket(0)).outcome == "ran"; }));
 }
 
 TEST_CASE("booking, server killed or resetting while it works, is told unknown and never sent on")
--- a/tests/integration/GrayTest.cpp
+++ b/tests/integration/GrayTest.cpp
@@ -25,7 +25,9 @@
 {
     for (int client = 0; client < 9; ++client) {
         bodies.emplace_back([&, client] {
-            for (int i = 0; !stop; ++i) {
+            int i = 0;
+            while (!stop) {
+                ++i;
                 const Answer answer = fleet.read(client % 3, std::to_string(client) + "-" + std::to_string(i));
                 ++seen[answer.outcome];
                 pause(Millis(10));
--- a/tests/integration/LeavingTest.cpp
+++ b/tests/integration/LeavingTest.cpp
@@ -33,8 +33,9 @@
     });
     together(bodies);
     CHECK(code == 0);
-    for (const auto &[outcome, count] : seen) {
-        INFO(outcome << " " << count);
+    for (const auto &one : seen) {
+        const std::string &outcome = one.first;
+        INFO(outcome << " " << one.second);
         CHECK(outcome == "ran/");
     }
     CHECK(fleet.book(2, "before-stop", used).outcome == "ran");
@@ -55,7 +56,9 @@
     std::vector<std::function<void()>> bodies;
     for (int client = 0; client < 6; ++client) {
         bodies.emplace_back([&, client] {
-            for (int i = 0; !stop; ++i) {
+            int i = 0;
+            while (!stop) {
+                ++i;
                 const Answer answer =
                     fleet.read(client % 3, "drain-" + std::to_string(client) + "-" + std::to_string(i));
                 ++seen[answer.outcome + "/" + answer.reason];
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -19,7 +19,7 @@
 using nlohmann::json;
 using tcp = boost::asio::ip::tcp;
 
-constexpr std::size_t chunk = 16 * 1024;
+constexpr std::size_t chunk = 16UL * 1024;
 constexpr Millis holdPoll{5};
 
 /** Faults of one direction. */
--- a/tests/standins/objectapi.cpp
+++ b/tests/standins/objectapi.cpp
@@ -93,7 +93,7 @@
         if (request.method == "GET") {
             return target.name.empty() ? list(target) : read(target);
         }
-        const HttpReply answer = request.method == "PUT" ? update(target, request.body) : remove(target);
+        HttpReply answer = request.method == "PUT" ? update(target, request.body) : remove(target);
         if (faults_.loseAnswers > 0) {
             --faults_.loseAnswers;
             return HttpReply{{}, AfterResponse::Reset};
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -230,7 +230,7 @@
     if (plan_.proxies) {
         settings["listen"]["advertisedPeers"] = proxyEndpoints_[i].text();
     }
-    const std::string path = directory_ + "/n" + std::to_string(index) + ".json";
+    std::string path = directory_ + "/n" + std::to_string(index) + ".json";
     std::ofstream(path) << settings.dump(2);
     return path;
 }
@@ -254,7 +254,8 @@
     servers_[name] = std::make_unique<Process>(
         "tests/standins/standin-backend",
         std::vector<std::string>{"--service", service, "--name", name, "--homes", homes, "--ledger",
-                                 directory_ + "/ledger." + name, "--work-ms", std::to_string(plan_.workMs)},
+                                 directory_ + "/ledger." + name, "--work-ms", std::to_string(plan_.workMs), "--slots",
+                                 std::to_string(plan_.slots)},
         directory_ + "/" + name + ".log");
 }
 
@@ -306,6 +307,13 @@
     return answer ? json::parse(answer->body, nullptr, false) : json();
 }
 
+bool Fleet::writeObject(const std::string &kind, const std::string &name, const json &body)
+{
+    const HttpRequest request{"PUT", "/v1/objects/" + kind + "/" + name, {}, body.dump()};
+    const auto answer = loop().client->exchange(api_, request, controlTimeout);
+    return answer && answer->status == 200;
+}
+
 Answer Fleet::send(int node, const HttpRequest &request, Millis allowed)
 {
     HttpRequest addressed = request;
@@ -375,7 +383,7 @@
         document["services"][service]["classes"] = {{"calendar", classOf("GET", "/sessions", true)},
                                                     {"booking", classOf("POST", "/bookings", false)}};
     }
-    const std::string path = directory_ + "/intents-" + responseTime + ".json";
+    std::string path = directory_ + "/intents-" + responseTime + ".json";
     std::ofstream(path) << document.dump(2);
     return path;
 }
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -63,6 +63,7 @@
     std::string floor = "3 servers";
     std::string ejection = "fast";
     int workMs = 5;
+    int slots = 3;
     std::string ramp = "200ms";
     /** Nodes' peer ports are reached through a fault proxy each. */
     bool proxies = false;
@@ -92,6 +93,8 @@
     void proxyFault(int node, const nlohmann::json &fault);
     nlohmann::json view(int node, const std::string &target);
     nlohmann::json apiStats();
+    /** Writes an object past the command line's checks. */
+    bool writeObject(const std::string &kind, const std::string &name, const nlohmann::json &body);
 
     Answer send(int node, const HttpRequest &request, Millis allowed = std::chrono::seconds(8));
     Answer read(int node, const std::string &id);
--- a/tests/unit/ClaimTableTest.cpp
+++ b/tests/unit/ClaimTableTest.cpp
@@ -247,9 +247,10 @@
                 }
             }
         }
-        for (const auto &[key, count] : ledger) {
+        for (const auto &entry : ledger) {
+            const std::string &key = entry.first;
             INFO("seed " << seed << " ticket " << key);
-            CHECK(count == 1);
+            CHECK(entry.second == 1);
             ++runs;
             CHECK(told[key] != Outcome::NotRun);
         }
--- /dev/null
+++ b/tests/unit/DecodersTest.cpp
@@ -0,0 +1,181 @@
+#include "include/home/Announcement.h"
+#include "include/intent/ClassIntent.h"
+#include "include/member/NodeRecord.h"
+#include "include/settings/NodeSettings.h"
+#include "include/wire/Messages.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <random>
+
+using namespace waxwing;
+
+namespace {
+
+constexpr int mutationsEach = 4000;
+
+/** Changes, drops, adds or repeats a few bytes. */
+std::string mutated(std::string text, std::mt19937_64 &random)
+{
+    const auto edits = 1 + random() % 4;
+    for (std::uint64_t i = 0; i < edits && !text.empty(); ++i) {
+        const std::size_t at = random() % text.size();
+        switch (random() % 5) {
+        case 0:
+            text[at] = static_cast<char>(random());
+            break;
+        case 1:
+            text.erase(at, 1 + random() % 3);
+            break;
+        case 2:
+            text.insert(at, 1, static_cast<char>(random()));
+            break;
+        case 3:
+            text.resize(at);
+            break;
+        default:
+            text.insert(at, text.substr(at, random() % 16));
+            break;
+        }
+    }
+    return text;
+}
+
+std::vector<Message> sampleMessages()
+{
+    Exec exec;
+    exec.id = 7;
+    exec.service = "course-desk";
+    exec.className = "booking";
+    exec.customer = "c\xff";
+    exec.remaining = Millis(1500);
+    exec.request = HttpRequest{"POST", "/bookings", {{"Host", "course-desk"}}, std::string("\0binary\xff", 8)};
+    ExecReply reply;
+    reply.id = 7;
+    reply.outcome = Outcome::Ran;
+    reply.response = HttpResponse{200, {{"A", "b"}}, "body"};
+    NodeRecord node;
+    node.ref = {"n1", 9};
+    node.services = {{"course-desk", 4}};
+    const Record record = toRecord(node, 3);
+    BucketNames names;
+    names.buckets.emplace_back(5, std::vector<RecordName>{{RecordKind::Node, "n1", {9, 3}}});
+    ClaimHandover handover{4, {{{"n1", 9}, Millis(55)}}, {{"wx1.n1.9.1.1", 77, Outcome::Ran, {}}}};
+    return {Hello{{"n1", 9}}, exec,  reply,   Cancel{7}, RecordsPush{{record}},
+            DigestOffer{},    names, Ping{1}, Pong{1},   handover};
+}
+
+const std::string settingsText = R"({ // comment
+    "node": "n1", "zone": "z", "region": "r", "objectApi": "127.0.0.1:7000", "seeds": ["127.0.0.1:7101"],
+    "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
+    "limits": {"bodyBytes": 4096}, "times": {"ping": "1s", "pingTimeout": "3s"}})";
+
+const std::string intentText =
+    R"({"schema": 1, "classes": {"booking": {"routes": [{"methods": ["POST"], "prefix": "/b"}],
+    "idempotent": false, "responseTime": "300ms", "successRate": "99.5%", "healthyCapacityFloor": "8 servers"}}})";
+
+Findings settingsFindings(const std::string &text)
+{
+    Findings findings;
+    parseNodeSettings(text, "s.json", findings);
+    return findings;
+}
+
+Findings intentFindings(const std::string &text)
+{
+    Findings findings;
+    parseServiceIntent("course-desk", nlohmann::json::parse(text), findings);
+    return findings;
+}
+
+} // namespace
+
+TEST_CASE("messages, each kind written and read, are the same")
+{
+    for (const Message &message : sampleMessages()) {
+        const std::string bytes = encodeMessage(message);
+        const auto back = decodeMessage(bytes);
+        REQUIRE(back);
+        CHECK(back->index() == message.index());
+        CHECK(encodeMessage(*back) == bytes);
+    }
+}
+
+TEST_CASE("decoders, mutated input, refuse it or take it and never fail otherwise")
+{
+    // Story: a faulty peer, server or operator sends bytes that are nearly right. A node that falls over them takes its
+    // callers' requests with it.
+    std::mt19937_64 random(20261203);
+    int refused = 0;
+    for (const Message &message : sampleMessages()) {
+        const std::string bytes = encodeMessage(message);
+        for (int i = 0; i < mutationsEach; ++i) {
+            refused += decodeMessage(mutated(bytes, random)) ? 0 : 1;
+        }
+    }
+    CHECK(refused > mutationsEach);
+    const std::string announcement =
+        announcementJson(Announcement{"s", "a", 1, "127.0.0.1", 80, 3, 400, ServerState::Serving});
+    for (int i = 0; i < mutationsEach; ++i) {
+        Findings findings;
+        parseAnnouncement(mutated(announcement, random), findings);
+        Findings ofSettings;
+        parseNodeSettings(mutated(settingsText, random), "s.json", ofSettings);
+        const nlohmann::json document = nlohmann::json::parse(mutated(intentText, random), nullptr, false);
+        Findings ofIntent;
+        parseServiceIntent("course-desk", document, ofIntent);
+    }
+}
+
+TEST_CASE("settings, good with comments, are taken over whole")
+{
+    Findings findings;
+    const NodeSettings settings = parseNodeSettings(settingsText, "s.json", findings);
+    CHECK(findings.text().empty());
+    CHECK(settings.limits.bodyBytes == 4096);
+    CHECK(settings.advertisedPeers.port == 2);
+}
+
+TEST_CASE("settings, many faults, are all found with their places")
+{
+    const std::string text =
+        settingsFindings(R"({"node": "bad name", "zone": 5, "objectApi": "localhost:7000", "color": 1,
+        "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:1", "operators": "127.0.0.1"},
+        "limits": {"bodyBytes": 1}, "times": {"ping": "5s", "pingTimeout": "3s", "ramp": 10}})")
+            .text();
+    for (const char *place : {"/node:", "/zone:", "/region:", "/objectApi:", "/color:", "/listen/operators:",
+                              "/limits/bodyBytes:", "/times/ramp:", "/times/pingTimeout:", "/listen:"}) {
+        INFO(place << " in\n" << text);
+        CHECK(text.find(place) != std::string::npos);
+    }
+    CHECK(settingsFindings("{\n\"node\": }").text().find("s.json:2:") == 0);
+}
+
+TEST_CASE("intents, routes given twice or a newer schema, are findings")
+{
+    CHECK(intentFindings(intentText).empty());
+    const std::string twice = intentFindings(R"({"classes": {
+        "a": {"routes": [{"prefix": "/x"}], "idempotent": true}, "b": {"routes": [{"prefix": "/x"}], "idempotent": true}}})")
+                                  .text();
+    CHECK(twice.find("/classes/b/routes/0: * /x already belongs to class a") != std::string::npos);
+    CHECK(intentFindings(R"({"schema": 2, "classes": {}})").text().find("/schema: version 2 is newer")
+          != std::string::npos);
+    CHECK(intentFindings(R"({"classes": {"a": {"routes": [{"prefix": "/x"}], "idempotent": true, "deadline": "1ms"}}})")
+              .text()
+              .find("/classes/a/deadline: is shorter")
+          != std::string::npos);
+}
+
+TEST_CASE("intent, several prefixes match, the longest and the one with methods wins")
+{
+    Findings findings;
+    const ServiceIntent intent = parseServiceIntent("s", nlohmann::json::parse(R"({"classes": {
+        "all": {"routes": [{"prefix": "/"}], "idempotent": true},
+        "read": {"routes": [{"prefix": "/a"}], "idempotent": true},
+        "write": {"routes": [{"prefix": "/a", "methods": ["POST"]}], "idempotent": false}}})"),
+                                                    findings);
+    REQUIRE(findings.empty());
+    CHECK(intent.classFor("GET", "/a/1")->name == "read");
+    CHECK(intent.classFor("POST", "/a?x=1")->name == "write");
+    CHECK(intent.classFor("GET", "/ab")->name == "all");
+}
--- a/tests/unit/HomeFloorTest.cpp
+++ b/tests/unit/HomeFloorTest.cpp
@@ -261,6 +261,7 @@
     for (int seed = 0; seed < runs; ++seed) {
         std::mt19937 random(static_cast<unsigned>(seed));
         std::vector<std::uint32_t> servers;
+        servers.reserve(World::homeCount);
         for (int i = 0; i < World::homeCount; ++i) {
             servers.push_back(2 + static_cast<std::uint32_t>(random() % 6));
         }
@@ -268,7 +269,8 @@
         const auto required = 1 + static_cast<std::uint32_t>(random() % all);
         World world(required, servers);
         for (int step = 0; step < 2000; ++step) {
-            const int action = static_cast<int>(random() % (World::actionsPerHome * World::homeCount));
+            const int action =
+                static_cast<int>(random() % static_cast<unsigned>(World::actionsPerHome * World::homeCount));
             const bool acted = world.act(action);
             if (action % World::actionsPerHome == 4) {
                 (acted ? ejected : kept) += 1;
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -80,6 +80,7 @@
                 static_cast<long long>(servedFor.count() / 1000));
     Tally tally;
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(clients + 1);
     for (int client = 0; client < clients; ++client) {
         bodies.emplace_back([&, client] {
             const std::string &service = fleet.plan().services[static_cast<std::size_t>(client % 2)];
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -83,7 +83,7 @@
                 sleepFor(ioContext_, next - Steady::now());
             }
             const bool write = share(random) < options_.writeShare;
-            const Endpoint target = targets[number % targets.size()];
+            const Endpoint &target = targets[number % targets.size()];
             if (open_ >= options_.mostOpen) {
                 ++result.notStarted;
             } else {
