Bring control at the planned size under its allowances

Causes, worked out from the measured slopes for 2,600 nodes: - Every partner got every record whole: about 28 KB/s a node against 26. One latency distribution instead of one a class. - Store calls of all nodes together were not bounded: each node now takes its share of a fixed rate, and one home only takes over a gone home's pledge. - 60,000 claims of 20 minutes instead of 100,000 of an hour (595 bytes each).

Ruled out: longer gossip intervals (they cost time, not bytes).

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -239,6 +239,30 @@
         }
         return queue;
     });
+    memorySlope("class in the burn report, 3 days", {110, 275, 550, 825, 1100}, [](int size) {
+        class HourClock final : public Clock
+        {
+        public:
+            SteadyTime now() const override
+            {
+                return SteadyTime(at);
+            }
+            WallTime wallNow() const override
+            {
+                return WallTime(at);
+            }
+            Millis at = std::chrono::hours(1000);
+        };
+        static HourClock burnClock;
+        auto recorder = std::make_shared<BurnRecorder>(burnClock);
+        for (int slice = 0; slice < 900; ++slice) {
+            for (int i = 0; i < size; ++i) {
+                recorder->record("service-" + std::to_string(i), "reading", BurnResult::Good);
+            }
+            burnClock.at += BurnRecorder::slice;
+        }
+        return recorder;
+    });
     memorySlope("home known to ingress", {54, 540, 1300, 2600, 5400}, [](int size) {
         auto chooser = std::make_shared<HomeChooser>([] { return 1; });
         for (int i = 0; i < size; ++i) {
--- a/include/claim/ClaimTable.h
+++ b/include/claim/ClaimTable.h
@@ -15,10 +15,10 @@
 
 /** Bounds of a claim table. */
 struct ClaimLimits {
-    std::size_t entries = 100000;
+    std::size_t entries = 60000;
     std::size_t answerBytes = 32UL * 1024 * 1024;
     /** A ticket may be used this long after it was minted; its claim is kept as long. */
-    Millis validity = std::chrono::hours(1);
+    Millis validity = std::chrono::minutes(20);
 };
 
 /** What the owner does with a request that carries one of its tickets. */
--- a/include/floor/HomeFloor.h
+++ b/include/floor/HomeFloor.h
@@ -75,8 +75,11 @@
     /** The sheet as this home last knew it. */
     const PledgeSheet &knownSheet() const;
 
-    /** The change to the sheet that this home wants, to be written on condition of the sheet's version. */
-    std::optional<PledgeSheet> proposal();
+    /**
+     * The change to the sheet that this home wants, to be written on condition of the sheet's version. @p mayAbsorb:
+     * this home is the one of the service's homes that takes over the pledges of homes that are gone.
+     */
+    std::optional<PledgeSheet> proposal(bool mayAbsorb = true);
     /** The last proposal took effect and the sheet has @p version. */
     void accepted(std::uint64_t version);
     /** Somebody else's version stands. Without @p current only the proposal is dropped, as when an answer is lost. */
--- a/include/report/BurnRecorder.h
+++ b/include/report/BurnRecorder.h
@@ -3,7 +3,6 @@
 #include "include/base/Clock.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -12,11 +11,11 @@
 
 /** How requests of a class ended, as a caller saw it. */
 struct BurnCounts {
-    std::uint64_t good = 0;
-    std::uint64_t late = 0;
-    std::uint64_t failed = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t unknown = 0;
+    std::uint32_t good = 0;
+    std::uint32_t late = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t refused = 0;
+    std::uint32_t unknown = 0;
 
     std::uint64_t total() const;
     std::uint64_t bad() const;
@@ -38,27 +37,38 @@
     BurnCounts counts;
 };
 
+/** Slices of one class, oldest first. */
+using BurnSlices = std::vector<BurnSlice>;
+
 /**
- * Counts results by class and slice of time, for the report on service-level burn. Holds three days.
+ * Counts results by class and slice of time, for the report on service-level burn. Holds three days: the last
+ * hour by five minutes, the last twelve by the hour, the rest by six hours, since an ingress meets every class of the
+ * fleet and has little memory for each.
  * Not thread safe.
  */
 class BurnRecorder
 {
 public:
     static constexpr Millis slice = std::chrono::minutes(5);
+    static constexpr Millis hourlySlice = std::chrono::hours(1);
+    static constexpr Millis coarseSlice = std::chrono::hours(6);
+    static constexpr Millis fineMemory = std::chrono::hours(1);
+    static constexpr Millis hourlyMemory = std::chrono::hours(12);
     static constexpr Millis memory = std::chrono::hours(72);
 
     /** @pre @p clock outlives the recorder. */
     explicit BurnRecorder(const Clock &clock);
     void record(const std::string &service, const std::string &className, BurnResult result);
     /** Slices by "service/class", oldest first. */
-    const std::map<std::string, std::deque<BurnSlice>> &slices() const;
+    const std::map<std::string, BurnSlices> &slices() const;
     /** JSON of all slices. */
     std::string json() const;
 
 private:
+    static void coarsen(BurnSlices &slices, WallTime now);
+
     const Clock &clock_;
-    std::map<std::string, std::deque<BurnSlice>> slices_;
+    std::map<std::string, BurnSlices> slices_;
 };
 
 /** Burn of one class over one window: 1 means that the budget is spent exactly at the allowed rate. */
@@ -69,6 +79,6 @@
 };
 
 /** Burn over the last 1 h, 6 h and 3 d before @p now, for a target such as 0.999. Thread safe. */
-std::vector<BurnFigure> burnFigures(const std::deque<BurnSlice> &slices, double successRate, WallTime now);
+std::vector<BurnFigure> burnFigures(const BurnSlices &slices, double successRate, WallTime now);
 
 } // namespace waxwing
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -28,17 +28,19 @@
     std::uint32_t headerBytes = 16 * 1024;
     std::uint32_t callerConnections = 20000;
     std::uint32_t queuePerClass = 64;
-    std::uint32_t claims = 100000;
+    std::uint32_t claims = 60000;
     std::uint64_t claimAnswerBytes = 32UL * 1024 * 1024;
-    /** Claims with a caller's own key that this node may write to the object API each second. */
-    std::uint32_t keyWritesPerSecond = 20;
+    /** Callers' own keys that the whole fleet may write to the object API each second; a node takes its share. */
+    std::uint32_t fleetKeyWritesPerSecond = 100;
+    /** Calls for pledges that the whole fleet may make each second; a node takes its share. */
+    std::uint32_t fleetPledgeCallsPerSecond = 200;
     /** Bytes of requests and answers each second that this node may move between regions. */
     std::uint64_t regionBytesPerSecond = 8UL * 1024 * 1024;
 };
 
 /** Times of the control protocols. */
 struct NodeTimes {
-    Millis ticketValidity = std::chrono::hours(1);
+    Millis ticketValidity = std::chrono::minutes(20);
     Millis announceTimeout = std::chrono::seconds(2);
     Millis ping = std::chrono::seconds(1);
     Millis pingTimeout = std::chrono::seconds(3);
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -78,6 +78,12 @@
     std::vector<Record> records;
 };
 
+/** Records that changed, by name only: a receiver that lacks one asks for it with @c want set. */
+struct RecordNames {
+    bool want = false;
+    std::vector<RecordName> names;
+};
+
 /** Summary of the sender's record table. */
 struct DigestOffer {
     RecordTable::BucketHashes hashes{};
@@ -118,8 +124,8 @@
     std::vector<ClaimTransfer> claims;
 };
 
-using Message =
-    std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, DigestOffer, BucketNames, Ping, Pong, ClaimHandover>;
+using Message = std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, RecordNames, DigestOffer, BucketNames, Ping,
+                             Pong, ClaimHandover>;
 
 /** CBOR of @p message. Thread safe. */
 std::string encodeMessage(const Message &message);
--- a/src/ctl/BurnPage.cpp
+++ b/src/ctl/BurnPage.cpp
@@ -56,8 +56,10 @@
     const double allowedY = plotHeight - (1.0 - one.successRate) / worst * (plotHeight - 10);
     svg += "<line x1='0' x2='" + std::to_string(plotWidth) + "' y1='" + formatted("%.1f", allowedY) + "' y2='"
            + formatted("%.1f", allowedY) + "' stroke='#333' stroke-dasharray='4 3'/></svg>";
-    return svg + "<p class='note'>Each bar is 5 minutes; full height is " + formatted("%.2f%%", worst * 100.0)
-           + " of requests; the dashed line is the allowed share.</p>";
+    return svg
+           + "<p class='note'>Each bar is one slice of time: 5 minutes in the last hour, one hour in the last twelve, "
+             "six hours before that; full height is "
+           + formatted("%.2f%%", worst * 100.0) + " of requests; the dashed line is the allowed share.</p>";
 }
 
 } // namespace
--- a/src/ctl/BurnPage.h
+++ b/src/ctl/BurnPage.h
@@ -2,7 +2,6 @@
 
 #include "include/report/BurnRecorder.h"
 
-#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -13,7 +12,7 @@
 struct ClassBurn {
     std::string name;
     double successRate = 0.99;
-    std::deque<BurnSlice> slices;
+    BurnSlices slices;
     std::vector<BurnFigure> figures;
 };
 
--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -443,7 +443,7 @@
     for (const auto &[node, view] : *views) {
         for (const auto &item : view.items()) {
             for (const json &row : item.value()) {
-                const auto number = [&](std::size_t i) { return row.at(i).get<std::uint64_t>(); };
+                const auto number = [&](std::size_t i) { return row.at(i).get<std::uint32_t>(); };
                 const BurnCounts counts{number(1), number(2), number(3), number(4), number(5)};
                 merged[item.key()][row.at(0).get<std::int64_t>()].add(counts);
             }
--- a/src/floor/HomeFloor.cpp
+++ b/src/floor/HomeFloor.cpp
@@ -191,7 +191,7 @@
     return true;
 }
 
-std::optional<PledgeSheet> HomeFloor::proposal()
+std::optional<PledgeSheet> HomeFloor::proposal(bool mayAbsorb)
 {
     if (capacity_ == 0 && !registered_) {
         return std::nullopt;
@@ -203,7 +203,7 @@
     mine.capacity = capacity_;
     next.set(mine);
     if (known != nullptr) {
-        changed = absorbGoneHome(next, mine) || moveTowardsFairShare(next, mine) || changed;
+        changed = (mayAbsorb && absorbGoneHome(next, mine)) || moveTowardsFairShare(next, mine) || changed;
         next.set(mine);
     }
     if (!changed) {
--- a/src/node/ClaimService.cpp
+++ b/src/node/ClaimService.cpp
@@ -20,6 +20,7 @@
 constexpr Millis pollWhileStopping{20};
 constexpr Millis ackTimeout{2000};
 constexpr Millis boundKeyMemory = std::chrono::minutes(10);
+constexpr double leastKeyBurst = 4.0;
 constexpr std::size_t mostBoundKeys = 10000;
 const std::string keyKind = "key";
 
@@ -56,8 +57,7 @@
     : core_(core)
     , mint_(core.self, core.clock)
     , table_(core.self, core.clock, limitsOf(core.settings))
-    , keyWrites_(core.settings.limits.keyWritesPerSecond, core.settings.limits.keyWritesPerSecond * 2.0,
-                 core.clock.now())
+    , keyWrites_(1.0, leastKeyBurst, core.clock.now())
 { }
 
 ExecReply ClaimService::makeReply(Outcome outcome, const std::string &reason, Millis retryAfter)
@@ -314,8 +314,11 @@
     for (auto it = boundKeys_.begin(); it != boundKeys_.end();) {
         it = now - it->second.second >= boundKeyMemory ? boundKeys_.erase(it) : std::next(it);
     }
-    const double rate = core_.settings.limits.keyWritesPerSecond;
-    keyWrites_.setRate(rate, rate * 2.0);
+    // The store's writes don't grow with the fleet, so each node takes its share of a fixed rate.
+    const auto nodes =
+        static_cast<double>(std::max<std::size_t>(1, core_.service<GossipService>("gossip").upIds().size()));
+    const double rate = core_.settings.limits.fleetKeyWritesPerSecond / nodes;
+    keyWrites_.setRate(rate, std::max(leastKeyBurst, rate * 2.0));
 }
 
 std::size_t ClaimService::size() const
--- a/src/node/FloorService.cpp
+++ b/src/node/FloorService.cpp
@@ -1,5 +1,6 @@
 #include "src/node/FloorService.h"
 
+#include "include/member/Ring.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/GossipService.h"
 #include "src/node/HomeService.h"
@@ -15,12 +16,14 @@
 constexpr Millis every{500};
 constexpr Millis longestPause = std::chrono::seconds(30);
 constexpr Millis leastBetweenReads{2000};
+constexpr double callBurst = 10.0;
 const std::string pledgeKind = "pledge";
 
 } // namespace
 
 FloorService::FloorService(NodeCore &core)
     : core_(core)
+    , calls_(1.0, callBurst, core.clock.now())
 { }
 
 void FloorService::start()
@@ -41,6 +44,7 @@
         return true;
     }
     readAt_[service] = now;
+    calls_.take(1.0, now);
     const auto standing = core_.service<ObjectApi>("platform").read(pledgeKind, service);
     if (!standing) {
         return false;
@@ -56,7 +60,14 @@
 bool FloorService::writeProposal(const std::string &service, ServiceHome &home)
 {
     HomeFloor &floor = home.floor();
-    const std::optional<PledgeSheet> proposal = floor.proposal();
+    // Were every home to take over a gone home's pledge, the loss of a zone would bring one write for each pair.
+    std::vector<std::string> homes;
+    for (const NodeRecord *node : core_.service<GossipService>("gossip").homesOf(service)) {
+        homes.push_back(node->ref.id);
+    }
+    const std::vector<std::string> first = firstByHash(service, homes, 1);
+    const bool mayAbsorb = !first.empty() && first.front() == core_.self.id;
+    const std::optional<PledgeSheet> proposal = floor.proposal(mayAbsorb);
     if (!proposal) {
         return true;
     }
@@ -94,8 +105,12 @@
         const Millis jitter(static_cast<std::int64_t>(core_.random() % static_cast<std::uint64_t>(pause.count())));
         sleepFor(core_.ioContext, pause / 2 + jitter);
         bool reached = true;
+        // The store's rates don't grow with the fleet, so each node takes its share of a fixed rate.
+        const auto nodes =
+            static_cast<double>(std::max<std::size_t>(1, core_.service<GossipService>("gossip").upIds().size()));
+        calls_.setRate(core_.settings.limits.fleetPledgeCallsPerSecond / nodes, callBurst);
         for (const auto &[service, home] : core_.service<HomeService>("homes").homes()) {
-            if (!core_.stopping && reached) {
+            if (!core_.stopping && reached && calls_.hasAny(core_.clock.now())) {
                 reached = readIfNeeded(service, *home) && writeProposal(service, *home);
             }
         }
--- a/src/node/FloorService.h
+++ b/src/node/FloorService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Clock.h"
+#include "include/limit/TokenBucket.h"
 
 #include <map>
 #include <string>
@@ -29,6 +30,7 @@
 
     NodeCore &core_;
     std::map<std::string, SteadyTime> readAt_;
+    TokenBucket calls_;
 };
 
 } // namespace waxwing
--- a/src/node/GossipService.cpp
+++ b/src/node/GossipService.cpp
@@ -21,6 +21,10 @@
 /** A node's own records stay below this; its last word is above every guess of others. */
 constexpr std::uint64_t leftSequence = 1ULL << 40;
 constexpr std::size_t mostRecordsInPush = 500;
+/** Below this a record is hardly larger than its name. */
+constexpr std::size_t largePayload = 120;
+constexpr std::size_t eagerPartners = 3;
+constexpr Millis askAfter{150};
 const std::string nodeKind = "node";
 
 std::uint64_t wallMs(const Clock &clock)
@@ -28,6 +32,18 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<Millis>(clock.wallNow().time_since_epoch()).count());
 }
 
+/** Cuts a list into messages of a bounded size. */
+std::vector<RecordsPush> parts(const std::vector<Record> &records)
+{
+    std::vector<RecordsPush> out;
+    for (std::size_t start = 0; start < records.size(); start += mostRecordsInPush) {
+        const std::size_t end = std::min(records.size(), start + mostRecordsInPush);
+        out.push_back(RecordsPush{{records.begin() + static_cast<std::ptrdiff_t>(start),
+                                   records.begin() + static_cast<std::ptrdiff_t>(end)}});
+    }
+    return out;
+}
+
 } // namespace
 
 GossipService::GossipService(NodeCore &core)
@@ -210,21 +226,75 @@
         return;
     }
     PeerHub &peers = core_.service<PeerHub>("peers");
-    for (const std::string &id : partners()) {
-        const NodeRecord *to = node(id);
-        if (to == nullptr || except.count(id) != 0) {
-            continue;
+    const std::vector<std::string> all = partners();
+    std::map<std::string, std::vector<Record>> whole;
+    std::map<std::string, RecordNames> named;
+    for (const Record &record : records) {
+        // Large records go whole to a few partners only; the others get the name and ask if they still lack it. With
+        // every partner sent the whole record, each node would receive it about log2(n) times.
+        const bool large = record.payload.size() > largePayload;
+        const std::string topic = record.key + "/" + hexText(record.version.major);
+        const std::vector<std::string> eager = large ? firstByHash(topic + core_.self.id, all, eagerPartners) : all;
+        for (const std::string &id : all) {
+            if (except.count(id) != 0) {
+                continue;
+            }
+            if (std::find(eager.begin(), eager.end(), id) != eager.end()) {
+                whole[id].push_back(record);
+            } else {
+                named[id].names.push_back(RecordName{record.kind, record.key, record.version});
+            }
         }
-        for (std::size_t start = 0; start < records.size(); start += mostRecordsInPush) {
-            const std::size_t end = std::min(records.size(), start + mostRecordsInPush);
-            const RecordsPush part{{records.begin() + static_cast<std::ptrdiff_t>(start),
-                                    records.begin() + static_cast<std::ptrdiff_t>(end)}};
+    }
+    const auto sendTo = [&](const std::string &id, const Message &message) {
+        if (const NodeRecord *to = node(id)) {
             // Opening a link may take a while; one slow partner must not hold up the others.
-            spawnFiber([&peers, ref = to->ref, endpoint = Endpoint{to->address, to->peerPort}, part] {
-                (void)peers.send(ref, endpoint, part);
+            spawnFiber([&peers, ref = to->ref, endpoint = Endpoint{to->address, to->peerPort}, message] {
+                (void)peers.send(ref, endpoint, message);
             });
         }
+    };
+    for (const auto &[id, list] : whole) {
+        for (const RecordsPush &part : parts(list)) {
+            sendTo(id, part);
+        }
+    }
+    for (const auto &[id, names] : named) {
+        sendTo(id, names);
+    }
+}
+
+bool GossipService::handleNames(LinkId link, const RecordNames &names)
+{
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    if (names.want) {
+        std::vector<Record> wanted;
+        for (const RecordName &name : names.names) {
+            if (const Record *record = table_.find(name.kind, name.key)) {
+                wanted.push_back(*record);
+            }
+        }
+        for (const RecordsPush &part : parts(wanted)) {
+            peers.reply(link, part);
+        }
+        return true;
     }
+    // The whole record is probably on its way over another partner: ask only if it has not come shortly.
+    spawnFiber([this, &peers, link, names] {
+        sleepFor(core_.ioContext, askAfter);
+        RecordNames want;
+        want.want = true;
+        for (const RecordName &name : names.names) {
+            const Record *held = table_.find(name.kind, name.key);
+            if (held == nullptr || held->version < name.version) {
+                want.names.push_back(name);
+            }
+        }
+        if (!want.names.empty()) {
+            peers.reply(link, want);
+        }
+    });
+    return true;
 }
 
 void GossipService::flushLoop()
@@ -258,6 +328,9 @@
         }
         return true;
     }
+    if (const auto *names = std::get_if<RecordNames>(&message)) {
+        return handleNames(link, *names);
+    }
     if (const auto *digest = std::get_if<DigestOffer>(&message)) {
         BucketNames names;
         for (const std::uint32_t bucket : table_.differingBuckets(digest->hashes)) {
@@ -280,10 +353,8 @@
                 back.buckets.emplace_back(bucket, table_.namesIn(bucket));
             }
         }
-        for (std::size_t start = 0; start < newer.size(); start += mostRecordsInPush) {
-            const std::size_t end = std::min(newer.size(), start + mostRecordsInPush);
-            peers.reply(link, RecordsPush{{newer.begin() + static_cast<std::ptrdiff_t>(start),
-                                           newer.begin() + static_cast<std::ptrdiff_t>(end)}});
+        for (const RecordsPush &part : parts(newer)) {
+            peers.reply(link, part);
         }
         if (!names->answer && !back.buckets.empty()) {
             peers.reply(link, back);
--- a/src/node/GossipService.h
+++ b/src/node/GossipService.h
@@ -63,6 +63,7 @@
     void takeRecord(const Record &record, const NodeRef &from);
     void applied(const Record &record);
     void push(const std::vector<Record> &records, const std::set<std::string> &except);
+    bool handleNames(LinkId link, const RecordNames &names);
     void publishSelf();
     void refute(const NodeRecord &claim, std::uint64_t sequence);
     void declareDown(const NodeRecord &gone);
--- a/src/node/IngressService.cpp
+++ b/src/node/IngressService.cpp
@@ -159,7 +159,6 @@
 
 void IngressService::record(const Admitted &admitted, const ExecReply &reply, Duration took)
 {
-    const std::string name = admitted.exec.service + "/" + admitted.exec.className;
     BurnResult result = BurnResult::Good;
     if (reply.outcome == Outcome::NotRun) {
         result = BurnResult::Refused;
@@ -172,7 +171,7 @@
     }
     core_.service<BurnRecorder>("burn").record(admitted.exec.service, admitted.exec.className, result);
     core_.metrics.count(std::string("outcome_") + outcomeName(reply.outcome));
-    core_.metrics.observe("request " + name, took);
+    core_.metrics.observe("request", took);
 }
 
 HttpReply IngressService::answer(const Admitted &admitted, ExecReply reply, Duration took)
--- a/src/report/BurnRecorder.cpp
+++ b/src/report/BurnRecorder.cpp
@@ -16,10 +16,10 @@
 constexpr std::array<Window, 3> windows = {Window{"1h", std::chrono::hours(1)}, Window{"6h", std::chrono::hours(6)},
                                            Window{"3d", std::chrono::hours(72)}};
 
-WallTime sliceStart(WallTime at)
+WallTime sliceStart(WallTime at, Millis length)
 {
     const auto sinceEpoch = std::chrono::duration_cast<Millis>(at.time_since_epoch());
-    return WallTime(sinceEpoch - sinceEpoch % BurnRecorder::slice);
+    return WallTime(sinceEpoch - sinceEpoch % length);
 }
 
 } // namespace
@@ -47,15 +47,33 @@
     : clock_(clock)
 { }
 
+void BurnRecorder::coarsen(BurnSlices &slices, WallTime now)
+{
+    BurnSlices kept;
+    for (const BurnSlice &one : slices) {
+        if (now - one.start > memory) {
+            continue;
+        }
+        const auto age = now - one.start;
+        const Millis length = age <= fineMemory ? slice : (age <= hourlyMemory ? hourlySlice : coarseSlice);
+        const WallTime start = sliceStart(one.start, length);
+        if (!kept.empty() && kept.back().start >= start) {
+            kept.back().counts.add(one.counts);
+        } else {
+            kept.push_back(BurnSlice{start, one.counts});
+        }
+    }
+    kept.reserve(kept.size() + 1);
+    slices = std::move(kept);
+}
+
 void BurnRecorder::record(const std::string &service, const std::string &className, BurnResult result)
 {
-    std::deque<BurnSlice> &all = slices_[service + "/" + className];
-    const WallTime start = sliceStart(clock_.wallNow());
+    BurnSlices &all = slices_[service + "/" + className];
+    const WallTime start = sliceStart(clock_.wallNow(), slice);
     if (all.empty() || all.back().start < start) {
+        coarsen(all, start);
         all.push_back(BurnSlice{start, {}});
-        while (start - all.front().start > memory) {
-            all.pop_front();
-        }
     }
     BurnCounts &counts = all.back().counts;
     switch (result) {
@@ -77,7 +95,7 @@
     }
 }
 
-const std::map<std::string, std::deque<BurnSlice>> &BurnRecorder::slices() const
+const std::map<std::string, BurnSlices> &BurnRecorder::slices() const
 {
     return slices_;
 }
@@ -97,7 +115,7 @@
     return out.dump();
 }
 
-std::vector<BurnFigure> burnFigures(const std::deque<BurnSlice> &slices, double successRate, WallTime now)
+std::vector<BurnFigure> burnFigures(const BurnSlices &slices, double successRate, WallTime now)
 {
     std::vector<BurnFigure> figures;
     for (const Window &window : windows) {
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -62,7 +62,8 @@
     read("queuePerClass", limits.queuePerClass, 1, 100000);
     read("claims", limits.claims, 1, 10 * million);
     read("claimAnswerBytes", limits.claimAnswerBytes, 0, 1024 * million);
-    read("keyWritesPerSecond", limits.keyWritesPerSecond, 0, 1000);
+    read("fleetKeyWritesPerSecond", limits.fleetKeyWritesPerSecond, 0, 1000);
+    read("fleetPledgeCallsPerSecond", limits.fleetPledgeCallsPerSecond, 1, 10000);
     read("regionBytesPerSecond", limits.regionBytesPerSecond, 0, 10000 * million);
     reader.rejectUnknown();
 }
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -21,6 +21,7 @@
     Ping,
     Pong,
     ClaimHandover,
+    RecordNames,
 };
 
 /** Positions 0 and 1 of each message hold the protocol version and the type. */
@@ -163,6 +164,14 @@
         }
         return with(Type::RecordsPush, std::move(records));
     }
+    json operator()(const RecordNames &m) const
+    {
+        json names = json::array();
+        for (const RecordName &name : m.names) {
+            names.push_back(nameOf(name));
+        }
+        return with(Type::RecordNames, m.want, std::move(names));
+    }
     json operator()(const DigestOffer &m) const
     {
         return with(Type::DigestOffer, json(m.hashes));
@@ -298,6 +307,14 @@
         }
         return m;
     }
+    case Type::RecordNames: {
+        RecordNames m;
+        m.want = in.at(body).get<bool>();
+        for (const json &name : in.at(body + 1)) {
+            m.names.push_back(nameFrom(name));
+        }
+        return m;
+    }
     case Type::DigestOffer:
         return digestFrom(in);
     case Type::BucketNames:
--- a/tests/unit/DecisionsTest.cpp
+++ b/tests/unit/DecisionsTest.cpp
@@ -189,6 +189,12 @@
     const auto later = burnFigures(recorder.slices().at("s/c"), 0.995, clock.wallNow());
     CHECK(later[0].counts.total() == 0);
     CHECK(later[1].counts.total() == 100);
+    for (int hour = 0; hour < 100; ++hour) {
+        recorder.record("s", "c", BurnResult::Good);
+        clock.advance(std::chrono::minutes(30));
+    }
+    CHECK(recorder.slices().at("s/c").size() <= 80);
+    CHECK(burnFigures(recorder.slices().at("s/c"), 0.995, clock.wallNow())[2].counts.total() == 200);
 }
 
 TEST_CASE("service home, more work than it can do, refuses early and keeps its goodput")
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -61,8 +61,18 @@
     BucketNames names;
     names.buckets.emplace_back(5, std::vector<RecordName>{{RecordKind::Node, "n1", {9, 3}}});
     ClaimHandover handover{4, {{{"n1", 9}, Millis(55)}}, {{"wx1.n1.9.1.1", 77, Outcome::Ran, {}}}};
-    return {Hello{{"n1", 9}}, exec,  reply,   Cancel{7}, RecordsPush{{record}},
-            DigestOffer{},    names, Ping{1}, Pong{1},   handover};
+    return {Hello{{"n1", 9}},
+            exec,
+            reply,
+            Cancel{7},
+            RecordsPush{{record}},
+            RecordNames{true, {{RecordKind::Service, "s", {4, 0}}}},
+            RecordNames{true, {{RecordKind::Service, "s", {4, 0}}}},
+            DigestOffer{},
+            names,
+            Ping{1},
+            Pong{1},
+            handover};
 }
 
 const std::string settingsText = R"({ // comment
