--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -181,7 +181,7 @@
     if (error) {
         return nullptr;
     }
-    const LinkPtr link = addLink(true, connection->get_handle());
+    LinkPtr link = addLink(true, connection->get_handle());
     link->endpoint = endpoint;
     opening[endpoint] = link;
     const std::weak_ptr<State> weak = weak_from_this();
@@ -240,7 +240,7 @@
     if (found != outgoing.end()) {
         return found->second;
     }
-    const LinkPtr link = openTo(endpoint);
+    LinkPtr link = openTo(endpoint);
     if (!link) {
         return fail(ErrorCode::Unavailable, "can't connect to " + endpoint.text());
     }
