--- a/src/node/GossipService.cpp
+++ b/src/node/GossipService.cpp
@@ -3,7 +3,6 @@
 #include "include/member/Ring.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
-#include "src/platform/ObjectApi.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,7 +14,6 @@
 
 /** Changes are gathered for this long, so that a burst travels in few messages. */
 constexpr Millis flushEvery{30};
-constexpr Millis joinEvery{1000};
 /** Poison and successor records carry their time as the version and are dropped when they are older. */
 constexpr Millis shortLivedMemory = std::chrono::hours(2);
 /** A node's own records stay below this; its last word is above every guess of others. */
@@ -25,7 +23,6 @@
 constexpr std::size_t largePayload = 120;
 constexpr std::size_t eagerPartners = 3;
 constexpr Millis askAfter{150};
-const std::string nodeKind = "node";
 
 std::uint64_t wallMs(const Clock &clock)
 {
@@ -65,8 +62,6 @@
     own_.zone = core_.settings.zone;
     own_.region = core_.settings.region;
     publishSelf();
-    spawnFiber([this] { joinLoop(); });
-    spawnFiber([this] { pingLoop(); });
     spawnFiber([this] { antiEntropyLoop(); });
     spawnFiber([this] { flushLoop(); });
 }
@@ -190,19 +185,6 @@
     publishSelf();
 }
 
-void GossipService::declareDown(const NodeRecord &gone)
-{
-    const Record *held = table_.find(RecordKind::Node, gone.ref.id);
-    if (held == nullptr || held->version.major != gone.ref.incarnation) {
-        return;
-    }
-    NodeRecord down = gone;
-    down.state = NodeState::Down;
-    down.services.clear();
-    core_.events.write(Severity::Warning, "node_declared_down", {{"node", gone.ref.text()}, {"reason", "silent"}});
-    publish(toRecord(down, held->version.minor + 1));
-}
-
 void GossipService::leave()
 {
     own_.state = NodeState::Left;
@@ -388,115 +370,6 @@
     }
 }
 
-void GossipService::joinThrough(const Endpoint &endpoint)
-{
-    if (endpoint == core_.settings.advertisedPeers || endpoint == core_.settings.peers) {
-        return;
-    }
-    PeerHub &peers = core_.service<PeerHub>("peers");
-    const Expected<NodeRef> ref = peers.discover(endpoint);
-    if (ref && *ref != core_.self) {
-        (void)peers.send(*ref, endpoint, DigestOffer{table_.bucketHashes()});
-        (void)peers.send(*ref, endpoint, RecordsPush{{*table_.find(RecordKind::Node, core_.self.id)}});
-    }
-}
-
-void GossipService::joinFromStore()
-{
-    ObjectApi &api = core_.service<ObjectApi>("platform");
-    const Expected<ObjectChanges> known = api.list(nodeKind);
-    if (!known) {
-        return;
-    }
-    std::uint64_t ownVersion = 0;
-    std::vector<std::string> values;
-    for (const StoredObject &object : known->objects) {
-        if (object.name == core_.self.id) {
-            ownVersion = object.version;
-        } else {
-            values.push_back(object.value);
-        }
-    }
-    const nlohmann::json own = {{"peers", core_.settings.advertisedPeers.text()},
-                                {"incarnation", core_.self.incarnation}};
-    (void)api.update(nodeKind, core_.self.id, ownVersion, own.dump());
-    std::shuffle(values.begin(), values.end(), core_.random);
-    constexpr std::size_t enough = 3;
-    for (std::size_t i = 0; i < values.size() && i < enough; ++i) {
-        Findings findings;
-        const nlohmann::json value = nlohmann::json::parse(values[i], nullptr, false);
-        const bool readable = value.is_object() && value.contains("peers") && value["peers"].is_string();
-        if (readable) {
-            joinThrough(parseEndpoint(value["peers"].get<std::string>(), "", findings));
-        }
-    }
-}
-
-void GossipService::joinLoop()
-{
-    bool registered = false;
-    while (!core_.stopping) {
-        const bool alone = upIds().size() <= 1;
-        if (!registered || alone) {
-            joinFromStore();
-            registered = true;
-        }
-        if (alone) {
-            for (const Endpoint &seed : core_.settings.seeds) {
-                joinThrough(seed);
-            }
-        }
-        // Nodes that were declared down may only have been cut off: both halves must find each other again.
-        std::vector<Endpoint> down;
-        for (const auto &[id, one] : nodes_) {
-            if (one.state == NodeState::Down) {
-                down.push_back(Endpoint{one.address, one.peerPort});
-            }
-        }
-        if (!down.empty()) {
-            joinThrough(down[core_.random() % down.size()]);
-        }
-        sleepFor(core_.ioContext, joinEvery);
-    }
-}
-
-void GossipService::pingLoop()
-{
-    PeerHub &peers = core_.service<PeerHub>("peers");
-    while (!core_.stopping) {
-        sleepFor(core_.ioContext, core_.settings.times.ping);
-        peers.closeStrangers(core_.settings.times.pingTimeout);
-        std::set<std::string> watched;
-        for (const std::string &id : partners()) {
-            const NodeRecord *one = node(id);
-            if (one == nullptr) {
-                continue;
-            }
-            watched.insert(id);
-            silentSince_.emplace(id, core_.clock.now());
-            spawnFiber([this, &peers, ref = one->ref, endpoint = Endpoint{one->address, one->peerPort}] {
-                const Expected<void> pong = peers.ping(ref, endpoint, core_.settings.times.ping);
-                const NodeRecord *now = node(ref.id);
-                if (pong) {
-                    silentSince_.erase(ref.id);
-                } else if (now != nullptr && now->ref == ref && now->state == NodeState::Up && !core_.stopping) {
-                    const auto since = silentSince_.find(ref.id);
-                    const bool tooLong = since != silentSince_.end()
-                                         && core_.clock.now() - since->second >= core_.settings.times.pingTimeout;
-                    if (tooLong) {
-                        peers.drop(ref);
-                        declareDown(NodeRecord(*now));
-                        silentSince_.erase(ref.id);
-                    }
-                }
-            });
-        }
-        for (auto it = silentSince_.begin(); it != silentSince_.end();) {
-            it = watched.count(it->first) == 0 ? silentSince_.erase(it) : std::next(it);
-        }
-    }
-}
-
 const RecordTable &GossipService::table() const
 {
     return table_;
--- a/src/node/GossipService.h
+++ b/src/node/GossipService.h
@@ -16,10 +16,9 @@
 struct NodeCore;
 
 /**
- * Spreads records over the fleet and knows who is in it. Changes are pushed along the ring's partners at once;
- * every few seconds one partner's summary is compared, which repairs what a lost link or an outage left out. Nodes
- * that stop answering their partners are declared down; a node that finds itself declared down refutes it.
- * Membership is a matter of preference only: no promise rests on two nodes agreeing about it. Not thread safe.
+ * Spreads records over the fleet and keeps what they say of its nodes. Changes are pushed along the ring's partners at
+ * once; every few seconds one partner's summary is compared, which repairs what a lost link or an outage left out. A
+ * node that finds itself declared down refutes it. Not thread safe.
  */
 class GossipService
 {
@@ -53,6 +52,8 @@
     std::vector<std::string> upIds() const;
     /** Homes with servers of @p service, this node included. */
     std::vector<const NodeRecord *> homesOf(const std::string &service) const;
+    /** Nodes that this one keeps links to. */
+    std::vector<std::string> partners() const;
     bool isUp(const NodeRef &ref) const;
     std::optional<Endpoint> peerEndpoint(const NodeRef &ref) const;
     /** The incarnation that holds the claims of @p owner, following the chain of successors. */
@@ -66,15 +67,9 @@
     bool handleNames(LinkId link, const RecordNames &names);
     void publishSelf();
     void refute(const NodeRecord &claim, std::uint64_t sequence);
-    void declareDown(const NodeRecord &gone);
-    void joinLoop();
-    void joinThrough(const Endpoint &endpoint);
-    void joinFromStore();
-    void pingLoop();
     void antiEntropyLoop();
     void flushLoop();
     void offerDigest(const NodeRef &to);
-    std::vector<std::string> partners() const;
     bool isStale(const Record &record) const;
     void dropStale();
 
@@ -88,7 +83,6 @@
     std::uint64_t sequence_ = 1;
     /** Records waiting to be pushed, with the nodes that already have them. */
     std::map<RecordTable::Id, std::set<std::string>> outbox_;
-    std::map<std::string, SteadyTime> silentSince_;
     bool left_ = false;
 };
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -10,6 +10,7 @@
 #include "src/node/HomeService.h"
 #include "src/node/IngressService.h"
 #include "src/node/IntentService.h"
+#include "src/node/MembershipService.h"
 #include "src/node/NodeCore.h"
 #include "src/node/OperatorApi.h"
 #include "src/node/PoisonService.h"
@@ -44,6 +45,7 @@
     BurnRecorder burn;
     std::unique_ptr<PeerHub> peers;
     std::unique_ptr<GossipService> gossip;
+    std::unique_ptr<MembershipService> members;
     std::unique_ptr<IntentService> intents;
     std::unique_ptr<PoisonService> poison;
     std::unique_ptr<HomeService> homes;
@@ -77,6 +79,7 @@
     ok = ok ? kernel.provide("burn", burn) : ok;
     ok = ok ? kernel.provide("peers", *peers) : ok;
     add("gossip", gossip, [&] { return std::make_unique<GossipService>(core); });
+    add("members", members, [&] { return std::make_unique<MembershipService>(core); });
     add("intents", intents, [&] { return std::make_unique<IntentService>(core); });
     add("poison", poison, [&] { return std::make_unique<PoisonService>(core); });
     add("homes", homes, [&] { return std::make_unique<HomeService>(core); });
@@ -163,6 +166,7 @@
         return tl::unexpected<Error>(ok.error());
     }
     parts->gossip->start();
+    parts->members->start();
     parts->intents->start();
     parts->homes->start();
     parts->floors->start();
