End processes before their io_context is unwound

Cause: a program that returned from main destroyed its io_context while the thread's fiber scheduler still notified it: use after free at the exit of waxwingctl, found by AddressSanitizer in every integration case (28 of 28 failed there; none without it). Ruled out: the fibers' own code. Change: endProcess() for every program that has the fiber scheduler.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -7,6 +7,7 @@
  *      bench-fleet kill                  share of fresh work that is not served after one node of three is killed
  */
 #include "tests/support/Fleet.h"
+#include "src/fiber/FiberLoop.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -193,11 +194,11 @@
     const bool load = words.size() > 2 && (words.front() == "load" || words.front() == "ticket");
     if (load) {
         measureLoad(std::atoi(words[1].c_str()), {words.begin() + 2, words.end()}, words.front() == "ticket");
-        std::_Exit(0);
+        endProcess(0);
     }
     if (!words.empty() && words.front() == "kill") {
         measureKill();
-        std::_Exit(0);
+        endProcess(0);
     }
     if (words.empty()) {
         words = {"3", "6", "12", "24", "36"};
@@ -206,5 +207,5 @@
         const std::size_t cross = word.find('x');
         measure(std::atoi(word.c_str()), cross == std::string::npos ? 2 : std::atoi(word.c_str() + cross + 1));
     }
-    std::_Exit(0);
+    endProcess(0);
 }
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -81,6 +81,5 @@
     installFiberScheduler(ioContext);
     Commands commands(ioContext, parsed);
     const CtlExit code = commands.run();
-    std::cout.flush();
-    return static_cast<int>(code);
+    endProcess(static_cast<int>(code));
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -49,7 +49,7 @@
             .count());
 }
 
-int runNode(const std::string &path, const NodeSettings &settings)
+[[noreturn]] void runNode(const std::string &path, const NodeSettings &settings)
 {
     boost::asio::io_context ioContext(1);
     installFiberScheduler(ioContext);
@@ -57,7 +57,7 @@
     auto node = Node::MakeStarted(ioContext, clock, settings, newIncarnation());
     if (!node) {
         std::cerr << node.error().message << "\n";
-        return exitListen;
+        endProcess(exitListen);
     }
     boost::asio::signal_set signals(ioContext, SIGTERM, SIGINT, SIGHUP);
     while (true) {
@@ -76,9 +76,7 @@
         }
     }
     const bool clean = (*node)->stop();
-    std::cerr.flush();
-    // Loops that sleep still hold references into the node; ending here is simpler and safer than unwinding them.
-    std::_Exit(clean ? 0 : exitUncleanStop);
+    endProcess(clean ? 0 : exitUncleanStop);
 }
 
 } // namespace
@@ -117,5 +115,5 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     setUpLogging();
-    return runNode(path, *settings);
+    runNode(path, *settings);
 }
--- a/src/fiber/FiberLoop.cpp
+++ b/src/fiber/FiberLoop.cpp
@@ -7,6 +7,10 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/scheduler.hpp>
 
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+
 namespace waxwing {
 
 namespace {
@@ -81,6 +85,14 @@
         .detach();
 }
 
+void endProcess(int code)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::fflush(nullptr);
+    std::_Exit(code);
+}
+
 void sleepFor(boost::asio::io_context &ioContext, Duration length)
 {
     boost::asio::steady_timer timer(ioContext, length);
--- a/src/fiber/FiberLoop.h
+++ b/src/fiber/FiberLoop.h
@@ -24,6 +24,12 @@
 /** Starts @p body as a detached fiber with a stack of our own size. Exceptions end the process: none may escape. */
 void spawnFiber(std::function<void()> body);
 
+/**
+ * Flushes the standard streams and ends the process. A thread with the fiber scheduler must end this way: its fibers
+ * are unwound after main has destroyed the io_context that they and the scheduler still use.
+ */
+[[noreturn]] void endProcess(int code);
+
 /** Suspends the calling fiber for @p length. @pre called from a fiber of the loop's thread. */
 void sleepFor(boost::asio::io_context &ioContext, Duration length);
 
--- a/tests/integration/main.cpp
+++ b/tests/integration/main.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT
+#include "src/fiber/FiberLoop.h"
 #include "tests/support/Fleet.h"
 
 #include <csignal>
@@ -11,7 +12,5 @@
     waxwing::testing::setUpLoop();
     doctest::Context context(argc, argv);
     const int code = context.run();
-    std::fflush(nullptr);
-    // Fibers of finished tests may still wait for timers; nothing is left to do for them.
-    std::_Exit(code);
+    waxwing::endProcess(code);
 }
--- a/tests/standins/StandinMain.h
+++ b/tests/standins/StandinMain.h
@@ -36,9 +36,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context ioContext(1);
     installFiberScheduler(ioContext);
-    const int code = body(ioContext, values);
-    std::fflush(nullptr);
-    std::_Exit(code);
+    endProcess(body(ioContext, values));
 }
 
 /** Says on standard output which port was taken, for whoever started this process. */
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -2,6 +2,7 @@
  * The main job on loopback: three nodes in different zones, six backend servers of two services, both users' kinds of
  * work; one server is killed and one frozen meanwhile. Prints what happened and why. Exits with 1 if a promise broke.
  */
+#include "src/fiber/FiberLoop.h"
 #include "tests/support/Fleet.h"
 
 #include <csignal>
@@ -143,6 +144,5 @@
     } catch (const std::exception &error) {
         std::fprintf(stderr, "%s\n", error.what());
     }
-    std::fflush(nullptr);
-    std::_Exit(code);
+    endProcess(code);
 }
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -277,5 +277,5 @@
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context ioContext(1);
     installFiberScheduler(ioContext);
-    return runAll(ioContext, parsed, values.count("json") != 0);
+    endProcess(runAll(ioContext, parsed, values.count("json") != 0));
 }
