--- a/tests/integration/AtMostOnceTest.cpp
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -71,6 +71,7 @@
     Fleet fleet(plan);
     std::map<std::string, std::string> told;
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     for (int i = 0; i < 60; ++i) {
         bodies.emplace_back([&, i] {
             const std::string id = "killed-" + std::to_string(i);
@@ -132,6 +133,7 @@
     std::map<std::string, std::string> told;
     fleet.node(1).signal(SIGSTOP);
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     for (int i = 0; i < 6; ++i) {
         bodies.emplace_back([&, i] {
             const std::string id = i % 2 == 0 ? "frozen-owner" : "frozen-home";
--- a/tests/integration/GrayTest.cpp
+++ b/tests/integration/GrayTest.cpp
@@ -46,6 +46,7 @@
     bool stop = false;
     std::map<std::string, int> seen;
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     addReaders(fleet, bodies, stop, seen);
     bool left = false;
     bool returned = false;
@@ -80,6 +81,7 @@
     int least = 6;
     std::map<std::string, int> seen;
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     addReaders(fleet, bodies, stop, seen);
     bodies.emplace_back([&] {
         for (const char *name : {"s0", "s1", "s2"}) {
--- a/tests/integration/LeavingTest.cpp
+++ b/tests/integration/LeavingTest.cpp
@@ -18,6 +18,7 @@
     CHECK(fleet.book(1, "before-stop", used).outcome == "ran");
     std::map<std::string, int> seen;
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     for (int i = 0; i < 120; ++i) {
         bodies.emplace_back([&, i] {
             pause(Millis(i * 10));
@@ -54,6 +55,7 @@
     bool stop = false;
     std::map<std::string, int> seen;
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     for (int client = 0; client < 6; ++client) {
         bodies.emplace_back([&, client] {
             int i = 0;
--- a/tests/integration/PairsTest.cpp
+++ b/tests/integration/PairsTest.cpp
@@ -15,7 +15,7 @@
     constexpr int attempts = 5;
     std::map<std::string, std::string> told;
     std::vector<std::function<void()>> bodies;
-    bodies.reserve(bookings + 1);
+    bodies.reserve(mostBodies);
     for (int i = 0; i < bookings; ++i) {
         bodies.emplace_back([&, i] {
             pause(Millis(i * 30));
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -48,6 +48,9 @@
     boost::process::child child_;
 };
 
+/** Room for the bodies that a test hands to together(). */
+constexpr std::size_t mostBodies = 128;
+
 struct Answer {
     unsigned status = 0;
     std::string outcome;
