--- a/include/base/Clock.h
+++ b/include/base/Clock.h
@@ -14,7 +14,7 @@
 {
 public:
     virtual ~Clock() = default;
-    /** Monotonic time; never goes back. Thread safe. */
+    /** Monotonic time that also counts while the VM is suspended; never goes back. Thread safe. */
     virtual SteadyTime now() const = 0;
     /** Wall time for reports and tickets; may jump. Thread safe. */
     virtual WallTime wallNow() const = 0;
--- a/include/base/Metrics.h
+++ b/include/base/Metrics.h
@@ -24,6 +24,8 @@
     std::uint64_t counter(const std::string &name) const;
     /** Every metric as one JSON document; latencies in milliseconds. */
     std::string json() const;
+    /** Every metric in the text format of Prometheus; latencies in seconds. */
+    std::string text() const;
 
 private:
     struct Distribution;
--- a/include/home/Announcement.h
+++ b/include/home/Announcement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/base/Clock.h"
 #include "include/base/Findings.h"
 
 #include <cstdint>
@@ -27,6 +28,10 @@
     std::uint32_t slots = 1;
     std::uint32_t connections = 100;
     ServerState state = ServerState::Serving;
+    /** Grows with each announcement of one incarnation, where the server counts them: tells late ones. */
+    std::uint64_t sequence = 0;
+    /** How much longer the server is slow after its start, where it says so. */
+    Millis cold{0};
 };
 
 /** Reads the JSON body of an announcement; each fault is a finding. Thread safe. */
--- /dev/null
+++ b/include/limit/SecondSendBudget.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "include/base/Clock.h"
+
+#include <array>
+#include <cstdint>
+
+namespace waxwing {
+
+/** The bound that all nodes together must keep on what they send a service beyond each request's first time. */
+struct SecondSendTuning {
+    /** Share of the requests for the service that may be sent once more. */
+    double share = 0.2;
+    /** So many more in a window, for the whole fleet. */
+    double slack = 50.0;
+    Millis window = std::chrono::seconds(10);
+    /** Part of the bound that nodes use: what a run's own calls repeat is seen at other nodes only. */
+    double usedPart = 0.8;
+};
+
+/**
+ * Sends of one service beyond the first, bounded over a sliding window. Nodes can't ask each other: each spends the
+ * share of its own requests and an equal part of the fleet's slack, so the sum keeps the bound whoever is cut off.
+ * Not thread safe.
+ */
+class SecondSendBudget
+{
+public:
+    explicit SecondSendBudget(SecondSendTuning tuning = {});
+    /** A request for the service was taken from a caller. */
+    void noteRequest(SteadyTime now);
+    /** Takes one second send; false if none is left. @p nodes: how many share the slack. */
+    bool tryTake(std::size_t nodes, SteadyTime now);
+
+private:
+    static constexpr std::size_t steps = 20;
+    struct Step {
+        std::int64_t number = -1;
+        std::uint32_t requests = 0;
+        std::uint32_t seconds = 0;
+    };
+
+    Step &stepAt(SteadyTime now);
+    std::int64_t numberAt(SteadyTime now) const;
+
+    SecondSendTuning tuning_;
+    std::array<Step, steps + 1> ring_{};
+};
+
+} // namespace waxwing
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -4,6 +4,7 @@
 #include "include/base/Findings.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,12 @@
     Millis ramp = std::chrono::seconds(10);
 };
 
+/** The one backend server beside this node, which only processes on the same VM can reach. */
+struct LocalServer {
+    std::string service;
+    Endpoint address;
+};
+
 /** What a node learns from its settings file: its own place in the world, and nothing about servers. */
 struct NodeSettings {
     std::string node;
@@ -62,6 +69,14 @@
     /** Where other nodes reach the peer port, if that differs from where it listens. */
     Endpoint advertisedPeers;
     Endpoint objectApi;
+    /** Set on platforms where each VM has one server and one node, and the node is the way to and from it. */
+    std::optional<LocalServer> server;
+    /** Where the platform asks whether this node takes callers. @pre set if there is a local server. */
+    Endpoint readiness;
+    /** Where counters are served as text; port 0: nowhere. */
+    Endpoint metrics;
+    /** JSON text of the figures that bind the fleet on its platform; empty: none are known. */
+    std::string bounds;
     /** Peer endpoints of some nodes, to join through while the object API is away. */
     std::vector<Endpoint> seeds;
     NodeLimits limits;
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -4,9 +4,12 @@
 #include "include/base/Error.h"
 #include "include/base/HttpMessage.h"
 #include "include/base/Ids.h"
+#include "include/fleet/Roster.h"
+#include "include/home/SlotQueue.h"
 #include "include/member/RecordTable.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -124,8 +127,102 @@
     std::vector<ClaimTransfer> claims;
 };
 
+/** Versions that a node holds, on every message about work: who sees a higher one asks its sender for it. */
+struct KnownVersions {
+    std::uint64_t config = 0;
+    std::uint64_t roster = 0;
+};
+
+/** A request for the one server beside the receiver. */
+struct Work {
+    /** Unique within the sender's incarnation. */
+    std::uint64_t id = 0;
+    /** The caller's own id, for logs. */
+    std::string requestId;
+    std::string service;
+    std::string route;
+    bool idempotent = false;
+    /** No other home is left: doubt about the server is no reason to refuse. */
+    bool lastResort = false;
+    std::uint8_t priority = 0;
+    /** Time left to the deadline and to the objective when it was sent; durations, since clocks differ. */
+    Millis remaining{0};
+    Millis untilObjective{0};
+    Millis patience{0};
+    KnownVersions versions;
+    HttpRequest request;
+};
+
+/** The home has the request: it waits or runs there. */
+struct WorkReceipt {
+    std::uint64_t id = 0;
+    KnownVersions versions;
+};
+
+/** The end of a Work, sent once by the home that took it. */
+struct WorkReply {
+    std::uint64_t id = 0;
+    Outcome outcome = Outcome::Unknown;
+    /** The server answered, but with a fault of its own. */
+    bool serverFault = false;
+    /** The request was handed to the server, whatever became of it. */
+    bool reachedServer = false;
+    /** Stable word for a refusal or fault; empty if there is an answer. */
+    std::string reason;
+    std::string server;
+    /** How long the server worked on it. */
+    Millis worked{0};
+    HomeLoad load;
+    KnownVersions versions;
+    HttpResponse response;
+};
+
+/**
+ * Asks what became of a Work, and that it is never run if it has not begun: sent when nothing comes back, on a fresh
+ * link to the home or through a third node, which passes it on.
+ */
+struct Fence {
+    std::uint64_t id = 0;
+    /** The incarnation to which the work was sent. */
+    NodeRef target;
+    /** Who sent it. */
+    NodeRef origin;
+    std::uint64_t workId = 0;
+    /** Only asks; does not forbid. */
+    bool onlyAsk = false;
+};
+
+enum class FenceState : std::uint8_t {
+    /** It has not run and never will. */
+    NeverRuns = 1,
+    /** It waits or runs. */
+    Underway = 2,
+    /** It ended; the reply comes along. */
+    Ended = 3,
+    /** The target can't be reached, or is another incarnation. */
+    NotKnown = 4,
+};
+
+struct FenceReply {
+    std::uint64_t id = 0;
+    FenceState state = FenceState::NotKnown;
+    std::optional<WorkReply> reply;
+};
+
+/** Asks for whatever the receiver holds in a higher version. */
+struct NewsRequest {
+    KnownVersions versions;
+};
+
+/** The configuration's document, and the roster as a whole; each only if it is newer. */
+struct News {
+    KnownVersions versions;
+    std::string config;
+    std::vector<RosterEntry> roster;
+};
+
 using Message = std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, RecordNames, DigestOffer, BucketNames, Ping,
-                             Pong, ClaimHandover>;
+                             Pong, ClaimHandover, Work, WorkReceipt, WorkReply, Fence, FenceReply, NewsRequest, News>;
 
 /** CBOR of @p message. Thread safe. */
 std::string encodeMessage(const Message &message);
--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -1,6 +1,8 @@
 #include "include/base/Metrics.h"
 
 #include <array>
+#include <cctype>
+#include <sstream>
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -47,6 +49,37 @@
     return found == counters_.end() ? 0 : found->second;
 }
 
+std::string Metrics::text() const
+{
+    const auto nameOf = [](const std::string &name) {
+        std::string out = "waxwing_";
+        for (const char c : name) {
+            const bool plain = std::isalnum(static_cast<unsigned char>(c)) != 0;
+            out += plain ? c : '_';
+        }
+        return out;
+    };
+    std::ostringstream out;
+    for (const auto &[name, value] : counters_) {
+        const std::string full = nameOf(name) + "_total";
+        out << "# TYPE " << full << " counter\n" << full << " " << value << "\n";
+    }
+    constexpr double millisPerSecond = 1000.0;
+    for (const auto &[name, distribution] : distributions_) {
+        const auto &samples = distribution->samples;
+        const auto quantiles = acc::extended_p_square(samples);
+        const std::string full = nameOf(name) + "_seconds";
+        out << "# TYPE " << full << " summary\n";
+        for (std::size_t i = 0; i < probabilities.size(); ++i) {
+            out << full << "{quantile=\"" << probabilities[i] << "\"} " << quantiles[i] / millisPerSecond << "\n";
+        }
+        const double count = static_cast<double>(acc::count(samples));
+        out << full << "_sum " << acc::mean(samples) * count / millisPerSecond << "\n";
+        out << full << "_count " << acc::count(samples) << "\n";
+    }
+    return out.str();
+}
+
 std::string Metrics::json() const
 {
     nlohmann::json out = {{"counters", counters_}, {"latenciesMs", nlohmann::json::object()}};
--- a/src/ctl/Commands.h
+++ b/src/ctl/Commands.h
@@ -4,7 +4,7 @@
 #include "include/settings/NodeSettings.h"
 #include "src/ctl/IntentFile.h"
 #include "src/http/HttpClient.h"
-#include "src/platform/ObjectApi.h"
+#include "platform/ObjectApi.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "include/base/EventLog.h"
 #include "include/node/Node.h"
 #include "src/fiber/FiberLoop.h"
+#include "src/sidecar/SidecarNode.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
@@ -49,16 +50,69 @@
             .count());
 }
 
+/** The settings file may change without a signal. */
+constexpr Millis settingsPoll{1000};
+
+std::string contentOf(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/** Takes over the settings file whenever its content changes, with or without a signal. */
+template<typename AnyNode>
+class SettingsWatch
+{
+public:
+    SettingsWatch(boost::asio::io_context &ioContext, AnyNode &node, std::string path)
+        : ioContext_(ioContext)
+        , node_(node)
+        , path_(std::move(path))
+        , seen_(contentOf(path_))
+    { }
+
+    void poll()
+    {
+        while (true) {
+            sleepFor(ioContext_, settingsPoll);
+            reloadIfChanged();
+        }
+    }
+
+    void reloadIfChanged()
+    {
+        std::string content = contentOf(path_);
+        if (content == seen_) {
+            return;
+        }
+        seen_ = std::move(content);
+        if (const std::optional<NodeSettings> changed = readSettings(path_)) {
+            node_.reload(*changed);
+        }
+    }
+
+private:
+    boost::asio::io_context &ioContext_;
+    AnyNode &node_;
+    std::string path_;
+    std::string seen_;
+};
+
+template<typename AnyNode>
 [[noreturn]] void runNode(const std::string &path, const NodeSettings &settings)
 {
     boost::asio::io_context ioContext(1);
     installFiberScheduler(ioContext);
     const SystemClock clock;
-    auto node = Node::MakeStarted(ioContext, clock, settings, newIncarnation());
+    auto node = AnyNode::MakeStarted(ioContext, clock, settings, newIncarnation());
     if (!node) {
         std::cerr << node.error().message << "\n";
         endProcess(exitListen);
     }
+    SettingsWatch<AnyNode> watch(ioContext, **node, path);
+    spawnFiber([&watch] { watch.poll(); });
     boost::asio::signal_set signals(ioContext, SIGTERM, SIGINT, SIGHUP);
     while (true) {
         int signal = 0;
@@ -71,9 +125,7 @@
         if (signal != SIGHUP) {
             break;
         }
-        if (const std::optional<NodeSettings> changed = readSettings(path)) {
-            (*node)->reload(*changed);
-        }
+        watch.reloadIfChanged();
     }
     const bool clean = (*node)->stop();
     endProcess(clean ? 0 : exitUncleanStop);
@@ -115,5 +167,8 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     setUpLogging();
-    runNode(path, *settings);
+    if (settings->server) {
+        runNode<SidecarNode>(path, *settings);
+    }
+    runNode<Node>(path, *settings);
 }
--- /dev/null
+++ b/src/fleet/Roster.cpp
@@ -0,0 +1,84 @@
+#include "include/fleet/Roster.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+bool Roster::put(const RosterEntry &entry)
+{
+    const auto found = entries_.find(entry.id);
+    const bool older = found != entries_.end() && found->second.revision >= entry.revision;
+    if (older) {
+        return false;
+    }
+    entries_[entry.id] = entry;
+    advance(entry.revision);
+    return true;
+}
+
+bool Roster::remove(const std::string &id, std::uint64_t revision)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.revision > revision) {
+        return false;
+    }
+    entries_.erase(found);
+    advance(revision);
+    return true;
+}
+
+bool Roster::replace(const std::vector<RosterEntry> &entries, std::uint64_t asOf)
+{
+    if (asOf < asOf_) {
+        return false;
+    }
+    entries_.clear();
+    for (const RosterEntry &entry : entries) {
+        entries_[entry.id] = entry;
+    }
+    asOf_ = asOf;
+    return true;
+}
+
+void Roster::advance(std::uint64_t asOf)
+{
+    asOf_ = std::max(asOf_, asOf);
+}
+
+const RosterEntry *Roster::find(const std::string &id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::vector<const RosterEntry *> Roster::homesOf(const std::string &service) const
+{
+    std::vector<const RosterEntry *> homes;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.service == service) {
+            homes.push_back(&entry);
+        }
+    }
+    return homes;
+}
+
+std::vector<const RosterEntry *> Roster::all() const
+{
+    std::vector<const RosterEntry *> out;
+    for (const auto &[id, entry] : entries_) {
+        out.push_back(&entry);
+    }
+    return out;
+}
+
+std::uint64_t Roster::asOf() const
+{
+    return asOf_;
+}
+
+std::size_t Roster::size() const
+{
+    return entries_.size();
+}
+
+} // namespace waxwing
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <charconv>
 #include <limits>
 #include <optional>
 
@@ -18,6 +19,22 @@
 namespace {
 
 constexpr std::size_t idleConnectionsKept = 64;
+/** Answers to other requests that are read past before a connection is given up. */
+constexpr int mostStrayAnswers = 4;
+/** A connection is not used in the last part of the time for which its peer promised to keep it. */
+constexpr Millis keepAliveMargin{1000};
+
+/** The seconds of "timeout=N" in a Keep-Alive header; negative if it names none. */
+std::int64_t keepAliveSeconds(std::string_view header)
+{
+    const std::string_view name = "timeout=";
+    const std::size_t at = header.find(name);
+    std::int64_t seconds = -1;
+    if (at != std::string_view::npos) {
+        std::from_chars(header.data() + at + name.size(), header.data() + header.size(), seconds);
+    }
+    return seconds;
+}
 
 ExchangeFailure failureOf(beast::error_code error)
 {
@@ -93,6 +110,11 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    /** The last answer ended where it should and nothing speaks against another request. */
+    bool reusable = false;
+    std::chrono::steady_clock::time_point idleSince;
+    /** How long the peer keeps it open, if it said so. */
+    Duration keptFor = Duration::max();
 };
 
 HttpClient::HttpClient(boost::asio::io_context &ioContext)
@@ -101,36 +123,123 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(const Endpoint &endpoint)
+HttpClient::ConnectionPtr HttpClient::takeIdle(const Endpoint &endpoint, Duration mostIdle)
 {
+    const auto now = std::chrono::steady_clock::now();
     const auto pool = idle_.find(endpoint);
     while (pool != idle_.end() && !pool->second.empty()) {
-        std::unique_ptr<Connection> connection = std::move(pool->second.back());
+        ConnectionPtr connection = std::move(pool->second.back());
         pool->second.pop_back();
-        if (connection->isClean()) {
+        const Duration idle = now - connection->idleSince;
+        if (idle <= mostIdle && idle < connection->keptFor && connection->isClean()) {
             return connection;
         }
     }
     return nullptr;
 }
 
-tl::expected<HttpResponse, ExchangeError> HttpClient::exchange(const Endpoint &endpoint, const HttpRequest &request,
-                                                               Duration allowed, ExchangeCancel *cancel)
+tl::expected<void, ExchangeError> HttpClient::connect(Connection &connection, const Endpoint &endpoint)
 {
-    const auto deadline = std::chrono::steady_clock::now() + allowed;
-    const auto failed = [](ExchangeFailure failure, bool sent) {
-        return tl::unexpected<ExchangeError>(ExchangeError{failure, sent});
-    };
-    std::unique_ptr<Connection> connection = takeIdle(endpoint);
-    const bool reused = connection != nullptr;
-    if (!reused) {
-        connection = std::make_unique<Connection>(ioContext_);
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(endpoint.address, error);
+    IoResult connected{error, 0};
+    if (!error) {
+        connected = await([&](auto handle) {
+            connection.stream.async_connect(tcp::endpoint(ip, endpoint.port), std::move(handle));
+        });
+    }
+    if (connected.error) {
+        const bool late =
+            connected.error == beast::error::timeout || connected.error == boost::asio::error::operation_aborted;
+        const ExchangeFailure failure = late ? ExchangeFailure::Timeout : ExchangeFailure::Connect;
+        return tl::unexpected<ExchangeError>(ExchangeError{failure, false, false});
+    }
+    connection.stream.socket().set_option(tcp::no_delay(true), error);
+    return {};
+}
+
+HttpClient::Answer HttpClient::readAnswer(Connection &connection, const HttpRequest &request,
+                                          const ExchangeOptions &options)
+{
+    for (int strays = 0; strays <= mostStrayAnswers; ++strays) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(std::numeric_limits<std::uint32_t>::max());
+        if (request.method == "HEAD") {
+            parser.skip(true);
+        }
+        const IoResult read = await(
+            [&](auto handle) { http::async_read(connection.stream, connection.buffer, parser, std::move(handle)); });
+        if (read.error) {
+            const ExchangeFailure failure = failureOf(read.error);
+            const bool midway = parser.is_header_done() && failure != ExchangeFailure::Timeout;
+            return tl::unexpected<ExchangeError>(
+                ExchangeError{midway ? ExchangeFailure::Cut : failure, true, false});
+        }
+        auto answer = parser.release();
+        constexpr unsigned firstFinalStatus = 200;
+        if (answer.result_int() < firstFinalStatus) {
+            continue;
+        }
+        HttpResponse response;
+        response.status = answer.result_int();
+        for (const auto &field : answer) {
+            if (!isHopByHop(field.name_string())) {
+                response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+            }
+        }
+        response.body = std::move(answer.body());
+        const bool belongs = !options.belongs || options.belongs(response);
+        // A surplus byte, or an answer to another request, means that the peer's idea of the order differs from ours.
+        connection.reusable = answer.keep_alive() && connection.buffer.size() == 0 && strays == 0 && belongs;
+        const std::int64_t seconds = keepAliveSeconds(answer[http::field::keep_alive]);
+        if (seconds >= 0) {
+            connection.keptFor = std::max(Millis(0), std::chrono::seconds(seconds) - keepAliveMargin);
+        }
+        if (belongs) {
+            return response;
+        }
+        if (!answer.keep_alive()) {
+            break;
+        }
     }
+    return tl::unexpected<ExchangeError>(ExchangeError{ExchangeFailure::Garbled, true, false});
+}
+
+void HttpClient::keep(const Endpoint &endpoint, ConnectionPtr connection)
+{
+    auto &pool = idle_[endpoint];
+    if (pool.size() < idleConnectionsKept) {
+        connection->stream.expires_never();
+        connection->idleSince = std::chrono::steady_clock::now();
+        pool.push_back(std::move(connection));
+    }
+}
+
+HttpClient::Answer HttpClient::exchange(const Endpoint &endpoint, const HttpRequest &request, Duration allowed,
+                                        ExchangeCancel *cancel)
+{
+    ExchangeOptions options;
+    options.allowed = allowed;
+    options.cancel = cancel;
+    return exchange(endpoint, request, options);
+}
+
+HttpClient::Answer HttpClient::exchange(const Endpoint &endpoint, const HttpRequest &request,
+                                        const ExchangeOptions &options)
+{
+    ConnectionPtr connection = takeIdle(endpoint, options.mostIdle);
+    const bool kept = connection != nullptr;
+    if (!kept) {
+        connection = std::make_shared<Connection>(ioContext_);
+    }
+    const auto failed = [kept](ExchangeFailure failure, bool sent) {
+        return tl::unexpected<ExchangeError>(ExchangeError{failure, sent, kept});
+    };
     bool cancelled = false;
-    if (cancel != nullptr) {
-        cancel->hook_ = [&cancelled, stream = &connection->stream] {
+    if (options.cancel != nullptr) {
+        options.cancel->hook_ = [&cancelled, held = connection] {
             cancelled = true;
-            stream->cancel();
+            held->stream.cancel();
         };
     }
     struct HookGuard {
@@ -141,59 +250,37 @@
                 cancel->hook_ = {};
             }
         }
-    } const guard{cancel};
-
-    connection->stream.expires_at(deadline);
-    if (!reused) {
-        boost::system::error_code error;
-        const auto ip = boost::asio::ip::make_address(endpoint.address, error);
-        if (error) {
-            return failed(ExchangeFailure::Connect, false);
-        }
-        const IoResult connected = await([&](auto handle) {
-            connection->stream.async_connect(tcp::endpoint(ip, endpoint.port), std::move(handle));
-        });
-        if (connected.error || cancelled) {
-            const bool late = connected.error == beast::error::timeout || cancelled;
-            return failed(late ? ExchangeFailure::Timeout : ExchangeFailure::Connect, false);
-        }
-        connection->stream.socket().set_option(tcp::no_delay(true), error);
-    }
-
-    const auto message = toBeast(endpoint, request);
-    const IoResult written =
-        await([&](auto handle) { http::async_write(connection->stream, message, std::move(handle)); });
-    if (written.error || cancelled) {
-        return failed(cancelled ? ExchangeFailure::Timeout : failureOf(written.error), true);
-    }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(std::numeric_limits<std::uint32_t>::max());
-    if (request.method == "HEAD") {
-        parser.skip(true);
-    }
-    const IoResult read = await(
-        [&](auto handle) { http::async_read(connection->stream, connection->buffer, parser, std::move(handle)); });
-    if (read.error || cancelled) {
-        const bool midway = parser.is_header_done() && read.error != beast::error::timeout && !cancelled;
-        return failed(midway ? ExchangeFailure::Cut : failureOf(read.error), true);
-    }
-    auto answer = parser.release();
-    HttpResponse response;
-    response.status = answer.result_int();
-    for (const auto &field : answer) {
-        if (!isHopByHop(field.name_string())) {
-            response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    } const guard{options.cancel};
+    connection->stream.expires_after(options.allowed);
+    if (!kept) {
+        const auto connected = connect(*connection, endpoint);
+        if (!connected || cancelled) {
+            return failed(cancelled ? ExchangeFailure::Timeout : connected.error().failure, false);
         }
     }
-    response.body = std::move(answer.body());
-    // A surplus byte means that the peer's idea of where answers end differs from ours.
-    const bool reusable = answer.keep_alive() && connection->buffer.size() == 0;
-    auto &pool = idle_[endpoint];
-    if (reusable && pool.size() < idleConnectionsKept) {
-        connection->stream.expires_never();
-        pool.push_back(std::move(connection));
+    // Written by a handler of its own while this fiber reads: the connection and the message must outlive both.
+    struct Writing {
+        http::request<http::string_body> message;
+        bool done = false;
+    };
+    const auto writing = std::make_shared<Writing>();
+    writing->message = toBeast(endpoint, request);
+    http::async_write(connection->stream, writing->message,
+                      [writing, connection](beast::error_code error, std::size_t) { writing->done = !error; });
+    Answer answer = readAnswer(*connection, request, options);
+    if (cancelled) {
+        return failed(ExchangeFailure::Timeout, true);
+    }
+    if (!answer) {
+        connection->stream.close();
+        return failed(answer.error().failure, true);
+    }
+    if (connection->reusable && writing->done) {
+        keep(endpoint, connection);
+    } else {
+        connection->stream.close();
     }
-    return response;
+    return answer;
 }
 
 bool HttpClient::accepts(const Endpoint &endpoint, Duration allowed)
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -35,6 +35,8 @@
 struct ExchangeError {
     ExchangeFailure failure = ExchangeFailure::Connect;
     bool mayHaveSentBytes = false;
+    /** On a connection kept open from before, which the peer may have been closing already. */
+    bool onKeptConnection = false;
 };
 
 /** Lets another fiber end an exchange early. Not thread safe. */
@@ -49,6 +51,22 @@
     std::function<void()> hook_;
 };
 
+/** What one exchange allows. */
+struct ExchangeOptions {
+    Duration allowed = std::chrono::seconds(1);
+    ExchangeCancel *cancel = nullptr;
+    /**
+     * Longest that a kept-open connection may have been idle. The peer closes idle connections, and a request that
+     * crosses the close is lost without a word of whether it ran.
+     */
+    Duration mostIdle = std::chrono::hours(1);
+    /**
+     * False for an answer that belongs to another request: it is dropped and the next one on the connection is read.
+     * Empty: every answer is taken.
+     */
+    std::function<bool(const HttpResponse &)> belongs;
+};
+
 /**
  * HTTP/1.1 client with one pool of kept-open connections for each endpoint. Not thread safe.
  * A connection that saw a timeout, a cut, a cancellation or a surplus byte is never used again, so that a late
@@ -65,6 +83,12 @@
     /** Sends @p request and returns the whole answer. @pre called from a fiber; @p allowed > 0. */
     tl::expected<HttpResponse, ExchangeError> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                                        Duration allowed, ExchangeCancel *cancel = nullptr);
+    /**
+     * As above. The answer is read while the request is still being written, so that a peer which answers before it
+     * has read a long body is heard.
+     */
+    tl::expected<HttpResponse, ExchangeError> exchange(const Endpoint &endpoint, const HttpRequest &request,
+                                                       const ExchangeOptions &options);
     /** True if something accepts connections at @p endpoint. @pre called from a fiber. */
     bool accepts(const Endpoint &endpoint, Duration allowed);
     /** Closes kept-open connections to @p endpoint. */
@@ -72,10 +96,15 @@
 
 private:
     struct Connection;
-    std::unique_ptr<Connection> takeIdle(const Endpoint &endpoint);
+    using ConnectionPtr = std::shared_ptr<Connection>;
+    using Answer = tl::expected<HttpResponse, ExchangeError>;
+    ConnectionPtr takeIdle(const Endpoint &endpoint, Duration mostIdle);
+    tl::expected<void, ExchangeError> connect(Connection &connection, const Endpoint &endpoint);
+    static Answer readAnswer(Connection &connection, const HttpRequest &request, const ExchangeOptions &options);
+    void keep(const Endpoint &endpoint, ConnectionPtr connection);
 
     boost::asio::io_context &ioContext_;
-    std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle_;
+    std::map<Endpoint, std::vector<ConnectionPtr>> idle_;
 };
 
 } // namespace waxwing
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "src/fiber/FiberLoop.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -17,6 +18,49 @@
 
 namespace {
 constexpr Millis acceptPause{20};
+constexpr std::size_t readStep = 4096;
+/**
+ * After a refusal what still comes in is read for so long and so much: closing a connection with unread bytes resets
+ * it, and the reset may overtake the refusal.
+ */
+constexpr Millis lingerTime{500};
+constexpr std::size_t lingerBytes = 1024UL * 1024;
+
+/** Why a message that the parser takes must not be served; empty if it may be. */
+std::string strictFault(const http::request<http::string_body> &message)
+{
+    const auto hosts = message.count(http::field::host);
+    if (message.version() >= 11 && hosts != 1) {
+        return hosts == 0 ? "no Host header" : "more than one Host header";
+    }
+    const auto codings = message.count(http::field::transfer_encoding);
+    // Where two readers differ about the end of a body, its rest is read as a request that no caller sent.
+    if (codings > 1 || (codings == 1 && !beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
+        return "Transfer-Encoding other than chunked";
+    }
+    if (codings == 1 && message.count(http::field::content_length) > 0) {
+        return "both Transfer-Encoding and Content-Length";
+    }
+    return {};
+}
+
+/** Turns the absolute form of a target ("http://host/path") into the usual one. False if it is neither. */
+bool toOriginForm(http::request<http::string_body> &message)
+{
+    const std::string target(message.target());
+    const std::string scheme = "http://";
+    if (!target.empty() && (target[0] == '/' || target == "*")) {
+        return true;
+    }
+    if (target.size() <= scheme.size() || !beast::iequals(target.substr(0, scheme.size()), scheme)) {
+        return false;
+    }
+    const std::size_t path = target.find_first_of("/?", scheme.size());
+    message.set(http::field::host, target.substr(scheme.size(), path - scheme.size()));
+    const std::string rest = path == std::string::npos ? "/" : target.substr(path);
+    message.target(rest[0] == '/' ? rest : "/" + rest);
+    return true;
+}
 }
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -35,6 +79,8 @@
         { }
         beast::tcp_stream stream;
         bool waiting = false;
+        /** Bytes of a request that was refused may still be coming in. */
+        bool unreadInput = false;
     };
 
     void acceptLoop();
@@ -43,6 +89,9 @@
     std::optional<HttpRequest> readRequest(Connection &connection, beast::flat_buffer &buffer, bool &keepAlive);
     bool writeReply(Connection &connection, HttpReply reply, bool keepAlive);
     void reject(Connection &connection, beast::error_code error);
+    void refuse(Connection &connection, unsigned status, const std::string &message);
+    bool awaitFirstByte(Connection &connection, beast::flat_buffer &buffer);
+    static void lingerAndClose(Connection &connection);
 
     boost::asio::io_context &ioContext;
     tcp::acceptor acceptor;
@@ -51,6 +100,7 @@
     RejectHook onReject;
     std::list<std::shared_ptr<Connection>> open;
     std::size_t inFlight = 0;
+    bool closing = false;
     bool draining = false;
 };
 
@@ -84,6 +134,17 @@
     }
 }
 
+void HttpServer::State::refuse(Connection &connection, unsigned status, const std::string &message)
+{
+    if (onReject) {
+        onReject(message);
+    }
+    HttpResponse response = jsonResponse(status, "{\"error\":\"" + message + "\"}\n");
+    response.headers.emplace_back("Waxwing-Outcome", "not-run");
+    connection.unreadInput = true;
+    writeReply(connection, HttpReply{std::move(response), AfterResponse::Close}, false);
+}
+
 void HttpServer::State::reject(Connection &connection, beast::error_code error)
 {
     unsigned status = 400;
@@ -92,28 +153,50 @@
     } else if (error == http::error::header_limit) {
         status = 431;
     }
-    if (onReject) {
-        onReject(error.message());
+    refuse(connection, status, error.message());
+}
+
+bool HttpServer::State::awaitFirstByte(Connection &connection, beast::flat_buffer &buffer)
+{
+    if (buffer.size() > 0) {
+        return true;
     }
-    HttpResponse response = jsonResponse(status, "{\"error\":\"" + error.message() + "\"}\n");
-    response.headers.emplace_back("Waxwing-Outcome", "not-run");
-    writeReply(connection, HttpReply{std::move(response), AfterResponse::Close}, false);
+    connection.stream.expires_after(limits.idle);
+    connection.waiting = true;
+    const IoResult first = await(
+        [&](auto handle) { connection.stream.async_read_some(buffer.prepare(readStep), std::move(handle)); });
+    connection.waiting = false;
+    buffer.commit(first.bytes);
+    return !first.error;
 }
 
 std::optional<HttpRequest> HttpServer::State::readRequest(Connection &connection, beast::flat_buffer &buffer,
                                                           bool &keepAlive)
 {
+    if (!awaitFirstByte(connection, buffer)) {
+        return std::nullopt;
+    }
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
-    connection.stream.expires_after(limits.idle);
-    connection.waiting = true;
+    connection.stream.expires_after(limits.header);
     const IoResult header =
         await([&](auto handle) { http::async_read_header(connection.stream, buffer, parser, std::move(handle)); });
-    connection.waiting = false;
     IoResult body = header;
     if (!header.error) {
+        const std::string fault = strictFault(parser.get());
+        if (!fault.empty() || !toOriginForm(parser.get())) {
+            refuse(connection, 400, fault.empty() ? "malformed target" : fault);
+            return std::nullopt;
+        }
         connection.stream.expires_after(limits.message);
+        const bool wantsContinue = beast::iequals(parser.get()[http::field::expect], "100-continue");
+        if (wantsContinue && !parser.is_done()) {
+            static const std::string goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+            await([&](auto handle) {
+                boost::asio::async_write(connection.stream, boost::asio::buffer(goOn), std::move(handle));
+            });
+        }
         body = await([&](auto handle) { http::async_read(connection.stream, buffer, parser, std::move(handle)); });
     }
     if (body.error) {
@@ -195,7 +278,7 @@
         watchCaller(held, watch);
         HttpReply reply = handler(std::move(*request), watch);
         watch->onGone = {};
-        keepAlive = keepAlive && reply.after == AfterResponse::KeepOpen && !draining;
+        keepAlive = keepAlive && reply.after == AfterResponse::KeepOpen && !draining && !closing;
         const bool reset = reply.after == AfterResponse::Reset;
         if (reset) {
             boost::system::error_code ignored;
@@ -205,6 +288,10 @@
         }
         --inFlight;
     }
+    if (connection.unreadInput) {
+        lingerAndClose(connection);
+        return;
+    }
     beast::error_code ignored;
     if (!keepAlive) {
         connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -212,6 +299,23 @@
     connection.stream.close();
 }
 
+void HttpServer::State::lingerAndClose(Connection &connection)
+{
+    beast::error_code ignored;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection.stream.expires_after(lingerTime);
+    std::string scratch(readStep, '\0');
+    std::size_t read = 0;
+    IoResult result;
+    while (!result.error && read < lingerBytes) {
+        result = await([&](auto handle) {
+            connection.stream.async_read_some(boost::asio::buffer(scratch), std::move(handle));
+        });
+        read += result.bytes;
+    }
+    connection.stream.close();
+}
+
 Expected<std::unique_ptr<HttpServer>> HttpServer::MakeListening(boost::asio::io_context &ioContext,
                                                                 const std::string &address, std::uint16_t port,
                                                                 Handler handler, HttpLimits limits, RejectHook onReject)
@@ -266,6 +370,16 @@
     return state_->open.size();
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    state_->limits = limits;
+}
+
+void HttpServer::announceClose()
+{
+    state_->closing = true;
+}
+
 void HttpServer::drain()
 {
     if (state_->draining) {
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -18,7 +18,11 @@
     std::uint32_t headerBytes = 16 * 1024;
     std::uint64_t bodyBytes = 1024UL * 1024;
     std::size_t connections = 20000;
+    /** How long a connection may wait for its next request. */
     Millis idle = std::chrono::seconds(60);
+    /** How long a request's headers may take from their first byte. */
+    Millis header = std::chrono::seconds(15);
+    /** How long a body, or writing a response, may take. */
     Millis message = std::chrono::seconds(15);
 };
 
@@ -69,6 +73,10 @@
     std::uint16_t port() const;
     std::size_t requestsInFlight() const;
     std::size_t connections() const;
+    /** Takes over other bounds; the next request of each connection is held to them. */
+    void setLimits(const HttpLimits &limits);
+    /** From now on each response says that its connection closes; new connections are still taken. */
+    void announceClose();
     /** Takes no new connection and closes each kept-open one after the response it is working on. */
     void drain();
 
--- /dev/null
+++ b/src/limit/SecondSendBudget.cpp
@@ -0,0 +1,51 @@
+#include "include/limit/SecondSendBudget.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+SecondSendBudget::SecondSendBudget(SecondSendTuning tuning)
+    : tuning_(tuning)
+{ }
+
+std::int64_t SecondSendBudget::numberAt(SteadyTime now) const
+{
+    const Duration step = std::chrono::duration_cast<Duration>(tuning_.window) / static_cast<std::int64_t>(steps);
+    return now.time_since_epoch() / step;
+}
+
+SecondSendBudget::Step &SecondSendBudget::stepAt(SteadyTime now)
+{
+    const std::int64_t number = numberAt(now);
+    Step &step = ring_[static_cast<std::size_t>(number) % ring_.size()];
+    if (step.number != number) {
+        step = Step{number, 0, 0};
+    }
+    return step;
+}
+
+void SecondSendBudget::noteRequest(SteadyTime now)
+{
+    ++stepAt(now).requests;
+}
+
+bool SecondSendBudget::tryTake(std::size_t nodes, SteadyTime now)
+{
+    const std::int64_t oldest = numberAt(now) - static_cast<std::int64_t>(steps);
+    double requests = 0.0;
+    double seconds = 0.0;
+    for (const Step &step : ring_) {
+        if (step.number >= oldest) {
+            requests += step.requests;
+            seconds += step.seconds;
+        }
+    }
+    const double slack = tuning_.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
+    if (seconds + 1.0 > tuning_.usedPart * (tuning_.share * requests + slack)) {
+        return false;
+    }
+    ++stepAt(now).seconds;
+    return true;
+}
+
+} // namespace waxwing
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -76,8 +76,9 @@
     void setUp();
     LinkPtr addLink(bool outgoing, connection_hdl handle);
     LinkPtr openTo(const Endpoint &endpoint);
+    Expected<LinkId> linkAt(const Endpoint &endpoint, Duration allowed, bool fresh);
     Expected<LinkPtr> linkTo(const NodeRef &to, const Endpoint &endpoint);
-    Expected<void> awaitHello(const LinkPtr &link);
+    Expected<void> awaitHello(const LinkPtr &link, Duration allowed = helloTimeout);
     tl::expected<ExecReply, CallError> ask(const NodeRef &to, const Endpoint &endpoint,
                                            const std::function<Message(std::uint64_t)> &messageOf, Duration allowed,
                                            const std::function<void(std::uint64_t)> &onSent);
@@ -101,6 +102,8 @@
     std::map<LinkId, LinkPtr> links;
     std::map<NodeRef, LinkPtr> outgoing;
     std::map<Endpoint, LinkPtr> opening;
+    /** Outgoing links that have said hello. */
+    std::map<Endpoint, LinkPtr> byEndpoint;
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending;
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
@@ -214,10 +217,10 @@
     return link;
 }
 
-Expected<void> PeerHub::State::awaitHello(const LinkPtr &link)
+Expected<void> PeerHub::State::awaitHello(const LinkPtr &link, Duration allowed)
 {
     if (!link->helloDone && !link->closed) {
-        TimedGate timed(ioContext, helloTimeout);
+        TimedGate timed(ioContext, allowed);
         link->waiters.push_back(timed.gate);
         timed.wait();
     }
@@ -225,7 +228,10 @@
         return fail(ErrorCode::Unavailable, "no link to " + link->endpoint.text());
     }
     if (!link->helloDone) {
-        closeLink(link, websocketpp::close::status::going_away);
+        // Another waiter may have more time left for the same link.
+        if (std::chrono::steady_clock::now() - link->since >= helloTimeout) {
+            closeLink(link, websocketpp::close::status::going_away);
+        }
         return fail(ErrorCode::Timeout, "no hello from " + link->endpoint.text());
     }
     return {};
@@ -254,6 +260,26 @@
     return link;
 }
 
+Expected<LinkId> PeerHub::State::linkAt(const Endpoint &endpoint, Duration allowed, bool fresh)
+{
+    if (stopped) {
+        return fail(ErrorCode::Unavailable, "stopping");
+    }
+    const auto found = byEndpoint.find(endpoint);
+    if (found != byEndpoint.end() && !fresh) {
+        return found->second->id;
+    }
+    const LinkPtr link = openTo(endpoint);
+    if (!link) {
+        return fail(ErrorCode::Unavailable, "can't connect to " + endpoint.text());
+    }
+    const Expected<void> hello = awaitHello(link, allowed);
+    if (!hello) {
+        return tl::unexpected<Error>(hello.error());
+    }
+    return link->id;
+}
+
 bool PeerHub::State::sendOn(const LinkPtr &link, const Message &message)
 {
     if (link->closed) {
@@ -315,7 +341,11 @@
         link->helloDone = true;
         if (link->outgoing) {
             outgoing[link->peer] = link;
-            opening.erase(link->endpoint);
+            byEndpoint[link->endpoint] = link;
+            const auto opened = opening.find(link->endpoint);
+            if (opened != opening.end() && opened->second == link) {
+                opening.erase(opened);
+            }
         }
         wake(*link);
     } else if (const auto *ping = std::get_if<Ping>(&*message)) {
@@ -358,6 +388,13 @@
             call->gate->open();
         }
     }
+    const auto current = byEndpoint.find(link->endpoint);
+    if (current != byEndpoint.end() && current->second == link) {
+        byEndpoint.erase(current);
+    }
+    if (hooks.onLinkClosed && !stopped) {
+        hooks.onLinkClosed(link->id);
+    }
     const auto found = outgoing.find(link->peer);
     if (found != outgoing.end() && found->second == link) {
         outgoing.erase(found);
@@ -418,6 +455,26 @@
     return link->peer;
 }
 
+Expected<LinkId> PeerHub::linkAt(const Endpoint &endpoint, Duration allowed, bool fresh)
+{
+    return state_->linkAt(endpoint, allowed, fresh);
+}
+
+std::optional<NodeRef> PeerHub::peerOn(LinkId link) const
+{
+    const auto found = state_->links.find(link);
+    return found == state_->links.end() ? std::nullopt : std::optional<NodeRef>(found->second->peer);
+}
+
+void PeerHub::close(LinkId link)
+{
+    const auto found = state_->links.find(link);
+    if (found != state_->links.end()) {
+        const State::LinkPtr held = found->second;
+        state_->closeLink(held, websocketpp::close::status::going_away);
+    }
+}
+
 Expected<void> PeerHub::send(const NodeRef &to, const Endpoint &endpoint, const Message &message)
 {
     const auto link = state_->linkTo(to, endpoint);
@@ -521,12 +578,10 @@
     }
 }
 
-void PeerHub::reply(LinkId link, const Message &message)
+bool PeerHub::reply(LinkId link, const Message &message)
 {
     const auto found = state_->links.find(link);
-    if (found != state_->links.end()) {
-        state_->sendOn(found->second, message);
-    }
+    return found != state_->links.end() && state_->sendOn(found->second, message);
 }
 
 void PeerHub::drop(const NodeRef &peer)
--- a/src/link/PeerHub.h
+++ b/src/link/PeerHub.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace waxwing {
@@ -39,6 +40,8 @@
         std::function<void(const std::string &reason)> onGarbage;
         /** An outgoing link closed or went silent. */
         std::function<void(const NodeRef &peer)> onLinkLost;
+        /** Any link closed; its id is never used again. */
+        std::function<void(LinkId link)> onLinkClosed;
     };
 
     PeerHub(boost::asio::io_context &ioContext, NodeRef self, Hooks hooks);
@@ -52,6 +55,16 @@
 
     /** The incarnation that answers at @p endpoint. Errors: Unavailable, Timeout. @pre called from a fiber. */
     Expected<NodeRef> discover(const Endpoint &endpoint);
+    /**
+     * The open link to whoever listens at @p endpoint; opens one if there is none, or if @p fresh: a link that went
+     * silent without a reset shows only by its silence. The one replaced stays open for answers that come late.
+     * Errors: Unavailable, Timeout (not there within @p allowed). @pre called from a fiber.
+     */
+    Expected<LinkId> linkAt(const Endpoint &endpoint, Duration allowed, bool fresh = false);
+    /** The incarnation at the other end; nothing if the link has closed. */
+    std::optional<NodeRef> peerOn(LinkId link) const;
+    /** Closes one link. */
+    void close(LinkId link);
     /** Sends without waiting for an answer; opens the link if need be. @pre called from a fiber. */
     Expected<void> send(const NodeRef &to, const Endpoint &endpoint, const Message &message);
     /**
@@ -67,8 +80,8 @@
     Expected<void> ping(const NodeRef &to, const Endpoint &endpoint, Duration allowed);
     /** Ends a call of this node early: the caller gets an error and the peer a Cancel. */
     void cancelCall(std::uint64_t id);
-    /** Answers on the link that a message came from; does nothing if it has closed. */
-    void reply(LinkId link, const Message &message);
+    /** Sends on an open link; false if it has closed or takes no more. */
+    bool reply(LinkId link, const Message &message);
     /** Closes incoming links that have not said Hello within @p olderThan. */
     void closeStrangers(Duration olderThan);
     /** Closes the outgoing link to @p peer. */
--- a/src/node/ClaimService.cpp
+++ b/src/node/ClaimService.cpp
@@ -6,7 +6,7 @@
 #include "src/node/DispatchService.h"
 #include "src/node/GossipService.h"
 #include "src/node/NodeCore.h"
-#include "src/platform/ObjectApi.h"
+#include "platform/ObjectApi.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/node/IntentService.cpp
+++ b/src/node/IntentService.cpp
@@ -5,7 +5,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/node/GossipService.h"
 #include "src/node/NodeCore.h"
-#include "src/platform/ObjectApi.h"
+#include "platform/ObjectApi.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -14,7 +14,7 @@
 #include "src/node/NodeCore.h"
 #include "src/node/OperatorApi.h"
 #include "src/node/PoisonService.h"
-#include "src/platform/ObjectApi.h"
+#include "platform/ObjectApi.h"
 
 namespace waxwing {
 
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -37,6 +37,12 @@
     if (reader.has("advertisedPeers")) {
         settings.advertisedPeers = requiredEndpoint(reader, "advertisedPeers", findings);
     }
+    if (reader.has("readiness")) {
+        settings.readiness = requiredEndpoint(reader, "readiness", findings);
+    }
+    if (reader.has("metrics")) {
+        settings.metrics = requiredEndpoint(reader, "metrics", findings);
+    }
     reader.rejectUnknown();
     const bool ports = settings.callers.port != 0 && settings.callers == settings.operators;
     if (ports || (settings.peers.port != 0 && settings.callers == settings.peers)
@@ -45,6 +51,22 @@
     }
 }
 
+void readServer(const nlohmann::json &value, NodeSettings &settings, Findings &findings)
+{
+    if (value.is_null()) {
+        return;
+    }
+    JsonReader reader(value, "/server", findings);
+    LocalServer server;
+    server.service = reader.requiredText("service");
+    server.address = requiredEndpoint(reader, "address", findings);
+    reader.rejectUnknown();
+    settings.server = std::move(server);
+    if (settings.readiness.address.empty()) {
+        findings.add("/listen/readiness", "is needed where there is a /server");
+    }
+}
+
 void readLimits(const nlohmann::json &value, NodeLimits &limits, Findings &findings)
 {
     if (value.is_null()) {
@@ -146,6 +168,9 @@
     if (!listen.is_null()) {
         readListen(listen, settings, findings);
     }
+    readServer(reader.child("server"), settings, findings);
+    const nlohmann::json &bounds = reader.child("bounds");
+    settings.bounds = bounds.is_null() ? "" : bounds.dump();
     settings.objectApi = requiredEndpoint(reader, "objectApi", findings);
     const nlohmann::json &seeds = reader.child("seeds");
     if (!seeds.is_null() && !seeds.is_array()) {
--- /dev/null
+++ b/src/sidecar/ConfigFollower.cpp
@@ -0,0 +1,76 @@
+#include "src/sidecar/ConfigFollower.h"
+
+#include "platform/ConfigDecoder.h"
+#include "platform/Names.h"
+#include "src/fiber/FiberLoop.h"
+#include "src/node/NodeCore.h"
+#include "src/sidecar/StoreWatch.h"
+
+namespace waxwing {
+
+ConfigFollower::ConfigFollower(NodeCore &core)
+    : core_(core)
+{ }
+
+void ConfigFollower::start()
+{
+    spawnFiber([this] { watchLoop(); });
+}
+
+void ConfigFollower::onChange(ChangeHook hook)
+{
+    hooks_.push_back(std::move(hook));
+}
+
+void ConfigFollower::watchLoop()
+{
+    StoreWatch watch(core_, platform::names::configKind, StoreWatchTuning(),
+                     [this](const ObjectChanges &changes) { takeAll(changes); });
+    watch.run();
+}
+
+void ConfigFollower::takeAll(const ObjectChanges &changes)
+{
+    for (const StoredObject &object : changes.objects) {
+        if (object.name == platform::names::configName && !object.deleted) {
+            take(object.value, "store revision " + std::to_string(object.version));
+        }
+    }
+}
+
+void ConfigFollower::take(const std::string &document, const std::string &source)
+{
+    Findings findings;
+    FleetConfig decoded = platform::decodeConfig(document, findings);
+    if (!findings.empty()) {
+        // The version in force stays; the operator sees what is wrong with this one.
+        core_.events.write(Severity::Error, "config_refused", {{"source", source}, {"findings", findings.text()}});
+        core_.metrics.count("config_refused");
+        return;
+    }
+    if (decoded.version <= version()) {
+        return;
+    }
+    const std::string before = std::to_string(version());
+    current_ = std::make_shared<const FleetConfig>(std::move(decoded));
+    core_.events.write(Severity::Info, "config_in_force",
+                       {{"version", std::to_string(version())},
+                        {"before", before},
+                        {"routes", std::to_string(current_->routeCount())},
+                        {"source", source}});
+    for (const ChangeHook &hook : hooks_) {
+        hook(*current_);
+    }
+}
+
+std::shared_ptr<const FleetConfig> ConfigFollower::current() const
+{
+    return current_;
+}
+
+std::uint64_t ConfigFollower::version() const
+{
+    return current_ ? current_->version : 0;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/ConfigFollower.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "include/fleet/FleetConfig.h"
+#include "platform/ObjectApi.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+struct NodeCore;
+
+/**
+ * Keeps the newest configuration: watches the store, and takes what other nodes learned. A version is never replaced by
+ * a lower one, whichever way it comes. Not thread safe.
+ */
+class ConfigFollower
+{
+public:
+    using ChangeHook = std::function<void(const FleetConfig &)>;
+
+    explicit ConfigFollower(NodeCore &core);
+    /** Starts the watch. */
+    void start();
+    /** Called after each change; register before start(). */
+    void onChange(ChangeHook hook);
+    /** Takes the document if its version is higher. @p source says in the log where it came from. */
+    void take(const std::string &document, const std::string &source);
+    /** Null as long as none is known. */
+    std::shared_ptr<const FleetConfig> current() const;
+    std::uint64_t version() const;
+
+private:
+    void watchLoop();
+    void takeAll(const ObjectChanges &changes);
+
+    NodeCore &core_;
+    std::shared_ptr<const FleetConfig> current_;
+    std::vector<ChangeHook> hooks_;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/FenceService.cpp
@@ -0,0 +1,143 @@
+#include "src/sidecar/FenceService.h"
+
+#include "src/fiber/FiberLoop.h"
+#include "src/node/NodeCore.h"
+#include "src/sidecar/RosterKeeper.h"
+#include "src/sidecar/WaitPoint.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+
+/** Two third nodes beside the direct way: one of them may itself be cut off or gone. */
+constexpr std::size_t relayCount = 2;
+/** Longest that a node works for another one's question. */
+constexpr Millis passOnTimeout{800};
+
+} // namespace
+
+FenceService::FenceService(NodeCore &core, LocalFence local)
+    : core_(core)
+    , local_(std::move(local))
+{ }
+
+FenceReply FenceService::exchange(LinkId link, Fence fence, Duration allowed)
+{
+    fence.id = nextId_++;
+    const auto pending = std::make_shared<Pending>();
+    pending->point = std::make_shared<WaitPoint>();
+    pending_[fence.id] = pending;
+    if (core_.service<PeerHub>("peers").reply(link, fence)) {
+        pending->point->wait(core_.ioContext, allowed);
+    }
+    pending_.erase(fence.id);
+    return pending->answered ? pending->reply : FenceReply{};
+}
+
+FenceReply FenceService::askOn(LinkId link, const SentWork &work, bool onlyAsk, Duration allowed)
+{
+    return exchange(link, Fence{0, work.target, core_.self, work.id, onlyAsk}, allowed);
+}
+
+std::vector<RosterEntry> FenceService::relaysFor(const RosterEntry &home)
+{
+    std::vector<RosterEntry> near;
+    std::vector<RosterEntry> far;
+    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
+        if (entry->id != core_.self.id && entry->id != home.id) {
+            (entry->region == core_.settings.region ? near : far).push_back(*entry);
+        }
+    }
+    std::shuffle(near.begin(), near.end(), core_.random);
+    std::shuffle(far.begin(), far.end(), core_.random);
+    near.insert(near.end(), far.begin(), far.end());
+    near.resize(std::min(near.size(), relayCount));
+    return near;
+}
+
+FenceReply FenceService::ask(const SentWork &work, bool onlyAsk, Duration allowed)
+{
+    struct Race {
+        WaitPoint point;
+        std::size_t running = 0;
+        FenceReply best;
+    };
+    const auto race = std::make_shared<Race>();
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    const SteadyTime until = core_.clock.now() + allowed;
+    const auto start = [&](const RosterEntry &way, bool fresh) {
+        ++race->running;
+        spawnFiber([this, race, way, fresh, work, onlyAsk, allowed, until, &peers] {
+            const Expected<LinkId> link = peers.linkAt(way.links, allowed, fresh);
+            const Duration left = until - core_.clock.now();
+            FenceReply reply;
+            if (link && left > Duration(0)) {
+                reply = askOn(*link, work, onlyAsk, left);
+            }
+            --race->running;
+            if (reply.state != FenceState::NotKnown) {
+                race->best = reply;
+            }
+            race->point.wake();
+        });
+    };
+    start(work.home, true);
+    for (const RosterEntry &relay : relaysFor(work.home)) {
+        start(relay, false);
+    }
+    while (race->best.state == FenceState::NotKnown && race->running > 0 && core_.clock.now() < until) {
+        race->point.wait(core_.ioContext, until - core_.clock.now());
+    }
+    return race->best;
+}
+
+void FenceService::handle(LinkId link, const NodeRef &from, const Fence &fence)
+{
+    if (fence.target.id != core_.self.id) {
+        // Only for the node that asks itself, so that a question takes one step at most.
+        if (from == fence.origin) {
+            spawnFiber([this, link, fence] { passOn(link, fence); });
+        }
+        return;
+    }
+    FenceReply reply;
+    if (fence.target == core_.self) {
+        reply = local_(fence);
+    }
+    reply.id = fence.id;
+    core_.events.write(Severity::Info, "fence_answered",
+                       {{"origin", fence.origin.id},
+                        {"work", std::to_string(fence.workId)},
+                        {"onlyAsk", fence.onlyAsk ? "yes" : "no"},
+                        {"state", std::to_string(static_cast<int>(reply.state))}});
+    core_.service<PeerHub>("peers").reply(link, reply);
+}
+
+void FenceService::passOn(LinkId back, const Fence &fence)
+{
+    const RosterEntry *target = core_.service<RosterKeeper>("roster").roster().find(fence.target.id);
+    FenceReply reply;
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    if (target != nullptr) {
+        const Expected<LinkId> link = peers.linkAt(target->links, passOnTimeout);
+        if (link) {
+            reply = exchange(*link, fence, passOnTimeout);
+        }
+    }
+    reply.id = fence.id;
+    peers.reply(back, reply);
+}
+
+void FenceService::handleReply(const FenceReply &reply)
+{
+    const auto found = pending_.find(reply.id);
+    if (found != pending_.end()) {
+        found->second->answered = true;
+        found->second->reply = reply;
+        found->second->point->wake();
+    }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/FenceService.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "include/fleet/Roster.h"
+#include "include/wire/Messages.h"
+#include "src/link/PeerHub.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace waxwing {
+
+struct NodeCore;
+class WaitPoint;
+
+/** A Work of this node at another one. */
+struct SentWork {
+    RosterEntry home;
+    /** The incarnation that it was sent to. */
+    NodeRef target;
+    std::uint64_t id = 0;
+};
+
+/**
+ * Finds out what became of a Work when nothing comes back: asks its home over a fresh link and through other nodes, all
+ * at once. A link that went silent, a path cut in one direction and a lost answer all look alike to the sender; the
+ * home alone knows, and one of the ways to it is nearly always open. Not thread safe.
+ */
+class FenceService
+{
+public:
+    /** Runs a Fence whose target is this node. */
+    using LocalFence = std::function<FenceReply(const Fence &)>;
+
+    FenceService(NodeCore &core, LocalFence local);
+
+    /**
+     * Asks in every way, and unless @p onlyAsk forbids the Work to begin. NotKnown if no way answered in @p allowed.
+     * @pre called from a fiber.
+     */
+    FenceReply ask(const SentWork &work, bool onlyAsk, Duration allowed);
+    /** Asks on the link that is there. @pre called from a fiber. */
+    FenceReply askOn(LinkId link, const SentWork &work, bool onlyAsk, Duration allowed);
+    /** Answers a Fence from another node, or passes it on to its target. */
+    void handle(LinkId link, const NodeRef &from, const Fence &fence);
+    void handleReply(const FenceReply &reply);
+
+private:
+    struct Pending {
+        std::shared_ptr<WaitPoint> point;
+        bool answered = false;
+        FenceReply reply;
+    };
+
+    FenceReply exchange(LinkId link, Fence fence, Duration allowed);
+    void passOn(LinkId back, const Fence &fence);
+    std::vector<RosterEntry> relaysFor(const RosterEntry &home);
+
+    NodeCore &core_;
+    LocalFence local_;
+    std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
+    std::uint64_t nextId_ = 1;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/Forwarder.cpp
@@ -0,0 +1,408 @@
+#include "src/sidecar/Forwarder.h"
+
+#include "src/fiber/FiberLoop.h"
+#include "src/link/PeerHub.h"
+#include "src/node/NodeCore.h"
+#include "src/sidecar/LocalHome.h"
+#include "src/sidecar/NewsService.h"
+#include "src/sidecar/RosterKeeper.h"
+#include "src/sidecar/WaitPoint.h"
+#include "src/sidecar/WorkSender.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+
+/** Refusals cost a round trip each; after so many the fleet has no room. */
+constexpr int mostRefusals = 10;
+constexpr double workSmoothing = 0.1;
+/** Before any work of a route was seen it is planned with this part of its objective. */
+constexpr double assumedWorkPart = 0.3;
+/** An idempotent request that takes this many times the usual work time is tried elsewhere beside. */
+constexpr double hedgeFactor = 3.0;
+constexpr Millis leastHedge{120};
+/** Part of the objective that must be left for a second try to be of use. */
+constexpr double hedgeLatest = 0.75;
+constexpr Millis leastRetryAfter{300};
+constexpr Millis leastTime{5};
+constexpr Millis firstProbePause{1000};
+constexpr Millis longestProbePause{8000};
+constexpr Millis probeTimeout{500};
+
+Millis toMillis(Duration value)
+{
+    return std::chrono::duration_cast<Millis>(value);
+}
+
+} // namespace
+
+struct Forwarder::Run {
+    explicit Run(std::shared_ptr<const ForwardJob> jobIn)
+        : held(std::move(jobIn))
+        , job(*held)
+        , objective(job.arrived + job.route->responseTime)
+    { }
+
+    std::shared_ptr<const ForwardJob> held;
+    const ForwardJob &job;
+    SteadyTime objective;
+    WaitPoint point;
+    std::vector<PlacementPtr> placements;
+    /** Homes that refused, or whose server had it already. */
+    std::set<std::string> tried;
+    /** Homes whose server had it, or may have. */
+    std::set<std::string> reached;
+    int refusals = 0;
+    bool over = false;
+};
+
+Forwarder::Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, SecondSendTuning budget)
+    : core_(core)
+    , home_(home)
+    , sender_(sender)
+    , budgetTuning_(budget)
+    , ranking_([&core] { return core.random(); })
+{ }
+
+std::vector<RankedHome> Forwarder::homesOf(const std::string &service) const
+{
+    std::vector<RankedHome> homes;
+    bool listed = false;
+    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().homesOf(service)) {
+        Distance distance = Distance::OtherRegion;
+        if (entry->id == core_.self.id) {
+            distance = Distance::SameNode;
+            listed = true;
+        } else if (entry->zone == core_.settings.zone) {
+            distance = Distance::SameZone;
+        } else if (entry->region == core_.settings.region) {
+            distance = Distance::SameRegion;
+        }
+        homes.push_back(RankedHome{entry->id, distance});
+    }
+    // The server beside this node needs no entry in the store to be found.
+    if (!listed && core_.settings.server->service == service) {
+        homes.push_back(RankedHome{core_.self.id, Distance::SameNode});
+    }
+    return homes;
+}
+
+Duration Forwarder::typicalWork(const Route &route) const
+{
+    const auto found = stats_.find(route.name);
+    const double seconds = found != stats_.end() && found->second.work > 0.0
+                               ? found->second.work
+                               : assumedWorkPart * std::chrono::duration<double>(route.responseTime).count();
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+Millis Forwarder::patienceOf(const Run &run) const
+{
+    const SteadyTime now = core_.clock.now();
+    const Duration work = typicalWork(*run.job.route);
+    const Duration inTime = run.objective - now - work;
+    if (inTime > Duration(0)) {
+        return toMillis(inTime);
+    }
+    return toMillis(std::max(Duration(0), run.job.deadline - now - work));
+}
+
+SteadyTime Forwarder::hedgeTime(const Run &run) const
+{
+    const auto usual = std::chrono::duration_cast<Duration>(typicalWork(*run.job.route) * hedgeFactor);
+    const auto latest = std::chrono::duration_cast<Duration>(run.job.route->responseTime * hedgeLatest);
+    return run.job.arrived + std::max<Duration>(leastHedge, std::min(usual, latest));
+}
+
+bool Forwarder::maySendAgain(Run &run, const char *why)
+{
+    const Route &route = *run.job.route;
+    const bool room = static_cast<int>(run.reached.size()) < route.mostServers;
+    const SteadyTime now = core_.clock.now();
+    const bool time = now + leastTime < run.job.deadline;
+    const std::size_t nodes = std::max<std::size_t>(1, core_.service<RosterKeeper>("roster").roster().size());
+    SecondSendBudget &budget = budgets_.try_emplace(run.job.service, budgetTuning_).first->second;
+    const bool may = room && time && budget.tryTake(nodes, now);
+    core_.events.write(Severity::Info, "second_send",
+                       {{"request", run.job.requestId},
+                        {"service", run.job.service},
+                        {"why", why},
+                        {"servers", std::to_string(run.reached.size())},
+                        {"allowed", may ? "yes" : (!room ? "no-servers-used" : (!time ? "no-time" : "no-budget"))}});
+    core_.metrics.count(may ? "second_sends" : "second_sends_refused");
+    return may;
+}
+
+Forwarder::PlacementPtr Forwarder::launch(const RunPtr &run, bool hedge)
+{
+    auto placement = std::make_shared<Placement>();
+    placement->control = std::make_shared<RunControl>();
+    run->placements.push_back(placement);
+    spawnFiber([this, run, placement, hedge] {
+        place(run, placement, hedge);
+        placement->ended = true;
+        run->point.wake();
+    });
+    return placement;
+}
+
+void Forwarder::place(const RunPtr &run, const PlacementPtr &placement, bool hedge)
+{
+    const ForwardJob &job = run->job;
+    placement->reply.outcome = Outcome::NotRun;
+    placement->reply.reason = "no-home";
+    for (const bool lastResort : {false, true}) {
+        if (lastResort && hedge) {
+            return;
+        }
+        if (lastResort) {
+            // Everyone refused. Now the least bad home may keep it waiting as long as it has time.
+            run->tried = run->reached;
+        }
+        while (!placement->control->cancelled && !run->over && run->refusals < mostRefusals) {
+            const SteadyTime now = core_.clock.now();
+            const HomeNeed need{job.route->idempotent, patienceOf(*run)};
+            HomeChoice choice = ranking_.choose(homesOf(job.service), run->tried, need, now);
+            if (choice.node.empty() || now + leastTime >= job.deadline) {
+                break;
+            }
+            choice.patience = lastResort ? need.patience : (hedge ? Millis(0) : choice.patience);
+            run->tried.insert(choice.node);
+            if (sendOnce(run, placement, choice, lastResort)) {
+                return;
+            }
+            ++run->refusals;
+        }
+        run->refusals = lastResort ? run->refusals : 0;
+    }
+}
+
+bool Forwarder::sendOnce(const RunPtr &run, const PlacementPtr &placement, const HomeChoice &choice, bool lastResort)
+{
+    const ForwardJob &job = run->job;
+    const SteadyTime now = core_.clock.now();
+    Work work;
+    work.requestId = job.requestId;
+    work.service = job.service;
+    work.route = job.route->name;
+    work.idempotent = job.route->idempotent;
+    work.lastResort = lastResort;
+    work.priority = static_cast<std::uint8_t>(job.route->priority);
+    work.remaining = toMillis(job.deadline - now);
+    work.untilObjective = toMillis(run->objective - now);
+    work.patience = choice.patience;
+    work.versions = core_.service<NewsService>("news").versions();
+    work.request = job.request;
+    placement->home = choice.node;
+    ranking_.noteSent(choice.node);
+    // Counted from now on: a second placement beside this one must not use the same server.
+    run->reached.insert(choice.node);
+    SendResult result;
+    if (choice.node == core_.self.id) {
+        result.reply = home_.run(WorkKey{core_.self, nextLocalWork_++}, work, placement->control);
+    } else {
+        const RosterEntry *entry = core_.service<RosterKeeper>("roster").roster().find(choice.node);
+        if (entry != nullptr) {
+            const RosterEntry home = *entry;
+            result = sender_.run(home, home.region != core_.settings.region, std::move(work), job.deadline,
+                                 placement->control);
+        } else {
+            result.reply.outcome = Outcome::NotRun;
+            result.reply.reason = "left-the-roster";
+        }
+    }
+    ranking_.noteDone(choice.node);
+    const SteadyTime after = core_.clock.now();
+    const WorkReply &reply = result.reply;
+    if (result.pathFailed) {
+        ranking_.notePathFailure(choice.node, after);
+        probePath(choice.node);
+    } else if (reply.outcome != Outcome::Unknown || reply.reachedServer) {
+        ranking_.notePathGood(choice.node);
+        ranking_.noteLoad(choice.node, reply.load, after);
+    }
+    const bool noServer = reply.reason == refusalName(RefusalReason::NoServer) || reply.reason == "stopping"
+                          || reply.reason == "other-service" || reply.reason == "other-server";
+    if (noServer) {
+        ranking_.noteNoServer(choice.node, after);
+    }
+    learn(job.route->name, reply);
+    core_.events.write(Severity::Info, "sent",
+                       {{"request", job.requestId},
+                        {"home", choice.node},
+                        {"cost", std::to_string(static_cast<int>(choice.cost))},
+                        {"loadAgeMs", std::to_string(choice.loadAge.count())},
+                        {"patienceMs", std::to_string(choice.patience.count())},
+                        {"lastResort", lastResort ? "yes" : "no"},
+                        {"outcome", outcomeName(reply.outcome)},
+                        {"reason", reply.reason},
+                        {"pathFailed", result.pathFailed ? "yes" : "no"},
+                        {"tookMs", std::to_string(toMillis(after - now).count())}});
+    placement->reply = reply;
+    const bool refused = reply.outcome == Outcome::NotRun && !reply.reachedServer;
+    if (refused) {
+        run->reached.erase(choice.node);
+        return placement->control->cancelled;
+    }
+    if (reply.outcome == Outcome::NotRun && !placement->control->cancelled) {
+        // It was an arrival at a server, though it did not run: another one is a second send.
+        run->reached.erase(choice.node);
+        return !maySendAgain(*run, "server-refused");
+    }
+    return true;
+}
+
+void Forwarder::learn(const std::string &route, const WorkReply &reply)
+{
+    const bool ran = reply.outcome == Outcome::Ran && !reply.serverFault;
+    if (ran) {
+        double &work = stats_[route].work;
+        const double seconds = std::chrono::duration<double>(reply.worked).count();
+        work = work == 0.0 ? seconds : work + workSmoothing * (seconds - work);
+    }
+}
+
+void Forwarder::probePath(const std::string &node)
+{
+    if (!probing_.insert(node).second) {
+        return;
+    }
+    spawnFiber([this, node] {
+        Millis pause = firstProbePause;
+        while (!core_.stopping) {
+            sleepFor(core_.ioContext, pause);
+            const RosterEntry *entry = core_.service<RosterKeeper>("roster").roster().find(node);
+            if (entry == nullptr) {
+                break;
+            }
+            const Endpoint links = entry->links;
+            PeerHub &peers = core_.service<PeerHub>("peers");
+            const Expected<LinkId> link = peers.linkAt(links, probeTimeout, true);
+            const std::optional<NodeRef> peer = link ? peers.peerOn(*link) : std::nullopt;
+            if (peer && peer->id == node) {
+                ranking_.notePathGood(node);
+                core_.events.write(Severity::Info, "path_good_again", {{"home", node}});
+                break;
+            }
+            ranking_.notePathFailure(node, core_.clock.now());
+            pause = std::min(longestProbePause, pause * 2);
+        }
+        probing_.erase(node);
+    });
+}
+
+ForwardResult Forwarder::finish(const RunPtr &run, const WorkReply &reply)
+{
+    run->over = true;
+    for (const PlacementPtr &placement : run->placements) {
+        if (!placement->ended) {
+            placement->control->cancel();
+        }
+    }
+    ForwardResult result;
+    result.outcome = reply.outcome;
+    result.reason = reply.reason;
+    result.response = reply.response;
+    if (reply.outcome == Outcome::NotRun) {
+        result.retryAfter = std::max(leastRetryAfter, reply.load.wait);
+    }
+    return result;
+}
+
+ForwardResult Forwarder::timedOut(const RunPtr &run)
+{
+    WorkReply reply;
+    const bool mayHaveRun = !run->reached.empty();
+    reply.outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    reply.reason = "timeout";
+    return finish(run, reply);
+}
+
+ForwardResult Forwarder::run(const std::shared_ptr<const ForwardJob> &held)
+{
+    const ForwardJob &job = *held;
+    ++running_;
+    struct Count {
+        std::size_t &running;
+        ~Count()
+        {
+            --running;
+        }
+    } const count{running_};
+    const auto run = std::make_shared<Run>(held);
+    budgets_.try_emplace(job.service, budgetTuning_).first->second.noteRequest(core_.clock.now());
+    job.control->interrupt = [run] { run->point.wake(); };
+    launch(run, false);
+    const bool repeatable = job.route->idempotent && job.route->mostServers > 1;
+    bool hedged = false;
+    std::size_t judged = 0;
+    WorkReply last;
+    bool hasLast = false;
+    while (true) {
+        const SteadyTime now = core_.clock.now();
+        const SteadyTime hedgeAt = repeatable && !hedged ? hedgeTime(*run) : SteadyTime::max();
+        const std::size_t ended = static_cast<std::size_t>(std::count_if(
+            run->placements.begin(), run->placements.end(), [](const PlacementPtr &one) { return one->ended; }));
+        if (job.control->cancelled || now >= job.deadline) {
+            job.control->interrupt = {};
+            return timedOut(run);
+        }
+        if (ended > judged) {
+            for (const PlacementPtr &placement : run->placements) {
+                const bool good = placement->ended && placement->reply.outcome == Outcome::Ran
+                                  && !placement->reply.serverFault;
+                if (good) {
+                    job.control->interrupt = {};
+                    return finish(run, placement->reply);
+                }
+            }
+            judged = ended;
+            for (const PlacementPtr &placement : run->placements) {
+                const bool better = placement->ended
+                                    && (!hasLast || placement->reply.outcome == Outcome::Ran
+                                        || last.outcome == Outcome::NotRun);
+                if (better) {
+                    last = placement->reply;
+                    hasLast = true;
+                }
+            }
+            if (ended == run->placements.size()) {
+                const bool failed = last.outcome != Outcome::NotRun;
+                const bool again = failed && repeatable && maySendAgain(*run, "failed");
+                if (!again) {
+                    job.control->interrupt = {};
+                    return finish(run, last);
+                }
+                hedged = true;
+                launch(run, false);
+            }
+            continue;
+        }
+        if (now >= hedgeAt) {
+            hedged = true;
+            if (maySendAgain(*run, "slow")) {
+                launch(run, true);
+            }
+            continue;
+        }
+        run->point.wait(core_.ioContext, std::min(job.deadline, hedgeAt) - now);
+    }
+}
+
+void Forwarder::rosterChanged()
+{
+    std::set<std::string> known = {core_.self.id};
+    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
+        known.insert(entry->id);
+    }
+    ranking_.keepOnly(known);
+}
+
+std::size_t Forwarder::running() const
+{
+    return running_;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/Forwarder.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "include/fleet/FleetConfig.h"
+#include "include/limit/SecondSendBudget.h"
+#include "include/route/HomeRanking.h"
+#include "include/wire/Messages.h"
+#include "src/node/RunControl.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+struct NodeCore;
+class LocalHome;
+class WorkSender;
+
+/** A caller's request on its way to a server. */
+struct ForwardJob {
+    /** Keeps the route alive, whatever version comes meanwhile. */
+    std::shared_ptr<const FleetConfig> config;
+    const Route *route = nullptr;
+    std::string service;
+    std::string requestId;
+    HttpRequest request;
+    SteadyTime arrived;
+    SteadyTime deadline;
+    RunControlPtr control;
+};
+
+/** How a forwarded request ended. */
+struct ForwardResult {
+    Outcome outcome = Outcome::NotRun;
+    std::string reason;
+    Millis retryAfter{0};
+    HttpResponse response;
+};
+
+/**
+ * Brings a caller's request to a server: chooses homes, goes on to another one when a home refuses, sends idempotent
+ * work again where that is worth it and within the fleet's budget. Not thread safe.
+ */
+class Forwarder
+{
+public:
+    Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, SecondSendTuning budget);
+
+    /** @pre called from a fiber. @p job is kept until the last of its sends has ended, which may be after the return. */
+    ForwardResult run(const std::shared_ptr<const ForwardJob> &job);
+    /** The roster changed: forgets nodes that are gone. */
+    void rosterChanged();
+    std::size_t running() const;
+
+private:
+    struct Run;
+    using RunPtr = std::shared_ptr<Run>;
+    /** One try to have the request run by one server. */
+    struct Placement {
+        RunControlPtr control;
+        bool ended = false;
+        WorkReply reply;
+        std::string home;
+    };
+    using PlacementPtr = std::shared_ptr<Placement>;
+    struct RouteStats {
+        /** Smoothed work time in seconds; 0: none seen. */
+        double work = 0.0;
+    };
+
+    PlacementPtr launch(const RunPtr &run, bool hedge);
+    void place(const RunPtr &run, const PlacementPtr &placement, bool hedge);
+    bool sendOnce(const RunPtr &run, const PlacementPtr &placement, const HomeChoice &choice, bool lastResort);
+    std::vector<RankedHome> homesOf(const std::string &service) const;
+    Millis patienceOf(const Run &run) const;
+    Duration typicalWork(const Route &route) const;
+    SteadyTime hedgeTime(const Run &run) const;
+    bool maySendAgain(Run &run, const char *why);
+    void learn(const std::string &route, const WorkReply &reply);
+    ForwardResult finish(const RunPtr &run, const WorkReply &reply);
+    ForwardResult timedOut(const RunPtr &run);
+    void probePath(const std::string &node);
+
+    NodeCore &core_;
+    LocalHome &home_;
+    WorkSender &sender_;
+    SecondSendTuning budgetTuning_;
+    HomeRanking ranking_;
+    std::map<std::string, SecondSendBudget> budgets_;
+    std::map<std::string, RouteStats> stats_;
+    std::set<std::string> probing_;
+    std::uint64_t nextLocalWork_ = 1;
+    std::size_t running_ = 0;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/LocalHome.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "include/home/LocalServerState.h"
+#include "include/home/SlotQueue.h"
+#include "include/wire/Messages.h"
+#include "src/node/RunControl.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace waxwing {
+
+struct NodeCore;
+class FiberGate;
+
+/** Names one Work in the fleet: who sent it and that one's number for it. */
+struct WorkKey {
+    NodeRef origin;
+    std::uint64_t id = 0;
+
+    bool operator<(const WorkKey &other) const;
+};
+
+/**
+ * The home of the one server beside this node: takes its heartbeats, admits work, hands it over, and remembers what
+ * became of each Work so that a sender that lost the answer can ask. The decisions are SlotQueue's and
+ * LocalServerState's. Not thread safe.
+ */
+class LocalHome
+{
+public:
+    explicit LocalHome(NodeCore &core);
+    void start();
+
+    /** Handles a call of the server beside this node; nothing if @p request is none. */
+    std::optional<HttpResponse> handleServerCall(const HttpRequest &request);
+    /**
+     * Runs @p work on the server, or says why not. @p onAdmitted is called once if the work waits or starts here.
+     * @pre called from a fiber.
+     */
+    WorkReply run(const WorkKey &key, const Work &work, const RunControlPtr &control,
+                  const std::function<void()> &onAdmitted = {});
+    /** The sender no longer wants the answer. Work that is not idempotent and has begun goes on. */
+    void cancel(const WorkKey &key);
+    /** What became of a Work; unless @p onlyAsk it never begins after this. */
+    FenceReply fence(const WorkKey &key, bool onlyAsk);
+    /** No more work of other nodes: this one stops. */
+    void stopTaking();
+    HomeLoad load() const;
+    /** Works waiting or running here. */
+    std::size_t busy() const;
+    /** The server said farewell or leaves. */
+    bool hasServer() const;
+    bool serverLeft() const;
+
+private:
+    enum class Phase {
+        Forbidden,
+        Waiting,
+        Running,
+        Ended,
+    };
+    struct Entry {
+        Phase phase = Phase::Waiting;
+        std::uint64_t jobId = 0;
+        bool idempotent = false;
+        RunControlPtr control;
+        WorkReply reply;
+        SteadyTime endedAt;
+    };
+    struct Turn {
+        std::shared_ptr<FiberGate> gate;
+        bool started = false;
+    };
+    struct Job;
+
+    void serverChanged(ServerChange change, const std::string &cause);
+    void dropWaiting(const std::vector<std::uint64_t> &ids);
+    void pollQueue();
+    void expiryLoop();
+    bool awaitTurn(Job &job, const std::function<void()> &onAdmitted);
+    void handOver(Job &job);
+    void judge(Job &job, const tl::expected<HttpResponse, ExchangeError> &answer, Duration worked);
+    void judgeFailure(Job &job, const ExchangeError &error, Duration worked);
+    WorkReply refusal(const Job &job, const std::string &reason) const;
+    void remember(const WorkKey &key, const WorkReply &reply);
+
+    NodeCore &core_;
+    LocalServerState server_;
+    SlotQueue queue_;
+    std::map<WorkKey, Entry> entries_;
+    std::deque<std::pair<SteadyTime, WorkKey>> ended_;
+    std::map<std::uint64_t, Turn> turns_;
+    std::uint64_t nextJob_ = 1;
+    bool stopped_ = false;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/SidecarNode.cpp
@@ -0,0 +1,332 @@
+#include "src/sidecar/SidecarNode.h"
+
+#include "include/report/BurnRecorder.h"
+#include "platform/ConfigDecoder.h"
+#include "platform/ObjectApi.h"
+#include "src/fiber/FiberLoop.h"
+#include "src/http/HttpServer.h"
+#include "src/link/PeerHub.h"
+#include "src/node/NodeCore.h"
+#include "src/sidecar/CallerFront.h"
+#include "src/sidecar/ConfigFollower.h"
+#include "src/sidecar/FenceService.h"
+#include "src/sidecar/Forwarder.h"
+#include "src/sidecar/LocalHome.h"
+#include "src/sidecar/NewsService.h"
+#include "src/sidecar/RosterKeeper.h"
+#include "src/sidecar/WorkSender.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+
+constexpr Millis stopPoll{20};
+/** The platform asks each second and takes a node out after two misses; then no caller comes any more. */
+constexpr Millis callersHear{2300};
+/** Other nodes are turned away this long after the stop began: their work has other homes. */
+constexpr Millis homeStaysOpen{1000};
+/** Kept from the time until the process is killed. */
+constexpr Millis stopMargin{400};
+/** Time for the last answers to leave the sockets. */
+constexpr Millis lastWords{50};
+/** Links to the region's nodes are opened before the first request needs them. */
+constexpr Millis warmTimeout{1500};
+
+Millis graceOf(const NodeSettings &settings)
+{
+    Findings findings;
+    return settings.bounds.empty() ? settings.times.stopWithin
+                                   : platform::decodeBounds(settings.bounds, findings).stopGrace;
+}
+
+SecondSendTuning budgetOf(const NodeSettings &settings)
+{
+    SecondSendTuning tuning;
+    if (!settings.bounds.empty()) {
+        Findings findings;
+        const platform::FleetBounds bounds = platform::decodeBounds(settings.bounds, findings);
+        tuning.share = bounds.retryShare;
+        tuning.slack = bounds.retrySlack;
+        tuning.window = bounds.retryWindow;
+    }
+    return tuning;
+}
+
+} // namespace
+
+struct SidecarNode::Parts {
+    Parts(boost::asio::io_context &ioContext, const Clock &clock, const NodeSettings &settings,
+          std::uint64_t incarnation)
+                : core(ioContext, clock, settings, incarnation, stableHash(settings.node, incarnation))
+        , store(core.client, settings.objectApi)
+        , burn(clock)
+        , home(core)
+        , fences(core, [this](const Fence &fence) { return home.fence(WorkKey{fence.origin, fence.workId}, fence.onlyAsk); })
+        , sender(core, fences)
+        , config(core)
+        , roster(core)
+        , news(core)
+        , forwarder(core, home, sender, budgetOf(settings))
+        , front(core)
+    { }
+
+    Expected<void> build();
+    Expected<void> listen();
+    Expected<std::unique_ptr<HttpServer>> listenAt(const Endpoint &endpoint, HttpServer::Handler handler);
+    HttpReply handleControl(const HttpRequest &request);
+    void handleMessage(LinkId link, const NodeRef &from, Message message);
+    void handleWork(LinkId link, const NodeRef &from, Work work);
+    void applyConfig(const FleetConfig &changed);
+    void warmLinks();
+
+    NodeCore core;
+    ObjectApi store;
+    BurnRecorder burn;
+    LocalHome home;
+    FenceService fences;
+    WorkSender sender;
+    ConfigFollower config;
+    RosterKeeper roster;
+    NewsService news;
+    Forwarder forwarder;
+    CallerFront front;
+    std::unique_ptr<PeerHub> peers;
+    std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> controlServer;
+    std::unique_ptr<HttpServer> readinessServer;
+    std::unique_ptr<HttpServer> metricsServer;
+};
+
+Expected<void> SidecarNode::Parts::build()
+{
+    PeerHub::Hooks hooks;
+    hooks.onMessage = [this](LinkId link, const NodeRef &from, Message message) {
+        handleMessage(link, from, std::move(message));
+    };
+    hooks.onGarbage = [this](const std::string &reason) {
+        core.metrics.count("link_garbage");
+        core.events.write(Severity::Warning, "link_garbage", {{"reason", reason}});
+    };
+    hooks.onLinkClosed = [this](LinkId link) { sender.linkClosed(link); };
+    peers = std::make_unique<PeerHub>(core.ioContext, core.self, std::move(hooks));
+    Kernel &kernel = core.kernel;
+    Expected<void> ok = kernel.provide("platform", store);
+    const auto provide = [&](const std::string &name, auto &service) {
+        ok = ok ? kernel.provide(name, service) : ok;
+    };
+    provide("burn", burn);
+    provide("peers", *peers);
+    provide("config", config);
+    provide("roster", roster);
+    provide("news", news);
+    provide("forwarder", forwarder);
+    config.onChange([this](const FleetConfig &changed) { applyConfig(changed); });
+    roster.onChange([this] {
+        forwarder.rosterChanged();
+        warmLinks();
+    });
+    return ok;
+}
+
+Expected<std::unique_ptr<HttpServer>> SidecarNode::Parts::listenAt(const Endpoint &endpoint,
+                                                                   HttpServer::Handler handler)
+{
+    HttpLimits limits;
+    limits.bodyBytes = core.settings.limits.bodyBytes;
+    limits.headerBytes = core.settings.limits.headerBytes;
+    limits.connections = core.settings.limits.callerConnections;
+    return HttpServer::MakeListening(core.ioContext, endpoint.address, endpoint.port, std::move(handler), limits,
+                                     [this](const std::string &reason) {
+                                         core.metrics.count("http_rejected");
+                                         core.events.write(Severity::Warning, "http_rejected", {{"reason", reason}});
+                                     });
+}
+
+Expected<void> SidecarNode::Parts::listen()
+{
+    const Expected<void> links = peers->listen(core.settings.peers);
+    if (!links) {
+        return links;
+    }
+    const auto open = [&](const Endpoint &endpoint, std::unique_ptr<HttpServer> &slot,
+                          HttpServer::Handler handler) -> Expected<void> {
+        auto server = listenAt(endpoint, std::move(handler));
+        if (!server) {
+            return tl::unexpected<Error>(server.error());
+        }
+        slot = std::move(*server);
+        return {};
+    };
+    Expected<void> ok = open(core.settings.operators, controlServer,
+                             [this](const HttpRequest &request, const CallerWatchPtr &) { return handleControl(request); });
+    ok = ok ? open(core.settings.readiness, readinessServer,
+                   [this](const HttpRequest &request, const CallerWatchPtr &) { return front.handleReadiness(request); })
+            : ok;
+    ok = ok && core.settings.metrics.port != 0
+             ? open(core.settings.metrics, metricsServer,
+                    [this](const HttpRequest &, const CallerWatchPtr &) {
+                        HttpResponse text;
+                        text.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+                        text.body = core.metrics.text();
+                        return HttpReply{std::move(text), AfterResponse::KeepOpen};
+                    })
+             : ok;
+    ok = ok ? open(core.settings.callers, callerServer,
+                   [this](HttpRequest request, const CallerWatchPtr &caller) {
+                       return front.handle(std::move(request), caller);
+                   })
+            : ok;
+    return ok;
+}
+
+HttpReply SidecarNode::Parts::handleControl(const HttpRequest &request)
+{
+    if (const std::optional<HttpResponse> reply = home.handleServerCall(request)) {
+        return HttpReply{*reply, AfterResponse::KeepOpen};
+    }
+    constexpr unsigned notFound = 404;
+    return HttpReply{jsonResponse(notFound, "{\"error\":\"unknown path\"}\n"), AfterResponse::KeepOpen};
+}
+
+void SidecarNode::Parts::handleMessage(LinkId link, const NodeRef &from, Message message)
+{
+    if (auto *work = std::get_if<Work>(&message)) {
+        news.heard(link, work->versions);
+        handleWork(link, from, std::move(*work));
+    } else if (auto *reply = std::get_if<WorkReply>(&message)) {
+        news.heard(link, reply->versions);
+        sender.handleReply(std::move(*reply));
+    } else if (const auto *receipt = std::get_if<WorkReceipt>(&message)) {
+        news.heard(link, receipt->versions);
+        sender.handleReceipt(*receipt);
+    } else if (const auto *cancel = std::get_if<Cancel>(&message)) {
+        home.cancel(WorkKey{from, cancel->id});
+    } else if (const auto *fence = std::get_if<Fence>(&message)) {
+        fences.handle(link, from, *fence);
+    } else if (const auto *fate = std::get_if<FenceReply>(&message)) {
+        fences.handleReply(*fate);
+    } else if (const auto *request = std::get_if<NewsRequest>(&message)) {
+        news.handleRequest(link, *request);
+    } else if (const auto *told = std::get_if<News>(&message)) {
+        news.handleNews(*told);
+    }
+}
+
+void SidecarNode::Parts::handleWork(LinkId link, const NodeRef &from, Work work)
+{
+    spawnFiber([this, link, from, work = std::move(work)] {
+        const WorkKey key{from, work.id};
+        const auto control = std::make_shared<RunControl>();
+        // A refusal answers at once; only what stays here needs a receipt.
+        WorkReply reply = home.run(key, work, control,
+                                   [&] { peers->reply(link, WorkReceipt{work.id, news.versions()}); });
+        reply.versions = news.versions();
+        peers->reply(link, reply);
+    });
+}
+
+void SidecarNode::Parts::applyConfig(const FleetConfig &changed)
+{
+    front.configChanged();
+    HttpLimits limits;
+    limits.headerBytes = changed.limits.headerBytes;
+    limits.bodyBytes = changed.limits.bodyBytes;
+    limits.header = changed.limits.header;
+    limits.idle = changed.limits.idle;
+    limits.connections = core.settings.limits.callerConnections;
+    callerServer->setLimits(limits);
+}
+
+void SidecarNode::Parts::warmLinks()
+{
+    for (const RosterEntry *entry : roster.roster().all()) {
+        const bool near = entry->region == core.settings.region && entry->id != core.self.id;
+        if (near) {
+            spawnFiber([this, links = entry->links] {
+                const Expected<LinkId> opened = peers->linkAt(links, warmTimeout);
+                core.metrics.count(opened ? "links_warmed" : "links_not_warmed");
+            });
+        }
+    }
+}
+
+Expected<std::unique_ptr<SidecarNode>> SidecarNode::MakeStarted(boost::asio::io_context &ioContext, const Clock &clock,
+                                                                const NodeSettings &settings,
+                                                                std::uint64_t incarnation)
+{
+    auto parts = std::make_unique<Parts>(ioContext, clock, settings, incarnation);
+    Expected<void> ok = parts->build();
+    ok = ok ? parts->listen() : ok;
+    if (!ok) {
+        return tl::unexpected<Error>(ok.error());
+    }
+    parts->home.start();
+    parts->config.start();
+    parts->roster.start();
+    parts->core.events.write(Severity::Info, "node_started",
+                             {{"node", parts->core.self.text()},
+                              {"service", settings.server->service},
+                              {"server", settings.server->address.text()},
+                              {"callers", settings.callers.text()},
+                              {"links", settings.peers.text()}});
+    return std::unique_ptr<SidecarNode>(new SidecarNode(std::move(parts)));
+}
+
+SidecarNode::SidecarNode(std::unique_ptr<Parts> parts)
+    : parts_(std::move(parts))
+{ }
+
+SidecarNode::~SidecarNode() = default;
+
+void SidecarNode::reload(const NodeSettings &settings)
+{
+    NodeSettings &own = parts_->core.settings;
+    own.server = settings.server;
+    own.bounds = settings.bounds;
+    own.limits = settings.limits;
+    own.times = settings.times;
+    parts_->core.events.write(Severity::Info, "settings_reloaded", {{"node", parts_->core.self.text()}});
+}
+
+bool SidecarNode::stop()
+{
+    NodeCore &core = parts_->core;
+    const SteadyTime began = core.clock.now();
+    const SteadyTime until = began + graceOf(core.settings) - stopMargin;
+    const bool comesBack = !parts_->home.serverLeft();
+    core.events.write(Severity::Info, "node_stopping",
+                      {{"node", core.self.text()}, {"serverLeft", comesBack ? "no" : "yes"}});
+    core.draining = true;
+    parts_->callerServer->announceClose();
+    if (!comesBack) {
+        parts_->roster.withdraw();
+    }
+    const auto busy = [&] { return parts_->callerServer->requestsInFlight() > 0 || parts_->home.busy() > 0; };
+    bool listening = true;
+    while (core.clock.now() < until) {
+        const Duration since = core.clock.now() - began;
+        if (since >= homeStaysOpen) {
+            parts_->home.stopTaking();
+        }
+        if (since >= callersHear && listening) {
+            parts_->callerServer->drain();
+            listening = false;
+        }
+        if (!listening && !busy()) {
+            break;
+        }
+        sleepFor(core.ioContext, stopPoll);
+    }
+    const bool clean = !busy();
+    sleepFor(core.ioContext, lastWords);
+    core.stopping = true;
+    parts_->controlServer->drain();
+    parts_->peers->stop();
+    core.events.write(clean ? Severity::Info : Severity::Error, "node_stopped",
+                      {{"node", core.self.text()}, {"cleanly", clean ? "yes" : "no"}});
+    return clean;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/SidecarNode.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/base/Error.h"
+#include "include/settings/NodeSettings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace waxwing {
+
+/**
+ * A node beside exactly one backend server, on a platform where only it can reach that server: ingress for the VM's
+ * callers and home of the server, on one thread and one io_context. Not thread safe.
+ */
+class SidecarNode
+{
+public:
+    /**
+     * Builds the services and starts to listen. Errors: Unavailable if a port can't be had. @pre the calling thread has
+     * the fiber scheduler of @p ioContext; @p settings name a local server; @p clock outlives the node.
+     */
+    static Expected<std::unique_ptr<SidecarNode>> MakeStarted(boost::asio::io_context &ioContext, const Clock &clock,
+                                                              const NodeSettings &settings, std::uint64_t incarnation);
+    ~SidecarNode();
+    SidecarNode(const SidecarNode &) = delete;
+    SidecarNode &operator=(const SidecarNode &) = delete;
+
+    /** Takes over changed settings; addresses where the node listens stay. */
+    void reload(const NodeSettings &settings);
+    /**
+     * Graceful stop: tells the platform, serves on until callers have heard of it, finishes what is in flight.
+     * @pre called from a fiber. Returns false if work was still running at the time limit.
+     */
+    bool stop();
+
+private:
+    struct Parts;
+    explicit SidecarNode(std::unique_ptr<Parts> parts);
+    std::unique_ptr<Parts> parts_;
+};
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/StoreWatch.cpp
@@ -0,0 +1,68 @@
+#include "src/sidecar/StoreWatch.h"
+
+#include "src/fiber/FiberLoop.h"
+#include "src/node/NodeCore.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+StoreWatch::StoreWatch(NodeCore &core, std::string kind, StoreWatchTuning tuning, ChangesHook onChanges)
+    : core_(core)
+    , kind_(std::move(kind))
+    , tuning_(tuning)
+    , onChanges_(std::move(onChanges))
+{ }
+
+Millis StoreWatch::randomBetween(Millis least, Millis most)
+{
+    const auto range = static_cast<std::uint64_t>(std::max<std::int64_t>(1, (most - least).count()));
+    return least + Millis(static_cast<std::int64_t>(core_.random() % range));
+}
+
+void StoreWatch::run()
+{
+    ObjectApi &api = core_.service<ObjectApi>("platform");
+    std::uint64_t since = 0;
+    Millis backoff = tuning_.firstBackoff;
+    bool first = true;
+    while (!core_.stopping) {
+        const Millis wait = randomBetween(tuning_.shortestWait, tuning_.longestWait);
+        const Expected<ObjectChanges> changes = api.watch(kind_, since, wait, tuning_.mode);
+        if (!changes) {
+            if (healthy_ || first) {
+                core_.events.write(Severity::Warning, "store_lost",
+                                   {{"kind", kind_}, {"reason", changes.error().message}});
+            }
+            healthy_ = false;
+            first = false;
+            // Jitter: after an outage not every node comes back at the same moment.
+            sleepFor(core_.ioContext, randomBetween(backoff / 2, backoff));
+            backoff = std::min(tuning_.longestBackoff, backoff * 2);
+            continue;
+        }
+        if (!healthy_) {
+            core_.events.write(Severity::Info, "store_answers",
+                               {{"kind", kind_}, {"revision", std::to_string(changes->revision)}});
+        }
+        healthy_ = true;
+        first = false;
+        backoff = tuning_.firstBackoff;
+        onChanges_(*changes);
+        // A list of a kind that has no objects yet may carry no revision to watch from.
+        const bool canWatch = changes->revision > 0;
+        since = changes->revision;
+        if (!canWatch) {
+            sleepFor(core_.ioContext, tuning_.longestBackoff);
+        } else if (!changes->objects.empty() && tuning_.gather > Millis(0)) {
+            sleepFor(core_.ioContext, tuning_.gather);
+        }
+    }
+}
+
+bool StoreWatch::isHealthy() const
+{
+    return healthy_;
+}
+
+} // namespace waxwing
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -22,6 +22,13 @@
     Pong,
     ClaimHandover,
     RecordNames,
+    Work,
+    WorkReceipt,
+    WorkReply,
+    Fence,
+    FenceReply,
+    NewsRequest,
+    News,
 };
 
 /** Positions 0 and 1 of each message hold the protocol version and the type. */
@@ -137,6 +144,87 @@
                       RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()}};
 }
 
+constexpr double doubtSteps = 1000.0;
+constexpr double slowdownSteps = 100.0;
+
+json refOf(const NodeRef &ref)
+{
+    return json::array({ref.id, ref.incarnation});
+}
+
+NodeRef refFrom(const json &value)
+{
+    return NodeRef{value.at(0).get<std::string>(), value.at(1).get<std::uint64_t>()};
+}
+
+json versionsOf(const KnownVersions &versions)
+{
+    return json::array({versions.config, versions.roster});
+}
+
+KnownVersions versionsFrom(const json &value)
+{
+    return KnownVersions{value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
+}
+
+json loadOf(const HomeLoad &load)
+{
+    return json::array({load.freeSlots, load.queued, load.wait.count(), static_cast<int>(load.doubt * doubtSteps),
+                        static_cast<int>(load.slowdown * slowdownSteps)});
+}
+
+HomeLoad loadFrom(const json &value)
+{
+    HomeLoad load;
+    load.freeSlots = value.at(0).get<std::int32_t>();
+    load.queued = value.at(1).get<std::int32_t>();
+    load.wait = Millis(value.at(2).get<std::int64_t>());
+    load.doubt = value.at(3).get<int>() / doubtSteps;
+    load.slowdown = value.at(4).get<int>() / slowdownSteps;
+    return load;
+}
+
+json workReplyOf(const WorkReply &m)
+{
+    json response = m.response.headers.empty() && m.response.body.empty() ? json() : responseOf(m.response);
+    return json::array({m.id, static_cast<int>(m.outcome), m.serverFault, m.reachedServer, m.reason, m.server,
+                        m.worked.count(), loadOf(m.load), versionsOf(m.versions), std::move(response)});
+}
+
+WorkReply workReplyFrom(const json &in)
+{
+    WorkReply m;
+    m.id = in.at(0).get<std::uint64_t>();
+    m.outcome = outcomeFrom(in.at(1));
+    m.serverFault = in.at(2).get<bool>();
+    m.reachedServer = in.at(3).get<bool>();
+    m.reason = in.at(4).get<std::string>();
+    m.server = in.at(5).get<std::string>();
+    m.worked = Millis(in.at(6).get<std::int64_t>());
+    m.load = loadFrom(in.at(7));
+    m.versions = versionsFrom(in.at(8));
+    if (!in.at(9).is_null()) {
+        m.response = responseFrom(in.at(9));
+    }
+    return m;
+}
+
+json rosterEntryOf(const RosterEntry &entry)
+{
+    return json::array({entry.id, entry.links.address, entry.links.port, entry.zone, entry.region,
+                        entry.service, entry.revision});
+}
+
+RosterEntry rosterEntryFrom(const json &value)
+{
+    return RosterEntry{value.at(0).get<std::string>(),
+                       Endpoint{value.at(1).get<std::string>(), value.at(2).get<std::uint16_t>()},
+                       value.at(3).get<std::string>(),
+                       value.at(4).get<std::string>(),
+                       value.at(5).get<std::string>(),
+                       value.at(6).get<std::uint64_t>()};
+}
+
 struct Encoder {
     json operator()(const Hello &m) const
     {
@@ -209,8 +297,86 @@
         }
         return with(Type::ClaimHandover, m.id, std::move(owners), std::move(claims));
     }
+    json operator()(const Work &m) const
+    {
+        return with(Type::Work, m.id, bytesOf(m.requestId), m.service, m.route, m.idempotent, m.lastResort, m.priority,
+                    m.remaining.count(), m.untilObjective.count(), m.patience.count(), versionsOf(m.versions),
+                    requestOf(m.request));
+    }
+    json operator()(const WorkReceipt &m) const
+    {
+        return with(Type::WorkReceipt, m.id, versionsOf(m.versions));
+    }
+    json operator()(const WorkReply &m) const
+    {
+        return with(Type::WorkReply, workReplyOf(m));
+    }
+    json operator()(const Fence &m) const
+    {
+        return with(Type::Fence, m.id, refOf(m.target), refOf(m.origin), m.workId, m.onlyAsk);
+    }
+    json operator()(const FenceReply &m) const
+    {
+        return with(Type::FenceReply, m.id, static_cast<int>(m.state), m.reply ? workReplyOf(*m.reply) : json());
+    }
+    json operator()(const NewsRequest &m) const
+    {
+        return with(Type::NewsRequest, versionsOf(m.versions));
+    }
+    json operator()(const News &m) const
+    {
+        json roster = json::array();
+        for (const RosterEntry &entry : m.roster) {
+            roster.push_back(rosterEntryOf(entry));
+        }
+        return with(Type::News, versionsOf(m.versions), bytesOf(m.config), std::move(roster));
+    }
 };
 
+Work workFrom(const json &in)
+{
+    Work m;
+    m.id = in.at(body).get<std::uint64_t>();
+    m.requestId = textOf(in.at(body + 1));
+    m.service = in.at(body + 2).get<std::string>();
+    m.route = in.at(body + 3).get<std::string>();
+    m.idempotent = in.at(body + 4).get<bool>();
+    m.lastResort = in.at(body + 5).get<bool>();
+    m.priority = in.at(body + 6).get<std::uint8_t>();
+    m.remaining = Millis(in.at(body + 7).get<std::int64_t>());
+    m.untilObjective = Millis(in.at(body + 8).get<std::int64_t>());
+    m.patience = Millis(in.at(body + 9).get<std::int64_t>());
+    m.versions = versionsFrom(in.at(body + 10));
+    m.request = requestFrom(in.at(body + 11));
+    return m;
+}
+
+FenceReply fenceReplyFrom(const json &in)
+{
+    FenceReply m;
+    m.id = in.at(body).get<std::uint64_t>();
+    const int state = in.at(body + 1).get<int>();
+    if (state < static_cast<int>(FenceState::NeverRuns) || state > static_cast<int>(FenceState::NotKnown)) {
+        throw json::other_error::create(501, "unknown fence state", &in);
+    }
+    m.state = static_cast<FenceState>(state);
+    if (!in.at(body + 2).is_null()) {
+        m.reply = workReplyFrom(in.at(body + 2));
+    }
+    return m;
+}
+
+News newsFrom(const json &in)
+{
+    News m;
+    m.versions = versionsFrom(in.at(body));
+    m.config = textOf(in.at(body + 1));
+    for (const json &entry : in.at(body + 2)) {
+        m.roster.push_back(rosterEntryFrom(entry));
+    }
+    return m;
+}
+
 Exec execFrom(const json &in)
 {
     Exec m;
@@ -325,6 +491,21 @@
         return Pong{in.at(body).get<std::uint64_t>()};
     case Type::ClaimHandover:
         return handoverFrom(in);
+    case Type::Work:
+        return workFrom(in);
+    case Type::WorkReceipt:
+        return WorkReceipt{in.at(body).get<std::uint64_t>(), versionsFrom(in.at(body + 1))};
+    case Type::WorkReply:
+        return workReplyFrom(in.at(body));
+    case Type::Fence:
+        return Fence{in.at(body).get<std::uint64_t>(), refFrom(in.at(body + 1)), refFrom(in.at(body + 2)),
+                     in.at(body + 3).get<std::uint64_t>(), in.at(body + 4).get<bool>()};
+    case Type::FenceReply:
+        return fenceReplyFrom(in);
+    case Type::NewsRequest:
+        return NewsRequest{versionsFrom(in.at(body))};
+    case Type::News:
+        return newsFrom(in);
     }
     throw json::other_error::create(501, "unknown message type", &in);
 }
--- a/tests/integration/BadInputTest.cpp
+++ b/tests/integration/BadInputTest.cpp
@@ -86,9 +86,8 @@
     Fleet fleet;
     const nlohmann::json standing = fleet.view(0, "/v1/config");
     const auto version = standing["course-desk"].value("revision", std::uint64_t(0));
-    const nlohmann::json newer = {{"version", version},
-                                  {"value", {{"schema", 9}, {"classes", nlohmann::json::object()}}}};
-    REQUIRE(fleet.writeObject("service", "course-desk", newer));
+    const nlohmann::json newer = {{"schema", 9}, {"classes", nlohmann::json::object()}};
+    REQUIRE(fleet.writeObject("service", "course-desk", version, newer));
     CHECK(eventually([&] {
         const nlohmann::json config = fleet.view(2, "/v1/config");
         return config["course-desk"].value("refusal", "").find("/schema") != std::string::npos;
--- a/tests/standins/objectapi.cpp
+++ b/tests/standins/objectapi.cpp
@@ -2,6 +2,7 @@
  * Stand-in for the platform's object API: versions, conditional updates, watches, counted calls, and on demand an
  * outage, slowness, or answers that are lost after the write took effect.
  */
+#include "platform/Names.h"
 #include "src/http/HttpServer.h"
 #include "tests/standins/StandinMain.h"
 
@@ -22,12 +23,21 @@
     std::string kind;
     std::string name;
     std::uint64_t version = 0;
+    std::uint64_t createdVersion = 0;
     bool deleted = false;
     json value;
 
+    /** Spec and metadata as the platform spells them. */
     json toJson() const
     {
-        return {{"kind", kind}, {"name", name}, {"version", version}, {"deleted", deleted}, {"value", value}};
+        return {{"metadata",
+                 {{"name", name},
+                  {"rev", version},
+                  {"created_rev", createdVersion},
+                  {"finalizers", json::array()},
+                  {"deleting", false}}},
+                {"spec", value},
+                {"status", nullptr}};
     }
 };
 
@@ -45,7 +55,7 @@
 
 Target parseTarget(const std::string &target)
 {
-    const std::string root = "/v1/objects/";
+    const std::string root = platform::names::objects;
     Target out;
     const std::size_t question = target.find('?');
     const std::string path = target.substr(0, question);
@@ -93,7 +103,7 @@
         if (request.method == "GET") {
             return target.name.empty() ? list(target) : read(target);
         }
-        HttpReply answer = request.method == "PUT" ? update(target, request.body) : remove(target);
+        HttpReply answer = request.method == "DELETE" ? remove(target) : update(request.method, target, request.body);
         if (faults_.loseAnswers > 0) {
             --faults_.loseAnswers;
             return HttpReply{{}, AfterResponse::Reset};
@@ -119,6 +129,9 @@
         faults_.outage = body.value("outage", faults_.outage);
         faults_.slowMs = body.value("slowMs", faults_.slowMs);
         faults_.loseAnswers = body.value("loseAnswers", faults_.loseAnswers);
+        if (body.value("forgetHistory", false)) {
+            forgottenBefore_ = revision_;
+        }
         if (faults_.outage) {
             wakeAll();
         }
@@ -136,10 +149,13 @@
 
     HttpReply list(const Target &target)
     {
-        const auto since = target.query.find("since");
-        const auto wait = target.query.find("waitMs");
+        const auto since = target.query.find("watch");
+        const auto wait = target.query.find("wait_ms");
         const std::uint64_t from = since == target.query.end() ? 0 : std::stoull(since->second);
         const std::int64_t waitMs = wait == target.query.end() ? 0 : std::stoll(wait->second);
+        if (from > 0 && from < forgottenBefore_) {
+            return reply(410, {{"error", "history gone"}});
+        }
         if (from > 0 && waitMs > 0 && !changedSince(target.kind, from)) {
             const auto gate = std::make_shared<FiberGate>();
             waiting_.push_back(gate);
@@ -152,14 +168,19 @@
         if (faults_.outage) {
             return HttpReply{{}, AfterResponse::Reset};
         }
-        json objects = json::array();
+        json found = json::array();
         for (const auto &[id, object] : objects_) {
             const bool wanted = id.first == target.kind && object.version > from && (from > 0 || !object.deleted);
-            if (wanted) {
-                objects.push_back(object.toJson());
+            if (wanted && from > 0) {
+                found.push_back({{"object", object.toJson()}, {"deleted", object.deleted}});
+            } else if (wanted) {
+                found.push_back(object.toJson());
             }
         }
-        return reply(200, {{"revision", revision_}, {"complete", from == 0}, {"objects", objects}});
+        if (from > 0) {
+            return reply(200, {{"events", found}, {"as_of", revision_}});
+        }
+        return reply(200, {{"items", found}, {"more", false}, {"as_of", revision_}});
     }
 
     bool changedSince(const std::string &kind, std::uint64_t from) const
@@ -172,28 +193,38 @@
         return false;
     }
 
-    HttpReply conflict(const Object *current)
+    static HttpReply conflict(const Object &current)
     {
-        return reply(409, {{"error", "version"}, {"current", current == nullptr ? json() : current->toJson()}});
+        return reply(409, current.toJson());
     }
 
-    HttpReply update(const Target &target, const std::string &text)
+    HttpReply update(const std::string &method, const Target &target, const std::string &text)
     {
         const json body = json::parse(text, nullptr, false);
-        if (!body.is_object() || !body.contains("version") || !body.contains("value")) {
-            return reply(400, {{"error", "version and value are needed"}});
+        const json metadata = body.is_object() ? body.value("metadata", json::object()) : json();
+        if (!metadata.is_object() || !body.contains("spec")) {
+            return reply(400, {{"error", "metadata and spec are needed"}});
         }
         if (text.size() > mostValueBytes) {
             return reply(413, {{"error", "value too large"}});
         }
-        Object &object = objects_[{target.kind, target.name}];
-        const std::uint64_t standing = object.deleted ? 0 : object.version;
-        if (body["version"].get<std::uint64_t>() != standing) {
-            return conflict(standing == 0 ? nullptr : &object);
+        const std::string name = target.name.empty() ? metadata.value("name", "") : target.name;
+        const auto found = objects_.find({target.kind, name});
+        const bool stands = found != objects_.end() && !found->second.deleted;
+        if (method == "POST" && stands) {
+            return conflict(found->second);
         }
-        object = Object{target.kind, target.name, ++revision_, false, body["value"]};
+        if (method == "PUT" && !stands) {
+            return reply(404, {{"error", "no such object"}});
+        }
+        if (stands && metadata.value("rev", found->second.version) != found->second.version) {
+            return conflict(found->second);
+        }
+        const std::uint64_t created = stands ? found->second.createdVersion : revision_ + 1;
+        Object &object = objects_[{target.kind, name}];
+        object = Object{target.kind, name, ++revision_, created, false, body["spec"]};
         wakeAll();
-        return reply(200, {{"version", object.version}});
+        return reply(200, object.toJson());
     }
 
     HttpReply remove(const Target &target)
@@ -202,15 +233,15 @@
         if (found == objects_.end() || found->second.deleted) {
             return reply(404, {{"error", "no such object"}});
         }
-        const auto version = target.query.find("version");
+        const auto version = target.query.find("rev");
         if (version != target.query.end() && std::stoull(version->second) != found->second.version) {
-            return conflict(&found->second);
+            return conflict(found->second);
         }
         found->second.deleted = true;
         found->second.version = ++revision_;
         found->second.value = nullptr;
         wakeAll();
-        return reply(200, {{"version", found->second.version}});
+        return reply(200, found->second.toJson());
     }
 
     void wakeAll()
@@ -226,6 +257,8 @@
     std::list<std::shared_ptr<FiberGate>> waiting_;
     Faults faults_;
     std::uint64_t revision_ = 1;
+    /** Watches from before this revision are told that the history is gone. */
+    std::uint64_t forgottenBefore_ = 0;
 };
 
 } // namespace
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/Fleet.h"
 
+#include "platform/ObjectApi.h"
+
 #include "src/fiber/FiberLoop.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -323,11 +325,10 @@
     return answer ? json::parse(answer->body, nullptr, false) : json();
 }
 
-bool Fleet::writeObject(const std::string &kind, const std::string &name, const json &body)
+bool Fleet::writeObject(const std::string &kind, const std::string &name, std::uint64_t version, const json &value)
 {
-    const HttpRequest request{"PUT", "/v1/objects/" + kind + "/" + name, {}, body.dump()};
-    const auto answer = loop().client->exchange(api_, request, controlTimeout);
-    return answer && answer->status == 200;
+    return ObjectApi(*loop().client, api_).update(kind, name, version, value.dump()).kind
+           == UpdateResult::Kind::Stored;
 }
 
 Answer Fleet::send(int node, const HttpRequest &request, Millis allowed)
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -101,7 +101,8 @@
     nlohmann::json view(int node, const std::string &target);
     nlohmann::json apiStats();
     /** Writes an object past the command line's checks. */
-    bool writeObject(const std::string &kind, const std::string &name, const nlohmann::json &body);
+    bool writeObject(const std::string &kind, const std::string &name, std::uint64_t version,
+                     const nlohmann::json &value);
 
     Answer send(int node, const HttpRequest &request, Millis allowed = std::chrono::seconds(8));
     Answer read(int node, const std::string &id);
