Choose homes by expected loss, and refuse work that arrives late

Cause: (1) a request that a node had already given to another home ran again 12 s later, when a cut healed and delivered what was left in the link: the fence's memory had ended. Change: both ends say how old the link's Hello is; the difference tells how late a message is, and work later than 1.5 s is refused. Homes are ordered by the part of the request's value they are expected to cost, in which waiting is free as long as the objective is safe. Ruled out: a longer memory of fences alone: a cut may last longer than any memory.

--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -21,37 +21,46 @@
 /** What a request asks of the choice. */
 struct HomeNeed {
     bool idempotent = false;
-    /** Time that may be spent on waiting before the objective is lost. */
-    Millis patience{0};
+    /** Time left to its objective, or to its deadline where the objective is lost already. */
+    Millis timeLeft{1000};
+    /** What its work usually takes. */
+    Millis work{200};
 };
 
 /** The chosen home, and how long waiting there is better than going on to the next one. */
 struct HomeChoice {
     std::string node;
     Millis patience{0};
-    /** The estimated cost in milliseconds, for the log. */
-    double cost = 0.0;
+    /** Expected loss, in thousandths of the request's value, for the log. */
+    double loss = 0.0;
     /** Age of what was known of its load; negative if nothing was. */
     Millis loadAge{-1};
 };
 
+/**
+ * What speaks against a home, each as the part of a request's value that it is expected to cost, in thousandths.
+ * Waiting costs nothing as long as the objective is safe; bytes between zones and regions are paid in any case.
+ */
 struct RankingTuning {
-    /** A round trip to a home at each distance, in milliseconds; replaced by what is measured. */
-    double sameZone = 0.5;
-    double sameRegion = 3.0;
-    double otherRegion = 60.0;
-    /**
-     * Added for another region: its link is slow, narrow and paid by volume, so work goes there only if waiting
-     * nearby costs this much more, in milliseconds.
-     */
-    double regionPenalty = 150.0;
-    /** Each busy slot of a home, in milliseconds: spreads work, since servers slow down when they are nearly full. */
-    double busySlot = 6.0;
-    /** A request that meets a gray server must be sent again, or is lost if it can't be. In milliseconds. */
-    double doubtIdempotent = 250.0;
-    double doubtOther = 1500.0;
-    /** Load news halve in weight after this long. */
+    double otherZone = 60.0;
+    double otherRegion = 220.0;
+    /** Round trips in milliseconds, for the time that is left at the home. */
+    double zoneTrip = 3.0;
+    double regionTrip = 62.0;
+    /** Each busy slot: spreads work over homes that are otherwise equal, since full servers are slower. */
+    double busySlot = 4.0;
+    /** An idempotent request that meets a gray server takes a second send; another one is lost. */
+    double doubtIdempotent = 200.0;
+    double doubtOther = 600.0;
+    /** An answer after the objective is worth about a third of one in time. */
+    double late = 700.0;
+    /** Waiting and work that take up to this part of the time left are in no danger. */
+    double safePart = 0.45;
+    /** Those that take this part of it are late for certain. */
+    double latePart = 1.25;
+    /** News of load halve in weight after this long; news of doubt, which lasts for seconds, later. */
     Millis loadHalfLife{400};
+    Millis doubtHalfLife{1500};
     /** A refused sender stays away from a home without a server for this long. */
     Millis noServerPause{700};
     Millis firstPathPause{1000};
@@ -59,8 +68,8 @@
 };
 
 /**
- * Orders the homes of a service for one request by expected cost in time: distance, waiting for a slot, doubt, broken
- * paths. Learns from replies and refusals only. Not thread safe.
+ * Orders the homes of a service for one request by expected loss: distance, danger of being late, doubt about the
+ * server, broken paths. Learns from replies and refusals only. Not thread safe.
  */
 class HomeRanking
 {
@@ -69,7 +78,7 @@
 
     explicit HomeRanking(Random random, RankingTuning tuning = {});
 
-    /** The cheapest of @p homes not in @p tried; its node is empty if there is none. */
+    /** The best of @p homes not in @p tried; its node is empty if there is none. */
     HomeChoice choose(const std::vector<RankedHome> &homes, const std::set<std::string> &tried, const HomeNeed &need,
                       SteadyTime now) const;
     void noteSent(const std::string &node);
@@ -97,8 +106,14 @@
         SteadyTime pathBadUntil;
     };
 
-    double cost(const RankedHome &home, const HomeNeed &need, SteadyTime now) const;
-    double loadCost(const Home &home, const HomeNeed &need, SteadyTime now) const;
+    /** Everything but waiting. */
+    double fixedLoss(const RankedHome &home, const HomeNeed &need, SteadyTime now) const;
+    double lateLoss(double waitMs, double tripMs, double slowdown, const HomeNeed &need) const;
+    double expectedWait(const RankedHome &home, SteadyTime now) const;
+    double tripOf(Distance distance) const;
+    double slowdownOf(const RankedHome &home, SteadyTime now) const;
+    /** The longest wait at @p home that loses no more than @p loss. */
+    Millis patienceFor(const RankedHome &home, const HomeNeed &need, double loss, SteadyTime now) const;
 
     Random random_;
     RankingTuning tuning_;
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -149,6 +149,8 @@
     Millis remaining{0};
     Millis untilObjective{0};
     Millis patience{0};
+    /** Age of the link's Hello at the sender when this was sent: tells the receiver how long it was under way. */
+    Millis helloAge{0};
     KnownVersions versions;
     HttpRequest request;
 };
--- a/src/ctl/Commands.h
+++ b/src/ctl/Commands.h
@@ -2,9 +2,9 @@
 
 #include "include/base/Clock.h"
 #include "include/settings/NodeSettings.h"
+#include "platform/ObjectApi.h"
 #include "src/ctl/IntentFile.h"
 #include "src/http/HttpClient.h"
-#include "platform/ObjectApi.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/home/LocalServerState.cpp
+++ b/src/home/LocalServerState.cpp
@@ -7,7 +7,7 @@
 namespace {
 /** Farewells remembered; a server beside one node restarts far less often than heartbeats are delayed. */
 constexpr std::size_t mostGone = 64;
-}
+} // namespace
 
 bool LocalServerState::isOlder(const Announcement &announcement) const
 {
@@ -48,8 +48,8 @@
 
 ServerChange LocalServerState::takeFarewell(const std::string &server, std::optional<std::uint64_t> incarnation)
 {
-    const bool isCurrent = current_ && current_->server == server
-                           && (!incarnation || *incarnation >= current_->incarnation);
+    const bool isCurrent =
+        current_ && current_->server == server && (!incarnation || *incarnation >= current_->incarnation);
     std::uint64_t ended = incarnation.value_or(0);
     if (isCurrent) {
         ended = std::max(ended, current_->incarnation);
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -127,9 +127,8 @@
     if (slots_ == 0) {
         return Duration::max();
     }
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const Waiting &one) {
-        return !isMoreUrgent(request, one.request, now);
-    });
+    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
+                                     [&](const Waiting &one) { return !isMoreUrgent(request, one.request, now); });
     if (hasFreeSlot() && ahead == 0) {
         return Duration(0);
     }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -144,9 +144,8 @@
     const auto ip = boost::asio::ip::make_address(endpoint.address, error);
     IoResult connected{error, 0};
     if (!error) {
-        connected = await([&](auto handle) {
-            connection.stream.async_connect(tcp::endpoint(ip, endpoint.port), std::move(handle));
-        });
+        connected = await(
+            [&](auto handle) { connection.stream.async_connect(tcp::endpoint(ip, endpoint.port), std::move(handle)); });
     }
     if (connected.error) {
         const bool late =
@@ -172,8 +171,7 @@
         if (read.error) {
             const ExchangeFailure failure = failureOf(read.error);
             const bool midway = parser.is_header_done() && failure != ExchangeFailure::Timeout;
-            return tl::unexpected<ExchangeError>(
-                ExchangeError{midway ? ExchangeFailure::Cut : failure, true, false});
+            return tl::unexpected<ExchangeError>(ExchangeError{midway ? ExchangeFailure::Cut : failure, true, false});
         }
         auto answer = parser.release();
         constexpr unsigned firstFinalStatus = 200;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -61,7 +61,7 @@
     message.target(rest[0] == '/' ? rest : "/" + rest);
     return true;
 }
-}
+} // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
     State(boost::asio::io_context &context, Handler handlerIn, HttpLimits limitsIn, RejectHook onRejectIn)
@@ -163,8 +163,8 @@
     }
     connection.stream.expires_after(limits.idle);
     connection.waiting = true;
-    const IoResult first = await(
-        [&](auto handle) { connection.stream.async_read_some(buffer.prepare(readStep), std::move(handle)); });
+    const IoResult first =
+        await([&](auto handle) { connection.stream.async_read_some(buffer.prepare(readStep), std::move(handle)); });
     connection.waiting = false;
     buffer.commit(first.bytes);
     return !first.error;
@@ -308,9 +308,8 @@
     std::size_t read = 0;
     IoResult result;
     while (!result.error && read < lingerBytes) {
-        result = await([&](auto handle) {
-            connection.stream.async_read_some(boost::asio::buffer(scratch), std::move(handle));
-        });
+        result = await(
+            [&](auto handle) { connection.stream.async_read_some(boost::asio::buffer(scratch), std::move(handle)); });
         read += result.bytes;
     }
     connection.stream.close();
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -55,6 +55,8 @@
         bool helloDone = false;
         bool closed = false;
         SteadyTime since = std::chrono::steady_clock::now();
+        /** When the listening side's Hello was sent, or came. */
+        std::optional<SteadyTime> helloAt;
         std::vector<std::shared_ptr<FiberGate>> waiters;
     };
     using LinkPtr = std::shared_ptr<Link>;
@@ -67,8 +69,9 @@
         ExecReply reply;
     };
 
-    State(boost::asio::io_context &context, NodeRef selfIn, Hooks hooksIn)
+    State(boost::asio::io_context &context, const Clock &clockIn, NodeRef selfIn, Hooks hooksIn)
         : ioContext(context)
+        , clock(clockIn)
         , self(std::move(selfIn))
         , hooks(std::move(hooksIn))
     { }
@@ -90,6 +93,7 @@
     void finishPending(std::uint64_t id, const LinkPtr &link, ExecReply reply);
 
     boost::asio::io_context &ioContext;
+    const Clock &clock;
     NodeRef self;
     Hooks hooks;
     Server server;
@@ -152,6 +156,7 @@
             }
         });
         state->sendOn(link, Hello{state->self});
+        link->helloAt = state->clock.now();
     });
 }
 
@@ -340,6 +345,7 @@
         link->peer = hello->from;
         link->helloDone = true;
         if (link->outgoing) {
+            link->helloAt = clock.now();
             outgoing[link->peer] = link;
             byEndpoint[link->endpoint] = link;
             const auto opened = opening.find(link->endpoint);
@@ -404,8 +410,8 @@
     }
 }
 
-PeerHub::PeerHub(boost::asio::io_context &ioContext, NodeRef self, Hooks hooks)
-    : state_(std::make_shared<State>(ioContext, std::move(self), std::move(hooks)))
+PeerHub::PeerHub(boost::asio::io_context &ioContext, const Clock &clock, NodeRef self, Hooks hooks)
+    : state_(std::make_shared<State>(ioContext, clock, std::move(self), std::move(hooks)))
 {
     state_->setUp();
 }
@@ -466,6 +472,15 @@
     return found == state_->links.end() ? std::nullopt : std::optional<NodeRef>(found->second->peer);
 }
 
+std::optional<Duration> PeerHub::helloAge(LinkId link) const
+{
+    const auto found = state_->links.find(link);
+    if (found == state_->links.end() || !found->second->helloAt) {
+        return std::nullopt;
+    }
+    return state_->clock.now() - *found->second->helloAt;
+}
+
 void PeerHub::close(LinkId link)
 {
     const auto found = state_->links.find(link);
--- a/src/link/PeerHub.h
+++ b/src/link/PeerHub.h
@@ -44,7 +44,8 @@
         std::function<void(LinkId link)> onLinkClosed;
     };
 
-    PeerHub(boost::asio::io_context &ioContext, NodeRef self, Hooks hooks);
+    /** @pre @p clock outlives the hub. */
+    PeerHub(boost::asio::io_context &ioContext, const Clock &clock, NodeRef self, Hooks hooks);
     ~PeerHub();
     PeerHub(const PeerHub &) = delete;
     PeerHub &operator=(const PeerHub &) = delete;
@@ -63,6 +64,12 @@
     Expected<LinkId> linkAt(const Endpoint &endpoint, Duration allowed, bool fresh = false);
     /** The incarnation at the other end; nothing if the link has closed. */
     std::optional<NodeRef> peerOn(LinkId link) const;
+    /**
+     * How long ago the listening side's Hello was sent (asked there) or came (asked at the other side). The difference
+     * of the two ages is the time that this Hello and a message about its age took together, whatever the clocks show.
+     * Nothing if the link has closed or has no Hello yet.
+     */
+    std::optional<Duration> helloAge(LinkId link) const;
     /** Closes one link. */
     void close(LinkId link);
     /** Sends without waiting for an answer; opens the link if need be. @pre called from a fiber. */
--- a/src/node/ClaimService.cpp
+++ b/src/node/ClaimService.cpp
@@ -2,11 +2,11 @@
 
 #include "include/intent/ClassIntent.h"
 #include "include/poison/PoisonRegistry.h"
+#include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/DispatchService.h"
 #include "src/node/GossipService.h"
 #include "src/node/NodeCore.h"
-#include "platform/ObjectApi.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/node/FloorService.cpp
+++ b/src/node/FloorService.cpp
@@ -1,11 +1,11 @@
 #include "src/node/FloorService.h"
 
 #include "include/member/Ring.h"
+#include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/GossipService.h"
 #include "src/node/HomeService.h"
 #include "src/node/NodeCore.h"
-#include "platform/ObjectApi.h"
 
 #include <algorithm>
 
--- a/src/node/IntentService.cpp
+++ b/src/node/IntentService.cpp
@@ -2,10 +2,10 @@
 
 #include "include/base/JsonReader.h"
 #include "include/member/Ring.h"
+#include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/GossipService.h"
 #include "src/node/NodeCore.h"
-#include "platform/ObjectApi.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/node/MembershipService.cpp
+++ b/src/node/MembershipService.cpp
@@ -1,10 +1,10 @@
 #include "src/node/MembershipService.h"
 
 #include "include/base/Findings.h"
+#include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/GossipService.h"
 #include "src/node/NodeCore.h"
-#include "platform/ObjectApi.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "include/node/Node.h"
 
 #include "include/report/BurnRecorder.h"
+#include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/link/PeerHub.h"
 #include "src/node/ClaimService.h"
@@ -14,7 +15,6 @@
 #include "src/node/NodeCore.h"
 #include "src/node/OperatorApi.h"
 #include "src/node/PoisonService.h"
-#include "platform/ObjectApi.h"
 
 namespace waxwing {
 
@@ -67,7 +67,7 @@
         core.metrics.count("link_garbage");
         core.events.write(Severity::Warning, "link_garbage", {{"reason", reason}});
     };
-    peers = std::make_unique<PeerHub>(core.ioContext, core.self, std::move(hooks));
+    peers = std::make_unique<PeerHub>(core.ioContext, core.clock, core.self, std::move(hooks));
     Expected<void> ok = kernel.provide("platform", platform);
     // Each service finds the earlier ones by name while it is built.
     const auto add = [&](const std::string &name, auto &slot, auto make) {
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -7,10 +7,17 @@
 
 namespace {
 
-/** In milliseconds; above any other cost, so that such a home is asked last but still asked. */
-constexpr double noServerCost = 5000.0;
-constexpr double badPathCost = 20000.0;
+/** In thousandths; above any other loss, so that such a home is asked last but still asked. */
+constexpr double noServerLoss = 1500.0;
+constexpr double badPathLoss = 3000.0;
 constexpr int mostDoublings = 4;
+/** Slots assumed of a home when its load is news; only differences between homes count. */
+constexpr int usualSlots = 3;
+
+double freshness(Duration age, Millis halfLife)
+{
+    return std::exp2(-std::max(0.0, std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife)));
+}
 
 } // namespace
 
@@ -19,84 +26,116 @@
     , tuning_(tuning)
 { }
 
-double HomeRanking::loadCost(const Home &home, const HomeNeed &need, SteadyTime now) const
-{
-    if (!home.heard) {
-        return home.inFlight * tuning_.busySlot;
-    }
-    const double age = std::chrono::duration<double>(now - home.heardAt) / std::chrono::duration<double>(tuning_.loadHalfLife);
-    const double fresh = std::exp2(-std::max(0.0, age));
-    // What this node sent since the news is not in them.
-    const std::int32_t since = std::max(0, home.inFlight - home.inFlightThen);
-    double cost = since * tuning_.busySlot;
-    cost += fresh * static_cast<double>(home.load.wait.count());
-    cost += fresh * std::max(0, 3 - home.load.freeSlots) * tuning_.busySlot;
-    // A gray phase lasts for seconds, so doubt fades more slowly than load.
-    const double doubtFresh = std::exp2(-std::max(0.0, age / 4.0));
-    cost += doubtFresh * home.load.doubt * (need.idempotent ? tuning_.doubtIdempotent : tuning_.doubtOther);
-    cost += doubtFresh * (home.load.slowdown - 1.0) * 50.0;
-    return cost;
-}
-
-double HomeRanking::cost(const RankedHome &candidate, const HomeNeed &need, SteadyTime now) const
+double HomeRanking::tripOf(Distance distance) const
 {
-    double cost = 0.0;
-    switch (candidate.distance) {
+    switch (distance) {
     case Distance::SameNode:
-        break;
     case Distance::SameZone:
-        cost += tuning_.sameZone;
-        break;
+        return 0.0;
     case Distance::SameRegion:
-        cost += tuning_.sameRegion;
-        break;
+        return tuning_.zoneTrip;
     case Distance::OtherRegion:
-        cost += tuning_.otherRegion + tuning_.regionPenalty;
         break;
     }
+    return tuning_.regionTrip;
+}
+
+double HomeRanking::slowdownOf(const RankedHome &candidate, SteadyTime now) const
+{
     const auto found = homes_.find(candidate.node);
-    if (found == homes_.end()) {
-        return cost;
+    if (found == homes_.end() || !found->second.heard) {
+        return 1.0;
+    }
+    return 1.0 + freshness(now - found->second.heardAt, tuning_.doubtHalfLife) * (found->second.load.slowdown - 1.0);
+}
+
+double HomeRanking::expectedWait(const RankedHome &candidate, SteadyTime now) const
+{
+    const auto found = homes_.find(candidate.node);
+    if (found == homes_.end() || !found->second.heard) {
+        return 0.0;
     }
     const Home &home = found->second;
-    if (now < home.noServerUntil) {
-        cost += noServerCost;
+    return freshness(now - home.heardAt, tuning_.loadHalfLife) * static_cast<double>(home.load.wait.count());
+}
+
+double HomeRanking::lateLoss(double waitMs, double tripMs, double slowdown, const HomeNeed &need) const
+{
+    const double timeLeft = std::max<double>(1.0, static_cast<double>(need.timeLeft.count()));
+    const double used = (waitMs + tripMs + slowdown * static_cast<double>(need.work.count())) / timeLeft;
+    const double danger = (used - tuning_.safePart) / (tuning_.latePart - tuning_.safePart);
+    return tuning_.late * std::clamp(danger, 0.0, 1.0);
+}
+
+double HomeRanking::fixedLoss(const RankedHome &candidate, const HomeNeed &need, SteadyTime now) const
+{
+    double loss = 0.0;
+    if (candidate.distance == Distance::SameRegion) {
+        loss += tuning_.otherZone;
+    } else if (candidate.distance == Distance::OtherRegion) {
+        loss += tuning_.otherRegion;
     }
-    if (now < home.pathBadUntil) {
-        cost += badPathCost;
+    const auto found = homes_.find(candidate.node);
+    if (found == homes_.end()) {
+        return loss;
     }
-    return cost + loadCost(home, need, now);
+    const Home &home = found->second;
+    loss += now < home.noServerUntil ? noServerLoss : 0.0;
+    loss += now < home.pathBadUntil ? badPathLoss : 0.0;
+    if (!home.heard) {
+        return loss + home.inFlight * tuning_.busySlot;
+    }
+    // What this node sent since the news is not in them.
+    const std::int32_t since = std::max(0, home.inFlight - home.inFlightThen);
+    const double busy =
+        freshness(now - home.heardAt, tuning_.loadHalfLife) * std::max(0, usualSlots - home.load.freeSlots);
+    loss += (since + busy) * tuning_.busySlot;
+    const double doubt = freshness(now - home.heardAt, tuning_.doubtHalfLife) * home.load.doubt;
+    return loss + doubt * (need.idempotent ? tuning_.doubtIdempotent : tuning_.doubtOther);
+}
+
+Millis HomeRanking::patienceFor(const RankedHome &home, const HomeNeed &need, double loss, SteadyTime now) const
+{
+    const double fixed = fixedLoss(home, need, now);
+    const double trip = tripOf(home.distance);
+    const double slowdown = slowdownOf(home, now);
+    const double allowed = loss - fixed;
+    // Solves lateLoss(wait) = allowed; the part of the time in no danger is free.
+    const double part =
+        tuning_.safePart + std::max(0.0, allowed) / tuning_.late * (tuning_.latePart - tuning_.safePart);
+    const double wait =
+        part * static_cast<double>(need.timeLeft.count()) - trip - slowdown * static_cast<double>(need.work.count());
+    return Millis(static_cast<std::int64_t>(std::max(0.0, wait)));
 }
 
 HomeChoice HomeRanking::choose(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
                                const HomeNeed &need, SteadyTime now) const
 {
     HomeChoice choice;
+    const RankedHome *best = nullptr;
     double next = -1.0;
-    bool any = false;
-    // Starting at a random place spreads equal costs over all homes.
+    // Starting at a random place spreads equal losses over all homes.
     const std::size_t start = homes.empty() ? 0 : random_() % homes.size();
     for (std::size_t i = 0; i < homes.size(); ++i) {
         const RankedHome &home = homes[(start + i) % homes.size()];
         if (tried.count(home.node) != 0) {
             continue;
         }
-        const double homeCost = cost(home, need, now);
-        if (!any || homeCost < choice.cost) {
-            next = any ? choice.cost : next;
-            choice.node = home.node;
-            choice.cost = homeCost;
-            any = true;
-        } else if (next < 0.0 || homeCost < next) {
-            next = homeCost;
+        const double loss = fixedLoss(home, need, now)
+                            + lateLoss(expectedWait(home, now), tripOf(home.distance), slowdownOf(home, now), need);
+        if (best == nullptr || loss < choice.loss) {
+            next = best != nullptr ? choice.loss : next;
+            best = &home;
+            choice.loss = loss;
+        } else if (next < 0.0 || loss < next) {
+            next = loss;
         }
     }
-    if (!any) {
+    if (best == nullptr) {
         return choice;
     }
-    const auto patience = static_cast<double>(need.patience.count());
-    const double better = next < 0.0 ? patience : std::min(patience, next - choice.cost);
-    choice.patience = Millis(static_cast<std::int64_t>(std::max(0.0, better)));
+    choice.node = best->node;
+    choice.patience = patienceFor(*best, need, next < 0.0 ? tuning_.late : next, now);
     const auto found = homes_.find(choice.node);
     if (found != homes_.end() && found->second.heard) {
         choice.loadAge = std::chrono::duration_cast<Millis>(now - found->second.heardAt);
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -109,6 +109,15 @@
     return toMillis(std::max(Duration(0), run.job.deadline - now - work));
 }
 
+HomeNeed Forwarder::needOf(const Run &run) const
+{
+    const SteadyTime now = core_.clock.now();
+    const Duration work = typicalWork(*run.job.route);
+    const bool inTime = now + work < run.objective;
+    const Duration left = (inTime ? run.objective : run.job.deadline) - now;
+    return HomeNeed{run.job.route->idempotent, toMillis(std::max(Duration(0), left)), toMillis(work)};
+}
+
 SteadyTime Forwarder::hedgeTime(const Run &run) const
 {
     const auto usual = std::chrono::duration_cast<Duration>(typicalWork(*run.job.route) * hedgeFactor);
@@ -163,12 +172,12 @@
         }
         while (!placement->control->cancelled && !run->over && run->refusals < mostRefusals) {
             const SteadyTime now = core_.clock.now();
-            const HomeNeed need{job.route->idempotent, patienceOf(*run)};
+            const HomeNeed need = needOf(*run);
             HomeChoice choice = ranking_.choose(homesOf(job.service), run->tried, need, now);
             if (choice.node.empty() || now + leastTime >= job.deadline) {
                 break;
             }
-            choice.patience = lastResort ? need.patience : (hedge ? Millis(0) : choice.patience);
+            choice.patience = lastResort ? patienceOf(*run) : (hedge ? Millis(0) : choice.patience);
             run->tried.insert(choice.node);
             if (sendOnce(run, placement, choice, lastResort)) {
                 return;
@@ -232,7 +241,7 @@
     core_.events.write(Severity::Info, "sent",
                        {{"request", job.requestId},
                         {"home", choice.node},
-                        {"cost", std::to_string(static_cast<int>(choice.cost))},
+                        {"loss", std::to_string(static_cast<int>(choice.loss))},
                         {"loadAgeMs", std::to_string(choice.loadAge.count())},
                         {"patienceMs", std::to_string(choice.patience.count())},
                         {"lastResort", lastResort ? "yes" : "no"},
@@ -351,8 +360,8 @@
         }
         if (ended > judged) {
             for (const PlacementPtr &placement : run->placements) {
-                const bool good = placement->ended && placement->reply.outcome == Outcome::Ran
-                                  && !placement->reply.serverFault;
+                const bool good =
+                    placement->ended && placement->reply.outcome == Outcome::Ran && !placement->reply.serverFault;
                 if (good) {
                     job.control->interrupt = {};
                     return finish(run, placement->reply);
@@ -360,9 +369,9 @@
             }
             judged = ended;
             for (const PlacementPtr &placement : run->placements) {
-                const bool better = placement->ended
-                                    && (!hasLast || placement->reply.outcome == Outcome::Ran
-                                        || last.outcome == Outcome::NotRun);
+                const bool better =
+                    placement->ended
+                    && (!hasLast || placement->reply.outcome == Outcome::Ran || last.outcome == Outcome::NotRun);
                 if (better) {
                     last = placement->reply;
                     hasLast = true;
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -48,7 +48,8 @@
 public:
     Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, SecondSendTuning budget);
 
-    /** @pre called from a fiber. @p job is kept until the last of its sends has ended, which may be after the return. */
+    /** @pre called from a fiber. @p job is kept until the last of its sends has ended, which may be after the return.
+     */
     ForwardResult run(const std::shared_ptr<const ForwardJob> &job);
     /** The roster changed: forgets nodes that are gone. */
     void rosterChanged();
@@ -74,7 +75,9 @@
     void place(const RunPtr &run, const PlacementPtr &placement, bool hedge);
     bool sendOnce(const RunPtr &run, const PlacementPtr &placement, const HomeChoice &choice, bool lastResort);
     std::vector<RankedHome> homesOf(const std::string &service) const;
+    /** How long it may wait where it is the last choice. */
     Millis patienceOf(const Run &run) const;
+    HomeNeed needOf(const Run &run) const;
     Duration typicalWork(const Route &route) const;
     SteadyTime hedgeTime(const Run &run) const;
     bool maySendAgain(Run &run, const char *why);
--- a/src/sidecar/NewsService.cpp
+++ b/src/sidecar/NewsService.cpp
@@ -9,7 +9,7 @@
 namespace {
 /** A round trip between regions and the time to read a large configuration. */
 constexpr Millis askPause{300};
-}
+} // namespace
 
 NewsService::NewsService(NodeCore &core)
     : core_(core)
--- a/src/sidecar/RosterKeeper.cpp
+++ b/src/sidecar/RosterKeeper.cpp
@@ -53,8 +53,7 @@
     std::vector<RosterEntry> listed;
     for (const StoredObject &object : changes.objects) {
         const std::optional<RosterEntry> entry =
-            object.deleted ? std::nullopt
-                           : platform::decodeRosterEntry(object.name, object.value, object.version);
+            object.deleted ? std::nullopt : platform::decodeRosterEntry(object.name, object.value, object.version);
         if (!entry && !object.deleted) {
             core_.events.write(Severity::Warning, "roster_entry_unreadable", {{"node", object.name}});
         }
@@ -87,10 +86,9 @@
     if (storeAnswers() || entries.empty() || !roster_.replace(entries, asOf)) {
         return;
     }
-    core_.events.write(Severity::Info, "roster_changed",
-                       {{"nodes", std::to_string(roster_.size())},
-                        {"revision", std::to_string(asOf)},
-                        {"source", "node"}});
+    core_.events.write(
+        Severity::Info, "roster_changed",
+        {{"nodes", std::to_string(roster_.size())}, {"revision", std::to_string(asOf)}, {"source", "node"}});
     if (hook_) {
         hook_();
     }
@@ -119,15 +117,13 @@
         const RosterEntry own = ownEntry(core_.settings);
         const RosterEntry *standing = roster_.find(own.id);
         version = standing != nullptr ? std::max(version, standing->revision) : version;
-        const UpdateResult result =
-            api.update(platform::rosterKind, own.id, version, platform::encodeRosterEntry(own));
+        const UpdateResult result = api.update(platform::rosterKind, own.id, version, platform::encodeRosterEntry(own));
         switch (result.kind) {
         case UpdateResult::Kind::Stored: {
             RosterEntry written = own;
             written.revision = result.version;
             roster_.put(written);
-            core_.events.write(Severity::Info, "roster_entry_written",
-                               {{"revision", std::to_string(result.version)}});
+            core_.events.write(Severity::Info, "roster_entry_written", {{"revision", std::to_string(result.version)}});
             break;
         }
         case UpdateResult::Kind::Conflict:
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -1,5 +1,6 @@
 #include "src/sidecar/SidecarNode.h"
 
+#include "include/fleet/TransitMeter.h"
 #include "include/report/BurnRecorder.h"
 #include "platform/ConfigDecoder.h"
 #include "platform/ObjectApi.h"
@@ -17,6 +18,7 @@
 #include "src/sidecar/WorkSender.h"
 
 #include <algorithm>
+#include <map>
 
 namespace waxwing {
 
@@ -31,6 +33,11 @@
 constexpr Millis stopMargin{400};
 /** Time for the last answers to leave the sockets. */
 constexpr Millis lastWords{50};
+/**
+ * Work that was under way for so long is refused. Its sender asked for its fate within about a second and may have been
+ * told that it never runs; what it was told is remembered here for several times as long as this.
+ */
+constexpr Millis mostLate{1500};
 /** Links to the region's nodes are opened before the first request needs them. */
 constexpr Millis warmTimeout{1500};
 
@@ -59,11 +66,14 @@
 struct SidecarNode::Parts {
     Parts(boost::asio::io_context &ioContext, const Clock &clock, const NodeSettings &settings,
           std::uint64_t incarnation)
-                : core(ioContext, clock, settings, incarnation, stableHash(settings.node, incarnation))
+        : core(ioContext, clock, settings, incarnation, stableHash(settings.node, incarnation))
         , store(core.client, settings.objectApi)
         , burn(clock)
         , home(core)
-        , fences(core, [this](const Fence &fence) { return home.fence(WorkKey{fence.origin, fence.workId}, fence.onlyAsk); })
+        , fences(core,
+                 [this](const Fence &fence) {
+                     return home.fence(WorkKey{fence.origin, fence.workId}, fence.onlyAsk);
+                 })
         , sender(core, fences)
         , config(core)
         , roster(core)
@@ -93,6 +103,7 @@
     Forwarder forwarder;
     CallerFront front;
     std::unique_ptr<PeerHub> peers;
+    std::map<LinkId, TransitMeter> transits;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> controlServer;
     std::unique_ptr<HttpServer> readinessServer;
@@ -109,13 +120,14 @@
         core.metrics.count("link_garbage");
         core.events.write(Severity::Warning, "link_garbage", {{"reason", reason}});
     };
-    hooks.onLinkClosed = [this](LinkId link) { sender.linkClosed(link); };
-    peers = std::make_unique<PeerHub>(core.ioContext, core.self, std::move(hooks));
+    hooks.onLinkClosed = [this](LinkId link) {
+        transits.erase(link);
+        sender.linkClosed(link);
+    };
+    peers = std::make_unique<PeerHub>(core.ioContext, core.clock, core.self, std::move(hooks));
     Kernel &kernel = core.kernel;
     Expected<void> ok = kernel.provide("platform", store);
-    const auto provide = [&](const std::string &name, auto &service) {
-        ok = ok ? kernel.provide(name, service) : ok;
-    };
+    const auto provide = [&](const std::string &name, auto &service) { ok = ok ? kernel.provide(name, service) : ok; };
     provide("burn", burn);
     provide("peers", *peers);
     provide("config", config);
@@ -159,11 +171,13 @@
         slot = std::move(*server);
         return {};
     };
-    Expected<void> ok = open(core.settings.operators, controlServer,
-                             [this](const HttpRequest &request, const CallerWatchPtr &) { return handleControl(request); });
-    ok = ok ? open(core.settings.readiness, readinessServer,
-                   [this](const HttpRequest &request, const CallerWatchPtr &) { return front.handleReadiness(request); })
-            : ok;
+    Expected<void> ok =
+        open(core.settings.operators, controlServer,
+             [this](const HttpRequest &request, const CallerWatchPtr &) { return handleControl(request); });
+    ok =
+        ok ? open(core.settings.readiness, readinessServer,
+                  [this](const HttpRequest &request, const CallerWatchPtr &) { return front.handleReadiness(request); })
+           : ok;
     ok = ok && core.settings.metrics.port != 0
              ? open(core.settings.metrics, metricsServer,
                     [this](const HttpRequest &, const CallerWatchPtr &) {
@@ -216,12 +230,30 @@
 
 void SidecarNode::Parts::handleWork(LinkId link, const NodeRef &from, Work work)
 {
+    const Millis late = transits[link].lateness(peers->helloAge(link).value_or(Duration(0)), work.helloAge);
+    work.remaining -= late;
+    work.untilObjective -= late;
+    if (late >= mostLate) {
+        core.metrics.count("work_arrived_late");
+        core.events.write(
+            Severity::Warning, "work_arrived_late",
+            {{"request", work.requestId}, {"from", from.text()}, {"lateMs", std::to_string(late.count())}});
+        WorkReply refusal;
+        refusal.id = work.id;
+        refusal.outcome = Outcome::NotRun;
+        refusal.reason = "arrived-late";
+        refusal.load = home.load();
+        refusal.versions = news.versions();
+        peers->reply(link, refusal);
+        return;
+    }
     spawnFiber([this, link, from, work = std::move(work)] {
         const WorkKey key{from, work.id};
         const auto control = std::make_shared<RunControl>();
         // A refusal answers at once; only what stays here needs a receipt.
-        WorkReply reply = home.run(key, work, control,
-                                   [&] { peers->reply(link, WorkReceipt{work.id, news.versions()}); });
+        WorkReply reply = home.run(key, work, control, [&] {
+            peers->reply(link, WorkReceipt{work.id, news.versions()});
+        });
         reply.versions = news.versions();
         peers->reply(link, reply);
     });
@@ -253,8 +285,7 @@
 }
 
 Expected<std::unique_ptr<SidecarNode>> SidecarNode::MakeStarted(boost::asio::io_context &ioContext, const Clock &clock,
-                                                                const NodeSettings &settings,
-                                                                std::uint64_t incarnation)
+                                                                const NodeSettings &settings, std::uint64_t incarnation)
 {
     auto parts = std::make_unique<Parts>(ioContext, clock, settings, incarnation);
     Expected<void> ok = parts->build();
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -72,6 +72,7 @@
     work.id = id;
     work.remaining -= waited;
     work.untilObjective -= waited;
+    work.helloAge = std::chrono::duration_cast<Millis>(peers.helloAge(*link).value_or(Duration(0)));
     pending->work = work;
     pending->link = *link;
     pending->control = control;
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -211,18 +211,16 @@
 
 json rosterEntryOf(const RosterEntry &entry)
 {
-    return json::array({entry.id, entry.links.address, entry.links.port, entry.zone, entry.region,
-                        entry.service, entry.revision});
+    return json::array(
+        {entry.id, entry.links.address, entry.links.port, entry.zone, entry.region, entry.service, entry.revision});
 }
 
 RosterEntry rosterEntryFrom(const json &value)
 {
-    return RosterEntry{value.at(0).get<std::string>(),
-                       Endpoint{value.at(1).get<std::string>(), value.at(2).get<std::uint16_t>()},
-                       value.at(3).get<std::string>(),
-                       value.at(4).get<std::string>(),
-                       value.at(5).get<std::string>(),
-                       value.at(6).get<std::uint64_t>()};
+    return RosterEntry{
+        value.at(0).get<std::string>(), Endpoint{value.at(1).get<std::string>(), value.at(2).get<std::uint16_t>()},
+        value.at(3).get<std::string>(), value.at(4).get<std::string>(),
+        value.at(5).get<std::string>(), value.at(6).get<std::uint64_t>()};
 }
 
 struct Encoder {
@@ -300,8 +298,8 @@
     json operator()(const Work &m) const
     {
         return with(Type::Work, m.id, bytesOf(m.requestId), m.service, m.route, m.idempotent, m.lastResort, m.priority,
-                    m.remaining.count(), m.untilObjective.count(), m.patience.count(), versionsOf(m.versions),
-                    requestOf(m.request));
+                    m.remaining.count(), m.untilObjective.count(), m.patience.count(), m.helloAge.count(),
+                    versionsOf(m.versions), requestOf(m.request));
     }
     json operator()(const WorkReceipt &m) const
     {
@@ -346,8 +344,9 @@
     m.remaining = Millis(in.at(body + 7).get<std::int64_t>());
     m.untilObjective = Millis(in.at(body + 8).get<std::int64_t>());
     m.patience = Millis(in.at(body + 9).get<std::int64_t>());
-    m.versions = versionsFrom(in.at(body + 10));
-    m.request = requestFrom(in.at(body + 11));
+    m.helloAge = Millis(in.at(body + 10).get<std::int64_t>());
+    m.versions = versionsFrom(in.at(body + 11));
+    m.request = requestFrom(in.at(body + 12));
     return m;
 }
 
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -327,8 +327,7 @@
 
 bool Fleet::writeObject(const std::string &kind, const std::string &name, std::uint64_t version, const json &value)
 {
-    return ObjectApi(*loop().client, api_).update(kind, name, version, value.dump()).kind
-           == UpdateResult::Kind::Stored;
+    return ObjectApi(*loop().client, api_).update(kind, name, version, value.dump()).kind == UpdateResult::Kind::Stored;
 }
 
 Answer Fleet::send(int node, const HttpRequest &request, Millis allowed)
