Tell gray servers by failures that come at once; keep second sends within the fleet's bound

One likelihood for both made the home doubt sound servers and trust gray ones too soon. (3) At the timeout everything was told 504, also what had only waited. Change: two likelihood ratios; unknown homes count as usually doubtful, not as sound; hedges leave half of the budget; 65% of the bound is used instead of 80%; at the timeout the home's word that it has not begun makes it a 503.

--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -73,6 +73,11 @@
     double doubtful = 0.45;
     /** While in doubt, idempotent requests go to the server one at a time and at most this often. */
     Millis trialEvery{150};
+    /** How much likelier a failure is from a gray server: one that came at once, and one after the usual work time. */
+    double quickFailureRatio = 150.0;
+    double slowFailureRatio = 6.0;
+    /** A failure within this part of the usual work time came at once. */
+    double quickPart = 0.2;
     /** Weight of the newest work time in the mean. */
     double smoothing = 0.1;
     /** A home of which nothing is known yet plans with this work time. */
@@ -104,7 +109,10 @@
     bool cancel(std::uint64_t id);
     /** A started request no longer holds its slot. */
     void release(std::uint64_t id, SteadyTime now);
-    /** What a finished request showed. @p took: how long the server worked on it. */
+    /**
+     * What a finished request showed. @p took: how long the server worked on it. A failure that comes at once, without
+     * the time that the work takes, is nearly always a gray server's; one after the usual time is mostly the request's.
+     */
     void addResult(const std::string &route, bool failed, Duration took, SteadyTime now);
 
     /** Other evidence: how much likelier it is from a gray server than from a well one. */
--- a/include/limit/SecondSendBudget.h
+++ b/include/limit/SecondSendBudget.h
@@ -15,7 +15,17 @@
     double slack = 50.0;
     Millis window = std::chrono::seconds(10);
     /** Part of the bound that nodes use: what a run's own calls repeat is seen at other nodes only. */
-    double usedPart = 0.8;
+    double usedPart = 0.65;
+    /** Sends that only may turn out useful leave this part to those that follow a failure. */
+    double reservedPart = 0.5;
+};
+
+/** What a second send is for. */
+enum class SecondSend {
+    /** The first one failed. */
+    AfterFailure,
+    /** The first one takes long. */
+    Hedge,
 };
 
 /**
@@ -30,7 +40,9 @@
     /** A request for the service was taken from a caller. */
     void noteRequest(SteadyTime now);
     /** Takes one second send; false if none is left. @p nodes: how many share the slack. */
-    bool tryTake(std::size_t nodes, SteadyTime now);
+    bool tryTake(std::size_t nodes, SecondSend purpose, SteadyTime now);
+    /** A send that was taken did not happen. */
+    void giveBack(SteadyTime now);
 
 private:
     static constexpr std::size_t steps = 20;
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -52,6 +52,8 @@
     /** An idempotent request that meets a gray server takes a second send; another one is lost. */
     double doubtIdempotent = 200.0;
     double doubtOther = 600.0;
+    /** Doubt about a server of which nothing was heard lately: about one in eight is gray at any time. */
+    double usualDoubt = 0.12;
     /** An answer after the objective is worth about a third of one in time. */
     double late = 700.0;
     /** Waiting and work that take up to this part of the time left are in no danger. */
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -187,11 +187,13 @@
 
 void SlotQueue::addResult(const std::string &route, bool failed, Duration took, SteadyTime now)
 {
-    gray_.add(failed, now);
+    const double seconds = secondsOf(took);
     if (failed) {
+        const bool quick = seconds < tuning_.quickPart * secondsOf(typicalWork(route));
+        gray_.addRatio(quick ? tuning_.quickFailureRatio : tuning_.slowFailureRatio, now);
         return;
     }
-    const double seconds = secondsOf(took);
+    gray_.add(false, now);
     WorkTime &work = work_[route];
     const bool first = work.usual == 0.0;
     work.recent = first ? seconds : work.recent + tuning_.smoothing * (seconds - work.recent);
--- a/src/limit/SecondSendBudget.cpp
+++ b/src/limit/SecondSendBudget.cpp
@@ -29,7 +29,7 @@
     ++stepAt(now).requests;
 }
 
-bool SecondSendBudget::tryTake(std::size_t nodes, SteadyTime now)
+bool SecondSendBudget::tryTake(std::size_t nodes, SecondSend purpose, SteadyTime now)
 {
     const std::int64_t oldest = numberAt(now) - static_cast<std::int64_t>(steps);
     double requests = 0.0;
@@ -41,11 +41,18 @@
         }
     }
     const double slack = tuning_.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
-    if (seconds + 1.0 > tuning_.usedPart * (tuning_.share * requests + slack)) {
+    const double part = purpose == SecondSend::Hedge ? tuning_.usedPart * (1.0 - tuning_.reservedPart) : tuning_.usedPart;
+    if (seconds + 1.0 > part * (tuning_.share * requests + slack)) {
         return false;
     }
     ++stepAt(now).seconds;
     return true;
 }
 
+void SecondSendBudget::giveBack(SteadyTime now)
+{
+    Step &step = stepAt(now);
+    step.seconds -= step.seconds > 0 ? 1 : 0;
+}
+
 } // namespace waxwing
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -75,23 +75,25 @@
     } else if (candidate.distance == Distance::OtherRegion) {
         loss += tuning_.otherRegion;
     }
+    const double doubtLoss = need.idempotent ? tuning_.doubtIdempotent : tuning_.doubtOther;
     const auto found = homes_.find(candidate.node);
     if (found == homes_.end()) {
-        return loss;
+        return loss + tuning_.usualDoubt * doubtLoss;
     }
     const Home &home = found->second;
     loss += now < home.noServerUntil ? noServerLoss : 0.0;
     loss += now < home.pathBadUntil ? badPathLoss : 0.0;
     if (!home.heard) {
-        return loss + home.inFlight * tuning_.busySlot;
+        return loss + home.inFlight * tuning_.busySlot + tuning_.usualDoubt * doubtLoss;
     }
     // What this node sent since the news is not in them.
     const std::int32_t since = std::max(0, home.inFlight - home.inFlightThen);
     const double busy =
         freshness(now - home.heardAt, tuning_.loadHalfLife) * std::max(0, usualSlots - home.load.freeSlots);
     loss += (since + busy) * tuning_.busySlot;
-    const double doubt = freshness(now - home.heardAt, tuning_.doubtHalfLife) * home.load.doubt;
-    return loss + doubt * (need.idempotent ? tuning_.doubtIdempotent : tuning_.doubtOther);
+    const double fresh = freshness(now - home.heardAt, tuning_.doubtHalfLife);
+    const double doubt = tuning_.usualDoubt + fresh * (home.load.doubt - tuning_.usualDoubt);
+    return loss + doubt * doubtLoss;
 }
 
 Millis HomeRanking::patienceFor(const RankedHome &home, const HomeNeed &need, double loss, SteadyTime now) const
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -27,6 +27,8 @@
 constexpr double hedgeLatest = 0.75;
 constexpr Millis leastRetryAfter{300};
 constexpr Millis leastTime{5};
+/** A round trip between regions, and some time for a busy home. */
+constexpr Millis certaintyWait{120};
 constexpr Millis firstProbePause{1000};
 constexpr Millis longestProbePause{8000};
 constexpr Millis probeTimeout{500};
@@ -125,7 +127,7 @@
     return run.job.arrived + std::max<Duration>(leastHedge, std::min(usual, latest));
 }
 
-bool Forwarder::maySendAgain(Run &run, const char *why)
+bool Forwarder::maySendAgain(Run &run, SecondSend purpose, const char *why)
 {
     const Route &route = *run.job.route;
     const bool room = static_cast<int>(run.reached.size()) < route.mostServers;
@@ -133,7 +135,7 @@
     const bool time = now + leastTime < run.job.deadline;
     const std::size_t nodes = std::max<std::size_t>(1, core_.service<RosterKeeper>("roster").roster().size());
     SecondSendBudget &budget = budgets_.try_emplace(run.job.service, budgetTuning_).first->second;
-    const bool may = room && time && budget.tryTake(nodes, now);
+    const bool may = room && time && budget.tryTake(nodes, purpose, now);
     core_.events.write(Severity::Info, "second_send",
                        {{"request", run.job.requestId},
                         {"service", run.job.service},
@@ -148,10 +150,14 @@
 {
     auto placement = std::make_shared<Placement>();
     placement->control = std::make_shared<RunControl>();
+    placement->hedge = hedge;
     run->placements.push_back(placement);
     spawnFiber([this, run, placement, hedge] {
         place(run, placement, hedge);
         placement->ended = true;
+        if (hedge && !placement->reachedServer) {
+            budgets_.try_emplace(run->job.service, budgetTuning_).first->second.giveBack(core_.clock.now());
+        }
         run->point.wake();
     });
     return placement;
@@ -250,6 +256,7 @@
                         {"pathFailed", result.pathFailed ? "yes" : "no"},
                         {"tookMs", std::to_string(toMillis(after - now).count())}});
     placement->reply = reply;
+    placement->reachedServer = placement->reachedServer || reply.reachedServer || reply.outcome == Outcome::Unknown;
     const bool refused = reply.outcome == Outcome::NotRun && !reply.reachedServer;
     if (refused) {
         run->reached.erase(choice.node);
@@ -258,7 +265,7 @@
     if (reply.outcome == Outcome::NotRun && !placement->control->cancelled) {
         // It was an arrival at a server, though it did not run: another one is a second send.
         run->reached.erase(choice.node);
-        return !maySendAgain(*run, "server-refused");
+        return !maySendAgain(*run, SecondSend::AfterFailure, "server-refused");
     }
     return true;
 }
@@ -320,11 +327,28 @@
     return result;
 }
 
-ForwardResult Forwarder::timedOut(const RunPtr &run)
+ForwardResult Forwarder::timedOut(const RunPtr &run, bool callerGone)
 {
+    for (const PlacementPtr &placement : run->placements) {
+        placement->control->cancel();
+    }
+    run->over = true;
+    const auto allEnded = [&] {
+        return std::all_of(run->placements.begin(), run->placements.end(),
+                           [](const PlacementPtr &one) { return one->ended; });
+    };
+    // What only waited in a queue has not run, and its home says so within a round trip. That is worth as much to the
+    // caller as an answer: it may come again.
+    const SteadyTime until = core_.clock.now() + certaintyWait;
+    while (!callerGone && !allEnded() && core_.clock.now() < until) {
+        run->point.wait(core_.ioContext, until - core_.clock.now());
+    }
     WorkReply reply;
-    const bool mayHaveRun = !run->reached.empty();
-    reply.outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    const bool notRun =
+        allEnded() && std::all_of(run->placements.begin(), run->placements.end(), [](const PlacementPtr &one) {
+            return one->reply.outcome == Outcome::NotRun;
+        });
+    reply.outcome = notRun ? Outcome::NotRun : Outcome::Unknown;
     reply.reason = "timeout";
     return finish(run, reply);
 }
@@ -356,7 +380,7 @@
             run->placements.begin(), run->placements.end(), [](const PlacementPtr &one) { return one->ended; }));
         if (job.control->cancelled || now >= job.deadline) {
             job.control->interrupt = {};
-            return timedOut(run);
+            return timedOut(run, job.control->cancelled);
         }
         if (ended > judged) {
             for (const PlacementPtr &placement : run->placements) {
@@ -379,7 +403,7 @@
             }
             if (ended == run->placements.size()) {
                 const bool failed = last.outcome != Outcome::NotRun;
-                const bool again = failed && repeatable && maySendAgain(*run, "failed");
+                const bool again = failed && repeatable && maySendAgain(*run, SecondSend::AfterFailure, "failed");
                 if (!again) {
                     job.control->interrupt = {};
                     return finish(run, last);
@@ -391,7 +415,7 @@
         }
         if (now >= hedgeAt) {
             hedged = true;
-            if (maySendAgain(*run, "slow")) {
+            if (maySendAgain(*run, SecondSend::Hedge, "slow")) {
                 launch(run, true);
             }
             continue;
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -64,6 +64,10 @@
         bool ended = false;
         WorkReply reply;
         std::string home;
+        /** A second send that was paid from the budget. */
+        bool hedge = false;
+        /** It was at a server, or may have been. */
+        bool reachedServer = false;
     };
     using PlacementPtr = std::shared_ptr<Placement>;
     struct RouteStats {
@@ -80,10 +84,10 @@
     HomeNeed needOf(const Run &run) const;
     Duration typicalWork(const Route &route) const;
     SteadyTime hedgeTime(const Run &run) const;
-    bool maySendAgain(Run &run, const char *why);
+    bool maySendAgain(Run &run, SecondSend purpose, const char *why);
     void learn(const std::string &route, const WorkReply &reply);
     ForwardResult finish(const RunPtr &run, const WorkReply &reply);
-    ForwardResult timedOut(const RunPtr &run);
+    ForwardResult timedOut(const RunPtr &run, bool callerGone);
     void probePath(const std::string &node);
 
     NodeCore &core_;
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -86,9 +86,16 @@
         pending->pathFailed = !control->cancelled;
     }
     control->interrupt = {};
-    pending_.erase(id);
     if (!pending->answered) {
         peers.reply(pending->link, Cancel{id});
+        // A home that has not begun says so; without its word the fate stays open.
+        const SteadyTime until = core_.clock.now() + (far ? receiptFar : receiptNear);
+        while (!pending->answered && !pending->linkLost && core_.clock.now() < until) {
+            pending->point.wait(core_.ioContext, until - core_.clock.now());
+        }
+    }
+    pending_.erase(id);
+    if (!pending->answered) {
         pending->reply.id = id;
         pending->reply.outcome = Outcome::Unknown;
         pending->reply.reason = control->cancelled ? "cancelled" : "home-silent";
