Take a home's refusal as news and choose again; refuse at once what would wait in vain

Change: a refusal brings the wait for that priority and the doubt, and the choice is made again with them; a sender that knows of the doubt says so and is let in; what would miss its objective everywhere is refused at once with the time to come back; expected waits are corrected by the waits that were seen, by priority. Ruled out: longer patience at each home (tried before: the sum of several waits is what held requests).

--- a/include/fleet/TransitMeter.h
+++ b/include/fleet/TransitMeter.h
@@ -17,7 +17,8 @@
     Millis lateness(Duration ageHere, Duration ageThere);
 
 private:
-    /** A Hello that was itself late must not pass as the link's own delay; the longest round trip in use is far less. */
+    /** A Hello that was itself late must not pass as the link's own delay; the longest round trip in use is far less.
+     */
     Duration shortest_ = std::chrono::milliseconds(500);
 };
 
--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -15,7 +15,7 @@
 struct HomeLoad {
     std::int32_t freeSlots = 0;
     std::int32_t queued = 0;
-    /** What a request that came now would wait for its slot. */
+    /** What a request of the asked priority that came now would wait for its slot. */
     Millis wait{0};
     /** Probability that the server is gray. */
     double doubt = 0.0;
@@ -35,8 +35,8 @@
     SteadyTime deadline;
     /** How long the sender would rather have it wait here than try another home. */
     Millis patience{0};
-    /** No other home will take it: doubt about the server is no reason to refuse. */
-    bool lastResort = false;
+    /** The sender knows of the doubt about the server and has nothing better. */
+    bool acceptsDoubt = false;
 };
 
 enum class SlotVerdict {
@@ -82,6 +82,10 @@
     double smoothing = 0.1;
     /** A home of which nothing is known yet plans with this work time. */
     Millis assumedWork{200};
+    /** Bounds of the correction of expected waits, and the weight of the newest wait in it. */
+    double leastWaitFactor = 0.5;
+    double mostWaitFactor = 8.0;
+    double waitSmoothing = 0.15;
     /** Requests that may wait at once: memory's bound, far above what patience allows. */
     std::size_t mostWaiting = 256;
     GrayTuning gray;
@@ -127,7 +131,8 @@
     /** When poll() should be called even if nothing else happens; SteadyTime::max() if nothing waits. */
     SteadyTime nextDue() const;
 
-    HomeLoad load(SteadyTime now) const;
+    /** As it stands for a request of @p priority. */
+    HomeLoad load(int priority, SteadyTime now) const;
     std::size_t running() const;
     std::size_t waiting() const;
     double doubt(SteadyTime now) const;
@@ -138,6 +143,9 @@
     struct Waiting {
         SlotRequest request;
         SteadyTime until;
+        SteadyTime since;
+        /** What it was expected to wait. */
+        Duration expected{0};
     };
     struct Running {
         bool trial = false;
@@ -154,6 +162,10 @@
     RefusalReason doubtRefuses(const SlotRequest &request, SteadyTime now) const;
     void start(const SlotRequest &request, SteadyTime now);
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
+    /** Waits of @p ahead requests that go first, by the mean work time, corrected by what was seen. */
+    Duration waitBehind(std::ptrdiff_t ahead, int priority) const;
+    /** A request waited @p waited, served or not. */
+    void noteWaited(const Waiting &one, SteadyTime now);
     Duration meanWork() const;
     double slowdown() const;
 
@@ -166,6 +178,11 @@
     /** Smoothed seconds over all routes. */
     double meanWork_ = 0.0;
     SteadyTime lastTrial_;
+    /**
+     * Real over expected waits by priority. Work that is more urgent and comes later goes first, which the estimate
+     * can't see; without the correction the less urgent would be let in to wait in vain.
+     */
+    std::map<int, double> waitFactor_;
 };
 
 } // namespace waxwing
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -21,6 +21,7 @@
 /** What a request asks of the choice. */
 struct HomeNeed {
     bool idempotent = false;
+    int priority = 0;
     /** Time left to its objective, or to its deadline where the objective is lost already. */
     Millis timeLeft{1000};
     /** What its work usually takes. */
@@ -31,8 +32,14 @@
 struct HomeChoice {
     std::string node;
     Millis patience{0};
-    /** Expected loss, in thousandths of the request's value, for the log. */
+    /** Expected loss, in thousandths of the request's value. */
     double loss = 0.0;
+    /** By what is known the answer would come after the objective for certain, because of the wait there. */
+    bool hopeless = false;
+    /** What is known of the wait there, for a refused caller. */
+    Millis wait{0};
+    /** The server is known to be doubtful, and still the best there is. */
+    bool acceptsDoubt = false;
     /** Age of what was known of its load; negative if nothing was. */
     Millis loadAge{-1};
 };
@@ -60,6 +67,8 @@
     double safePart = 0.45;
     /** Those that take this part of it are late for certain. */
     double latePart = 1.25;
+    /** Doubt that was heard and is above this is accepted knowingly; as homes refuse it. */
+    double knownDoubt = 0.4;
     /** News of load halve in weight after this long; news of doubt, which lasts for seconds, later. */
     Millis loadHalfLife{400};
     Millis doubtHalfLife{1500};
@@ -85,7 +94,8 @@
                       SteadyTime now) const;
     void noteSent(const std::string &node);
     void noteDone(const std::string &node);
-    void noteLoad(const std::string &node, const HomeLoad &load, SteadyTime now);
+    /** @p load: as the home stands for a request of @p priority. */
+    void noteLoad(const std::string &node, const HomeLoad &load, int priority, SteadyTime now);
     /** The home has no server to offer. */
     void noteNoServer(const std::string &node, SteadyTime now);
     /** Nothing came back over the path. Pauses grow while it stays so. */
@@ -96,11 +106,17 @@
     void keepOnly(const std::set<std::string> &known);
 
 private:
+    struct HeardWait {
+        double millis = 0.0;
+        SteadyTime at;
+    };
     struct Home {
         std::int32_t inFlight = 0;
         /** In flight when the load was heard: what was sent since is not in it. */
         std::int32_t inFlightThen = 0;
         HomeLoad load;
+        /** Expected waits by priority. */
+        std::map<int, HeardWait> waits;
         bool heard = false;
         SteadyTime heardAt;
         SteadyTime noServerUntil;
@@ -111,7 +127,8 @@
     /** Everything but waiting. */
     double fixedLoss(const RankedHome &home, const HomeNeed &need, SteadyTime now) const;
     double lateLoss(double waitMs, double tripMs, double slowdown, const HomeNeed &need) const;
-    double expectedWait(const RankedHome &home, SteadyTime now) const;
+    double expectedWait(const RankedHome &home, const HomeNeed &need, SteadyTime now) const;
+    double currentDoubt(const RankedHome &home, SteadyTime now) const;
     double tripOf(Distance distance) const;
     double slowdownOf(const RankedHome &home, SteadyTime now) const;
     /** The longest wait at @p home that loses no more than @p loss. */
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -142,8 +142,8 @@
     std::string service;
     std::string route;
     bool idempotent = false;
-    /** No other home is left: doubt about the server is no reason to refuse. */
-    bool lastResort = false;
+    /** The sender knows of the doubt about the server and has nothing better. */
+    bool acceptsDoubt = false;
     std::uint8_t priority = 0;
     /** Time left to the deadline and to the objective when it was sent; durations, since clocks differ. */
     Millis remaining{0};
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -101,7 +101,7 @@
 
 RefusalReason SlotQueue::doubtRefuses(const SlotRequest &request, SteadyTime now) const
 {
-    if (request.lastResort || gray_.doubt(now) < tuning_.doubtful) {
+    if (request.acceptsDoubt || gray_.doubt(now) < tuning_.doubtful) {
         return RefusalReason::None;
     }
     if (!request.idempotent) {
@@ -129,10 +129,25 @@
     }
     const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
                                      [&](const Waiting &one) { return !isMoreUrgent(request, one.request, now); });
-    if (hasFreeSlot() && ahead == 0) {
-        return Duration(0);
-    }
-    return meanWork() * (ahead + 1) / static_cast<std::int64_t>(slots_);
+    return hasFreeSlot() && ahead == 0 ? Duration(0) : waitBehind(ahead, request.priority);
+}
+
+Duration SlotQueue::waitBehind(std::ptrdiff_t ahead, int priority) const
+{
+    const auto found = waitFactor_.find(priority);
+    const double factor = found == waitFactor_.end() ? 1.0 : found->second;
+    const double slots = std::max<std::uint32_t>(1, slots_);
+    return durationOf(factor * secondsOf(meanWork()) * static_cast<double>(ahead + 1) / slots);
+}
+
+void SlotQueue::noteWaited(const Waiting &one, SteadyTime now)
+{
+    const double expected = std::max(0.001, secondsOf(one.expected));
+    double &factor = waitFactor_.try_emplace(one.request.priority, 1.0).first->second;
+    // The expected wait holds the factor of its time already: the new one is relative to that.
+    const double seen = factor * secondsOf(now - one.since) / expected;
+    factor += tuning_.waitSmoothing * (seen - factor);
+    factor = std::clamp(factor, tuning_.leastWaitFactor, tuning_.mostWaitFactor);
 }
 
 SlotDecision SlotQueue::submit(const SlotRequest &request, SteadyTime now)
@@ -156,9 +171,7 @@
     if (wait > request.patience || waiting_.size() >= tuning_.mostWaiting) {
         return refused(RefusalReason::Busy);
     }
-    // The estimate is a mean; twice its length is still a normal wait, and the objective ends it in any case.
-    const SteadyTime until = std::min(request.deadline, now + std::max<Duration>(request.patience, 2 * wait));
-    waiting_.push_back(Waiting{request, until});
+    waiting_.push_back(Waiting{request, std::min(request.deadline, now + request.patience), now, wait});
     return SlotDecision{SlotVerdict::Wait, RefusalReason::None};
 }
 
@@ -211,6 +224,7 @@
     Due due;
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         if (it->until <= now) {
+            noteWaited(*it, now);
             due.expired.push_back(it->request.id);
             it = waiting_.erase(it);
         } else {
@@ -228,6 +242,7 @@
         if (best == waiting_.end()) {
             break;
         }
+        noteWaited(*best, now);
         start(best->request, now);
         due.start.push_back(best->request.id);
         waiting_.erase(best);
@@ -265,15 +280,16 @@
     return usual == 0.0 ? leastSlowdown : std::clamp(recent / usual, leastSlowdown, mostSlowdown);
 }
 
-HomeLoad SlotQueue::load(SteadyTime now) const
+HomeLoad SlotQueue::load(int priority, SteadyTime now) const
 {
     HomeLoad load;
     const auto held = static_cast<std::int32_t>(running_.size());
     load.freeSlots = std::max(0, static_cast<std::int32_t>(slots_) - held);
     load.queued = static_cast<std::int32_t>(waiting_.size());
-    const bool mustWait = load.freeSlots == 0 || load.queued > 0;
-    if (slots_ > 0 && mustWait) {
-        load.wait = std::chrono::duration_cast<Millis>(meanWork() * (load.queued + 1) / static_cast<int>(slots_));
+    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
+                                     [&](const Waiting &one) { return one.request.priority <= priority; });
+    if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0)) {
+        load.wait = std::chrono::duration_cast<Millis>(waitBehind(ahead, priority));
     }
     load.doubt = gray_.doubt(now);
     load.slowdown = slowdown();
--- a/src/limit/SecondSendBudget.cpp
+++ b/src/limit/SecondSendBudget.cpp
@@ -41,7 +41,8 @@
         }
     }
     const double slack = tuning_.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
-    const double part = purpose == SecondSend::Hedge ? tuning_.usedPart * (1.0 - tuning_.reservedPart) : tuning_.usedPart;
+    const double part =
+        purpose == SecondSend::Hedge ? tuning_.usedPart * (1.0 - tuning_.reservedPart) : tuning_.usedPart;
     if (seconds + 1.0 > part * (tuning_.share * requests + slack)) {
         return false;
     }
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -49,14 +49,30 @@
     return 1.0 + freshness(now - found->second.heardAt, tuning_.doubtHalfLife) * (found->second.load.slowdown - 1.0);
 }
 
-double HomeRanking::expectedWait(const RankedHome &candidate, SteadyTime now) const
+double HomeRanking::expectedWait(const RankedHome &candidate, const HomeNeed &need, SteadyTime now) const
 {
     const auto found = homes_.find(candidate.node);
-    if (found == homes_.end() || !found->second.heard) {
+    if (found == homes_.end()) {
         return 0.0;
     }
-    const Home &home = found->second;
-    return freshness(now - home.heardAt, tuning_.loadHalfLife) * static_cast<double>(home.load.wait.count());
+    // What the more urgent wait, the less urgent wait at least.
+    double wait = 0.0;
+    for (const auto &[priority, heard] : found->second.waits) {
+        if (priority <= need.priority) {
+            wait = std::max(wait, freshness(now - heard.at, tuning_.loadHalfLife) * heard.millis);
+        }
+    }
+    return wait;
+}
+
+double HomeRanking::currentDoubt(const RankedHome &candidate, SteadyTime now) const
+{
+    const auto found = homes_.find(candidate.node);
+    if (found == homes_.end() || !found->second.heard) {
+        return tuning_.usualDoubt;
+    }
+    const double fresh = freshness(now - found->second.heardAt, tuning_.doubtHalfLife);
+    return tuning_.usualDoubt + fresh * (found->second.load.doubt - tuning_.usualDoubt);
 }
 
 double HomeRanking::lateLoss(double waitMs, double tripMs, double slowdown, const HomeNeed &need) const
@@ -75,25 +91,22 @@
     } else if (candidate.distance == Distance::OtherRegion) {
         loss += tuning_.otherRegion;
     }
-    const double doubtLoss = need.idempotent ? tuning_.doubtIdempotent : tuning_.doubtOther;
+    loss += currentDoubt(candidate, now) * (need.idempotent ? tuning_.doubtIdempotent : tuning_.doubtOther);
     const auto found = homes_.find(candidate.node);
     if (found == homes_.end()) {
-        return loss + tuning_.usualDoubt * doubtLoss;
+        return loss;
     }
     const Home &home = found->second;
     loss += now < home.noServerUntil ? noServerLoss : 0.0;
     loss += now < home.pathBadUntil ? badPathLoss : 0.0;
     if (!home.heard) {
-        return loss + home.inFlight * tuning_.busySlot + tuning_.usualDoubt * doubtLoss;
+        return loss + home.inFlight * tuning_.busySlot;
     }
     // What this node sent since the news is not in them.
     const std::int32_t since = std::max(0, home.inFlight - home.inFlightThen);
     const double busy =
         freshness(now - home.heardAt, tuning_.loadHalfLife) * std::max(0, usualSlots - home.load.freeSlots);
-    loss += (since + busy) * tuning_.busySlot;
-    const double fresh = freshness(now - home.heardAt, tuning_.doubtHalfLife);
-    const double doubt = tuning_.usualDoubt + fresh * (home.load.doubt - tuning_.usualDoubt);
-    return loss + doubt * doubtLoss;
+    return loss + (since + busy) * tuning_.busySlot;
 }
 
 Millis HomeRanking::patienceFor(const RankedHome &home, const HomeNeed &need, double loss, SteadyTime now) const
@@ -123,8 +136,9 @@
         if (tried.count(home.node) != 0) {
             continue;
         }
-        const double loss = fixedLoss(home, need, now)
-                            + lateLoss(expectedWait(home, now), tripOf(home.distance), slowdownOf(home, now), need);
+        const double loss =
+            fixedLoss(home, need, now)
+            + lateLoss(expectedWait(home, need, now), tripOf(home.distance), slowdownOf(home, now), need);
         if (best == nullptr || loss < choice.loss) {
             next = best != nullptr ? choice.loss : next;
             best = &home;
@@ -137,6 +151,11 @@
         return choice;
     }
     choice.node = best->node;
+    const double wait = expectedWait(*best, need, now);
+    choice.wait = Millis(static_cast<std::int64_t>(wait));
+    choice.hopeless =
+        wait > 0.0 && lateLoss(wait, tripOf(best->distance), slowdownOf(*best, now), need) >= tuning_.late;
+    choice.acceptsDoubt = currentDoubt(*best, now) >= tuning_.knownDoubt;
     choice.patience = patienceFor(*best, need, next < 0.0 ? tuning_.late : next, now);
     const auto found = homes_.find(choice.node);
     if (found != homes_.end() && found->second.heard) {
@@ -157,9 +176,10 @@
     home.inFlightThen = std::min(home.inFlightThen, home.inFlight);
 }
 
-void HomeRanking::noteLoad(const std::string &node, const HomeLoad &load, SteadyTime now)
+void HomeRanking::noteLoad(const std::string &node, const HomeLoad &load, int priority, SteadyTime now)
 {
     Home &home = homes_[node];
+    home.waits[priority] = HeardWait{static_cast<double>(load.wait.count()), now};
     home.load = load;
     home.heard = true;
     home.heardAt = now;
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -15,8 +15,10 @@
 
 namespace {
 
-/** Refusals cost a round trip each; after so many the fleet has no room. */
-constexpr int mostRefusals = 10;
+/** Refusals cost a round trip each; after so many sends the fleet has no room. */
+constexpr int mostSends = 12;
+/** One home is asked again once, with what its refusal told. */
+constexpr int mostRefusals = 2;
 constexpr double workSmoothing = 0.1;
 /** Before any work of a route was seen it is planned with this part of its objective. */
 constexpr double assumedWorkPart = 0.3;
@@ -52,11 +54,12 @@
     SteadyTime objective;
     WaitPoint point;
     std::vector<PlacementPtr> placements;
-    /** Homes that refused, or whose server had it already. */
-    std::set<std::string> tried;
+    /** Homes that are not asked any more: their server had it, or they can't be reached, or refused twice. */
+    std::set<std::string> excluded;
+    std::map<std::string, int> refusals;
     /** Homes whose server had it, or may have. */
     std::set<std::string> reached;
-    int refusals = 0;
+    int sends = 0;
     bool over = false;
 };
 
@@ -100,24 +103,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-Millis Forwarder::patienceOf(const Run &run) const
-{
-    const SteadyTime now = core_.clock.now();
-    const Duration work = typicalWork(*run.job.route);
-    const Duration inTime = run.objective - now - work;
-    if (inTime > Duration(0)) {
-        return toMillis(inTime);
-    }
-    return toMillis(std::max(Duration(0), run.job.deadline - now - work));
-}
-
 HomeNeed Forwarder::needOf(const Run &run) const
 {
     const SteadyTime now = core_.clock.now();
     const Duration work = typicalWork(*run.job.route);
     const bool inTime = now + work < run.objective;
     const Duration left = (inTime ? run.objective : run.job.deadline) - now;
-    return HomeNeed{run.job.route->idempotent, toMillis(std::max(Duration(0), left)), toMillis(work)};
+    return HomeNeed{run.job.route->idempotent, run.job.route->priority, toMillis(std::max(Duration(0), left)),
+                    toMillis(work)};
 }
 
 SteadyTime Forwarder::hedgeTime(const Run &run) const
@@ -168,33 +161,29 @@
     const ForwardJob &job = run->job;
     placement->reply.outcome = Outcome::NotRun;
     placement->reply.reason = "no-home";
-    for (const bool lastResort : {false, true}) {
-        if (lastResort && hedge) {
+    while (!placement->control->cancelled && !run->over && run->sends < mostSends) {
+        const SteadyTime now = core_.clock.now();
+        HomeChoice choice = ranking_.choose(homesOf(job.service), run->excluded, needOf(*run), now);
+        if (choice.node.empty() || now + leastTime >= job.deadline) {
             return;
         }
-        if (lastResort) {
-            // Everyone refused. Now the least bad home may keep it waiting as long as it has time.
-            run->tried = run->reached;
+        if (choice.hopeless) {
+            // Every home would keep it beyond its objective. The caller is better off to hear that at once.
+            placement->reply.reason = "no-room";
+            placement->reply.load.wait = choice.wait;
+            return;
         }
-        while (!placement->control->cancelled && !run->over && run->refusals < mostRefusals) {
-            const SteadyTime now = core_.clock.now();
-            const HomeNeed need = needOf(*run);
-            HomeChoice choice = ranking_.choose(homesOf(job.service), run->tried, need, now);
-            if (choice.node.empty() || now + leastTime >= job.deadline) {
-                break;
-            }
-            choice.patience = lastResort ? patienceOf(*run) : (hedge ? Millis(0) : choice.patience);
-            run->tried.insert(choice.node);
-            if (sendOnce(run, placement, choice, lastResort)) {
-                return;
-            }
-            ++run->refusals;
+        if (hedge) {
+            choice.patience = Millis(0);
+        }
+        ++run->sends;
+        if (sendOnce(run, placement, choice)) {
+            return;
         }
-        run->refusals = lastResort ? run->refusals : 0;
     }
 }
 
-bool Forwarder::sendOnce(const RunPtr &run, const PlacementPtr &placement, const HomeChoice &choice, bool lastResort)
+bool Forwarder::sendOnce(const RunPtr &run, const PlacementPtr &placement, const HomeChoice &choice)
 {
     const ForwardJob &job = run->job;
     const SteadyTime now = core_.clock.now();
@@ -203,7 +192,7 @@
     work.service = job.service;
     work.route = job.route->name;
     work.idempotent = job.route->idempotent;
-    work.lastResort = lastResort;
+    work.acceptsDoubt = choice.acceptsDoubt;
     work.priority = static_cast<std::uint8_t>(job.route->priority);
     work.remaining = toMillis(job.deadline - now);
     work.untilObjective = toMillis(run->objective - now);
@@ -214,6 +203,7 @@
     ranking_.noteSent(choice.node);
     // Counted from now on: a second placement beside this one must not use the same server.
     run->reached.insert(choice.node);
+    run->excluded.insert(choice.node);
     SendResult result;
     if (choice.node == core_.self.id) {
         result.reply = home_.run(WorkKey{core_.self, nextLocalWork_++}, work, placement->control);
@@ -236,7 +226,7 @@
         probePath(choice.node);
     } else if (reply.outcome != Outcome::Unknown || reply.reachedServer) {
         ranking_.notePathGood(choice.node);
-        ranking_.noteLoad(choice.node, reply.load, after);
+        ranking_.noteLoad(choice.node, reply.load, job.route->priority, after);
     }
     const bool noServer = reply.reason == refusalName(RefusalReason::NoServer) || reply.reason == "stopping"
                           || reply.reason == "other-service" || reply.reason == "other-server";
@@ -250,7 +240,7 @@
                         {"loss", std::to_string(static_cast<int>(choice.loss))},
                         {"loadAgeMs", std::to_string(choice.loadAge.count())},
                         {"patienceMs", std::to_string(choice.patience.count())},
-                        {"lastResort", lastResort ? "yes" : "no"},
+                        {"acceptsDoubt", choice.acceptsDoubt ? "yes" : "no"},
                         {"outcome", outcomeName(reply.outcome)},
                         {"reason", reply.reason},
                         {"pathFailed", result.pathFailed ? "yes" : "no"},
@@ -259,7 +249,12 @@
     placement->reachedServer = placement->reachedServer || reply.reachedServer || reply.outcome == Outcome::Unknown;
     const bool refused = reply.outcome == Outcome::NotRun && !reply.reachedServer;
     if (refused) {
+        // A refusal is news about the home; with it the same one may still be the best.
         run->reached.erase(choice.node);
+        const bool askAgain = !result.pathFailed && !noServer && ++run->refusals[choice.node] < mostRefusals;
+        if (askAgain) {
+            run->excluded.erase(choice.node);
+        }
         return placement->control->cancelled;
     }
     if (reply.outcome == Outcome::NotRun && !placement->control->cancelled) {
@@ -344,10 +339,9 @@
         run->point.wait(core_.ioContext, until - core_.clock.now());
     }
     WorkReply reply;
-    const bool notRun =
-        allEnded() && std::all_of(run->placements.begin(), run->placements.end(), [](const PlacementPtr &one) {
-            return one->reply.outcome == Outcome::NotRun;
-        });
+    const bool notRun = allEnded()
+                        && std::all_of(run->placements.begin(), run->placements.end(),
+                                       [](const PlacementPtr &one) { return one->reply.outcome == Outcome::NotRun; });
     reply.outcome = notRun ? Outcome::NotRun : Outcome::Unknown;
     reply.reason = "timeout";
     return finish(run, reply);
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -77,10 +77,8 @@
 
     PlacementPtr launch(const RunPtr &run, bool hedge);
     void place(const RunPtr &run, const PlacementPtr &placement, bool hedge);
-    bool sendOnce(const RunPtr &run, const PlacementPtr &placement, const HomeChoice &choice, bool lastResort);
+    bool sendOnce(const RunPtr &run, const PlacementPtr &placement, const HomeChoice &choice);
     std::vector<RankedHome> homesOf(const std::string &service) const;
-    /** How long it may wait where it is the last choice. */
-    Millis patienceOf(const Run &run) const;
     HomeNeed needOf(const Run &run) const;
     Duration typicalWork(const Route &route) const;
     SteadyTime hedgeTime(const Run &run) const;
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -174,7 +174,7 @@
     request.objective = job.arrived + job.work.untilObjective;
     request.deadline = job.deadline;
     request.patience = job.work.patience;
-    request.lastResort = job.work.lastResort;
+    request.acceptsDoubt = job.work.acceptsDoubt;
     const SlotDecision decision = queue_.submit(request, job.arrived);
     if (decision.verdict == SlotVerdict::Refused) {
         job.reply = refusal(job, refusalName(decision.reason));
@@ -215,7 +215,7 @@
     }
     if (stopped_ || work.service != core_.settings.server->service) {
         job.reply = refusal(job, stopped_ ? "stopping" : "other-service");
-        job.reply.load = load();
+        job.reply.load = load(work.priority);
         return job.reply;
     }
     Entry entry;
@@ -229,7 +229,7 @@
         pollQueue();
     }
     job.reply.id = key.id;
-    job.reply.load = load();
+    job.reply.load = load(work.priority);
     if (entries_[key].phase == Phase::Forbidden) {
         ended_.emplace_back(core_.clock.now(), key);
     } else {
@@ -403,9 +403,9 @@
     stopped_ = true;
 }
 
-HomeLoad LocalHome::load() const
+HomeLoad LocalHome::load(int priority) const
 {
-    return queue_.load(core_.clock.now());
+    return queue_.load(priority, core_.clock.now());
 }
 
 std::size_t LocalHome::busy() const
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -49,7 +49,8 @@
     FenceReply fence(const WorkKey &key, bool onlyAsk);
     /** No more work of other nodes: this one stops. */
     void stopTaking();
-    HomeLoad load() const;
+    /** As it stands for a request of @p priority. */
+    HomeLoad load(int priority) const;
     /** Works waiting or running here. */
     std::size_t busy() const;
     /** The server said farewell or leaves. */
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -242,7 +242,7 @@
         refusal.id = work.id;
         refusal.outcome = Outcome::NotRun;
         refusal.reason = "arrived-late";
-        refusal.load = home.load();
+        refusal.load = home.load(work.priority);
         refusal.versions = news.versions();
         peers->reply(link, refusal);
         return;
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -297,8 +297,8 @@
     }
     json operator()(const Work &m) const
     {
-        return with(Type::Work, m.id, bytesOf(m.requestId), m.service, m.route, m.idempotent, m.lastResort, m.priority,
-                    m.remaining.count(), m.untilObjective.count(), m.patience.count(), m.helloAge.count(),
+        return with(Type::Work, m.id, bytesOf(m.requestId), m.service, m.route, m.idempotent, m.acceptsDoubt,
+                    m.priority, m.remaining.count(), m.untilObjective.count(), m.patience.count(), m.helloAge.count(),
                     versionsOf(m.versions), requestOf(m.request));
     }
     json operator()(const WorkReceipt &m) const
@@ -339,7 +339,7 @@
     m.service = in.at(body + 2).get<std::string>();
     m.route = in.at(body + 3).get<std::string>();
     m.idempotent = in.at(body + 4).get<bool>();
-    m.lastResort = in.at(body + 5).get<bool>();
+    m.acceptsDoubt = in.at(body + 5).get<bool>();
     m.priority = in.at(body + 6).get<std::uint8_t>();
     m.remaining = Millis(in.at(body + 7).get<std::int64_t>());
     m.untilObjective = Millis(in.at(body + 8).get<std::int64_t>());
