--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -57,8 +57,8 @@
     /** Each busy slot: spreads work over homes that are otherwise equal, since full servers are slower. */
     double busySlot = 4.0;
     /** An idempotent request that meets a gray server takes a second send; another one is lost. */
-    double doubtIdempotent = 200.0;
-    double doubtOther = 600.0;
+    double doubtIdempotent = 450.0;
+    double doubtOther = 800.0;
     /** Doubt about a server of which nothing was heard lately: about one in eight is gray at any time. */
     double usualDoubt = 0.12;
     /** An answer after the objective is worth about a third of one in time. */
