Charge the calls of repeated runs to their service's budget

Change: a home tells its ingress how many of the works at its server are repeats; a route whose requests come only while the server works is one of its own calls and is charged in that proportion. Ruled out: a smaller share for everyone: it takes second sends from services that nobody calls.

--- a/include/limit/SecondSendBudget.h
+++ b/include/limit/SecondSendBudget.h
@@ -14,8 +14,8 @@
     /** So many more in a window, for the whole fleet. */
     double slack = 50.0;
     Millis window = std::chrono::seconds(10);
-    /** Part of the bound that nodes use: what a run's own calls repeat is seen at other nodes only. */
-    double usedPart = 0.65;
+    /** Part of the bound that nodes use; the rest covers nodes whose counts were lost in a restart. */
+    double usedPart = 0.75;
     /** Sends that only may turn out useful leave this part to those that follow a failure. */
     double reservedPart = 0.5;
 };
@@ -41,6 +41,8 @@
     void noteRequest(SteadyTime now);
     /** Takes one second send; false if none is left. @p nodes: how many share the slack. */
     bool tryTake(std::size_t nodes, SecondSend purpose, SteadyTime now);
+    /** Counts repeats that nobody asked for: calls of a repeated run. @p expected: how many, as a mean. */
+    void charge(double expected, SteadyTime now);
     /** A send that was taken did not happen. */
     void giveBack(SteadyTime now);
 
@@ -49,7 +51,7 @@
     struct Step {
         std::int64_t number = -1;
         std::uint32_t requests = 0;
-        std::uint32_t seconds = 0;
+        double seconds = 0.0;
     };
 
     Step &stepAt(SteadyTime now);
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -144,6 +144,8 @@
     bool idempotent = false;
     /** The sender knows of the doubt about the server and has nothing better. */
     bool acceptsDoubt = false;
+    /** Another server had it, or may have had it, before. */
+    bool isRepeat = false;
     std::uint8_t priority = 0;
     /** Time left to the deadline and to the objective when it was sent; durations, since clocks differ. */
     Millis remaining{0};
--- a/src/limit/SecondSendBudget.cpp
+++ b/src/limit/SecondSendBudget.cpp
@@ -19,7 +19,7 @@
     const std::int64_t number = numberAt(now);
     Step &step = ring_[static_cast<std::size_t>(number) % ring_.size()];
     if (step.number != number) {
-        step = Step{number, 0, 0};
+        step = Step{number, 0, 0.0};
     }
     return step;
 }
@@ -46,14 +46,19 @@
     if (seconds + 1.0 > part * (tuning_.share * requests + slack)) {
         return false;
     }
-    ++stepAt(now).seconds;
+    stepAt(now).seconds += 1.0;
     return true;
 }
 
+void SecondSendBudget::charge(double expected, SteadyTime now)
+{
+    stepAt(now).seconds += expected;
+}
+
 void SecondSendBudget::giveBack(SteadyTime now)
 {
     Step &step = stepAt(now);
-    step.seconds -= step.seconds > 0 ? 1 : 0;
+    step.seconds = std::max(0.0, step.seconds - 1.0);
 }
 
 } // namespace waxwing
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -120,6 +120,11 @@
     return run.job.arrived + std::max<Duration>(leastHedge, std::min(usual, latest));
 }
 
+SecondSendBudget &Forwarder::budgetOf(const std::string &service)
+{
+    return budgets_.try_emplace(service, budgetTuning_).first->second;
+}
+
 bool Forwarder::maySendAgain(Run &run, SecondSend purpose, const char *why)
 {
     const Route &route = *run.job.route;
@@ -127,8 +132,7 @@
     const SteadyTime now = core_.clock.now();
     const bool time = now + leastTime < run.job.deadline;
     const std::size_t nodes = std::max<std::size_t>(1, core_.service<RosterKeeper>("roster").roster().size());
-    SecondSendBudget &budget = budgets_.try_emplace(run.job.service, budgetTuning_).first->second;
-    const bool may = room && time && budget.tryTake(nodes, purpose, now);
+    const bool may = room && time && budgetOf(run.job.service).tryTake(nodes, purpose, now);
     core_.events.write(Severity::Info, "second_send",
                        {{"request", run.job.requestId},
                         {"service", run.job.service},
@@ -149,7 +153,7 @@
         place(run, placement, hedge);
         placement->ended = true;
         if (hedge && !placement->reachedServer) {
-            budgets_.try_emplace(run->job.service, budgetTuning_).first->second.giveBack(core_.clock.now());
+            budgetOf(run->job.service).giveBack(core_.clock.now());
         }
         run->point.wake();
     });
@@ -193,6 +197,7 @@
     work.route = job.route->name;
     work.idempotent = job.route->idempotent;
     work.acceptsDoubt = choice.acceptsDoubt;
+    work.isRepeat = !run->reached.empty();
     work.priority = static_cast<std::uint8_t>(job.route->priority);
     work.remaining = toMillis(job.deadline - now);
     work.untilObjective = toMillis(run->objective - now);
@@ -359,7 +364,9 @@
         }
     } const count{running_};
     const auto run = std::make_shared<Run>(held);
-    budgets_.try_emplace(job.service, budgetTuning_).first->second.noteRequest(core_.clock.now());
+    SecondSendBudget &budget = budgetOf(job.service);
+    budget.noteRequest(core_.clock.now());
+    budget.charge(innerCalls_.note(job.route->name, home_.running(), home_.runningRepeats()), core_.clock.now());
     job.control->interrupt = [run] { run->point.wake(); };
     launch(run, false);
     const bool repeatable = job.route->idempotent && job.route->mostServers > 1;
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/fleet/FleetConfig.h"
+#include "include/limit/InnerCallMeter.h"
 #include "include/limit/SecondSendBudget.h"
 #include "include/route/HomeRanking.h"
 #include "include/wire/Messages.h"
@@ -82,6 +83,7 @@
     HomeNeed needOf(const Run &run) const;
     Duration typicalWork(const Route &route) const;
     SteadyTime hedgeTime(const Run &run) const;
+    SecondSendBudget &budgetOf(const std::string &service);
     bool maySendAgain(Run &run, SecondSend purpose, const char *why);
     void learn(const std::string &route, const WorkReply &reply);
     ForwardResult finish(const RunPtr &run, const WorkReply &reply);
@@ -94,6 +96,7 @@
     SecondSendTuning budgetTuning_;
     HomeRanking ranking_;
     std::map<std::string, SecondSendBudget> budgets_;
+    InnerCallMeter innerCalls_;
     std::map<std::string, RouteStats> stats_;
     std::set<std::string> probing_;
     std::uint64_t nextLocalWork_ = 1;
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -272,7 +272,9 @@
     if (job.work.idempotent) {
         job.control->interrupt = [&cancel] { cancel.cancel(); };
     }
+    runningRepeats_ += job.work.isRepeat ? 1 : 0;
     const auto answer = core_.client.exchange(core_.settings.server->address, stamped, options);
+    runningRepeats_ -= job.work.isRepeat ? 1 : 0;
     job.control->interrupt = {};
     const Duration worked = core_.clock.now() - now;
     job.reply.worked = std::chrono::duration_cast<Millis>(worked);
@@ -413,6 +415,16 @@
     return queue_.running() + queue_.waiting();
 }
 
+std::size_t LocalHome::running() const
+{
+    return queue_.running();
+}
+
+std::size_t LocalHome::runningRepeats() const
+{
+    return runningRepeats_;
+}
+
 bool LocalHome::hasServer() const
 {
     return server_.serving() != nullptr;
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -53,6 +53,9 @@
     HomeLoad load(int priority) const;
     /** Works waiting or running here. */
     std::size_t busy() const;
+    /** Works at the server, and how many of them are repeats. */
+    std::size_t running() const;
+    std::size_t runningRepeats() const;
     /** The server said farewell or leaves. */
     bool hasServer() const;
     bool serverLeft() const;
@@ -96,6 +99,7 @@
     std::deque<std::pair<SteadyTime, WorkKey>> ended_;
     std::map<std::uint64_t, Turn> turns_;
     std::uint64_t nextJob_ = 1;
+    std::size_t runningRepeats_ = 0;
     bool stopped_ = false;
 };
 
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -144,6 +144,8 @@
                       RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()}};
 }
 
+constexpr int acceptsDoubtBit = 1;
+constexpr int isRepeatBit = 2;
 constexpr double doubtSteps = 1000.0;
 constexpr double slowdownSteps = 100.0;
 
@@ -339,7 +341,9 @@
     m.service = in.at(body + 2).get<std::string>();
     m.route = in.at(body + 3).get<std::string>();
     m.idempotent = in.at(body + 4).get<bool>();
-    m.acceptsDoubt = in.at(body + 5).get<bool>();
+    const int flags = in.at(body + 5).get<int>();
+    m.acceptsDoubt = (flags & acceptsDoubtBit) != 0;
+    m.isRepeat = (flags & isRepeatBit) != 0;
     m.priority = in.at(body + 6).get<std::uint8_t>();
     m.remaining = Millis(in.at(body + 7).get<std::int64_t>());
     m.untilObjective = Millis(in.at(body + 8).get<std::int64_t>());
