Let doubt about a home age as gray phases end

Cause: three of a region's four homes were known to be doubtful; two seconds later the sender held them for half as doubtful and sent there again, while the home itself still gave 0.7.

--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -69,9 +69,9 @@
     double latePart = 1.25;
     /** Doubt that was heard and is above this is accepted knowingly; as homes refuse it. */
     double knownDoubt = 0.4;
-    /** News of load halve in weight after this long; news of doubt, which lasts for seconds, later. */
+    /** News of load halve in weight after this long; doubt as fast as gray phases end, by GrayTuning. */
     Millis loadHalfLife{400};
-    Millis doubtHalfLife{1500};
+    Millis doubtHalfLife{3700};
     /** A refused sender stays away from a home without a server for this long. */
     Millis noServerPause{700};
     Millis firstPathPause{1000};
