Log to standard output without ever blocking, and bounded

Cause: log lines were written with a blocking call to standard error; a reader that stops would have stopped the node. Change: lines go through a bounded buffer that writes only what the pipe takes; lines about single requests are bounded, failures first; what is left out is counted and said. The home's queue wakes when it is due instead of 20 times a second.

--- a/include/limit/TokenBucket.h
+++ b/include/limit/TokenBucket.h
@@ -12,6 +12,8 @@
     TokenBucket(double perSecond, double burst, SteadyTime now);
     /** Takes @p tokens; false, and nothing taken, if there are fewer. */
     bool tryTake(double tokens, SteadyTime now);
+    /** As tryTake(), but only while at least @p least are there. */
+    bool tryTakeAbove(double tokens, double least, SteadyTime now);
     /** Takes @p tokens even below zero, for costs known only afterwards. */
     void take(double tokens, SteadyTime now);
     /** True if any token is left. */
--- a/include/node/Node.h
+++ b/include/node/Node.h
@@ -28,6 +28,8 @@
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
 
+    /** Hands buffered log lines over. */
+    void flushLog();
     /** Takes over what can change while running: limits and times. */
     void reload(const NodeSettings &settings);
     /**
--- a/src/base/EventLog.cpp
+++ b/src/base/EventLog.cpp
@@ -3,10 +3,14 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "include/base/LinePipe.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 namespace waxwing {
 
@@ -33,6 +37,63 @@
     return out + "\"";
 }
 
+/** The process's lines on their way to standard output. */
+LinePipe &standardOutput()
+{
+    static LinePipe pipe(nonBlockingSink(STDOUT_FILENO));
+    return pipe;
+}
+
+/** Flushed as soon as so much waits, so that a burst does not fill the pipe's buffer between two flushes. */
+constexpr std::size_t flushFrom = 16UL * 1024;
+
+// The macros of log4cxx name its namespaces without their parent.
+namespace helpers = log4cxx::helpers;
+
+/** Hands log4cxx's lines to a LinePipe: its own appenders block while nobody reads. */
+class PipeAppender final : public log4cxx::AppenderSkeleton
+{
+public:
+    DECLARE_LOG4CXX_OBJECT(PipeAppender)
+    BEGIN_LOG4CXX_CAST_MAP()
+    LOG4CXX_CAST_ENTRY(PipeAppender)
+    LOG4CXX_CAST_ENTRY_CHAIN(log4cxx::AppenderSkeleton)
+    END_LOG4CXX_CAST_MAP()
+
+    PipeAppender() = default;
+    void close() override
+    { }
+    bool requiresLayout() const override
+    {
+        return true;
+    }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
+    {
+        log4cxx::LogString text;
+        getLayout()->format(text, event, pool);
+        std::string line;
+        log4cxx::helpers::Transcoder::encode(text, line);
+        standardOutput().add(line);
+        if (standardOutput().pending() >= flushFrom) {
+            standardOutput().flush();
+        }
+    }
+};
+
+// As IMPLEMENT_LOG4CXX_OBJECT, which can't stand inside a namespace.
+const helpers::Class &PipeAppender::getClass() const
+{
+    return getStaticClass();
+}
+
+const helpers::Class &PipeAppender::getStaticClass()
+{
+    static const ClazzPipeAppender instance;
+    return instance;
+}
+
 } // namespace
 
 std::string Event::line() const
@@ -45,11 +106,41 @@
     return out;
 }
 
-EventLog::EventLog(const Clock &clock, std::size_t capacity)
+EventLog::EventLog(const Clock &clock, std::size_t capacity, RequestLogTuning tuning)
     : clock_(clock)
     , capacity_(capacity)
+    , requestLines_(tuning.linesPerSecond, tuning.burst, clock.now())
+    , failureReserve_(tuning.burst / 2.0)
 { }
 
+void EventLog::writeRequest(Severity severity, std::string name, std::vector<EventField> fields)
+{
+    const SteadyTime now = clock_.now();
+    // Below half of the burst only what went wrong is written: that is what somebody will ask about.
+    const double needed = severity == Severity::Info ? failureReserve_ : 1.0;
+    if (!requestLines_.tryTakeAbove(1.0, needed, now)) {
+        ++requestLinesLeftOut_;
+        return;
+    }
+    write(severity, std::move(name), std::move(fields));
+}
+
+void EventLog::flush()
+{
+    if (requestLinesLeftOut_ > 0) {
+        const std::string count = std::to_string(requestLinesLeftOut_);
+        requestLinesLeftOut_ = 0;
+        write(Severity::Warning, "log_lines_left_out", {{"count", count}, {"reason", "bound-on-request-lines"}});
+    }
+    const std::uint64_t lost = standardOutput().leftOut();
+    if (lost > pipeLinesLeftOut_ && standardOutput().pending() == 0) {
+        const std::string count = std::to_string(lost - pipeLinesLeftOut_);
+        pipeLinesLeftOut_ = lost;
+        write(Severity::Warning, "log_lines_left_out", {{"count", count}, {"reason", "output-not-read"}});
+    }
+    standardOutput().flush();
+}
+
 void EventLog::write(Severity severity, std::string name, std::vector<EventField> fields)
 {
     events_.push_back(Event{clock_.wallNow(), std::move(name), std::move(fields)});
@@ -91,9 +182,15 @@
 
 void setUpLogging()
 {
-    const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout("level=%p %m%n"));
-    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, "System.err"));
+    const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(LOG4CXX_STR("level=%p %m")));
+    const log4cxx::AppenderPtr appender(new PipeAppender());
+    appender->setLayout(layout);
     log4cxx::BasicConfigurator::configure(appender);
 }
 
+void flushLogging()
+{
+    standardOutput().flush();
+}
+
 } // namespace waxwing
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -52,6 +52,8 @@
 
 /** The settings file may change without a signal. */
 constexpr Millis settingsPoll{1000};
+/** A process that is killed loses at most the log lines of this time. */
+constexpr Millis logFlushEvery{200};
 
 std::string contentOf(const std::string &path)
 {
@@ -109,8 +111,15 @@
     auto node = AnyNode::MakeStarted(ioContext, clock, settings, newIncarnation());
     if (!node) {
         std::cerr << node.error().message << "\n";
+        flushLogging();
         endProcess(exitListen);
     }
+    spawnFiber([&node, &ioContext] {
+        while (true) {
+            sleepFor(ioContext, logFlushEvery);
+            (*node)->flushLog();
+        }
+    });
     SettingsWatch<AnyNode> watch(ioContext, **node, path);
     spawnFiber([&watch] { watch.poll(); });
     boost::asio::signal_set signals(ioContext, SIGTERM, SIGINT, SIGHUP);
@@ -128,6 +137,7 @@
         watch.reloadIfChanged();
     }
     const bool clean = (*node)->stop();
+    flushLogging();
     endProcess(clean ? 0 : exitUncleanStop);
 }
 
--- a/src/limit/TokenBucket.cpp
+++ b/src/limit/TokenBucket.cpp
@@ -28,6 +28,12 @@
     return true;
 }
 
+bool TokenBucket::tryTakeAbove(double tokens, double least, SteadyTime now)
+{
+    refill(now);
+    return tokens_ >= least && tryTake(tokens, now);
+}
+
 void TokenBucket::take(double tokens, SteadyTime now)
 {
     refill(now);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -185,6 +185,11 @@
 
 Node::~Node() = default;
 
+void Node::flushLog()
+{
+    parts_->core.events.flush();
+}
+
 void Node::reload(const NodeSettings &settings)
 {
     // Names and addresses stay: others know the node by them.
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -19,12 +19,12 @@
 /** What every service of a node shares. Registered in the kernel as "core". */
 struct NodeCore {
     NodeCore(boost::asio::io_context &context, const Clock &clockIn, NodeSettings settingsIn, std::uint64_t incarnation,
-             std::uint64_t seed)
+             std::uint64_t seed, std::size_t eventsKept = EventLog::defaultCapacity)
         : ioContext(context)
         , clock(clockIn)
         , settings(std::move(settingsIn))
         , self{settings.node, incarnation}
-        , events(clockIn)
+        , events(clockIn, eventsKept)
         , client(context)
         , random(seed)
     { }
--- a/src/sidecar/CallerFront.cpp
+++ b/src/sidecar/CallerFront.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr unsigned badRequest = 400;
+constexpr unsigned firstFailure = 400;
 constexpr unsigned noRoute = 404;
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
@@ -73,7 +74,7 @@
                               Millis retryAfter)
 {
     core_.metrics.count("refused_" + reason);
-    core_.events.write(Severity::Info, "refused",
+    core_.events.writeRequest(Severity::Warning, "refused",
                        {{"request", requestId}, {"status", std::to_string(status)}, {"reason", reason}});
     return HttpReply{platform::ownAnswer(status, requestId, reason, retryAfter), AfterResponse::KeepOpen};
 }
@@ -109,7 +110,7 @@
     core_.metrics.observe("request", took);
     const bool hasAnswer = result.outcome == Outcome::Ran;
     const unsigned status = hasAnswer ? result.response.status : statusOf(result);
-    core_.events.write(Severity::Info, "answered",
+    core_.events.writeRequest(status >= firstFailure ? Severity::Warning : Severity::Info, "answered",
                        {{"request", job->requestId},
                         {"route", route.name},
                         {"service", job->service},
--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -107,7 +107,7 @@
         reply = local_(fence);
     }
     reply.id = fence.id;
-    core_.events.write(Severity::Info, "fence_answered",
+    core_.events.writeRequest(Severity::Warning, "fence_answered",
                        {{"origin", fence.origin.id},
                         {"work", std::to_string(fence.workId)},
                         {"onlyAsk", fence.onlyAsk ? "yes" : "no"},
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -133,7 +133,7 @@
     const bool time = now + leastTime < run.job.deadline;
     const std::size_t nodes = std::max<std::size_t>(1, core_.service<RosterKeeper>("roster").roster().size());
     const bool may = room && time && budgetOf(run.job.service).tryTake(nodes, purpose, now);
-    core_.events.write(Severity::Info, "second_send",
+    core_.events.writeRequest(may ? Severity::Info : Severity::Warning, "second_send",
                        {{"request", run.job.requestId},
                         {"service", run.job.service},
                         {"why", why},
@@ -239,7 +239,7 @@
         ranking_.noteNoServer(choice.node, after);
     }
     learn(job.route->name, reply);
-    core_.events.write(Severity::Info, "sent",
+    core_.events.writeRequest(result.pathFailed ? Severity::Warning : Severity::Info, "sent",
                        {{"request", job.requestId},
                         {"home", choice.node},
                         {"loss", std::to_string(static_cast<int>(choice.loss))},
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-constexpr Millis expiryTick{10};
-constexpr Millis idleTick{50};
+/** Also how often memory of ended works is cleared. */
+constexpr Millis idleTick{1000};
+constexpr Millis leastTick{1};
 /** How long the end of a Work is remembered; a sender asks within its deadline, and most are shorter. */
 constexpr Millis memory = std::chrono::seconds(12);
 constexpr std::size_t mostRemembered = 2000;
@@ -133,7 +134,11 @@
 void LocalHome::expiryLoop()
 {
     while (true) {
-        sleepFor(core_.ioContext, queue_.waiting() > 0 ? expiryTick : idleTick);
+        // Woken by the first request that waits, and then at the time when one has waited long enough.
+        const SteadyTime due = queue_.nextDue();
+        const SteadyTime before = core_.clock.now();
+        const Duration pause = due == SteadyTime::max() ? Duration(idleTick) : std::clamp<Duration>(due - before, leastTick, idleTick);
+        expiry_.wait(core_.ioContext, pause);
         const SteadyTime now = core_.clock.now();
         if (queue_.waiting() > 0) {
             pollQueue();
@@ -188,6 +193,7 @@
     }
     const auto gate = std::make_shared<FiberGate>();
     turns_[job.id] = Turn{gate, false};
+    expiry_.wake();
     job.control->interrupt = [this, gate, id = job.id] {
         queue_.cancel(id);
         gate->open();
@@ -235,7 +241,7 @@
     } else {
         remember(key, job.reply);
     }
-    core_.events.write(Severity::Info, "home_done",
+    core_.events.writeRequest(job.reply.serverFault ? Severity::Warning : Severity::Info, "home_done",
                        {{"request", work.requestId},
                         {"from", key.origin.id},
                         {"outcome", outcomeName(job.reply.outcome)},
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -4,6 +4,7 @@
 #include "include/home/SlotQueue.h"
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
+#include "src/sidecar/WaitPoint.h"
 
 #include <deque>
 #include <functional>
@@ -98,6 +99,7 @@
     std::map<WorkKey, Entry> entries_;
     std::deque<std::pair<SteadyTime, WorkKey>> ended_;
     std::map<std::uint64_t, Turn> turns_;
+    WaitPoint expiry_;
     std::uint64_t nextJob_ = 1;
     std::size_t runningRepeats_ = 0;
     bool stopped_ = false;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -38,6 +38,8 @@
  * told that it never runs; what it was told is remembered here for several times as long as this.
  */
 constexpr Millis mostLate{1500};
+/** Events kept in memory; the log has them all, and memory is paid for. */
+constexpr std::size_t eventsKept = 128;
 /** Links to the region's nodes are opened before the first request needs them. */
 constexpr Millis warmTimeout{1500};
 
@@ -66,7 +68,7 @@
 struct SidecarNode::Parts {
     Parts(boost::asio::io_context &ioContext, const Clock &clock, const NodeSettings &settings,
           std::uint64_t incarnation)
-        : core(ioContext, clock, settings, incarnation, stableHash(settings.node, incarnation))
+        : core(ioContext, clock, settings, incarnation, stableHash(settings.node, incarnation), eventsKept)
         , store(core.client, settings.objectApi)
         , burn(clock)
         , home(core)
@@ -311,6 +313,11 @@
 
 SidecarNode::~SidecarNode() = default;
 
+void SidecarNode::flushLog()
+{
+    parts_->core.events.flush();
+}
+
 void SidecarNode::reload(const NodeSettings &settings)
 {
     NodeSettings &own = parts_->core.settings;
--- a/src/sidecar/SidecarNode.h
+++ b/src/sidecar/SidecarNode.h
@@ -28,6 +28,8 @@
     SidecarNode(const SidecarNode &) = delete;
     SidecarNode &operator=(const SidecarNode &) = delete;
 
+    /** Hands buffered log lines over. */
+    void flushLog();
     /** Takes over changed settings; addresses where the node listens stay. */
     void reload(const NodeSettings &settings);
     /**
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -140,7 +140,7 @@
 
 void WorkSender::logFate(const Pending &pending, const SentWork &sent, const FenceReply &fate) const
 {
-    core_.events.write(Severity::Warning, "fate_asked",
+    core_.events.writeRequest(Severity::Warning, "fate_asked",
                        {{"request", pending.work.requestId},
                         {"home", sent.target.text()},
                         {"work", std::to_string(sent.id)},
