Let a second send pay for the calls that it repeats

Charging them where they arrive came too late: the nodes beside that server had no budget left to take it from. Change: homes learn how many calls a run of each route makes and tell it with their replies; a second send takes tokens from every service that it reaches.

--- a/include/limit/InnerCallMeter.h
+++ b/include/limit/InnerCallMeter.h
@@ -6,27 +6,44 @@
 
 namespace waxwing {
 
+/** Mean calls of one run, by the service called. */
+using CallRates = std::map<std::string, double>;
+
 /**
- * Estimates how many of the requests that arrive at a node are calls made by a run that was itself a repeat. Such calls
- * are repeats at the service that they call and belong to its budget, but nothing in them names their parent. What is
- * known: a server's own calls come only while it runs something, while callers' requests come at any time. Not thread
- * safe.
+ * Learns how many calls the runs of each route make. A repeated run repeats its calls, and they count as repeats at the
+ * service that they call; but nothing in a call names its parent. What a home sees: which works run at its server, and
+ * which requests come from its VM. A server's own calls come only while it runs something, callers' requests at any
+ * time; and a call is made by one of the works that run, most likely by one of a route that was seen to make calls.
+ * Not thread safe.
  */
 class InnerCallMeter
 {
 public:
-    /**
-     * A request of @p route arrived while the local server ran @p running works, of which @p repeats were repeats.
-     * Returns the expected number of repeats that it is, 0 to 1.
-     */
-    double note(const std::string &route, std::size_t running, std::size_t repeats);
+    /** The server began to run a work of @p route. */
+    void begin(std::uint64_t work, const std::string &route);
+    void end(std::uint64_t work);
+    /** A request of @p route for @p service came from this VM. */
+    void arrived(const std::string &route, const std::string &service);
+    /** Calls of one run of @p route; empty if it makes none. */
+    const CallRates &rates(const std::string &route) const;
 
 private:
-    struct Seen {
+    struct Arrivals {
         std::uint32_t whileBusy = 0;
         std::uint32_t whileIdle = 0;
     };
-    std::map<std::string, Seen> routes_;
+    struct Run {
+        std::string route;
+        CallRates calls;
+    };
+
+    bool isCallersOwn(const std::string &route);
+    /** How readily a call is put down to a run of @p route. */
+    double weightOf(const std::string &route, const std::string &service) const;
+
+    std::map<std::string, Arrivals> arrivals_;
+    std::map<std::uint64_t, Run> runs_;
+    std::map<std::string, CallRates> rates_;
 };
 
 } // namespace waxwing
--- a/include/limit/SecondSendBudget.h
+++ b/include/limit/SecondSendBudget.h
@@ -15,7 +15,7 @@
     double slack = 50.0;
     Millis window = std::chrono::seconds(10);
     /** Part of the bound that nodes use; the rest covers nodes whose counts were lost in a restart. */
-    double usedPart = 0.75;
+    double usedPart = 0.9;
     /** Sends that only may turn out useful leave this part to those that follow a failure. */
     double reservedPart = 0.5;
 };
@@ -39,12 +39,12 @@
     explicit SecondSendBudget(SecondSendTuning tuning = {});
     /** A request for the service was taken from a caller. */
     void noteRequest(SteadyTime now);
-    /** Takes one second send; false if none is left. @p nodes: how many share the slack. */
-    bool tryTake(std::size_t nodes, SecondSend purpose, SteadyTime now);
-    /** Counts repeats that nobody asked for: calls of a repeated run. @p expected: how many, as a mean. */
-    void charge(double expected, SteadyTime now);
-    /** A send that was taken did not happen. */
-    void giveBack(SteadyTime now);
+    /** True if @p sends more second sends keep the bound. @p nodes: how many share the slack. */
+    bool has(double sends, std::size_t nodes, SecondSend purpose, SteadyTime now) const;
+    /** Counts them. A send that repeats calls of its own counts a mean number of them at the service called. */
+    void take(double sends, SteadyTime now);
+    /** Sends that were taken did not happen. */
+    void giveBack(double sends, SteadyTime now);
 
 private:
     static constexpr std::size_t steps = 20;
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -6,6 +6,7 @@
 #include "include/base/Ids.h"
 #include "include/fleet/Roster.h"
 #include "include/home/SlotQueue.h"
+#include "include/limit/InnerCallMeter.h"
 #include "include/member/RecordTable.h"
 
 #include <cstdint>
@@ -144,8 +145,6 @@
     bool idempotent = false;
     /** The sender knows of the doubt about the server and has nothing better. */
     bool acceptsDoubt = false;
-    /** Another server had it, or may have had it, before. */
-    bool isRepeat = false;
     std::uint8_t priority = 0;
     /** Time left to the deadline and to the objective when it was sent; durations, since clocks differ. */
     Millis remaining{0};
@@ -176,6 +175,8 @@
     std::string server;
     /** How long the server worked on it. */
     Millis worked{0};
+    /** Calls that a run of this route makes, as its home has learned. */
+    CallRates calls;
     HomeLoad load;
     KnownVersions versions;
     HttpResponse response;
--- a/src/limit/InnerCallMeter.cpp
+++ b/src/limit/InnerCallMeter.cpp
@@ -8,20 +8,81 @@
 constexpr double idleShareOfCallers = 0.03;
 /** Counts are halved from here on, so that a route whose use changed is judged anew. */
 constexpr std::uint32_t mostCounted = 1000;
+/** Weight of the newest run in a route's rate. */
+constexpr double smoothing = 0.05;
+/** Weight of a route that was not seen to make calls yet: enough to be found, too little to take others' calls. */
+constexpr double unknownWeight = 0.02;
+/** Rates below this are what is put down to a route by mistake. */
+constexpr double leastRate = 0.05;
 
 } // namespace
 
-double InnerCallMeter::note(const std::string &route, std::size_t running, std::size_t repeats)
+void InnerCallMeter::begin(std::uint64_t work, const std::string &route)
 {
-    Seen &seen = routes_[route];
-    (running > 0 ? seen.whileBusy : seen.whileIdle) += 1;
+    runs_[work].route = route;
+}
+
+void InnerCallMeter::end(std::uint64_t work)
+{
+    const auto found = runs_.find(work);
+    if (found == runs_.end()) {
+        return;
+    }
+    CallRates &rates = rates_[found->second.route];
+    for (const auto &[service, calls] : found->second.calls) {
+        rates.try_emplace(service, 0.0);
+    }
+    for (auto &[service, rate] : rates) {
+        const auto made = found->second.calls.find(service);
+        rate += smoothing * ((made == found->second.calls.end() ? 0.0 : made->second) - rate);
+    }
+    for (auto it = rates.begin(); it != rates.end();) {
+        it = it->second < leastRate * smoothing ? rates.erase(it) : std::next(it);
+    }
+    runs_.erase(found);
+}
+
+bool InnerCallMeter::isCallersOwn(const std::string &route)
+{
+    Arrivals &seen = arrivals_[route];
+    (runs_.empty() ? seen.whileIdle : seen.whileBusy) += 1;
     const std::uint32_t all = seen.whileBusy + seen.whileIdle;
     if (all >= mostCounted) {
         seen.whileBusy /= 2;
         seen.whileIdle /= 2;
     }
-    const bool callersOwn = seen.whileIdle > idleShareOfCallers * all;
-    return callersOwn || running == 0 ? 0.0 : static_cast<double>(repeats) / static_cast<double>(running);
+    return seen.whileIdle > idleShareOfCallers * all;
+}
+
+double InnerCallMeter::weightOf(const std::string &route, const std::string &service) const
+{
+    const auto rates = rates_.find(route);
+    if (rates == rates_.end()) {
+        return unknownWeight;
+    }
+    const auto rate = rates->second.find(service);
+    return unknownWeight + (rate == rates->second.end() ? 0.0 : rate->second);
+}
+
+void InnerCallMeter::arrived(const std::string &route, const std::string &service)
+{
+    if (isCallersOwn(route) || runs_.empty()) {
+        return;
+    }
+    double total = 0.0;
+    for (const auto &[id, run] : runs_) {
+        total += weightOf(run.route, service);
+    }
+    for (auto &[id, run] : runs_) {
+        run.calls[service] += weightOf(run.route, service) / total;
+    }
+}
+
+const CallRates &InnerCallMeter::rates(const std::string &route) const
+{
+    static const CallRates none;
+    const auto found = rates_.find(route);
+    return found == rates_.end() ? none : found->second;
 }
 
 } // namespace waxwing
--- a/src/limit/SecondSendBudget.cpp
+++ b/src/limit/SecondSendBudget.cpp
@@ -29,7 +29,7 @@
     ++stepAt(now).requests;
 }
 
-bool SecondSendBudget::tryTake(std::size_t nodes, SecondSend purpose, SteadyTime now)
+bool SecondSendBudget::has(double sends, std::size_t nodes, SecondSend purpose, SteadyTime now) const
 {
     const std::int64_t oldest = numberAt(now) - static_cast<std::int64_t>(steps);
     double requests = 0.0;
@@ -41,24 +41,19 @@
         }
     }
     const double slack = tuning_.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
-    const double part =
-        purpose == SecondSend::Hedge ? tuning_.usedPart * (1.0 - tuning_.reservedPart) : tuning_.usedPart;
-    if (seconds + 1.0 > part * (tuning_.share * requests + slack)) {
-        return false;
-    }
-    stepAt(now).seconds += 1.0;
-    return true;
+    const double part = purpose == SecondSend::Hedge ? tuning_.usedPart * (1.0 - tuning_.reservedPart) : tuning_.usedPart;
+    return seconds + sends <= part * (tuning_.share * requests + slack);
 }
 
-void SecondSendBudget::charge(double expected, SteadyTime now)
+void SecondSendBudget::take(double sends, SteadyTime now)
 {
-    stepAt(now).seconds += expected;
+    stepAt(now).seconds += sends;
 }
 
-void SecondSendBudget::giveBack(SteadyTime now)
+void SecondSendBudget::giveBack(double sends, SteadyTime now)
 {
     Step &step = stepAt(now);
-    step.seconds = std::max(0.0, step.seconds - 1.0);
+    step.seconds = std::max(0.0, step.seconds - sends);
 }
 
 } // namespace waxwing
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -125,6 +125,17 @@
     return budgets_.try_emplace(service, budgetTuning_).first->second;
 }
 
+CallRates Forwarder::repeatsOf(const Run &run) const
+{
+    CallRates repeats;
+    const auto found = stats_.find(run.job.route->name);
+    if (found != stats_.end()) {
+        repeats = found->second.calls;
+    }
+    repeats[run.job.service] += 1.0;
+    return repeats;
+}
+
 bool Forwarder::maySendAgain(Run &run, SecondSend purpose, const char *why)
 {
     const Route &route = *run.job.route;
@@ -132,7 +143,16 @@
     const SteadyTime now = core_.clock.now();
     const bool time = now + leastTime < run.job.deadline;
     const std::size_t nodes = std::max<std::size_t>(1, core_.service<RosterKeeper>("roster").roster().size());
-    const bool may = room && time && budgetOf(run.job.service).tryTake(nodes, purpose, now);
+    const CallRates repeats = repeatsOf(run);
+    const bool budget = std::all_of(repeats.begin(), repeats.end(), [&](const auto &one) {
+        return budgetOf(one.first).has(one.second, nodes, purpose, now);
+    });
+    const bool may = room && time && budget;
+    for (const auto &[service, sends] : repeats) {
+        if (may) {
+            budgetOf(service).take(sends, now);
+        }
+    }
     core_.events.writeRequest(may ? Severity::Info : Severity::Warning, "second_send",
                        {{"request", run.job.requestId},
                         {"service", run.job.service},
@@ -153,7 +173,9 @@
         place(run, placement, hedge);
         placement->ended = true;
         if (hedge && !placement->reachedServer) {
-            budgetOf(run->job.service).giveBack(core_.clock.now());
+            for (const auto &[service, sends] : repeatsOf(*run)) {
+                budgetOf(service).giveBack(sends, core_.clock.now());
+            }
         }
         run->point.wake();
     });
@@ -197,7 +219,6 @@
     work.route = job.route->name;
     work.idempotent = job.route->idempotent;
     work.acceptsDoubt = choice.acceptsDoubt;
-    work.isRepeat = !run->reached.empty();
     work.priority = static_cast<std::uint8_t>(job.route->priority);
     work.remaining = toMillis(job.deadline - now);
     work.untilObjective = toMillis(run->objective - now);
@@ -278,6 +299,9 @@
         const double seconds = std::chrono::duration<double>(reply.worked).count();
         work = work == 0.0 ? seconds : work + workSmoothing * (seconds - work);
     }
+    if (reply.reachedServer) {
+        stats_[route].calls = reply.calls;
+    }
 }
 
 void Forwarder::probePath(const std::string &node)
@@ -364,9 +388,8 @@
         }
     } const count{running_};
     const auto run = std::make_shared<Run>(held);
-    SecondSendBudget &budget = budgetOf(job.service);
-    budget.noteRequest(core_.clock.now());
-    budget.charge(innerCalls_.note(job.route->name, home_.running(), home_.runningRepeats()), core_.clock.now());
+    budgetOf(job.service).noteRequest(core_.clock.now());
+    home_.noteArrival(job.route->name, job.service);
     job.control->interrupt = [run] { run->point.wake(); };
     launch(run, false);
     const bool repeatable = job.route->idempotent && job.route->mostServers > 1;
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -74,6 +74,8 @@
     struct RouteStats {
         /** Smoothed work time in seconds; 0: none seen. */
         double work = 0.0;
+        /** Calls that a run makes. */
+        CallRates calls;
     };
 
     PlacementPtr launch(const RunPtr &run, bool hedge);
@@ -84,6 +86,8 @@
     Duration typicalWork(const Route &route) const;
     SteadyTime hedgeTime(const Run &run) const;
     SecondSendBudget &budgetOf(const std::string &service);
+    /** Second sends that one more send of the run's route is, by service. */
+    CallRates repeatsOf(const Run &run) const;
     bool maySendAgain(Run &run, SecondSend purpose, const char *why);
     void learn(const std::string &route, const WorkReply &reply);
     ForwardResult finish(const RunPtr &run, const WorkReply &reply);
@@ -96,7 +100,6 @@
     SecondSendTuning budgetTuning_;
     HomeRanking ranking_;
     std::map<std::string, SecondSendBudget> budgets_;
-    InnerCallMeter innerCalls_;
     std::map<std::string, RouteStats> stats_;
     std::set<std::string> probing_;
     std::uint64_t nextLocalWork_ = 1;
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -278,9 +278,10 @@
     if (job.work.idempotent) {
         job.control->interrupt = [&cancel] { cancel.cancel(); };
     }
-    runningRepeats_ += job.work.isRepeat ? 1 : 0;
+    innerCalls_.begin(job.id, job.work.route);
     const auto answer = core_.client.exchange(core_.settings.server->address, stamped, options);
-    runningRepeats_ -= job.work.isRepeat ? 1 : 0;
+    innerCalls_.end(job.id);
+    job.reply.calls = innerCalls_.rates(job.work.route);
     job.control->interrupt = {};
     const Duration worked = core_.clock.now() - now;
     job.reply.worked = std::chrono::duration_cast<Millis>(worked);
@@ -421,14 +422,9 @@
     return queue_.running() + queue_.waiting();
 }
 
-std::size_t LocalHome::running() const
+void LocalHome::noteArrival(const std::string &route, const std::string &service)
 {
-    return queue_.running();
-}
-
-std::size_t LocalHome::runningRepeats() const
-{
-    return runningRepeats_;
+    innerCalls_.arrived(route, service);
 }
 
 bool LocalHome::hasServer() const
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -2,6 +2,7 @@
 
 #include "include/home/LocalServerState.h"
 #include "include/home/SlotQueue.h"
+#include "include/limit/InnerCallMeter.h"
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
 #include "src/sidecar/WaitPoint.h"
@@ -54,9 +55,8 @@
     HomeLoad load(int priority) const;
     /** Works waiting or running here. */
     std::size_t busy() const;
-    /** Works at the server, and how many of them are repeats. */
-    std::size_t running() const;
-    std::size_t runningRepeats() const;
+    /** A request of @p route for @p service came from this VM: from a caller, or from the server itself. */
+    void noteArrival(const std::string &route, const std::string &service);
     /** The server said farewell or leaves. */
     bool hasServer() const;
     bool serverLeft() const;
@@ -101,7 +101,7 @@
     std::map<std::uint64_t, Turn> turns_;
     WaitPoint expiry_;
     std::uint64_t nextJob_ = 1;
-    std::size_t runningRepeats_ = 0;
+    InnerCallMeter innerCalls_;
     bool stopped_ = false;
 };
 
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -144,8 +144,6 @@
                       RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()}};
 }
 
-constexpr int acceptsDoubtBit = 1;
-constexpr int isRepeatBit = 2;
 constexpr double doubtSteps = 1000.0;
 constexpr double slowdownSteps = 100.0;
 
@@ -190,7 +188,8 @@
 {
     json response = m.response.headers.empty() && m.response.body.empty() ? json() : responseOf(m.response);
     return json::array({m.id, static_cast<int>(m.outcome), m.serverFault, m.reachedServer, m.reason, m.server,
-                        m.worked.count(), loadOf(m.load), versionsOf(m.versions), std::move(response)});
+                        m.worked.count(), loadOf(m.load), versionsOf(m.versions), std::move(response),
+                        json(m.calls)});
 }
 
 WorkReply workReplyFrom(const json &in)
@@ -208,6 +207,9 @@
     if (!in.at(9).is_null()) {
         m.response = responseFrom(in.at(9));
     }
+    if (!in.at(10).is_null()) {
+        m.calls = in.at(10).get<CallRates>();
+    }
     return m;
 }
 
@@ -341,9 +343,7 @@
     m.service = in.at(body + 2).get<std::string>();
     m.route = in.at(body + 3).get<std::string>();
     m.idempotent = in.at(body + 4).get<bool>();
-    const int flags = in.at(body + 5).get<int>();
-    m.acceptsDoubt = (flags & acceptsDoubtBit) != 0;
-    m.isRepeat = (flags & isRepeatBit) != 0;
+    m.acceptsDoubt = in.at(body + 5).get<bool>();
     m.priority = in.at(body + 6).get<std::uint8_t>();
     m.remaining = Millis(in.at(body + 7).get<std::int64_t>());
     m.untilObjective = Millis(in.at(body + 8).get<std::int64_t>());
