--- a/include/health/GrayFilter.h
+++ b/include/health/GrayFilter.h
@@ -14,6 +14,8 @@
     Millis meanGray = std::chrono::milliseconds(6500);
     /** How long a server is well in between; with meanGray it says that one in six is gray at any time. */
     Millis meanWell = std::chrono::seconds(30);
+    /** However many good answers came: a server can turn gray between two of them. */
+    double leastDoubt = 0.002;
 };
 
 /**
--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -73,8 +73,11 @@
     double doubtful = 0.45;
     /** While in doubt, idempotent requests go to the server one at a time and at most this often. */
     Millis trialEvery{150};
-    /** How much likelier a failure is from a gray server: one that came at once, and one after the usual work time. */
-    double quickFailureRatio = 150.0;
+    /**
+     * How much likelier a failure is from a gray server: one that came at once, and one after the usual work time. Of
+     * 331 failures seen on a quiet day 277 came at once, none of them from a server that was well.
+     */
+    double quickFailureRatio = 5000.0;
     double slowFailureRatio = 6.0;
     /** A failure within this part of the usual work time came at once. */
     double quickPart = 0.2;
@@ -84,8 +87,10 @@
     Millis assumedWork{200};
     /** Bounds of the correction of expected waits, and the weight of the newest wait in it. */
     double leastWaitFactor = 0.5;
-    double mostWaitFactor = 8.0;
+    double mostWaitFactor = 30.0;
     double waitSmoothing = 0.15;
+    /** A wait that patience ended would have been longer: counted as this many times what was seen. */
+    double unservedWaitFactor = 1.5;
     /** Requests that may wait at once: memory's bound, far above what patience allows. */
     std::size_t mostWaiting = 256;
     GrayTuning gray;
@@ -164,8 +169,8 @@
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
     /** Waits of @p ahead requests that go first, by the mean work time, corrected by what was seen. */
     Duration waitBehind(std::ptrdiff_t ahead, int priority) const;
-    /** A request waited @p waited, served or not. */
-    void noteWaited(const Waiting &one, SteadyTime now);
+    /** The wait of a request ended. @p served: by a slot, not by its patience. */
+    void noteWaited(const Waiting &one, bool served, SteadyTime now);
     Duration meanWork() const;
     double slowdown() const;
 
--- a/src/health/GrayFilter.cpp
+++ b/src/health/GrayFilter.cpp
@@ -35,7 +35,7 @@
 void GrayFilter::addRatio(double ratio, SteadyTime now)
 {
     const double before = doubt(now);
-    doubt_ = before * ratio / (before * ratio + 1.0 - before);
+    doubt_ = std::max(tuning_.leastDoubt, before * ratio / (before * ratio + 1.0 - before));
     at_ = now;
 }
 
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -140,12 +140,13 @@
     return durationOf(factor * secondsOf(meanWork()) * static_cast<double>(ahead + 1) / slots);
 }
 
-void SlotQueue::noteWaited(const Waiting &one, SteadyTime now)
+void SlotQueue::noteWaited(const Waiting &one, bool served, SteadyTime now)
 {
     const double expected = std::max(0.001, secondsOf(one.expected));
     double &factor = waitFactor_.try_emplace(one.request.priority, 1.0).first->second;
     // The expected wait holds the factor of its time already: the new one is relative to that.
-    const double seen = factor * secondsOf(now - one.since) / expected;
+    const double waited = secondsOf(now - one.since) * (served ? 1.0 : tuning_.unservedWaitFactor);
+    const double seen = factor * waited / expected;
     factor += tuning_.waitSmoothing * (seen - factor);
     factor = std::clamp(factor, tuning_.leastWaitFactor, tuning_.mostWaitFactor);
 }
@@ -224,7 +225,7 @@
     Due due;
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         if (it->until <= now) {
-            noteWaited(*it, now);
+            noteWaited(*it, false, now);
             due.expired.push_back(it->request.id);
             it = waiting_.erase(it);
         } else {
@@ -242,7 +243,7 @@
         if (best == waiting_.end()) {
             break;
         }
-        noteWaited(*best, now);
+        noteWaited(*best, true, now);
         start(best->request, now);
         due.start.push_back(best->request.id);
         waiting_.erase(best);
--- a/src/limit/SecondSendBudget.cpp
+++ b/src/limit/SecondSendBudget.cpp
@@ -41,7 +41,8 @@
         }
     }
     const double slack = tuning_.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
-    const double part = purpose == SecondSend::Hedge ? tuning_.usedPart * (1.0 - tuning_.reservedPart) : tuning_.usedPart;
+    const double part =
+        purpose == SecondSend::Hedge ? tuning_.usedPart * (1.0 - tuning_.reservedPart) : tuning_.usedPart;
     return seconds + sends <= part * (tuning_.share * requests + slack);
 }
 
--- a/src/sidecar/CallerFront.cpp
+++ b/src/sidecar/CallerFront.cpp
@@ -75,7 +75,7 @@
 {
     core_.metrics.count("refused_" + reason);
     core_.events.writeRequest(Severity::Warning, "refused",
-                       {{"request", requestId}, {"status", std::to_string(status)}, {"reason", reason}});
+                              {{"request", requestId}, {"status", std::to_string(status)}, {"reason", reason}});
     return HttpReply{platform::ownAnswer(status, requestId, reason, retryAfter), AfterResponse::KeepOpen};
 }
 
@@ -111,15 +111,15 @@
     const bool hasAnswer = result.outcome == Outcome::Ran;
     const unsigned status = hasAnswer ? result.response.status : statusOf(result);
     core_.events.writeRequest(status >= firstFailure ? Severity::Warning : Severity::Info, "answered",
-                       {{"request", job->requestId},
-                        {"route", route.name},
-                        {"service", job->service},
-                        {"config", std::to_string(job->config->version)},
-                        {"outcome", outcomeName(result.outcome)},
-                        {"status", std::to_string(status)},
-                        {"reason", result.reason},
-                        {"callerGone", job->control->cancelled ? "yes" : "no"},
-                        {"tookMs", std::to_string(toMillis(took).count())}});
+                              {{"request", job->requestId},
+                               {"route", route.name},
+                               {"service", job->service},
+                               {"config", std::to_string(job->config->version)},
+                               {"outcome", outcomeName(result.outcome)},
+                               {"status", std::to_string(status)},
+                               {"reason", result.reason},
+                               {"callerGone", job->control->cancelled ? "yes" : "no"},
+                               {"tookMs", std::to_string(toMillis(took).count())}});
     if (hasAnswer) {
         return HttpReply{std::move(result.response), AfterResponse::KeepOpen};
     }
--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -108,10 +108,10 @@
     }
     reply.id = fence.id;
     core_.events.writeRequest(Severity::Warning, "fence_answered",
-                       {{"origin", fence.origin.id},
-                        {"work", std::to_string(fence.workId)},
-                        {"onlyAsk", fence.onlyAsk ? "yes" : "no"},
-                        {"state", std::to_string(static_cast<int>(reply.state))}});
+                              {{"origin", fence.origin.id},
+                               {"work", std::to_string(fence.workId)},
+                               {"onlyAsk", fence.onlyAsk ? "yes" : "no"},
+                               {"state", std::to_string(static_cast<int>(reply.state))}});
     core_.service<PeerHub>("peers").reply(link, reply);
 }
 
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -153,12 +153,13 @@
             budgetOf(service).take(sends, now);
         }
     }
-    core_.events.writeRequest(may ? Severity::Info : Severity::Warning, "second_send",
-                       {{"request", run.job.requestId},
-                        {"service", run.job.service},
-                        {"why", why},
-                        {"servers", std::to_string(run.reached.size())},
-                        {"allowed", may ? "yes" : (!room ? "no-servers-used" : (!time ? "no-time" : "no-budget"))}});
+    core_.events.writeRequest(
+        may ? Severity::Info : Severity::Warning, "second_send",
+        {{"request", run.job.requestId},
+         {"service", run.job.service},
+         {"why", why},
+         {"servers", std::to_string(run.reached.size())},
+         {"allowed", may ? "yes" : (!room ? "no-servers-used" : (!time ? "no-time" : "no-budget"))}});
     core_.metrics.count(may ? "second_sends" : "second_sends_refused");
     return may;
 }
@@ -261,16 +262,16 @@
     }
     learn(job.route->name, reply);
     core_.events.writeRequest(result.pathFailed ? Severity::Warning : Severity::Info, "sent",
-                       {{"request", job.requestId},
-                        {"home", choice.node},
-                        {"loss", std::to_string(static_cast<int>(choice.loss))},
-                        {"loadAgeMs", std::to_string(choice.loadAge.count())},
-                        {"patienceMs", std::to_string(choice.patience.count())},
-                        {"acceptsDoubt", choice.acceptsDoubt ? "yes" : "no"},
-                        {"outcome", outcomeName(reply.outcome)},
-                        {"reason", reply.reason},
-                        {"pathFailed", result.pathFailed ? "yes" : "no"},
-                        {"tookMs", std::to_string(toMillis(after - now).count())}});
+                              {{"request", job.requestId},
+                               {"home", choice.node},
+                               {"loss", std::to_string(static_cast<int>(choice.loss))},
+                               {"loadAgeMs", std::to_string(choice.loadAge.count())},
+                               {"patienceMs", std::to_string(choice.patience.count())},
+                               {"acceptsDoubt", choice.acceptsDoubt ? "yes" : "no"},
+                               {"outcome", outcomeName(reply.outcome)},
+                               {"reason", reply.reason},
+                               {"pathFailed", result.pathFailed ? "yes" : "no"},
+                               {"tookMs", std::to_string(toMillis(after - now).count())}});
     placement->reply = reply;
     placement->reachedServer = placement->reachedServer || reply.reachedServer || reply.outcome == Outcome::Unknown;
     const bool refused = reply.outcome == Outcome::NotRun && !reply.reachedServer;
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -137,7 +137,8 @@
         // Woken by the first request that waits, and then at the time when one has waited long enough.
         const SteadyTime due = queue_.nextDue();
         const SteadyTime before = core_.clock.now();
-        const Duration pause = due == SteadyTime::max() ? Duration(idleTick) : std::clamp<Duration>(due - before, leastTick, idleTick);
+        const Duration pause =
+            due == SteadyTime::max() ? Duration(idleTick) : std::clamp<Duration>(due - before, leastTick, idleTick);
         expiry_.wait(core_.ioContext, pause);
         const SteadyTime now = core_.clock.now();
         if (queue_.waiting() > 0) {
@@ -242,16 +243,16 @@
         remember(key, job.reply);
     }
     core_.events.writeRequest(job.reply.serverFault ? Severity::Warning : Severity::Info, "home_done",
-                       {{"request", work.requestId},
-                        {"from", key.origin.id},
-                        {"outcome", outcomeName(job.reply.outcome)},
-                        {"reason", job.reply.reason},
-                        {"status", std::to_string(job.reply.response.status)},
-                        {"server", job.reply.server},
-                        {"workedMs", std::to_string(job.reply.worked.count())},
-                        {"hereMs", millisText(core_.clock.now() - now)},
-                        {"doubt", std::to_string(job.reply.load.doubt)},
-                        {"queued", std::to_string(job.reply.load.queued)}});
+                              {{"request", work.requestId},
+                               {"from", key.origin.id},
+                               {"outcome", outcomeName(job.reply.outcome)},
+                               {"reason", job.reply.reason},
+                               {"status", std::to_string(job.reply.response.status)},
+                               {"server", job.reply.server},
+                               {"workedMs", std::to_string(job.reply.worked.count())},
+                               {"hereMs", millisText(core_.clock.now() - now)},
+                               {"doubt", std::to_string(job.reply.load.doubt)},
+                               {"queued", std::to_string(job.reply.load.queued)}});
     return job.reply;
 }
 
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -141,12 +141,12 @@
 void WorkSender::logFate(const Pending &pending, const SentWork &sent, const FenceReply &fate) const
 {
     core_.events.writeRequest(Severity::Warning, "fate_asked",
-                       {{"request", pending.work.requestId},
-                        {"home", sent.target.text()},
-                        {"work", std::to_string(sent.id)},
-                        {"received", pending.received ? "yes" : "no"},
-                        {"linkLost", pending.linkLost ? "yes" : "no"},
-                        {"state", std::to_string(static_cast<int>(fate.state))}});
+                              {{"request", pending.work.requestId},
+                               {"home", sent.target.text()},
+                               {"work", std::to_string(sent.id)},
+                               {"received", pending.received ? "yes" : "no"},
+                               {"linkLost", pending.linkLost ? "yes" : "no"},
+                               {"state", std::to_string(static_cast<int>(fate.state))}});
 }
 
 void WorkSender::settle(Pending &pending, const SentWork &sent, SteadyTime deadline, bool forbid)
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -188,8 +188,7 @@
 {
     json response = m.response.headers.empty() && m.response.body.empty() ? json() : responseOf(m.response);
     return json::array({m.id, static_cast<int>(m.outcome), m.serverFault, m.reachedServer, m.reason, m.server,
-                        m.worked.count(), loadOf(m.load), versionsOf(m.versions), std::move(response),
-                        json(m.calls)});
+                        m.worked.count(), loadOf(m.load), versionsOf(m.versions), std::move(response), json(m.calls)});
 }
 
 WorkReply workReplyFrom(const json &in)
--- /dev/null
+++ b/tests/unit/FleetTest.cpp
@@ -0,0 +1,106 @@
+#include "include/fleet/FleetConfig.h"
+#include "include/fleet/PartPicker.h"
+#include "include/fleet/Roster.h"
+#include "include/fleet/TransitMeter.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace waxwing;
+
+namespace {
+
+Route route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route out;
+    out.name = name;
+    out.host = host;
+    out.prefix = prefix;
+    out.parts = {RoutePart{"desk", 1}};
+    return out;
+}
+
+RosterEntry entry(const std::string &id, std::uint64_t revision, const std::string &service = "desk")
+{
+    return RosterEntry{id, Endpoint{"127.0.0.1", 7000}, "z1", "r1", service, revision};
+}
+
+} // namespace
+
+TEST_CASE("fleet configuration, several prefixes that fit, takes the longest")
+{
+    FleetConfig config;
+    config.addRoute(route("short", "desk.example", "/a/"));
+    config.addRoute(route("long", "desk.example", "/a/b/"));
+    REQUIRE(config.routeFor("desk.example", "/a/b/c?x=/z/") != nullptr);
+    CHECK(config.routeFor("desk.example", "/a/b/c?x=/z/")->name == "long");
+    CHECK(config.routeFor("desk.example", "/a/bc")->name == "short");
+    CHECK(config.routeFor("desk.example", "/b/") == nullptr);
+    CHECK(config.routeFor("other.example", "/a/") == nullptr);
+    CHECK(config.routeCount() == 2);
+}
+
+TEST_CASE("fleet configuration, host in other letters or with a port, is the same host")
+{
+    FleetConfig config;
+    config.addRoute(route("one", "Desk.Example", "/a/"));
+    CHECK(config.routeFor("desk.example:8080", "/a/1") != nullptr);
+    CHECK(config.routeFor("[::1]", "/a/1") == nullptr);
+}
+
+TEST_CASE("part picker, any run of requests, keeps each part within one request of its weight")
+{
+    Route split = route("split", "h", "/");
+    split.parts = {RoutePart{"old", 90}, RoutePart{"new", 10}};
+    PartPicker picker;
+    std::map<std::string, int> counts;
+    for (int i = 1; i <= 300; ++i) {
+        ++counts[picker.pick(split)];
+        CHECK(std::abs(counts["new"] - i * 0.1) <= 1.0);
+    }
+}
+
+TEST_CASE("roster, entries in any order of arrival, ends with the newest of each")
+{
+    Roster roster;
+    CHECK(roster.put(entry("n1", 7, "new")));
+    CHECK_FALSE(roster.put(entry("n1", 5, "old")));
+    CHECK(roster.find("n1")->service == "new");
+    CHECK_FALSE(roster.remove("n1", 6));
+    CHECK(roster.remove("n1", 8));
+    CHECK(roster.asOf() == 8);
+}
+
+TEST_CASE("roster, full list from a replica that is behind, does not bring back what was removed")
+{
+    Roster roster;
+    REQUIRE(roster.replace({entry("n1", 3), entry("n2", 4)}, 10));
+    REQUIRE(roster.remove("n2", 12));
+    CHECK_FALSE(roster.replace({entry("n1", 3), entry("n2", 4)}, 11));
+    CHECK(roster.homesOf("desk").size() == 1);
+}
+
+TEST_CASE("transit meter, work held up by a cut, is told as late when the cut heals")
+{
+    // A booking is sent over a link that has just been cut. Its sender hears nothing, learns through a third node that it
+    // has not run, and has it run at another home. Twelve seconds later the cut heals and the link delivers it: run again,
+    // the firm would be billed twice.
+    TransitMeter meter;
+    CHECK(meter.lateness(Millis(1000), Millis(997)) == Millis(0));
+    CHECK(meter.lateness(Millis(14000), Millis(2000)) >= Millis(11900));
+    CHECK(meter.lateness(Millis(15000), Millis(14997)) == Millis(0));
+}
+
+TEST_CASE("transit meter, link whose greeting was late itself, does not take that for its own delay")
+{
+    TransitMeter meter;
+    CHECK(meter.lateness(Millis(9000), Millis(1000)) >= Millis(7000));
+}
+
+TEST_CASE("transit meter, slow link, counts its usual delay as none")
+{
+    TransitMeter meter;
+    CHECK(meter.lateness(Millis(1062), Millis(1000)) == Millis(0));
+    CHECK(meter.lateness(Millis(2092), Millis(2000)) == Millis(30));
+}
--- /dev/null
+++ b/tests/unit/HomeRankingTest.cpp
@@ -0,0 +1,147 @@
+#include "include/route/HomeRanking.h"
+
+#include <doctest/doctest.h>
+
+using namespace waxwing;
+
+namespace {
+
+const SteadyTime start = SteadyTime(std::chrono::hours(1));
+
+/** Two homes in the own zone, one in the region's other zone, one in another region; nothing is known of them. */
+struct FourHomes {
+    HomeChoice choose(bool idempotent = true, const std::set<std::string> &without = {})
+    {
+        HomeNeed need;
+        need.idempotent = idempotent;
+        need.priority = 1;
+        need.timeLeft = Millis(1000);
+        need.work = Millis(200);
+        return ranking.choose(homes, without, need, now);
+    }
+
+    void load(const std::string &node, std::int32_t freeSlots, Millis wait, double doubt)
+    {
+        HomeLoad out;
+        out.freeSlots = freeSlots;
+        out.wait = wait;
+        out.doubt = doubt;
+        ranking.noteLoad(node, out, 1, now);
+    }
+
+    SteadyTime now = start;
+    HomeRanking ranking{[] { return std::uint64_t(0); }};
+    std::vector<RankedHome> homes = {{"a1", Distance::SameZone},
+                                     {"a2", Distance::SameZone},
+                                     {"b1", Distance::SameRegion},
+                                     {"far", Distance::OtherRegion}};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, nothing known, stays in the zone")
+{
+    CHECK(choose().node[0] == 'a');
+    CHECK(choose(true, {"a1", "a2"}).node == "b1");
+    CHECK(choose(true, {"a1", "a2", "b1"}).node == "far");
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, a wait that leaves the objective safe, is better than another zone's bytes")
+{
+    load("a1", 0, Millis(100), 0.02);
+    load("a2", 0, Millis(120), 0.02);
+    const HomeChoice choice = choose();
+    CHECK(choice.node == "a1");
+    CHECK(choice.patience >= Millis(100));
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, a wait that endangers the objective, goes to the next zone")
+{
+    load("a1", 0, Millis(900), 0.02);
+    load("a2", 0, Millis(900), 0.02);
+    CHECK(choose().node == "b1");
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, every home would be too late, says so instead of sending")
+{
+    for (const RankedHome &home : homes) {
+        load(home.node, 0, Millis(3000), 0.02);
+    }
+    const HomeChoice choice = choose();
+    CHECK(choice.hopeless);
+    CHECK(choice.wait >= Millis(2900));
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, doubtful homes in the zone, sends bookings across regions rather than into them")
+{
+    // Three of a region's four homes were known to be gray. Requests went there again two seconds later, because the doubt
+    // was forgotten faster than gray phases end, and were lost.
+    load("a1", 3, Millis(0), 0.95);
+    load("a2", 3, Millis(0), 0.95);
+    load("b1", 3, Millis(0), 0.95);
+    CHECK(choose(false).node == "far");
+    now += std::chrono::seconds(2);
+    CHECK(choose(false).node == "far");
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, nothing but doubtful homes, takes the least doubtful and says it knows")
+{
+    load("a1", 3, Millis(0), 0.99);
+    load("a2", 3, Millis(0), 0.6);
+    const HomeChoice choice = choose(false, {"b1", "far"});
+    CHECK(choice.node == "a2");
+    CHECK(choice.acceptsDoubt);
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, a home of which good answers came, is preferred to an unknown one for bookings")
+{
+    load("a2", 3, Millis(0), 0.01);
+    CHECK(choose(false).node == "a2");
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, path that failed, is last and comes back when it is good again")
+{
+    ranking.notePathFailure("a1", now);
+    CHECK(choose().node == "a2");
+    CHECK(choose(true, {"a2", "b1", "far"}).node == "a1");
+    ranking.notePathGood("a1");
+    CHECK_FALSE(ranking.isPathBad("a1", now));
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, path that keeps failing, is left alone for longer each time")
+{
+    ranking.notePathFailure("a1", now);
+    now += Millis(1100);
+    CHECK_FALSE(ranking.isPathBad("a1", now));
+    ranking.notePathFailure("a1", now);
+    now += Millis(1100);
+    CHECK(ranking.isPathBad("a1", now));
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, home without a server, is avoided for a while and then asked again")
+{
+    ranking.noteNoServer("a1", now);
+    ranking.noteNoServer("a2", now);
+    CHECK(choose().node == "b1");
+    now += Millis(800);
+    CHECK(choose().node[0] == 'a');
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, work sent and not yet answered, spreads the next over equal homes")
+{
+    const std::string first = choose().node;
+    ranking.noteSent(first);
+    CHECK(choose().node != first);
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, waits of the less urgent, don't keep the more urgent away")
+{
+    HomeLoad busy;
+    busy.freeSlots = 0;
+    busy.wait = Millis(900);
+    busy.doubt = 0.02;
+    ranking.noteLoad("a1", busy, 2, now);
+    ranking.noteLoad("a2", busy, 2, now);
+    CHECK(choose().node[0] == 'a');
+    CHECK_FALSE(choose().hopeless);
+}
--- /dev/null
+++ b/tests/unit/PlatformDialectTest.cpp
@@ -0,0 +1,218 @@
+#include "platform/CallerDialect.h"
+#include "platform/ConfigDecoder.h"
+#include "platform/Names.h"
+#include "platform/ServerDialect.h"
+
+#include <doctest/doctest.h>
+
+using namespace waxwing;
+using namespace waxwing::platform;
+
+namespace {
+
+HttpRequest callerRequest()
+{
+    return HttpRequest{"POST",
+                       "/seats/7",
+                       {{"Host", "desk.example"},
+                        {names::requestId, "a1"},
+                        {names::timeoutMs, "4000"},
+                        {names::callerService, "forged"},
+                        {names::expectedServer, "forged"},
+                        {"Connection", "keep-alive"},
+                        {"X-Other", "kept"}},
+                       "body"};
+}
+
+HttpRequest serverCall(const std::string &call, const std::string &body)
+{
+    return HttpRequest{"POST", std::string(names::serverCalls) + "i-1/" + call, {}, body};
+}
+
+const std::string goodHeartbeat =
+    R"({"service":"desk","address":"127.0.0.1:8080","zone":"z","version":"v1","slots":3,"state":"ready",)"
+    R"("cold_remaining_ms":1500.5,"sequence":4,"born":1700000000000})";
+
+std::string heartbeatWith(const std::string &from, const std::string &to)
+{
+    std::string text = goodHeartbeat;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+bool isRefused(const std::string &body)
+{
+    const auto call = decodeServerCall(serverCall(names::heartbeatCall, body));
+    return call && !*call;
+}
+
+HttpResponse answer(unsigned status, HeaderList headers)
+{
+    return HttpResponse{status, std::move(headers), "x"};
+}
+
+const std::string document = R"({"version":"r12",
+ "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000.0},
+ "listeners":[{"host":"desk.example","rules":[
+  {"name":"browse","kind":"safe","target_latency_ms":1000,"priority":2,"match":{"path_prefix":"/dates/"},
+   "action":{"weighted_services":[{"service":"desk","weight":90},{"service":"desk2","weight":10}],
+             "timeout_ms":1500.0,"max_attempts":2}},
+  {"name":"book","kind":"unsafe","target_latency_ms":1000,"priority":1,"match":{"path_prefix":"/seats/"},
+   "action":{"service":"desk","max_attempts":2}}]}],
+ "clusters":[{"name":"desk","health_path":"/healthz","max_connections":390}],"unknown":{}})";
+
+} // namespace
+
+TEST_CASE("caller dialect, request, is decoded and what the system sets itself is not taken from the caller")
+{
+    const auto decoded = decodeCallerRequest(callerRequest(), "desk");
+    REQUIRE(decoded);
+    CHECK(decoded->id == "a1");
+    CHECK(decoded->host == "desk.example");
+    CHECK(decoded->patience == Millis(4000));
+    const HeaderList &headers = decoded->forward.headers;
+    CHECK(headerValue(headers, names::callerService) == "desk");
+    CHECK(headerValue(headers, names::expectedServer).empty());
+    CHECK(headerValue(headers, names::timeoutMs).empty());
+    CHECK(headerValue(headers, names::requestId) == "a1");
+    CHECK(headerValue(headers, "X-Other") == "kept");
+    CHECK(headerValue(headers, "Connection").empty());
+}
+
+TEST_CASE("caller dialect, no id or a time that is no number, says which header is at fault")
+{
+    HttpRequest request = callerRequest();
+    request.headers[1].second = "";
+    REQUIRE_FALSE(decodeCallerRequest(request, "desk"));
+    request = callerRequest();
+    request.headers[2].second = "4s";
+    const auto decoded = decodeCallerRequest(request, "desk");
+    REQUIRE_FALSE(decoded);
+    CHECK(decoded.error().message.find(names::timeoutMs) != std::string::npos);
+}
+
+TEST_CASE("caller dialect, refusal, carries the id and the time to come back as a fraction of seconds")
+{
+    const HttpResponse response = ownAnswer(503, "a1", "no-room", Millis(350));
+    CHECK(headerValue(response.headers, "Retry-After") == "0.350");
+    CHECK(headerValue(response.headers, names::requestId) == "a1");
+    CHECK(headerValue(ownAnswer(404, "a1", "no-route", Millis(0)).headers, "Retry-After").empty());
+}
+
+TEST_CASE("server dialect, heartbeat, is decoded into an announcement")
+{
+    const auto call = decodeServerCall(serverCall(names::heartbeatCall, goodHeartbeat));
+    REQUIRE(call);
+    REQUIRE(*call);
+    REQUIRE((*call)->heartbeat);
+    const Announcement &heartbeat = *(*call)->heartbeat;
+    CHECK(heartbeat.server == "i-1");
+    CHECK(heartbeat.service == "desk");
+    CHECK(heartbeat.port == 8080);
+    CHECK(heartbeat.incarnation == 1700000000000);
+    CHECK(heartbeat.sequence == 4);
+    CHECK(heartbeat.cold == Millis(1500));
+}
+
+TEST_CASE("server dialect, heartbeat of another writer, names no server to use")
+{
+    CHECK(isRefused("not json"));
+    CHECK(isRefused("[]"));
+    CHECK(isRefused(heartbeatWith("\"ready\"", "\"resting\"")));
+    CHECK(isRefused(heartbeatWith("\"sequence\":4", "\"sequence\":\"4\"")));
+    CHECK(isRefused(heartbeatWith("\"slots\":3", "\"slots\":-3")));
+    CHECK(isRefused(heartbeatWith("\"slots\":3", "\"slots\":0")));
+    CHECK(isRefused(heartbeatWith(",\"born\":1700000000000", "")));
+    CHECK(isRefused(heartbeatWith("1700000000000", "1.5")));
+    CHECK(isRefused(heartbeatWith("127.0.0.1:8080", "desk.example:8080")));
+    CHECK(isRefused(heartbeatWith("\"service\":\"desk\",", "")));
+}
+
+TEST_CASE("server dialect, farewell with or without its start, names the process that goes")
+{
+    const auto plain = decodeServerCall(serverCall(names::leaveCall, ""));
+    REQUIRE((plain && *plain && (*plain)->farewell));
+    CHECK_FALSE((*plain)->farewell->incarnation);
+    const auto dated = decodeServerCall(serverCall(names::leaveCall, R"({"born":1700000000000})"));
+    REQUIRE((dated && *dated && (*dated)->farewell));
+    CHECK((*dated)->farewell->incarnation == 1700000000000);
+    CHECK_FALSE(decodeServerCall(HttpRequest{"GET", "/v1/status", {}, ""}));
+}
+
+TEST_CASE("server dialect, answers, are told apart by what they state and not by their status")
+{
+    const std::pair<std::string, std::string> seal{names::signature, "s"};
+    CHECK(classifyAnswer(answer(200, {seal})) == ServerAnswer::Answer);
+    CHECK(classifyAnswer(answer(404, {seal})) == ServerAnswer::Answer);
+    CHECK(classifyAnswer(answer(500, {seal})) == ServerAnswer::Failure);
+    CHECK(classifyAnswer(answer(503, {seal, {names::notRun, "1"}})) == ServerAnswer::NotRun);
+    CHECK(classifyAnswer(answer(503, {seal})) == ServerAnswer::Failure);
+    CHECK(classifyAnswer(answer(421, {})) == ServerAnswer::OtherServer);
+    CHECK(classifyAnswer(answer(200, {})) == ServerAnswer::Unusable);
+    CHECK(classifyAnswer(answer(200, {seal, {"Content-Encoding", "gzip"}})) == ServerAnswer::Unusable);
+}
+
+TEST_CASE("server dialect, answer that names another request, does not belong to this one")
+{
+    CHECK(belongsTo(answer(200, {{names::requestId, "a1"}}), "a1"));
+    CHECK_FALSE(belongsTo(answer(200, {{names::requestId, "a2"}}), "a1"));
+    CHECK(belongsTo(answer(503, {}), "a1"));
+}
+
+TEST_CASE("configuration decoder, operator's document, becomes routes with their promises")
+{
+    Findings findings;
+    const FleetConfig config = decodeConfig(document, findings);
+    REQUIRE(findings.empty());
+    CHECK(config.version == 12);
+    CHECK(config.limits.bodyBytes == 67108864);
+    CHECK(config.limits.idle == Millis(15000));
+    const Route *browse = config.routeFor("desk.example", "/dates/1");
+    REQUIRE(browse != nullptr);
+    CHECK(browse->idempotent);
+    CHECK(browse->timeout == Millis(1500));
+    CHECK(browse->mostServers == 2);
+    CHECK(browse->parts.size() == 2);
+    const Route *book = config.routeFor("desk.example", "/seats/1");
+    REQUIRE(book != nullptr);
+    CHECK_FALSE(book->idempotent);
+    CHECK(book->parts.front().service == "desk");
+    CHECK(book->timeout > std::chrono::hours(1));
+}
+
+TEST_CASE("configuration decoder, faults, are reported together with their places")
+{
+    Findings findings;
+    decodeConfig(R"({"version":"12","listeners":[{"host":"h","rules":[{"kind":"safe","match":{},"action":{}}]}]})",
+                 findings);
+    const std::string text = findings.text();
+    CHECK(text.find("/version") != std::string::npos);
+    CHECK(text.find("/listeners/0/rules/0/match/path_prefix") != std::string::npos);
+    CHECK(text.find("/listeners/0/rules/0/action/service") != std::string::npos);
+}
+
+TEST_CASE("roster entry, written and read, is the same; another writer's names no home")
+{
+    const RosterEntry entry{"n1", Endpoint{"10.1.0.5", 7380}, "z1", "r1", "desk", 0};
+    const auto read = decodeRosterEntry("n1", encodeRosterEntry(entry), 9);
+    REQUIRE(read);
+    CHECK(read->links == entry.links);
+    CHECK(read->service == "desk");
+    CHECK(read->revision == 9);
+    CHECK_FALSE(decodeRosterEntry("n1", R"({"links":"nowhere","zone":"z","region":"r","service":"s"})", 9));
+    CHECK_FALSE(decodeRosterEntry("n1", "17", 9));
+}
+
+TEST_CASE("bounds decoder, list of texts or object, gives the same figures")
+{
+    Findings findings;
+    const FleetBounds texts = decodeBounds(R"(["grace_s=6","retry_budget_ratio=0.2","budget_slack=62"])", findings);
+    const FleetBounds object = decodeBounds(R"({"grace_s":6,"retry_budget_ratio":0.2,"budget_slack":62})", findings);
+    CHECK(findings.empty());
+    CHECK(texts.stopGrace == Millis(6000));
+    CHECK(texts.retryShare == object.retryShare);
+    CHECK(texts.retrySlack == 62.0);
+    CHECK(object.stopGrace == texts.stopGrace);
+    decodeBounds(R"(["grace_s"])", findings);
+    CHECK_FALSE(findings.empty());
+}
--- /dev/null
+++ b/tests/unit/SecondSendTest.cpp
@@ -0,0 +1,121 @@
+#include "include/limit/InnerCallMeter.h"
+#include "include/limit/SecondSendBudget.h"
+
+#include <doctest/doctest.h>
+
+using namespace waxwing;
+
+namespace {
+
+const SteadyTime start = SteadyTime(std::chrono::hours(1));
+
+SecondSendTuning tuning()
+{
+    SecondSendTuning out;
+    out.share = 0.2;
+    out.slack = 50.0;
+    out.usedPart = 1.0;
+    out.reservedPart = 0.5;
+    return out;
+}
+
+int takeAll(SecondSendBudget &budget, std::size_t nodes, SecondSend purpose, SteadyTime now)
+{
+    int taken = 0;
+    while (budget.has(1.0, nodes, purpose, now) && taken < 10000) {
+        budget.take(1.0, now);
+        ++taken;
+    }
+    return taken;
+}
+
+/** Runs @p count works of each of two routes, of which only "parent" makes a call, two at a time. */
+void learn(InnerCallMeter &meter, int count)
+{
+    std::uint64_t id = 0;
+    for (int i = 0; i < count; ++i) {
+        meter.begin(++id, "parent");
+        if (i % 2 == 0) {
+            meter.begin(++id, "single");
+        }
+        meter.arrived("inner", "records");
+        meter.end(id--);
+        if (i % 2 == 0) {
+            meter.end(id);
+        }
+        ++id;
+        meter.begin(id + 1000, "single");
+        meter.end(id + 1000);
+        meter.arrived("callers", "records");
+    }
+}
+
+} // namespace
+
+TEST_CASE("second send budget, many nodes, together keep the bound of the fleet")
+{
+    constexpr std::size_t nodes = 24;
+    constexpr int requestsEach = 40;
+    int taken = 0;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        SecondSendBudget budget(tuning());
+        for (int i = 0; i < requestsEach; ++i) {
+            budget.noteRequest(start);
+        }
+        taken += takeAll(budget, nodes, SecondSend::AfterFailure, start);
+    }
+    CHECK(taken <= 0.2 * nodes * requestsEach + 50.0);
+    CHECK(taken >= 0.2 * nodes * requestsEach);
+}
+
+TEST_CASE("second send budget, any span as long as the window, never holds more than the bound")
+{
+    SecondSendBudget budget(tuning());
+    int taken = 0;
+    for (int step = 0; step < 40; ++step) {
+        const SteadyTime now = start + Millis(250) * step;
+        budget.noteRequest(now);
+        taken += takeAll(budget, 1, SecondSend::AfterFailure, now);
+    }
+    CHECK(taken <= 0.2 * 40 + 50.0);
+}
+
+TEST_CASE("second send budget, hedges, leave half to requests that failed")
+{
+    SecondSendBudget budget(tuning());
+    CHECK(takeAll(budget, 1, SecondSend::Hedge, start) == 25);
+    CHECK(takeAll(budget, 1, SecondSend::AfterFailure, start) == 25);
+}
+
+TEST_CASE("second send budget, window over, is whole again")
+{
+    SecondSendBudget budget(tuning());
+    takeAll(budget, 1, SecondSend::AfterFailure, start);
+    CHECK_FALSE(budget.has(1.0, 1, SecondSend::AfterFailure, start + std::chrono::seconds(9)));
+    CHECK(budget.has(1.0, 1, SecondSend::AfterFailure, start + std::chrono::seconds(11)));
+}
+
+TEST_CASE("inner call meter, calls beside other work, are put down to the route that makes them")
+{
+    // Second sends of calendar requests repeat the two calls that each makes at the records desk. The records desk's bound
+    // on repeats was broken by these: 117 of 224 in ten seconds, while each node kept to its own part.
+    InnerCallMeter meter;
+    learn(meter, 300);
+    REQUIRE(meter.rates("parent").count("records") == 1);
+    CHECK(meter.rates("parent").at("records") == doctest::Approx(1.0).epsilon(0.15));
+    const CallRates &single = meter.rates("single");
+    CHECK((single.count("records") == 0 || single.at("records") < 0.1));
+}
+
+TEST_CASE("inner call meter, callers' own requests, are put down to nobody")
+{
+    InnerCallMeter meter;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        meter.begin(id, "parent");
+        meter.arrived("callers", "records");
+        meter.end(id);
+        meter.arrived("callers", "records");
+    }
+    const CallRates &rates = meter.rates("parent");
+    CHECK((rates.count("records") == 0 || rates.at("records") < 0.05));
+}
--- /dev/null
+++ b/tests/unit/SlotQueueTest.cpp
@@ -0,0 +1,241 @@
+#include "include/home/SlotQueue.h"
+
+#include <doctest/doctest.h>
+
+using namespace waxwing;
+
+namespace {
+
+const SteadyTime start = SteadyTime(std::chrono::hours(1));
+
+/** A home whose server has three slots and works for about 200 ms. */
+struct OneServer {
+    OneServer()
+    {
+        queue.setServer(3, true, now);
+        for (int i = 0; i < 20; ++i) {
+            queue.addResult("read", false, Millis(200), now);
+        }
+    }
+
+    SlotRequest request(const std::string &route, bool idempotent, int priority = 1)
+    {
+        SlotRequest out;
+        out.id = next++;
+        out.route = route;
+        out.idempotent = idempotent;
+        out.priority = priority;
+        out.objective = now + Millis(1000);
+        out.deadline = now + Millis(2000);
+        out.patience = Millis(600);
+        return out;
+    }
+
+    SlotDecision submit(const SlotRequest &request)
+    {
+        return queue.submit(request, now);
+    }
+
+    void fill()
+    {
+        for (int i = 0; i < 3; ++i) {
+            REQUIRE(submit(request("read", true)).verdict == SlotVerdict::Start);
+        }
+    }
+
+    /** The server fails a request at once, as gray servers do. */
+    void failAtOnce()
+    {
+        queue.addResult("read", true, Millis(1), now);
+    }
+
+    SteadyTime now = start;
+    SlotQueue queue;
+    std::uint64_t next = 1;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, all slots taken, never starts one more")
+{
+    fill();
+    CHECK(submit(request("read", true)).verdict == SlotVerdict::Wait);
+    CHECK(queue.poll(now).start.empty());
+    queue.release(1, now);
+    CHECK(queue.poll(now).start.size() == 1);
+    CHECK(queue.poll(now).start.empty());
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, no server, refuses and says so")
+{
+    queue.clearServer();
+    const SlotDecision decision = submit(request("read", true));
+    CHECK(decision.verdict == SlotVerdict::Refused);
+    CHECK(decision.reason == RefusalReason::NoServer);
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, server leaves, gives back what waited so that other homes can take it")
+{
+    // A caller's booking waits at a home whose server says that it leaves. If the home kept it in the queue, it would be
+    // handed to the leaving server when a slot frees, seconds after the leaving was acknowledged.
+    fill();
+    const SlotRequest waiting = request("book", false);
+    REQUIRE(submit(waiting).verdict == SlotVerdict::Wait);
+    CHECK(queue.clearServer() == std::vector<std::uint64_t>{waiting.id});
+    queue.release(1, now);
+    CHECK(queue.poll(now).start.empty());
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, more urgent work that came later, starts first")
+{
+    fill();
+    const SlotRequest slow = request("browse", true, 2);
+    REQUIRE(submit(slow).verdict == SlotVerdict::Wait);
+    const SlotRequest urgent = request("read", true, 1);
+    REQUIRE(submit(urgent).verdict == SlotVerdict::Wait);
+    queue.release(1, now);
+    CHECK(queue.poll(now).start == std::vector<std::uint64_t>{urgent.id});
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, work that is late already, goes behind work that can be in time")
+{
+    fill();
+    SlotRequest late = request("read", true, 1);
+    late.objective = now + Millis(50);
+    REQUIRE(submit(late).verdict == SlotVerdict::Wait);
+    const SlotRequest inTime = request("browse", true, 2);
+    REQUIRE(submit(inTime).verdict == SlotVerdict::Wait);
+    queue.release(1, now);
+    CHECK(queue.poll(now).start == std::vector<std::uint64_t>{inTime.id});
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, wait beyond the request's patience, refuses at once instead of holding it")
+{
+    fill();
+    SlotRequest impatient = request("read", true);
+    impatient.patience = Millis(20);
+    const SlotDecision decision = submit(impatient);
+    CHECK(decision.verdict == SlotVerdict::Refused);
+    CHECK(decision.reason == RefusalReason::Busy);
+    CHECK(queue.load(1, now).wait > Millis(20));
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, patience spent, takes the request out and never starts it")
+{
+    fill();
+    const SlotRequest waiting = request("read", true);
+    REQUIRE(submit(waiting).verdict == SlotVerdict::Wait);
+    CHECK(queue.nextDue() == now + waiting.patience);
+    now += waiting.patience;
+    CHECK(queue.poll(now).expired == std::vector<std::uint64_t>{waiting.id});
+    queue.release(1, now);
+    CHECK(queue.poll(now).start.empty());
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, less urgent work overtaken again and again, is told the real wait and refused")
+{
+    // On a day of high load an office manager's calendar waits behind bookings that keep coming. The estimate counts only
+    // those that are there already, lets the calendar in, and it waits in vain until its time is over. After some of these
+    // the home must say what the wait really is, so that the caller is refused at once.
+    SlotRequest calendar = request("browse", true, 2);
+    SlotDecision decision;
+    for (int round = 0; round < 30; ++round) {
+        fill();
+        calendar = request("browse", true, 2);
+        decision = submit(calendar);
+        if (decision.verdict == SlotVerdict::Refused) {
+            break;
+        }
+        now += calendar.patience;
+        queue.poll(now);
+        for (std::uint64_t id = 1; id < next; ++id) {
+            queue.release(id, now);
+        }
+    }
+    CHECK(decision.verdict == SlotVerdict::Refused);
+    CHECK(decision.reason == RefusalReason::Busy);
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, one failure that came at once, keeps work that can't be tried again away")
+{
+    // A gray server answers 500 within a millisecond while its health is good. A booking that meets it is lost for good,
+    // since it may have run; a calendar can be asked again elsewhere and shows whether the server is well again.
+    failAtOnce();
+    const SlotDecision booking = submit(request("book", false));
+    CHECK(booking.verdict == SlotVerdict::Refused);
+    CHECK(booking.reason == RefusalReason::Doubtful);
+    CHECK(submit(request("read", true)).verdict == SlotVerdict::Start);
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, one failure after the usual work time, is the request's and keeps nobody away")
+{
+    queue.addResult("read", true, Millis(200), now);
+    CHECK(submit(request("book", false)).verdict == SlotVerdict::Start);
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, doubtful server, gets idempotent trials one at a time and not at once again")
+{
+    failAtOnce();
+    const SlotRequest trial = request("read", true);
+    REQUIRE(submit(trial).verdict == SlotVerdict::Start);
+    CHECK(submit(request("read", true)).reason == RefusalReason::Doubtful);
+    queue.release(trial.id, now);
+    CHECK(submit(request("read", true)).reason == RefusalReason::Doubtful);
+    now += Millis(160);
+    CHECK(submit(request("read", true)).verdict == SlotVerdict::Start);
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, good trials, bring the server back for all work")
+{
+    failAtOnce();
+    for (int i = 0; i < 6; ++i) {
+        queue.addResult("read", false, Millis(200), now);
+    }
+    CHECK(submit(request("book", false)).verdict == SlotVerdict::Start);
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, sender that knows of the doubt, is let in")
+{
+    failAtOnce();
+    SlotRequest booking = request("book", false);
+    booking.acceptsDoubt = true;
+    CHECK(submit(booking).verdict == SlotVerdict::Start);
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, server turns gray while bookings wait, gives them back for other homes")
+{
+    fill();
+    const SlotRequest booking = request("book", false);
+    REQUIRE(submit(booking).verdict == SlotVerdict::Wait);
+    failAtOnce();
+    CHECK(queue.poll(now).expired == std::vector<std::uint64_t>{booking.id});
+}
+
+TEST_CASE_FIXTURE(OneServer, "slot queue, another process of the server, starts without the doubt about the earlier one")
+{
+    failAtOnce();
+    queue.setServer(3, true, now);
+    CHECK(submit(request("book", false)).verdict == SlotVerdict::Start);
+}
+
+TEST_CASE("gray filter, silence after a failure, moves back to the usual doubt by itself")
+{
+    GrayFilter filter;
+    const double usual = filter.doubt(start);
+    filter.addRatio(150.0, start);
+    CHECK(filter.doubt(start) > 0.9);
+    CHECK(filter.doubt(start + std::chrono::seconds(3)) < filter.doubt(start));
+    CHECK(filter.doubt(start + std::chrono::seconds(60)) == doctest::Approx(usual).epsilon(0.01));
+}
+
+TEST_CASE("gray filter, a failure among many good answers, is less than a failure after silence")
+{
+    GrayFilter busy;
+    for (int i = 0; i < 10; ++i) {
+        busy.add(false, start);
+    }
+    busy.add(true, start);
+    GrayFilter silent;
+    silent.add(true, start);
+    CHECK(busy.doubt(start) < silent.doubt(start));
+}
