--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -208,6 +208,9 @@
     NotKnown = 4,
 };
 
+/** Name of @p state as it stands in logs. Thread safe. */
+const char *fenceStateName(FenceState state);
+
 struct FenceReply {
     std::uint64_t id = 0;
     FenceState state = FenceState::NotKnown;
--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -111,7 +111,7 @@
                               {{"origin", fence.origin.id},
                                {"work", std::to_string(fence.workId)},
                                {"onlyAsk", fence.onlyAsk ? "yes" : "no"},
-                               {"state", std::to_string(static_cast<int>(reply.state))}});
+                               {"state", fenceStateName(reply.state)}});
     core_.service<PeerHub>("peers").reply(link, reply);
 }
 
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -146,7 +146,7 @@
                                {"work", std::to_string(sent.id)},
                                {"received", pending.received ? "yes" : "no"},
                                {"linkLost", pending.linkLost ? "yes" : "no"},
-                               {"state", std::to_string(static_cast<int>(fate.state))}});
+                               {"state", fenceStateName(fate.state)}});
 }
 
 void WorkSender::settle(Pending &pending, const SentWork &sent, SteadyTime deadline, bool forbid)
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -527,6 +527,21 @@
     return "unknown";
 }
 
+const char *fenceStateName(FenceState state)
+{
+    switch (state) {
+    case FenceState::NeverRuns:
+        return "never-runs";
+    case FenceState::Underway:
+        return "under-way";
+    case FenceState::Ended:
+        return "ended";
+    case FenceState::NotKnown:
+        return "not-known";
+    }
+    return "not-known";
+}
+
 std::string encodeMessage(const Message &message)
 {
     std::string out;
