Keep a request that ends its servers from a third one, also beside single servers

Cause: the platform's path did not recognise such requests; each copy took another server down. Change: the home notes a death when nobody listens any more after a reset, tells every node of the roster at once, and refuses from the second death on; records of deaths and their spreading are shared with the earlier path. Measured: the new case with real processes: two deaths at most, the last copy refused with 503.

--- a/include/poison/PoisonRegistry.h
+++ b/include/poison/PoisonRegistry.h
@@ -2,9 +2,11 @@
 
 #include "include/base/Clock.h"
 #include "include/base/HttpMessage.h"
+#include "include/member/Record.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -13,6 +15,18 @@
 /** Digest under which a request that ends its server is recognised, whoever sends it. Thread safe. */
 std::uint64_t requestDigest(const std::string &service, const HttpRequest &request);
 
+/** A server's death with a request running, as nodes tell it each other. */
+struct PoisonDeath {
+    std::uint64_t digest = 0;
+    /** Names the server and its incarnation. */
+    std::string server;
+};
+
+/** Thread safe. */
+Record toRecord(const PoisonDeath &death, WallTime at);
+/** Nothing if the record's key can't be read. Thread safe. */
+std::optional<PoisonDeath> poisonDeathFrom(const Record &record);
+
 /**
  * Counts the servers that died while they ran a given request. Guards against one request ending server after
  * server as its caller sends it again: after the second death it goes to no server any more. Deaths found by other
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -81,7 +81,12 @@
     add("gossip", gossip, [&] { return std::make_unique<GossipService>(core); });
     add("members", members, [&] { return std::make_unique<MembershipService>(core); });
     add("intents", intents, [&] { return std::make_unique<IntentService>(core); });
-    add("poison", poison, [&] { return std::make_unique<PoisonService>(core); });
+    add("poison", poison, [&] {
+        return std::make_unique<PoisonService>(core, [this](const Record &record) { gossip->publishNow(record); });
+    });
+    if (ok) {
+        gossip->onRecord(RecordKind::Poison, [this](const Record &record) { poison->take(record); });
+    }
     add("homes", homes, [&] { return std::make_unique<HomeService>(core); });
     add("dispatch", dispatch, [&] { return std::make_unique<DispatchService>(core); });
     add("claims", claims, [&] { return std::make_unique<ClaimService>(core); });
--- a/src/node/PoisonService.h
+++ b/src/node/PoisonService.h
@@ -2,6 +2,8 @@
 
 #include "include/poison/PoisonRegistry.h"
 
+#include <functional>
+
 #include <string>
 
 namespace waxwing {
@@ -12,8 +14,12 @@
 class PoisonService
 {
 public:
-    /** @pre "gossip" is in the kernel. */
-    explicit PoisonService(NodeCore &core);
+    /** Tells the other nodes, at once. */
+    using SpreadHook = std::function<void(const Record &)>;
+
+    PoisonService(NodeCore &core, SpreadHook spread);
+    /** Another node's record of a death. */
+    void take(const Record &record);
     /** A server died while it ran the request of this digest. @p server includes its incarnation. */
     void noteDeath(std::uint64_t digest, const std::string &server);
     bool mustRefuse(std::uint64_t digest) const;
@@ -22,6 +28,7 @@
 
 private:
     NodeCore &core_;
+    SpreadHook spread_;
     PoisonRegistry registry_;
 };
 
--- a/src/poison/PoisonRegistry.cpp
+++ b/src/poison/PoisonRegistry.cpp
@@ -2,14 +2,43 @@
 
 #include "include/base/Ids.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace waxwing {
 
+namespace {
+constexpr char separator = '/';
+}
+
 std::uint64_t requestDigest(const std::string &service, const HttpRequest &request)
 {
     const std::uint64_t head = stableHash(service + "\n" + request.method + "\n" + request.target);
     return stableHash(request.body, head);
 }
 
+Record toRecord(const PoisonDeath &death, WallTime at)
+{
+    const auto ms = std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
+    return Record{RecordKind::Poison,
+                  hexText(death.digest) + separator + death.server,
+                  RecordVersion{static_cast<std::uint64_t>(ms), 0},
+                  {}};
+}
+
+std::optional<PoisonDeath> poisonDeathFrom(const Record &record)
+{
+    const std::size_t at = record.key.find(separator);
+    PoisonDeath death;
+    const char *end = record.key.data() + std::min(at, record.key.size());
+    const auto parsed = std::from_chars(record.key.data(), end, death.digest, 16);
+    if (record.kind != RecordKind::Poison || at == std::string::npos || parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    death.server = record.key.substr(at + 1);
+    return death;
+}
+
 PoisonRegistry::PoisonRegistry(const Clock &clock, Millis memory)
     : clock_(clock)
     , memory_(memory)
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -284,7 +284,7 @@
         if (askAgain) {
             run->excluded.erase(choice.node);
         }
-        return placement->control->cancelled;
+        return placement->control->cancelled || reply.reason == endsServersReason;
     }
     if (reply.outcome == Outcome::NotRun && !placement->control->cancelled) {
         // It was an arrival at a server, though it did not run: another one is a second send.
@@ -348,7 +348,7 @@
     result.outcome = reply.outcome;
     result.reason = reply.reason;
     result.response = reply.response;
-    if (reply.outcome == Outcome::NotRun) {
+    if (reply.outcome == Outcome::NotRun && reply.reason != endsServersReason) {
         result.retryAfter = std::max(leastRetryAfter, reply.load.wait);
     }
     return result;
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -1,8 +1,10 @@
 #include "src/sidecar/LocalHome.h"
 
+#include "include/base/Ids.h"
 #include "platform/ServerDialect.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
+#include "src/node/PoisonService.h"
 
 #include <algorithm>
 #include <tuple>
@@ -28,6 +30,8 @@
 constexpr int silenceFactor = 4;
 /** A server that says it is full while its slots are free is likelier gray. */
 constexpr double shedRatio = 4.0;
+/** A process on the same VM accepts or refuses a connection at once. */
+constexpr Millis aliveProbe{250};
 
 std::string millisText(Duration value)
 {
@@ -225,6 +229,11 @@
         job.reply.load = load(work.priority);
         return job.reply;
     }
+    if (core_.service<PoisonService>("poison").mustRefuse(requestDigest(work.service, work.request))) {
+        job.reply = refusal(job, endsServersReason);
+        job.reply.load = load(work.priority);
+        return job.reply;
+    }
     Entry entry;
     entry.jobId = job.id;
     entry.idempotent = work.idempotent;
@@ -358,11 +367,31 @@
         }
         return;
     }
+    if (error.failure == ExchangeFailure::Reset && diedWith(job)) {
+        return;
+    }
     if (!error.onKeptConnection || error.failure != ExchangeFailure::Reset) {
         queue_.addResult(job.work.route, true, worked, now);
     }
 }
 
+bool LocalHome::diedWith(const Job &job)
+{
+    // A request may end each server that begins it, and its caller sends it again. What tells it from a broken
+    // connection: nobody listens at the server's address any more.
+    const Announcement *known = server_.known();
+    if (known == nullptr || core_.client.accepts(core_.settings.server->address, aliveProbe)) {
+        return false;
+    }
+    const std::string server = known->server + "@" + hexText(known->incarnation);
+    core_.service<PoisonService>("poison").noteDeath(requestDigest(job.work.service, job.work.request), server);
+    if (server_.serving() != nullptr) {
+        server_.noteReplaced();
+        serverChanged(ServerChange::Left, "its process ended");
+    }
+    return true;
+}
+
 void LocalHome::cancel(const WorkKey &key)
 {
     const auto found = entries_.find(key);
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -18,6 +18,9 @@
 struct NodeCore;
 class FiberGate;
 
+/** Reason of a refusal that is final: servers died with this request, and no other one gets it. */
+constexpr const char *endsServersReason = "request-ends-servers";
+
 /** Names one Work in the fleet: who sent it and that one's number for it. */
 struct WorkKey {
     NodeRef origin;
@@ -34,6 +37,7 @@
 class LocalHome
 {
 public:
+    /** @pre "poison" is in the kernel before the first request. */
     explicit LocalHome(NodeCore &core);
     void start();
 
@@ -90,6 +94,8 @@
     void handOver(Job &job);
     void judge(Job &job, const tl::expected<HttpResponse, ExchangeError> &answer, Duration worked);
     void judgeFailure(Job &job, const ExchangeError &error, Duration worked);
+    /** True if the server's process ended with this request running; the request is remembered for it. */
+    bool diedWith(const Job &job);
     WorkReply refusal(const Job &job, const std::string &reason) const;
     void remember(const WorkKey &key, const WorkReply &reply);
 
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -8,6 +8,7 @@
 #include "src/http/HttpServer.h"
 #include "src/link/PeerHub.h"
 #include "src/node/NodeCore.h"
+#include "src/node/PoisonService.h"
 #include "src/sidecar/CallerFront.h"
 #include "src/sidecar/ConfigFollower.h"
 #include "src/sidecar/FenceService.h"
@@ -75,6 +76,7 @@
         : core(ioContext, clock, settings, incarnation, stableHash(settings.node, incarnation), eventsKept)
         , store(core.client, settings.objectApi)
         , burn(clock)
+        , poison(core, [this](const Record &record) { tellAll(record); })
         , home(core)
         , fences(core,
                  [this](const Fence &fence) {
@@ -96,12 +98,15 @@
     void handleWork(LinkId link, const NodeRef &from, Work work);
     void applyConfig(const FleetConfig &changed);
     void warmLinks();
+    /** Sends the record to every node of the roster: news that can't wait for a watch. */
+    void tellAll(const Record &record);
     /** Opens the link to a node of this region again, with growing pauses, as long as the roster names it. */
     void relink(const std::string &peer);
 
     NodeCore core;
     ObjectApi store;
     BurnRecorder burn;
+    PoisonService poison;
     LocalHome home;
     FenceService fences;
     WorkSender sender;
@@ -152,6 +157,7 @@
     Expected<void> ok = kernel.provide("platform", store);
     const auto provide = [&](const std::string &name, auto &service) { ok = ok ? kernel.provide(name, service) : ok; };
     provide("burn", burn);
+    provide("poison", poison);
     provide("peers", *peers);
     provide("config", config);
     provide("roster", roster);
@@ -248,6 +254,10 @@
         news.handleRequest(link, *request);
     } else if (const auto *told = std::get_if<News>(&message)) {
         news.handleNews(*told);
+    } else if (const auto *records = std::get_if<RecordsPush>(&message)) {
+        for (const Record &record : records->records) {
+            poison.take(record);
+        }
     }
 }
 
@@ -307,6 +317,21 @@
     }
 }
 
+void SidecarNode::Parts::tellAll(const Record &record)
+{
+    for (const RosterEntry *entry : roster.roster().all()) {
+        if (entry->id == core.self.id) {
+            continue;
+        }
+        spawnFiber([this, record, links = entry->links, id = entry->id] {
+            const Expected<LinkId> link = peers->linkAt(links, warmTimeout);
+            if (!link || !peers->reply(*link, RecordsPush{{record}})) {
+                core.events.write(Severity::Warning, "news_not_told", {{"node", id}, {"record", record.key}});
+            }
+        });
+    }
+}
+
 void SidecarNode::Parts::relink(const std::string &peer)
 {
     const RosterEntry *lost = roster.roster().find(peer);
--- a/tests/integration/SidecarTest.cpp
+++ b/tests/integration/SidecarTest.cpp
@@ -137,8 +137,8 @@
 
 TEST_CASE("mesh, answer lost on the way back, is fetched through another node")
 {
-    // The home runs a booking and its answer is held up by a cut in that direction. The caller must get it all the same:
-    // a 504 would leave an office manager not knowing whether the seat is taken.
+    // The home runs a booking and its answer is held up by a cut in that direction. The caller must get it all the
+    // same: a 504 would leave an office manager not knowing whether the seat is taken.
     MeshPlan plan;
     plan.services = {"other", "desk", "other"};
     plan.proxies = true;
@@ -162,10 +162,12 @@
     plan.services = {"desk", "desk", "spare"};
     Mesh mesh(plan);
     mesh.configure(7, "spare");
-    CHECK(eventually([&] {
-        const auto answer = mesh.send(0, "probe", "/seats/1");
-        return answer && headerValue(answer->headers, names::signature) == "seal-i-2";
-    }, Millis(2500)));
+    CHECK(eventually(
+        [&] {
+            const auto answer = mesh.send(0, "probe", "/seats/1");
+            return answer && headerValue(answer->headers, names::signature) == "seal-i-2";
+        },
+        Millis(2500)));
     for (int node = 0; node < 2; ++node) {
         const auto answer = mesh.send(node, id("after", node), "/seats/1");
         CHECK((answer && headerValue(answer->headers, names::signature) == "seal-i-2"));
@@ -178,11 +180,13 @@
     mesh.storeFault({{"outage", true}});
     mesh.node(1).kill();
     mesh.startNode(1);
-    CHECK(eventually([&] {
-        mesh.send(0, "wake", "/dates/1");
-        mesh.send(2, "wake", "/dates/1");
-        return mesh.isReady(1);
-    }, std::chrono::seconds(15)));
+    CHECK(eventually(
+        [&] {
+            mesh.send(0, "wake", "/dates/1");
+            mesh.send(2, "wake", "/dates/1");
+            return mesh.isReady(1);
+        },
+        std::chrono::seconds(15)));
     CHECK(statusOf(mesh.send(1, "restarted", "/seats/1")) == 200);
 }
 
@@ -212,6 +216,23 @@
     CHECK(mesh.node(1).waitForExit(std::chrono::seconds(8)) == 0);
 }
 
+TEST_CASE("mesh, look-up that ends every server which begins it, is given to no third one")
+{
+    // One look-up makes each server that runs it crash. Its caller sends it again and again, through any node. Without
+    // a memory of it the whole service would be down after a dozen tries.
+    Mesh mesh;
+    for (int i = 0; i < 4; ++i) {
+        mesh.send(i % 3, id("poison", i), "/dates/ends-the-server");
+        pause(Millis(300));
+    }
+    int deaths = 0;
+    for (const auto &[request, runs] : mesh.executions()) {
+        deaths += request.compare(0, 6, "poison") == 0 ? runs : 0;
+    }
+    CHECK(deaths <= 2);
+    CHECK(statusOf(mesh.send(0, "poison-last", "/dates/ends-the-server")) == 503);
+}
+
 TEST_CASE("mesh, caller that leaves, has its look-up stopped and its slot freed")
 {
     MeshPlan plan;
@@ -219,8 +240,10 @@
     plan.workMs = 50;
     Mesh mesh(plan);
     mesh.serverMode(0, {{"workMs", 2500}});
-    together({[&] { mesh.sendRaw(0, "GET /dates/1 HTTP/1.1\r\nHost: desk.example\r\n" + std::string(names::requestId)
-                                        + ": gone\r\n\r\n"); }});
+    together({[&] {
+        mesh.sendRaw(0, "GET /dates/1 HTTP/1.1\r\nHost: desk.example\r\n" + std::string(names::requestId)
+                            + ": gone\r\n\r\n");
+    }});
     CHECK(eventually([&] { return mesh.log(0).find("callerGone=yes") != std::string::npos; }, Millis(1500)));
 }
 
@@ -248,9 +271,8 @@
     plan.services = {"desk"};
     Mesh mesh(plan);
     const std::string idLine = std::string(names::requestId) + ": usual\r\n";
-    const std::string absolute =
-        mesh.sendRaw(0, "GET http://desk.example/dates/1 HTTP/1.1\r\nHost: ignored\r\nConnection: close\r\n" + idLine
-                            + "\r\n");
+    const std::string absolute = mesh.sendRaw(
+        0, "GET http://desk.example/dates/1 HTTP/1.1\r\nHost: ignored\r\nConnection: close\r\n" + idLine + "\r\n");
     CHECK(absolute.compare(0, 12, "HTTP/1.1 200") == 0);
     const std::string expecting =
         mesh.sendRaw(0, "POST /seats/1 HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\nContent-Length: 4\r\n"
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -18,6 +18,7 @@
 namespace names = platform::names;
 
 constexpr Millis heartbeatTimeout{1000};
+const std::string poisonMark = "ends-the-server";
 
 struct Options {
     std::string service;
@@ -106,6 +107,9 @@
         HttpReply reply{jsonResponse(200, "whole answer to " + id), AfterResponse::KeepOpen};
         reply.response.headers.emplace_back(names::signature, "seal-" + options_.id);
         reply.response.headers.emplace_back(names::requestId, id);
+        if (request.target.find(poisonMark) != std::string::npos) {
+            std::_Exit(9);
+        }
         if (mode == "errors") {
             reply.response.status = 500;
             return reply;
@@ -169,9 +173,10 @@
                 return 2;
             }
             Server server(ioContext, parsed);
-            auto http = HttpServer::MakeListening(
-                ioContext, "127.0.0.1", values["port"].as<std::uint16_t>(),
-                [&](const HttpRequest &request, const CallerWatchPtr &caller) { return server.handle(request, caller); });
+            auto http = HttpServer::MakeListening(ioContext, "127.0.0.1", values["port"].as<std::uint16_t>(),
+                                                  [&](const HttpRequest &request, const CallerWatchPtr &caller) {
+                                                      return server.handle(request, caller);
+                                                  });
             if (!http) {
                 std::cerr << http.error().message << "\n";
                 return 1;
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -47,10 +47,9 @@
               {"max_body_bytes", 100000},
               {"header_timeout_ms", 2000},
               {"idle_timeout_ms", 5000}}},
-            {"listeners",
-             json::array({{{"host", "desk.example"},
-                           {"rules", json::array({rule("browse", "safe", "/dates/", "desk"),
-                                                  rule("book", "unsafe", "/seats/", service)})}}})},
+            {"listeners", json::array({{{"host", "desk.example"},
+                                        {"rules", json::array({rule("browse", "safe", "/dates/", "desk"),
+                                                               rule("book", "unsafe", "/seats/", service)})}}})},
             {"clusters", json::array()}};
 }
 
@@ -67,8 +66,7 @@
     store_ = Endpoint{"127.0.0.1", storeProcess_->printed("port")};
     for (std::size_t i = 0; i < plan_.services.size(); ++i) {
         Member member;
-        for (Endpoint *one :
-             {&member.callers, &member.links, &member.control, &member.readiness, &member.app}) {
+        for (Endpoint *one : {&member.callers, &member.links, &member.control, &member.readiness, &member.app}) {
             *one = freeEndpoint();
         }
         member.proxied = member.links;
@@ -100,20 +98,19 @@
 std::string Mesh::settingsFile(int index)
 {
     const Member &member = members_.at(static_cast<std::size_t>(index));
-    const json settings = {{"node", "n" + std::to_string(index)},
-                           {"zone", "z" + std::to_string(index)},
-                           {"region", "r"},
-                           {"listen",
-                            {{"callers", member.callers.text()},
-                             {"peers", member.links.text()},
-                             {"advertisedPeers", member.proxied.text()},
-                             {"operators", member.control.text()},
-                             {"readiness", member.readiness.text()}}},
-                           {"objectApi", store_.text()},
-                           {"server",
-                            {{"service", plan_.services.at(static_cast<std::size_t>(index))},
-                             {"address", member.app.text()}}},
-                           {"bounds", json::array({"grace_s=5", "retry_budget_ratio=0.2", "budget_slack=60"})}};
+    const json settings = {
+        {"node", "n" + std::to_string(index)},
+        {"zone", "z" + std::to_string(index)},
+        {"region", "r"},
+        {"listen",
+         {{"callers", member.callers.text()},
+          {"peers", member.links.text()},
+          {"advertisedPeers", member.proxied.text()},
+          {"operators", member.control.text()},
+          {"readiness", member.readiness.text()}}},
+        {"objectApi", store_.text()},
+        {"server", {{"service", plan_.services.at(static_cast<std::size_t>(index))}, {"address", member.app.text()}}},
+        {"bounds", json::array({"grace_s=5", "retry_budget_ratio=0.2", "budget_slack=60"})}};
     std::string path = directory_ + "/n" + std::to_string(index) + ".json";
     std::ofstream(path) << settings.dump(2);
     return path;
@@ -125,8 +122,8 @@
     member.node.reset();
     const std::string settings = settingsFile(index);
     member.logs.push_back(directory_ + "/n" + std::to_string(index) + "-" + std::to_string(++member.starts) + ".log");
-    member.node = std::make_unique<Process>("waxwingd", std::vector<std::string>{"--settings", settings},
-                                            member.logs.back());
+    member.node =
+        std::make_unique<Process>("waxwingd", std::vector<std::string>{"--settings", settings}, member.logs.back());
 }
 
 void Mesh::startServer(int index)
@@ -134,12 +131,10 @@
     const auto i = static_cast<std::size_t>(index);
     Member &member = members_.at(i);
     member.server.reset();
-    const std::vector<std::string> arguments = {"--service", plan_.services.at(i),
-                                                "--id",      "i-" + std::to_string(index),
-                                                "--control", member.control.text(),
-                                                "--ledger",  directory_ + "/ledger." + std::to_string(index),
-                                                "--work-ms", std::to_string(plan_.workMs),
-                                                "--port",    std::to_string(member.app.port)};
+    const std::vector<std::string> arguments = {
+        "--service", plan_.services.at(i),         "--id",     "i-" + std::to_string(index),
+        "--control", member.control.text(),        "--ledger", directory_ + "/ledger." + std::to_string(index),
+        "--work-ms", std::to_string(plan_.workMs), "--port",   std::to_string(member.app.port)};
     member.server = std::make_unique<Process>("tests/standins/standin-sidecarserver", arguments,
                                               directory_ + "/server" + std::to_string(index) + ".log");
     member.server->printed("port");
@@ -188,12 +183,11 @@
                                                      Millis patience)
 {
     const bool books = path.compare(0, 7, "/seats/") == 0;
-    const HttpRequest request{books ? "POST" : "GET",
-                              path,
-                              {{"Host", "desk.example"},
-                               {names::requestId, id},
-                               {names::timeoutMs, std::to_string(patience.count())}},
-                              books ? "seat" : ""};
+    const HttpRequest request{
+        books ? "POST" : "GET",
+        path,
+        {{"Host", "desk.example"}, {names::requestId, id}, {names::timeoutMs, std::to_string(patience.count())}},
+        books ? "seat" : ""};
     return loopClient().exchange(members_.at(static_cast<std::size_t>(node)).callers, request,
                                  patience + controlTimeout);
 }
@@ -256,8 +250,9 @@
     static int number = 0;
     for (std::size_t i = 0; i < members_.size(); ++i) {
         const auto answer = send(static_cast<int>(i), "settle-" + std::to_string(++number), "/dates/1");
-        const bool knowsAll = members_.size() == 1 || log(static_cast<int>(i)).find("nodes=" + std::to_string(members_.size()))
-                              != std::string::npos;
+        const bool knowsAll =
+            members_.size() == 1
+            || log(static_cast<int>(i)).find("nodes=" + std::to_string(members_.size())) != std::string::npos;
         if (!answer || answer->status != 200 || !knowsAll) {
             return false;
         }
