--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -168,7 +168,6 @@
 {
     auto placement = std::make_shared<Placement>();
     placement->control = std::make_shared<RunControl>();
-    placement->hedge = hedge;
     run->placements.push_back(placement);
     spawnFiber([this, run, placement, hedge] {
         place(run, placement, hedge);
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -65,8 +65,6 @@
         bool ended = false;
         WorkReply reply;
         std::string home;
-        /** A second send that was paid from the budget. */
-        bool hedge = false;
         /** It was at a server, or may have been. */
         bool reachedServer = false;
     };
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -457,11 +457,6 @@
     innerCalls_.arrived(route, service);
 }
 
-bool LocalHome::hasServer() const
-{
-    return server_.serving() != nullptr;
-}
-
 bool LocalHome::serverLeft() const
 {
     return server_.known() != nullptr && server_.serving() == nullptr;
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -62,7 +62,6 @@
     /** A request of @p route for @p service came from this VM: from a caller, or from the server itself. */
     void noteArrival(const std::string &route, const std::string &service);
     /** The server said farewell or leaves. */
-    bool hasServer() const;
     bool serverLeft() const;
 
 private:
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -187,7 +187,7 @@
 
 Expected<void> SidecarNode::Parts::listen()
 {
-    const Expected<void> links = peers->listen(core.settings.peers);
+    Expected<void> links = peers->listen(core.settings.peers);
     if (!links) {
         return links;
     }
--- a/tests/integration/SidecarTest.cpp
+++ b/tests/integration/SidecarTest.cpp
@@ -91,6 +91,7 @@
     mesh.linkFault(1, {{"silenceOpen", true}});
     std::vector<unsigned> statuses(6);
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     for (int i = 0; i < 6; ++i) {
         bodies.emplace_back(
             [&, i] { statuses[static_cast<std::size_t>(i)] = statusOf(mesh.send(0, id("cut", i), "/seats/1")); });
@@ -116,6 +117,7 @@
     mesh.linkFault(1, {{"toTarget", {{"hold", true}}}});
     std::vector<unsigned> statuses(6);
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     for (int i = 0; i < 6; ++i) {
         bodies.emplace_back(
             [&, i] { statuses[static_cast<std::size_t>(i)] = statusOf(mesh.send(0, id("off", i), "/seats/1")); });
@@ -198,6 +200,7 @@
     std::vector<unsigned> statuses(4);
     bool notReady = false;
     std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
     for (int i = 0; i < 4; ++i) {
         bodies.emplace_back(
             [&, i] { statuses[static_cast<std::size_t>(i)] = statusOf(mesh.send(1, id("stop", i), "/seats/1")); });
