Keep a failed path last until a probe says that it is good

Change: the pause is gone; a path is bad until the probe that runs meanwhile opens a fresh link to the node. Probes begin after 0.5 s and go up to 4 s.

--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -105,8 +105,6 @@
     Millis doubtPauseFar{6000};
     /** A refused sender stays away from a home without a server for this long. */
     Millis noServerPause{700};
-    Millis firstPathPause{1000};
-    Millis longestPathPause{16000};
 };
 
 /**
@@ -131,10 +129,13 @@
     void noteNoServer(const std::string &node, SteadyTime now);
     /** The home refused because it doubts its server. */
     void noteDoubtful(const RankedHome &home, SteadyTime now);
-    /** Nothing came back over the path. Pauses grow while it stays so. */
-    void notePathFailure(const std::string &node, SteadyTime now);
+    /**
+     * Nothing came back over the path, and whoever says so probes it. It counts as bad until notePathGood(): with a pause
+     * that ran out, each sender found out again, at the cost of one more request, that a VM was gone.
+     */
+    void notePathFailure(const std::string &node);
     void notePathGood(const std::string &node);
-    bool isPathBad(const std::string &node, SteadyTime now) const;
+    bool isPathBad(const std::string &node) const;
     /** Forgets nodes that are not in @p known. */
     void keepOnly(const std::set<std::string> &known);
 
@@ -154,8 +155,7 @@
         SteadyTime heardAt;
         SteadyTime noServerUntil;
         SteadyTime doubtfulUntil;
-        int pathFailures = 0;
-        SteadyTime pathBadUntil;
+        bool pathBad = false;
     };
 
     /** What holds for a home of which nothing was heard lately: the means over the service's other homes. */
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -10,7 +10,6 @@
 /** In thousandths; above any other loss, so that such a home is asked last but still asked. */
 constexpr double noServerLoss = 1500.0;
 constexpr double badPathLoss = 3000.0;
-constexpr int mostDoublings = 4;
 /** Slots assumed of a home when its load is news; only differences between homes count. */
 constexpr int usualSlots = 3;
 
@@ -153,7 +152,7 @@
     }
     const Home &home = found->second;
     loss += now < home.noServerUntil ? noServerLoss : 0.0;
-    loss += now < home.pathBadUntil ? badPathLoss : 0.0;
+    loss += home.pathBad ? badPathLoss : 0.0;
     if (!home.heard) {
         return loss + home.inFlight * tuning_.busySlot;
     }
@@ -268,30 +267,23 @@
     homes_[home.node].doubtfulUntil = now + pause;
 }
 
-void HomeRanking::notePathFailure(const std::string &node, SteadyTime now)
+void HomeRanking::notePathFailure(const std::string &node)
 {
-    Home &home = homes_[node];
-    if (now < home.pathBadUntil) {
-        return;
-    }
-    const Millis pause = tuning_.firstPathPause * (1 << std::min(home.pathFailures, mostDoublings));
-    home.pathBadUntil = now + std::min(pause, tuning_.longestPathPause);
-    ++home.pathFailures;
+    homes_[node].pathBad = true;
 }
 
 void HomeRanking::notePathGood(const std::string &node)
 {
     const auto found = homes_.find(node);
     if (found != homes_.end()) {
-        found->second.pathFailures = 0;
-        found->second.pathBadUntil = {};
+        found->second.pathBad = false;
     }
 }
 
-bool HomeRanking::isPathBad(const std::string &node, SteadyTime now) const
+bool HomeRanking::isPathBad(const std::string &node) const
 {
     const auto found = homes_.find(node);
-    return found != homes_.end() && now < found->second.pathBadUntil;
+    return found != homes_.end() && found->second.pathBad;
 }
 
 void HomeRanking::keepOnly(const std::set<std::string> &known)
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -34,8 +34,9 @@
 constexpr Millis leastTime{5};
 /** A round trip between regions, and some time for a busy home. */
 constexpr Millis certaintyWait{120};
-constexpr Millis firstProbePause{1000};
-constexpr Millis longestProbePause{8000};
+/** A path in doubt is probed with a fresh link: soon, since most cuts last some seconds, then less and less often. */
+constexpr Millis firstProbePause{500};
+constexpr Millis longestProbePause{4000};
 constexpr Millis probeTimeout{500};
 
 Millis toMillis(Duration value)
@@ -254,7 +255,7 @@
     const SteadyTime after = core_.clock.now();
     const WorkReply &reply = result.reply;
     if (result.pathFailed) {
-        ranking_.notePathFailure(choice.node, after);
+        ranking_.notePathFailure(choice.node);
         probePath(choice.node);
     } else if (reply.outcome != Outcome::Unknown || reply.reachedServer) {
         ranking_.notePathGood(choice.node);
@@ -340,7 +341,6 @@
                 core_.events.write(Severity::Info, "path_good_again", {{"home", node}});
                 break;
             }
-            ranking_.notePathFailure(node, core_.clock.now());
             pause = std::min(longestProbePause, pause * 2);
         }
         probing_.erase(node);
--- a/tests/unit/HomeRankingTest.cpp
+++ b/tests/unit/HomeRankingTest.cpp
@@ -106,7 +106,7 @@
 {
     // A link fell silent, and three of six bookings that were sent again over a fresh one found the slots taken. The
     // failed path counted against waiting there, though there was no other home, and they were refused.
-    ranking.notePathFailure("a1", now);
+    ranking.notePathFailure("a1");
     CHECK(choose(false, {"a2", "b1", "far"}).patience >= Millis(2000));
 }
 
@@ -156,21 +156,22 @@
 
 TEST_CASE_FIXTURE(FourHomes, "home ranking, path that failed, is last and comes back when it is good again")
 {
-    ranking.notePathFailure("a1", now);
+    ranking.notePathFailure("a1");
     CHECK(choose().node == "a2");
     CHECK(choose(true, {"a2", "b1", "far"}).node == "a1");
     ranking.notePathGood("a1");
-    CHECK_FALSE(ranking.isPathBad("a1", now));
+    CHECK_FALSE(ranking.isPathBad("a1"));
 }
 
-TEST_CASE_FIXTURE(FourHomes, "home ranking, path that keeps failing, is left alone for longer each time")
+TEST_CASE_FIXTURE(FourHomes, "home ranking, path that failed, stays last until a probe says that it is good")
 {
-    ranking.notePathFailure("a1", now);
-    now += Millis(1100);
-    CHECK_FALSE(ranking.isPathBad("a1", now));
-    ranking.notePathFailure("a1", now);
-    now += Millis(1100);
-    CHECK(ranking.isPathBad("a1", now));
+    // A VM was lost for good. Every sender lost a booking there, waited a second, and lost the next one: what became of
+    // a booking can't be known once its home is gone. Only a probe may find out whether the VM is back.
+    ranking.notePathFailure("a1");
+    now += std::chrono::seconds(20);
+    CHECK(choose(false, {"a2"}).node == "b1");
+    ranking.notePathGood("a1");
+    CHECK(choose(false, {"a2"}).node == "a1");
 }
 
 TEST_CASE_FIXTURE(FourHomes, "home ranking, home without a server, is avoided for a while and then asked again")
