Let repeatable work find out about homes, and weigh doubt less for it

Change: for repeatable work a home not heard of counts without doubt, and doubt costs 250 instead of 450 thousandths: a second send is what it takes.

--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -61,7 +61,7 @@
     /** Each busy slot: spreads work over homes that are otherwise equal, since full servers are slower. */
     double busySlot = 4.0;
     /** A repeatable request that meets a gray server takes a second send; another one is lost. */
-    double doubtRepeatable = 450.0;
+    double doubtRepeatable = 250.0;
     double doubtOther = 800.0;
     /** Doubt about a server where nothing was heard of any: about one in eight is gray at any time. */
     double usualDoubt = 0.12;
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -145,8 +145,14 @@
     } else if (candidate.distance == Distance::OtherRegion) {
         loss += tuning_.otherRegion;
     }
-    loss += currentDoubt(candidate, usual, now) * (need.repeatable ? tuning_.doubtRepeatable : tuning_.doubtOther);
     const auto found = homes_.find(candidate.node);
+    const bool heard = found != homes_.end() && found->second.heard;
+    // Repeatable work finds out about homes not heard of: a server that joins would get nothing as long as the others
+    // are known to be good and have room.
+    const bool findsOut = !heard && need.repeatable;
+    if (!findsOut) {
+        loss += currentDoubt(candidate, usual, now) * (need.repeatable ? tuning_.doubtRepeatable : tuning_.doubtOther);
+    }
     if (found == homes_.end()) {
         return loss;
     }
--- a/tests/unit/HomeRankingTest.cpp
+++ b/tests/unit/HomeRankingTest.cpp
@@ -110,6 +110,15 @@
     CHECK(choose(false, {"a2", "b1", "far"}).patience >= Millis(2000));
 }
 
+TEST_CASE_FIXTURE(FourHomes, "home ranking, server that joined on a calm day, is found out by work that can be repeated")
+{
+    // New servers were added and got nothing for the rest of the day: the known ones were good and had room, and an
+    // unknown one might have been gray.
+    load("a1", 3, Millis(0), 0.01);
+    CHECK(choose(true).node == "a2");
+    CHECK(choose(false).node == "a1");
+}
+
 TEST_CASE_FIXTURE(FourHomes, "home ranking, homes heard of are full, tries one not heard of before it gives up")
 {
     load("a1", 0, Millis(4000), 0.02);
