Tell the region which node fell silent, and ask more lenders

Change: PathWatch tells the nodes of the region that have an open link, and they try their own link before they believe it, since cuts hit pairs. A cancelled send that got neither receipt nor answer counts as a failed path.

--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -233,6 +233,11 @@
     double sends = 0.0;
 };
 
+/** The sender gets no answer from a node any more: the receiver does well to try its own path to it. */
+struct PathSuspicion {
+    std::string node;
+};
+
 /** Asks for whatever the receiver holds in a higher version. */
 struct NewsRequest {
     KnownVersions versions;
@@ -247,7 +252,7 @@
 
 using Message = std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, RecordNames, DigestOffer, BucketNames, Ping,
                              Pong, ClaimHandover, Work, WorkReceipt, WorkReply, Fence, FenceReply, NewsRequest, News,
-                             LendRequest, LendReply>;
+                             LendRequest, LendReply, PathSuspicion>;
 
 /** CBOR of @p message. Thread safe. */
 std::string encodeMessage(const Message &message);
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -479,6 +479,12 @@
     return state_->linkAt(endpoint, allowed, fresh);
 }
 
+std::optional<LinkId> PeerHub::openLinkAt(const Endpoint &endpoint) const
+{
+    const auto found = state_->byEndpoint.find(endpoint);
+    return found == state_->byEndpoint.end() ? std::nullopt : std::optional<LinkId>(found->second->id);
+}
+
 std::optional<NodeRef> PeerHub::peerOn(LinkId link) const
 {
     const auto found = state_->links.find(link);
--- a/src/link/PeerHub.h
+++ b/src/link/PeerHub.h
@@ -65,6 +65,8 @@
      * Errors: Unavailable, Timeout (not there within @p allowed). @pre called from a fiber.
      */
     Expected<LinkId> linkAt(const Endpoint &endpoint, Duration allowed, bool fresh = false);
+    /** The link to whoever listens at @p endpoint, if one that this node opened is there. */
+    std::optional<LinkId> openLinkAt(const Endpoint &endpoint) const;
     /** The incarnation at the other end; nothing if the link has closed. */
     std::optional<NodeRef> peerOn(LinkId link) const;
     /**
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -5,6 +5,7 @@
 #include "src/node/NodeCore.h"
 #include "src/sidecar/LocalHome.h"
 #include "src/sidecar/NewsService.h"
+#include "src/sidecar/PathWatch.h"
 #include "src/sidecar/RosterKeeper.h"
 #include "src/sidecar/SecondSendService.h"
 #include "src/sidecar/WaitPoint.h"
@@ -34,10 +35,6 @@
 constexpr Millis leastTime{5};
 /** A round trip between regions, and some time for a busy home. */
 constexpr Millis certaintyWait{120};
-/** A path in doubt is probed with a fresh link: soon, since most cuts last some seconds, then less and less often. */
-constexpr Millis firstProbePause{500};
-constexpr Millis longestProbePause{4000};
-constexpr Millis probeTimeout{500};
 
 Millis toMillis(Duration value)
 {
@@ -74,20 +71,18 @@
     bool over = false;
 };
 
-Forwarder::Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, SecondSendService &secondSends)
+Forwarder::Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, SecondSendService &secondSends,
+                     PathWatch &paths)
     : core_(core)
     , home_(home)
     , sender_(sender)
     , secondSends_(secondSends)
+    , paths_(paths)
     , ranking_([&core] { return core.random(); })
 {
-    sender_.onPathFailure([this](const std::string &node) { notePathFailure(node); });
-}
-
-void Forwarder::notePathFailure(const std::string &node)
-{
-    ranking_.notePathFailure(node);
-    probePath(node);
+    paths_.setHooks(PathWatch::Hooks{[this](const std::string &node) { ranking_.notePathFailure(node); },
+                                     [this](const std::string &node) { ranking_.notePathGood(node); }});
+    sender_.onPathFailure([this](const std::string &node) { paths_.noteFailure(node); });
 }
 
 std::vector<RankedHome> Forwarder::homesOf(const std::string &service) const
@@ -263,7 +258,7 @@
     const SteadyTime after = core_.clock.now();
     const WorkReply &reply = result.reply;
     if (result.pathFailed) {
-        notePathFailure(choice.node);
+        paths_.noteFailure(choice.node);
     } else if (reply.outcome != Outcome::Unknown || reply.reachedServer) {
         ranking_.notePathGood(choice.node);
         ranking_.noteLoad(choice.node, reply.load, urgencyOf(*run), after);
@@ -326,34 +321,6 @@
     }
 }
 
-void Forwarder::probePath(const std::string &node)
-{
-    if (!probing_.insert(node).second) {
-        return;
-    }
-    spawnFiber([this, node] {
-        Millis pause = firstProbePause;
-        while (!core_.stopping) {
-            sleepFor(core_.ioContext, pause);
-            const RosterEntry *entry = core_.service<RosterKeeper>("roster").roster().find(node);
-            if (entry == nullptr) {
-                break;
-            }
-            const Endpoint links = entry->links;
-            PeerHub &peers = core_.service<PeerHub>("peers");
-            const Expected<LinkId> link = peers.linkAt(links, probeTimeout, true);
-            const std::optional<NodeRef> peer = link ? peers.peerOn(*link) : std::nullopt;
-            if (peer && peer->id == node) {
-                ranking_.notePathGood(node);
-                core_.events.write(Severity::Info, "path_good_again", {{"home", node}});
-                break;
-            }
-            pause = std::min(longestProbePause, pause * 2);
-        }
-        probing_.erase(node);
-    });
-}
-
 ForwardResult Forwarder::finish(const RunPtr &run, const WorkReply &reply)
 {
     run->over = true;
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -16,6 +16,7 @@
 
 struct NodeCore;
 class LocalHome;
+class PathWatch;
 class SecondSendService;
 class WorkSender;
 enum class SecondSend;
@@ -48,7 +49,7 @@
 class Forwarder
 {
 public:
-    Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, SecondSendService &secondSends);
+    Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, SecondSendService &secondSends, PathWatch &paths);
 
     /** @pre called from a fiber. @p job is kept until the last of its sends has ended, which may be after the return.
      */
@@ -93,17 +94,14 @@
     void learn(const std::string &route, const WorkReply &reply);
     ForwardResult finish(const RunPtr &run, const WorkReply &reply);
     ForwardResult timedOut(const RunPtr &run, bool callerGone);
-    /** Keeps other work off the path, and probes it. */
-    void notePathFailure(const std::string &node);
-    void probePath(const std::string &node);
 
     NodeCore &core_;
     LocalHome &home_;
     WorkSender &sender_;
     SecondSendService &secondSends_;
+    PathWatch &paths_;
     HomeRanking ranking_;
     std::map<std::string, RouteStats> stats_;
-    std::set<std::string> probing_;
     std::uint64_t nextLocalWork_ = 1;
     std::size_t running_ = 0;
 };
--- a/src/sidecar/SecondSendService.cpp
+++ b/src/sidecar/SecondSendService.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /** Nodes asked for one loan. Each answers within a round trip of the region, some 3 ms. */
-constexpr std::size_t mostLenders = 3;
+constexpr std::size_t mostLenders = 6;
 constexpr Millis lenderTimeout{60};
 /** Asked for at once beyond what is missing: the next failure is near. */
 constexpr double lentAhead = 2.0;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -15,6 +15,7 @@
 #include "src/sidecar/Forwarder.h"
 #include "src/sidecar/LocalHome.h"
 #include "src/sidecar/NewsService.h"
+#include "src/sidecar/PathWatch.h"
 #include "src/sidecar/RosterKeeper.h"
 #include "src/sidecar/SecondSendService.h"
 #include "src/sidecar/WorkSender.h"
@@ -88,7 +89,8 @@
         , roster(core)
         , news(core)
         , secondSends(core, budgetOf(settings))
-        , forwarder(core, home, sender, secondSends)
+        , paths(core)
+        , forwarder(core, home, sender, secondSends, paths)
         , front(core)
     { }
 
@@ -116,6 +118,7 @@
     RosterKeeper roster;
     NewsService news;
     SecondSendService secondSends;
+    PathWatch paths;
     Forwarder forwarder;
     CallerFront front;
     std::unique_ptr<PeerHub> peers;
@@ -257,6 +260,8 @@
         secondSends.handle(link, *loan);
     } else if (const auto *lent = std::get_if<LendReply>(&message)) {
         secondSends.handleReply(*lent);
+    } else if (const auto *suspicion = std::get_if<PathSuspicion>(&message)) {
+        paths.handle(*suspicion);
     } else if (const auto *request = std::get_if<NewsRequest>(&message)) {
         news.handleRequest(link, *request);
     } else if (const auto *told = std::get_if<News>(&message)) {
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -93,6 +93,10 @@
         while (!pending->answered && !pending->linkLost && core_.clock.now() < until) {
             pending->point.wait(core_.ioContext, until - core_.clock.now());
         }
+        // Without this a path would stay in use as long as a second send elsewhere is faster than the missing receipt.
+        if (!pending->answered && !pending->received) {
+            noteFailedPath(*pending, SentWork{home, *peer, id});
+        }
     }
     pending_.erase(id);
     if (!pending->answered) {
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -31,6 +31,7 @@
     News,
     LendRequest,
     LendReply,
+    PathSuspicion,
 };
 
 /** Positions 0 and 1 of each message hold the protocol version and the type. */
@@ -343,6 +344,10 @@
     {
         return with(Type::LendReply, m.id, m.sends);
     }
+    json operator()(const PathSuspicion &m) const
+    {
+        return with(Type::PathSuspicion, m.node);
+    }
 };
 
 Work workFrom(const json &in)
@@ -525,6 +530,8 @@
                            in.at(body + 2).get<double>()};
     case Type::LendReply:
         return LendReply{in.at(body).get<std::uint64_t>(), in.at(body + 1).get<double>()};
+    case Type::PathSuspicion:
+        return PathSuspicion{in.at(body).get<std::string>()};
     }
     throw json::other_error::create(501, "unknown message type", &in);
 }
--- a/tests/integration/SidecarTest.cpp
+++ b/tests/integration/SidecarTest.cpp
@@ -143,6 +143,36 @@
     }
 }
 
+TEST_CASE("mesh, home that one node found silent, is left alone by the others without a loss of their own")
+{
+    // A fleet of a hundred nodes lost sixteen VMs at once. Each of the others found out for itself, by a booking that
+    // it lost there: hundreds of bookings whose fate nobody knew, for sixteen facts that the first senders had known.
+    MeshPlan plan;
+    plan.services = {"other", "other", "desk", "desk"};
+    plan.proxies = true;
+    Mesh mesh(plan);
+    for (int i = 0; i < 6; ++i) {
+        REQUIRE(statusOf(mesh.send(0, id("warm", i), "/dates/1")) == 200);
+        REQUIRE(statusOf(mesh.send(1, id("warmed", i), "/dates/1")) == 200);
+    }
+    mesh.linkFault(2, {{"toTarget", {{"hold", true}}}});
+    int sent = 0;
+    REQUIRE(eventually([&] {
+        std::vector<std::function<void()>> bodies;
+        constexpr int atOnce = 12;
+        bodies.reserve(atOnce);
+        for (int i = 0; i < atOnce; ++i) {
+            bodies.emplace_back([&mesh, number = ++sent] { mesh.send(0, id("first", number), "/dates/1"); });
+        }
+        together(bodies);
+        return mesh.log(0).find("event=path_failed") != std::string::npos;
+    }));
+    REQUIRE(eventually([&] { return mesh.log(1).find("event=path_failed") != std::string::npos; }));
+    for (int i = 0; i < 10; ++i) {
+        CHECK(statusOf(mesh.send(1, id("later", i), "/seats/1")) == 200);
+    }
+}
+
 TEST_CASE("mesh, home cut off from every other node, is told as unknown or not run and nothing runs twice")
 {
     MeshPlan plan;
