--- a/include/limit/InnerCallMeter.h
+++ b/include/limit/InnerCallMeter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "include/base/Clock.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -20,11 +22,14 @@
 {
 public:
     /** The server began to run a work of @p route. */
-    void begin(std::uint64_t work, const std::string &route);
-    void end(std::uint64_t work);
+    void begin(std::uint64_t work, const std::string &route, SteadyTime now);
+    void end(std::uint64_t work, SteadyTime now);
     /** A request of @p route for @p service came from this VM. */
-    void arrived(const std::string &route, const std::string &service);
-    /** By what was seen so far requests of @p route are calls of the server, not of callers. */
+    void arrived(const std::string &route, const std::string &service, SteadyTime now);
+    /**
+     * Requests of @p route are calls of the server, not of callers: callers' requests would have come while it was idle
+     * several times by now. False as long as that is open, which it stays beside a server that is never idle.
+     */
     bool isInnerCall(const std::string &route) const;
     /** A request of @p route for @p service, which came from this VM, was not answered with success. */
     void failed(const std::string &route, const std::string &service);
@@ -40,6 +45,10 @@
     struct Arrivals {
         std::uint32_t whileBusy = 0;
         std::uint32_t whileIdle = 0;
+        /** For how long the server was busy and idle since the first one came, and how often idle. */
+        double busySeconds = 0.0;
+        double idleSeconds = 0.0;
+        std::uint32_t idlePeriods = 0;
     };
     struct Run {
         std::string route;
@@ -47,12 +56,20 @@
         bool failedCall = false;
     };
 
-    void count(const std::string &route);
+    void count(const std::string &route, SteadyTime now);
+    /** By a weaker test, for what is to be paid for: better one call too many than one too few. */
+    bool mayBeInnerCall(const std::string &route) const;
+    /** Counts the time up to @p now as busy or idle; to be called before runs_ changes. */
+    void passTime(SteadyTime now);
+    /** A run begins on a server that ran nothing. */
+    void endIdlePeriod();
     /** How readily a call is put down to a run of @p route. */
     double weightOf(const std::string &route, const std::string &service) const;
 
     std::map<std::string, Arrivals> arrivals_;
     std::map<std::uint64_t, Run> runs_;
+    double idleNow_ = 0.0;
+    SteadyTime passed_;
     std::map<std::string, CallRates> rates_;
     /** Runs ended, by route: the first ones weigh more, so that a rate is known from the first run on. */
     std::map<std::string, std::uint32_t> ended_;
--- a/include/limit/SecondSendBudget.h
+++ b/include/limit/SecondSendBudget.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 
 namespace waxwing {
 
@@ -64,6 +65,11 @@
         double seconds = 0.0;
     };
 
+    struct Loan {
+        double sends = 0.0;
+        SteadyTime until;
+    };
+
     /** What may still be sent by this node's own part. */
     double left(std::size_t nodes, SecondSend purpose, SteadyTime now) const;
     double credit(SteadyTime now) const;
@@ -72,8 +78,8 @@
 
     SecondSendTuning tuning_;
     std::array<Step, steps + 1> ring_{};
-    double credit_ = 0.0;
-    SteadyTime creditUntil_;
+    /** Each expires by itself: a new loan must not prolong an earlier one. */
+    std::deque<Loan> loans_;
 };
 
 } // namespace waxwing
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -170,8 +170,8 @@
     /** Everything but waiting. */
     double fixedLoss(const RankedHome &home, const HomeNeed &need, const Usual &usual, SteadyTime now) const;
     double lateLoss(double waitMs, double tripMs, double slowdown, const HomeNeed &need) const;
-    /** The wait heard of a home, whatever its age; nothing if none was. */
-    std::optional<HeardWait> heardWait(const RankedHome &home, const HomeNeed &need) const;
+    /** What was heard of the wait at a home that still says most by now; nothing if nothing was heard. */
+    std::optional<HeardWait> heardWait(const RankedHome &home, const HomeNeed &need, SteadyTime now) const;
     double expectedWait(const RankedHome &home, const HomeNeed &need, const Usual &usual, SteadyTime now) const;
     double currentDoubt(const RankedHome &home, const Usual &usual, SteadyTime now) const;
     double tripOf(Distance distance) const;
--- a/src/limit/InnerCallMeter.cpp
+++ b/src/limit/InnerCallMeter.cpp
@@ -6,8 +6,16 @@
 
 namespace {
 
-/** A route counts as the callers' own from this share of requests that came while the server was idle. */
+/** A route can't be the server's calls from this share of requests that came while the server was idle. */
 constexpr double idleShareOfCallers = 0.03;
+/** So many requests of callers would have come while the server was idle; by chance none of them does one time in 20.
+ */
+constexpr double enoughExpected = 3.0;
+/** And if fewer than this part of them came then: a call may still be read when its run has ended. */
+constexpr double idlePartOfCalls = 0.25;
+/** Callers that stop sending all at once leave the server idle, too: several idle periods, none counted for long. */
+constexpr std::uint32_t enoughPeriods = 5;
+constexpr double longestIdleCounted = 0.5;
 /** Counts are halved from here on, so that a route whose use changed is judged anew. */
 constexpr std::uint32_t mostCounted = 1000;
 /** Weight of the newest run in a route's rate, once there were many. */
@@ -21,13 +29,40 @@
 
 } // namespace
 
-void InnerCallMeter::begin(std::uint64_t work, const std::string &route)
+void InnerCallMeter::passTime(SteadyTime now)
 {
+    const double elapsed = std::max(0.0, std::chrono::duration<double>(now - passed_).count());
+    passed_ = now;
+    if (runs_.empty()) {
+        idleNow_ += elapsed;
+        return;
+    }
+    for (auto &[route, seen] : arrivals_) {
+        seen.busySeconds += elapsed;
+    }
+}
+
+void InnerCallMeter::endIdlePeriod()
+{
+    for (auto &[route, seen] : arrivals_) {
+        seen.idleSeconds += std::min(idleNow_, longestIdleCounted);
+        ++seen.idlePeriods;
+    }
+    idleNow_ = 0.0;
+}
+
+void InnerCallMeter::begin(std::uint64_t work, const std::string &route, SteadyTime now)
+{
+    passTime(now);
+    if (runs_.empty()) {
+        endIdlePeriod();
+    }
     runs_[work].route = route;
 }
 
-void InnerCallMeter::end(std::uint64_t work)
+void InnerCallMeter::end(std::uint64_t work, SteadyTime now)
 {
+    passTime(now);
     const auto found = runs_.find(work);
     if (found == runs_.end()) {
         return;
@@ -47,17 +82,21 @@
     runs_.erase(found);
 }
 
-void InnerCallMeter::count(const std::string &route)
+void InnerCallMeter::count(const std::string &route, SteadyTime now)
 {
+    passTime(now);
     Arrivals &seen = arrivals_[route];
     (runs_.empty() ? seen.whileIdle : seen.whileBusy) += 1;
     if (seen.whileBusy + seen.whileIdle >= mostCounted) {
         seen.whileBusy /= 2;
         seen.whileIdle /= 2;
+        seen.busySeconds /= 2;
+        seen.idleSeconds /= 2;
+        seen.idlePeriods /= 2;
     }
 }
 
-bool InnerCallMeter::isInnerCall(const std::string &route) const
+bool InnerCallMeter::mayBeInnerCall(const std::string &route) const
 {
     const auto found = arrivals_.find(route);
     if (found == arrivals_.end()) {
@@ -67,6 +106,18 @@
     return seen.whileIdle <= idleShareOfCallers * (seen.whileBusy + seen.whileIdle);
 }
 
+bool InnerCallMeter::isInnerCall(const std::string &route) const
+{
+    const auto found = arrivals_.find(route);
+    if (found == arrivals_.end()) {
+        return false;
+    }
+    const Arrivals &seen = found->second;
+    const double expected = seen.busySeconds > 0.0 ? seen.whileBusy / seen.busySeconds * seen.idleSeconds : 0.0;
+    const bool enough = seen.idlePeriods >= enoughPeriods && expected >= enoughExpected;
+    return enough && seen.whileIdle < idlePartOfCalls * expected;
+}
+
 double InnerCallMeter::weightOf(const std::string &route, const std::string &service) const
 {
     const auto rates = rates_.find(route);
@@ -77,10 +128,10 @@
     return unknownWeight + (rate == rates->second.end() ? 0.0 : rate->second);
 }
 
-void InnerCallMeter::arrived(const std::string &route, const std::string &service)
+void InnerCallMeter::arrived(const std::string &route, const std::string &service, SteadyTime now)
 {
-    count(route);
-    if (!isInnerCall(route) || runs_.empty()) {
+    count(route, now);
+    if (!mayBeInnerCall(route) || runs_.empty()) {
         return;
     }
     double total = 0.0;
--- a/src/limit/SecondSendBudget.cpp
+++ b/src/limit/SecondSendBudget.cpp
@@ -48,7 +48,11 @@
 
 double SecondSendBudget::credit(SteadyTime now) const
 {
-    return now < creditUntil_ ? credit_ : 0.0;
+    double sends = 0.0;
+    for (const Loan &loan : loans_) {
+        sends += now < loan.until ? loan.sends : 0.0;
+    }
+    return sends;
 }
 
 bool SecondSendBudget::has(double sends, std::size_t nodes, SecondSend purpose, SteadyTime now) const
@@ -58,9 +62,17 @@
 
 void SecondSendBudget::take(double sends, SteadyTime now)
 {
-    const double borrowed = std::min(sends, credit(now));
-    credit_ = credit(now) - borrowed;
-    stepAt(now).seconds += sends - borrowed;
+    while (!loans_.empty() && now >= loans_.front().until) {
+        loans_.pop_front();
+    }
+    // What is borrowed goes first: it is void in a moment.
+    double own = sends;
+    for (Loan &loan : loans_) {
+        const double used = std::min(own, loan.sends);
+        loan.sends -= used;
+        own -= used;
+    }
+    stepAt(now).seconds += own;
 }
 
 void SecondSendBudget::giveBack(double sends, SteadyTime now)
@@ -79,8 +91,7 @@
 
 void SecondSendBudget::borrow(double sends, SteadyTime now)
 {
-    credit_ = credit(now) + std::max(0.0, sends);
-    creditUntil_ = now + tuning_.creditLife;
+    loans_.push_back(Loan{std::max(0.0, sends), now + tuning_.creditLife});
 }
 
 } // namespace waxwing
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -48,16 +48,20 @@
     return 1.0 + freshness(now - found->second.heardAt, tuning_.doubtHalfLife) * (found->second.load.slowdown - 1.0);
 }
 
-std::optional<HomeRanking::HeardWait> HomeRanking::heardWait(const RankedHome &candidate, const HomeNeed &need) const
+std::optional<HomeRanking::HeardWait> HomeRanking::heardWait(const RankedHome &candidate, const HomeNeed &need,
+                                                             SteadyTime now) const
 {
     const auto found = homes_.find(candidate.node);
     if (found == homes_.end()) {
         return std::nullopt;
     }
     // What the more urgent wait, the less urgent wait at least.
+    const auto faded = [&](const HeardWait &heard) {
+        return freshness(now - heard.at, tuning_.loadHalfLife) * heard.millis;
+    };
     std::optional<HeardWait> longest;
     for (const auto &[priority, heard] : found->second.waits) {
-        if (priority <= need.priority && (!longest || heard.millis > longest->millis)) {
+        if (priority <= need.priority && (!longest || faded(heard) > faded(*longest))) {
             longest = heard;
         }
     }
@@ -79,7 +83,7 @@
         const double doubtFresh = freshness(now - found->second.heardAt, tuning_.doubtHalfLife);
         doubts += doubtFresh * found->second.load.doubt;
         doubtWeight += doubtFresh;
-        if (const std::optional<HeardWait> heard = heardWait(candidate, need)) {
+        if (const std::optional<HeardWait> heard = heardWait(candidate, need, now)) {
             const double waitFresh = freshness(now - heard->at, tuning_.meanWaitHalfLife);
             waits += waitFresh * heard->millis;
             waitWeight += waitFresh;
@@ -92,11 +96,11 @@
                                  SteadyTime now) const
 {
     if (candidate.distance == Distance::SameNode) {
-        // Known at every moment; nothing heard means nobody waits there.
-        const std::optional<HeardWait> own = heardWait(candidate, need);
+        // Its own queue is no stranger's: nothing heard means that nobody was refused there.
+        const std::optional<HeardWait> own = heardWait(candidate, need, now);
         return own ? own->millis * freshness(now - own->at, tuning_.loadHalfLife) : 0.0;
     }
-    const std::optional<HeardWait> heard = heardWait(candidate, need);
+    const std::optional<HeardWait> heard = heardWait(candidate, need, now);
     if (!heard) {
         return usual.wait;
     }
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -159,17 +159,24 @@
 {
     const Route &route = *run.job.route;
     const bool room = static_cast<int>(run.reached.size()) < route.mostServers;
-    const SteadyTime now = core_.clock.now();
-    const bool time = now + leastTime < run.job.deadline;
-    const bool budget = room && time && secondSends_.spend(repeatsOf(run), purpose);
-    const bool may = room && time && budget;
+    const auto wanted = [&] {
+        const bool time = core_.clock.now() + leastTime < run.job.deadline;
+        return time && !run.over && !run.job.control->cancelled;
+    };
+    const CallRates repeats = repeatsOf(run);
+    const bool budget = room && wanted() && secondSends_.spend(repeats, purpose);
+    // Borrowing takes some round trips. A caller that left meanwhile must not have its request sent to a server.
+    const bool may = budget && wanted();
+    if (budget && !may) {
+        secondSends_.giveBack(repeats);
+    }
     core_.events.writeRequest(
         may ? Severity::Info : Severity::Warning, "second_send",
         {{"request", run.job.requestId},
          {"service", run.job.service},
          {"why", why},
          {"servers", std::to_string(run.reached.size())},
-         {"allowed", may ? "yes" : (!room ? "no-servers-used" : (!time ? "no-time" : "no-budget"))}});
+         {"allowed", may ? "yes" : (!room ? "no-servers-used" : (!wanted() ? "no-time" : "no-budget"))}});
     core_.metrics.count(may ? "second_sends" : "second_sends_refused");
     return may;
 }
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -290,10 +290,10 @@
     if (job.work.idempotent) {
         job.control->interrupt = [&cancel] { cancel.cancel(); };
     }
-    innerCalls_.begin(job.id, job.work.route);
+    innerCalls_.begin(job.id, job.work.route, now);
     const auto answer = core_.client.exchange(core_.settings.server->address, stamped, options);
     job.callFailed = innerCalls_.sawFailedCall(job.id);
-    innerCalls_.end(job.id);
+    innerCalls_.end(job.id, core_.clock.now());
     job.reply.calls = innerCalls_.rates(job.work.route);
     job.control->interrupt = {};
     const Duration worked = core_.clock.now() - now;
@@ -470,7 +470,7 @@
 
 void LocalHome::noteArrival(const std::string &route, const std::string &service)
 {
-    innerCalls_.arrived(route, service);
+    innerCalls_.arrived(route, service, core_.clock.now());
 }
 
 bool LocalHome::isInnerCall(const std::string &route) const
--- a/src/sidecar/PathWatch.cpp
+++ b/src/sidecar/PathWatch.cpp
@@ -94,6 +94,10 @@
             sleepFor(core_.ioContext, pause);
             const RosterEntry *entry = core_.service<RosterKeeper>("roster").roster().find(node);
             if (entry == nullptr) {
+                // Nobody is there to be judged. A node that comes back under this name starts without the verdict, or
+                // it would be last for good with no probe to say otherwise.
+                hooks_.onGood(node);
+                tried_.erase(node);
                 break;
             }
             const Endpoint links = entry->links;
--- a/tests/unit/HomeRankingTest.cpp
+++ b/tests/unit/HomeRankingTest.cpp
@@ -200,6 +200,21 @@
     CHECK(choose().node != first);
 }
 
+TEST_CASE_FIXTURE(FourHomes, "home ranking, long wait heard long ago, does not hide a shorter one heard just now")
+{
+    // A burst of urgent work was over, and homes still were thought to have no queue: the old long wait of the urgent
+    // had been picked over the fresh one of this rank, and had faded to nothing.
+    HomeLoad old;
+    old.wait = Millis(3000);
+    old.doubt = 0.02;
+    ranking.noteLoad("a1", old, 0, now);
+    ranking.noteLoad("a2", old, 0, now);
+    now += std::chrono::seconds(8);
+    load("a1", 0, Millis(900), 0.02);
+    load("a2", 0, Millis(900), 0.02);
+    CHECK(choose().node == "b1");
+}
+
 TEST_CASE_FIXTURE(FourHomes, "home ranking, waits of the less urgent, don't keep the more urgent away")
 {
     HomeLoad busy;
--- a/tests/unit/SecondSendTest.cpp
+++ b/tests/unit/SecondSendTest.cpp
@@ -35,20 +35,24 @@
 void learn(InnerCallMeter &meter, int count)
 {
     std::uint64_t id = 0;
+    SteadyTime now = start;
     for (int i = 0; i < count; ++i) {
-        meter.begin(++id, "parent");
+        meter.begin(++id, "parent", now);
         if (i % 2 == 0) {
-            meter.begin(++id, "single");
+            meter.begin(++id, "single", now);
         }
-        meter.arrived("inner", "records");
-        meter.end(id--);
+        now += Millis(20);
+        meter.arrived("inner", "records", now);
+        meter.end(id--, now);
         if (i % 2 == 0) {
-            meter.end(id);
+            meter.end(id, now);
         }
         ++id;
-        meter.begin(id + 1000, "single");
-        meter.end(id + 1000);
-        meter.arrived("callers", "records");
+        meter.begin(id + 1000, "single", now);
+        now += Millis(20);
+        meter.end(id + 1000, now);
+        now += Millis(40);
+        meter.arrived("callers", "records", now);
     }
 }
 
@@ -129,6 +133,19 @@
     CHECK_FALSE(budget.has(1.0, 1, SecondSend::AfterFailure, start + Millis(600)));
 }
 
+TEST_CASE("second send budget, new loan, does not prolong an earlier one")
+{
+    // A node that borrows again and again would keep what it did not use. The lender's window is over by then and it
+    // sends as much again: both together pass the bound.
+    SecondSendBudget budget(tuning());
+    takeAll(budget, 1, SecondSend::AfterFailure, start);
+    budget.borrow(2.0, start);
+    budget.borrow(1.0, start + Millis(400));
+    CHECK(budget.has(3.0, 1, SecondSend::AfterFailure, start + Millis(450)));
+    CHECK_FALSE(budget.has(2.0, 1, SecondSend::AfterFailure, start + Millis(600)));
+    CHECK(budget.has(1.0, 1, SecondSend::AfterFailure, start + Millis(600)));
+}
+
 TEST_CASE("second send budget, nothing left, lends nothing")
 {
     SecondSendBudget budget(tuning());
@@ -142,20 +159,76 @@
     // sound one in doubt, and bookings went elsewhere.
     InnerCallMeter meter;
     learn(meter, 50);
-    meter.begin(1, "parent");
-    meter.begin(2, "single");
-    meter.arrived("inner", "records");
+    const SteadyTime later = start + std::chrono::minutes(1);
+    meter.begin(1, "parent", later);
+    meter.begin(2, "single", later);
+    meter.arrived("inner", "records", later);
     CHECK_FALSE(meter.sawFailedCall(1));
     meter.failed("inner", "records");
     CHECK(meter.sawFailedCall(1));
     CHECK_FALSE(meter.sawFailedCall(2));
 }
 
+TEST_CASE("inner call meter, server that is never idle, callers' requests are not taken for its calls")
+{
+    // On a day of high load a server runs something all the time, so callers' requests come while it is busy, as its
+    // own calls do. Taken for calls, all of them were the most urgent and in time until their deadline: nothing had an
+    // order any more, and late work was served before work that could be in time.
+    InnerCallMeter meter;
+    meter.begin(1, "booking", start);
+    for (int i = 0; i < 500; ++i) {
+        meter.arrived("callers", "desk", start + Millis(20) * i);
+    }
+    CHECK_FALSE(meter.isInnerCall("callers"));
+}
+
+TEST_CASE("inner call meter, callers stop sending for a while, are not taken for calls when they come back")
+{
+    InnerCallMeter meter;
+    SteadyTime now = start;
+    meter.begin(1, "booking", now);
+    for (int i = 0; i < 60; ++i) {
+        now += Millis(20);
+        meter.arrived("callers", "desk", now);
+    }
+    meter.end(1, now);
+    now += std::chrono::seconds(30);
+    meter.begin(2, "booking", now);
+    meter.arrived("callers", "desk", now);
+    CHECK_FALSE(meter.isInnerCall("callers"));
+}
+
+TEST_CASE("inner call meter, first request of a route, is not taken for a call")
+{
+    InnerCallMeter meter;
+    meter.begin(1, "booking", start);
+    meter.arrived("callers", "desk", start);
+    CHECK_FALSE(meter.isInnerCall("callers"));
+}
+
+TEST_CASE("inner call meter, server idle half of the time, its calls and callers' requests are told apart")
+{
+    InnerCallMeter meter;
+    SteadyTime now = start;
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        meter.begin(id, "parent", now);
+        meter.arrived("inner", "records", now);
+        meter.arrived("callers", "desk", now);
+        now += Millis(100);
+        meter.end(id, now);
+        meter.arrived("callers", "desk", now);
+        now += Millis(100);
+    }
+    CHECK(meter.isInnerCall("inner"));
+    CHECK_FALSE(meter.isInnerCall("callers"));
+}
+
 TEST_CASE("inner call meter, callers' own request fails, no work is excused by it")
 {
     InnerCallMeter meter;
     learn(meter, 50);
-    meter.begin(1, "parent");
+    const SteadyTime later = start + std::chrono::minutes(1);
+    meter.begin(1, "parent", later);
     meter.failed("callers", "records");
     CHECK_FALSE(meter.sawFailedCall(1));
 }
@@ -179,9 +252,9 @@
     // allowed.
     InnerCallMeter meter;
     for (std::uint64_t id = 1; id <= 3; ++id) {
-        meter.begin(id, "parent");
-        meter.arrived("inner", "records");
-        meter.end(id);
+        meter.begin(id, "parent", start);
+        meter.arrived("inner", "records", start);
+        meter.end(id, start);
     }
     REQUIRE(meter.rates("parent").count("records") == 1);
     CHECK(meter.rates("parent").at("records") > 0.8);
@@ -191,10 +264,10 @@
 {
     InnerCallMeter meter;
     for (std::uint64_t id = 1; id <= 200; ++id) {
-        meter.begin(id, "parent");
-        meter.arrived("callers", "records");
-        meter.end(id);
-        meter.arrived("callers", "records");
+        meter.begin(id, "parent", start);
+        meter.arrived("callers", "records", start);
+        meter.end(id, start);
+        meter.arrived("callers", "records", start);
     }
     const CallRates &rates = meter.rates("parent");
     CHECK((rates.count("records") == 0 || rates.at("records") < 0.05));
