--- a/include/health/GrayFilter.h
+++ b/include/health/GrayFilter.h
@@ -33,7 +33,7 @@
  *
  * Phases differ: some fail half of the requests for a few seconds, some nearly all for a quarter of a minute. So the
  * share of failures and the length are estimated anew in each phase. With fixed ones, a server in a long phase was
- * tried again six times a second, and each trial cost a second send. Not thread safe.
+ * tried again up to six times a second, and each trial cost a second send. Not thread safe.
  */
 class GrayFilter
 {
--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -81,8 +81,8 @@
     double hopeless = 0.8;
     /**
      * While in doubt, repeatable requests go to the server one at a time, with this pause between them. It grows by the
-     * factor with each trial that fails: a phase of a quarter of a minute costs about twelve second sends instead of
-     * seventy. The longest one stays below the two seconds in which the floor of servers in use is judged.
+     * factor with each trial that fails: 12 s of failures take at most 16 trials, where up to 80 were possible. The
+     * longest one stays below the two seconds in which the floor of servers in use is judged.
      */
     Millis firstTrialPause{150};
     Millis longestTrialPause{1200};
--- a/src/sidecar/PathWatch.h
+++ b/src/sidecar/PathWatch.h
@@ -25,12 +25,14 @@
         std::function<void(const std::string &node)> onGood;
     };
 
+    /** @pre "peers" and "roster" are in the kernel before the first failure. */
     explicit PathWatch(NodeCore &core);
+    /** @pre called once, before the first failure. */
     void setHooks(Hooks hooks);
 
     /** A request got no receipt from @p node, or no link to it opens: tells the region and probes the path. */
     void noteFailure(const std::string &node);
-    /** Another node says that @p node is silent. */
+    /** Another node says that @p node is silent. Ignored for nodes that the roster does not name. */
     void handle(const PathSuspicion &suspicion);
 
 private:
--- a/src/sidecar/SecondSendService.h
+++ b/src/sidecar/SecondSendService.h
@@ -23,6 +23,7 @@
 class SecondSendService
 {
 public:
+    /** @pre "peers" and "roster" are in the kernel before the first request. */
     SecondSendService(NodeCore &core, SecondSendTuning tuning);
 
     /** A request for @p service was taken from a caller. */
@@ -37,8 +38,9 @@
     /** Sends that were paid for did not happen. */
     void giveBack(const CallRates &sends);
 
-    /** Another node asks for a loan. */
+    /** Another node asks for a loan; the answer goes out on @p link. */
     void handle(LinkId link, const LendRequest &request);
+    /** The answer to a loan asked for here; one that comes too late is dropped. */
     void handleReply(const LendReply &reply);
 
 private:
