--- a/include/fleet/FleetConfig.h
+++ b/include/fleet/FleetConfig.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Clock.h"
+#include "include/base/Findings.h"
 
 #include <cstdint>
 #include <map>
@@ -53,6 +54,8 @@
     CallerLimits limits;
     /** The document as it was published, for nodes that learn it from this one. */
     std::string source;
+    /** What the operator should look at, though the version is good enough to come into force. */
+    Findings warnings;
 
     void addRoute(Route route);
     /**
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -29,6 +29,8 @@
     Millis untilDeadline{4000};
     /** What its work usually takes. */
     Millis work{200};
+    /** Size of the answer that its route usually has. */
+    double answerKilobytes = 0.0;
 };
 
 /** The chosen home, and how long waiting there is better than going on to the next one. */
@@ -57,6 +59,12 @@
 struct RankingTuning {
     double otherZone = 60.0;
     double otherRegion = 220.0;
+    /** Added for each kilobyte of answer above the first few: a large answer is mostly paid by its bytes. */
+    double otherZonePerKilobyte = 4.0;
+    double otherRegionPerKilobyte = 32.0;
+    double smallKilobytes = 4.0;
+    /** A home far away is better than none, however large the answer. */
+    double mostForBytes = 600.0;
     /** Round trips in milliseconds, for the time that is left at the home. */
     double zoneTrip = 3.0;
     double regionTrip = 62.0;
@@ -169,6 +177,7 @@
     Usual usualOf(const std::vector<RankedHome> &homes, const HomeNeed &need, SteadyTime now) const;
     /** May be asked at all for this request. */
     bool isCandidate(const RankedHome &home, const HomeNeed &need, const Usual &usual, SteadyTime now) const;
+    double distanceLoss(Distance distance, const HomeNeed &need) const;
     /** Everything but waiting. */
     double fixedLoss(const RankedHome &home, const HomeNeed &need, const Usual &usual, SteadyTime now) const;
     double lateLoss(double waitMs, double tripMs, double slowdown, const HomeNeed &need) const;
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -28,6 +28,9 @@
     std::uint64_t bodyBytes = 1024UL * 1024;
     std::uint32_t headerBytes = 16 * 1024;
     std::uint32_t callerConnections = 20000;
+    /** Requests that one connection may send ahead of their answers, and the bytes of bodies held for them. */
+    std::uint32_t pipelinedRequests = 16;
+    std::uint64_t pipelinedBytes = 1024UL * 1024;
     std::uint32_t queuePerClass = 64;
     std::uint32_t claims = 60000;
     std::uint64_t claimAnswerBytes = 32UL * 1024 * 1024;
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -18,7 +18,7 @@
 namespace waxwing {
 
 /** Version of the node-to-node protocol; a node refuses messages of another one. */
-constexpr int wireVersion = 2;
+constexpr int wireVersion = 3;
 
 /** What happened to a request, as told to its caller. */
 enum class Outcome : std::uint8_t {
@@ -198,6 +198,8 @@
     std::uint64_t workId = 0;
     /** Only asks; does not forbid. */
     bool onlyAsk = false;
+    /** Asks for the answer also if it is large; without this only a small one comes along. */
+    bool fetch = false;
 };
 
 enum class FenceState : std::uint8_t {
@@ -205,7 +207,7 @@
     NeverRuns = 1,
     /** It waits or runs. */
     Underway = 2,
-    /** It ended; the reply comes along. */
+    /** It ended; the reply comes along unless it is large and was not asked for. */
     Ended = 3,
     /** The target can't be reached, or is another incarnation. */
     NotKnown = 4,
@@ -254,6 +256,8 @@
                              Pong, ClaimHandover, Work, WorkReceipt, WorkReply, Fence, FenceReply, NewsRequest, News,
                              LendRequest, LendReply, PathSuspicion>;
 
+/** The body of the request or answer that @p message carries, or null if it carries none. Thread safe. */
+std::string *bodyOf(Message &message);
 /** CBOR of @p message. Thread safe. */
 std::string encodeMessage(const Message &message);
 /** Errors: Malformed, for anything that is not exactly one message of this version. Thread safe. */
--- /dev/null
+++ b/src/http/HttpConnection.cpp
@@ -0,0 +1,422 @@
+#include "src/http/HttpConnection.h"
+
+#include "src/fiber/FiberLoop.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/**
+ * Bytes read ahead of the request that is being worked on. Reading on is how a caller's leaving is noticed; a caller
+ * that sends more than this without waiting for answers is simply not read.
+ */
+constexpr std::size_t mostReadAhead = 64UL * 1024;
+/**
+ * After a refusal what still comes in is read for so long and so much: closing a connection with unread bytes resets
+ * it, and the reset may overtake the refusal.
+ */
+constexpr Millis lingerTime{500};
+constexpr std::size_t lingerBytes = 1024UL * 1024;
+constexpr unsigned badRequest = 400;
+constexpr unsigned tooLarge = 413;
+constexpr unsigned headersTooLarge = 431;
+/** For waits that an event ends. */
+constexpr Duration untilWoken = std::chrono::hours(1);
+
+SteadyTime now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/** Why a message that the parser takes must not be served; empty if it may be. */
+std::string strictFault(const http::request<http::string_body> &message)
+{
+    const auto hosts = message.count(http::field::host);
+    if (message.version() >= 11 && hosts != 1) {
+        return hosts == 0 ? "no Host header" : "more than one Host header";
+    }
+    const auto codings = message.count(http::field::transfer_encoding);
+    // Where two readers differ about the end of a body, its rest is read as a request that no caller sent.
+    if (codings > 1 || (codings == 1 && !beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
+        return "Transfer-Encoding other than chunked";
+    }
+    if (codings == 1 && message.count(http::field::content_length) > 0) {
+        return "both Transfer-Encoding and Content-Length";
+    }
+    return {};
+}
+
+/** Turns the absolute form of a target ("http://host/path") into the usual one. False if it is neither. */
+bool toOriginForm(http::request<http::string_body> &message)
+{
+    const std::string target(message.target());
+    const std::string scheme = "http://";
+    if (!target.empty() && (target[0] == '/' || target == "*")) {
+        return true;
+    }
+    if (target.size() <= scheme.size() || !beast::iequals(target.substr(0, scheme.size()), scheme)) {
+        return false;
+    }
+    const std::size_t path = target.find_first_of("/?", scheme.size());
+    message.set(http::field::host, target.substr(scheme.size(), path - scheme.size()));
+    const std::string rest = path == std::string::npos ? "/" : target.substr(path);
+    message.target(rest[0] == '/' ? rest : "/" + rest);
+    return true;
+}
+
+HttpRequest fromBeast(http::request<http::string_body> message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+http::response<http::string_body> toBeast(HttpReply reply, bool keepAlive)
+{
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(reply.response.status);
+    for (const auto &[name, value] : reply.response.headers) {
+        if (!isHopByHop(name)) {
+            message.insert(name, value);
+        }
+    }
+    message.keep_alive(keepAlive);
+    message.body() = std::move(reply.response.body);
+    message.prepare_payload();
+    if (reply.after == AfterResponse::CutBody) {
+        message.body().resize(message.body().size() / 2);
+    }
+    return message;
+}
+
+/** Methods that change nothing (RFC 9110): the only ones that callers pipeline. */
+bool isSafeMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(tcp::socket socket, std::shared_ptr<HttpShared> server)
+    : socket_(std::move(socket))
+    , server_(std::move(server))
+    , idleSince_(now())
+{
+    boost::system::error_code ignored;
+    socket_.non_blocking(true, ignored);
+}
+
+void HttpConnection::wake()
+{
+    point_.wake();
+}
+
+void HttpConnection::readAhead()
+{
+    if (reading_ || inputEnded_ || input_.size() >= mostReadAhead) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(boost::asio::buffer(step_),
+                            [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                                self->takeInput(error, bytes);
+                            });
+}
+
+void HttpConnection::takeInput(boost::system::error_code error, std::size_t bytes)
+{
+    reading_ = false;
+    if (discarding_) {
+        discarded_ += bytes;
+    } else if (bytes > 0) {
+        input_.commit(boost::asio::buffer_copy(input_.prepare(bytes), boost::asio::buffer(step_, bytes)));
+    }
+    if (error) {
+        inputEnded_ = true;
+        callerLeft();
+    }
+    readAhead();
+    point_.wake();
+}
+
+void HttpConnection::callerLeft()
+{
+    const std::deque<ExchangePtr> waiting = exchanges_;
+    for (const ExchangePtr &exchange : waiting) {
+        const std::function<void()> hook = std::move(exchange->watch->onGone);
+        exchange->watch->onGone = {};
+        exchange->watch->gone = true;
+        if (hook) {
+            hook();
+        }
+    }
+}
+
+bool HttpConnection::awaitInput(SteadyTime until)
+{
+    const std::size_t before = input_.size();
+    readAhead();
+    while (input_.size() == before && !inputEnded_ && !over_) {
+        const Duration left = until - now();
+        if (left <= Duration(0)) {
+            return false;
+        }
+        point_.wait(server_->ioContext, left);
+    }
+    return input_.size() > before;
+}
+
+bool HttpConnection::takesRequests() const
+{
+    const bool ending = server_->draining || (server_->closing && !exchanges_.empty());
+    return !over_ && !noMore_ && !inputEnded_ && !ending;
+}
+
+bool HttpConnection::awaitUntil(const std::function<bool()> &ready)
+{
+    while (takesRequests() && !ready()) {
+        point_.wait(server_->ioContext, untilWoken);
+    }
+    return takesRequests();
+}
+
+bool HttpConnection::awaitFirstByte()
+{
+    readAhead();
+    while (takesRequests() && input_.size() == 0) {
+        const Duration left = exchanges_.empty() ? idleSince_ + server_->limits.idle - now() : untilWoken;
+        if (left <= Duration(0)) {
+            return false;
+        }
+        point_.wait(server_->ioContext, left);
+    }
+    return takesRequests();
+}
+
+void HttpConnection::refuse(unsigned status, const std::string &message)
+{
+    if (server_->onReject) {
+        server_->onReject(message);
+    }
+    noMore_ = true;
+    HttpReply reply{jsonResponse(status, "{\"error\":\"" + message + "\"}\n"), AfterResponse::Close};
+    reply.response.headers.emplace_back("Waxwing-Outcome", "not-run");
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->watch = std::make_shared<CallerWatch>();
+    exchanges_.push_back(exchange);
+    ++server_->inFlight;
+    finish(exchange, std::move(reply));
+}
+
+void HttpConnection::confirmContinue()
+{
+    static const std::string goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+    // An interim answer has its place in the order, too.
+    if (awaitUntil([this] { return exchanges_.empty(); })) {
+        await([&](auto handle) { boost::asio::async_write(socket_, boost::asio::buffer(goOn), std::move(handle)); });
+    }
+}
+
+std::optional<HttpConnection::ReadRequest> HttpConnection::readRequest()
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(server_->limits.headerBytes);
+    parser.body_limit(server_->limits.bodyBytes);
+    SteadyTime until = now() + server_->limits.header;
+    bool headerSeen = false;
+    while (!parser.is_done()) {
+        beast::error_code error;
+        input_.consume(parser.put(input_.data(), error));
+        if (error && error != http::error::need_more) {
+            const bool tooLong = error == http::error::header_limit;
+            refuse(error == http::error::body_limit ? tooLarge : (tooLong ? headersTooLarge : badRequest),
+                   error.message());
+            return std::nullopt;
+        }
+        if (parser.is_header_done() && !headerSeen) {
+            headerSeen = true;
+            const std::string fault = strictFault(parser.get());
+            if (!fault.empty() || !toOriginForm(parser.get())) {
+                refuse(badRequest, fault.empty() ? "malformed target" : fault);
+                return std::nullopt;
+            }
+            if (!parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+                confirmContinue();
+            }
+            until = now() + server_->limits.message;
+            parser.eager(true);
+            continue;
+        }
+        if (!parser.is_done() && !awaitInput(until)) {
+            return std::nullopt;
+        }
+    }
+    readAhead();
+    const bool last = !parser.get().keep_alive();
+    return ReadRequest{fromBeast(parser.release()), last};
+}
+
+void HttpConnection::begin(HttpRequest request)
+{
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->watch = std::make_shared<CallerWatch>();
+    exchange->bytes = request.body.size();
+    bytesHeld_ += exchange->bytes;
+    exchanges_.push_back(exchange);
+    ++server_->inFlight;
+    spawnFiber([self = shared_from_this(), exchange, request = std::move(request)]() mutable {
+        const bool gone = exchange->watch->gone;
+        self->finish(exchange, gone ? HttpReply{} : self->server_->handler(std::move(request), exchange->watch));
+    });
+}
+
+void HttpConnection::finish(const ExchangePtr &exchange, HttpReply reply)
+{
+    exchange->watch->onGone = {};
+    bytesHeld_ -= exchange->bytes;
+    exchange->bytes = reply.response.body.size();
+    bytesHeld_ += exchange->bytes;
+    exchange->reply = std::move(reply);
+    exchange->done = true;
+    writeReady();
+}
+
+bool HttpConnection::isLastAnswer(const HttpReply &reply) const
+{
+    const bool ending = noMore_ || server_->closing || server_->draining;
+    return reply.after != AfterResponse::KeepOpen || (ending && exchanges_.size() == 1);
+}
+
+void HttpConnection::writeReady()
+{
+    if (writing_) {
+        return;
+    }
+    writing_ = true;
+    while (!exchanges_.empty() && exchanges_.front()->done) {
+        const ExchangePtr exchange = exchanges_.front();
+        if (!over_) {
+            const bool last = isLastAnswer(exchange->reply);
+            // Decided before the first byte goes out: no request is begun behind a closing response.
+            noMore_ = noMore_ || last;
+            over_ = !write(std::move(exchange->reply), !last) || last;
+        }
+        bytesHeld_ -= exchange->bytes;
+        --server_->inFlight;
+        exchanges_.pop_front();
+        if (over_) {
+            callerLeft();
+        }
+    }
+    writing_ = false;
+    idleSince_ = now();
+    point_.wake();
+}
+
+bool HttpConnection::write(HttpReply reply, bool keepAlive)
+{
+    if (reply.after == AfterResponse::Reset) {
+        boost::system::error_code ignored;
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+        return false;
+    }
+    const bool cut = reply.after == AfterResponse::CutBody;
+    const auto message = toBeast(std::move(reply), keepAlive);
+    http::response_serializer<http::string_body> serializer(message);
+    while (!serializer.is_done()) {
+        // Most answers fit into the socket at once, and then take neither a timer nor a turn of the loop.
+        beast::error_code error;
+        http::write_some(socket_, serializer, error);
+        if (error == boost::asio::error::would_block) {
+            error = writeSome(serializer);
+        }
+        if (error) {
+            return false;
+        }
+    }
+    return !cut;
+}
+
+boost::system::error_code HttpConnection::writeSome(Serializer &serializer)
+{
+    // A caller may take long for a large answer; it is given up when it takes nothing at all for so long.
+    boost::asio::steady_timer timer(server_->ioContext, server_->limits.message);
+    timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error) {
+            boost::system::error_code ignored;
+            self->socket_.close(ignored);
+        }
+    });
+    const IoResult written =
+        await([&](auto handle) { http::async_write_some(socket_, serializer, std::move(handle)); });
+    return written.error;
+}
+
+void HttpConnection::serve()
+{
+    while (awaitFirstByte()) {
+        const std::size_t most = server_->limits.pipelinedRequests;
+        const std::uint64_t mostBytes = server_->limits.pipelinedBytes;
+        if (!awaitUntil([&] { return exchanges_.size() < most && bytesHeld_ < mostBytes; })) {
+            break;
+        }
+        std::optional<ReadRequest> read = readRequest();
+        if (!read) {
+            break;
+        }
+        const bool alone = !isSafeMethod(read->request.method);
+        while (alone && !over_ && !exchanges_.empty()) {
+            point_.wait(server_->ioContext, untilWoken);
+        }
+        // Read, but behind a response that closes: it is not run, and its caller sends it again.
+        if (over_ || inputEnded_) {
+            break;
+        }
+        noMore_ = read->last;
+        begin(std::move(read->request));
+        if (alone && !awaitUntil([this] { return exchanges_.empty(); })) {
+            break;
+        }
+    }
+    noMore_ = true;
+    while (!exchanges_.empty()) {
+        point_.wait(server_->ioContext, untilWoken);
+    }
+    lingerAndClose();
+}
+
+void HttpConnection::lingerAndClose()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    discarding_ = true;
+    input_.clear();
+    const SteadyTime until = now() + lingerTime;
+    // What the caller sent behind the last answer is read and dropped: unread it would turn the close into a reset,
+    // which may destroy that answer on its way.
+    while (over_ && !inputEnded_ && discarded_ < lingerBytes && now() < until) {
+        readAhead();
+        point_.wait(server_->ioContext, until - now());
+    }
+    socket_.close(ignored);
+    inputEnded_ = true;
+}
+
+} // namespace waxwing
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/base/Error.h"
 #include "include/base/HttpMessage.h"
+#include "include/settings/NodeSettings.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -22,10 +23,16 @@
     Millis idle = std::chrono::seconds(60);
     /** How long a request's headers may take from their first byte. */
     Millis header = std::chrono::seconds(15);
-    /** How long a body, or writing a response, may take. */
+    /** How long a body may take, and how long a caller may take nothing of its response. */
     Millis message = std::chrono::seconds(15);
+    /** Requests of one connection that are worked on at once, and the bytes of bodies held for them. */
+    std::uint32_t pipelinedRequests = 16;
+    std::uint64_t pipelinedBytes = 1024UL * 1024;
 };
 
+/** The bounds that a node's settings name. Thread safe. */
+HttpLimits MakeHttpLimits(const NodeLimits &limits);
+
 /** What a handler wants done with its connection after (or instead of) the response. */
 enum class AfterResponse {
     KeepOpen,
@@ -51,7 +58,9 @@
 using CallerWatchPtr = std::shared_ptr<CallerWatch>;
 
 /**
- * An HTTP/1.1 server (Boost.Beast): one fiber for each connection on the thread of the io_context.
+ * An HTTP/1.1 server (Boost.Beast): one fiber for each connection, and one for each request under way, on the thread
+ * of the io_context. Pipelined requests run side by side within HttpLimits::pipelinedRequests and pipelinedBytes; past
+ * these the connection is not read.
  * Not thread safe.
  */
 class HttpServer
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -1,7 +1,7 @@
 #include "src/link/PeerHub.h"
 
 #include "src/fiber/FiberLoop.h"
-#include "src/link/MessageDeflate.h"
+#include "src/link/LinkFramer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <websocketpp/client.hpp>
@@ -59,8 +59,9 @@
         /** When the listening side's Hello was sent, or came. */
         std::optional<SteadyTime> helloAt;
         std::vector<std::shared_ptr<FiberGate>> waiters;
-        MessageDeflater deflater;
-        MessageInflater inflater;
+        LinkFramer framer;
+        /** When the other end was heard last. */
+        SteadyTime heardAt;
     };
     using LinkPtr = std::shared_ptr<Link>;
 
@@ -88,8 +89,12 @@
     tl::expected<ExecReply, CallError> ask(const NodeRef &to, const Endpoint &endpoint,
                                            const std::function<Message(std::uint64_t)> &messageOf, Duration allowed,
                                            const std::function<void(std::uint64_t)> &onSent);
-    bool sendOn(const LinkPtr &link, const Message &message);
+    /** False if the link has closed, or holds more than the other end takes in time. */
+    bool takesMore(const LinkPtr &link);
+    bool writeFrame(const LinkPtr &link, const std::string &frame);
+    bool sendOn(const LinkPtr &link, Message message);
     void onFrame(const LinkPtr &link, const std::string &payload);
+    void onMessage(const LinkPtr &link, Message message);
     void onClosed(const LinkPtr &link);
     void closeLink(const LinkPtr &link, websocketpp::close::status::value code);
     static void wake(Link &link);
@@ -288,37 +293,43 @@
     return link->id;
 }
 
-bool PeerHub::State::sendOn(const LinkPtr &link, const Message &message)
+bool PeerHub::State::takesMore(const LinkPtr &link)
 {
     if (link->closed) {
         return false;
     }
-    std::size_t bytes = 0;
-    bool compressed = false;
     websocketpp::lib::error_code error;
-    const auto sendVia = [&](auto &endpoint) {
+    const auto buffered = [&](auto &endpoint) {
         const auto connection = endpoint.get_con_from_hdl(link->handle, error);
-        if (!error && connection->get_buffered_amount() > mostBufferedBytes) {
-            error = websocketpp::error::make_error_code(websocketpp::error::send_queue_full);
-        }
-        if (!error) {
-            const std::string frame = link->deflater.deflate(encodeMessage(message));
-            compressed = true;
-            bytes = frame.size();
-            error = connection->send(frame, websocketpp::frame::opcode::binary);
-        }
+        return error ? 0 : connection->get_buffered_amount();
     };
+    const std::size_t waiting = link->outgoing ? buffered(client) : buffered(server);
+    return !error && waiting + link->framer.bytesWaiting() <= mostBufferedBytes;
+}
+
+bool PeerHub::State::writeFrame(const LinkPtr &link, const std::string &frame)
+{
+    websocketpp::lib::error_code error;
     if (link->outgoing) {
-        sendVia(client);
+        client.send(link->handle, frame, websocketpp::frame::opcode::binary, error);
     } else {
-        sendVia(server);
+        server.send(link->handle, frame, websocketpp::frame::opcode::binary, error);
+    }
+    sent += error ? 0 : frame.size();
+    return !error;
+}
+
+bool PeerHub::State::sendOn(const LinkPtr &link, Message message)
+{
+    if (!takesMore(link)) {
+        return false;
     }
-    if (error && compressed) {
-        // The other end would read what follows with a message missing.
+    const bool written =
+        link->framer.send(std::move(message), [&](const std::string &frame) { return writeFrame(link, frame); });
+    if (!written) {
         closeLink(link, websocketpp::close::status::going_away);
     }
-    sent += error ? 0 : bytes;
-    return !error;
+    return written;
 }
 
 void PeerHub::State::closeLink(const LinkPtr &link, websocketpp::close::status::value code)
@@ -341,17 +352,25 @@
         return;
     }
     received += payload.size();
-    const Expected<std::string> bytes = link->inflater.inflate(payload, mostMessageBytes);
-    Expected<Message> message = bytes ? decodeMessage(*bytes) : tl::unexpected<Error>(bytes.error());
-    const bool helloFirst = link->helloDone || (message && std::holds_alternative<Hello>(*message));
-    if (!message || !helloFirst) {
-        if (hooks.onGarbage) {
-            hooks.onGarbage(message ? "message before hello" : message.error().message);
+    link->heardAt = clock.now();
+    Expected<std::optional<Message>> taken =
+        link->framer.take(payload, [&](const std::string &frame) { return writeFrame(link, frame); });
+    const bool helloFirst = link->helloDone || (taken && *taken && std::holds_alternative<Hello>(**taken));
+    if (!taken || !helloFirst) {
+        if (hooks.onGarbage && (taken || taken.error().code == ErrorCode::Malformed)) {
+            hooks.onGarbage(taken ? "message before hello" : taken.error().message);
         }
         closeLink(link, websocketpp::close::status::unsupported_data);
         return;
     }
-    if (const auto *hello = std::get_if<Hello>(&*message)) {
+    if (*taken) {
+        onMessage(link, std::move(**taken));
+    }
+}
+
+void PeerHub::State::onMessage(const LinkPtr &link, Message message)
+{
+    if (const auto *hello = std::get_if<Hello>(&message)) {
         link->peer = hello->from;
         link->helloDone = true;
         if (link->outgoing) {
@@ -367,14 +386,14 @@
         if (hooks.onLinkOpen && !stopped) {
             hooks.onLinkOpen(link->id, link->outgoing);
         }
-    } else if (const auto *ping = std::get_if<Ping>(&*message)) {
+    } else if (const auto *ping = std::get_if<Ping>(&message)) {
         sendOn(link, Pong{ping->id});
-    } else if (const auto *pong = std::get_if<Pong>(&*message)) {
+    } else if (const auto *pong = std::get_if<Pong>(&message)) {
         finishPending(pong->id, link, ExecReply{});
-    } else if (auto *reply = std::get_if<ExecReply>(&*message)) {
+    } else if (auto *reply = std::get_if<ExecReply>(&message)) {
         finishPending(reply->id, link, std::move(*reply));
     } else if (hooks.onMessage) {
-        hooks.onMessage(link->id, link->peer, std::move(*message));
+        hooks.onMessage(link->id, link->peer, std::move(message));
     }
 }
 
@@ -612,10 +631,20 @@
     }
 }
 
-bool PeerHub::reply(LinkId link, const Message &message)
+bool PeerHub::reply(LinkId link, Message message)
+{
+    const auto found = state_->links.find(link);
+    if (found == state_->links.end()) {
+        return false;
+    }
+    const State::LinkPtr held = found->second;
+    return state_->sendOn(held, std::move(message));
+}
+
+std::optional<SteadyTime> PeerHub::heardAt(LinkId link) const
 {
     const auto found = state_->links.find(link);
-    return found != state_->links.end() && state_->sendOn(found->second, message);
+    return found == state_->links.end() ? std::nullopt : std::optional<SteadyTime>(found->second->heardAt);
 }
 
 void PeerHub::drop(const NodeRef &peer)
--- a/src/link/PeerHub.h
+++ b/src/link/PeerHub.h
@@ -24,8 +24,8 @@
 using LinkId = std::uint64_t;
 
 /**
- * Links to other nodes: WebSocket (websocketpp) with one CBOR message in each binary frame, compressed with what the
- * link carried before. websocketpp's own compression is not used: its client never enables it.
+ * Links to other nodes: WebSocket (websocketpp), CBOR messages in binary frames as LinkFramer makes them. websocketpp's
+ * own compression is not used: its client never enables it.
  *
  * A link that this node opened is known to lead to one incarnation: the peer says Hello first, and a peer that is
  * not the expected one is not used. An answer is taken only on the link that carried its question, so an answer from
@@ -93,7 +93,9 @@
     /** Ends a call of this node early: the caller gets an error and the peer a Cancel. */
     void cancelCall(std::uint64_t id);
     /** Sends on an open link; false if it has closed or takes no more. */
-    bool reply(LinkId link, const Message &message);
+    bool reply(LinkId link, Message message);
+    /** When anything came on the link last, parts of large answers included; nothing if it has closed. */
+    std::optional<SteadyTime> heardAt(LinkId link) const;
     /** Closes incoming links that have not said Hello within @p olderThan. */
     void closeStrangers(Duration olderThan);
     /** Closes the outgoing link to @p peer. */
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -105,10 +105,7 @@
     if (core.settings.advertisedPeers.port == 0) {
         core.settings.advertisedPeers.port = peers->port();
     }
-    HttpLimits limits;
-    limits.bodyBytes = core.settings.limits.bodyBytes;
-    limits.headerBytes = core.settings.limits.headerBytes;
-    limits.connections = core.settings.limits.callerConnections;
+    const HttpLimits limits = MakeHttpLimits(core.settings.limits);
     const auto onReject = [this](const std::string &reason) {
         core.metrics.count("http_rejected");
         core.events.write(Severity::Warning, "http_rejected", {{"reason", reason}});
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -140,15 +140,25 @@
     return now >= found->second.doubtfulUntil && !hopeless;
 }
 
+double HomeRanking::distanceLoss(Distance distance, const HomeNeed &need) const
+{
+    const double large = std::max(0.0, need.answerKilobytes - tuning_.smallKilobytes);
+    switch (distance) {
+    case Distance::SameNode:
+    case Distance::SameZone:
+        return 0.0;
+    case Distance::SameRegion:
+        return tuning_.otherZone + std::min(tuning_.mostForBytes, large * tuning_.otherZonePerKilobyte);
+    case Distance::OtherRegion:
+        break;
+    }
+    return tuning_.otherRegion + std::min(tuning_.mostForBytes, large * tuning_.otherRegionPerKilobyte);
+}
+
 double HomeRanking::fixedLoss(const RankedHome &candidate, const HomeNeed &need, const Usual &usual,
                               SteadyTime now) const
 {
-    double loss = 0.0;
-    if (candidate.distance == Distance::SameRegion) {
-        loss += tuning_.otherZone;
-    } else if (candidate.distance == Distance::OtherRegion) {
-        loss += tuning_.otherRegion;
-    }
+    double loss = distanceLoss(candidate.distance, need);
     const auto found = homes_.find(candidate.node);
     const bool heard = found != homes_.end() && found->second.heard;
     // Repeatable work finds out about homes not heard of: a server that joins would get nothing as long as the others
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -81,6 +81,8 @@
     read("bodyBytes", limits.bodyBytes, 1024, 64 * million);
     read("headerBytes", limits.headerBytes, 1024, million);
     read("callerConnections", limits.callerConnections, 1, million);
+    read("pipelinedRequests", limits.pipelinedRequests, 1, 1000);
+    read("pipelinedBytes", limits.pipelinedBytes, 1024, 64 * million);
     read("queuePerClass", limits.queuePerClass, 1, 100000);
     read("claims", limits.claims, 1, 10 * million);
     read("claimAnswerBytes", limits.claimAnswerBytes, 0, 1024 * million);
--- a/src/sidecar/ConfigFollower.cpp
+++ b/src/sidecar/ConfigFollower.cpp
@@ -58,6 +58,11 @@
                         {"before", before},
                         {"routes", std::to_string(current_->routeCount())},
                         {"source", source}});
+    for (const Finding &warning : current_->warnings.all()) {
+        core_.events.write(
+            Severity::Warning, "config_warning",
+            {{"version", std::to_string(version())}, {"place", warning.place}, {"warning", warning.message}});
+    }
     for (const ChangeHook &hook : hooks_) {
         hook(*current_);
     }
--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -1,9 +1,9 @@
 #include "src/sidecar/FenceService.h"
 
 #include "src/fiber/FiberLoop.h"
+#include "src/fiber/WaitPoint.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/RosterKeeper.h"
-#include "src/sidecar/WaitPoint.h"
 
 #include <algorithm>
 
@@ -15,6 +15,10 @@
 constexpr std::size_t relayCount = 2;
 /** Longest that a node works for another one's question. */
 constexpr Millis passOnTimeout{800};
+/** Longest that a large answer may take by one way. */
+constexpr Millis fetchTimeout{4000};
+/** Answers up to this size come with the word that they are ready: asked in three ways, they come three times. */
+constexpr std::size_t smallAnswer = 8UL * 1024;
 
 } // namespace
 
@@ -38,7 +42,7 @@
 
 FenceReply FenceService::askOn(LinkId link, const SentWork &work, bool onlyAsk, Duration allowed)
 {
-    return exchange(link, Fence{0, work.target, core_.self, work.id, onlyAsk}, allowed);
+    return exchange(link, Fence{0, work.target, core_.self, work.id, onlyAsk, false}, allowed);
 }
 
 std::vector<RosterEntry> FenceService::relaysFor(const RosterEntry &home)
@@ -57,20 +61,43 @@
     return near;
 }
 
-FenceReply FenceService::ask(const SentWork &work, bool onlyAsk, Duration allowed)
+FenceReply FenceService::fetch(LinkId link, const SentWork &work, Duration left)
+{
+    return exchange(link, Fence{0, work.target, core_.self, work.id, true, true},
+                    std::min<Duration>(left, fetchTimeout));
+}
+
+FenceReply FenceService::ask(const SentWork &work, FenceWay &way, bool onlyAsk, Duration allowed, Duration left)
+{
+    FenceReply fate;
+    if (way.link) {
+        fate = askOn(*way.link, work, onlyAsk, allowed);
+    }
+    if (fate.state == FenceState::NotKnown) {
+        way.link.reset();
+        fate = askEveryWay(work, way, onlyAsk, allowed);
+    }
+    if (fate.state == FenceState::Ended && !fate.reply && way.link) {
+        fate = fetch(*way.link, work, left);
+    }
+    return fate;
+}
+
+FenceReply FenceService::askEveryWay(const SentWork &work, FenceWay &way, bool onlyAsk, Duration allowed)
 {
     struct Race {
         WaitPoint point;
         std::size_t running = 0;
         FenceReply best;
+        std::optional<LinkId> link;
     };
     const auto race = std::make_shared<Race>();
     PeerHub &peers = core_.service<PeerHub>("peers");
     const SteadyTime until = core_.clock.now() + allowed;
-    const auto start = [&](const RosterEntry &way, bool fresh) {
+    const auto start = [&](const RosterEntry &by, bool fresh) {
         ++race->running;
-        spawnFiber([this, race, way, fresh, work, onlyAsk, allowed, until, &peers] {
-            const Expected<LinkId> link = peers.linkAt(way.links, allowed, fresh);
+        spawnFiber([this, race, by, fresh, work, onlyAsk, allowed, until, &peers] {
+            const Expected<LinkId> link = peers.linkAt(by.links, allowed, fresh);
             const Duration left = until - core_.clock.now();
             FenceReply reply;
             if (link && left > Duration(0)) {
@@ -79,6 +106,7 @@
             --race->running;
             if (reply.state != FenceState::NotKnown) {
                 race->best = reply;
+                race->link = *link;
             }
             race->point.wake();
         });
@@ -90,6 +118,7 @@
     while (race->best.state == FenceState::NotKnown && race->running > 0 && core_.clock.now() < until) {
         race->point.wait(core_.ioContext, until - core_.clock.now());
     }
+    way.link = race->link;
     return race->best;
 }
 
@@ -106,6 +135,9 @@
     if (fence.target == core_.self) {
         reply = local_(fence);
     }
+    if (reply.reply && !fence.fetch && reply.reply->response.body.size() > smallAnswer) {
+        reply.reply.reset();
+    }
     reply.id = fence.id;
     core_.events.writeRequest(Severity::Warning, "fence_answered",
                               {{"origin", fence.origin.id},
@@ -123,7 +155,7 @@
     if (target != nullptr) {
         const Expected<LinkId> link = peers.linkAt(target->links, passOnTimeout);
         if (link) {
-            reply = exchange(*link, fence, passOnTimeout);
+            reply = exchange(*link, fence, fence.fetch ? fetchTimeout : passOnTimeout);
         }
     }
     reply.id = fence.id;
--- a/src/sidecar/FenceService.h
+++ b/src/sidecar/FenceService.h
@@ -21,6 +21,11 @@
     std::uint64_t id = 0;
 };
 
+/** The link by which the home of a Work, or a node that passes questions on to it, answered last. */
+struct FenceWay {
+    std::optional<LinkId> link;
+};
+
 /**
  * Finds out what became of a Work when nothing comes back: asks its home over a fresh link and through other nodes, all
  * at once. A link that went silent, a path cut in one direction and a lost answer all look alike to the sender; the
@@ -35,10 +40,11 @@
     FenceService(NodeCore &core, LocalFence local);
 
     /**
-     * Asks in every way, and unless @p onlyAsk forbids the Work to begin. NotKnown if no way answered in @p allowed.
+     * Asks by @p way, or in every way if it is empty or does not answer, and unless @p onlyAsk forbids the Work to
+     * begin. NotKnown if no way answered in @p allowed. An answer that is ready is fetched within @p left.
      * @pre called from a fiber.
      */
-    FenceReply ask(const SentWork &work, bool onlyAsk, Duration allowed);
+    FenceReply ask(const SentWork &work, FenceWay &way, bool onlyAsk, Duration allowed, Duration left);
     /** Asks on the link that is there. @pre called from a fiber. */
     FenceReply askOn(LinkId link, const SentWork &work, bool onlyAsk, Duration allowed);
     /** Answers a Fence from another node, or passes it on to its target. */
@@ -53,6 +59,8 @@
     };
 
     FenceReply exchange(LinkId link, Fence fence, Duration allowed);
+    FenceReply askEveryWay(const SentWork &work, FenceWay &way, bool onlyAsk, Duration allowed);
+    FenceReply fetch(LinkId link, const SentWork &work, Duration left);
     void passOn(LinkId back, const Fence &fence);
     std::vector<RosterEntry> relaysFor(const RosterEntry &home);
 
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -1,6 +1,7 @@
 #include "src/sidecar/Forwarder.h"
 
 #include "src/fiber/FiberLoop.h"
+#include "src/fiber/WaitPoint.h"
 #include "src/link/PeerHub.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/LocalHome.h"
@@ -8,7 +9,6 @@
 #include "src/sidecar/PathWatch.h"
 #include "src/sidecar/RosterKeeper.h"
 #include "src/sidecar/SecondSendService.h"
-#include "src/sidecar/WaitPoint.h"
 #include "src/sidecar/WorkSender.h"
 
 #include <algorithm>
@@ -21,7 +21,9 @@
 constexpr int mostSends = 12;
 /** One home is asked again once, with what its refusal told. */
 constexpr int mostRefusals = 2;
+/** Weight of the newest work time and answer in a route's means. */
 constexpr double workSmoothing = 0.1;
+constexpr double bytesPerKilobyte = 1024.0;
 /** Before any work of a route was seen it is planned with this part of its objective. */
 constexpr double assumedWorkPart = 0.3;
 /** An idempotent request that takes this many times the usual work time is tried elsewhere beside. */
@@ -82,7 +84,6 @@
 {
     paths_.setHooks(PathWatch::Hooks{[this](const std::string &node) { ranking_.notePathFailure(node); },
                                      [this](const std::string &node) { ranking_.notePathGood(node); }});
-    sender_.onPathFailure([this](const std::string &node) { paths_.noteFailure(node); });
 }
 
 std::vector<RankedHome> Forwarder::homesOf(const std::string &service) const
@@ -126,8 +127,15 @@
 {
     const SteadyTime now = core_.clock.now();
     const Duration work = typicalWork(*run.job.route);
-    return HomeNeed{canRepeat(run), urgencyOf(run), toMillis(run.objective - now), toMillis(run.job.deadline - now),
-                    toMillis(work)};
+    const auto stats = stats_.find(run.job.route->name);
+    HomeNeed need;
+    need.repeatable = canRepeat(run);
+    need.priority = urgencyOf(run);
+    need.untilObjective = toMillis(run.objective - now);
+    need.untilDeadline = toMillis(run.job.deadline - now);
+    need.work = toMillis(work);
+    need.answerKilobytes = stats == stats_.end() ? 0.0 : stats->second.kilobytes;
+    return need;
 }
 
 SteadyTime Forwarder::hedgeTime(const Run &run) const
@@ -319,9 +327,12 @@
 {
     const bool ran = reply.outcome == Outcome::Ran && !reply.serverFault;
     if (ran) {
-        double &work = stats_[route].work;
-        const double seconds = std::chrono::duration<double>(reply.worked).count();
-        work = work == 0.0 ? seconds : work + workSmoothing * (seconds - work);
+        RouteStats &stats = stats_[route];
+        const auto smooth = [](double &mean, double sample) {
+            mean = mean == 0.0 ? sample : mean + workSmoothing * (sample - mean);
+        };
+        smooth(stats.work, std::chrono::duration<double>(reply.worked).count());
+        smooth(stats.kilobytes, static_cast<double>(reply.response.body.size()) / bytesPerKilobyte);
     }
     if (reply.reachedServer) {
         stats_[route].calls = reply.calls;
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -74,6 +74,8 @@
     struct RouteStats {
         /** Smoothed work time in seconds; 0: none seen. */
         double work = 0.0;
+        /** Smoothed size of the answers. */
+        double kilobytes = 0.0;
         /** Calls that a run makes. */
         CallRates calls;
     };
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -19,6 +19,9 @@
 /** How long the end of a Work is remembered; a sender asks within its deadline, and most are shorter. */
 constexpr Millis memory = std::chrono::seconds(12);
 constexpr std::size_t mostRemembered = 2000;
+/** Of answers larger than this so many bytes are held for senders that ask: three seconds of a 13 Mbit/s link. */
+constexpr std::size_t largeAnswer = 16UL * 1024;
+constexpr std::size_t mostLargeBytes = 5UL * 1024 * 1024;
 /** Less than this can't be used by any server. */
 constexpr Millis leastTime{5};
 /** Servers close idle connections after about ten seconds, some sooner. */
@@ -151,7 +154,7 @@
             pollQueue();
         }
         while (!ended_.empty() && (now - ended_.front().first >= memory || ended_.size() > mostRemembered)) {
-            entries_.erase(ended_.front().second);
+            forget(ended_.front().second);
             ended_.pop_front();
         }
     }
@@ -174,6 +177,39 @@
     entry.reply = reply;
     entry.endedAt = core_.clock.now();
     ended_.emplace_back(entry.endedAt, key);
+    if (reply.response.body.size() > largeAnswer) {
+        largeAnswers_.push_back(key);
+        largeBytes_ += reply.response.body.size();
+        boundLargeAnswers();
+    }
+}
+
+void LocalHome::boundLargeAnswers()
+{
+    while (largeBytes_ > mostLargeBytes) {
+        const auto oldest = entries_.find(largeAnswers_.front());
+        largeAnswers_.pop_front();
+        if (oldest == entries_.end()) {
+            continue;
+        }
+        WorkReply &reply = oldest->second.reply;
+        largeBytes_ -= reply.response.body.size();
+        reply.response = HttpResponse();
+        reply.outcome = Outcome::Unknown;
+        reply.reason = "answer-dropped";
+    }
+}
+
+void LocalHome::forget(const WorkKey &key)
+{
+    const auto found = entries_.find(key);
+    if (found == entries_.end()) {
+        return;
+    }
+    if (found->second.reply.response.body.size() > largeAnswer) {
+        largeBytes_ -= found->second.reply.response.body.size();
+    }
+    entries_.erase(found);
 }
 
 bool LocalHome::awaitTurn(Job &job, const std::function<void()> &onAdmitted)
@@ -411,7 +447,11 @@
 void LocalHome::cancel(const WorkKey &key)
 {
     const auto found = entries_.find(key);
-    if (found != entries_.end() && found->second.control) {
+    if (found == entries_.end()) {
+        // A Work with a large body may be overtaken by its Cancel.
+        entries_[key].phase = Phase::Forbidden;
+        ended_.emplace_back(core_.clock.now(), key);
+    } else if (found->second.control) {
         found->second.control->cancel();
     }
 }
@@ -453,6 +493,12 @@
     return reply;
 }
 
+bool LocalHome::isUnderway(const WorkKey &key) const
+{
+    const auto found = entries_.find(key);
+    return found != entries_.end() && (found->second.phase == Phase::Waiting || found->second.phase == Phase::Running);
+}
+
 void LocalHome::stopTaking()
 {
     stopped_ = true;
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -4,8 +4,8 @@
 #include "include/home/SlotQueue.h"
 #include "include/limit/InnerCallMeter.h"
 #include "include/wire/Messages.h"
+#include "src/fiber/WaitPoint.h"
 #include "src/node/RunControl.h"
-#include "src/sidecar/WaitPoint.h"
 
 #include <deque>
 #include <functional>
@@ -53,6 +53,8 @@
     void cancel(const WorkKey &key);
     /** What became of a Work; unless @p onlyAsk it never begins after this. */
     FenceReply fence(const WorkKey &key, bool onlyAsk);
+    /** It waits or runs here. */
+    bool isUnderway(const WorkKey &key) const;
     /** No more work of other nodes: this one stops. */
     void stopTaking();
     /** As it stands for a request of @p priority. */
@@ -101,12 +103,18 @@
     bool diedWith(const Job &job);
     WorkReply refusal(const Job &job, const std::string &reason) const;
     void remember(const WorkKey &key, const WorkReply &reply);
+    /** Drops the oldest large answers where there are too many: their works stay known as ended. */
+    void boundLargeAnswers();
+    void forget(const WorkKey &key);
 
     NodeCore &core_;
     LocalServerState server_;
     SlotQueue queue_;
     std::map<WorkKey, Entry> entries_;
     std::deque<std::pair<SteadyTime, WorkKey>> ended_;
+    /** Works that ended whose answer is large, oldest first, and the bytes of those answers. */
+    std::deque<WorkKey> largeAnswers_;
+    std::size_t largeBytes_ = 0;
     std::map<std::uint64_t, Turn> turns_;
     WaitPoint expiry_;
     std::uint64_t nextJob_ = 1;
--- a/src/sidecar/PathWatch.h
+++ b/src/sidecar/PathWatch.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "include/fleet/Roster.h"
+#include "include/fleet/RoundTrip.h"
 #include "src/link/PeerHub.h"
 
 #include <functional>
@@ -12,10 +14,10 @@
 struct NodeCore;
 
 /**
- * Watches over the paths to other nodes. A path that failed is probed with fresh links until it is good again. Nodes of
- * the region tell each other which node fell silent: without that each of a hundred senders finds out for itself, at
- * the cost of one request each, that a VM was lost. Being told is no proof, since cuts hit pairs: the receiver first
- * tries its own link. Not thread safe.
+ * Watches over the paths to other nodes. A path that failed is tried at once, and if it does not answer probed with
+ * fresh links until it is good again. Nodes of the region tell each other which node fell silent: without that each of
+ * a hundred senders finds out for itself, at the cost of one request each, that a VM was lost. Being told is no proof,
+ * since cuts hit pairs: the receiver first tries its own link. Not thread safe.
  */
 class PathWatch
 {
@@ -30,19 +32,27 @@
     /** @pre called once, before the first failure. */
     void setHooks(Hooks hooks);
 
-    /** A request got no receipt from @p node, or no link to it opens: tells the region and probes the path. */
+    /** An answer came from @p node after @p sample. */
+    void noteRoundTrip(const std::string &node, Duration sample);
+    /** How long an answer that needs no work may take on the path to @p home. */
+    Duration answerTimeout(const RosterEntry &home) const;
+    /** A request got no receipt from @p node in time, or no link to it opens. */
     void noteFailure(const std::string &node);
     /** Another node says that @p node is silent. Ignored for nodes that the roster does not name. */
     void handle(const PathSuspicion &suspicion);
 
 private:
     void tellRegion(const std::string &node);
-    void probe(const std::string &node);
-    /** True if the node answers on the link that is there; also if there is no link. @pre called from a fiber. */
+    /** Until the path is good again. @pre called from a fiber. */
+    void probeUntilGood(const std::string &node);
+    /** True if the node answers on the link that is there. @pre called from a fiber. */
     bool answersOnLink(const RosterEntry &entry);
+    bool answersOnFreshLink(const RosterEntry &entry);
+    void noteGood(const std::string &node, bool falseAlarm);
 
     NodeCore &core_;
     Hooks hooks_;
+    std::map<std::string, RoundTrip> trips_;
     std::set<std::string> probing_;
     /** When a suspected node was tried last. */
     std::map<std::string, SteadyTime> tried_;
--- a/src/sidecar/SecondSendService.cpp
+++ b/src/sidecar/SecondSendService.cpp
@@ -1,8 +1,9 @@
 #include "src/sidecar/SecondSendService.h"
 
+#include "src/fiber/WaitPoint.h"
+
 #include "src/node/NodeCore.h"
 #include "src/sidecar/RosterKeeper.h"
-#include "src/sidecar/WaitPoint.h"
 
 #include <algorithm>
 
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -84,12 +84,12 @@
                  [this](const Fence &fence) {
                      return home.fence(WorkKey{fence.origin, fence.workId}, fence.onlyAsk);
                  })
-        , sender(core, fences)
+        , paths(core)
+        , sender(core, fences, paths)
         , config(core)
         , roster(core)
         , news(core)
         , secondSends(core, budgetOf(settings))
-        , paths(core)
         , forwarder(core, home, sender, secondSends, paths)
         , front(core)
     { }
@@ -100,6 +100,8 @@
     HttpReply handleControl(const HttpRequest &request);
     void handleMessage(LinkId link, const NodeRef &from, Message message);
     void handleWork(LinkId link, const NodeRef &from, Work work);
+    /** Remembers where the sender of a Work that is under way was heard last: its answer goes there. */
+    void noteAnswerLink(LinkId link, const NodeRef &from, const Fence &fence);
     void applyConfig(const FleetConfig &changed);
     void warmLinks();
     /** Sends the record to every node of the roster: news that can't wait for a watch. */
@@ -113,16 +115,17 @@
     PoisonService poison;
     LocalHome home;
     FenceService fences;
+    PathWatch paths;
     WorkSender sender;
     ConfigFollower config;
     RosterKeeper roster;
     NewsService news;
     SecondSendService secondSends;
-    PathWatch paths;
     Forwarder forwarder;
     CallerFront front;
     std::unique_ptr<PeerHub> peers;
     std::map<LinkId, TransitMeter> transits;
+    std::map<WorkKey, LinkId> answerLinks;
     /** Links that this node opened, by the node at the other end. */
     std::map<LinkId, std::string> outgoingLinks;
     std::set<std::string> relinking;
@@ -180,10 +183,7 @@
 Expected<std::unique_ptr<HttpServer>> SidecarNode::Parts::listenAt(const Endpoint &endpoint,
                                                                    HttpServer::Handler handler)
 {
-    HttpLimits limits;
-    limits.bodyBytes = core.settings.limits.bodyBytes;
-    limits.headerBytes = core.settings.limits.headerBytes;
-    limits.connections = core.settings.limits.callerConnections;
+    const HttpLimits limits = MakeHttpLimits(core.settings.limits);
     return HttpServer::MakeListening(core.ioContext, endpoint.address, endpoint.port, std::move(handler), limits,
                                      [this](const std::string &reason) {
                                          core.metrics.count("http_rejected");
@@ -253,6 +253,7 @@
     } else if (const auto *cancel = std::get_if<Cancel>(&message)) {
         home.cancel(WorkKey{from, cancel->id});
     } else if (const auto *fence = std::get_if<Fence>(&message)) {
+        noteAnswerLink(link, from, *fence);
         fences.handle(link, from, *fence);
     } else if (const auto *fate = std::get_if<FenceReply>(&message)) {
         fences.handleReply(*fate);
@@ -300,19 +301,30 @@
             peers->reply(link, WorkReceipt{work.id, news.versions()});
         });
         reply.versions = news.versions();
-        peers->reply(link, reply);
+        const auto asked = answerLinks.find(key);
+        const LinkId way = asked == answerLinks.end() ? link : asked->second;
+        answerLinks.erase(key);
+        peers->reply(way, std::move(reply));
     });
 }
 
+void SidecarNode::Parts::noteAnswerLink(LinkId link, const NodeRef &from, const Fence &fence)
+{
+    // The sender asks over a fresh link because nothing came on the one that carried the Work.
+    const WorkKey key{fence.origin, fence.workId};
+    if (from == fence.origin && fence.target == core.self && home.isUnderway(key)) {
+        answerLinks[key] = link;
+    }
+}
+
 void SidecarNode::Parts::applyConfig(const FleetConfig &changed)
 {
     front.configChanged();
-    HttpLimits limits;
+    HttpLimits limits = MakeHttpLimits(core.settings.limits);
     limits.headerBytes = changed.limits.headerBytes;
     limits.bodyBytes = changed.limits.bodyBytes;
     limits.header = changed.limits.header;
     limits.idle = changed.limits.idle;
-    limits.connections = core.settings.limits.callerConnections;
     callerServer->setLimits(limits);
 }
 
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -1,8 +1,9 @@
 #include "src/sidecar/WorkSender.h"
 
+#include "src/fiber/WaitPoint.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/FenceService.h"
-#include "src/sidecar/WaitPoint.h"
+#include "src/sidecar/PathWatch.h"
 
 #include <algorithm>
 
@@ -11,25 +12,33 @@
 namespace {
 
 /**
- * A link needs three round trips to open, a receipt one. Near is within a region (some 3 ms), far between regions
- * (60 ms); the rest is for nodes whose share of a core is used up for a tenth of a second.
+ * A link needs three round trips to open, some 3 ms each within a region (near) and 60 ms between regions (far); the
+ * rest is for nodes whose share of a core is used up for a tenth of a second.
  */
 constexpr Millis openNear{200};
 constexpr Millis openFar{450};
-constexpr Millis receiptNear{150};
-constexpr Millis receiptFar{260};
+/** A timer that fired so late shows that this node was busy, and with it how long what came may have lain unread. */
+constexpr Millis ownDelay{20};
+constexpr Millis longestOwnDelay{300};
 /** With a receipt but without a word for so long the home is asked whether it still works on it. */
 constexpr Millis quietTime{700};
 /** One round of asking in every way, and the pause between two. */
 constexpr Millis fenceRound{500};
 constexpr Millis fencePause{150};
+constexpr Millis longestFencePause{2000};
 
 } // namespace
 
 struct WorkSender::Pending {
     WaitPoint point;
-    Work work;
+    /** Of the Work sent; the rest of it is on its way. */
+    std::string requestId;
+    bool idempotent = false;
+    std::string home;
     LinkId link = 0;
+    SteadyTime sentAt;
+    /** When the home was last asked whether it works on it. */
+    SteadyTime askedAt;
     bool received = false;
     bool answered = false;
     bool linkLost = false;
@@ -38,9 +47,10 @@
     WorkReply reply;
 };
 
-WorkSender::WorkSender(NodeCore &core, FenceService &fences)
+WorkSender::WorkSender(NodeCore &core, FenceService &fences, PathWatch &paths)
     : core_(core)
     , fences_(fences)
+    , paths_(paths)
 { }
 
 SendResult WorkSender::unreachable(std::uint64_t id, const std::string &reason) const
@@ -73,13 +83,16 @@
     work.remaining -= waited;
     work.untilObjective -= waited;
     work.helloAge = std::chrono::duration_cast<Millis>(peers.helloAge(*link).value_or(Duration(0)));
-    pending->work = work;
+    pending->requestId = work.requestId;
+    pending->idempotent = work.idempotent;
+    pending->home = home.id;
     pending->link = *link;
+    pending->sentAt = core_.clock.now();
     pending->control = control;
     pending_[id] = pending;
     control->interrupt = [pending] { pending->point.wake(); };
-    if (!control->cancelled && peers.reply(*link, work)) {
-        awaitReply(*pending, SentWork{home, *peer, id}, far, deadline);
+    if (!control->cancelled && peers.reply(*link, std::move(work))) {
+        awaitReply(*pending, SentWork{home, *peer, id}, deadline);
     } else {
         pending->answered = true;
         pending->reply = unreachable(id, control->cancelled ? "cancelled" : "link-closed").reply;
@@ -89,7 +102,7 @@
     if (!pending->answered) {
         peers.reply(pending->link, Cancel{id});
         // A home that has not begun says so; without its word the fate stays open.
-        const SteadyTime until = core_.clock.now() + (far ? receiptFar : receiptNear);
+        const SteadyTime until = core_.clock.now() + paths_.answerTimeout(home);
         while (!pending->answered && !pending->linkLost && core_.clock.now() < until) {
             pending->point.wait(core_.ioContext, until - core_.clock.now());
         }
@@ -107,50 +120,66 @@
     return SendResult{pending->reply, pending->pathFailed};
 }
 
-void WorkSender::onPathFailure(std::function<void(const std::string &)> hook)
+void WorkSender::noteFailedPath(Pending &pending, const SentWork &sent)
 {
-    pathFailureHook_ = std::move(hook);
+    pending.pathFailed = true;
+    paths_.noteFailure(sent.target.id);
 }
 
-void WorkSender::noteFailedPath(Pending &pending, const SentWork &sent)
+bool WorkSender::awaitReceipt(Pending &pending, const SentWork &sent, SteadyTime deadline)
 {
-    pending.pathFailed = true;
-    if (pathFailureHook_) {
-        pathFailureHook_(sent.target.id);
+    const auto waits = [&] { return !pending.received && !pending.linkLost && !pending.control->cancelled; };
+    SteadyTime until = std::min(deadline, core_.clock.now() + paths_.answerTimeout(sent.home));
+    for (int round = 0; round < 2; ++round) {
+        while (waits() && core_.clock.now() < until) {
+            pending.point.wait(core_.ioContext, until - core_.clock.now());
+        }
+        const Duration overslept = core_.clock.now() - until;
+        if (!waits() || overslept < ownDelay) {
+            break;
+        }
+        until = std::min<SteadyTime>(deadline, core_.clock.now() + std::min<Duration>(overslept, longestOwnDelay));
     }
+    return pending.received;
 }
 
-void WorkSender::awaitReply(Pending &pending, const SentWork &sent, bool far, SteadyTime deadline)
+bool WorkSender::askWhetherUnderway(Pending &pending, const SentWork &sent, SteadyTime deadline)
 {
-    const auto over = [&] { return pending.answered || pending.control->cancelled || core_.clock.now() >= deadline; };
-    const auto left = [&] { return std::max(Duration(0), deadline - core_.clock.now()); };
-    const SteadyTime receiptBy = core_.clock.now() + (far ? receiptFar : receiptNear);
-    while (!over() && !pending.received && !pending.linkLost && core_.clock.now() < receiptBy) {
-        pending.point.wait(core_.ioContext, std::min(left(), Duration(receiptBy - core_.clock.now())));
+    FenceReply fate;
+    if (!pending.linkLost) {
+        const Duration left = std::max(Duration(0), deadline - core_.clock.now());
+        fate = fences_.askOn(pending.link, sent, true, std::min(left, paths_.answerTimeout(sent.home)));
+    }
+    if (fate.state == FenceState::Ended && fate.reply && !pending.answered) {
+        pending.reply = *fate.reply;
+        pending.answered = true;
     }
-    if (!over() && !pending.received) {
+    return fate.state != FenceState::NotKnown;
+}
+
+void WorkSender::awaitReply(Pending &pending, const SentWork &sent, SteadyTime deadline)
+{
+    const auto over = [&] { return pending.answered || pending.control->cancelled || core_.clock.now() >= deadline; };
+    if (!awaitReceipt(pending, sent, deadline) && !over()) {
         noteFailedPath(pending, sent);
         settle(pending, sent, deadline, true);
         return;
     }
+    PeerHub &peers = core_.service<PeerHub>("peers");
     while (!over()) {
-        const SteadyTime quietAt = core_.clock.now() + quietTime;
-        while (!over() && !pending.linkLost && core_.clock.now() < quietAt) {
-            pending.point.wait(core_.ioContext, std::min(left(), Duration(quietAt - core_.clock.now())));
-        }
-        if (over()) {
-            return;
+        // As long as anything comes on the link, the home is there and an answer can come.
+        const SteadyTime heard = std::max(peers.heardAt(pending.link).value_or(SteadyTime()), pending.sentAt);
+        const SteadyTime quietAt = std::max(heard, pending.askedAt) + quietTime;
+        const SteadyTime now = core_.clock.now();
+        if (!pending.linkLost && now < quietAt) {
+            pending.point.wait(core_.ioContext, std::min(deadline, quietAt) - now);
+            continue;
         }
-        FenceReply fate;
-        if (!pending.linkLost) {
-            fate = fences_.askOn(pending.link, sent, true, std::min(left(), Duration(far ? receiptFar : receiptNear)));
-        }
-        if (fate.state == FenceState::Ended && fate.reply) {
-            pending.reply = *fate.reply;
-            pending.answered = true;
-        } else if (fate.state == FenceState::NotKnown && !over()) {
+        pending.askedAt = now;
+        if (!askWhetherUnderway(pending, sent, deadline) && !over()) {
             noteFailedPath(pending, sent);
             settle(pending, sent, deadline, false);
+            return;
         }
     }
 }
@@ -158,7 +187,7 @@
 void WorkSender::logFate(const Pending &pending, const SentWork &sent, const FenceReply &fate) const
 {
     core_.events.writeRequest(Severity::Warning, "fate_asked",
-                              {{"request", pending.work.requestId},
+                              {{"request", pending.requestId},
                                {"home", sent.target.text()},
                                {"work", std::to_string(sent.id)},
                                {"received", pending.received ? "yes" : "no"},
@@ -169,9 +198,11 @@
 void WorkSender::settle(Pending &pending, const SentWork &sent, SteadyTime deadline, bool forbid)
 {
     const auto over = [&] { return pending.answered || pending.control->cancelled || core_.clock.now() >= deadline; };
+    FenceWay way;
+    Duration pause = fencePause;
     while (!over()) {
         const Duration left = deadline - core_.clock.now();
-        const FenceReply fate = fences_.ask(sent, !forbid, std::min<Duration>(left, fenceRound));
+        const FenceReply fate = fences_.ask(sent, way, !forbid, std::min<Duration>(left, fenceRound), left);
         logFate(pending, sent, fate);
         if (pending.answered) {
             return;
@@ -186,12 +217,13 @@
             pending.answered = true;
             return;
         }
-        if (fate.state == FenceState::NotKnown && pending.work.idempotent) {
+        if (fate.state == FenceState::NotKnown && pending.idempotent) {
             // It may run there; trying elsewhere is better than waiting for a node that is cut off.
             return;
         }
         forbid = forbid && fate.state == FenceState::NotKnown;
-        pending.point.wait(core_.ioContext, std::min<Duration>(left, fencePause));
+        pending.point.wait(core_.ioContext, std::min(left, pause));
+        pause = std::min<Duration>(longestFencePause, pause * 2);
     }
 }
 
@@ -199,16 +231,24 @@
 {
     const auto found = pending_.find(receipt.id);
     if (found != pending_.end()) {
-        found->second->received = true;
+        noteHeard(*found->second);
         found->second->point.wake();
     }
 }
 
+void WorkSender::noteHeard(Pending &pending)
+{
+    if (!pending.received) {
+        paths_.noteRoundTrip(pending.home, core_.clock.now() - pending.sentAt);
+    }
+    pending.received = true;
+}
+
 void WorkSender::handleReply(WorkReply reply)
 {
     const auto found = pending_.find(reply.id);
     if (found != pending_.end() && !found->second->answered) {
-        found->second->received = true;
+        noteHeard(*found->second);
         found->second->answered = true;
         found->second->reply = std::move(reply);
         found->second->point.wake();
--- a/src/sidecar/WorkSender.h
+++ b/src/sidecar/WorkSender.h
@@ -5,7 +5,6 @@
 #include "src/link/PeerHub.h"
 #include "src/node/RunControl.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,7 +13,7 @@
 
 struct NodeCore;
 class FenceService;
-class WaitPoint;
+class PathWatch;
 struct SentWork;
 
 /** Reason of a reply that says: the home was asked, and has not run it and never will. */
@@ -34,13 +33,11 @@
 class WorkSender
 {
 public:
-    WorkSender(NodeCore &core, FenceService &fences);
+    WorkSender(NodeCore &core, FenceService &fences, PathWatch &paths);
 
     /** @pre called from a fiber; @p far: the home is in another region. */
     SendResult run(const RosterEntry &home, bool far, Work work, SteadyTime deadline, const RunControlPtr &control);
 
-    /** Called with the home's node as soon as a path is in doubt, long before the send that found out has ended. */
-    void onPathFailure(std::function<void(const std::string &)> hook);
     void handleReceipt(const WorkReceipt &receipt);
     void handleReply(WorkReply reply);
     void linkClosed(LinkId link);
@@ -49,17 +46,24 @@
     struct Pending;
 
     SendResult unreachable(std::uint64_t id, const std::string &reason) const;
+    /** The path is in doubt: told at once, long before the send that found out has ended. */
     void noteFailedPath(Pending &pending, const SentWork &sent);
-    void awaitReply(Pending &pending, const SentWork &sent, bool far, SteadyTime deadline);
+    /** False if no receipt came in time. */
+    bool awaitReceipt(Pending &pending, const SentWork &sent, SteadyTime deadline);
+    void awaitReply(Pending &pending, const SentWork &sent, SteadyTime deadline);
+    /** The link has been silent for a while: asks on it. False if no answer came. */
+    bool askWhetherUnderway(Pending &pending, const SentWork &sent, SteadyTime deadline);
     /** The path is in doubt: asks by every way until the fate is known or the time is over. */
     void settle(Pending &pending, const SentWork &sent, SteadyTime deadline, bool forbid);
+    /** A receipt, or the reply itself: either shows the path's round trip. */
+    void noteHeard(Pending &pending);
     void logFate(const Pending &pending, const SentWork &sent, const FenceReply &fate) const;
 
     NodeCore &core_;
     FenceService &fences_;
+    PathWatch &paths_;
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
     std::uint64_t nextId_ = 1;
-    std::function<void(const std::string &)> pathFailureHook_;
 };
 
 } // namespace waxwing
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -190,7 +190,9 @@
 
 json workReplyOf(const WorkReply &m)
 {
-    json response = m.response.headers.empty() && m.response.body.empty() ? json() : responseOf(m.response);
+    const bool hasResponse =
+        m.response.status != HttpResponse().status || !m.response.headers.empty() || !m.response.body.empty();
+    json response = hasResponse ? responseOf(m.response) : json();
     return json::array({m.id, static_cast<int>(m.outcome), m.serverFault, m.reachedServer, m.reason, m.server,
                         m.worked.count(), loadOf(m.load), versionsOf(m.versions), std::move(response), json(m.calls)});
 }
@@ -318,7 +320,7 @@
     }
     json operator()(const Fence &m) const
     {
-        return with(Type::Fence, m.id, refOf(m.target), refOf(m.origin), m.workId, m.onlyAsk);
+        return with(Type::Fence, m.id, refOf(m.target), refOf(m.origin), m.workId, m.onlyAsk, m.fetch);
     }
     json operator()(const FenceReply &m) const
     {
@@ -517,8 +519,8 @@
     case Type::WorkReply:
         return workReplyFrom(in.at(body));
     case Type::Fence:
-        return Fence{in.at(body).get<std::uint64_t>(), refFrom(in.at(body + 1)), refFrom(in.at(body + 2)),
-                     in.at(body + 3).get<std::uint64_t>(), in.at(body + 4).get<bool>()};
+        return Fence{in.at(body).get<std::uint64_t>(),     refFrom(in.at(body + 1)),    refFrom(in.at(body + 2)),
+                     in.at(body + 3).get<std::uint64_t>(), in.at(body + 4).get<bool>(), in.at(body + 5).get<bool>()};
     case Type::FenceReply:
         return fenceReplyFrom(in);
     case Type::NewsRequest:
@@ -566,6 +568,24 @@
     return "not-known";
 }
 
+std::string *bodyOf(Message &message)
+{
+    if (auto *work = std::get_if<Work>(&message)) {
+        return &work->request.body;
+    }
+    if (auto *reply = std::get_if<WorkReply>(&message)) {
+        return &reply->response.body;
+    }
+    if (auto *fate = std::get_if<FenceReply>(&message)) {
+        return fate->reply ? &fate->reply->response.body : nullptr;
+    }
+    if (auto *exec = std::get_if<Exec>(&message)) {
+        return &exec->request.body;
+    }
+    auto *reply = std::get_if<ExecReply>(&message);
+    return reply != nullptr ? &reply->response.body : nullptr;
+}
+
 std::string encodeMessage(const Message &message)
 {
     std::string out;
--- /dev/null
+++ b/tests/integration/PipelineTest.cpp
@@ -0,0 +1,239 @@
+#include "src/fiber/FiberLoop.h"
+#include "src/http/HttpServer.h"
+#include "tests/support/Fleet.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <vector>
+
+using namespace waxwing;
+using namespace waxwing::testing;
+
+namespace {
+
+constexpr Millis unit{30};
+constexpr Millis patience{3000};
+
+std::string get(const std::string &path, const std::string &more = "")
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\n" + more + "\r\n";
+}
+
+std::string post(const std::string &path)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4\r\n\r\nseat";
+}
+
+/** A server whose handler takes as many units of time as the path's number says, and a caller that writes raw bytes. */
+struct RawCaller {
+    explicit RawCaller(HttpLimits limits = {})
+    {
+        server = *HttpServer::MakeListening(
+            loopContext(), "127.0.0.1", 0,
+            [this](const HttpRequest &request, const CallerWatchPtr &watch) { return handle(request, watch); }, limits);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), server->port()});
+        socket.set_option(boost::asio::ip::tcp::no_delay(true));
+    }
+
+    HttpReply handle(const HttpRequest &request, const CallerWatchPtr &watch)
+    {
+        begun.push_back(request.target);
+        begunBeside.push_back(running);
+        mostAtOnce = std::max(mostAtOnce, ++running);
+        const Millis length = std::stoi(request.target.substr(1)) * unit;
+        boost::asio::steady_timer timer(loopContext(), length);
+        watch->onGone = [this, &timer] {
+            ++gone;
+            timer.cancel();
+        };
+        await([&](auto done) { timer.async_wait(std::move(done)); });
+        watch->onGone = {};
+        --running;
+        HttpReply reply;
+        reply.response.body = "<" + request.target + ">" + std::string(bodyBytes, 'x');
+        return reply;
+    }
+
+    void write(const std::string &bytes)
+    {
+        await([&](auto done) { boost::asio::async_write(socket, boost::asio::buffer(bytes), std::move(done)); });
+    }
+
+    /** Reads until @p text has come, or the server closes, or the patience is over. */
+    std::string readUntil(const std::string &text)
+    {
+        boost::asio::steady_timer timer(loopContext(), patience);
+        timer.async_wait([this](boost::system::error_code cancelled) {
+            if (!cancelled) {
+                socket.cancel();
+            }
+        });
+        std::array<char, 4096> buffer{};
+        IoResult result;
+        while (!result.error && (text.empty() || read.find(text) == std::string::npos)) {
+            result = await([&](auto done) { socket.async_read_some(boost::asio::buffer(buffer), std::move(done)); });
+            read.append(buffer.data(), result.bytes);
+        }
+        closed = result.error == boost::asio::error::eof;
+        return read;
+    }
+
+    /** The paths whose answers came, in order. */
+    std::vector<std::string> answered() const
+    {
+        std::vector<std::string> paths;
+        for (std::size_t at = read.find('<'); at != std::string::npos; at = read.find('<', at + 1)) {
+            paths.push_back(read.substr(at + 1, read.find('>', at) - at - 1));
+        }
+        return paths;
+    }
+
+    using Paths = std::vector<std::string>;
+    std::unique_ptr<HttpServer> server;
+    boost::asio::ip::tcp::socket socket{loopContext()};
+    Paths begun;
+    /** How many others ran when each began. */
+    std::vector<int> begunBeside;
+    int running = 0;
+    int mostAtOnce = 0;
+    int gone = 0;
+    std::size_t bodyBytes = 0;
+    std::string read;
+    bool closed = false;
+};
+
+struct RawCallerWithBounds : RawCaller {
+    static HttpLimits limits()
+    {
+        HttpLimits out;
+        out.pipelinedRequests = 4;
+        return out;
+    }
+
+    RawCallerWithBounds()
+        : RawCaller(limits())
+    { }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, the first request is the slowest, all run at once and are answered in order")
+{
+    // A member sends three look-ups at once. Served one at a time the second was not even read for a second, and its
+    // caller gave it up.
+    write(get("/4") + get("/2") + get("/1"));
+    readUntil("</1>");
+    CHECK(answered() == Paths{"/4", "/2", "/1"});
+    CHECK(mostAtOnce == 3);
+}
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, requests that arrive byte by byte, are answered as if they came at once")
+{
+    for (const char byte : get("/2") + get("/1")) {
+        write(std::string(1, byte));
+    }
+    readUntil("</1>");
+    CHECK(answered() == Paths{"/2", "/1"});
+}
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, answers of unlike size to a slow reader, arrive whole and in order")
+{
+    bodyBytes = 3UL * 1024 * 1024;
+    write(get("/1") + get("/2"));
+    sleepFor(loopContext(), 8 * unit);
+    readUntil("</2>");
+    sleepFor(loopContext(), unit);
+    write(get("/1", "Connection: close\r\n"));
+    readUntil("");
+    CHECK(answered() == Paths{"/1", "/2", "/1"});
+    CHECK(static_cast<std::size_t>(std::count(read.begin(), read.end(), 'x')) >= 3 * bodyBytes);
+}
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, a request that asks to close, is answered last and what is behind it never runs")
+{
+    // What stands behind a closing answer counts as not read: its caller sends it again, whatever its kind.
+    write(get("/2") + get("/1", "Connection: close\r\n") + get("/3"));
+    readUntil("");
+    CHECK(closed);
+    CHECK(answered() == Paths{"/2", "/1"});
+    CHECK(begun == Paths{"/2", "/1"});
+}
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, a booking between look-ups, runs alone")
+{
+    write(get("/4") + post("/2") + get("/3") + get("/1"));
+    readUntil("</1>");
+    CHECK(answered() == Paths{"/4", "/2", "/3", "/1"});
+    CHECK(begunBeside == std::vector<int>{0, 0, 0, 1});
+}
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, a malformed request in the middle, ends the connection after what was before it")
+{
+    write(get("/2") + "NONSENSE\r\n\r\n" + get("/1"));
+    readUntil("");
+    CHECK(closed);
+    CHECK(answered() == Paths{"/2"});
+    CHECK(read.find("HTTP/1.1 400") > read.find("</2>"));
+    CHECK(begun == Paths{"/2"});
+}
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, a caller that leaves with requests waiting, has all of them cancelled")
+{
+    // The caller's close used to be seen only while no further byte lay in the socket: with look-ups behind the first
+    // one, servers went on working for nobody.
+    write(get("/50") + get("/60") + get("/70"));
+    sleepFor(loopContext(), 2 * unit);
+    REQUIRE(begun.size() == 3);
+    socket.close();
+    CHECK(eventually([this] { return gone == 3; }));
+    CHECK(eventually([this] { return server->requestsInFlight() == 0 && server->connections() == 0; }));
+}
+
+TEST_CASE_FIXTURE(RawCallerWithBounds, "pipeline, a caller that sends without end, is read no further than the bounds")
+{
+    std::string many;
+    for (int i = 0; i < 20000; ++i) {
+        many += get("/9");
+    }
+    socket.non_blocking(true);
+    std::size_t taken = 0;
+    boost::system::error_code error;
+    for (int round = 0; round < 40; ++round) {
+        const std::size_t wrote = socket.write_some(boost::asio::buffer(many), error);
+        taken += error ? 0 : wrote;
+        sleepFor(loopContext(), Millis(2));
+    }
+    CHECK(mostAtOnce == 4);
+    CHECK(error == boost::asio::error::would_block);
+    socket.close();
+    CHECK(eventually([this] { return server->connections() == 0; }));
+}
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, a stop with five requests outstanding, answers all five and runs no sixth")
+{
+    // Closing after the first answer would leave four requests that servers had run without an answer.
+    write(get("/5") + get("/4") + get("/3") + get("/2") + get("/1"));
+    sleepFor(loopContext(), unit);
+    server->announceClose();
+    write(get("/0"));
+    readUntil("");
+    CHECK(closed);
+    CHECK(answered() == Paths{"/5", "/4", "/3", "/2", "/1"});
+    CHECK(begun.size() == 5);
+    CHECK(read.find("Connection: close") > read.find("</2>"));
+}
+
+TEST_CASE_FIXTURE(RawCaller, "pipeline, a drain while requests are outstanding, answers them and closes")
+{
+    write(get("/3") + get("/1"));
+    sleepFor(loopContext(), unit);
+    server->drain();
+    readUntil("");
+    CHECK(closed);
+    CHECK(answered() == Paths{"/3", "/1"});
+}
