--- a/tests/integration/SidecarTest.cpp
+++ b/tests/integration/SidecarTest.cpp
@@ -284,6 +284,66 @@
     CHECK(mesh.node(1).waitForExit(std::chrono::seconds(8)) == 0);
 }
 
+TEST_CASE("mesh, node told to stop while bookings wait for a server, refuses them in time and they never run")
+{
+    // The service's only server is busy for longer than the stop may take. Bookings that wait for it through the
+    // stopping node ended with a closed connection: an office did not know whether it had its seat.
+    MeshPlan plan;
+    plan.services = {"other", "desk", "other"};
+    plan.timeoutMs = 10000;
+    plan.graceSeconds = 4;
+    Mesh mesh(plan);
+    mesh.serverMode(1, {{"workMs", 6000}});
+    constexpr int slots = 3;
+    std::vector<unsigned> statuses(2 * slots);
+    std::vector<std::function<void()>> bodies;
+    bodies.reserve(mostBodies);
+    for (int i = 0; i < 2 * slots; ++i) {
+        bodies.emplace_back([&, i] {
+            pause(i < slots ? Millis(0) : Millis(300));
+            statuses[static_cast<std::size_t>(i)] =
+                statusOf(mesh.send(0, id("late-stop", i), "/seats/1", std::chrono::seconds(9)));
+        });
+    }
+    bodies.emplace_back([&] {
+        pause(Millis(800));
+        mesh.node(0).signal(SIGTERM);
+    });
+    together(bodies);
+    auto executions = mesh.executions();
+    for (int i = 0; i < 2 * slots; ++i) {
+        const bool ran = executions[id("late-stop", i)] > 0;
+        CHECK(ran == (i < slots));
+        CHECK(statuses[static_cast<std::size_t>(i)] == (ran ? 504 : 503));
+    }
+}
+
+TEST_CASE("mesh, node told to stop with an answer ready behind a slow one, delivers it before it ends")
+{
+    // Two look-ups on one connection. The first meets a server that takes longer than the stop may, the second is
+    // answered at once; its answer must not be lost with the connection.
+    MeshPlan plan;
+    plan.services = {"other", "desk", "other"};
+    plan.timeoutMs = 10000;
+    plan.graceSeconds = 4;
+    Mesh mesh(plan);
+    const auto lookUp = [](const std::string &name) {
+        return "GET /dates/1 HTTP/1.1\r\nHost: desk.example\r\n" + std::string(names::requestId) + ": " + name + "\r\n"
+               + names::timeoutMs + ": 9000\r\n\r\n";
+    };
+    std::string answers;
+    std::vector<std::function<void()>> bodies = {
+        [&] { answers = mesh.sendRaw(0, lookUp("slow-one") + lookUp("ready-one"), std::chrono::seconds(8)); },
+        [&] {
+            REQUIRE(eventually([&] { return mesh.executions()["slow-one"] == 1; }));
+            mesh.node(0).signal(SIGTERM);
+        }};
+    mesh.serverMode(1, {{"workMs", 6000}, {"onlyFirst", true}});
+    together(bodies);
+    CHECK(answers.find("HTTP/1.1 50") < answers.find("whole answer to ready-one"));
+    CHECK(answers.find("whole answer to ready-one") != std::string::npos);
+}
+
 TEST_CASE("mesh, look-up that ends every server which begins it, is given to no third one")
 {
     // One look-up makes each server that runs it crash. Its caller sends it again and again, through any node. Without
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -105,6 +105,9 @@
         ledger_ << id << " " << headerValue(request.headers, names::callerService) << "\n" << std::flush;
         const std::string mode = mode_.is_object() ? mode_.value("mode", "ok") : "ok";
         const Millis length(mode_.is_object() ? mode_.value("workMs", options_.work.count()) : options_.work.count());
+        if (mode_.is_object() && mode_.value("onlyFirst", false)) {
+            mode_ = json();
+        }
         HttpReply reply{jsonResponse(200, "whole answer to " + id), AfterResponse::KeepOpen};
         reply.response.headers.emplace_back(names::signature, "seal-" + options_.id);
         reply.response.headers.emplace_back(names::requestId, id);
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -21,7 +21,6 @@
 namespace names = platform::names;
 
 constexpr Millis controlTimeout{2000};
-constexpr Millis rawTimeout{1500};
 
 void must(bool done, const std::string &what)
 {
@@ -30,16 +29,16 @@
     }
 }
 
-json configDocument(std::uint64_t version, const std::string &service)
+json configDocument(std::uint64_t version, const std::string &service, int timeoutMs)
 {
-    const auto rule = [](const std::string &name, const std::string &kind, const std::string &prefix,
-                         const std::string &to) {
+    const auto rule = [timeoutMs](const std::string &name, const std::string &kind, const std::string &prefix,
+                                  const std::string &to) {
         return json{{"name", name},
                     {"kind", kind},
                     {"target_latency_ms", 1000},
                     {"priority", 1},
                     {"match", {{"path_prefix", prefix}}},
-                    {"action", {{"service", to}, {"timeout_ms", 3000}, {"max_attempts", 2}}}};
+                    {"action", {{"service", to}, {"timeout_ms", timeoutMs}, {"max_attempts", 2}}}};
     };
     return {{"version", "r" + std::to_string(version)},
             {"limits",
@@ -110,7 +109,8 @@
           {"readiness", member.readiness.text()}}},
         {"objectApi", store_.text()},
         {"server", {{"service", plan_.services.at(static_cast<std::size_t>(index))}, {"address", member.app.text()}}},
-        {"bounds", json::array({"grace_s=5", "retry_budget_ratio=0.2", "budget_slack=60"})}};
+        {"bounds",
+         json::array({"grace_s=" + std::to_string(plan_.graceSeconds), "retry_budget_ratio=0.2", "budget_slack=60"})}};
     std::string path = directory_ + "/n" + std::to_string(index) + ".json";
     std::ofstream(path) << settings.dump(2);
     return path;
@@ -172,9 +172,9 @@
 
 void Mesh::configure(std::uint64_t version, const std::string &service)
 {
-    const UpdateResult result =
-        ObjectApi(loopClient(), store_)
-            .update(names::configKind, names::configName, configRevision_, configDocument(version, service).dump());
+    const UpdateResult result = ObjectApi(loopClient(), store_)
+                                    .update(names::configKind, names::configName, configRevision_,
+                                            configDocument(version, service, plan_.timeoutMs).dump());
     must(result.kind == UpdateResult::Kind::Stored, "configuration stored");
     configRevision_ = result.version;
 }
@@ -192,14 +192,14 @@
                                  patience + controlTimeout);
 }
 
-std::string Mesh::sendRaw(int node, const std::string &bytes)
+std::string Mesh::sendRaw(int node, const std::string &bytes, Millis allowed)
 {
     boost::asio::ip::tcp::socket socket(loopContext());
     const Endpoint &to = members_.at(static_cast<std::size_t>(node)).callers;
     boost::system::error_code error;
     socket.connect({boost::asio::ip::make_address(to.address), to.port}, error);
     std::string out;
-    boost::asio::steady_timer timer(loopContext(), rawTimeout);
+    boost::asio::steady_timer timer(loopContext(), allowed);
     timer.async_wait([&socket](boost::system::error_code cancelled) {
         if (!cancelled) {
             socket.cancel();
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -16,6 +16,9 @@
     /** Nodes' links are reached through a fault proxy each. */
     bool proxies = false;
     int workMs = 20;
+    /** The routes' timeout, and the time from SIGTERM to the end. */
+    int timeoutMs = 3000;
+    int graceSeconds = 5;
 };
 
 /** Real processes on loopback in the platform's shape: store stand-in, and beside each node its one server. */
@@ -42,7 +45,7 @@
     tl::expected<HttpResponse, ExchangeError> send(int node, const std::string &id, const std::string &path,
                                                    Millis patience = std::chrono::seconds(3));
     /** Sends bytes as they are and returns all that comes back until the node closes or falls silent. */
-    std::string sendRaw(int node, const std::string &bytes);
+    std::string sendRaw(int node, const std::string &bytes, Millis allowed = std::chrono::milliseconds(1500));
     /** True if the node says that it takes callers. */
     bool isReady(int node);
     /** How often each request id was executed. */
