--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -13,6 +13,8 @@
 
 /** How busy and how sound a home's server is, as told to the nodes that send it work. */
 struct HomeLoad {
+    /** Of the server, busy or not. */
+    std::int32_t slots = 0;
     std::int32_t freeSlots = 0;
     std::int32_t queued = 0;
     /** What a request of the asked priority that came now would wait for its slot. */
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -68,8 +68,10 @@
     /** Round trips in milliseconds, for the time that is left at the home. */
     double zoneTrip = 3.0;
     double regionTrip = 62.0;
-    /** Each busy slot: spreads work over homes that are otherwise equal, since full servers are slower. */
-    double busySlot = 4.0;
+    /** All slots busy; a part of them costs its part. Spreads work over equal homes, since full servers are slower. */
+    double fullServer = 40.0;
+    /** A home that was not heard of for so long is asked by work that can be repeated as if it were known to be good. */
+    Millis forgottenAfter{1000};
     /** A repeatable request that meets a gray server takes a second send; another one is lost. */
     double doubtRepeatable = 250.0;
     double doubtOther = 800.0;
@@ -177,6 +179,8 @@
     Usual usualOf(const std::vector<RankedHome> &homes, const HomeNeed &need, SteadyTime now) const;
     /** May be asked at all for this request. */
     bool isCandidate(const RankedHome &home, const HomeNeed &need, const Usual &usual, SteadyTime now) const;
+    /** Nothing was heard of it lately, and nothing bad that still counts. */
+    bool isForgotten(const RankedHome &home, const Usual &usual, SteadyTime now) const;
     double distanceLoss(Distance distance, const HomeNeed &need) const;
     /** Everything but waiting. */
     double fixedLoss(const RankedHome &home, const HomeNeed &need, const Usual &usual, SteadyTime now) const;
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -340,6 +340,7 @@
 {
     HomeLoad load;
     const auto held = static_cast<std::int32_t>(running_.size());
+    load.slots = static_cast<std::int32_t>(slots_);
     load.freeSlots = std::max(0, static_cast<std::int32_t>(slots_) - held);
     load.queued = static_cast<std::int32_t>(waiting_.size());
     const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -10,7 +10,7 @@
 /** In thousandths; above any other loss, so that such a home is asked last but still asked. */
 constexpr double noServerLoss = 1500.0;
 constexpr double badPathLoss = 3000.0;
-/** Slots assumed of a home when its load is news; only differences between homes count. */
+/** Slots assumed of a home of which nothing was heard. */
 constexpr int usualSlots = 3;
 
 double freshness(Duration age, Millis halfLife)
@@ -155,15 +155,22 @@
     return tuning_.otherRegion + std::min(tuning_.mostForBytes, large * tuning_.otherRegionPerKilobyte);
 }
 
+bool HomeRanking::isForgotten(const RankedHome &candidate, const Usual &usual, SteadyTime now) const
+{
+    const auto found = homes_.find(candidate.node);
+    const bool recent =
+        found != homes_.end() && found->second.heard && now - found->second.heardAt < tuning_.forgottenAfter;
+    return !recent && currentDoubt(candidate, usual, now) < tuning_.knownDoubt;
+}
+
 double HomeRanking::fixedLoss(const RankedHome &candidate, const HomeNeed &need, const Usual &usual,
                               SteadyTime now) const
 {
     double loss = distanceLoss(candidate.distance, need);
     const auto found = homes_.find(candidate.node);
-    const bool heard = found != homes_.end() && found->second.heard;
-    // Repeatable work finds out about homes not heard of: a server that joins would get nothing as long as the others
-    // are known to be good and have room.
-    const bool findsOut = !heard && need.repeatable;
+    // Repeatable work finds out about homes not heard of lately: a server that joins, or of which nobody happened to
+    // hear, would get nothing as long as the others are known to be good and have room.
+    const bool findsOut = need.repeatable && isForgotten(candidate, usual, now);
     if (!findsOut) {
         loss += currentDoubt(candidate, usual, now) * (need.repeatable ? tuning_.doubtRepeatable : tuning_.doubtOther);
     }
@@ -174,14 +181,14 @@
     loss += now < home.noServerUntil ? noServerLoss : 0.0;
     loss += home.pathBad ? badPathLoss : 0.0;
     if (!home.heard) {
-        return loss + home.inFlight * tuning_.busySlot;
+        return loss + home.inFlight * tuning_.fullServer / usualSlots;
     }
     loss += tuning_.shedding * freshness(now - home.heardAt, tuning_.doubtHalfLife) * home.load.shedding;
     // What this node sent since the news is not in them.
     const std::int32_t since = std::max(0, home.inFlight - home.inFlightThen);
     const double busy =
-        freshness(now - home.heardAt, tuning_.loadHalfLife) * std::max(0, usualSlots - home.load.freeSlots);
-    return loss + (since + busy) * tuning_.busySlot;
+        freshness(now - home.heardAt, tuning_.loadHalfLife) * std::max(0, home.load.slots - home.load.freeSlots);
+    return loss + (since + busy) / std::max(1, home.load.slots) * tuning_.fullServer;
 }
 
 Millis HomeRanking::patienceFor(const RankedHome &home, const HomeNeed &need, const Usual &usual, double loss,
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -173,7 +173,8 @@
 json loadOf(const HomeLoad &load)
 {
     return json::array({load.freeSlots, load.queued, load.wait.count(), static_cast<int>(load.doubt * doubtSteps),
-                        static_cast<int>(load.slowdown * slowdownSteps), static_cast<int>(load.shedding * doubtSteps)});
+                        static_cast<int>(load.slowdown * slowdownSteps), static_cast<int>(load.shedding * doubtSteps),
+                        load.slots});
 }
 
 HomeLoad loadFrom(const json &value)
@@ -185,6 +186,7 @@
     load.doubt = value.at(3).get<int>() / doubtSteps;
     load.slowdown = value.at(4).get<int>() / slowdownSteps;
     load.shedding = value.at(5).get<int>() / doubtSteps;
+    load.slots = value.at(6).get<std::int32_t>();
     return load;
 }
 
--- a/tests/unit/HomeRankingTest.cpp
+++ b/tests/unit/HomeRankingTest.cpp
@@ -22,9 +22,10 @@
         return ranking.choose(homes, without, need, now);
     }
 
-    void load(const std::string &node, std::int32_t freeSlots, Millis wait, double doubt)
+    void load(const std::string &node, std::int32_t freeSlots, Millis wait, double doubt, std::int32_t slots = 3)
     {
         HomeLoad out;
+        out.slots = slots;
         out.freeSlots = freeSlots;
         out.wait = wait;
         out.doubt = doubt;
@@ -69,6 +70,34 @@
     CHECK(choose(true, {"a1", "a2", "b1"}, 90.0).node == "far");
 }
 
+TEST_CASE_FIXTURE(FourHomes, "home ranking, a home not heard of for a second, is found out about by work that can be repeated")
+{
+    // Each sender kept to the homes that had answered it well. Homes of which nobody happened to hear got nothing for
+    // many seconds, with sound servers beside them, while others were full: less than the floor's share was in use.
+    load("a1", 3, Millis(0), 0.002);
+    load("a2", 3, Millis(0), 0.4);
+    now += std::chrono::milliseconds(4000);
+    load("a1", 2, Millis(0), 0.002);
+    CHECK(choose(true).node == "a2");
+    CHECK(choose(false).node == "a1");
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, a home in doubt, is not found out about before gray phases usually end")
+{
+    load("a2", 3, Millis(0), 0.99);
+    now += std::chrono::milliseconds(1500);
+    load("a1", 2, Millis(0), 0.002);
+    CHECK(choose(true).node == "a1");
+}
+
+TEST_CASE_FIXTURE(FourHomes, "home ranking, servers with many slots, are filled evenly and not one after the other")
+{
+    // Only the last three free slots of a server counted: with eleven, some were full and slow while others were idle.
+    load("a1", 4, Millis(0), 0.002, 11);
+    load("a2", 9, Millis(0), 0.002, 11);
+    CHECK(choose(false).node == "a2");
+}
+
 TEST_CASE_FIXTURE(FourHomes, "home ranking, a wait that endangers the objective, goes to the next zone")
 {
     load("a1", 0, Millis(900), 0.02);
