--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -35,10 +35,6 @@
 constexpr Millis freshNews{100};
 constexpr Millis leastRetryAfter{300};
 constexpr Millis leastTime{5};
-/** Second sends come back in steps of half a second as the window moves on. */
-constexpr Millis secondSendPause{250};
-/** A request waits for one as long as so many times its usual work fits into the time that is left. */
-constexpr double workMargin = 1.5;
 /** A stopping node begins nothing that would likely run beyond its end: so many times the usual work, within bounds. */
 constexpr double stopWorkFactor = 2.0;
 constexpr Millis leastStopTime{500};
@@ -199,28 +195,6 @@
     return may;
 }
 
-bool Forwarder::awaitSecondSend(Run &run, const char *why)
-{
-    if (maySendAgain(run, SecondSend::AfterFailure, why)) {
-        return true;
-    }
-    const bool room = static_cast<int>(run.reached.size()) < run.job.route->mostServers;
-    const auto work = std::chrono::duration_cast<Duration>(typicalWork(*run.job.route) * workMargin);
-    const auto wanted = [&] {
-        const bool time = core_.clock.now() + secondSendPause + work < std::min(run.job.deadline, latestStart(run));
-        return room && time && !run.over && !run.withdrawn && !run.job.control->cancelled;
-    };
-    core_.metrics.count("second_sends_awaited");
-    while (wanted()) {
-        sleepFor(core_.ioContext, secondSendPause);
-        const bool there = wanted() && secondSends_.mayHave(repeatsOf(run));
-        if (there && maySendAgain(run, SecondSend::AfterFailure, why)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 Forwarder::PlacementPtr Forwarder::launch(const RunPtr &run, bool hedge)
 {
     auto placement = std::make_shared<Placement>();
@@ -354,12 +328,7 @@
     if (reply.outcome == Outcome::NotRun && !placement->control->cancelled) {
         // It was an arrival at a server, though it did not run: another one is a second send.
         run->reached.erase(choice.node);
-        if (!awaitSecondSend(*run, "server-refused")) {
-            return true;
-        }
-        // A server that shed this request may take it now.
-        run->excluded.erase(choice.node);
-        return false;
+        return !maySendAgain(*run, SecondSend::AfterFailure, "server-refused");
     }
     return true;
 }
@@ -492,7 +461,7 @@
             }
             if (ended == run->placements.size()) {
                 const bool failed = last.outcome != Outcome::NotRun;
-                const bool again = failed && repeatable && awaitSecondSend(*run, "failed");
+                const bool again = failed && repeatable && maySendAgain(*run, SecondSend::AfterFailure, "failed");
                 if (!again) {
                     job.control->interrupt = {};
                     return finish(run, last);
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -105,11 +105,6 @@
     SteadyTime latestStart(const Run &run) const;
     void withdraw(Run &run);
     bool maySendAgain(Run &run, SecondSend purpose, const char *why);
-    /**
-     * As maySendAgain(), and where the fleet's second sends are spent waits for the next ones, as long as an answer
-     * could still come in time.
-     */
-    bool awaitSecondSend(Run &run, const char *why);
     void learn(const std::string &route, const WorkReply &reply);
     ForwardResult finish(const RunPtr &run, const WorkReply &reply);
     /** @p atOnce: without waiting for the homes' word on what has not begun. */
