Leave second sends to more urgent requests where these went short

Hypothesis: while a whole service sheds, look-ups and their calls spend the fleet's second sends, and requests worth twice as much that had not run are refused. A server's call counts with the rank of the most urgent work that may have made it.

--- a/include/limit/InnerCallMeter.h
+++ b/include/limit/InnerCallMeter.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,8 +23,8 @@
 class InnerCallMeter
 {
 public:
-    /** The server began to run a work of @p route. */
-    void begin(std::uint64_t work, const std::string &route, SteadyTime now);
+    /** The server began to run a work of @p route, as urgent as @p rank says; 0 is the most urgent. */
+    void begin(std::uint64_t work, const std::string &route, int rank, SteadyTime now);
     void end(std::uint64_t work, SteadyTime now);
     /** A request of @p route for @p service came from this VM. */
     void arrived(const std::string &route, const std::string &service, SteadyTime now);
@@ -41,6 +42,8 @@
      * if the work does not run.
      */
     bool sawFailedCall(std::uint64_t work) const;
+    /** Rank of the most urgent work under way that may call @p service; nothing if none is seen to. */
+    std::optional<int> rankOfCaller(const std::string &service) const;
     /** Calls of one run of @p route; empty if it makes none. */
     const CallRates &rates(const std::string &route) const;
 
@@ -55,6 +58,7 @@
     };
     struct Run {
         std::string route;
+        int rank = 0;
         CallRates calls;
         bool failedCall = false;
     };
--- a/include/limit/SecondSendBudget.h
+++ b/include/limit/SecondSendBudget.h
@@ -22,7 +22,7 @@
     double usedPart = 0.75;
     /** Sends borrowed from another node are used at once or not at all, so that both count them in the same window. */
     Millis creditLife{500};
-    /** Sends that only may turn out useful leave this part to those that follow a failure. */
+    /** Sends that are less urgent, or only may turn out useful, leave this part to the others. */
     double reservedPart = 0.5;
 };
 
@@ -30,6 +30,8 @@
 enum class SecondSend {
     /** The first one failed. */
     AfterFailure,
+    /** The first one failed, and more urgent requests need the service's second sends as well. */
+    AfterLessUrgentFailure,
     /** The first one takes long. */
     Hedge,
 };
@@ -53,7 +55,7 @@
     /** Sends that were taken did not happen. */
     void giveBack(double sends, SteadyTime now);
     /** Lends another node up to @p sends, and not more than half of what is left here. Returns how many. */
-    double lend(double sends, std::size_t nodes, SteadyTime now);
+    double lend(double sends, SecondSend purpose, std::size_t nodes, SteadyTime now);
     /** Another node lent @p sends. */
     void borrow(double sends, SteadyTime now);
 
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -70,7 +70,8 @@
     double regionTrip = 62.0;
     /** All slots busy; a part of them costs its part. Spreads work over equal homes, since full servers are slower. */
     double fullServer = 40.0;
-    /** A home that was not heard of for so long is asked by work that can be repeated as if it were known to be good. */
+    /** A home that was not heard of for so long is asked by work that can be repeated as if it were known to be good.
+     */
     Millis forgottenAfter{1000};
     /** A repeatable request that meets a gray server takes a second send; another one is lost. */
     double doubtRepeatable = 250.0;
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -231,6 +231,8 @@
     std::uint64_t id = 0;
     std::string service;
     double sends = 0.0;
+    /** More urgent requests need the service's second sends as well. */
+    bool lessUrgent = false;
 };
 
 /** The second sends lent; none if the lender has none to spare. */
--- a/src/limit/InnerCallMeter.cpp
+++ b/src/limit/InnerCallMeter.cpp
@@ -51,13 +51,15 @@
     idleNow_ = 0.0;
 }
 
-void InnerCallMeter::begin(std::uint64_t work, const std::string &route, SteadyTime now)
+void InnerCallMeter::begin(std::uint64_t work, const std::string &route, int rank, SteadyTime now)
 {
     passTime(now);
     if (runs_.empty()) {
         endIdlePeriod();
     }
-    runs_[work].route = route;
+    Run &run = runs_[work];
+    run.route = route;
+    run.rank = rank;
 }
 
 void InnerCallMeter::end(std::uint64_t work, SteadyTime now)
@@ -167,6 +169,17 @@
     return found != runs_.end() && found->second.failedCall;
 }
 
+std::optional<int> InnerCallMeter::rankOfCaller(const std::string &service) const
+{
+    std::optional<int> rank;
+    for (const auto &[id, run] : runs_) {
+        if (weightOf(run.route, service) > rateOfCallers) {
+            rank = std::min(rank.value_or(run.rank), run.rank);
+        }
+    }
+    return rank;
+}
+
 const CallRates &InnerCallMeter::rates(const std::string &route) const
 {
     static const CallRates none;
--- a/src/limit/SecondSendBudget.cpp
+++ b/src/limit/SecondSendBudget.cpp
@@ -42,7 +42,7 @@
     }
     const double slack = tuning_.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
     const double part =
-        purpose == SecondSend::Hedge ? tuning_.usedPart * (1.0 - tuning_.reservedPart) : tuning_.usedPart;
+        purpose == SecondSend::AfterFailure ? tuning_.usedPart : tuning_.usedPart * (1.0 - tuning_.reservedPart);
     return part * (tuning_.share * requests + slack) - seconds;
 }
 
@@ -81,10 +81,10 @@
     step.seconds = std::max(0.0, step.seconds - sends);
 }
 
-double SecondSendBudget::lend(double sends, std::size_t nodes, SteadyTime now)
+double SecondSendBudget::lend(double sends, SecondSend purpose, std::size_t nodes, SteadyTime now)
 {
     constexpr double lentPart = 0.5;
-    const double lent = std::clamp(lentPart * left(nodes, SecondSend::AfterFailure, now), 0.0, std::max(0.0, sends));
+    const double lent = std::clamp(lentPart * left(nodes, purpose, now), 0.0, std::max(0.0, sends));
     stepAt(now).seconds += lent;
     return lent;
 }
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -66,6 +66,8 @@
     SteadyTime objective;
     /** Made by the server beside this node for a work that it runs. */
     bool innerCall = false;
+    /** Of the request, and of a server's call that of the work which waits for it. */
+    int worthRank = firstCallerRank;
     WaitPoint point;
     std::vector<PlacementPtr> placements;
     /** Homes that are not asked any more: their server had it, or they can't be reached, or refused twice. */
@@ -162,11 +164,16 @@
     return repeats;
 }
 
+SecondSend Forwarder::purposeOf(const Run &run) const
+{
+    return secondSends_.purposeOf(run.job.service, run.worthRank);
+}
+
 bool Forwarder::canRepeat(const Run &run) const
 {
     const Route &route = *run.job.route;
     const bool room = static_cast<int>(run.reached.size()) + 1 < route.mostServers;
-    return route.idempotent && room && secondSends_.mayHave(repeatsOf(run));
+    return route.idempotent && room && secondSends_.mayHave(repeatsOf(run), purposeOf(run));
 }
 
 bool Forwarder::maySendAgain(Run &run, SecondSend purpose, const char *why)
@@ -184,6 +191,9 @@
     if (budget && !may) {
         secondSends_.giveBack(repeats);
     }
+    if (!budget && room && wanted() && purpose != SecondSend::Hedge) {
+        secondSends_.noteDenied(run.job.service, run.worthRank);
+    }
     core_.events.writeRequest(
         may ? Severity::Info : Severity::Warning, "second_send",
         {{"request", run.job.requestId},
@@ -328,7 +338,7 @@
     if (reply.outcome == Outcome::NotRun && !placement->control->cancelled) {
         // It was an arrival at a server, though it did not run: another one is a second send.
         run->reached.erase(choice.node);
-        return !maySendAgain(*run, SecondSend::AfterFailure, "server-refused");
+        return !maySendAgain(*run, purposeOf(*run), "server-refused");
     }
     return true;
 }
@@ -412,9 +422,13 @@
             runs.erase(run);
         }
     } const active{active_, run};
-    secondSends_.noteRequest(job.service);
     home_.noteArrival(job.route->name, job.service);
     run->innerCall = home_.isInnerCall(job.route->name);
+    run->worthRank = firstCallerRank + job.route->priority;
+    if (run->innerCall) {
+        run->worthRank = home_.rankOfCaller(job.service).value_or(innerCallRank);
+    }
+    secondSends_.noteRequest(job.service);
     if (run->innerCall) {
         // Late it still lets its parent be in time; not answered at all it fails the parent.
         run->objective = job.deadline;
@@ -461,7 +475,7 @@
             }
             if (ended == run->placements.size()) {
                 const bool failed = last.outcome != Outcome::NotRun;
-                const bool again = failed && repeatable && maySendAgain(*run, SecondSend::AfterFailure, "failed");
+                const bool again = failed && repeatable && maySendAgain(*run, purposeOf(*run), "failed");
                 if (!again) {
                     job.control->interrupt = {};
                     return finish(run, last);
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -99,6 +99,8 @@
     SteadyTime hedgeTime(const Run &run) const;
     /** Second sends that one more send of the run's route is, by service. */
     CallRates repeatsOf(const Run &run) const;
+    /** What a second send after a failure of the run is for. */
+    SecondSend purposeOf(const Run &run) const;
     /** If the next send fails, the request can and will be sent once more. */
     bool canRepeat(const Run &run) const;
     /** From then on it is not worth beginning here any more; max() unless the node stops. */
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -335,7 +335,7 @@
     if (job.work.idempotent) {
         job.control->interrupt = [&cancel] { cancel.cancel(); };
     }
-    innerCalls_.begin(job.id, job.work.route, now);
+    innerCalls_.begin(job.id, job.work.route, job.work.priority, now);
     const auto answer = core_.client.exchange(core_.settings.server->address, stamped, options);
     job.callFailed = innerCalls_.sawFailedCall(job.id);
     innerCalls_.end(job.id, core_.clock.now());
@@ -544,6 +544,11 @@
     return innerCalls_.isInnerCall(route);
 }
 
+std::optional<int> LocalHome::rankOfCaller(const std::string &service) const
+{
+    return innerCalls_.rankOfCaller(service);
+}
+
 void LocalHome::noteFailedCall(const std::string &route, const std::string &service)
 {
     innerCalls_.failed(route, service);
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -70,6 +70,8 @@
     void noteToldInnerCall(const std::string &route);
     /** By what was seen so far requests of @p route from this VM are calls of the server beside this node. */
     bool isInnerCall(const std::string &route) const;
+    /** Rank of the most urgent work under way here that may call @p service; nothing if none is seen to. */
+    std::optional<int> rankOfCaller(const std::string &service) const;
     /** A call of the server beside this node failed: what it runs may fail for that reason alone. */
     void noteFailedCall(const std::string &route, const std::string &service);
     /** The server said farewell or leaves. */
--- a/src/sidecar/SecondSendService.cpp
+++ b/src/sidecar/SecondSendService.cpp
@@ -18,6 +18,8 @@
 constexpr double lentAhead = 2.0;
 /** Pause after nobody had anything to lend: the windows of the lenders move on by a step of half a second. */
 constexpr Millis dryPause{500};
+/** Requests that went short are remembered for some steps of the window. */
+constexpr Millis shortMemory{2000};
 
 } // namespace
 
@@ -41,6 +43,23 @@
     budgetOf(service).noteRequest(core_.clock.now());
 }
 
+void SecondSendService::noteDenied(const std::string &service, int rank)
+{
+    denied_[service][rank] = core_.clock.now();
+}
+
+SecondSend SecondSendService::purposeOf(const std::string &service, int rank) const
+{
+    const auto found = denied_.find(service);
+    if (found == denied_.end()) {
+        return SecondSend::AfterFailure;
+    }
+    const SteadyTime since = core_.clock.now() - shortMemory;
+    const bool yields = std::any_of(found->second.begin(), found->second.end(),
+                                    [&](const auto &seen) { return seen.first < rank && seen.second >= since; });
+    return yields ? SecondSend::AfterLessUrgentFailure : SecondSend::AfterFailure;
+}
+
 bool SecondSendService::has(const CallRates &sends, SecondSend purpose) const
 {
     const SteadyTime now = core_.clock.now();
@@ -51,22 +70,22 @@
     });
 }
 
-bool SecondSendService::mayHave(const CallRates &sends) const
+bool SecondSendService::mayHave(const CallRates &sends, SecondSend purpose) const
 {
     const SteadyTime now = core_.clock.now();
     return std::all_of(sends.begin(), sends.end(), [&](const auto &one) {
         const auto dry = dryUntil_.find(one.first);
         const bool borrowable = dry == dryUntil_.end() || now >= dry->second;
-        return borrowable || has({one}, SecondSend::AfterFailure);
+        return borrowable || has({one}, purpose);
     });
 }
 
 bool SecondSendService::spend(const CallRates &sends, SecondSend purpose)
 {
-    if (purpose == SecondSend::AfterFailure) {
+    if (purpose != SecondSend::Hedge) {
         for (const auto &[service, count] : sends) {
             if (!has({{service, count}}, purpose)) {
-                borrow(service, count);
+                borrow(service, count, purpose);
             }
         }
     }
@@ -107,7 +126,7 @@
     return near;
 }
 
-void SecondSendService::borrow(const std::string &service, double sends)
+void SecondSendService::borrow(const std::string &service, double sends, SecondSend purpose)
 {
     const auto dry = dryUntil_.find(service);
     if (dry != dryUntil_.end() && core_.clock.now() < dry->second) {
@@ -115,10 +134,10 @@
     }
     double borrowed = 0.0;
     for (const RosterEntry &lender : lenders()) {
-        const double lent = askOne(lender, service, sends + lentAhead - borrowed);
+        const double lent = askOne(lender, service, sends + lentAhead - borrowed, purpose);
         budgetOf(service).borrow(lent, core_.clock.now());
         borrowed += lent;
-        if (has({{service, sends}}, SecondSend::AfterFailure)) {
+        if (has({{service, sends}}, purpose)) {
             break;
         }
     }
@@ -131,12 +150,13 @@
         {{"service", service}, {"asked", std::to_string(sends)}, {"borrowed", std::to_string(borrowed)}});
 }
 
-double SecondSendService::askOne(const RosterEntry &lender, const std::string &service, double sends)
+double SecondSendService::askOne(const RosterEntry &lender, const std::string &service, double sends,
+                                 SecondSend purpose)
 {
     PeerHub &peers = core_.service<PeerHub>("peers");
     const Expected<LinkId> link = peers.linkAt(lender.links, lenderTimeout);
     const std::uint64_t id = nextId_++;
-    if (!link || !peers.reply(*link, LendRequest{id, service, sends})) {
+    if (!link || !peers.reply(*link, LendRequest{id, service, sends, purpose != SecondSend::AfterFailure})) {
         core_.metrics.count("lenders_not_reached");
         return 0.0;
     }
@@ -153,7 +173,8 @@
 
 void SecondSendService::handle(LinkId link, const LendRequest &request)
 {
-    const double lent = budgetOf(request.service).lend(request.sends, nodes(), core_.clock.now());
+    const SecondSend purpose = request.lessUrgent ? SecondSend::AfterLessUrgentFailure : SecondSend::AfterFailure;
+    const double lent = budgetOf(request.service).lend(request.sends, purpose, nodes(), core_.clock.now());
     core_.service<PeerHub>("peers").reply(link, LendReply{request.id, lent});
 }
 
--- a/src/sidecar/SecondSendService.h
+++ b/src/sidecar/SecondSendService.h
@@ -26,10 +26,18 @@
     /** @pre "peers" and "roster" are in the kernel before the first request. */
     SecondSendService(NodeCore &core, SecondSendTuning tuning);
 
-    /** A request for @p service was taken from a caller. */
+    /** A request for @p service was taken from a caller or the server. */
     void noteRequest(const std::string &service);
-    /** True if @p sends could be paid for after a failure, with what is here or with what others may lend. */
-    bool mayHave(const CallRates &sends) const;
+    /** A request of @p rank (0 is the most urgent) for @p service went without a second send for want of them. */
+    void noteDenied(const std::string &service, int rank);
+    /**
+     * What a second send after a failure of a request of @p rank for @p service is for: less urgent requests leave a
+     * part of the sends to more urgent ones, where these went short lately. Without that, look-ups spent them while a
+     * whole service shed, and bookings that had not run were refused.
+     */
+    SecondSend purposeOf(const std::string &service, int rank) const;
+    /** True if @p sends could be paid for, with what is here or with what others may lend. */
+    bool mayHave(const CallRates &sends, SecondSend purpose) const;
     /**
      * Pays for @p sends, and borrows what is missing if they follow a failure; false if there is not enough. @pre
      * called from a fiber.
@@ -53,8 +61,8 @@
     bool has(const CallRates &sends, SecondSend purpose) const;
     void take(const CallRates &sends);
     /** Asks some nodes of this region, one after the other, until @p sends of @p service are here. */
-    void borrow(const std::string &service, double sends);
-    double askOne(const RosterEntry &lender, const std::string &service, double sends);
+    void borrow(const std::string &service, double sends, SecondSend purpose);
+    double askOne(const RosterEntry &lender, const std::string &service, double sends, SecondSend purpose);
     std::vector<RosterEntry> lenders() const;
     SecondSendBudget &budgetOf(const std::string &service);
     std::size_t nodes() const;
@@ -64,6 +72,8 @@
     std::map<std::string, SecondSendBudget> budgets_;
     /** Nobody had anything to lend: not asked again before this. */
     std::map<std::string, SteadyTime> dryUntil_;
+    /** When a request of each rank went short last, by service. */
+    std::map<std::string, std::map<int, SteadyTime>> denied_;
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
     std::uint64_t nextId_ = 1;
 };
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -344,7 +344,7 @@
     }
     json operator()(const LendRequest &m) const
     {
-        return with(Type::LendRequest, m.id, m.service, m.sends);
+        return with(Type::LendRequest, m.id, m.service, m.sends, m.lessUrgent);
     }
     json operator()(const LendReply &m) const
     {
@@ -533,7 +533,7 @@
         return newsFrom(in);
     case Type::LendRequest:
         return LendRequest{in.at(body).get<std::uint64_t>(), in.at(body + 1).get<std::string>(),
-                           in.at(body + 2).get<double>()};
+                           in.at(body + 2).get<double>(), in.at(body + 3).get<bool>()};
     case Type::LendReply:
         return LendReply{in.at(body).get<std::uint64_t>(), in.at(body + 1).get<double>()};
     case Type::PathSuspicion:
--- a/tests/unit/HomeRankingTest.cpp
+++ b/tests/unit/HomeRankingTest.cpp
@@ -70,7 +70,8 @@
     CHECK(choose(true, {"a1", "a2", "b1"}, 90.0).node == "far");
 }
 
-TEST_CASE_FIXTURE(FourHomes, "home ranking, a home not heard of for a second, is found out about by work that can be repeated")
+TEST_CASE_FIXTURE(FourHomes,
+                  "home ranking, a home not heard of for a second, is found out about by work that can be repeated")
 {
     // Each sender kept to the homes that had answered it well. Homes of which nobody happened to hear got nothing for
     // many seconds, with sound servers beside them, while others were full: less than the floor's share was in use.
--- a/tests/unit/RouteOriginsTest.cpp
+++ b/tests/unit/RouteOriginsTest.cpp
@@ -1,5 +1,5 @@
-#include "include/limit/InnerCallMeter.h"
 #include "include/limit/RouteOrigins.h"
+#include "include/limit/InnerCallMeter.h"
 
 #include <doctest/doctest.h>
 
@@ -64,7 +64,7 @@
 {
     InnerCallMeter meter;
     const SteadyTime start(std::chrono::hours(1));
-    meter.begin(1, "lodge", start);
+    meter.begin(1, "lodge", 1, start);
     meter.arrived("pack-index", "packhouse", start);
     CHECK_FALSE(meter.isInnerCall("pack-index"));
     meter.noteTold("pack-index");
--- a/tests/unit/SecondSendTest.cpp
+++ b/tests/unit/SecondSendTest.cpp
@@ -37,9 +37,9 @@
     std::uint64_t id = 0;
     SteadyTime now = start;
     for (int i = 0; i < count; ++i) {
-        meter.begin(++id, "parent", now);
+        meter.begin(++id, "parent", 1, now);
         if (i % 2 == 0) {
-            meter.begin(++id, "single", now);
+            meter.begin(++id, "single", 1, now);
         }
         now += Millis(20);
         meter.arrived("inner", "records", now);
@@ -48,7 +48,7 @@
             meter.end(id, now);
         }
         ++id;
-        meter.begin(id + 1000, "single", now);
+        meter.begin(id + 1000, "single", 1, now);
         now += Millis(20);
         meter.end(id + 1000, now);
         now += Millis(40);
@@ -93,6 +93,33 @@
     CHECK(takeAll(budget, 1, SecondSend::AfterFailure, start) == 25);
 }
 
+TEST_CASE("second sends, less urgent requests, leave half to the more urgent ones, also when they borrow")
+{
+    // All servers of a ledger shed half of their requests. Look-ups' calls spent the second sends, and lodgings, which
+    // are worth twice as much and had not run, were refused.
+    SecondSendTuning tuning;
+    tuning.slack = 50.0 / tuning.usedPart;
+    SecondSendBudget budget(tuning);
+    CHECK(takeAll(budget, 1, SecondSend::AfterLessUrgentFailure, start) == 25);
+    CHECK(budget.lend(5.0, SecondSend::AfterLessUrgentFailure, 1, start) == 0.0);
+    CHECK(budget.lend(5.0, SecondSend::AfterFailure, 1, start) == 5.0);
+    CHECK(takeAll(budget, 1, SecondSend::AfterFailure, start) == 20);
+}
+
+TEST_CASE("inner call meter, rank of the work that calls, is that of the most urgent one that makes such calls")
+{
+    InnerCallMeter meter;
+    CHECK_FALSE(meter.rankOfCaller("checks").has_value());
+    for (std::uint64_t id = 0; id < 20; ++id) {
+        meter.begin(id, "parent", 3, start);
+        meter.arrived("check", "checks", start);
+        meter.end(id, start);
+    }
+    meter.begin(100, "parent", 3, start);
+    meter.begin(101, "single", 1, start);
+    CHECK(meter.rankOfCaller("checks") == 3);
+}
+
 TEST_CASE("second send budget, window over, is whole again")
 {
     SecondSendBudget budget(tuning());
@@ -113,7 +140,7 @@
         SecondSendBudget &needy = budgets[0];
         if (!needy.has(1.0, nodes, SecondSend::AfterFailure, now)) {
             const std::size_t lender = 1 + static_cast<std::size_t>(round) % (nodes - 1);
-            needy.borrow(budgets[lender].lend(3.0, nodes, now), now);
+            needy.borrow(budgets[lender].lend(3.0, SecondSend::AfterFailure, nodes, now), now);
         }
         if (needy.has(1.0, nodes, SecondSend::AfterFailure, now)) {
             needy.take(1.0, now);
@@ -150,7 +177,7 @@
 {
     SecondSendBudget budget(tuning());
     takeAll(budget, 1, SecondSend::AfterFailure, start);
-    CHECK(budget.lend(2.0, 1, start) == 0.0);
+    CHECK(budget.lend(2.0, SecondSend::AfterFailure, 1, start) == 0.0);
 }
 
 TEST_CASE("inner call meter, call fails, the work that made it is known to have seen it and others are not")
@@ -160,8 +187,8 @@
     InnerCallMeter meter;
     learn(meter, 50);
     const SteadyTime later = start + std::chrono::minutes(1);
-    meter.begin(1, "parent", later);
-    meter.begin(2, "single", later);
+    meter.begin(1, "parent", 1, later);
+    meter.begin(2, "single", 1, later);
     meter.arrived("inner", "records", later);
     CHECK_FALSE(meter.sawFailedCall(1));
     meter.failed("inner", "records");
@@ -175,7 +202,7 @@
     // own calls do. Taken for calls, all of them were the most urgent and in time until their deadline: nothing had an
     // order any more, and late work was served before work that could be in time.
     InnerCallMeter meter;
-    meter.begin(1, "booking", start);
+    meter.begin(1, "booking", 1, start);
     for (int i = 0; i < 500; ++i) {
         meter.arrived("callers", "desk", start + Millis(20) * i);
     }
@@ -186,14 +213,14 @@
 {
     InnerCallMeter meter;
     SteadyTime now = start;
-    meter.begin(1, "booking", now);
+    meter.begin(1, "booking", 1, now);
     for (int i = 0; i < 60; ++i) {
         now += Millis(20);
         meter.arrived("callers", "desk", now);
     }
     meter.end(1, now);
     now += std::chrono::seconds(30);
-    meter.begin(2, "booking", now);
+    meter.begin(2, "booking", 1, now);
     meter.arrived("callers", "desk", now);
     CHECK_FALSE(meter.isInnerCall("callers"));
 }
@@ -201,7 +228,7 @@
 TEST_CASE("inner call meter, first request of a route, is not taken for a call")
 {
     InnerCallMeter meter;
-    meter.begin(1, "booking", start);
+    meter.begin(1, "booking", 1, start);
     meter.arrived("callers", "desk", start);
     CHECK_FALSE(meter.isInnerCall("callers"));
 }
@@ -211,7 +238,7 @@
     InnerCallMeter meter;
     SteadyTime now = start;
     for (std::uint64_t id = 1; id <= 40; ++id) {
-        meter.begin(id, "parent", now);
+        meter.begin(id, "parent", 1, now);
         meter.arrived("inner", "records", now);
         meter.arrived("callers", "desk", now);
         now += Millis(100);
@@ -228,7 +255,7 @@
     InnerCallMeter meter;
     learn(meter, 50);
     const SteadyTime later = start + std::chrono::minutes(1);
-    meter.begin(1, "parent", later);
+    meter.begin(1, "parent", 1, later);
     meter.failed("callers", "records");
     CHECK_FALSE(meter.sawFailedCall(1));
 }
@@ -252,7 +279,7 @@
     // allowed.
     InnerCallMeter meter;
     for (std::uint64_t id = 1; id <= 3; ++id) {
-        meter.begin(id, "parent", start);
+        meter.begin(id, "parent", 1, start);
         meter.arrived("inner", "records", start);
         meter.end(id, start);
     }
@@ -264,7 +291,7 @@
 {
     InnerCallMeter meter;
     for (std::uint64_t id = 1; id <= 200; ++id) {
-        meter.begin(id, "parent", start);
+        meter.begin(id, "parent", 1, start);
         meter.arrived("callers", "records", start);
         meter.end(id, start);
         meter.arrived("callers", "records", start);
