--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -90,8 +90,8 @@
     Millis longestTrialPause{1200};
     double trialPauseFactor = 1.7;
     /**
-     * How much likelier a failure is from a gray server: one that came at once, and one after the usual work time. Of
-     * 331 failures seen on a quiet day 277 came at once.
+     * How much likelier a failure is from a gray server: one that came at once, and one after the usual work time. A
+     * sound server fails mostly after having worked on the request, a gray one mostly before.
      */
     double quickFailureRatio = 500.0;
     double slowFailureRatio = 6.0;
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -53,8 +53,6 @@
 /**
  * What speaks against a home, each as the part of a request's value that it is expected to cost, in thousandths.
  * Waiting costs nothing as long as the objective is safe; bytes between zones and regions are paid in any case.
- * Chosen by whole days on both users' deployments: doubtRepeatable (450 was worse on one, the same on the other) and
- * unheardWait (1.0 refused more). The others are judged by reason and were not varied by themselves.
  */
 struct RankingTuning {
     double otherZone = 60.0;
--- a/src/sidecar/SecondSendService.cpp
+++ b/src/sidecar/SecondSendService.cpp
@@ -1,7 +1,6 @@
 #include "src/sidecar/SecondSendService.h"
 
 #include "src/fiber/WaitPoint.h"
-
 #include "src/node/NodeCore.h"
 #include "src/sidecar/RosterKeeper.h"
 
