Look twice whether a server still listens, on the product's own path too

A process that ends closes its connection before its listener; the home looked once, at once, and took the death for a broken connection. The platform's path looks twice already.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -23,6 +23,10 @@
 constexpr int mostStrayAnswers = 4;
 /** A connection is not used in the last part of the time for which its peer promised to keep it. */
 constexpr Millis keepAliveMargin{1000};
+/** A process that is there accepts or refuses a connection at once. */
+constexpr Millis aliveProbe{250};
+/** A process that ends has closed all its sockets after this time, also on a VM whose share of a core is used up. */
+constexpr Millis dyingPause{100};
 
 /** The seconds of "timeout=N" in a Keep-Alive header; negative if it names none. */
 std::int64_t keepAliveSeconds(std::string_view header)
@@ -292,6 +296,15 @@
     return !error && !connected.error;
 }
 
+bool HttpClient::hasEnded(const Endpoint &endpoint)
+{
+    if (!accepts(endpoint, aliveProbe)) {
+        return true;
+    }
+    sleepFor(ioContext_, dyingPause);
+    return !accepts(endpoint, aliveProbe);
+}
+
 void HttpClient::forget(const Endpoint &endpoint)
 {
     idle_.erase(endpoint);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -91,6 +91,12 @@
                                                        const ExchangeOptions &options);
     /** True if something accepts connections at @p endpoint. @pre called from a fiber. */
     bool accepts(const Endpoint &endpoint, Duration allowed);
+    /**
+     * True if nobody listens at @p endpoint, or soon no more. A process that ends closes its connections before or
+     * after its listener, as it comes: asked only once, a death went unseen now and then on a busy VM, and the request
+     * that had caused it was given to a third server. @pre called from a fiber.
+     */
+    bool hasEnded(const Endpoint &endpoint);
     /** Closes kept-open connections to @p endpoint. */
     void forget(const Endpoint &endpoint);
 
--- a/src/node/HomeService.cpp
+++ b/src/node/HomeService.cpp
@@ -18,7 +18,6 @@
 constexpr Millis busyTick{20};
 constexpr Millis idleTick{100};
 constexpr Millis suspectMemory = std::chrono::seconds(10);
-constexpr Millis aliveProbe{250};
 constexpr Millis leastTimeForRetry{5};
 constexpr unsigned firstServerError = 500;
 constexpr unsigned unavailable = 503;
@@ -250,7 +249,7 @@
     const Announcement *announced = run.home->find(run.server);
     bool died = false;
     if (abrupt && !cutShort && announced != nullptr) {
-        died = !core_.client.accepts(Endpoint{announced->address, announced->port}, aliveProbe);
+        died = core_.client.hasEnded(Endpoint{announced->address, announced->port});
         if (died) {
             noteDeath(run, run.server, incarnation);
         } else {
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -32,10 +32,6 @@
 /** A server that stayed silent till the deadline, which is much longer than its usual work, is likelier gray. */
 constexpr double silenceRatio = 8.0;
 constexpr int silenceFactor = 4;
-/** A process on the same VM accepts or refuses a connection at once. */
-constexpr Millis aliveProbe{250};
-/** A process that ends has closed all its sockets after this time, also on a VM whose share of a core is used up. */
-constexpr Millis dyingPause{100};
 
 std::string millisText(Duration value)
 {
@@ -437,13 +433,8 @@
     }
     const std::string server = known->server + "@" + hexText(known->incarnation);
     const Endpoint address = core_.settings.server->address;
-    if (core_.client.accepts(address, aliveProbe)) {
-        // A process that ends closes its connections before or after its listener, as it comes. Asked only once, a
-        // death went unseen now and then on a busy VM, and the request was given to a third server.
-        sleepFor(core_.ioContext, dyingPause);
-        if (core_.client.accepts(address, aliveProbe)) {
-            return false;
-        }
+    if (!core_.client.hasEnded(address)) {
+        return false;
     }
     core_.service<PoisonService>("poison").noteDeath(requestDigest(job.work.service, job.work.request), server);
     if (server_.serving() != nullptr) {
--- a/tests/standins/backend.cpp
+++ b/tests/standins/backend.cpp
@@ -22,6 +22,7 @@
 constexpr Millis announceEvery{500};
 constexpr Millis announceTimeout{400};
 const std::string poisonMark = "ends-the-server";
+constexpr Millis dyingTime{20};
 
 /** How real work fails; the health endpoint stays well. */
 struct Mode {
@@ -175,7 +176,12 @@
         if (request.body.find(poisonMark) != std::string::npos
             || request.target.find(poisonMark) != std::string::npos) {
             noteExecution(request);
-            std::_Exit(9);
+            // A process that ends closes its sockets one after the other: the connection first, then the listener.
+            spawnFiber([this] {
+                sleepFor(ioContext_, dyingTime);
+                std::_Exit(9);
+            });
+            return HttpReply{HttpResponse(), AfterResponse::Reset};
         }
         ++running_;
         mostRunning_ = std::max(mostRunning_, running_);
