Log each call on a watch, each configuration read, and changes of readiness

The record of the incident could not tell its hypotheses apart: a retry that was refused, a listing that failed and a watch that nobody answered left the same silence; copies of the configuration that were parsed and dropped left none; and whether a node said that it was ready was nowhere. Lines on success are bounded like lines about requests.

--- a/src/sidecar/CallerFront.cpp
+++ b/src/sidecar/CallerFront.cpp
@@ -55,13 +55,19 @@
     : core_(core)
 { }
 
-HttpReply CallerFront::handleReadiness(const HttpRequest &request) const
+HttpReply CallerFront::handleReadiness(const HttpRequest &request)
 {
     constexpr unsigned ok = 200;
     if (!platform::isReadinessQuestion(request)) {
         return HttpReply{jsonResponse(noRoute, "{\"error\":\"unknown path\"}\n"), AfterResponse::KeepOpen};
     }
-    const bool ready = !core_.draining && core_.service<ConfigFollower>("config").version() > 0;
+    const std::uint64_t version = core_.service<ConfigFollower>("config").version();
+    const bool ready = !core_.draining && version > 0;
+    if (ready != saidReady_) {
+        saidReady_ = ready;
+        core_.events.write(Severity::Info, ready ? "node_ready" : "node_not_ready",
+                           {{"config", std::to_string(version)}, {"draining", core_.draining ? "yes" : "no"}});
+    }
     return HttpReply{jsonResponse(ready ? ok : unavailable, "{}\n"), AfterResponse::KeepOpen};
 }
 
--- a/src/sidecar/CallerFront.h
+++ b/src/sidecar/CallerFront.h
@@ -19,7 +19,7 @@
     /** @pre called from a fiber. */
     HttpReply handle(HttpRequest request, const CallerWatchPtr &caller);
     /** Answers the platform's question whether this node takes callers. */
-    HttpReply handleReadiness(const HttpRequest &request) const;
+    HttpReply handleReadiness(const HttpRequest &request);
     /** Another configuration is in force. */
     void configChanged();
 
@@ -28,6 +28,8 @@
 
     NodeCore &core_;
     PartPicker parts_;
+    /** The last answer to the platform's question. */
+    bool saidReady_ = false;
 };
 
 } // namespace waxwing
--- a/src/sidecar/ConfigFollower.cpp
+++ b/src/sidecar/ConfigFollower.cpp
@@ -48,7 +48,14 @@
         core_.metrics.count("config_refused");
         return;
     }
-    if (decoded.version <= version()) {
+    const bool newer = decoded.version > version();
+    core_.events.writeRequest(Severity::Info, "config_read",
+                              {{"version", std::to_string(decoded.version)},
+                               {"held", std::to_string(version())},
+                               {"bytes", std::to_string(document.size())},
+                               {"source", source}});
+    core_.metrics.count(newer ? "config_documents_newer" : "config_documents_not_newer");
+    if (!newer) {
         return;
     }
     const std::string before = std::to_string(version());
--- a/src/sidecar/NewsService.cpp
+++ b/src/sidecar/NewsService.cpp
@@ -58,10 +58,10 @@
     core_.service<PeerHub>("peers").reply(link, news);
 }
 
-void NewsService::handleNews(const News &news)
+void NewsService::handleNews(const NodeRef &from, const News &news)
 {
     if (!news.config.empty()) {
-        core_.service<ConfigFollower>("config").take(news.config, "another node");
+        core_.service<ConfigFollower>("config").take(news.config, from.id);
     }
     core_.service<RosterKeeper>("roster").takeList(news.roster, news.versions.roster);
 }
--- a/src/sidecar/NewsService.h
+++ b/src/sidecar/NewsService.h
@@ -26,7 +26,7 @@
     /** The node at the other end of @p link holds these. */
     void heard(LinkId link, const KnownVersions &theirs);
     void handleRequest(LinkId link, const NewsRequest &request);
-    void handleNews(const News &news);
+    void handleNews(const NodeRef &from, const News &news);
 
 private:
     NodeCore &core_;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -267,7 +267,7 @@
     } else if (const auto *request = std::get_if<NewsRequest>(&message)) {
         news.handleRequest(link, *request);
     } else if (const auto *told = std::get_if<News>(&message)) {
-        news.handleNews(*told);
+        news.handleNews(from, *told);
     } else if (const auto *records = std::get_if<RecordsPush>(&message)) {
         for (const Record &record : records->records) {
             poison.take(record);
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -28,7 +28,9 @@
     bool first = true;
     while (!core_.stopping) {
         const Millis wait = randomBetween(tuning_.shortestWait, tuning_.longestWait);
+        const SteadyTime asked = core_.clock.now();
         const Expected<ObjectChanges> changes = api.watch(kind_, since, wait, tuning_.mode);
+        logCall(since, wait, core_.clock.now() - asked, changes);
         if (!changes) {
             if (healthy_ || first) {
                 core_.events.write(Severity::Warning, "store_lost",
@@ -60,6 +62,20 @@
     }
 }
 
+void StoreWatch::logCall(std::uint64_t since, Millis wait, Duration took, const Expected<ObjectChanges> &result)
+{
+    const auto tookMs = std::chrono::duration_cast<Millis>(took).count();
+    core_.events.writeRequest(result ? Severity::Info : Severity::Warning, "store_call",
+                              {{"kind", kind_},
+                               {"call", since == 0 ? "list" : "watch"},
+                               {"since", std::to_string(since)},
+                               {"waitMs", since == 0 ? "0" : std::to_string(wait.count())},
+                               {"tookMs", std::to_string(tookMs)},
+                               {"revision", result ? std::to_string(result->revision) : ""},
+                               {"objects", result ? std::to_string(result->objects.size()) : ""},
+                               {"reason", result ? "" : result.error().message}});
+}
+
 bool StoreWatch::isHealthy() const
 {
     return healthy_;
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/StoreWatch.h
@@ -42,6 +42,8 @@
 
 private:
     Millis randomBetween(Millis least, Millis most);
+    /** One line an attempt: a call that is refused, one that fails and one that is never answered look different. */
+    void logCall(std::uint64_t since, Millis wait, Duration took, const Expected<ObjectChanges> &result);
 
     NodeCore &core_;
     std::string kind_;
