--- /dev/null
+++ b/tests/integration/OldKnowledgeTest.cpp
@@ -0,0 +1,126 @@
+#include "platform/Names.h"
+#include "tests/support/Mesh.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace waxwing;
+using namespace waxwing::testing;
+
+namespace {
+
+namespace names = platform::names;
+
+/** The bound within which an acknowledged change is in force at every node that was undisturbed. */
+constexpr Millis applyBound{2500};
+/** A node that a disturbance has reached counts as undisturbed again after this time. */
+constexpr Millis calmAfter{4000};
+/** A change is due at the later of two times; the disturbances of these tests come just before the change. */
+constexpr Millis dueAfterDisturbance = std::max(applyBound, calmAfter);
+
+/** Bookings are for "archive" from version 2 on, whose server stands beside node 2. */
+class OldKnowledge
+{
+protected:
+    explicit OldKnowledge(int spareRoutes = 0, int nodes = 3)
+        : mesh_(plan(spareRoutes, nodes))
+    { }
+
+    static MeshPlan plan(int spareRoutes, int nodes)
+    {
+        MeshPlan out;
+        out.services = std::vector<std::string>(static_cast<std::size_t>(nodes), "desk");
+        out.services.at(2) = "archive";
+        out.spareRoutes = spareRoutes;
+        return out;
+    }
+
+    bool isInForce(std::uint64_t version)
+    {
+        const std::string word = "version=" + std::to_string(version);
+        for (int node = 0; node < 3; ++node) {
+            if (mesh_.linesWith(node, {"event=config_in_force", word}) == 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    Mesh mesh_;
+};
+
+class LargeConfiguration : public OldKnowledge
+{
+protected:
+    LargeConfiguration()
+        : OldKnowledge(3000, 8)
+    { }
+};
+
+} // namespace
+
+// Guards against a node whose processor is taken for seconds by copies of a configuration that it already has.
+TEST_CASE_FIXTURE(LargeConfiguration, "old knowledge, node started beside many peers, reads the configuration once")
+{
+    mesh_.storeFault({{"slowListMs", 800}, {"slowListKind", names::configKind}});
+    mesh_.node(0).kill();
+    mesh_.startNode(0);
+    REQUIRE(eventually([&] { return mesh_.isReady(0); }));
+    // Copies that peers have sent in the meantime are read by then.
+    pause(Millis(1500));
+    CHECK(mesh_.linesWith(0, {"event=config_read"}) == 1);
+}
+
+// Guards against a started node that takes callers with the version of a peer that lags behind the store.
+TEST_CASE_FIXTURE(OldKnowledge,
+                  "old knowledge, node started beside peers that lag, is ready only with the newest version")
+{
+    mesh_.storeFault({{"deafWatches", true}, {"slowListMs", 800}, {"slowListKind", names::configKind}});
+    mesh_.configure(2, "archive");
+    mesh_.node(0).kill();
+    mesh_.startNode(0);
+    REQUIRE(eventually([&] { return mesh_.isReady(0); }));
+    const auto answer = mesh_.send(0, "after-ready", "/seats/1");
+    REQUIRE(answer);
+    CHECK(headerValue(answer->headers, names::signature) == "seal-i-2");
+}
+
+// Guards against nodes that lose their watches together and wait for long on a store that never heard them.
+TEST_CASE_FIXTURE(OldKnowledge, "old knowledge, watches cut while the store is silent, hold the next version in time")
+{
+    mesh_.storeFault({{"silent", true}, {"cutWatches", true}});
+    pause(Millis(600));
+    mesh_.storeFault({{"silent", false}});
+    mesh_.configure(2, "archive");
+    CHECK(eventually([&] { return isInForce(2); }, dueAfterDisturbance));
+}
+
+// Guards against watches that all go silent without a reset, right after a change has set their waits to the same
+// start.
+TEST_CASE_FIXTURE(OldKnowledge, "old knowledge, watches gone silent, hold the next version in time")
+{
+    mesh_.configure(2);
+    REQUIRE(eventually([&] { return isInForce(2); }));
+    pause(Millis(300));
+    mesh_.storeFault({{"deafWatches", true}});
+    mesh_.configure(3, "archive");
+    CHECK(eventually([&] { return isInForce(3); }, dueAfterDisturbance));
+}
+
+// Guards against a node that joins and gets no work because the others' watches on the roster went silent.
+TEST_CASE_FIXTURE(OldKnowledge, "old knowledge, watches gone silent, know a node that joins soon")
+{
+    mesh_.enlist("first-to-join");
+    REQUIRE(eventually([&] { return mesh_.linesWith(0, {"event=roster_changed", "nodes=4"}) > 0; }));
+    pause(Millis(600));
+    mesh_.storeFault({{"deafWatches", true}});
+    mesh_.enlist("second-to-join");
+    for (int node = 0; node < 3; ++node) {
+        CHECK(eventually(
+            [&] {
+                return mesh_.linesWith(node, {"event=roster_changed", "nodes=5"}) > 0;
+            },
+            2 * dueAfterDisturbance));
+    }
+}
--- a/tests/standins/objectapi.cpp
+++ b/tests/standins/objectapi.cpp
@@ -1,6 +1,6 @@
 /**
  * Stand-in for the platform's object API: versions, conditional updates, watches, counted calls, and on demand an
- * outage, slowness, or answers that are lost after the write took effect.
+ * outage, slowness, silence, watches that are cut or go deaf, or answers that are lost after the write took effect.
  */
 #include "platform/Names.h"
 #include "src/http/HttpServer.h"
@@ -43,10 +43,23 @@
 
 struct Faults {
     bool outage = false;
+    /** Calls that come meanwhile are never answered, also not later. */
+    bool silent = false;
     std::int64_t slowMs = 0;
+    /** Full lists of one kind take this much longer. */
+    std::int64_t slowListMs = 0;
+    std::string slowListKind;
     int loseAnswers = 0;
 };
 
+/** A watch that waits for a change. */
+struct Waiter {
+    FiberGate gate;
+    bool cut = false;
+    /** Its connection has gone silent: it is never answered. */
+    bool deaf = false;
+};
+
 struct Target {
     std::string kind;
     std::string name;
@@ -93,6 +106,9 @@
         if (faults_.outage) {
             return HttpReply{{}, AfterResponse::Reset};
         }
+        if (faults_.silent) {
+            waitForEver();
+        }
         if (faults_.slowMs > 0) {
             sleepFor(ioContext_, Millis(faults_.slowMs));
         }
@@ -127,17 +143,46 @@
             return reply(400, {{"error", "POST /_fault with an object, or GET /_stats"}});
         }
         faults_.outage = body.value("outage", faults_.outage);
+        faults_.silent = body.value("silent", faults_.silent);
+        faults_.slowListMs = body.value("slowListMs", faults_.slowListMs);
+        faults_.slowListKind = body.value("slowListKind", faults_.slowListKind);
         faults_.slowMs = body.value("slowMs", faults_.slowMs);
         faults_.loseAnswers = body.value("loseAnswers", faults_.loseAnswers);
         if (body.value("forgetHistory", false)) {
             forgottenBefore_ = revision_;
         }
-        if (faults_.outage) {
+        for (const auto &waiter : waiting_) {
+            waiter->cut = waiter->cut || body.value("cutWatches", false);
+            waiter->deaf = waiter->deaf || body.value("deafWatches", false);
+        }
+        if (faults_.outage || body.value("cutWatches", false)) {
             wakeAll();
         }
         return reply(200, json::object());
     }
 
+    static void waitForEver()
+    {
+        FiberGate never;
+        never.wait();
+    }
+
+    /** Returns whether the watch was cut. */
+    bool waitForChange(Millis allowed)
+    {
+        const auto waiter = std::make_shared<Waiter>();
+        waiting_.push_back(waiter);
+        boost::asio::steady_timer timer(ioContext_, allowed);
+        timer.async_wait([waiter](boost::system::error_code) { waiter->gate.open(); });
+        waiter->gate.wait();
+        timer.cancel();
+        waiting_.remove(waiter);
+        if (waiter->deaf) {
+            waitForEver();
+        }
+        return waiter->cut;
+    }
+
     HttpReply read(const Target &target)
     {
         const auto found = objects_.find({target.kind, target.name});
@@ -157,13 +202,12 @@
             return reply(410, {{"error", "history gone"}});
         }
         if (from > 0 && waitMs > 0 && !changedSince(target.kind, from)) {
-            const auto gate = std::make_shared<FiberGate>();
-            waiting_.push_back(gate);
-            boost::asio::steady_timer timer(ioContext_, Millis(waitMs));
-            timer.async_wait([gate](boost::system::error_code) { gate->open(); });
-            gate->wait();
-            timer.cancel();
-            waiting_.remove(gate);
+            if (waitForChange(Millis(waitMs))) {
+                return HttpReply{{}, AfterResponse::Reset};
+            }
+        }
+        if (from == 0 && target.kind == faults_.slowListKind) {
+            sleepFor(ioContext_, Millis(faults_.slowListMs));
         }
         if (faults_.outage) {
             return HttpReply{{}, AfterResponse::Reset};
@@ -246,15 +290,15 @@
 
     void wakeAll()
     {
-        for (const auto &gate : waiting_) {
-            gate->open();
+        for (const auto &waiter : waiting_) {
+            waiter->gate.open();
         }
     }
 
     boost::asio::io_context &ioContext_;
     std::map<std::pair<std::string, std::string>, Object> objects_;
     std::map<std::string, std::uint64_t> calls_;
-    std::list<std::shared_ptr<FiberGate>> waiting_;
+    std::list<std::shared_ptr<Waiter>> waiting_;
     Faults faults_;
     std::uint64_t revision_ = 1;
     /** Watches from before this revision are told that the history is gone. */
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/Mesh.h"
 
+#include "include/fleet/Roster.h"
+#include "platform/ConfigDecoder.h"
 #include "platform/Names.h"
 #include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
@@ -7,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -29,7 +32,7 @@
     }
 }
 
-json configDocument(std::uint64_t version, const std::string &service, int timeoutMs)
+json configDocument(std::uint64_t version, const std::string &service, int timeoutMs, int spareRoutes)
 {
     const auto rule = [timeoutMs](const std::string &name, const std::string &kind, const std::string &prefix,
                                   const std::string &to) {
@@ -40,6 +43,10 @@
                     {"match", {{"path_prefix", prefix}}},
                     {"action", {{"service", to}, {"timeout_ms", timeoutMs}, {"max_attempts", 2}}}};
     };
+    json spare = json::array();
+    for (int i = 0; i < spareRoutes; ++i) {
+        spare.push_back(rule("spare" + std::to_string(i), "safe", "/spare" + std::to_string(i) + "/", "desk"));
+    }
     return {{"version", "r" + std::to_string(version)},
             {"limits",
              {{"max_header_bytes", 16384},
@@ -48,7 +55,8 @@
               {"idle_timeout_ms", 5000}}},
             {"listeners", json::array({{{"host", "desk.example"},
                                         {"rules", json::array({rule("browse", "safe", "/dates/", "desk"),
-                                                               rule("book", "unsafe", "/seats/", service)})}}})},
+                                                               rule("book", "unsafe", "/seats/", service)})}},
+                                       {{"host", "spare.example"}, {"rules", spare}}})},
             {"clusters", json::array()}};
 }
 
@@ -172,9 +180,10 @@
 
 void Mesh::configure(std::uint64_t version, const std::string &service)
 {
-    const UpdateResult result = ObjectApi(loopClient(), store_)
-                                    .update(names::configKind, names::configName, configRevision_,
-                                            configDocument(version, service, plan_.timeoutMs).dump());
+    const UpdateResult result =
+        ObjectApi(loopClient(), store_)
+            .update(names::configKind, names::configName, configRevision_,
+                    configDocument(version, service, plan_.timeoutMs, plan_.spareRoutes).dump());
     must(result.kind == UpdateResult::Kind::Stored, "configuration stored");
     configRevision_ = result.version;
 }
@@ -236,6 +245,32 @@
     return counts;
 }
 
+void Mesh::enlist(const std::string &node)
+{
+    RosterEntry entry;
+    entry.id = node;
+    entry.links = freeEndpoint();
+    entry.zone = "z0";
+    entry.region = "elsewhere";
+    entry.service = "desk";
+    const UpdateResult result =
+        ObjectApi(loopClient(), store_).update(platform::rosterKind, node, 0, platform::encodeRosterEntry(entry));
+    must(result.kind == UpdateResult::Kind::Stored, "entry stored");
+}
+
+int Mesh::linesWith(int node, const std::vector<std::string> &words) const
+{
+    std::ifstream text(members_.at(static_cast<std::size_t>(node)).logs.back());
+    int count = 0;
+    std::string line;
+    while (std::getline(text, line)) {
+        const bool all = std::all_of(words.begin(), words.end(),
+                                     [&line](const std::string &word) { return line.find(word) != std::string::npos; });
+        count += all ? 1 : 0;
+    }
+    return count;
+}
+
 std::string Mesh::log(int node) const
 {
     std::stringstream text;
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -19,6 +19,8 @@
     /** The routes' timeout, and the time from SIGTERM to the end. */
     int timeoutMs = 3000;
     int graceSeconds = 5;
+    /** Routes that no test asks for, to make the configuration large. */
+    int spareRoutes = 0;
 };
 
 /** Real processes on loopback in the platform's shape: store stand-in, and beside each node its one server. */
@@ -50,6 +52,10 @@
     bool isReady(int node);
     /** How often each request id was executed. */
     std::map<std::string, int> executions() const;
+    /** Writes an entry of a node that does not run into the roster. */
+    void enlist(const std::string &node);
+    /** How many lines of the node's log since its last start contain every one of @p words. */
+    int linesWith(int node, const std::vector<std::string> &words) const;
     /** A node's log. */
     std::string log(int node) const;
     /** Sends idempotent requests until every node has been served by another one's server. */
