Wait long for a change only where the store has just answered

Callers saw requests end with 404, or run by a service that had lost its route, for up to 15 s after a change had been acknowledged, at every node of a fleet.

Cause: after a watch was lost the next call was a watch again, which may wait 12 to 25 s for a change. If the store was silent at that moment the node learned it only 2 s after the end of that wait. One event cut the watches of all nodes, so no node could tell another.

Change: after a loss, and at the start, the node asks only whether there is something new, on a connection of its own, and must be answered within 1 s; a long wait follows only an answered call. A large answer has 6 s for its body once it has begun, so that a short wait for the first byte does not cut it.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -170,8 +170,18 @@
         if (request.method == "HEAD") {
             parser.skip(true);
         }
-        const IoResult read = await(
-            [&](auto handle) { http::async_read(connection.stream, connection.buffer, parser, std::move(handle)); });
+        IoResult read;
+        if (options.bodyAllowed > Duration(0)) {
+            read = await([&](auto handle) {
+                http::async_read_header(connection.stream, connection.buffer, parser, std::move(handle));
+            });
+            connection.stream.expires_after(options.bodyAllowed);
+        }
+        if (!read.error) {
+            read = await([&](auto handle) {
+                http::async_read(connection.stream, connection.buffer, parser, std::move(handle));
+            });
+        }
         if (read.error) {
             const ExchangeFailure failure = failureOf(read.error);
             const bool midway = parser.is_header_done() && failure != ExchangeFailure::Timeout;
@@ -229,7 +239,7 @@
 HttpClient::Answer HttpClient::exchange(const Endpoint &endpoint, const HttpRequest &request,
                                         const ExchangeOptions &options)
 {
-    ConnectionPtr connection = takeIdle(endpoint, options.mostIdle);
+    ConnectionPtr connection = options.fresh ? nullptr : takeIdle(endpoint, options.mostIdle);
     const bool kept = connection != nullptr;
     if (!kept) {
         connection = std::make_shared<Connection>(ioContext_);
@@ -277,7 +287,7 @@
         connection->stream.close();
         return failed(answer.error().failure, true);
     }
-    if (connection->reusable && writing->done) {
+    if (connection->reusable && writing->done && !options.fresh) {
         keep(endpoint, connection);
     } else {
         connection->stream.close();
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -54,12 +54,16 @@
 /** What one exchange allows. */
 struct ExchangeOptions {
     Duration allowed = std::chrono::seconds(1);
+    /** Time for the body from the end of the headers on; zero: the body must come within @c allowed as well. */
+    Duration bodyAllowed = Duration(0);
     ExchangeCancel *cancel = nullptr;
     /**
      * Longest that a kept-open connection may have been idle. The peer closes idle connections, and a request that
      * crosses the close is lost without a word of whether it ran.
      */
     Duration mostIdle = std::chrono::hours(1);
+    /** On a connection of its own, which is closed after the answer. */
+    bool fresh = false;
     /**
      * False for an answer that belongs to another request: it is dropped and the next one on the connection is read.
      * Empty: every answer is taken.
--- a/src/node/IntentService.cpp
+++ b/src/node/IntentService.cpp
@@ -104,7 +104,7 @@
             sleepFor(core_.ioContext, watcherCheck);
             continue;
         }
-        const Expected<ObjectChanges> changes = api.watch(serviceKind, since, core_.settings.times.watch);
+        const Expected<ObjectChanges> changes = api.watch(serviceKind, WatchCall{since, core_.settings.times.watch});
         if (!changes) {
             core_.metrics.count("platform_watch_failures");
             // Jitter: after an outage not every watcher comes back at the same moment.
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -27,10 +27,18 @@
     Millis backoff = tuning_.firstBackoff;
     bool first = true;
     while (!core_.stopping) {
-        const Millis wait = randomBetween(tuning_.shortestWait, tuning_.longestWait);
+        WatchCall call;
+        call.since = since;
+        if (healthy_) {
+            call.wait = randomBetween(tuning_.shortestWait, tuning_.longestWait);
+        } else {
+            // Nothing shows that the store hears this node, and a store that does not would be waited for in vain.
+            call.answerWithin = tuning_.lookTimeout;
+            call.fresh = true;
+        }
         const SteadyTime asked = core_.clock.now();
-        const Expected<ObjectChanges> changes = api.watch(kind_, since, wait, tuning_.mode);
-        logCall(since, wait, core_.clock.now() - asked, changes);
+        const Expected<ObjectChanges> changes = api.watch(kind_, call, tuning_.mode);
+        logCall(call, core_.clock.now() - asked, changes);
         if (!changes) {
             if (healthy_ || first) {
                 core_.events.write(Severity::Warning, "store_lost",
@@ -62,14 +70,14 @@
     }
 }
 
-void StoreWatch::logCall(std::uint64_t since, Millis wait, Duration took, const Expected<ObjectChanges> &result)
+void StoreWatch::logCall(const WatchCall &call, Duration took, const Expected<ObjectChanges> &result)
 {
     const auto tookMs = std::chrono::duration_cast<Millis>(took).count();
     core_.events.writeRequest(result ? Severity::Info : Severity::Warning, "store_call",
                               {{"kind", kind_},
-                               {"call", since == 0 ? "list" : "watch"},
-                               {"since", std::to_string(since)},
-                               {"waitMs", since == 0 ? "0" : std::to_string(wait.count())},
+                               {"call", call.since == 0 ? "list" : "watch"},
+                               {"since", std::to_string(call.since)},
+                               {"waitMs", std::to_string(call.wait.count())},
                                {"tookMs", std::to_string(tookMs)},
                                {"revision", result ? std::to_string(result->revision) : ""},
                                {"objects", result ? std::to_string(result->objects.size()) : ""},
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/StoreWatch.h
@@ -20,6 +20,8 @@
      */
     Millis shortestWait = std::chrono::seconds(12);
     Millis longestWait = std::chrono::seconds(25);
+    /** A call that only asks whether there is something new must be answered within this. */
+    Millis lookTimeout{1000};
     Millis firstBackoff{150};
     /** Also how long after the end of an outage the store is asked again at the latest. */
     Millis longestBackoff{1500};
@@ -27,7 +29,7 @@
 
 /**
  * Follows all objects of one kind: a full list, then changes, with pauses that grow while the store does not answer.
- * Not thread safe.
+ * A call waits long for a change only if the one before it was answered. Not thread safe.
  */
 class StoreWatch
 {
@@ -43,7 +45,7 @@
 private:
     Millis randomBetween(Millis least, Millis most);
     /** One line an attempt: a call that is refused, one that fails and one that is never answered look different. */
-    void logCall(std::uint64_t since, Millis wait, Duration took, const Expected<ObjectChanges> &result);
+    void logCall(const WatchCall &call, Duration took, const Expected<ObjectChanges> &result);
 
     NodeCore &core_;
     std::string kind_;
