Ask the store beside a watch that may have gone silent

What callers could see: after watches had gone silent without a reset, requests were handled by a replaced version for up to 27 s, at every node, since a change ends the waits of all nodes at the same moment and no wait was shorter than 12 s.

Cause: nothing told how long ago a node had known that its version was the newest. A watch that waits and one that is dead look the same.

Change: Freshness keeps that time. An answered question confirms as of when it was asked, since the answer may be read much later; a wait that has ended confirms as of its end. Past 2.2 s, and up to 1 s of jitter, the node asks on a connection of its own, and ends the watch if that brings a change. Waits begin at 1 s instead of 12 s. A document that is in force already is not decoded again.

--- a/src/sidecar/ConfigFollower.cpp
+++ b/src/sidecar/ConfigFollower.cpp
@@ -8,13 +8,34 @@
 
 namespace waxwing {
 
+namespace {
+
+/**
+ * An acknowledged change is due everywhere within some 2.5 s. This is for watches that have gone silent, which a node
+ * has 4 s to notice; other nodes' confirmations mostly come before it.
+ */
+constexpr Millis askBesideWatch{2200};
+
+StoreWatchTuning configTuning()
+{
+    StoreWatchTuning tuning;
+    tuning.lookAfter = askBesideWatch;
+    return tuning;
+}
+
+} // namespace
+
 ConfigFollower::ConfigFollower(NodeCore &core)
     : core_(core)
+    , watch_(std::make_unique<StoreWatch>(core_, platform::names::configKind, configTuning(),
+                                          [this](const ObjectChanges &changes) { takeAll(changes); }))
 { }
 
+ConfigFollower::~ConfigFollower() = default;
+
 void ConfigFollower::start()
 {
-    spawnFiber([this] { watchLoop(); });
+    spawnFiber([this] { watch_->run(); });
 }
 
 void ConfigFollower::onChange(ChangeHook hook)
@@ -22,13 +43,6 @@
     hooks_.push_back(std::move(hook));
 }
 
-void ConfigFollower::watchLoop()
-{
-    StoreWatch watch(core_, platform::names::configKind, StoreWatchTuning(),
-                     [this](const ObjectChanges &changes) { takeAll(changes); });
-    watch.run();
-}
-
 void ConfigFollower::takeAll(const ObjectChanges &changes)
 {
     for (const StoredObject &object : changes.objects) {
@@ -40,6 +54,10 @@
 
 void ConfigFollower::take(const std::string &document, const std::string &source)
 {
+    // Decoding a large document takes a slow VM a second, and lists bring the one in force again.
+    if (current_ && document == current_->source) {
+        return;
+    }
     Findings findings;
     FleetConfig decoded = platform::decodeConfig(document, findings);
     if (!findings.empty()) {
@@ -85,4 +103,19 @@
     return current_ ? current_->version : 0;
 }
 
+Freshness &ConfigFollower::freshness()
+{
+    return watch_->freshness();
+}
+
+void ConfigFollower::requestLook()
+{
+    watch_->requestLook();
+}
+
+bool ConfigFollower::storeAnswers() const
+{
+    return watch_->isHealthy();
+}
+
 } // namespace waxwing
--- a/src/sidecar/ConfigFollower.h
+++ b/src/sidecar/ConfigFollower.h
@@ -11,6 +11,8 @@
 namespace waxwing {
 
 struct NodeCore;
+class Freshness;
+class StoreWatch;
 
 /**
  * Keeps the newest configuration: watches the store, and takes what other nodes learned. A version is never replaced by
@@ -22,6 +24,9 @@
     using ChangeHook = std::function<void(const FleetConfig &)>;
 
     explicit ConfigFollower(NodeCore &core);
+    ~ConfigFollower();
+    ConfigFollower(const ConfigFollower &) = delete;
+    ConfigFollower &operator=(const ConfigFollower &) = delete;
     /** Starts the watch. */
     void start();
     /** Called after each change; register before start(). */
@@ -31,14 +36,20 @@
     /** Null as long as none is known. */
     std::shared_ptr<const FleetConfig> current() const;
     std::uint64_t version() const;
+    /** What is known of the age of the version in force; other nodes that hold the same may confirm it. */
+    Freshness &freshness();
+    /** A newer version is known to exist: asks the store at once instead of waiting to be told. */
+    void requestLook();
+    /** True while the store answers. */
+    bool storeAnswers() const;
 
 private:
-    void watchLoop();
     void takeAll(const ObjectChanges &changes);
 
     NodeCore &core_;
     std::shared_ptr<const FleetConfig> current_;
     std::vector<ChangeHook> hooks_;
+    std::unique_ptr<StoreWatch> watch_;
 };
 
 } // namespace waxwing
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -7,6 +7,11 @@
 
 namespace waxwing {
 
+namespace {
+/** How often it is looked whether the store must be asked beside the watch. */
+constexpr Millis lookCheck{250};
+} // namespace
+
 StoreWatch::StoreWatch(NodeCore &core, std::string kind, StoreWatchTuning tuning, ChangesHook onChanges)
     : core_(core)
     , kind_(std::move(kind))
@@ -22,54 +27,120 @@
 
 void StoreWatch::run()
 {
-    ObjectApi &api = core_.service<ObjectApi>("platform");
-    std::uint64_t since = 0;
+    if (tuning_.lookAfter) {
+        spawnFiber([this] { lookLoop(); });
+    }
     Millis backoff = tuning_.firstBackoff;
-    bool first = true;
     while (!core_.stopping) {
         WatchCall call;
-        call.since = since;
-        if (healthy_) {
+        call.since = since_;
+        const bool waits = healthy_ && since_ > 0;
+        if (waits) {
             call.wait = randomBetween(tuning_.shortestWait, tuning_.longestWait);
+            call.cancel = &waitingCall_;
         } else {
             // Nothing shows that the store hears this node, and a store that does not would be waited for in vain.
-            call.answerWithin = tuning_.lookTimeout;
+            call.answerWithin = since_ > 0 ? tuning_.lookTimeout : call.answerWithin;
             call.fresh = true;
         }
-        const SteadyTime asked = core_.clock.now();
-        const Expected<ObjectChanges> changes = api.watch(kind_, call, tuning_.mode);
-        logCall(call, core_.clock.now() - asked, changes);
-        if (!changes) {
-            if (healthy_ || first) {
-                core_.events.write(Severity::Warning, "store_lost",
-                                   {{"kind", kind_}, {"reason", changes.error().message}});
-            }
-            healthy_ = false;
-            first = false;
+        waiting_ = waits;
+        const CallResult result = callStore(call);
+        waiting_ = false;
+        if (!result.answered) {
             // Jitter: after an outage not every node comes back at the same moment.
             sleepFor(core_.ioContext, randomBetween(backoff / 2, backoff));
             backoff = std::min(tuning_.longestBackoff, backoff * 2);
             continue;
         }
-        if (!healthy_) {
-            core_.events.write(Severity::Info, "store_answers",
-                               {{"kind", kind_}, {"revision", std::to_string(changes->revision)}});
-        }
-        healthy_ = true;
-        first = false;
         backoff = tuning_.firstBackoff;
-        onChanges_(*changes);
         // A list of a kind that has no objects yet may carry no revision to watch from.
-        const bool canWatch = changes->revision > 0;
-        since = changes->revision;
-        if (!canWatch) {
+        if (since_ == 0) {
             sleepFor(core_.ioContext, tuning_.longestBackoff);
-        } else if (!changes->objects.empty() && tuning_.gather > Millis(0)) {
+        } else if (result.changed && tuning_.gather > Millis(0)) {
             sleepFor(core_.ioContext, tuning_.gather);
         }
     }
 }
 
+void StoreWatch::lookLoop()
+{
+    Millis spread = randomBetween(Millis(0), tuning_.lookSpread);
+    Millis backoff = tuning_.firstBackoff;
+    while (!core_.stopping) {
+        if (!isLookDue(spread)) {
+            lookWanted_.wait(core_.ioContext, lookCheck);
+            continue;
+        }
+        lookRequested_ = false;
+        look();
+        spread = randomBetween(Millis(0), tuning_.lookSpread);
+        backoff = healthy_ ? tuning_.firstBackoff : std::min(tuning_.longestBackoff, backoff * 2);
+        sleepFor(core_.ioContext, randomBetween(backoff / 2, backoff));
+    }
+}
+
+bool StoreWatch::isLookDue(Duration spread) const
+{
+    const bool old = freshness_.isOlderThan(*tuning_.lookAfter + spread, core_.clock.now());
+    return waiting_ && (lookRequested_ || old);
+}
+
+void StoreWatch::look()
+{
+    WatchCall call;
+    call.since = since_;
+    call.answerWithin = tuning_.lookTimeout;
+    call.fresh = true;
+    const CallResult result = callStore(call);
+    if (result.changed && waiting_) {
+        superseded_ = true;
+        waitingCall_.cancel();
+    }
+}
+
+StoreWatch::CallResult StoreWatch::callStore(const WatchCall &call)
+{
+    const SteadyTime asked = core_.clock.now();
+    const Expected<ObjectChanges> changes = core_.service<ObjectApi>("platform").watch(kind_, call, tuning_.mode);
+    logCall(call, core_.clock.now() - asked, changes);
+    const bool ended = !changes && call.cancel != nullptr && superseded_;
+    superseded_ = superseded_ && call.cancel == nullptr;
+    if (ended) {
+        return CallResult{true, false};
+    }
+    if (!changes) {
+        takeFailure(asked, changes.error().message);
+        return CallResult{false, false};
+    }
+    takeAnswer(call, asked, *changes);
+    return CallResult{true, !changes->objects.empty()};
+}
+
+void StoreWatch::takeAnswer(const WatchCall &call, SteadyTime asked, const ObjectChanges &changes)
+{
+    if (!healthy_) {
+        core_.events.write(Severity::Info, "store_answers",
+                           {{"kind", kind_}, {"revision", std::to_string(changes.revision)}});
+    }
+    healthy_ = true;
+    tried_ = true;
+    since_ = changes.complete ? changes.revision : std::max(since_, changes.revision);
+    // A long wait ends at a change, or at the end of its time, and may end sooner; its answer may be read later.
+    const bool waited = call.since > 0 && call.wait > WatchCall::shortestWait;
+    freshness_.confirm(waited ? std::min(core_.clock.now(), asked + call.wait) : asked);
+    onChanges_(changes);
+}
+
+void StoreWatch::takeFailure(SteadyTime asked, const std::string &reason)
+{
+    if (healthy_ || !tried_) {
+        core_.events.write(Severity::Warning, "store_lost", {{"kind", kind_}, {"reason", reason}});
+    }
+    healthy_ = false;
+    tried_ = true;
+    freshness_.fail(asked, core_.clock.now());
+}
+
 void StoreWatch::logCall(const WatchCall &call, Duration took, const Expected<ObjectChanges> &result)
 {
     const auto tookMs = std::chrono::duration_cast<Millis>(took).count();
@@ -89,4 +160,20 @@
     return healthy_;
 }
 
+Freshness &StoreWatch::freshness()
+{
+    return freshness_;
+}
+
+const Freshness &StoreWatch::freshness() const
+{
+    return freshness_;
+}
+
+void StoreWatch::requestLook()
+{
+    lookRequested_ = true;
+    lookWanted_.wake();
+}
+
 } // namespace waxwing
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/StoreWatch.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "include/fleet/Freshness.h"
 #include "platform/ObjectApi.h"
+#include "src/fiber/WaitPoint.h"
+#include "src/http/HttpClient.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace waxwing {
@@ -15,11 +19,14 @@
     /** After changes came, the next call waits this long, so that a burst of changes costs one call and not many. */
     Millis gather{0};
     /**
-     * A waiting call ends after a random time in this range. Waiting calls can go silent without a reset; with the
-     * ends spread over all nodes some node finds news soon even then, and the others learn it from that one.
+     * A waiting call ends after a random time in this range. Every end shows that the store is heard. They begin early
+     * since a change ends the calls of all nodes at the same moment.
      */
-    Millis shortestWait = std::chrono::seconds(12);
+    Millis shortestWait = std::chrono::seconds(1);
     Millis longestWait = std::chrono::seconds(25);
+    /** What is held may be this old, and a random part of the spread, before the store is asked beside the watch. */
+    std::optional<Millis> lookAfter;
+    Millis lookSpread{1000};
     /** A call that only asks whether there is something new must be answered within this. */
     Millis lookTimeout{1000};
     Millis firstBackoff{150};
@@ -29,7 +36,9 @@
 
 /**
  * Follows all objects of one kind: a full list, then changes, with pauses that grow while the store does not answer.
- * A call waits long for a change only if the one before it was answered. Not thread safe.
+ * A call waits long for a change only if the one before it was answered. A watch that waits can be one that nobody
+ * hears any more; so when nothing has shown for a while that what is held is the newest, the store is asked on another
+ * connection. Not thread safe.
  */
 class StoreWatch
 {
@@ -41,8 +50,25 @@
     void run();
     /** True while the store answers. */
     bool isHealthy() const;
+    /** What is known of the age of what is held; other nodes that hold the same may confirm it. */
+    Freshness &freshness();
+    const Freshness &freshness() const;
+    /** Asks the store beside the watch as soon as can be: something newer is known to exist. */
+    void requestLook();
 
 private:
+    struct CallResult {
+        bool answered = false;
+        bool changed = false;
+    };
+
+    void lookLoop();
+    bool isLookDue(Duration spread) const;
+    /** Asks the store once, on another connection than the watch's. */
+    void look();
+    CallResult callStore(const WatchCall &call);
+    void takeAnswer(const WatchCall &call, SteadyTime asked, const ObjectChanges &changes);
+    void takeFailure(SteadyTime asked, const std::string &reason);
     Millis randomBetween(Millis least, Millis most);
     /** One line an attempt: a call that is refused, one that fails and one that is never answered look different. */
     void logCall(const WatchCall &call, Duration took, const Expected<ObjectChanges> &result);
@@ -51,7 +77,18 @@
     std::string kind_;
     StoreWatchTuning tuning_;
     ChangesHook onChanges_;
+    Freshness freshness_;
+    std::uint64_t since_ = 0;
     bool healthy_ = false;
+    /** Something was tried: the first failure is a loss as well. */
+    bool tried_ = false;
+    /** The watch waits for a change; only then are looks needed. */
+    bool waiting_ = false;
+    /** Ends the waiting call when a look has shown that it hears nothing. */
+    ExchangeCancel waitingCall_;
+    bool superseded_ = false;
+    WaitPoint lookWanted_;
+    bool lookRequested_ = false;
 };
 
 } // namespace waxwing
