Take callers only with a version that was just known to be the newest

What callers saw: a request handled by version 21 at a node that had been ready for 0.3 s, 6.7 s after version 23 had been acknowledged.

Cause: a started node said that it was ready with any version above 0. What it had read at its start was 10 s old by the time that it first answered the readiness question, since its processor had been taken meanwhile.

Change: a node begins to take callers with knowledge confirmed at most 1.5 s ago, and goes on up to 4 s; beyond that only if an attempt to ask has just failed, so that an outage of the store takes nobody out of service.

--- a/src/sidecar/CallerFront.cpp
+++ b/src/sidecar/CallerFront.cpp
@@ -1,5 +1,6 @@
 #include "src/sidecar/CallerFront.h"
 
+#include "include/fleet/Freshness.h"
 #include "include/report/BurnRecorder.h"
 #include "platform/CallerDialect.h"
 #include "src/node/NodeCore.h"
@@ -61,8 +62,9 @@
     if (!platform::isReadinessQuestion(request)) {
         return HttpReply{jsonResponse(noRoute, "{\"error\":\"unknown path\"}\n"), AfterResponse::KeepOpen};
     }
-    const std::uint64_t version = core_.service<ConfigFollower>("config").version();
-    const bool ready = !core_.draining && version > 0;
+    ConfigFollower &config = core_.service<ConfigFollower>("config");
+    const std::uint64_t version = config.version();
+    const bool ready = !core_.draining && version > 0 && config.freshness().maySupport(core_.clock.now(), saidReady_);
     if (ready != saidReady_) {
         saidReady_ = ready;
         core_.events.write(Severity::Info, ready ? "node_ready" : "node_not_ready",
