Ask one node for a configuration, and tell each other how fresh it is

What callers saw: nodes that started beside 33 others and a configuration of 4,200 routes answered nothing for up to 10 s; then they were ready with what they had read at their start.

Cause: a node without a configuration asked on every link that opened, and each answer was decoded whole before its version was looked at. Evidence: 15 to 73 copies read by one new node, all but two of them not newer, 9.5 s without a line.

Change: the store has 1 s to tell a new node; then one node is asked, and no second one until it has answered, its link closed or 4 s have passed. A copy that is not newer is not decoded. Who hears of a newer version asks the store first, and the other node if the store does not answer here. Messages also carry how long ago their sender's version was known to be the newest, which confirms it for whoever holds the same, so that the store need not be asked beside the watch; a node that has not begun to take callers counts only answers to its own questions, as of when it asked. Protocol version 4.

--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -18,7 +18,7 @@
 namespace waxwing {
 
 /** Version of the node-to-node protocol; a node refuses messages of another one. */
-constexpr int wireVersion = 3;
+constexpr int wireVersion = 4;
 
 /** What happened to a request, as told to its caller. */
 enum class Outcome : std::uint8_t {
@@ -134,6 +134,11 @@
 struct KnownVersions {
     std::uint64_t config = 0;
     std::uint64_t roster = 0;
+    /** So long ago it was known that no newer configuration existed; cut at mostConfigAge. */
+    Millis configAge = mostConfigAge;
+
+    /** Beyond this age, or if it was never confirmed, the age says nothing. */
+    static constexpr Millis mostConfigAge{25500};
 };
 
 /** A request for the one server beside the receiver. */
@@ -246,12 +251,14 @@
     std::string node;
 };
 
-/** Asks for whatever the receiver holds in a higher version. */
+/** Asks which versions the receiver holds, and for what it holds in a higher one. */
 struct NewsRequest {
     KnownVersions versions;
+    bool wantsConfig = false;
+    bool wantsRoster = false;
 };
 
-/** The configuration's document, and the roster as a whole; each only if it is newer. */
+/** The configuration's document, and the roster as a whole; each only if it was asked for and is newer. */
 struct News {
     KnownVersions versions;
     std::string config;
--- a/src/sidecar/NewsService.cpp
+++ b/src/sidecar/NewsService.cpp
@@ -1,56 +1,174 @@
 #include "src/sidecar/NewsService.h"
 
+#include "include/fleet/Freshness.h"
+#include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/ConfigFollower.h"
 #include "src/sidecar/RosterKeeper.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace waxwing {
 
 namespace {
-/** A round trip between regions and the time to read a large configuration. */
-constexpr Millis askPause{300};
+
+constexpr Millis checkPause{100};
+/** Time for the store to tell of a change that another node has heard of already. */
+constexpr Millis storeTellsWithin{300};
+/** Time for the store to tell a node that has just started. */
+constexpr Millis storeStartsWithin{1000};
+/** A large configuration takes seconds over a narrow link; a copy from a second node would only delay the first. */
+constexpr Millis copyTimeout{4000};
+/** From this age on the other nodes are asked, which costs less than asking the store. */
+constexpr Millis askVersionsAfter{1200};
+constexpr Millis askVersionsPause{400};
+
 } // namespace
 
 NewsService::NewsService(NodeCore &core)
     : core_(core)
 { }
 
-KnownVersions NewsService::versions() const
+void NewsService::start()
 {
-    return KnownVersions{core_.service<ConfigFollower>("config").version(),
-                         core_.service<RosterKeeper>("roster").roster().asOf()};
+    started_ = core_.clock.now();
+    spawnFiber([this] { run(); });
+}
+
+KnownVersions NewsService::versions()
+{
+    ConfigFollower &config = core_.service<ConfigFollower>("config");
+    KnownVersions own{config.version(), core_.service<RosterKeeper>("roster").roster().asOf()};
+    if (const std::optional<Duration> age = config.freshness().age(core_.clock.now())) {
+        own.configAge = std::min(KnownVersions::mostConfigAge, std::chrono::ceil<Millis>(*age));
+    }
+    return own;
+}
+
+bool NewsService::isStoreAway() const
+{
+    return !core_.service<RosterKeeper>("roster").storeAnswers();
 }
 
 void NewsService::linkOpened(LinkId link)
 {
-    const KnownVersions own = versions();
-    const bool storeAway = !core_.service<RosterKeeper>("roster").storeAnswers();
-    if (own.config == 0 || storeAway) {
-        core_.service<PeerHub>("peers").reply(link, NewsRequest{own});
+    links_.insert(link);
+}
+
+void NewsService::linkClosed(LinkId link)
+{
+    links_.erase(link);
+    asked_.erase(link);
+    if (copyAskedOn_ == link) {
+        copyAskedOn_.reset();
+    }
+    if (newerConfig_ && newerConfig_->link == link) {
+        newerConfig_.reset();
     }
 }
 
 void NewsService::heard(LinkId link, const KnownVersions &theirs)
 {
-    const KnownVersions own = versions();
-    const bool storeAway = !core_.service<RosterKeeper>("roster").storeAnswers();
-    const bool newer = theirs.config > own.config || (storeAway && theirs.roster > own.roster);
+    // How long it was under way is not known, so it does not show that a node may begin to take callers.
+    ConfigFollower &config = core_.service<ConfigFollower>("config");
+    const SteadyTime now = core_.clock.now();
+    if (config.freshness().maySupport(now, true)) {
+        confirmBy(theirs, now);
+    }
+    noteNewer(link, theirs);
+}
+
+void NewsService::confirmBy(const KnownVersions &theirs, SteadyTime sentAfter)
+{
+    ConfigFollower &config = core_.service<ConfigFollower>("config");
+    if (theirs.config == config.version() && theirs.configAge < KnownVersions::mostConfigAge) {
+        config.freshness().confirm(sentAfter - theirs.configAge);
+    }
+}
+
+void NewsService::noteNewer(LinkId link, const KnownVersions &theirs)
+{
+    const std::uint64_t held = core_.service<ConfigFollower>("config").version();
+    const SteadyTime now = core_.clock.now();
+    if (theirs.config > held && (!newerConfig_ || theirs.config > newerConfig_->version)) {
+        newerConfig_ = Newer{link, theirs.config, newerConfig_ ? newerConfig_->since : now};
+    }
+    const bool newerRoster = theirs.roster > core_.service<RosterKeeper>("roster").roster().asOf();
+    if (newerRoster && isStoreAway() && now - lastAsked_ >= askVersionsPause) {
+        ask(link, false, true);
+    }
+}
+
+void NewsService::run()
+{
+    while (!core_.stopping) {
+        sleepFor(core_.ioContext, checkPause);
+        askIfNeeded();
+    }
+}
+
+void NewsService::askIfNeeded()
+{
+    ConfigFollower &config = core_.service<ConfigFollower>("config");
     const SteadyTime now = core_.clock.now();
-    if (newer && now >= askAgainAt_) {
-        askAgainAt_ = now + askPause;
-        core_.service<PeerHub>("peers").reply(link, NewsRequest{own});
+    if (newerConfig_ && newerConfig_->version <= config.version()) {
+        newerConfig_.reset();
+    }
+    if (newerConfig_ && now - newerConfig_->since >= storeTellsWithin) {
+        config.requestLook();
+    }
+    const std::optional<LinkId> holder = whomToAskForConfig();
+    if (holder && (!copyAskedOn_ || now >= copyUntil_)) {
+        copyAskedOn_ = holder;
+        copyUntil_ = now + copyTimeout;
+        ask(*holder, true, isStoreAway());
+        return;
+    }
+    const bool old = config.freshness().isOlderThan(askVersionsAfter, now);
+    const std::optional<LinkId> any = anyLink();
+    if (config.version() > 0 && old && any && now - lastAsked_ >= askVersionsPause) {
+        ask(*any, false, false);
     }
 }
 
+std::optional<LinkId> NewsService::whomToAskForConfig()
+{
+    ConfigFollower &config = core_.service<ConfigFollower>("config");
+    const SteadyTime now = core_.clock.now();
+    if (newerConfig_) {
+        const bool storeFails = config.freshness().hasFailedSince(newerConfig_->since) || !config.storeAnswers();
+        return storeFails ? std::optional<LinkId>(newerConfig_->link) : std::nullopt;
+    }
+    const bool storeIsLate = !config.storeAnswers() && now - started_ >= storeStartsWithin;
+    const bool storeFailed = config.freshness().hasFailedSince(started_);
+    return config.version() == 0 && (storeIsLate || storeFailed) ? anyLink() : std::nullopt;
+}
+
+std::optional<LinkId> NewsService::anyLink()
+{
+    if (links_.empty()) {
+        return std::nullopt;
+    }
+    return *std::next(links_.begin(), static_cast<std::ptrdiff_t>(core_.random() % links_.size()));
+}
+
+void NewsService::ask(LinkId link, bool wantsConfig, bool wantsRoster)
+{
+    lastAsked_ = core_.clock.now();
+    asked_.emplace(link, lastAsked_);
+    core_.service<PeerHub>("peers").reply(link, NewsRequest{versions(), wantsConfig, wantsRoster});
+}
+
 void NewsService::handleRequest(LinkId link, const NewsRequest &request)
 {
-    const KnownVersions own = versions();
+    heard(link, request.versions);
     News news;
-    news.versions = own;
-    if (own.config > request.versions.config) {
+    news.versions = versions();
+    if (request.wantsConfig && news.versions.config > request.versions.config) {
         news.config = core_.service<ConfigFollower>("config").current()->source;
     }
-    if (own.roster > request.versions.roster) {
+    if (request.wantsRoster && news.versions.roster > request.versions.roster) {
         for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
             news.roster.push_back(*entry);
         }
@@ -58,12 +176,22 @@
     core_.service<PeerHub>("peers").reply(link, news);
 }
 
-void NewsService::handleNews(const NodeRef &from, const News &news)
+void NewsService::handleNews(LinkId link, const NodeRef &from, const News &news)
 {
-    if (!news.config.empty()) {
-        core_.service<ConfigFollower>("config").take(news.config, from.id);
+    ConfigFollower &config = core_.service<ConfigFollower>("config");
+    if (copyAskedOn_ == link) {
+        copyAskedOn_.reset();
+    }
+    if (!news.config.empty() && news.versions.config > config.version()) {
+        config.take(news.config, from.id);
     }
     core_.service<RosterKeeper>("roster").takeList(news.roster, news.versions.roster);
+    const auto asked = asked_.find(link);
+    if (asked != asked_.end()) {
+        confirmBy(news.versions, asked->second);
+        asked_.erase(asked);
+    }
+    noteNewer(link, news.versions);
 }
 
 } // namespace waxwing
--- a/src/sidecar/NewsService.h
+++ b/src/sidecar/NewsService.h
@@ -5,33 +5,62 @@
 #include "src/link/PeerHub.h"
 
 #include <map>
+#include <optional>
+#include <set>
 
 namespace waxwing {
 
 struct NodeCore;
 
 /**
- * Lets nodes learn from each other what the store has not told them: every message about work carries the versions that
- * its sender holds, and who sees a higher one asks for it. So a node that the store turns away, or whose watch went
- * silent, is as current as the nodes it works with. Not thread safe.
+ * Lets nodes learn from each other what the store has not told them. Every message about work carries the versions that
+ * its sender holds and how long ago it was known that no newer configuration existed. Who holds the same is confirmed
+ * by that; who sees a higher version asks the store, and the other node if the store does not answer here. So a node
+ * that the store turns away, or whose watch went silent, is as current as the nodes it works with. Not thread safe.
  */
 class NewsService
 {
 public:
     explicit NewsService(NodeCore &core);
+    /** Starts the fiber that asks. */
+    void start();
     /** What this node holds. */
-    KnownVersions versions() const;
-    /** A link opened: a node that knows nothing, or is turned away by the store, asks whoever is there. */
+    KnownVersions versions();
     void linkOpened(LinkId link);
-    /** The node at the other end of @p link holds these. */
+    void linkClosed(LinkId link);
+    /** A message about work came on @p link from a node that holds these. */
     void heard(LinkId link, const KnownVersions &theirs);
     void handleRequest(LinkId link, const NewsRequest &request);
-    void handleNews(const NodeRef &from, const News &news);
+    void handleNews(LinkId link, const NodeRef &from, const News &news);
 
 private:
+    /** Somebody holds a higher version. */
+    struct Newer {
+        LinkId link = 0;
+        std::uint64_t version = 0;
+        SteadyTime since;
+    };
+
+    void noteNewer(LinkId link, const KnownVersions &theirs);
+    void confirmBy(const KnownVersions &theirs, SteadyTime sentAfter);
+    void run();
+    void askIfNeeded();
+    /** The link to ask for the configuration itself; nothing as long as the store is likely to bring it. */
+    std::optional<LinkId> whomToAskForConfig();
+    std::optional<LinkId> anyLink();
+    void ask(LinkId link, bool wantsConfig, bool wantsRoster);
+    bool isStoreAway() const;
+
     NodeCore &core_;
-    /** Not asked again before this time, so that each answer can arrive first. */
-    SteadyTime askAgainAt_;
+    std::set<LinkId> links_;
+    SteadyTime started_;
+    std::optional<Newer> newerConfig_;
+    /** A question for the configuration is under way until then, and no second one is sent. */
+    std::optional<LinkId> copyAskedOn_;
+    SteadyTime copyUntil_;
+    /** When the oldest question that is unanswered was sent on each link. */
+    std::map<LinkId, SteadyTime> asked_;
+    SteadyTime lastAsked_;
 };
 
 } // namespace waxwing
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -154,6 +154,7 @@
     hooks.onLinkClosed = [this](LinkId link) {
         transits.erase(link);
         sender.linkClosed(link);
+        news.linkClosed(link);
         const auto lost = outgoingLinks.find(link);
         if (lost != outgoingLinks.end()) {
             const std::string peer = lost->second;
@@ -267,7 +268,7 @@
     } else if (const auto *request = std::get_if<NewsRequest>(&message)) {
         news.handleRequest(link, *request);
     } else if (const auto *told = std::get_if<News>(&message)) {
-        news.handleNews(from, *told);
+        news.handleNews(link, from, *told);
     } else if (const auto *records = std::get_if<RecordsPush>(&message)) {
         for (const Record &record : records->records) {
             poison.take(record);
@@ -395,6 +396,7 @@
     parts->home.start();
     parts->config.start();
     parts->roster.start();
+    parts->news.start();
     parts->core.events.write(Severity::Info, "node_started",
                              {{"node", parts->core.self.text()},
                               {"service", settings.server->service},
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -160,14 +160,22 @@
     return NodeRef{value.at(0).get<std::string>(), value.at(1).get<std::uint64_t>()};
 }
 
+/** An age takes one or two bytes so. */
+constexpr Millis configAgeStep{100};
+constexpr std::uint64_t mostConfigAgeSteps = KnownVersions::mostConfigAge / configAgeStep;
+
 json versionsOf(const KnownVersions &versions)
 {
-    return json::array({versions.config, versions.roster});
+    // Rounded up: an age may be taken for more than it is, never for less.
+    const auto steps = (versions.configAge + configAgeStep - Millis(1)) / configAgeStep;
+    return json::array({versions.config, versions.roster, steps});
 }
 
 KnownVersions versionsFrom(const json &value)
 {
-    return KnownVersions{value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
+    const auto steps = std::min<std::uint64_t>(value.at(2).get<std::uint64_t>(), mostConfigAgeSteps);
+    return KnownVersions{value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>(),
+                         static_cast<std::int64_t>(steps) * configAgeStep};
 }
 
 json loadOf(const HomeLoad &load)
@@ -332,7 +340,7 @@
     }
     json operator()(const NewsRequest &m) const
     {
-        return with(Type::NewsRequest, versionsOf(m.versions));
+        return with(Type::NewsRequest, versionsOf(m.versions), m.wantsConfig, m.wantsRoster);
     }
     json operator()(const News &m) const
     {
@@ -528,7 +536,7 @@
     case Type::FenceReply:
         return fenceReplyFrom(in);
     case Type::NewsRequest:
-        return NewsRequest{versionsFrom(in.at(body))};
+        return NewsRequest{versionsFrom(in.at(body)), in.at(body + 1).get<bool>(), in.at(body + 2).get<bool>()};
     case Type::News:
         return newsFrom(in);
     case Type::LendRequest:
