Notice a silent watch on the roster within seconds

What callers could see: a server that joined got no work from other nodes, and one that had left was still chosen, for up to 27 s after the watches had gone silent.

Change: 2 to 4 s. These reads may be old, cost a tenth and are not counted.

--- a/src/sidecar/RosterKeeper.cpp
+++ b/src/sidecar/RosterKeeper.cpp
@@ -13,6 +13,12 @@
 
 /** New nodes must be known soon, but a hundred that start together should cost the others a few calls each. */
 constexpr Millis gatherNews{400};
+/**
+ * Reads of old state cost a tenth and are not counted, so waits can be short: a watch that has gone silent is noticed
+ * within the longest one.
+ */
+constexpr Millis shortestRosterWait{2000};
+constexpr Millis longestRosterWait{4000};
 constexpr Millis publishCheck{500};
 constexpr Millis longestPublishPause{4000};
 
@@ -30,6 +36,8 @@
     StoreWatchTuning tuning;
     tuning.mode = ReadMode::MayBeOld;
     tuning.gather = gatherNews;
+    tuning.shortestWait = shortestRosterWait;
+    tuning.longestWait = longestRosterWait;
     watch_ = std::make_unique<StoreWatch>(core_, platform::rosterKind, tuning,
                                           [this](const ObjectChanges &changes) { takeChanges(changes); });
 }
