A test that fails: a home that has forgotten a booking says that it never runs

A one-way cut of 14 s keeps the home's answers back; the home forgets the booking after 12 s; asked over a fresh link it says that it never runs, and the sender books again: 2 runs.

--- a/tests/integration/OldKnowledgeTest.cpp
+++ b/tests/integration/OldKnowledgeTest.cpp
@@ -131,3 +131,25 @@
             2 * dueAfterDisturbance));
     }
 }
+
+// Guards against a home that has forgotten a booking and says for that reason that it never runs: it would run twice.
+TEST_CASE("old knowledge, home that has forgotten a booking, does not say that it never runs")
+{
+    MeshPlan plan;
+    plan.services = {"other", "desk", "other"};
+    plan.proxies = true;
+    plan.timeoutMs = 20000;
+    Mesh mesh(plan);
+    mesh.linkFault(1, {{"fromTarget", {{"hold", true}}}});
+    unsigned status = 0;
+    together({[&] {
+                  const auto answer = mesh.send(0, "forgotten", "/seats/1", std::chrono::seconds(17));
+                  status = answer ? answer->status : 0;
+              },
+              [&] {
+                  pause(std::chrono::seconds(14));
+                  mesh.linkFault(1, {{"fromTarget", {{"hold", false}}}, {"reset", true}});
+              }});
+    CHECK(mesh.executions()["forgotten"] == 1);
+    CHECK((status == 502 || status == 504));
+}
