Say that a request never runs only where that can't have been forgotten

What callers could see: a booking made twice, and a refusal that says 'not run' for one that had run. Cause: a home answers 'never runs' for a work that it does not know, but it forgets works 12 s after their end, and where there are more than 2,000. A sender that is cut off for longer, with a deadline beyond, asks after that. Found by reading; reproduced with a one-way cut of 14 s: 2 runs.

Change: a question says how long ago the work was sent; the home answers 'never runs' only if that was after the end of the newest work it has forgotten, with 1.5 s for the question's own way. Otherwise the sender is told that nothing is known, and the caller gets 502 or 504, which promise nothing.

--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -209,6 +209,8 @@
     bool onlyAsk = false;
     /** Asks for the answer also if it is large; without this only a small one comes along. */
     bool fetch = false;
+    /** How long before this question the work was sent: the target may have forgotten works that ended since. */
+    Millis sentAgo{0};
 };
 
 enum class FenceState : std::uint8_t {
--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -40,9 +40,15 @@
     return pending->answered ? pending->reply : FenceReply{};
 }
 
+Fence FenceService::fenceFor(const SentWork &work, bool onlyAsk, bool fetch) const
+{
+    const auto sentAgo = std::chrono::ceil<Millis>(core_.clock.now() - work.sentAt);
+    return Fence{0, work.target, core_.self, work.id, onlyAsk, fetch, sentAgo};
+}
+
 FenceReply FenceService::askOn(LinkId link, const SentWork &work, bool onlyAsk, Duration allowed)
 {
-    return exchange(link, Fence{0, work.target, core_.self, work.id, onlyAsk, false}, allowed);
+    return exchange(link, fenceFor(work, onlyAsk, false), allowed);
 }
 
 std::vector<RosterEntry> FenceService::relaysFor(const RosterEntry &home)
@@ -63,8 +69,7 @@
 
 FenceReply FenceService::fetch(LinkId link, const SentWork &work, Duration left)
 {
-    return exchange(link, Fence{0, work.target, core_.self, work.id, true, true},
-                    std::min<Duration>(left, fetchTimeout));
+    return exchange(link, fenceFor(work, true, true), std::min<Duration>(left, fetchTimeout));
 }
 
 FenceReply FenceService::ask(const SentWork &work, FenceWay &way, bool onlyAsk, Duration allowed, Duration left)
--- a/src/sidecar/FenceService.h
+++ b/src/sidecar/FenceService.h
@@ -19,6 +19,7 @@
     /** The incarnation that it was sent to. */
     NodeRef target;
     std::uint64_t id = 0;
+    SteadyTime sentAt;
 };
 
 /** The link by which the home of a Work, or a node that passes questions on to it, answered last. */
@@ -58,6 +59,7 @@
         FenceReply reply;
     };
 
+    Fence fenceFor(const SentWork &work, bool onlyAsk, bool fetch) const;
     FenceReply exchange(LinkId link, Fence fence, Duration allowed);
     FenceReply askEveryWay(const SentWork &work, FenceWay &way, bool onlyAsk, Duration allowed);
     FenceReply fetch(LinkId link, const SentWork &work, Duration left);
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -20,6 +20,8 @@
 /** How long the end of a Work is remembered; a sender asks within its deadline, and most are shorter. */
 constexpr Millis memory = std::chrono::seconds(12);
 constexpr std::size_t mostRemembered = 2000;
+/** A question may have been under way for so long. */
+constexpr Millis mostLate{1500};
 /** Of answers larger than this so many bytes are held for senders that ask: three seconds of a 13 Mbit/s link. */
 constexpr std::size_t largeAnswer = 16UL * 1024;
 constexpr std::size_t mostLargeBytes = 5UL * 1024 * 1024;
@@ -154,6 +156,7 @@
             pollQueue();
         }
         while (!ended_.empty() && (now - ended_.front().first >= memory || ended_.size() > mostRemembered)) {
+            forgottenUntil_ = std::max(forgottenUntil_, ended_.front().first);
             forget(ended_.front().second);
             ended_.pop_front();
         }
@@ -464,12 +467,14 @@
     }
 }
 
-FenceReply LocalHome::fence(const WorkKey &key, bool onlyAsk)
+FenceReply LocalHome::fence(const WorkKey &key, bool onlyAsk, Duration sentAgo)
 {
     FenceReply reply;
     const auto found = entries_.find(key);
     if (found == entries_.end()) {
-        if (!onlyAsk) {
+        // One that was sent before the last work forgotten had ended may have run, ended and been forgotten as well.
+        const SteadyTime sentAt = core_.clock.now() - sentAgo - mostLate;
+        if (!onlyAsk && sentAt > forgottenUntil_) {
             entries_[key].phase = Phase::Forbidden;
             ended_.emplace_back(core_.clock.now(), key);
             reply.state = FenceState::NeverRuns;
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -54,8 +54,11 @@
     void withdraw(const WorkKey &key);
     /** The sender no longer wants the answer. Work that is not idempotent and has begun goes on. */
     void cancel(const WorkKey &key);
-    /** What became of a Work; unless @p onlyAsk it never begins after this. */
-    FenceReply fence(const WorkKey &key, bool onlyAsk);
+    /**
+     * What became of a Work that was sent @p sentAgo before it was asked for; unless @p onlyAsk it never begins after
+     * this. NotKnown if it may have ended so long ago that it is forgotten.
+     */
+    FenceReply fence(const WorkKey &key, bool onlyAsk, Duration sentAgo);
     /** It waits or runs here. */
     bool isUnderway(const WorkKey &key) const;
     /** No more work of other nodes, and what waits goes back to them: this one stops. */
@@ -122,6 +125,8 @@
     SlotQueue queue_;
     std::map<WorkKey, Entry> entries_;
     std::deque<std::pair<SteadyTime, WorkKey>> ended_;
+    /** When the last work that is forgotten ended. */
+    SteadyTime forgottenUntil_;
     /** Works that ended whose answer is large, oldest first, and the bytes of those answers. */
     std::deque<WorkKey> largeAnswers_;
     std::size_t largeBytes_ = 0;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -82,7 +82,7 @@
         , home(core)
         , fences(core,
                  [this](const Fence &fence) {
-                     return home.fence(WorkKey{fence.origin, fence.workId}, fence.onlyAsk);
+                     return home.fence(WorkKey{fence.origin, fence.workId}, fence.onlyAsk, fence.sentAgo);
                  })
         , paths(core)
         , sender(core, fences, paths)
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -93,7 +93,7 @@
     control->interrupt = [pending] { pending->point.wake(); };
     control->onWithdraw = [&peers, id, link = *link] { peers.reply(link, Cancel{id, true}); };
     if (!control->cancelled && !control->withdrawn && peers.reply(*link, std::move(work))) {
-        awaitReply(*pending, SentWork{home, *peer, id}, deadline);
+        awaitReply(*pending, SentWork{home, *peer, id, pending->sentAt}, deadline);
     } else {
         pending->answered = true;
         pending->reply = unreachable(id, control->cancelled || control->withdrawn ? "cancelled" : "link-closed").reply;
@@ -110,7 +110,7 @@
         }
         // Without this a path would stay in use as long as a second send elsewhere is faster than the missing receipt.
         if (!pending->answered && !pending->received) {
-            noteFailedPath(*pending, SentWork{home, *peer, id});
+            noteFailedPath(*pending, SentWork{home, *peer, id, pending->sentAt});
         }
     }
     pending_.erase(id);
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -332,7 +332,8 @@
     }
     json operator()(const Fence &m) const
     {
-        return with(Type::Fence, m.id, refOf(m.target), refOf(m.origin), m.workId, m.onlyAsk, m.fetch);
+        return with(Type::Fence, m.id, refOf(m.target), refOf(m.origin), m.workId, m.onlyAsk, m.fetch,
+                    m.sentAgo.count());
     }
     json operator()(const FenceReply &m) const
     {
@@ -531,8 +532,10 @@
     case Type::WorkReply:
         return workReplyFrom(in.at(body));
     case Type::Fence:
-        return Fence{in.at(body).get<std::uint64_t>(),     refFrom(in.at(body + 1)),    refFrom(in.at(body + 2)),
-                     in.at(body + 3).get<std::uint64_t>(), in.at(body + 4).get<bool>(), in.at(body + 5).get<bool>()};
+        return Fence{
+            in.at(body).get<std::uint64_t>(),           refFrom(in.at(body + 1)),    refFrom(in.at(body + 2)),
+            in.at(body + 3).get<std::uint64_t>(),       in.at(body + 4).get<bool>(), in.at(body + 5).get<bool>(),
+            Millis(in.at(body + 6).get<std::int64_t>())};
     case Type::FenceReply:
         return fenceReplyFrom(in);
     case Type::NewsRequest:
