Keep a node's own entry from hiding changes that it has not seen

What callers could see: with the store away, a node that had just joined kept to a roster without the nodes that joined beside it, and did not use their servers. Cause: writing its own entry moved the revision of its whole list to that of the entry, so that lists of other nodes, older than the entry and newer than the list, were refused. Change: a written entry moves nothing, and a full list leaves entries written after it.

--- a/include/fleet/Roster.h
+++ b/include/fleet/Roster.h
@@ -30,9 +30,14 @@
 public:
     /** Takes @p entry unless a newer version of it is known. Returns whether anything changed. */
     bool put(const RosterEntry &entry);
+    /** Takes an entry that this node has written: what others changed before that has not been seen. */
+    bool putWritten(const RosterEntry &entry);
     /** Removes the node unless an entry newer than @p revision is known. */
     bool remove(const std::string &id, std::uint64_t revision);
-    /** Replaces everything by a full list of revision @p asOf; an older list than the one held is ignored. */
+    /**
+     * Replaces what was written up to @p asOf by a full list of that revision; an older list than the one held is
+     * ignored.
+     */
     bool replace(const std::vector<RosterEntry> &entries, std::uint64_t asOf);
     /** The store was seen at this revision. */
     void advance(std::uint64_t asOf);
--- a/src/fleet/Roster.cpp
+++ b/src/fleet/Roster.cpp
@@ -1,10 +1,11 @@
 #include "include/fleet/Roster.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace waxwing {
 
-bool Roster::put(const RosterEntry &entry)
+bool Roster::putWritten(const RosterEntry &entry)
 {
     const auto found = entries_.find(entry.id);
     const bool older = found != entries_.end() && found->second.revision >= entry.revision;
@@ -12,10 +13,18 @@
         return false;
     }
     entries_[entry.id] = entry;
-    advance(entry.revision);
     return true;
 }
 
+bool Roster::put(const RosterEntry &entry)
+{
+    const bool taken = putWritten(entry);
+    if (taken) {
+        advance(entry.revision);
+    }
+    return taken;
+}
+
 bool Roster::remove(const std::string &id, std::uint64_t revision)
 {
     const auto found = entries_.find(id);
@@ -32,9 +41,11 @@
     if (asOf < asOf_) {
         return false;
     }
-    entries_.clear();
+    for (auto entry = entries_.begin(); entry != entries_.end();) {
+        entry = entry->second.revision > asOf ? std::next(entry) : entries_.erase(entry);
+    }
     for (const RosterEntry &entry : entries) {
-        entries_[entry.id] = entry;
+        putWritten(entry);
     }
     asOf_ = asOf;
     return true;
--- a/src/sidecar/RosterKeeper.cpp
+++ b/src/sidecar/RosterKeeper.cpp
@@ -130,7 +130,7 @@
         case UpdateResult::Kind::Stored: {
             RosterEntry written = own;
             written.revision = result.version;
-            roster_.put(written);
+            roster_.putWritten(written);
             core_.events.write(Severity::Info, "roster_entry_written", {{"revision", std::to_string(result.version)}});
             break;
         }
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -81,6 +81,20 @@
     CHECK(roster.homesOf("desk").size() == 1);
 }
 
+// Guards against a node that has written its own entry and from then on refuses lists with nodes that it has not seen.
+TEST_CASE("roster, own entry written after the last list, still takes a newer list that is older than the entry")
+{
+    Roster roster;
+    REQUIRE(roster.replace({entry("n1", 3)}, 10));
+    REQUIRE(roster.putWritten(entry("self", 30)));
+    CHECK(roster.asOf() == 10);
+    CHECK(roster.replace({entry("n1", 3), entry("n2", 20)}, 25));
+    CHECK(roster.find("n2") != nullptr);
+    CHECK(roster.find("self") != nullptr);
+    CHECK(roster.replace({entry("n1", 3), entry("n2", 20)}, 31));
+    CHECK(roster.find("self") == nullptr);
+}
+
 TEST_CASE("transit meter, work held up by a cut, is told as late when the cut heals")
 {
     // A booking is sent over a link that has just been cut. Its sender hears nothing, learns through a third node that
