--- /dev/null
+++ b/tests/integration/SuspensionTest.cpp
@@ -0,0 +1,49 @@
+#include "tests/support/Mesh.h"
+
+#include <doctest/doctest.h>
+
+using namespace waxwing;
+using namespace waxwing::testing;
+
+namespace {
+
+constexpr int rounds = 12;
+
+class Suspension
+{
+protected:
+    Suspension()
+        : mesh_(plan())
+    { }
+
+    static MeshPlan plan()
+    {
+        MeshPlan out;
+        out.services = {"other", "desk", "other"};
+        out.proxies = true;
+        return out;
+    }
+
+    Mesh mesh_;
+};
+
+} // namespace
+
+// Guards against a process that ends while it asks a home over a path in doubt and the home leaves the roster
+// meanwhile.
+TEST_CASE_FIXTURE(Suspension, "suspension, home that leaves the roster while its path is tried, does not end the node")
+{
+    for (int round = 0; round < rounds; ++round) {
+        mesh_.linkFault(1, {{"fromTarget", {{"hold", true}}}});
+        together({[&] { mesh_.send(0, "round-" + std::to_string(round), "/dates/1", Millis(900)); },
+                  [&] {
+                      // The first receipt is missed after 150 ms; the question that follows waits as long.
+                      pause(Millis(180 + round * 10));
+                      mesh_.delist("n1");
+                      pause(Millis(20));
+                      mesh_.linkFault(1, {{"fromTarget", {{"hold", false}}}});
+                  }});
+        REQUIRE(mesh_.node(0).running());
+        REQUIRE(eventually([&] { return mesh_.settled(); }));
+    }
+}
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -258,6 +258,15 @@
     must(result.kind == UpdateResult::Kind::Stored, "entry stored");
 }
 
+void Mesh::delist(const std::string &node)
+{
+    ObjectApi api(loopClient(), store_);
+    const Expected<std::optional<StoredObject>> entry = api.read(platform::rosterKind, node);
+    must(entry && *entry, "entry to remove");
+    const UpdateResult result = api.remove(platform::rosterKind, node, (*entry)->version);
+    must(result.kind == UpdateResult::Kind::Stored, "entry removed");
+}
+
 int Mesh::linesWith(int node, const std::vector<std::string> &words) const
 {
     std::ifstream text(members_.at(static_cast<std::size_t>(node)).logs.back());
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -54,6 +54,8 @@
     std::map<std::string, int> executions() const;
     /** Writes an entry of a node that does not run into the roster. */
     void enlist(const std::string &node);
+    /** Removes a node's entry from the roster; a node that runs writes it again. */
+    void delist(const std::string &node);
     /** How many lines of the node's log since its last start contain every one of @p words. */
     int linesWith(int node, const std::vector<std::string> &words) const;
     /** A node's log. */
