Write one line with the stack when a process ends by a fault

A node that ended with a segmentation fault left nothing that told where. Faults, aborts and exceptions that nobody catches now write the signal, the address and the stack as offsets in the program (Boost.Stacktrace, without allocating, on a stack of its own); the process then ends by the same signal. Test: 'crash log, fault or abort of a node'.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "include/base/EventLog.h"
 #include "include/node/Node.h"
+#include "src/base/CrashLog.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/sidecar/SidecarNode.h"
 
@@ -145,6 +146,7 @@
 
 int main(int argc, char **argv)
 {
+    installCrashLog();
     namespace po = boost::program_options;
     po::options_description options(
         "waxwingd: one node of the fleet\n"
