Keep roster entries alive for whoever holds one over a wait

What operators saw: a node process ended with a segmentation fault in the middle of ordinary work, after 'path_good_again falseAlarm=yes'.

Cause: PathWatch asked a home on its link and then used the roster's own entry again. While the question waited, another fiber took a change of the roster: the entry was freed when its node left.

Change: the roster holds entries as shared, constant objects and hands those out, so that no pointer into its containers leaves it. The one place that kept such a pointer over a wait was PathWatch::noteFailure with answersOnLink; every other user was read and copies what it needs, or does not wait.

--- a/include/fleet/Roster.h
+++ b/include/fleet/Roster.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
     std::uint64_t revision = 0;
 };
 
+/** Holders keep an entry as it was while others of the node's fibers change the roster. */
+using RosterEntryPtr = std::shared_ptr<const RosterEntry>;
+
 /**
  * The nodes of the fleet as last read from the store, or from a node that read it later. Not thread safe.
  */
@@ -42,14 +46,15 @@
     /** The store was seen at this revision. */
     void advance(std::uint64_t asOf);
 
-    const RosterEntry *find(const std::string &id) const;
-    std::vector<const RosterEntry *> homesOf(const std::string &service) const;
-    std::vector<const RosterEntry *> all() const;
+    /** Null if there is none. */
+    RosterEntryPtr find(const std::string &id) const;
+    std::vector<RosterEntryPtr> homesOf(const std::string &service) const;
+    std::vector<RosterEntryPtr> all() const;
     std::uint64_t asOf() const;
     std::size_t size() const;
 
 private:
-    std::map<std::string, RosterEntry> entries_;
+    std::map<std::string, RosterEntryPtr> entries_;
     std::uint64_t asOf_ = 0;
 };
 
--- a/src/fleet/Roster.cpp
+++ b/src/fleet/Roster.cpp
@@ -8,11 +8,11 @@
 bool Roster::putWritten(const RosterEntry &entry)
 {
     const auto found = entries_.find(entry.id);
-    const bool older = found != entries_.end() && found->second.revision >= entry.revision;
+    const bool older = found != entries_.end() && found->second->revision >= entry.revision;
     if (older) {
         return false;
     }
-    entries_[entry.id] = entry;
+    entries_[entry.id] = std::make_shared<const RosterEntry>(entry);
     return true;
 }
 
@@ -28,7 +28,7 @@
 bool Roster::remove(const std::string &id, std::uint64_t revision)
 {
     const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second.revision > revision) {
+    if (found == entries_.end() || found->second->revision > revision) {
         return false;
     }
     entries_.erase(found);
@@ -42,7 +42,7 @@
         return false;
     }
     for (auto entry = entries_.begin(); entry != entries_.end();) {
-        entry = entry->second.revision > asOf ? std::next(entry) : entries_.erase(entry);
+        entry = entry->second->revision > asOf ? std::next(entry) : entries_.erase(entry);
     }
     for (const RosterEntry &entry : entries) {
         putWritten(entry);
@@ -56,28 +56,28 @@
     asOf_ = std::max(asOf_, asOf);
 }
 
-const RosterEntry *Roster::find(const std::string &id) const
+RosterEntryPtr Roster::find(const std::string &id) const
 {
     const auto found = entries_.find(id);
-    return found == entries_.end() ? nullptr : &found->second;
+    return found == entries_.end() ? nullptr : found->second;
 }
 
-std::vector<const RosterEntry *> Roster::homesOf(const std::string &service) const
+std::vector<RosterEntryPtr> Roster::homesOf(const std::string &service) const
 {
-    std::vector<const RosterEntry *> homes;
+    std::vector<RosterEntryPtr> homes;
     for (const auto &[id, entry] : entries_) {
-        if (entry.service == service) {
-            homes.push_back(&entry);
+        if (entry->service == service) {
+            homes.push_back(entry);
         }
     }
     return homes;
 }
 
-std::vector<const RosterEntry *> Roster::all() const
+std::vector<RosterEntryPtr> Roster::all() const
 {
-    std::vector<const RosterEntry *> out;
+    std::vector<RosterEntryPtr> out;
     for (const auto &[id, entry] : entries_) {
-        out.push_back(&entry);
+        out.push_back(entry);
     }
     return out;
 }
--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -55,7 +55,7 @@
 {
     std::vector<RosterEntry> near;
     std::vector<RosterEntry> far;
-    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
+    for (const RosterEntryPtr &entry : core_.service<RosterKeeper>("roster").roster().all()) {
         if (entry->id != core_.self.id && entry->id != home.id) {
             (entry->region == core_.settings.region ? near : far).push_back(*entry);
         }
@@ -154,7 +154,7 @@
 
 void FenceService::passOn(LinkId back, const Fence &fence)
 {
-    const RosterEntry *target = core_.service<RosterKeeper>("roster").roster().find(fence.target.id);
+    const RosterEntryPtr target = core_.service<RosterKeeper>("roster").roster().find(fence.target.id);
     FenceReply reply;
     PeerHub &peers = core_.service<PeerHub>("peers");
     if (target != nullptr) {
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -98,7 +98,7 @@
 {
     std::vector<RankedHome> homes;
     bool listed = false;
-    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().homesOf(service)) {
+    for (const RosterEntryPtr &entry : core_.service<RosterKeeper>("roster").roster().homesOf(service)) {
         Distance distance = Distance::OtherRegion;
         if (entry->id == core_.self.id) {
             distance = Distance::SameNode;
@@ -279,7 +279,7 @@
     if (choice.node == core_.self.id) {
         result.reply = home_.run(WorkKey{core_.self, nextLocalWork_++}, work, placement->control);
     } else {
-        const RosterEntry *entry = core_.service<RosterKeeper>("roster").roster().find(choice.node);
+        const RosterEntryPtr entry = core_.service<RosterKeeper>("roster").roster().find(choice.node);
         if (entry != nullptr) {
             const RosterEntry home = *entry;
             result = sender_.run(home, home.region != core_.settings.region, std::move(work), job.deadline,
@@ -499,7 +499,7 @@
 void Forwarder::rosterChanged()
 {
     std::set<std::string> known = {core_.self.id};
-    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
+    for (const RosterEntryPtr &entry : core_.service<RosterKeeper>("roster").roster().all()) {
         known.insert(entry->id);
     }
     ranking_.keepOnly(known);
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -559,7 +559,7 @@
 {
     double all = 0.0;
     double named = 0.0;
-    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
+    for (const RosterEntryPtr &entry : core_.service<RosterKeeper>("roster").roster().all()) {
         if (entry->zone == zone) {
             all += 1.0;
             named += services.count(entry->service) != 0 ? 1.0 : 0.0;
@@ -572,7 +572,7 @@
 {
     if (key.origin.id == core_.self.id) {
         origins_.note(route, core_.settings.zone, core_.settings.server->service);
-    } else if (const RosterEntry *sender = core_.service<RosterKeeper>("roster").roster().find(key.origin.id)) {
+    } else if (const RosterEntryPtr sender = core_.service<RosterKeeper>("roster").roster().find(key.origin.id)) {
         origins_.note(route, sender->zone, sender->service);
     }
 }
--- a/src/sidecar/NewsService.cpp
+++ b/src/sidecar/NewsService.cpp
@@ -169,7 +169,7 @@
         news.config = core_.service<ConfigFollower>("config").current()->source;
     }
     if (request.wantsRoster && news.versions.roster > request.versions.roster) {
-        for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
+        for (const RosterEntryPtr &entry : core_.service<RosterKeeper>("roster").roster().all()) {
             news.roster.push_back(*entry);
         }
     }
--- a/src/sidecar/PathWatch.cpp
+++ b/src/sidecar/PathWatch.cpp
@@ -56,7 +56,7 @@
     }
     core_.metrics.count("paths_failed");
     spawnFiber([this, node] {
-        const RosterEntry *found = core_.service<RosterKeeper>("roster").roster().find(node);
+        const RosterEntryPtr found = core_.service<RosterKeeper>("roster").roster().find(node);
         // A receipt that is late on a busy path looks like a cut. Told to the region, each such mistake made all its
         // nodes try their paths, which made them busier still.
         if (found != nullptr && answersOnLink(*found)) {
@@ -84,7 +84,7 @@
 {
     PeerHub &peers = core_.service<PeerHub>("peers");
     std::size_t told = 0;
-    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
+    for (const RosterEntryPtr &entry : core_.service<RosterKeeper>("roster").roster().all()) {
         const bool near = entry->region == core_.settings.region && entry->id != core_.self.id && entry->id != node;
         const std::optional<LinkId> link = near ? peers.openLinkAt(entry->links) : std::nullopt;
         if (link && told < mostTold && peers.reply(*link, PathSuspicion{node})) {
@@ -102,7 +102,7 @@
     if (node == core_.self.id || probing_.count(node) != 0 || justTried) {
         return;
     }
-    const RosterEntry *found = core_.service<RosterKeeper>("roster").roster().find(node);
+    const RosterEntryPtr found = core_.service<RosterKeeper>("roster").roster().find(node);
     if (found == nullptr) {
         return;
     }
@@ -144,7 +144,7 @@
     Millis pause = firstProbePause;
     while (!core_.stopping) {
         sleepFor(core_.ioContext, pause);
-        const RosterEntry *entry = core_.service<RosterKeeper>("roster").roster().find(node);
+        const RosterEntryPtr entry = core_.service<RosterKeeper>("roster").roster().find(node);
         if (entry == nullptr) {
             // Nobody is there to be judged. A node that comes back under this name starts without the verdict, or it
             // would be last for good with no probe to say otherwise.
--- a/src/sidecar/RosterKeeper.cpp
+++ b/src/sidecar/RosterKeeper.cpp
@@ -105,7 +105,7 @@
 bool RosterKeeper::isOwnEntryRight() const
 {
     const RosterEntry own = ownEntry(core_.settings);
-    const RosterEntry *found = roster_.find(own.id);
+    const RosterEntryPtr found = roster_.find(own.id);
     return found != nullptr && found->links == own.links && found->zone == own.zone && found->service == own.service
            && found->region == own.region;
 }
@@ -123,7 +123,7 @@
             continue;
         }
         const RosterEntry own = ownEntry(core_.settings);
-        const RosterEntry *standing = roster_.find(own.id);
+        const RosterEntryPtr standing = roster_.find(own.id);
         version = standing != nullptr ? std::max(version, standing->revision) : version;
         const UpdateResult result = api.update(platform::rosterKind, own.id, version, platform::encodeRosterEntry(own));
         switch (result.kind) {
@@ -152,7 +152,7 @@
 void RosterKeeper::withdraw()
 {
     withdrawn_ = true;
-    const RosterEntry *own = roster_.find(core_.settings.node);
+    const RosterEntryPtr own = roster_.find(core_.settings.node);
     if (own == nullptr) {
         return;
     }
--- a/src/sidecar/SecondSendService.cpp
+++ b/src/sidecar/SecondSendService.cpp
@@ -112,7 +112,7 @@
 std::vector<RosterEntry> SecondSendService::lenders() const
 {
     std::vector<RosterEntry> near;
-    for (const RosterEntry *entry : core_.service<RosterKeeper>("roster").roster().all()) {
+    for (const RosterEntryPtr &entry : core_.service<RosterKeeper>("roster").roster().all()) {
         if (entry->region == core_.settings.region && entry->id != core_.self.id) {
             near.push_back(*entry);
         }
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -332,7 +332,7 @@
 
 void SidecarNode::Parts::warmLinks()
 {
-    for (const RosterEntry *entry : roster.roster().all()) {
+    for (const RosterEntryPtr &entry : roster.roster().all()) {
         const bool near = entry->region == core.settings.region && entry->id != core.self.id;
         if (near) {
             spawnFiber([this, links = entry->links] {
@@ -345,7 +345,7 @@
 
 void SidecarNode::Parts::tellAll(const Record &record)
 {
-    for (const RosterEntry *entry : roster.roster().all()) {
+    for (const RosterEntryPtr &entry : roster.roster().all()) {
         if (entry->id == core.self.id) {
             continue;
         }
@@ -360,7 +360,7 @@
 
 void SidecarNode::Parts::relink(const std::string &peer)
 {
-    const RosterEntry *lost = roster.roster().find(peer);
+    const RosterEntryPtr lost = roster.roster().find(peer);
     if (lost == nullptr || lost->region != core.settings.region || !relinking.insert(peer).second) {
         return;
     }
@@ -370,7 +370,7 @@
         Millis pause = firstRelink;
         while (!core.stopping) {
             sleepFor(core.ioContext, pause);
-            const RosterEntry *entry = roster.roster().find(peer);
+            const RosterEntryPtr entry = roster.roster().find(peer);
             if (entry == nullptr) {
                 break;
             }
--- a/tests/integration/SuspensionTest.cpp
+++ b/tests/integration/SuspensionTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace waxwing;
 using namespace waxwing::testing;
 
@@ -43,6 +45,9 @@
                       pause(Millis(20));
                       mesh_.linkFault(1, {{"fromTarget", {{"hold", false}}}});
                   }});
+        const std::string log = mesh_.log(0);
+        const std::string end = log.substr(log.size() - std::min<std::size_t>(log.size(), 1500));
+        CAPTURE(end);
         REQUIRE(mesh_.node(0).running());
         REQUIRE(eventually([&] { return mesh_.settled(); }));
     }
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -261,8 +261,12 @@
 void Mesh::delist(const std::string &node)
 {
     ObjectApi api(loopClient(), store_);
-    const Expected<std::optional<StoredObject>> entry = api.read(platform::rosterKind, node);
-    must(entry && *entry, "entry to remove");
+    Expected<std::optional<StoredObject>> entry;
+    const auto isThere = [&] {
+        entry = api.read(platform::rosterKind, node);
+        return entry && *entry;
+    };
+    must(eventually(isThere), "entry to remove");
     const UpdateResult result = api.remove(platform::rosterKind, node, (*entry)->version);
     must(result.kind == UpdateResult::Kind::Stored, "entry removed");
 }
--- a/tests/unit/FleetTest.cpp
+++ b/tests/unit/FleetTest.cpp
@@ -89,10 +89,10 @@
     REQUIRE(roster.putWritten(entry("self", 30)));
     CHECK(roster.asOf() == 10);
     CHECK(roster.replace({entry("n1", 3), entry("n2", 20)}, 25));
-    CHECK(roster.find("n2") != nullptr);
-    CHECK(roster.find("self") != nullptr);
+    CHECK(roster.find("n2").get() != nullptr);
+    CHECK(roster.find("self").get() != nullptr);
     CHECK(roster.replace({entry("n1", 3), entry("n2", 20)}, 31));
-    CHECK(roster.find("self") == nullptr);
+    CHECK(roster.find("self").get() == nullptr);
 }
 
 TEST_CASE("transit meter, work held up by a cut, is told as late when the cut heals")
