--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -281,8 +281,7 @@
     } else {
         const RosterEntryPtr entry = core_.service<RosterKeeper>("roster").roster().find(choice.node);
         if (entry != nullptr) {
-            const RosterEntry home = *entry;
-            result = sender_.run(home, home.region != core_.settings.region, std::move(work), job.deadline,
+            result = sender_.run(*entry, entry->region != core_.settings.region, std::move(work), job.deadline,
                                  placement->control);
         } else {
             result.reply.outcome = Outcome::NotRun;
--- a/src/sidecar/PathWatch.cpp
+++ b/src/sidecar/PathWatch.cpp
@@ -153,8 +153,7 @@
             trips_.erase(node);
             return;
         }
-        const RosterEntry held = *entry;
-        if (answersOnFreshLink(held)) {
+        if (answersOnFreshLink(*entry)) {
             noteGood(node, false);
             return;
         }
--- a/tests/unit/FreshnessTest.cpp
+++ b/tests/unit/FreshnessTest.cpp
@@ -9,7 +9,10 @@
 class KnowledgeAge
 {
 protected:
-    SteadyTime at(int ms) const { return start_ + Millis(ms); }
+    SteadyTime at(int ms) const
+    {
+        return start_ + Millis(ms);
+    }
 
     Freshness freshness_;
 
