Bound how often a version heard of makes a node ask the store

A version that a node does not accept would have made it ask every tenth of a second; now 0.7 s apart at most.

--- a/src/sidecar/CallerFront.cpp
+++ b/src/sidecar/CallerFront.cpp
@@ -64,11 +64,15 @@
     }
     ConfigFollower &config = core_.service<ConfigFollower>("config");
     const std::uint64_t version = config.version();
-    const bool ready = !core_.draining && version > 0 && config.freshness().maySupport(core_.clock.now(), saidReady_);
+    const SteadyTime now = core_.clock.now();
+    const bool ready = !core_.draining && version > 0 && config.freshness().maySupport(now, saidReady_);
     if (ready != saidReady_) {
         saidReady_ = ready;
+        const std::optional<Duration> age = config.freshness().age(now);
         core_.events.write(Severity::Info, ready ? "node_ready" : "node_not_ready",
-                           {{"config", std::to_string(version)}, {"draining", core_.draining ? "yes" : "no"}});
+                           {{"config", std::to_string(version)},
+                            {"ageMs", age ? std::to_string(toMillis(*age).count()) : ""},
+                            {"draining", core_.draining ? "yes" : "no"}});
     }
     return HttpReply{jsonResponse(ready ? ok : unavailable, "{}\n"), AfterResponse::KeepOpen};
 }
--- a/src/sidecar/NewsService.cpp
+++ b/src/sidecar/NewsService.cpp
@@ -16,6 +16,8 @@
 constexpr Millis checkPause{100};
 /** Time for the store to tell of a change that another node has heard of already. */
 constexpr Millis storeTellsWithin{300};
+/** A version that this node does not accept must not make it ask the store all the time. */
+constexpr Millis askStorePause{700};
 /** Time for the store to tell a node that has just started. */
 constexpr Millis storeStartsWithin{1000};
 /** A large configuration takes seconds over a narrow link; a copy from a second node would only delay the first. */
@@ -115,7 +117,8 @@
     if (newerConfig_ && newerConfig_->version <= config.version()) {
         newerConfig_.reset();
     }
-    if (newerConfig_ && now - newerConfig_->since >= storeTellsWithin) {
+    if (newerConfig_ && now - newerConfig_->since >= storeTellsWithin && now - lookAskedAt_ >= askStorePause) {
+        lookAskedAt_ = now;
         config.requestLook();
     }
     const std::optional<LinkId> holder = whomToAskForConfig();
--- a/src/sidecar/NewsService.h
+++ b/src/sidecar/NewsService.h
@@ -61,6 +61,7 @@
     /** When the oldest question that is unanswered was sent on each link. */
     std::map<LinkId, SteadyTime> asked_;
     SteadyTime lastAsked_;
+    SteadyTime lookAskedAt_;
 };
 
 } // namespace waxwing
