Give back a second send that found no home, and don't ask for another

A hedge gave its second send back if it reached no server; a repeat after a failure did not, and as the failure was still the last word, the next repeat was asked for at once.

Both give it back now, and a repeat that found no home is the last one of its request.

--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -76,6 +76,8 @@
     /** Homes whose server had it, or may have. */
     std::set<std::string> reached;
     int sends = 0;
+    /** A repeat was allowed and found no home that takes it. */
+    bool noOtherHome = false;
     /** The node stops: it is not sent any more, and what waits for a server is taken back. */
     bool withdrawn = false;
     bool over = false;
@@ -205,23 +207,24 @@
     return may;
 }
 
-Forwarder::PlacementPtr Forwarder::launch(const RunPtr &run, bool hedge)
+void Forwarder::launch(const RunPtr &run, Try reason)
 {
     auto placement = std::make_shared<Placement>();
     placement->control = std::make_shared<RunControl>();
     run->placements.push_back(placement);
-    spawnFiber([this, run, placement, hedge] {
-        place(run, placement, hedge);
+    spawnFiber([this, run, placement, reason] {
+        place(run, placement, reason);
         placement->ended = true;
-        if (hedge && !placement->reachedServer) {
+        if (reason != Try::First && !placement->reachedServer) {
             secondSends_.giveBack(repeatsOf(*run));
+            // Asking the same homes once more would find none again.
+            run->noOtherHome = run->noOtherHome || reason == Try::Again;
         }
         run->point.wake();
     });
-    return placement;
 }
 
-void Forwarder::place(const RunPtr &run, const PlacementPtr &placement, bool hedge)
+void Forwarder::place(const RunPtr &run, const PlacementPtr &placement, Try reason)
 {
     const ForwardJob &job = run->job;
     placement->reply.outcome = Outcome::NotRun;
@@ -243,7 +246,7 @@
             placement->reply.load.wait = choice.wait;
             return;
         }
-        if (hedge) {
+        if (reason == Try::Hedge) {
             choice.patience = Millis(0);
         }
         ++run->sends;
@@ -433,7 +436,7 @@
         run->objective = job.deadline;
     }
     job.control->interrupt = [run] { run->point.wake(); };
-    launch(run, false);
+    launch(run, Try::First);
     const bool repeatable = job.route->idempotent && job.route->mostServers > 1;
     bool hedged = false;
     std::size_t judged = 0;
@@ -473,21 +476,21 @@
                 }
             }
             if (ended == run->placements.size()) {
-                const bool failed = last.outcome != Outcome::NotRun;
+                const bool failed = last.outcome != Outcome::NotRun && !run->noOtherHome;
                 const bool again = failed && repeatable && maySendAgain(*run, purposeOf(*run), "failed");
                 if (!again) {
                     job.control->interrupt = {};
                     return finish(run, last);
                 }
                 hedged = true;
-                launch(run, false);
+                launch(run, Try::Again);
             }
             continue;
         }
         if (now >= hedgeAt) {
             hedged = true;
             if (maySendAgain(*run, SecondSend::Hedge, "slow")) {
-                launch(run, true);
+                launch(run, Try::Hedge);
             }
             continue;
         }
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -89,8 +89,17 @@
         CallRates calls;
     };
 
-    PlacementPtr launch(const RunPtr &run, bool hedge);
-    void place(const RunPtr &run, const PlacementPtr &placement, bool hedge);
+    /** Why a request is given to a home. */
+    enum class Try {
+        First,
+        /** The one before failed. */
+        Again,
+        /** The one before takes long. */
+        Hedge,
+    };
+
+    void launch(const RunPtr &run, Try reason);
+    void place(const RunPtr &run, const PlacementPtr &placement, Try reason);
     bool sendOnce(const RunPtr &run, const PlacementPtr &placement, const HomeChoice &choice);
     std::vector<RankedHome> homesOf(const std::string &service) const;
     HomeNeed needOf(const Run &run) const;
