Go on asking for a look-up's answer while it may be tried elsewhere

What callers saw: 502 for look-ups whose servers had ended them well.

Cause: a sender that finds the path to a home silent asks for the fate of its work by three ways. If one round of that brings nothing, it gave up idempotent work, so that it is tried elsewhere. Where no second send may be had, or no other home, that ended the request although its answer was ready.

Change: the sender says that the fate is unknown and goes on asking until the deadline, as it does for bookings. The request may be tried elsewhere at the same time; the first answer counts. Each further round in vain is another occasion for a second send.

Evidence: RepeatTest, the answer held up for two seconds of three: 502 before, 200 now; all cases of the mesh pass.

--- a/src/node/RunControl.h
+++ b/src/node/RunControl.h
@@ -16,6 +16,8 @@
     std::function<void()> interrupt;
     /** Ends the wait for a server that is going on now; nothing once the request runs. */
     std::function<void()> onWithdraw;
+    /** Nobody could say what became of the request. It is asked for on, and may be tried elsewhere beside. */
+    std::function<void()> onFateUnknown;
 
     void cancel()
     {
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -76,6 +76,8 @@
     /** Homes whose server had it, or may have. */
     std::set<std::string> reached;
     int sends = 0;
+    /** A home was asked in vain what became of the request, and it was not tried elsewhere since. */
+    bool mayRepeatLost = false;
     /** A repeat was allowed and found no home that takes it. */
     bool noOtherHome = false;
     /** The node stops: it is not sent any more, and what waits for a server is taken back. */
@@ -211,10 +213,16 @@
 {
     auto placement = std::make_shared<Placement>();
     placement->control = std::make_shared<RunControl>();
+    placement->control->onFateUnknown = [run = run.get(), placement = placement.get()] {
+        placement->fateUnknown = true;
+        run->mayRepeatLost = true;
+        run->point.wake();
+    };
     run->placements.push_back(placement);
     spawnFiber([this, run, placement, reason] {
         place(run, placement, reason);
         placement->ended = true;
+        placement->control->onFateUnknown = {};
         if (reason != Try::First && !placement->reachedServer) {
             secondSends_.giveBack(repeatsOf(*run));
             // Asking the same homes once more would find none again.
@@ -487,6 +495,18 @@
             }
             continue;
         }
+        if (run->mayRepeatLost) {
+            run->mayRepeatLost = false;
+            const bool allLost =
+                std::all_of(run->placements.begin(), run->placements.end(),
+                            [](const PlacementPtr &one) { return one->ended || one->fateUnknown; });
+            const bool again = repeatable && allLost && !run->noOtherHome;
+            if (again && maySendAgain(*run, purposeOf(*run), "fate-unknown")) {
+                hedged = true;
+                launch(run, Try::Again);
+            }
+            continue;
+        }
         if (now >= hedgeAt) {
             hedged = true;
             if (maySendAgain(*run, SecondSend::Hedge, "slow")) {
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -74,6 +74,8 @@
     struct Placement {
         RunControlPtr control;
         bool ended = false;
+        /** Its home can't be asked what became of it. */
+        bool fateUnknown = false;
         WorkReply reply;
         std::string home;
         /** It was at a server, or may have been. */
@@ -92,7 +94,7 @@
     /** Why a request is given to a home. */
     enum class Try {
         First,
-        /** The one before failed. */
+        /** The one before failed, or nobody knows what became of it. */
         Again,
         /** The one before takes long. */
         Hedge,
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -33,7 +33,6 @@
     WaitPoint point;
     /** Of the Work sent; the rest of it is on its way. */
     std::string requestId;
-    bool idempotent = false;
     std::string home;
     LinkId link = 0;
     SteadyTime sentAt;
@@ -84,7 +83,6 @@
     work.untilObjective -= waited;
     work.helloAge = std::chrono::duration_cast<Millis>(peers.helloAge(*link).value_or(Duration(0)));
     pending->requestId = work.requestId;
-    pending->idempotent = work.idempotent;
     pending->home = home.id;
     pending->link = *link;
     pending->sentAt = core_.clock.now();
@@ -219,9 +217,8 @@
             pending.answered = true;
             return;
         }
-        if (fate.state == FenceState::NotKnown && pending.idempotent) {
-            // It may run there; trying elsewhere is better than waiting for a node that is cut off.
-            return;
+        if (fate.state == FenceState::NotKnown && pending.control->onFateUnknown) {
+            pending.control->onFateUnknown();
         }
         forbid = forbid && fate.state == FenceState::NotKnown;
         pending.point.wait(core_.ioContext, std::min(left, pause));
