Let two nodes of a region watch the configuration, and the others follow them

What it cost: each node held a watch on the store of its own, which every change ended, and asked beside it every two to three seconds.

Cause: the calls grow with the nodes, times the changes.

Change: WatchElection ranks the nodes that a node reaches in its region by a hash of their names; the first two watch. Their waits are short, since each end confirms the version for the region. They tell the region of a change, with the document if it is small. The others make no calls that wait: they ask the watchers when what they hold is 0.9 s old, and anybody when a watcher has not answered. The promise on the age of what is held gets no weaker: a follower takes only answers to its own questions as a confirmation, and dates them by the question, so nothing that was held up on its way confirms anything. Where nobody confirms in time (six tenths of the time that a change has), it stands in: it watches the store itself for at least three seconds, with a longer backoff than a watcher's, since in an outage all nodes stand in. News carries the id of its question now, so the protocol between nodes has a new version.

Evidence: WatchElectionTest, without a network: as many watchers for 2 to 3,000 nodes. FollowerTest, real processes: a change costs followers no call, and is in force in time with all watchers killed, frozen, deaf, cut, and with all other nodes restarted. The cases of old knowledge stay as they are and pass.

--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -18,7 +18,7 @@
 namespace waxwing {
 
 /** Version of the node-to-node protocol; a node refuses messages of another one. */
-constexpr int wireVersion = 4;
+constexpr int wireVersion = 5;
 
 /** What happened to a request, as told to its caller. */
 enum class Outcome : std::uint8_t {
@@ -255,13 +255,16 @@
 
 /** Asks which versions the receiver holds, and for what it holds in a higher one. */
 struct NewsRequest {
+    std::uint64_t id = 0;
     KnownVersions versions;
     bool wantsConfig = false;
     bool wantsRoster = false;
 };
 
-/** The configuration's document, and the roster as a whole; each only if it was asked for and is newer. */
+/** The configuration's document, and the roster as a whole; each only if it is newer for the receiver. */
 struct News {
+    /** Of the request that it answers; 0 if nobody asked. */
+    std::uint64_t id = 0;
     KnownVersions versions;
     std::string config;
     std::vector<RosterEntry> roster;
--- a/src/sidecar/ConfigFollower.cpp
+++ b/src/sidecar/ConfigFollower.cpp
@@ -4,6 +4,7 @@
 #include "platform/Names.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
+#include "src/sidecar/RegionWatch.h"
 #include "src/sidecar/StoreWatch.h"
 
 namespace waxwing {
@@ -15,21 +16,25 @@
  * has 4 s to notice; other nodes' confirmations mostly come before it.
  */
 constexpr Millis askBesideWatch{2200};
-
-StoreWatchTuning configTuning()
-{
-    StoreWatchTuning tuning;
-    tuning.lookAfter = askBesideWatch;
-    return tuning;
-}
+/** Each end of a watcher's wait confirms the version for its whole region, which relies on nothing else. */
+constexpr Millis shortestConfigWait{500};
+constexpr Millis longestConfigWait{1000};
 
 } // namespace
 
 ConfigFollower::ConfigFollower(NodeCore &core)
     : core_(core)
-    , watch_(std::make_unique<StoreWatch>(core_, platform::names::configKind, configTuning(),
-                                          [this](const ObjectChanges &changes) { takeAll(changes); }))
-{ }
+{
+    StoreWatchTuning tuning;
+    tuning.lookAfter = askBesideWatch;
+    tuning.shortestWait = shortestConfigWait;
+    tuning.longestWait = longestConfigWait;
+    tuning.role = [this] {
+        return core_.service<RegionWatch>("region-watch").decide(watch_->freshness().age(core_.clock.now()));
+    };
+    watch_ = std::make_unique<StoreWatch>(core_, platform::names::configKind, tuning,
+                                          [this](const ObjectChanges &changes) { takeAll(changes); });
+}
 
 ConfigFollower::~ConfigFollower() = default;
 
--- a/src/sidecar/ConfigFollower.h
+++ b/src/sidecar/ConfigFollower.h
@@ -15,14 +15,15 @@
 class StoreWatch;
 
 /**
- * Keeps the newest configuration: watches the store, and takes what other nodes learned. A version is never replaced by
- * a lower one, whichever way it comes. Not thread safe.
+ * Keeps the newest configuration: watches the store, or follows nodes that do, and takes what other nodes learned. A
+ * version is never replaced by a lower one, whichever way it comes. Not thread safe.
  */
 class ConfigFollower
 {
 public:
     using ChangeHook = std::function<void(const FleetConfig &)>;
 
+    /** @pre "region-watch" is in the kernel before start(). */
     explicit ConfigFollower(NodeCore &core);
     ~ConfigFollower();
     ConfigFollower(const ConfigFollower &) = delete;
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -497,9 +497,8 @@
         }
         if (run->mayRepeatLost) {
             run->mayRepeatLost = false;
-            const bool allLost =
-                std::all_of(run->placements.begin(), run->placements.end(),
-                            [](const PlacementPtr &one) { return one->ended || one->fateUnknown; });
+            const bool allLost = std::all_of(run->placements.begin(), run->placements.end(),
+                                             [](const PlacementPtr &one) { return one->ended || one->fateUnknown; });
             const bool again = repeatable && allLost && !run->noOtherHome;
             if (again && maySendAgain(*run, purposeOf(*run), "fate-unknown")) {
                 hedged = true;
--- a/src/sidecar/NewsService.cpp
+++ b/src/sidecar/NewsService.cpp
@@ -4,6 +4,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/ConfigFollower.h"
+#include "src/sidecar/RegionWatch.h"
 #include "src/sidecar/RosterKeeper.h"
 
 #include <algorithm>
@@ -24,7 +25,11 @@
 constexpr Millis copyTimeout{4000};
 /** From this age on the other nodes are asked, which costs less than asking the store. */
 constexpr Millis askVersionsAfter{1200};
+/** A follower asks sooner: its answer must come before it stands in for the watchers. */
+constexpr Millis followerAsksAfter{900};
 constexpr Millis askVersionsPause{400};
+/** A larger document is told of and not sent: read from the store it holds up no watcher's link. */
+constexpr std::size_t mostToldBytes = 16UL * 1024;
 
 } // namespace
 
@@ -75,12 +80,37 @@
     // How long it was under way is not known, so it does not show that a node may begin to take callers.
     ConfigFollower &config = core_.service<ConfigFollower>("config");
     const SteadyTime now = core_.clock.now();
-    if (config.freshness().maySupport(now, true)) {
+    if (!isFollower() && config.freshness().maySupport(now, true)) {
         confirmBy(theirs, now);
     }
     noteNewer(link, theirs);
 }
 
+bool NewsService::isFollower() const
+{
+    return core_.service<RegionWatch>("region-watch").role() == WatchRole::Follower;
+}
+
+void NewsService::configChanged()
+{
+    RegionWatch &region = core_.service<RegionWatch>("region-watch");
+    if (region.role() != WatchRole::Watcher) {
+        return;
+    }
+    News news;
+    news.versions = versions();
+    const std::string &document = core_.service<ConfigFollower>("config").current()->source;
+    if (document.size() <= mostToldBytes) {
+        news.config = document;
+    }
+    std::size_t told = 0;
+    for (const LinkId link : region.regionLinks()) {
+        told += core_.service<PeerHub>("peers").reply(link, news) ? 1 : 0;
+    }
+    core_.events.write(Severity::Info, "region_told",
+                       {{"version", std::to_string(news.versions.config)}, {"nodes", std::to_string(told)}});
+}
+
 void NewsService::confirmBy(const KnownVersions &theirs, SteadyTime sentAfter)
 {
     ConfigFollower &config = core_.service<ConfigFollower>("config");
@@ -128,13 +158,21 @@
         ask(*holder, true, isStoreAway());
         return;
     }
-    const bool old = config.freshness().isOlderThan(askVersionsAfter, now);
-    const std::optional<LinkId> any = anyLink();
-    if (config.version() > 0 && old && any && now - lastAsked_ >= askVersionsPause) {
-        ask(*any, false, false);
+    const bool old = config.freshness().isOlderThan(isFollower() ? followerAsksAfter : askVersionsAfter, now);
+    if (config.version() == 0 || !old || now - lastAsked_ < askVersionsPause) {
+        return;
+    }
+    if (const std::optional<LinkId> other = whomToAskForVersions()) {
+        ask(*other, false, false);
     }
 }
 
+std::optional<LinkId> NewsService::whomToAskForVersions()
+{
+    const std::optional<LinkId> watcher = core_.service<RegionWatch>("region-watch").linkToWatcher();
+    return watcher && asked_.count(*watcher) == 0 ? watcher : anyLink();
+}
+
 std::optional<LinkId> NewsService::whomToAskForConfig()
 {
     ConfigFollower &config = core_.service<ConfigFollower>("config");
@@ -159,14 +197,16 @@
 void NewsService::ask(LinkId link, bool wantsConfig, bool wantsRoster)
 {
     lastAsked_ = core_.clock.now();
-    asked_.emplace(link, lastAsked_);
-    core_.service<PeerHub>("peers").reply(link, NewsRequest{versions(), wantsConfig, wantsRoster});
+    const std::uint64_t id = nextQuestion_++;
+    asked_.emplace(link, Question{id, lastAsked_});
+    core_.service<PeerHub>("peers").reply(link, NewsRequest{id, versions(), wantsConfig, wantsRoster});
 }
 
 void NewsService::handleRequest(LinkId link, const NewsRequest &request)
 {
     heard(link, request.versions);
     News news;
+    news.id = request.id;
     news.versions = versions();
     if (request.wantsConfig && news.versions.config > request.versions.config) {
         news.config = core_.service<ConfigFollower>("config").current()->source;
@@ -190,8 +230,9 @@
     }
     core_.service<RosterKeeper>("roster").takeList(news.roster, news.versions.roster);
     const auto asked = asked_.find(link);
-    if (asked != asked_.end()) {
-        confirmBy(news.versions, asked->second);
+    // An answer to a later question shows at least what one to the oldest would.
+    if (asked != asked_.end() && news.id >= asked->second.id) {
+        confirmBy(news.versions, asked->second.sentAt);
         asked_.erase(asked);
     }
     noteNewer(link, news.versions);
--- a/src/sidecar/NewsService.h
+++ b/src/sidecar/NewsService.h
@@ -16,7 +16,10 @@
  * Lets nodes learn from each other what the store has not told them. Every message about work carries the versions that
  * its sender holds and how long ago it was known that no newer configuration existed. Who holds the same is confirmed
  * by that; who sees a higher version asks the store, and the other node if the store does not answer here. So a node
- * that the store turns away, or whose watch went silent, is as current as the nodes it works with. Not thread safe.
+ * that the store turns away, or whose watch went silent, is as current as the nodes it works with.
+ *
+ * A node that follows its region's watchers has nothing but their word. It asks them, and takes as the age of their
+ * word that of its own question: a message that was held up on its way confirms nothing there. Not thread safe.
  */
 class NewsService
 {
@@ -32,6 +35,8 @@
     void heard(LinkId link, const KnownVersions &theirs);
     void handleRequest(LinkId link, const NewsRequest &request);
     void handleNews(LinkId link, const NodeRef &from, const News &news);
+    /** The configuration changed: if this node watches the store for its region, tells the region's nodes. */
+    void configChanged();
 
 private:
     /** Somebody holds a higher version. */
@@ -41,6 +46,11 @@
         SteadyTime since;
     };
 
+    struct Question {
+        std::uint64_t id = 0;
+        SteadyTime sentAt;
+    };
+
     void noteNewer(LinkId link, const KnownVersions &theirs);
     void confirmBy(const KnownVersions &theirs, SteadyTime sentAfter);
     void run();
@@ -48,6 +58,9 @@
     /** The link to ask for the configuration itself; nothing as long as the store is likely to bring it. */
     std::optional<LinkId> whomToAskForConfig();
     std::optional<LinkId> anyLink();
+    /** Whom to ask which versions it holds: a watcher, unless it has left a question unanswered. */
+    std::optional<LinkId> whomToAskForVersions();
+    bool isFollower() const;
     void ask(LinkId link, bool wantsConfig, bool wantsRoster);
     bool isStoreAway() const;
 
@@ -58,8 +71,9 @@
     /** A question for the configuration is under way until then, and no second one is sent. */
     std::optional<LinkId> copyAskedOn_;
     SteadyTime copyUntil_;
-    /** When the oldest question that is unanswered was sent on each link. */
-    std::map<LinkId, SteadyTime> asked_;
+    /** The oldest question that is unanswered on each link. */
+    std::map<LinkId, Question> asked_;
+    std::uint64_t nextQuestion_ = 1;
     SteadyTime lastAsked_;
     SteadyTime lookAskedAt_;
 };
--- /dev/null
+++ b/src/sidecar/RegionWatch.cpp
@@ -0,0 +1,88 @@
+#include "src/sidecar/RegionWatch.h"
+
+#include "src/node/NodeCore.h"
+#include "src/sidecar/RosterKeeper.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+namespace {
+/** How soon a watcher whose link has closed, or one that joined, shows in the choice. */
+constexpr Millis refreshPause{400};
+} // namespace
+
+RegionWatch::RegionWatch(NodeCore &core, WatchElectionTuning tuning)
+    : core_(core)
+    , election_(core.settings.node, tuning)
+{ }
+
+void RegionWatch::refresh()
+{
+    const SteadyTime now = core_.clock.now();
+    if (now - refreshedAt_ < refreshPause) {
+        return;
+    }
+    refreshedAt_ = now;
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    const Roster &roster = core_.service<RosterKeeper>("roster").roster();
+    std::vector<std::string> reachable;
+    for (const RosterEntryPtr &entry : roster.all()) {
+        const bool near = entry->region == core_.settings.region && entry->id != core_.self.id;
+        if (near && peers.openLinkAt(entry->links)) {
+            reachable.push_back(entry->id);
+        }
+    }
+    election_.setReachable(reachable);
+    watcherLinks_.clear();
+    for (const std::string &watcher : election_.others()) {
+        if (const RosterEntryPtr entry = roster.find(watcher)) {
+            watcherLinks_.push_back(entry->links);
+        }
+    }
+}
+
+WatchRole RegionWatch::decide(std::optional<Duration> age)
+{
+    refresh();
+    const WatchRole before = role_;
+    role_ = election_.role(age, core_.clock.now());
+    if (role_ != before) {
+        const std::string ageMs = age ? std::to_string(std::chrono::duration_cast<Millis>(*age).count()) : "";
+        core_.metrics.count(std::string("watch_role_") + watchRoleName(role_));
+        core_.events.writeRequest(
+            Severity::Info, "watch_role",
+            {{"role", watchRoleName(role_)}, {"before", watchRoleName(before)}, {"ageMs", ageMs}});
+    }
+    return role_;
+}
+
+WatchRole RegionWatch::role() const
+{
+    return role_;
+}
+
+std::optional<LinkId> RegionWatch::linkToWatcher()
+{
+    if (watcherLinks_.empty()) {
+        return std::nullopt;
+    }
+    const Endpoint &links = watcherLinks_[core_.random() % watcherLinks_.size()];
+    return core_.service<PeerHub>("peers").openLinkAt(links);
+}
+
+std::vector<LinkId> RegionWatch::regionLinks() const
+{
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    std::vector<LinkId> links;
+    for (const RosterEntryPtr &entry : core_.service<RosterKeeper>("roster").roster().all()) {
+        const bool near = entry->region == core_.settings.region && entry->id != core_.self.id;
+        const std::optional<LinkId> link = near ? peers.openLinkAt(entry->links) : std::nullopt;
+        if (link) {
+            links.push_back(*link);
+        }
+    }
+    return links;
+}
+
+} // namespace waxwing
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -16,6 +16,7 @@
 #include "src/sidecar/LocalHome.h"
 #include "src/sidecar/NewsService.h"
 #include "src/sidecar/PathWatch.h"
+#include "src/sidecar/RegionWatch.h"
 #include "src/sidecar/RosterKeeper.h"
 #include "src/sidecar/SecondSendService.h"
 #include "src/sidecar/WorkSender.h"
@@ -70,6 +71,19 @@
     return tuning;
 }
 
+WatchElectionTuning electionOf(const NodeSettings &settings)
+{
+    // What is left of the time that a change has is for reading it.
+    constexpr double partForOthers = 0.6;
+    WatchElectionTuning tuning;
+    if (!settings.bounds.empty()) {
+        Findings findings;
+        const Millis applies = platform::decodeBounds(settings.bounds, findings).configApply;
+        tuning.standInAfter = std::chrono::duration_cast<Millis>(applies * partForOthers);
+    }
+    return tuning;
+}
+
 } // namespace
 
 struct SidecarNode::Parts {
@@ -86,6 +100,7 @@
                  })
         , paths(core)
         , sender(core, fences, paths)
+        , region(core, electionOf(settings))
         , config(core)
         , roster(core)
         , news(core)
@@ -117,6 +132,7 @@
     FenceService fences;
     PathWatch paths;
     WorkSender sender;
+    RegionWatch region;
     ConfigFollower config;
     RosterKeeper roster;
     NewsService news;
@@ -169,11 +185,15 @@
     provide("burn", burn);
     provide("poison", poison);
     provide("peers", *peers);
+    provide("region-watch", region);
     provide("config", config);
     provide("roster", roster);
     provide("news", news);
     provide("forwarder", forwarder);
-    config.onChange([this](const FleetConfig &changed) { applyConfig(changed); });
+    config.onChange([this](const FleetConfig &changed) {
+        applyConfig(changed);
+        news.configChanged();
+    });
     roster.onChange([this] {
         forwarder.rosterChanged();
         warmLinks();
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -10,6 +10,8 @@
 namespace {
 /** How often it is looked whether the store must be asked beside the watch. */
 constexpr Millis lookCheck{250};
+/** How soon a follower begins to watch once it has to. */
+constexpr Millis roleCheck{200};
 } // namespace
 
 StoreWatch::StoreWatch(NodeCore &core, std::string kind, StoreWatchTuning tuning, ChangesHook onChanges)
@@ -32,24 +34,21 @@
     }
     Millis backoff = tuning_.firstBackoff;
     while (!core_.stopping) {
-        WatchCall call;
-        call.since = since_;
-        const bool waits = healthy_ && since_ > 0;
-        if (waits) {
-            call.wait = randomBetween(tuning_.shortestWait, tuning_.longestWait);
-            call.cancel = &waitingCall_;
-        } else {
-            // Nothing shows that the store hears this node, and a store that does not would be waited for in vain.
-            call.answerWithin = since_ > 0 ? tuning_.lookTimeout : call.answerWithin;
-            call.fresh = true;
+        const WatchRole part = role();
+        following_ = part == WatchRole::Follower;
+        if (following_) {
+            sleepFor(core_.ioContext, roleCheck);
+            continue;
         }
-        waiting_ = waits;
+        const WatchCall call = nextCall(part);
+        waiting_ = call.cancel != nullptr;
         const CallResult result = callStore(call);
         waiting_ = false;
         if (!result.answered) {
             // Jitter: after an outage not every node comes back at the same moment.
             sleepFor(core_.ioContext, randomBetween(backoff / 2, backoff));
-            backoff = std::min(tuning_.longestBackoff, backoff * 2);
+            const bool standsIn = part == WatchRole::StandIn;
+            backoff = std::min(standsIn ? tuning_.longestStandInBackoff : tuning_.longestBackoff, backoff * 2);
             continue;
         }
         backoff = tuning_.firstBackoff;
@@ -62,6 +61,30 @@
     }
 }
 
+WatchRole StoreWatch::role() const
+{
+    // Others can confirm only what this node has.
+    const bool mayFollow = tuning_.role && since_ > 0;
+    return mayFollow ? tuning_.role() : WatchRole::Watcher;
+}
+
+WatchCall StoreWatch::nextCall(WatchRole role)
+{
+    WatchCall call;
+    call.since = since_;
+    if (healthy_ && since_ > 0) {
+        const bool standsIn = role == WatchRole::StandIn;
+        call.wait = standsIn ? randomBetween(tuning_.shortestStandInWait, tuning_.longestStandInWait)
+                             : randomBetween(tuning_.shortestWait, tuning_.longestWait);
+        call.cancel = &waitingCall_;
+    } else {
+        // Nothing shows that the store hears this node, and a store that does not would be waited for in vain.
+        call.answerWithin = since_ > 0 ? tuning_.lookTimeout : call.answerWithin;
+        call.fresh = true;
+    }
+    return call;
+}
+
 void StoreWatch::lookLoop()
 {
     Millis spread = randomBetween(Millis(0), tuning_.lookSpread);
@@ -82,7 +105,7 @@
 bool StoreWatch::isLookDue(Duration spread) const
 {
     const bool old = freshness_.isOlderThan(*tuning_.lookAfter + spread, core_.clock.now());
-    return waiting_ && (lookRequested_ || old);
+    return (waiting_ || following_) && (lookRequested_ || old);
 }
 
 void StoreWatch::look()
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/StoreWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/fleet/Freshness.h"
+#include "include/fleet/WatchElection.h"
 #include "platform/ObjectApi.h"
 #include "src/fiber/WaitPoint.h"
 #include "src/http/HttpClient.h"
@@ -32,13 +33,19 @@
     Millis firstBackoff{150};
     /** Also how long after the end of an outage the store is asked again at the latest. */
     Millis longestBackoff{1500};
+    /** Asked before each call. A follower makes none; without this hook the node always watches. */
+    std::function<WatchRole()> role;
+    /** The waits and the backoff of a stand-in: in an outage all nodes of a region are stand-ins. */
+    Millis shortestStandInWait{1500};
+    Millis longestStandInWait{2500};
+    Millis longestStandInBackoff{2500};
 };
 
 /**
  * Follows all objects of one kind: a full list, then changes, with pauses that grow while the store does not answer.
  * A call waits long for a change only if the one before it was answered. A watch that waits can be one that nobody
  * hears any more; so when nothing has shown for a while that what is held is the newest, the store is asked on another
- * connection. Not thread safe.
+ * connection. A node that follows other watchers makes no calls that wait, only such looks. Not thread safe.
  */
 class StoreWatch
 {
@@ -62,6 +69,8 @@
         bool changed = false;
     };
 
+    WatchRole role() const;
+    WatchCall nextCall(WatchRole role);
     void lookLoop();
     bool isLookDue(Duration spread) const;
     /** Asks the store once, on another connection than the watch's. */
@@ -82,8 +91,9 @@
     bool healthy_ = false;
     /** Something was tried: the first failure is a loss as well. */
     bool tried_ = false;
-    /** The watch waits for a change; only then are looks needed. */
+    /** The watch waits for a change; only then, and while others watch for this node, are looks needed. */
     bool waiting_ = false;
+    bool following_ = false;
     /** Ends the waiting call when a look has shown that it hears nothing. */
     ExchangeCancel waitingCall_;
     bool superseded_ = false;
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -341,7 +341,7 @@
     }
     json operator()(const NewsRequest &m) const
     {
-        return with(Type::NewsRequest, versionsOf(m.versions), m.wantsConfig, m.wantsRoster);
+        return with(Type::NewsRequest, m.id, versionsOf(m.versions), m.wantsConfig, m.wantsRoster);
     }
     json operator()(const News &m) const
     {
@@ -349,7 +349,7 @@
         for (const RosterEntry &entry : m.roster) {
             roster.push_back(rosterEntryOf(entry));
         }
-        return with(Type::News, versionsOf(m.versions), bytesOf(m.config), std::move(roster));
+        return with(Type::News, m.id, versionsOf(m.versions), bytesOf(m.config), std::move(roster));
     }
     json operator()(const LendRequest &m) const
     {
@@ -403,9 +403,10 @@
 News newsFrom(const json &in)
 {
     News m;
-    m.versions = versionsFrom(in.at(body));
-    m.config = textOf(in.at(body + 1));
-    for (const json &entry : in.at(body + 2)) {
+    m.id = in.at(body).get<std::uint64_t>();
+    m.versions = versionsFrom(in.at(body + 1));
+    m.config = textOf(in.at(body + 2));
+    for (const json &entry : in.at(body + 3)) {
         m.roster.push_back(rosterEntryFrom(entry));
     }
     return m;
@@ -539,7 +540,8 @@
     case Type::FenceReply:
         return fenceReplyFrom(in);
     case Type::NewsRequest:
-        return NewsRequest{versionsFrom(in.at(body)), in.at(body + 1).get<bool>(), in.at(body + 2).get<bool>()};
+        return NewsRequest{in.at(body).get<std::uint64_t>(), versionsFrom(in.at(body + 1)), in.at(body + 2).get<bool>(),
+                           in.at(body + 3).get<bool>()};
     case Type::News:
         return newsFrom(in);
     case Type::LendRequest:
--- /dev/null
+++ b/tests/integration/FollowerTest.cpp
@@ -0,0 +1,164 @@
+#include "platform/Names.h"
+#include "tests/support/KnowledgeRig.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace waxwing;
+using namespace waxwing::testing;
+
+namespace {
+
+namespace names = platform::names;
+
+/** A region of which two nodes watch the store; the others follow them. */
+class Followers : public KnowledgeRig
+{
+protected:
+    explicit Followers(bool proxies = false)
+        : KnowledgeRig(Plan{0, 6, proxies})
+    {
+        REQUIRE(eventually([&] { return withRole("follower").size() == 4; }, std::chrono::seconds(10)));
+    }
+
+    std::vector<int> withRole(const std::string &role) const
+    {
+        std::vector<int> out;
+        for (int node = 0; node < nodes_; ++node) {
+            if (roleOf(node) == role) {
+                out.push_back(node);
+            }
+        }
+        return out;
+    }
+
+    std::string roleOf(int node) const
+    {
+        const std::string log = mesh_.log(node);
+        const std::string word = " role=";
+        const std::size_t last = log.rfind("event=watch_role");
+        if (last == std::string::npos) {
+            return "watcher";
+        }
+        const std::size_t from = log.find(word, last) + word.size();
+        return log.substr(from, log.find(' ', from) - from);
+    }
+
+    int storeCalls(const std::vector<int> &nodes) const
+    {
+        int calls = 0;
+        for (const int node : nodes) {
+            calls += mesh_.linesWith(node, {"event=store_call", std::string("kind=") + names::configKind});
+        }
+        return calls;
+    }
+
+    void cutLinks(bool cut)
+    {
+        for (int node = 0; node < nodes_; ++node) {
+            mesh_.linkFault(node, {{"toTarget", {{"hold", cut}}}, {"fromTarget", {{"hold", cut}}}});
+        }
+    }
+};
+
+class CutFollowers : public Followers
+{
+protected:
+    CutFollowers()
+        : Followers(true)
+    { }
+};
+
+} // namespace
+
+// Guards against calls on the store that grow with the nodes: a quiet region costs its watchers' calls, and a change
+// too.
+TEST_CASE_FIXTURE(Followers, "followers, new version, hold it in time without a call on the store")
+{
+    // Stand-ins of the start have become followers by then.
+    pause(std::chrono::seconds(4));
+    const std::vector<int> followers = withRole("follower");
+    REQUIRE(followers.size() == 4);
+    const int before = storeCalls(followers);
+    mesh_.configure(2, "archive");
+    CHECK(eventually([&] { return isInForce(2); }, applyBound));
+    pause(std::chrono::seconds(3));
+    CHECK(storeCalls(followers) == before);
+}
+
+// Guards against a region that hears nothing more of the store since all of its watchers ended at once.
+TEST_CASE_FIXTURE(Followers, "followers, all watchers killed at once, hold the next version in time")
+{
+    const std::vector<int> followers = withRole("follower");
+    for (const int watcher : withRole("watcher")) {
+        mesh_.node(watcher).kill();
+    }
+    mesh_.configure(2, "archive");
+    for (const int node : followers) {
+        CHECK(eventually([&] { return isInForceAt(node, 2); }, applyBound));
+    }
+}
+
+// Guards against watchers that stand still, hold their links open, and keep their region on an old version.
+TEST_CASE_FIXTURE(Followers, "followers, all watchers frozen, hold the next version in time")
+{
+    const std::vector<int> followers = withRole("follower");
+    const std::vector<int> watchers = withRole("watcher");
+    for (const int watcher : watchers) {
+        mesh_.node(watcher).signal(SIGSTOP);
+    }
+    mesh_.configure(2, "archive");
+    for (const int node : followers) {
+        CHECK(eventually([&] { return isInForceAt(node, 2); }, applyBound));
+    }
+    for (const int watcher : watchers) {
+        mesh_.node(watcher).signal(SIGCONT);
+    }
+}
+
+// Guards against watchers that answer their followers though their own watches on the store went silent.
+TEST_CASE_FIXTURE(Followers, "followers, watches gone silent, hold the next version in time")
+{
+    mesh_.storeFault({{"deafWatches", true}});
+    mesh_.configure(2, "archive");
+    CHECK(eventually([&] { return isInForce(2); }, dueAfterDisturbance));
+}
+
+// Guards against followers that lose their watchers' watches together with the store, and all wait on a store that
+// never heard them.
+TEST_CASE_FIXTURE(Followers, "followers, watches cut while the store is silent, hold the next version in time")
+{
+    mesh_.storeFault({{"silent", true}, {"cutWatches", true}});
+    pause(Millis(600));
+    mesh_.storeFault({{"silent", false}});
+    mesh_.configure(2, "archive");
+    CHECK(eventually([&] { return isInForce(2); }, dueAfterDisturbance));
+}
+
+// Guards against a follower that nobody reaches and that waits for its watchers' word beside a store that answers.
+TEST_CASE_FIXTURE(CutFollowers, "followers, links cut both ways, hold the next version in time")
+{
+    cutLinks(true);
+    mesh_.configure(2, "archive");
+    CHECK(eventually([&] { return isInForce(2); }, applyBound));
+    cutLinks(false);
+}
+
+// Guards against a follower alone among nodes that have just started: none of them can confirm anything yet.
+TEST_CASE_FIXTURE(Followers, "followers, all other nodes restarted at once, hold a version written meanwhile in time")
+{
+    const int follower = withRole("follower").front();
+    for (int node = 0; node < nodes_; ++node) {
+        if (node != follower) {
+            mesh_.node(node).kill();
+        }
+    }
+    mesh_.configure(2, "archive");
+    for (int node = 0; node < nodes_; ++node) {
+        if (node != follower) {
+            mesh_.startNode(node);
+        }
+    }
+    CHECK(eventually([&] { return isInForceAt(follower, 2); }, applyBound));
+    CHECK(eventually([&] { return isInForce(2); }, dueAfterDisturbance));
+}
--- a/tests/integration/OldKnowledgeTest.cpp
+++ b/tests/integration/OldKnowledgeTest.cpp
@@ -1,11 +1,9 @@
 #include "platform/Names.h"
-#include "tests/support/Mesh.h"
+#include "tests/support/KnowledgeRig.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
 
-#include <algorithm>
-
 using namespace waxwing;
 using namespace waxwing::testing;
 
@@ -13,42 +11,12 @@
 
 namespace names = platform::names;
 
-/** The bound within which an acknowledged change is in force at every node that was undisturbed. */
-constexpr Millis applyBound{2500};
-/** A node that a disturbance has reached counts as undisturbed again after this time. */
-constexpr Millis calmAfter{4000};
-/** A change is due at the later of two times; the disturbances of these tests come just before the change. */
-constexpr Millis dueAfterDisturbance = std::max(applyBound, calmAfter);
-
-/** Bookings are for "archive" from version 2 on, whose server stands beside node 2. */
-class OldKnowledge
+class OldKnowledge : public KnowledgeRig
 {
 protected:
     explicit OldKnowledge(int spareRoutes = 0, int nodes = 3)
-        : mesh_(plan(spareRoutes, nodes))
+        : KnowledgeRig(Plan{spareRoutes, nodes})
     { }
-
-    static MeshPlan plan(int spareRoutes, int nodes)
-    {
-        MeshPlan out;
-        out.services = std::vector<std::string>(static_cast<std::size_t>(nodes), "desk");
-        out.services.at(2) = "archive";
-        out.spareRoutes = spareRoutes;
-        return out;
-    }
-
-    bool isInForce(std::uint64_t version)
-    {
-        const std::string word = "version=" + std::to_string(version);
-        for (int node = 0; node < 3; ++node) {
-            if (mesh_.linesWith(node, {"event=config_in_force", word}) == 0) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    Mesh mesh_;
 };
 
 class LargeConfiguration : public OldKnowledge
--- /dev/null
+++ b/tests/support/KnowledgeRig.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "tests/support/Mesh.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace waxwing::testing {
+
+/** The bound within which an acknowledged change is in force at every node that was undisturbed. */
+constexpr Millis applyBound{2500};
+/** A node that a disturbance has reached counts as undisturbed again after this time. */
+constexpr Millis calmAfter{4000};
+/** A change is due at the later of two times; the disturbances of these tests come just before the change. */
+constexpr Millis dueAfterDisturbance = std::max(applyBound, calmAfter);
+
+/** Bookings are for "archive" from version 2 on, whose server stands beside node 2. */
+class KnowledgeRig
+{
+protected:
+    struct Plan {
+        int spareRoutes = 0;
+        int nodes = 3;
+        bool proxies = false;
+    };
+
+    explicit KnowledgeRig(const Plan &plan)
+        : nodes_(plan.nodes)
+        , mesh_(meshPlan(plan))
+    { }
+
+    bool isInForceAt(int node, std::uint64_t version) const
+    {
+        const std::string word = "version=" + std::to_string(version);
+        return mesh_.linesWith(node, {"event=config_in_force", word}) > 0;
+    }
+
+    bool isInForce(std::uint64_t version) const
+    {
+        for (int node = 0; node < nodes_; ++node) {
+            if (!isInForceAt(node, version)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    int nodes_;
+    Mesh mesh_;
+
+private:
+    static MeshPlan meshPlan(const Plan &plan)
+    {
+        MeshPlan out;
+        out.services = std::vector<std::string>(static_cast<std::size_t>(plan.nodes), "desk");
+        out.services.at(2) = "archive";
+        out.spareRoutes = plan.spareRoutes;
+        out.proxies = plan.proxies;
+        return out;
+    }
+};
+
+} // namespace waxwing::testing
--- /dev/null
+++ b/tests/unit/WatchElectionTest.cpp
@@ -0,0 +1,153 @@
+#include "include/fleet/WatchElection.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace waxwing;
+
+namespace {
+
+std::string nodeName(int number)
+{
+    return "node-" + std::to_string(number);
+}
+
+/** A region in which every node has its own view of whom it reaches. */
+class RegionOfNodes
+{
+protected:
+    static constexpr std::size_t watchers = 2;
+
+    void start(int count)
+    {
+        nodes_.clear();
+        for (int i = 0; i < count; ++i) {
+            nodes_.insert(nodeName(i));
+        }
+        linkAll();
+    }
+
+    void linkAll()
+    {
+        elections_.clear();
+        for (const std::string &node : nodes_) {
+            elections_.emplace(node, WatchElection(node));
+            elections_.at(node).setReachable(allBut(node));
+        }
+    }
+
+    std::vector<std::string> allBut(const std::string &left) const
+    {
+        std::vector<std::string> out;
+        std::copy_if(nodes_.begin(), nodes_.end(), std::back_inserter(out),
+                     [&](const std::string &node) { return node != left; });
+        return out;
+    }
+
+    std::set<std::string> elected()
+    {
+        std::set<std::string> out;
+        for (auto &[node, election] : elections_) {
+            if (election.role(fresh, at(0)) == WatchRole::Watcher) {
+                out.insert(node);
+            }
+        }
+        return out;
+    }
+
+    static SteadyTime at(int ms)
+    {
+        return SteadyTime(std::chrono::hours(1)) + Millis(ms);
+    }
+
+    static constexpr Duration fresh = Millis(300);
+    std::set<std::string> nodes_;
+    std::map<std::string, WatchElection> elections_;
+};
+
+} // namespace
+
+// Guards against calls on the store that grow with the nodes of a region.
+TEST_CASE_FIXTURE(RegionOfNodes, "watch election, region of any size, has the same number of watchers")
+{
+    for (const int count : {2, 3, 30, 300, 3000}) {
+        start(count);
+        CHECK(elected().size() == watchers);
+    }
+    start(1);
+    CHECK(elected().size() == 1);
+}
+
+// Guards against a region without watchers after those that it had are gone.
+TEST_CASE_FIXTURE(RegionOfNodes, "watch election, all watchers lost at once, elects others and leaves the rest")
+{
+    start(30);
+    const std::set<std::string> before = elected();
+    for (const std::string &lost : before) {
+        nodes_.erase(lost);
+    }
+    linkAll();
+    const std::set<std::string> after = elected();
+    CHECK(after.size() == watchers);
+    for (const std::string &node : before) {
+        CHECK(after.count(node) == 0);
+    }
+}
+
+// Guards against a change of watchers at nearly every node that joins or leaves.
+TEST_CASE_FIXTURE(RegionOfNodes, "watch election, node that joins, takes the place of one watcher at most")
+{
+    start(30);
+    for (int joining = 30; joining < 60; ++joining) {
+        const std::set<std::string> before = elected();
+        nodes_.insert(nodeName(joining));
+        linkAll();
+        std::set<std::string> kept;
+        const std::set<std::string> after = elected();
+        std::set_intersection(before.begin(), before.end(), after.begin(), after.end(),
+                              std::inserter(kept, kept.begin()));
+        CHECK(kept.size() + 1 >= watchers);
+    }
+}
+
+// Guards against a node that neither watches nor reaches a watcher, where nodes reach different parts of the region.
+TEST_CASE_FIXTURE(RegionOfNodes, "watch election, node that reaches a part of the region, watches or reaches a watcher")
+{
+    start(30);
+    for (auto &[node, election] : elections_) {
+        std::vector<std::string> reached;
+        for (const std::string &other : allBut(node)) {
+            const bool linked = (std::hash<std::string>()(node + other) & 1U) != 0;
+            if (linked) {
+                reached.push_back(other);
+            }
+        }
+        election.setReachable(reached);
+        const bool watches = election.role(fresh, at(0)) == WatchRole::Watcher;
+        CHECK((watches || !election.others().empty()));
+        for (const std::string &other : election.others()) {
+            CHECK(std::count(reached.begin(), reached.end(), other) == 1);
+        }
+    }
+}
+
+// Guards against a follower that goes on with what it holds though its watchers have fallen silent.
+TEST_CASE_FIXTURE(RegionOfNodes, "watch election, follower that nobody confirms, stands in and follows again later")
+{
+    WatchElectionTuning tuning;
+    WatchElection follower("zz", tuning);
+    int number = 0;
+    while (follower.role(fresh, at(0)) == WatchRole::Watcher) {
+        follower.setReachable({nodeName(number), nodeName(number + 1)});
+        ++number;
+    }
+    CHECK(follower.role(tuning.standInAfter, at(0)) == WatchRole::Follower);
+    CHECK(follower.role(tuning.standInAfter + Millis(1), at(100)) == WatchRole::StandIn);
+    const int lasts = static_cast<int>(tuning.standInFor.count());
+    CHECK(follower.role(fresh, at(100 + lasts - 1)) == WatchRole::StandIn);
+    CHECK(follower.role(fresh, at(100 + lasts)) == WatchRole::Follower);
+    CHECK(follower.role(std::nullopt, at(100 + lasts)) == WatchRole::StandIn);
+}
