Pass over watchers that the store does not answer

Change: every message says whether the store answers its sender. A watcher that it does not answer is passed over until it says otherwise, so two others take its place. Where the store answers nobody, a node that would watch only since others are passed over stands in instead, with the longer pauses.

Evidence: WatchElectionTest, watchers without an answer are replaced by two others, and an outage makes no more watchers.

--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -136,6 +136,8 @@
     std::uint64_t roster = 0;
     /** So long ago it was known that no newer configuration existed; cut at mostConfigAge. */
     Millis configAge = mostConfigAge;
+    /** The store answered when this node asked it last. */
+    bool storeAnswers = false;
 
     /** Beyond this age, or if it was never confirmed, the age says nothing. */
     static constexpr Millis mostConfigAge{25500};
--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -25,33 +25,53 @@
     , tuning_(tuning)
 { }
 
-void WatchElection::setReachable(const std::vector<std::string> &nodes)
+void WatchElection::setReachable(const std::vector<std::string> &nodes, SteadyTime now)
 {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
     ranked.reserve(nodes.size() + 1);
     ranked.emplace_back(stableHash(self_), self_);
+    std::size_t betterPassedOver = 0;
     for (const std::string &node : nodes) {
-        ranked.emplace_back(stableHash(node), node);
+        const std::pair<std::uint64_t, std::string> candidate(stableHash(node), node);
+        const auto passedOver = passedOverUntil_.find(node);
+        if (passedOver == passedOverUntil_.end() || now >= passedOver->second) {
+            ranked.push_back(candidate);
+        } else {
+            betterPassedOver += candidate < ranked.front() ? 1 : 0;
+        }
     }
+    const std::pair<std::uint64_t, std::string> self = ranked.front();
     const std::size_t elected = std::min(tuning_.watchers, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(elected), ranked.end());
     elected_ = false;
     others_.clear();
     for (std::size_t i = 0; i < elected; ++i) {
-        if (ranked[i].second == self_) {
+        if (ranked[i] == self) {
             elected_ = true;
+            replaces_ = i + betterPassedOver >= tuning_.watchers;
         } else {
             others_.push_back(ranked[i].second);
         }
     }
 }
 
+void WatchElection::noteStore(const std::string &node, bool answers, SteadyTime now)
+{
+    if (answers) {
+        passedOverUntil_.erase(node);
+    } else {
+        passedOverUntil_[node] = now + tuning_.passedOverFor;
+    }
+}
+
 WatchRole WatchElection::role(std::optional<Duration> age, SteadyTime now)
 {
-    if (elected_) {
+    const bool old = !age || *age > tuning_.standInAfter;
+    // In an outage all are passed over, and each node would be elected by its own account.
+    if (elected_ && !(replaces_ && old)) {
         return WatchRole::Watcher;
     }
-    if (!age || *age > tuning_.standInAfter) {
+    if (old) {
         standInUntil_ = now + tuning_.standInFor;
     }
     return now < standInUntil_ ? WatchRole::StandIn : WatchRole::Follower;
--- a/src/sidecar/NewsService.cpp
+++ b/src/sidecar/NewsService.cpp
@@ -50,6 +50,7 @@
     if (const std::optional<Duration> age = config.freshness().age(core_.clock.now())) {
         own.configAge = std::min(KnownVersions::mostConfigAge, std::chrono::ceil<Millis>(*age));
     }
+    own.storeAnswers = config.storeAnswers();
     return own;
 }
 
@@ -83,6 +84,9 @@
     if (!isFollower() && config.freshness().maySupport(now, true)) {
         confirmBy(theirs, now);
     }
+    if (const std::optional<NodeRef> peer = core_.service<PeerHub>("peers").peerOn(link)) {
+        core_.service<RegionWatch>("region-watch").noteStore(peer->id, theirs.storeAnswers);
+    }
     noteNewer(link, theirs);
 }
 
@@ -235,6 +239,7 @@
         confirmBy(news.versions, asked->second.sentAt);
         asked_.erase(asked);
     }
+    core_.service<RegionWatch>("region-watch").noteStore(from.id, news.versions.storeAnswers);
     noteNewer(link, news.versions);
 }
 
--- a/src/sidecar/RegionWatch.cpp
+++ b/src/sidecar/RegionWatch.cpp
@@ -33,7 +33,7 @@
             reachable.push_back(entry->id);
         }
     }
-    election_.setReachable(reachable);
+    election_.setReachable(reachable, now);
     watcherLinks_.clear();
     for (const std::string &watcher : election_.others()) {
         if (const RosterEntryPtr entry = roster.find(watcher)) {
@@ -57,6 +57,11 @@
     return role_;
 }
 
+void RegionWatch::noteStore(const std::string &node, bool answers)
+{
+    election_.noteStore(node, answers, core_.clock.now());
+}
+
 WatchRole RegionWatch::role() const
 {
     return role_;
--- a/src/sidecar/RegionWatch.h
+++ b/src/sidecar/RegionWatch.h
@@ -19,6 +19,8 @@
     RegionWatch(NodeCore &core, WatchElectionTuning tuning);
     /** Decides anew; @p age is that of the configuration held. @pre "peers" and "roster" are in the kernel. */
     WatchRole decide(std::optional<Duration> age);
+    /** @p node says whether the store @p answers it. */
+    void noteStore(const std::string &node, bool answers);
     /** As decided last. */
     WatchRole role() const;
     /** An open link to a watcher of this region on another node; one of them at random. */
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -168,14 +168,14 @@
 {
     // Rounded up: an age may be taken for more than it is, never for less.
     const auto steps = (versions.configAge + configAgeStep - Millis(1)) / configAgeStep;
-    return json::array({versions.config, versions.roster, steps});
+    return json::array({versions.config, versions.roster, steps, versions.storeAnswers});
 }
 
 KnownVersions versionsFrom(const json &value)
 {
     const auto steps = std::min<std::uint64_t>(value.at(2).get<std::uint64_t>(), mostConfigAgeSteps);
     return KnownVersions{value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>(),
-                         static_cast<std::int64_t>(steps) * configAgeStep};
+                         static_cast<std::int64_t>(steps) * configAgeStep, value.at(3).get<bool>()};
 }
 
 json loadOf(const HomeLoad &load)
--- a/tests/unit/WatchElectionTest.cpp
+++ b/tests/unit/WatchElectionTest.cpp
@@ -35,7 +35,7 @@
         elections_.clear();
         for (const std::string &node : nodes_) {
             elections_.emplace(node, WatchElection(node));
-            elections_.at(node).setReachable(allBut(node));
+            elections_.at(node).setReachable(allBut(node), at(0));
         }
     }
 
@@ -125,7 +125,7 @@
                 reached.push_back(other);
             }
         }
-        election.setReachable(reached);
+        election.setReachable(reached, at(0));
         const bool watches = election.role(fresh, at(0)) == WatchRole::Watcher;
         CHECK((watches || !election.others().empty()));
         for (const std::string &other : election.others()) {
@@ -141,7 +141,7 @@
     WatchElection follower("zz", tuning);
     int number = 0;
     while (follower.role(fresh, at(0)) == WatchRole::Watcher) {
-        follower.setReachable({nodeName(number), nodeName(number + 1)});
+        follower.setReachable({nodeName(number), nodeName(number + 1)}, at(0));
         ++number;
     }
     CHECK(follower.role(tuning.standInAfter, at(0)) == WatchRole::Follower);
@@ -151,3 +151,43 @@
     CHECK(follower.role(fresh, at(100 + lasts)) == WatchRole::Follower);
     CHECK(follower.role(std::nullopt, at(100 + lasts)) == WatchRole::StandIn);
 }
+
+// Guards against a region whose watchers are cut off from the store and that all nodes then ask the store for.
+TEST_CASE_FIXTURE(RegionOfNodes, "watch election, watchers that the store does not answer, are replaced by two others")
+{
+    start(30);
+    const std::set<std::string> cutOff = elected();
+    const auto seeAll = [&](SteadyTime now) {
+        std::set<std::string> watching;
+        for (auto &[node, election] : elections_) {
+            election.setReachable(allBut(node), now);
+            if (cutOff.count(node) == 0 && election.role(fresh, now) == WatchRole::Watcher) {
+                watching.insert(node);
+            }
+        }
+        return watching;
+    };
+    for (auto &[node, election] : elections_) {
+        for (const std::string &watcher : cutOff) {
+            election.noteStore(watcher, false, at(0));
+        }
+    }
+    CHECK(seeAll(at(100)).size() == watchers);
+    CHECK(seeAll(at(static_cast<int>(WatchElectionTuning().passedOverFor.count()))).empty());
+}
+
+// Guards against a whole region that watches, with a watcher's short pauses, while the store is away for everybody.
+TEST_CASE_FIXTURE(RegionOfNodes, "watch election, store that answers nobody, has no more watchers than before")
+{
+    start(30);
+    const Duration old = std::chrono::seconds(3);
+    std::size_t watching = 0;
+    for (auto &[node, election] : elections_) {
+        for (const std::string &other : allBut(node)) {
+            election.noteStore(other, false, at(0));
+        }
+        election.setReachable(allBut(node), at(100));
+        watching += election.role(old, at(100)) == WatchRole::Watcher ? 1 : 0;
+    }
+    CHECK(watching == watchers);
+}
