Ask up to twelve nodes for a loan of second sends

Hypothesis: the larger the fleet, the smaller a node's part of the second sends and the more often a loan of six nodes is not enough. The model in SecondSendFleetTest (a sixth of the servers gray, each node's failures by chance, the decision code as it is) finds up to 1.7% denied at 1,000 nodes with six lenders, none with twelve, none at 24 and 234 with either.

So this is for larger fleets; at 234 nodes it is not what binds. The test fails with six lenders.

--- a/include/limit/SecondSendBudget.h
+++ b/include/limit/SecondSendBudget.h
@@ -26,6 +26,14 @@
     double reservedPart = 0.5;
 };
 
+/** How a node whose part is spent borrows. */
+struct BorrowTuning {
+    /** Other nodes asked for one loan, one after the other until there is enough. */
+    std::size_t mostLenders = 12;
+    /** Asked for beyond what is missing: the next failure is near. What is not used soon is lost to the fleet. */
+    double ahead = 2.0;
+};
+
 /** What a second send is for. */
 enum class SecondSend {
     /** The first one failed. */
--- a/src/sidecar/SecondSendService.cpp
+++ b/src/sidecar/SecondSendService.cpp
@@ -10,11 +10,9 @@
 
 namespace {
 
-/** Nodes asked for one loan. Each answers within a round trip of the region, some 3 ms. */
-constexpr std::size_t mostLenders = 6;
+/** Lenders answer within a round trip of the region, some 3 ms. */
 constexpr Millis lenderTimeout{60};
-/** Asked for at once beyond what is missing: the next failure is near. */
-constexpr double lentAhead = 2.0;
+constexpr BorrowTuning borrowing;
 /** Pause after nobody had anything to lend: the windows of the lenders move on by a step of half a second. */
 constexpr Millis dryPause{500};
 /** Requests that went short are remembered for some steps of the window. */
@@ -121,7 +119,7 @@
         return near;
     }
     std::rotate(near.begin(), near.begin() + static_cast<std::ptrdiff_t>(core_.random() % near.size()), near.end());
-    near.resize(std::min(near.size(), mostLenders));
+    near.resize(std::min(near.size(), borrowing.mostLenders));
     return near;
 }
 
@@ -133,7 +131,7 @@
     }
     double borrowed = 0.0;
     for (const RosterEntry &lender : lenders()) {
-        const double lent = askOne(lender, service, sends + lentAhead - borrowed, purpose);
+        const double lent = askOne(lender, service, sends + borrowing.ahead - borrowed, purpose);
         budgetOf(service).borrow(lent, core_.clock.now());
         borrowed += lent;
         if (has({{service, sends}}, purpose)) {
