Try gray servers less often on behalf of senders that have other homes

Cause: a home lets a trial in after a pause of 0.15 s that grows to 1.2 s. In a small fleet it waits longer for a sender that asks. In a large one a sender knows little of each home, and some sender asks at once.

Change: who does not know of the doubt waits for twice the pause, 1.8 s at most, after the first trial. Who knows of it and has no better home is let in as before, so that capacity comes back as soon as where it is short.

--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -89,6 +89,12 @@
     Millis firstTrialPause{150};
     Millis longestTrialPause{1200};
     double trialPauseFactor = 1.7;
+    /**
+     * After the first trial, requests whose sender does not know of the doubt wait for so many pauses, up to the bound:
+     * other homes have room for them. In a large fleet there is such a sender whenever a trial may be made.
+     */
+    double unawareFactor = 2.0;
+    Millis longestUnawarePause{1800};
     /**
      * How much likelier a failure is from a gray server: one that came at once, and one after the usual work time. A
      * sound server fails mostly after having worked on the request, a gray one mostly before.
@@ -192,6 +198,8 @@
     bool isMoreUrgent(const SlotRequest &a, const SlotRequest &b, SteadyTime now) const;
     bool hasFreeSlot() const;
     RefusalReason doubtRefuses(const SlotRequest &request, SteadyTime now) const;
+    /** From one trial to the next one, if that is @p request. */
+    Duration trialPauseFor(const SlotRequest &request) const;
     void start(const SlotRequest &request, SteadyTime now);
     void noteFailure(double ratio, SteadyTime now);
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -125,10 +125,19 @@
     }
     const bool trialRuns =
         std::any_of(running_.begin(), running_.end(), [](const auto &entry) { return entry.second.trial; });
-    const bool tooSoon = now - lastTrial_ < trialPause_;
+    const bool tooSoon = now - lastTrial_ < trialPauseFor(request);
     return trialRuns || tooSoon ? RefusalReason::Doubtful : RefusalReason::None;
 }
 
+Duration SlotQueue::trialPauseFor(const SlotRequest &request) const
+{
+    if (request.acceptsDoubt || trialPause_ <= tuning_.firstTrialPause) {
+        return trialPause_;
+    }
+    const auto longer = std::chrono::duration_cast<Duration>(trialPause_ * tuning_.unawareFactor);
+    return std::min<Duration>(tuning_.longestUnawarePause, longer);
+}
+
 void SlotQueue::start(const SlotRequest &request, SteadyTime now)
 {
     const bool trial = gray_.doubt(now) >= tuning_.doubtful;
--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -271,6 +271,32 @@
     CHECK(trials >= 6);
 }
 
+// Guards against trials that take the second sends which requests at other servers need: in a fleet of hundreds some
+// sender knocks whenever a trial may be made.
+TEST_CASE_FIXTURE(OneServer, "slot queue, gray phase of six seconds in a large fleet, costs six trials at most")
+{
+    const auto trialsOf = [&](bool acceptsDoubt) {
+        int trials = 0;
+        failAtOnce();
+        for (const SteadyTime end = now + Millis(6500); now < end; now += Millis(20)) {
+            SlotRequest trial = request("read", true);
+            trial.acceptsDoubt = acceptsDoubt;
+            if (submit(trial).verdict == SlotVerdict::Start) {
+                ++trials;
+                failAtOnce();
+                queue.release(trial.id, now);
+            }
+        }
+        return trials;
+    };
+    CHECK(trialsOf(false) <= 6);
+    // Who has no better home finds out sooner: the capacity is needed.
+    for (int i = 0; i < 12; ++i) {
+        queue.addResult("read", false, Millis(200), now);
+    }
+    CHECK(trialsOf(true) >= 7);
+}
+
 TEST_CASE_FIXTURE(OneServer, "slot queue, last try of a request that can be repeated, is not used as a trial")
 {
     // A certificate look-up that a gray server failed is sent to a second server, and there is no third. That one was
