A tool that tells from logs where requests were lost; describe the watchers

waxwing-losses reads the output of a play with all nodes' logs and prints tables: how callers were answered, failures at servers by the time since the one before, second sends asked for, calls on the store by kind, roles, stops, log lines.

--- /dev/null
+++ b/tools/losses.cpp
@@ -0,0 +1,174 @@
+/**
+ * Reads the output of a play with the logs of all nodes and prints where requests were lost, as Markdown tables:
+ * waxwing-losses [PLAY...]; standard input if no file is named.
+ */
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+/** One log line of one node. */
+struct LogLine {
+    double at = 0.0;
+    std::string node;
+    std::map<std::string, std::string> fields;
+
+    std::string field(const std::string &name) const
+    {
+        const auto found = fields.find(name);
+        return found == fields.end() ? std::string() : found->second;
+    }
+};
+
+/** Nothing if @p text is no log line, such as a line of the play's own report. */
+std::optional<LogLine> parse(const std::string &text)
+{
+    std::istringstream in(text);
+    LogLine line;
+    if (!(in >> line.at >> line.node)) {
+        return std::nullopt;
+    }
+    std::string word;
+    while (in >> word) {
+        const std::size_t sign = word.find('=');
+        if (sign != std::string::npos) {
+            const std::string value = word.substr(sign + 1);
+            line.fields[word.substr(0, sign)] = value == "\"\"" ? "" : value;
+        }
+    }
+    return line.fields.count("event") != 0 ? std::optional<LogLine>(line) : std::nullopt;
+}
+
+using Counts = std::map<std::string, long>;
+
+class LossTables
+{
+public:
+    void add(const LogLine &line)
+    {
+        const std::string event = line.field("event");
+        if (event == "answered") {
+            addAnswer(line);
+        } else if (event == "refused") {
+            ++answers_[line.field("status") + " " + line.field("reason")];
+        } else if (event == "home_done") {
+            addWork(line);
+        } else if (event == "second_send") {
+            ++secondSends_[line.field("why") + ", " + line.field("allowed")];
+        } else if (event == "store_call") {
+            ++storeCalls_[line.field("kind") + " " + line.field("call")
+                          + (line.field("revision").empty() ? ", failed" : "")];
+        } else if (event == "watch_role") {
+            ++roles_[line.field("role")];
+        } else if (event == "node_stopping") {
+            ++stops_["told to stop"];
+        } else if (event == "node_stopped") {
+            ++stops_["stopped, cleanly: " + line.field("cleanly")];
+        }
+        ++lines_[event];
+    }
+
+    void print() const
+    {
+        table("How callers were answered", answers_);
+        table("Failures at servers, by the time since the same server's failure before", failures_);
+        table("Second sends asked for", secondSends_);
+        table("Calls on the store", storeCalls_);
+        table("Nodes that took a role towards the store", roles_);
+        table("Stops", stops_);
+        table("Log lines", lines_);
+    }
+
+private:
+    void addAnswer(const LogLine &line)
+    {
+        const std::string status = line.field("status");
+        const std::string reason = line.field("reason");
+        ++answers_[status + (reason.empty() ? "" : " " + reason) + ", " + line.field("outcome")];
+    }
+
+    void addWork(const LogLine &line)
+    {
+        const bool ran = line.field("outcome") != "not-run";
+        const bool failed = ran && (line.field("status") != "200" || line.field("outcome") == "unknown");
+        if (!failed) {
+            return;
+        }
+        const auto before = lastFailure_.find(line.node);
+        ++failures_[before == lastFailure_.end() ? "first" : spanOf(line.at - before->second)];
+        lastFailure_[line.node] = line.at;
+    }
+
+    static std::string spanOf(double seconds)
+    {
+        constexpr double trial = 1.0;
+        constexpr double samePhase = 3.0;
+        constexpr double earlierPhase = 12.0;
+        if (seconds < trial) {
+            return "under 1 s";
+        }
+        if (seconds < samePhase) {
+            return "1 to 3 s";
+        }
+        return seconds < earlierPhase ? "3 to 12 s" : "more than 12 s";
+    }
+
+    static void table(const std::string &title, const Counts &counts)
+    {
+        std::vector<std::pair<long, std::string>> rows;
+        for (const auto &[name, count] : counts) {
+            rows.emplace_back(count, name);
+        }
+        std::sort(rows.rbegin(), rows.rend());
+        std::cout << "\n| " << title << " | |\n| --- | --- |\n";
+        for (const auto &[count, name] : rows) {
+            std::cout << "| " << name << " | " << count << " |\n";
+        }
+    }
+
+    Counts answers_;
+    Counts failures_;
+    Counts secondSends_;
+    Counts storeCalls_;
+    Counts roles_;
+    Counts stops_;
+    Counts lines_;
+    std::map<std::string, double> lastFailure_;
+};
+
+void addAll(std::istream &in, LossTables &tables)
+{
+    std::string text;
+    while (std::getline(in, text)) {
+        if (const std::optional<LogLine> line = parse(text)) {
+            tables.add(*line);
+        }
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    constexpr int exitUnreadable = 2;
+    LossTables tables;
+    for (int i = 1; i < argc; ++i) {
+        std::ifstream file(argv[i]);
+        if (!file) {
+            std::cerr << argv[i] << ": can't be read\n";
+            return exitUnreadable;
+        }
+        addAll(file, tables);
+    }
+    if (argc == 1) {
+        addAll(std::cin, tables);
+    }
+    tables.print();
+    return 0;
+}
