Name Freshness::mayServeCallers for whom it is about, and two limits apart

maySupport did not say what it allows. mostLate stood for two things: in LocalHome how long a question may have been under way, in SidecarNode how late a work must be to be refused. No behaviour changes.

--- a/include/fleet/Freshness.h
+++ b/include/fleet/Freshness.h
@@ -39,7 +39,7 @@
      * Whether callers may be served with what is held: it is fresh, or an attempt to learn better has just failed.
      * @p servesNow: this node takes callers already.
      */
-    bool maySupport(SteadyTime now, bool servesNow) const;
+    bool mayServeCallers(SteadyTime now, bool servesNow) const;
 
 private:
     FreshnessTuning tuning_;
--- a/src/fleet/Freshness.cpp
+++ b/src/fleet/Freshness.cpp
@@ -34,7 +34,7 @@
     return failureBegan_ && *failureBegan_ > when && (!asOf_ || *asOf_ < *failureBegan_);
 }
 
-bool Freshness::maySupport(SteadyTime now, bool servesNow) const
+bool Freshness::mayServeCallers(SteadyTime now, bool servesNow) const
 {
     const Duration limit = servesNow ? tuning_.mostAge : tuning_.mostAgeToStart;
     if (!isOlderThan(limit, now)) {
--- a/src/sidecar/CallerFront.cpp
+++ b/src/sidecar/CallerFront.cpp
@@ -65,7 +65,7 @@
     ConfigFollower &config = core_.service<ConfigFollower>("config");
     const std::uint64_t version = config.version();
     const SteadyTime now = core_.clock.now();
-    const bool ready = !core_.draining && version > 0 && config.freshness().maySupport(now, saidReady_);
+    const bool ready = !core_.draining && version > 0 && config.freshness().mayServeCallers(now, saidReady_);
     if (ready != saidReady_) {
         saidReady_ = ready;
         const std::optional<Duration> age = config.freshness().age(now);
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -21,7 +21,7 @@
 constexpr Millis memory = std::chrono::seconds(12);
 constexpr std::size_t mostRemembered = 2000;
 /** A question may have been under way for so long. */
-constexpr Millis mostLate{1500};
+constexpr Millis longestTransit{1500};
 /** Of answers larger than this so many bytes are held for senders that ask: three seconds of a 13 Mbit/s link. */
 constexpr std::size_t largeAnswer = 16UL * 1024;
 constexpr std::size_t mostLargeBytes = 5UL * 1024 * 1024;
@@ -473,7 +473,7 @@
     const auto found = entries_.find(key);
     if (found == entries_.end()) {
         // One that was sent before the last work forgotten had ended may have run, ended and been forgotten as well.
-        const SteadyTime sentAt = core_.clock.now() - sentAgo - mostLate;
+        const SteadyTime sentAt = core_.clock.now() - sentAgo - longestTransit;
         if (!onlyAsk && sentAt > forgottenUntil_) {
             entries_[key].phase = Phase::Forbidden;
             ended_.emplace_back(core_.clock.now(), key);
--- a/src/sidecar/NewsService.cpp
+++ b/src/sidecar/NewsService.cpp
@@ -81,7 +81,7 @@
     // How long it was under way is not known, so it does not show that a node may begin to take callers.
     ConfigFollower &config = core_.service<ConfigFollower>("config");
     const SteadyTime now = core_.clock.now();
-    if (!isFollower() && config.freshness().maySupport(now, true)) {
+    if (!isFollower() && config.freshness().mayServeCallers(now, true)) {
         confirmBy(theirs, now);
     }
     if (const std::optional<NodeRef> peer = core_.service<PeerHub>("peers").peerOn(link)) {
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -42,7 +42,7 @@
  * Work that was under way for so long is refused. Its sender asked for its fate within about a second and may have been
  * told that it never runs; what it was told is remembered here for several times as long as this.
  */
-constexpr Millis mostLate{1500};
+constexpr Millis refusedWhenLate{1500};
 /** Events kept in memory; the log has them all, and memory is paid for. */
 constexpr std::size_t eventsKept = 128;
 /** Links to the region's nodes are opened before the first request needs them. */
@@ -301,7 +301,7 @@
     const Millis late = transits[link].lateness(peers->helloAge(link).value_or(Duration(0)), work.helloAge);
     work.remaining -= late;
     work.untilObjective -= late;
-    if (late >= mostLate) {
+    if (late >= refusedWhenLate) {
         core.metrics.count("work_arrived_late");
         core.events.write(
             Severity::Warning, "work_arrived_late",
--- a/tests/unit/FreshnessTest.cpp
+++ b/tests/unit/FreshnessTest.cpp
@@ -25,8 +25,8 @@
 // Guards against a started node that takes callers before anything has shown that its version is the newest.
 TEST_CASE_FIXTURE(KnowledgeAge, "freshness, nothing confirmed and nothing tried, supports no callers")
 {
-    CHECK_FALSE(freshness_.maySupport(at(0), false));
-    CHECK_FALSE(freshness_.maySupport(at(0), true));
+    CHECK_FALSE(freshness_.mayServeCallers(at(0), false));
+    CHECK_FALSE(freshness_.mayServeCallers(at(0), true));
     CHECK_FALSE(freshness_.age(at(0)).has_value());
 }
 
@@ -34,10 +34,10 @@
 TEST_CASE_FIXTURE(KnowledgeAge, "freshness, answer read ten seconds after the question, does not start a node")
 {
     freshness_.confirm(at(0));
-    CHECK(freshness_.maySupport(at(1500), false));
-    CHECK_FALSE(freshness_.maySupport(at(10000), false));
+    CHECK(freshness_.mayServeCallers(at(1500), false));
+    CHECK_FALSE(freshness_.mayServeCallers(at(10000), false));
     freshness_.confirm(at(9900));
-    CHECK(freshness_.maySupport(at(10000), false));
+    CHECK(freshness_.mayServeCallers(at(10000), false));
 }
 
 // Guards against a fleet that takes itself out of service because its store is away.
@@ -46,8 +46,8 @@
     freshness_.confirm(at(0));
     for (int ms = 3000; ms < 60000; ms += 2500) {
         freshness_.fail(at(ms), at(ms + 1000));
-        CHECK(freshness_.maySupport(at(ms + 2500), true));
-        CHECK(freshness_.maySupport(at(ms + 2500), false));
+        CHECK(freshness_.mayServeCallers(at(ms + 2500), true));
+        CHECK(freshness_.mayServeCallers(at(ms + 2500), false));
     }
 }
 
@@ -56,9 +56,9 @@
 {
     freshness_.confirm(at(0));
     freshness_.fail(at(1000), at(2000));
-    CHECK_FALSE(freshness_.maySupport(at(20000), true));
+    CHECK_FALSE(freshness_.mayServeCallers(at(20000), true));
     freshness_.fail(at(20000), at(20100));
-    CHECK(freshness_.maySupport(at(20100), true));
+    CHECK(freshness_.mayServeCallers(at(20100), true));
 }
 
 TEST_CASE_FIXTURE(KnowledgeAge, "freshness, confirmations out of order, keep the newest")
@@ -77,5 +77,5 @@
     CHECK_FALSE(freshness_.hasFailedSince(at(1000)));
     freshness_.confirm(at(2500));
     CHECK_FALSE(freshness_.hasFailedSince(at(0)));
-    CHECK_FALSE(freshness_.maySupport(at(6600), true));
+    CHECK_FALSE(freshness_.mayServeCallers(at(6600), true));
 }
