--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -35,20 +35,22 @@
     Millis backoff = tuning_.firstBackoff;
     while (!core_.stopping) {
         const WatchRole part = role();
+        const bool begins = part == WatchRole::StandIn && !standsIn_;
         following_ = part == WatchRole::Follower;
+        standsIn_ = part == WatchRole::StandIn;
         if (following_) {
             sleepFor(core_.ioContext, roleCheck);
             continue;
         }
-        const WatchCall call = nextCall(part);
+        const WatchCall call = nextCall(part, begins);
         waiting_ = call.cancel != nullptr;
         const CallResult result = callStore(call);
         waiting_ = false;
         if (!result.answered) {
             // Jitter: after an outage not every node comes back at the same moment.
+            backoff = begins ? tuning_.firstStandInBackoff : backoff;
             sleepFor(core_.ioContext, randomBetween(backoff / 2, backoff));
-            const bool standsIn = part == WatchRole::StandIn;
-            backoff = std::min(standsIn ? tuning_.longestStandInBackoff : tuning_.longestBackoff, backoff * 2);
+            backoff = nextBackoff(part, backoff);
             continue;
         }
         backoff = tuning_.firstBackoff;
@@ -68,14 +70,22 @@
     return mayFollow ? tuning_.role() : WatchRole::Watcher;
 }
 
-WatchCall StoreWatch::nextCall(WatchRole role)
+Millis StoreWatch::nextBackoff(WatchRole role, Millis last) const
+{
+    const bool standsIn = role == WatchRole::StandIn;
+    return std::min(standsIn ? tuning_.longestStandInBackoff : tuning_.longestBackoff, last * 2);
+}
+
+WatchCall StoreWatch::nextCall(WatchRole role, bool begins)
 {
     WatchCall call;
     call.since = since_;
-    if (healthy_ && since_ > 0) {
+    // A stand-in often begins since the store is away: its first call shows that soon.
+    if (healthy_ && since_ > 0 && !begins) {
         const bool standsIn = role == WatchRole::StandIn;
         call.wait = standsIn ? randomBetween(tuning_.shortestStandInWait, tuning_.longestStandInWait)
                              : randomBetween(tuning_.shortestWait, tuning_.longestWait);
+        call.answerWithin = standsIn ? tuning_.lookTimeout : call.answerWithin;
         call.cancel = &waitingCall_;
     } else {
         // Nothing shows that the store hears this node, and a store that does not would be waited for in vain.
@@ -104,7 +114,8 @@
 
 bool StoreWatch::isLookDue(Duration spread) const
 {
-    const bool old = freshness_.isOlderThan(*tuning_.lookAfter + spread, core_.clock.now());
+    // A stand-in's own calls come as often as looks would.
+    const bool old = !standsIn_ && freshness_.isOlderThan(*tuning_.lookAfter + spread, core_.clock.now());
     return (waiting_ || following_) && (lookRequested_ || old);
 }
 
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/StoreWatch.h
@@ -38,6 +38,7 @@
     /** The waits and the backoff of a stand-in: in an outage all nodes of a region are stand-ins. */
     Millis shortestStandInWait{1500};
     Millis longestStandInWait{2500};
+    Millis firstStandInBackoff{1000};
     Millis longestStandInBackoff{2500};
 };
 
@@ -70,7 +71,9 @@
     };
 
     WatchRole role() const;
-    WatchCall nextCall(WatchRole role);
+    /** @p begins: the first call in this role. */
+    WatchCall nextCall(WatchRole role, bool begins);
+    Millis nextBackoff(WatchRole role, Millis last) const;
     void lookLoop();
     bool isLookDue(Duration spread) const;
     /** Asks the store once, on another connection than the watch's. */
@@ -94,6 +97,7 @@
     /** The watch waits for a change; only then, and while others watch for this node, are looks needed. */
     bool waiting_ = false;
     bool following_ = false;
+    bool standsIn_ = false;
     /** Ends the waiting call when a look has shown that it hears nothing. */
     ExchangeCancel waitingCall_;
     bool superseded_ = false;
