--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -17,7 +17,7 @@
 StoreWatch::StoreWatch(NodeCore &core, std::string kind, StoreWatchTuning tuning, ChangesHook onChanges)
     : core_(core)
     , kind_(std::move(kind))
-    , tuning_(tuning)
+    , tuning_(std::move(tuning))
     , onChanges_(std::move(onChanges))
 { }
 
