--- a/tests/unit/SecondSendFleetTest.cpp
+++ b/tests/unit/SecondSendFleetTest.cpp
@@ -11,41 +11,59 @@
 
 namespace {
 
-/** The users' bounds, and the load of one node of a fleet whose servers turn gray all the time. */
-constexpr double slackOfFleet = 430.0;
 constexpr Millis tick{100};
-constexpr double requestsPerTick = 0.15;
-constexpr double failedShare = 0.12;
+constexpr Millis filling = std::chrono::seconds(10);
+
+/** What a fleet's servers do to the requests for one service. */
+struct FleetLoad {
+    std::size_t nodes = 0;
+    double requestsPerTickAndNode = 0.0;
+    /** Share of the sends that have to be repeated, and for how long. */
+    double failedShare = 0.0;
+    Millis lasts{0};
+    /** Sends of one request at most. */
+    int mostSends = 2;
+};
+
+struct FleetOutcome {
+    int requests = 0;
+    int served = 0;
+    int secondSends = 0;
+    int denied = 0;
+
+    double servedShare() const
+    {
+        return static_cast<double>(served) / requests;
+    }
+};
 
 /** A fleet in which each node spends and lends second sends for requests that come at random. */
-class GrayFleet
+class FleetOfBudgets
 {
 protected:
-    /** Part of the second sends wanted that were not to be had, after a window to fill up. */
-    double deniedShare(std::size_t nodes, std::uint32_t seed)
+    /** Plays @p load after a window without failures. */
+    FleetOutcome play(const FleetLoad &load, std::uint32_t seed)
     {
         random_.seed(seed);
-        budgets_.assign(nodes, SecondSendBudget(tuning()));
-        int wanted = 0;
-        int denied = 0;
-        constexpr int ticks = 400;
-        constexpr int filling = 100;
-        for (int i = 0; i < ticks; ++i) {
-            const SteadyTime now = SteadyTime(std::chrono::hours(1)) + i * tick;
-            for (std::size_t node = 0; node < nodes; ++node) {
-                if (chance_(random_) >= requestsPerTick) {
+        budgets_.assign(load.nodes, SecondSendBudget(tuning()));
+        FleetOutcome out;
+        for (Millis since = -filling; since < load.lasts; since += tick) {
+            const SteadyTime now = SteadyTime(std::chrono::hours(1)) + since;
+            for (std::size_t node = 0; node < load.nodes; ++node) {
+                if (chance_(random_) >= load.requestsPerTickAndNode) {
                     continue;
                 }
                 budgets_[node].noteRequest(now);
-                if (chance_(random_) < failedShare && i >= filling) {
-                    ++wanted;
-                    denied += spend(node, now) ? 0 : 1;
+                if (since >= Millis(0)) {
+                    serve(load, node, now, out);
                 }
             }
         }
-        return static_cast<double>(denied) / wanted;
+        return out;
     }
 
+    static constexpr double slackOfFleet = 430.0;
+
 private:
     static SecondSendTuning tuning()
     {
@@ -54,6 +72,22 @@
         return out;
     }
 
+    void serve(const FleetLoad &load, std::size_t node, SteadyTime now, FleetOutcome &out)
+    {
+        ++out.requests;
+        for (int sends = 1; chance_(random_) < load.failedShare; ++sends) {
+            if (sends >= load.mostSends) {
+                return;
+            }
+            if (!spend(node, now)) {
+                ++out.denied;
+                return;
+            }
+            ++out.secondSends;
+        }
+        ++out.served;
+    }
+
     bool spend(std::size_t node, SteadyTime now)
     {
         SecondSendBudget &own = budgets_[node];
@@ -86,13 +120,41 @@
 
 // Guards against look-ups that fail for want of a second send while the fleet has most of its bound left: the larger
 // the fleet, the smaller each node's part.
-TEST_CASE_FIXTURE(GrayFleet,
+TEST_CASE_FIXTURE(FleetOfBudgets,
                   "second sends, a sixth of the servers gray in a fleet of any size, are there nearly always")
 {
     constexpr double seldom = 0.005;
+    FleetLoad load;
+    load.requestsPerTickAndNode = 0.15;
+    load.failedShare = 0.12;
+    load.lasts = std::chrono::seconds(30);
+    for (const std::size_t nodes : {24, 234, 1000}) {
+        load.nodes = nodes;
+        for (const std::uint32_t seed : {1U, 2U, 3U}) {
+            const FleetOutcome outcome = play(load, seed);
+            CHECK(outcome.denied < seldom * (outcome.denied + outcome.secondSends));
+        }
+    }
+}
+
+// Guards against second sends that are left unused, or spent past their bound, while a whole service sheds.
+TEST_CASE_FIXTURE(FleetOfBudgets, "second sends, all servers shed half for eight seconds, come near the best share")
+{
+    FleetLoad load;
+    load.nodes = 234;
+    load.requestsPerTickAndNode = 0.33;
+    load.failedShare = 0.55;
+    load.lasts = Millis(8500);
+    load.mostSends = 12;
     for (const std::uint32_t seed : {1U, 2U, 3U}) {
-        CHECK(deniedShare(24, seed) < seldom);
-        CHECK(deniedShare(234, seed) < seldom);
-        CHECK(deniedShare(1000, seed) < seldom);
+        const FleetOutcome outcome = play(load, seed);
+        const double withoutRepeats = 1.0 - load.failedShare;
+        // All second sends of the window are spent on these requests, and as many of them are shed as of the first.
+        const double requestsInWindow = 10.0 / 8.5 * outcome.requests;
+        const double allowed = SecondSendTuning().share * requestsInWindow + slackOfFleet;
+        const double best = withoutRepeats + withoutRepeats * allowed / outcome.requests;
+        MESSAGE("served " << outcome.servedShare() << ", without repeats " << withoutRepeats << ", at best " << best);
+        CHECK(outcome.secondSends <= allowed);
+        CHECK(outcome.servedShare() > withoutRepeats + 0.6 * (best - withoutRepeats));
     }
 }
