Wait where a request is sent after six sends, instead of going on to the next busy home

A booking with 4 s to go was refused after 0.8 s and twelve sends; each home had told it a wait of 0.35 to 0.75 s, and it would have been in time at most of them.

Cause: a request waits at a home only as long as another one may be better. In a large fleet a sender has heard little of each home, so that the next one always may be, and its sends are used up. In a small fleet it knows all homes by then.

Change: HomeSearch, taken out of the Forwarder, holds which homes a request has asked. After six sends it settles: it waits at the home that is chosen next unless it would be late there.

Evidence: HomeFleetModel, the ranking, the search and the queues over seeded arrivals, without a network, beside a random choice and one that knows every queue and work time. Tried and not kept: to settle for any wait before the deadline.

--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -31,6 +31,8 @@
     Millis work{200};
     /** Size of the answer that its route usually has. */
     double answerKilobytes = 0.0;
+    /** It looked long enough: it waits at the home that is chosen now unless it would be late there. */
+    bool settles = false;
 };
 
 /** The chosen home, and how long waiting there is better than going on to the next one. */
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -243,8 +243,14 @@
     choice.hopeless =
         wait > 0.0 && lateLoss(wait, tripOf(best->distance), slowdownOf(*best, now), need) >= tuning_.lost;
     choice.acceptsDoubt = currentDoubt(*best, usual, now) >= tuning_.knownDoubt;
-    // Without another home, what speaks against this one is no reason not to wait there.
-    const double leaveAt = next < 0.0 ? fixedLoss(*best, need, usual, now) + tuning_.lost : next + tuning_.move;
+    const double fixed = fixedLoss(*best, need, usual, now);
+    double leaveAt = next + tuning_.move;
+    if (next < 0.0) {
+        // Without another home, what speaks against this one is no reason not to wait there.
+        leaveAt = fixed + tuning_.lost;
+    } else if (need.settles) {
+        leaveAt = std::max(leaveAt, fixed + tuning_.late);
+    }
     choice.patience = patienceFor(*best, need, usual, leaveAt, now);
     const auto found = homes_.find(choice.node);
     if (found != homes_.end() && found->second.heard) {
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -17,10 +17,6 @@
 
 namespace {
 
-/** Refusals cost a round trip each; after so many sends the fleet has no room. */
-constexpr int mostSends = 12;
-/** One home is asked again once, with what its refusal told. */
-constexpr int mostRefusals = 2;
 /** Weight of the newest work time and answer in a route's means. */
 constexpr double workSmoothing = 0.1;
 constexpr double bytesPerKilobyte = 1024.0;
@@ -70,12 +66,9 @@
     int worthRank = firstCallerRank;
     WaitPoint point;
     std::vector<PlacementPtr> placements;
-    /** Homes that are not asked any more: their server had it, or they can't be reached, or refused twice. */
-    std::set<std::string> excluded;
-    std::map<std::string, int> refusals;
+    HomeSearch search;
     /** Homes whose server had it, or may have. */
     std::set<std::string> reached;
-    int sends = 0;
     /** A home was asked in vain what became of the request, and it was not tried elsewhere since. */
     bool mayRepeatLost = false;
     /** A repeat was allowed and found no home that takes it. */
@@ -146,6 +139,7 @@
     need.untilObjective = toMillis(run.objective - now);
     need.untilDeadline = toMillis(run.job.deadline - now);
     need.work = toMillis(work);
+    need.settles = run.search.settles();
     need.answerKilobytes = stats == stats_.end() ? 0.0 : stats->second.kilobytes;
     return need;
 }
@@ -237,13 +231,13 @@
     const ForwardJob &job = run->job;
     placement->reply.outcome = Outcome::NotRun;
     placement->reply.reason = "no-sound-home";
-    while (!placement->control->cancelled && !run->over && run->sends < mostSends) {
+    while (!placement->control->cancelled && !run->over && run->search.mayGoOn()) {
         const SteadyTime now = core_.clock.now();
         if (run->withdrawn || now >= latestStart(*run)) {
             placement->reply.reason = "stopping";
             return;
         }
-        HomeChoice choice = ranking_.choose(homesOf(job.service), run->excluded, needOf(*run), now);
+        HomeChoice choice = ranking_.choose(homesOf(job.service), run->search.excluded(), needOf(*run), now);
         if (choice.node.empty() || now + leastTime >= job.deadline) {
             return;
         }
@@ -257,7 +251,6 @@
         if (reason == Try::Hedge) {
             choice.patience = Millis(0);
         }
-        ++run->sends;
         if (sendOnce(run, placement, choice)) {
             return;
         }
@@ -285,7 +278,7 @@
     ranking_.noteSent(choice.node);
     // Counted from now on: a second placement beside this one must not use the same server.
     run->reached.insert(choice.node);
-    run->excluded.insert(choice.node);
+    run->search.noteSent(choice.node);
     SendResult result;
     if (choice.node == core_.self.id) {
         result.reply = home_.run(WorkKey{core_.self, nextLocalWork_++}, work, placement->control);
@@ -339,9 +332,8 @@
         run->reached.erase(choice.node);
         // A fenced Work never runs, and the fresh link that brought the word may carry the next one.
         const bool reachable = !result.pathFailed || reply.reason == fencedReason;
-        const bool askAgain = reachable && !noServer && !doubtful && ++run->refusals[choice.node] < mostRefusals;
-        if (askAgain) {
-            run->excluded.erase(choice.node);
+        if (reachable && !noServer && !doubtful) {
+            run->search.noteRefused(choice.node);
         }
         return placement->control->cancelled || reply.reason == endsServersReason;
     }
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -3,6 +3,7 @@
 #include "include/fleet/FleetConfig.h"
 #include "include/limit/InnerCallMeter.h"
 #include "include/route/HomeRanking.h"
+#include "include/route/HomeSearch.h"
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
 
--- /dev/null
+++ b/tests/support/HomeFleetModel.cpp
@@ -0,0 +1,260 @@
+#include "tests/support/HomeFleetModel.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/uniform_01.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+
+namespace waxwing::testing {
+
+namespace {
+
+constexpr Millis learning = std::chrono::seconds(6);
+constexpr Millis draining = std::chrono::seconds(5);
+constexpr Millis oneWay{2};
+constexpr Millis pollEvery{10};
+constexpr Millis objective{1000};
+constexpr Millis deadline{4000};
+constexpr int priority = 2;
+const std::string route = "booking";
+
+} // namespace
+
+double HomeFleetOutcome::refusedShare() const
+{
+    return static_cast<double>(refused) / std::max(1, requests);
+}
+
+double HomeFleetOutcome::inTimeShare() const
+{
+    return static_cast<double>(inTime) / std::max(1, requests);
+}
+
+bool HomeFleetModel::Event::operator<(const Event &other) const
+{
+    return at != other.at ? at > other.at : order > other.order;
+}
+
+HomeFleetModel::HomeFleetModel(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed)
+    : load_(load)
+    , policy_(policy)
+    , random_(seed)
+    , now_(std::chrono::hours(1))
+    , burstFrom_(now_ + learning)
+    , end_(burstFrom_ + load.burstLasts)
+    , homes_(static_cast<std::size_t>(load.homes))
+{
+    for (int i = 0; i < load.homes; ++i) {
+        ranked_.push_back(RankedHome{"home-" + std::to_string(i), Distance::SameZone});
+        Home &home = homes_[static_cast<std::size_t>(i)];
+        home.queue.setServer(load.slots, true, now_);
+        home.freeAt.assign(load.slots, now_);
+    }
+    for (int i = 0; i < load.nodes; ++i) {
+        rankings_.emplace_back([this] { return static_cast<std::uint64_t>(random_()); });
+    }
+}
+
+HomeFleetOutcome HomeFleetModel::play()
+{
+    scheduleArrival();
+    while (!events_.empty()) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = event.at;
+        event.run();
+    }
+    return outcome_;
+}
+
+void HomeFleetModel::at(SteadyTime when, std::function<void()> run)
+{
+    events_.push(Event{when, nextOrder_++, std::move(run)});
+}
+
+double HomeFleetModel::chance()
+{
+    return boost::random::uniform_01<double>()(random_);
+}
+
+bool HomeFleetModel::isBurst() const
+{
+    return now_ >= burstFrom_ && now_ < end_;
+}
+
+void HomeFleetModel::scheduleArrival()
+{
+    const double rate = load_.requestsPerSecond * (isBurst() ? load_.burst : 1.0);
+    const double seconds = boost::random::exponential_distribution<double>(rate)(random_);
+    const SteadyTime next = now_ + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    if (next < end_) {
+        at(next, [this] { arrive(); });
+    }
+}
+
+void HomeFleetModel::arrive()
+{
+    const auto request = std::make_shared<Request>();
+    request->id = nextId_++;
+    request->sender = static_cast<int>(chance() * load_.nodes);
+    request->objective = now_ + objective;
+    request->deadline = now_ + deadline;
+    request->work = Millis(static_cast<std::int64_t>(boost::random::uniform_real_distribution<double>(0.5, 1.5)(random_)
+                                                     * static_cast<double>(load_.meanWork.count())));
+    request->counts = isBurst();
+    outcome_.requests += request->counts ? 1 : 0;
+    place(request);
+    scheduleArrival();
+}
+
+void HomeFleetModel::place(const RequestPtr &request)
+{
+    const int home = request->search.mayGoOn() && now_ < request->deadline ? chooseHome(*request) : -1;
+    if (home < 0) {
+        finish(request, false);
+        return;
+    }
+    request->home = ranked_[static_cast<std::size_t>(home)].node;
+    request->search.noteSent(request->home);
+    rankings_[static_cast<std::size_t>(request->sender)].noteSent(request->home);
+    at(now_ + oneWay, [this, home, request] { submit(home, request); });
+}
+
+int HomeFleetModel::chooseHome(Request &request)
+{
+    request.patience = request.deadline - now_;
+    switch (policy_) {
+    case HomePolicy::Product:
+        return chooseByRanking(request);
+    case HomePolicy::Random:
+        return static_cast<int>(chance() * load_.homes);
+    case HomePolicy::Omniscient:
+        break;
+    }
+    return chooseFirstFree(request);
+}
+
+int HomeFleetModel::chooseByRanking(Request &request)
+{
+    HomeNeed need;
+    need.priority = priority;
+    need.untilObjective = std::chrono::duration_cast<Millis>(request.objective - now_);
+    need.untilDeadline = std::chrono::duration_cast<Millis>(request.deadline - now_);
+    need.work = load_.meanWork;
+    need.settles = request.search.settles();
+    const HomeChoice choice =
+        rankings_[static_cast<std::size_t>(request.sender)].choose(ranked_, request.search.excluded(), need, now_);
+    if (choice.node.empty()) {
+        return -1;
+    }
+    request.patience = choice.patience;
+    const auto found =
+        std::find_if(ranked_.begin(), ranked_.end(), [&](const RankedHome &home) { return home.node == choice.node; });
+    return static_cast<int>(found - ranked_.begin());
+}
+
+int HomeFleetModel::chooseFirstFree(const Request &request)
+{
+    const auto freeAt = [](const Home &home) { return *std::min_element(home.freeAt.begin(), home.freeAt.end()); };
+    const auto best = std::min_element(homes_.begin(), homes_.end(),
+                                       [&](const Home &a, const Home &b) { return freeAt(a) < freeAt(b); });
+    auto slot = std::min_element(best->freeAt.begin(), best->freeAt.end());
+    const SteadyTime ends = std::max(now_ + oneWay, *slot) + request.work;
+    if (ends + oneWay > request.deadline) {
+        return -1;
+    }
+    *slot = ends;
+    return static_cast<int>(best - homes_.begin());
+}
+
+void HomeFleetModel::submit(int home, const RequestPtr &request)
+{
+    Home &there = homes_[static_cast<std::size_t>(home)];
+    SlotRequest asked;
+    asked.id = request->id;
+    asked.route = route;
+    asked.priority = priority;
+    asked.objective = request->objective;
+    asked.deadline = request->deadline;
+    asked.patience = std::chrono::duration_cast<Millis>(request->patience);
+    const SlotDecision decision = there.queue.submit(asked, now_);
+    there.here[request->id] = request;
+    if (decision.verdict == SlotVerdict::Start) {
+        begin(home, request);
+    } else if (decision.verdict == SlotVerdict::Refused) {
+        refuse(home, request);
+    } else {
+        schedulePoll(home);
+    }
+}
+
+void HomeFleetModel::schedulePoll(int home)
+{
+    Home &there = homes_[static_cast<std::size_t>(home)];
+    if (there.pollIsDue || there.queue.waiting() == 0) {
+        return;
+    }
+    there.pollIsDue = true;
+    at(now_ + pollEvery, [this, home] {
+        homes_[static_cast<std::size_t>(home)].pollIsDue = false;
+        poll(home);
+    });
+}
+
+void HomeFleetModel::begin(int home, const RequestPtr &request)
+{
+    at(now_ + request->work, [this, home, request] {
+        Home &there = homes_[static_cast<std::size_t>(home)];
+        there.queue.addResult(route, false, request->work, now_);
+        there.queue.release(request->id, now_);
+        there.here.erase(request->id);
+        const HomeLoad load = there.queue.load(priority, now_);
+        at(now_ + oneWay, [this, request, load] {
+            HomeRanking &ranking = rankings_[static_cast<std::size_t>(request->sender)];
+            ranking.noteDone(request->home);
+            ranking.noteLoad(request->home, load, priority, now_);
+            finish(request, true);
+        });
+        poll(home);
+    });
+}
+
+void HomeFleetModel::poll(int home)
+{
+    Home &there = homes_[static_cast<std::size_t>(home)];
+    const SlotQueue::Due due = there.queue.poll(now_);
+    for (const std::uint64_t id : due.start) {
+        begin(home, there.here.at(id));
+    }
+    for (const std::uint64_t id : due.expired) {
+        refuse(home, RequestPtr(there.here.at(id)));
+    }
+    schedulePoll(home);
+}
+
+void HomeFleetModel::refuse(int home, const RequestPtr &request)
+{
+    Home &there = homes_[static_cast<std::size_t>(home)];
+    there.here.erase(request->id);
+    const HomeLoad load = there.queue.load(priority, now_);
+    at(now_ + oneWay, [this, request, load] {
+        HomeRanking &ranking = rankings_[static_cast<std::size_t>(request->sender)];
+        ranking.noteDone(request->home);
+        ranking.noteLoad(request->home, load, priority, now_);
+        request->search.noteRefused(request->home);
+        place(request);
+    });
+}
+
+void HomeFleetModel::finish(const RequestPtr &request, bool served)
+{
+    if (!request->counts) {
+        return;
+    }
+    outcome_.refused += served ? 0 : 1;
+    outcome_.inTime += served && now_ <= request->objective ? 1 : 0;
+    outcome_.late += served && now_ > request->objective ? 1 : 0;
+}
+
+} // namespace waxwing::testing
--- /dev/null
+++ b/tests/support/HomeFleetModel.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "include/home/SlotQueue.h"
+#include "include/route/HomeRanking.h"
+#include "include/route/HomeSearch.h"
+
+#include <boost/random/mersenne_twister.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace waxwing::testing {
+
+/** How a request finds its home. */
+enum class HomePolicy {
+    /** The product's decisions. */
+    Product,
+    /** Any home, where it waits for as long as its caller does. */
+    Random,
+    /** The home that will be free first, by every work time and queue: nobody can know that. */
+    Omniscient,
+};
+
+/** A service and its callers. */
+struct HomeFleetLoad {
+    int nodes = 0;
+    int homes = 0;
+    std::uint32_t slots = 3;
+    Millis meanWork{250};
+    double requestsPerSecond = 0.0;
+    /** This many times as many requests for a while, after a time to learn. */
+    double burst = 1.0;
+    Millis burstLasts{0};
+};
+
+struct HomeFleetOutcome {
+    int requests = 0;
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+
+    double refusedShare() const;
+    double inTimeShare() const;
+};
+
+/**
+ * The homes of one service and the nodes that send them work, in simulated time: the ranking, the search and the queues
+ * decide as in the product; links take a fixed time and lose nothing. Seeded, opens no socket.
+ */
+class HomeFleetModel
+{
+public:
+    HomeFleetModel(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed);
+    /** Plays the load to its end; counts the requests that came while the burst lasted. */
+    HomeFleetOutcome play();
+
+private:
+    struct Request {
+        std::uint64_t id = 0;
+        int sender = 0;
+        SteadyTime objective;
+        SteadyTime deadline;
+        Millis work{0};
+        bool counts = false;
+        HomeSearch search;
+        std::string home;
+        Duration patience{0};
+    };
+    using RequestPtr = std::shared_ptr<Request>;
+    struct Home {
+        SlotQueue queue;
+        std::map<std::uint64_t, RequestPtr> here;
+        /** For the omniscient policy: when each slot is free by what was given to it. */
+        std::vector<SteadyTime> freeAt;
+        bool pollIsDue = false;
+    };
+    struct Event {
+        SteadyTime at;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+
+        bool operator<(const Event &other) const;
+    };
+
+    void at(SteadyTime when, std::function<void()> run);
+    void scheduleArrival();
+    void arrive();
+    void place(const RequestPtr &request);
+    int chooseHome(Request &request);
+    int chooseByRanking(Request &request);
+    int chooseFirstFree(const Request &request);
+    void submit(int home, const RequestPtr &request);
+    void begin(int home, const RequestPtr &request);
+    void poll(int home);
+    void schedulePoll(int home);
+    void refuse(int home, const RequestPtr &request);
+    void finish(const RequestPtr &request, bool served);
+    bool isBurst() const;
+    double chance();
+
+    HomeFleetLoad load_;
+    HomePolicy policy_;
+    boost::random::mt19937 random_;
+    SteadyTime now_;
+    SteadyTime burstFrom_;
+    SteadyTime end_;
+    std::priority_queue<Event> events_;
+    std::uint64_t nextOrder_ = 0;
+    std::uint64_t nextId_ = 1;
+    std::vector<Home> homes_;
+    std::vector<RankedHome> ranked_;
+    std::vector<HomeRanking> rankings_;
+    HomeFleetOutcome outcome_;
+};
+
+} // namespace waxwing::testing
