--- a/tests/support/HomeFleetModel.cpp
+++ b/tests/support/HomeFleetModel.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Millis learning = std::chrono::seconds(6);
-constexpr Millis draining = std::chrono::seconds(5);
 constexpr Millis oneWay{2};
 constexpr Millis pollEvery{10};
 constexpr Millis objective{1000};
