--- /dev/null
+++ b/include/customer/QuotaCounter.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/customer/CustomerTable.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace waxwing {
+
+/** How far requests may exceed a quota, as the platform tolerates it. */
+struct QuotaTuning {
+    /** In any span of this length, at most (rate x window + burst) x (1 + over) + slack requests run. */
+    Millis window{5000};
+    double over = 0.1;
+    double slack = 20.0;
+};
+
+/** How the nodes treat a customer's requests. */
+enum class QuotaMode : std::uint8_t {
+    /** Nodes admit requests and report them afterwards. */
+    Open = 0,
+    /** The customer is near its limit: each request needs a grant of the counter first. */
+    Metered = 1,
+};
+
+/**
+ * Counts the requests of one customer at all nodes of a region, as a token bucket with the region's part of the
+ * customer's rate and burst. The parts of all regions add up to the quota, so regions stay within it together even if
+ * they are cut off from each other; a region that needs more borrows tokens from the others. Requests that
+ * were admitted before the counter knew of them may overdraw it; grants overdraw it by a part of the tolerance only.
+ * Not thread safe.
+ */
+class QuotaCounter
+{
+public:
+    /**
+     * @p isSuccessor: another node may have counted for this customer within the window. Its count is not known, so the
+     * bucket starts empty, and all nodes of the region count as nodes of this customer.
+     */
+    QuotaCounter(QuotaLimit limit, const QuotaTuning &tuning, bool isSuccessor, SteadyTime now);
+
+    /** Changes the limit; tokens above the new burst are lost. */
+    void setLimit(QuotaLimit limit, SteadyTime now);
+    /** Records that @p node exists, and takes the tokens of requests that it has admitted (negative: gives back). */
+    void record(const std::string &node, std::int64_t used, std::size_t nodes, SteadyTime now);
+    /** Grants up to @p wanted requests and takes their tokens. */
+    std::uint32_t grant(std::uint32_t wanted, SteadyTime now);
+    /** Returns true if the bucket is so low that tokens of other regions' counters are needed. */
+    bool needsLoan(SteadyTime now);
+    /** Returns how many tokens to ask for: those missing to the full burst. */
+    double loanWanted(SteadyTime now);
+    /** Takes up to @p wanted tokens for another region's counter, and keeps half of the burst. */
+    double lend(double wanted, SteadyTime now);
+    /** Adds tokens that another region's counter has lent. */
+    void borrow(double tokens, SteadyTime now);
+    /** Returns how nodes must treat the customer. Metered mode ends when half of the burst is there again. */
+    QuotaMode mode(SteadyTime now);
+    /** Returns the time until a grant is possible. */
+    Millis retryAfter(SteadyTime now);
+    SteadyTime lastUsed() const;
+
+private:
+    void refill(SteadyTime now);
+    /** Returns the level above which requests are granted; negative. */
+    double grantFloor() const;
+    std::size_t reportersWithin(Duration time) const;
+    /** Returns the share of the customer's nodes that report here, as far as the recent reports show it. */
+    double reachableShare() const;
+
+    QuotaLimit limit_;
+    QuotaTuning tuning_;
+    double tokens_ = 0.0;
+    SteadyTime refilledAt_;
+    SteadyTime lastUsed_;
+    SteadyTime createdAt_;
+    bool isSuccessor_ = false;
+    QuotaMode mode_ = QuotaMode::Open;
+    std::size_t nodes_ = 1;
+    std::map<std::string, SteadyTime> reporters_;
+    /** When the last requests were reported. */
+    std::deque<SteadyTime> recentUses_;
+};
+
+} // namespace waxwing
--- a/include/fleet/FleetConfig.h
+++ b/include/fleet/FleetConfig.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/base/Findings.h"
+#include "include/customer/CustomerTable.h"
 
 #include <cstdint>
 #include <map>
@@ -32,8 +33,10 @@
     Millis timeout{5000};
     /** Maximum number of servers to which one request is sent, one after the other. */
     int maxAttempts = 1;
-    /** 0 is the highest priority. */
+    /** 0 is the highest priority. A customer's own priority goes before it. */
     int priority = 0;
+    /** Requests need no key. */
+    bool isPublic = false;
     std::vector<WeightedService> services;
 };
 
@@ -52,6 +55,9 @@
     /** Versions compare as numbers; 0 means none. */
     std::uint64_t version = 0;
     CallerLimits limits;
+    /** Requests need a key of one of the customers, unless their route is public. */
+    bool requiresKeys = false;
+    CustomerTable customers;
     /** The published document, for nodes that fetch the configuration from this node. */
     std::string source;
     /** Problems that the operator should check but that do not keep the version from coming into force. */
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -4,6 +4,7 @@
 #include "include/base/Error.h"
 #include "include/base/HttpMessage.h"
 #include "include/base/Ids.h"
+#include "include/customer/QuotaLedger.h"
 #include "include/fleet/NodeRegistry.h"
 #include "include/home/SlotQueue.h"
 #include "include/limit/NestedCallTracker.h"
@@ -31,9 +32,20 @@
 
 const char *outcomeName(Outcome outcome);
 
+/**
+ * Messages that a build knows beyond those of the first build of this protocol version. A node sends a peer only what
+ * the peer's Hello states, so that nodes of both builds work together during an upgrade.
+ */
+enum class WireRevision : std::uint8_t {
+    First = 0,
+    /** QuotaReport and QuotaReply; the sender of a Work states that it has checked the key. */
+    CustomerKeys = 1,
+};
+
 /** The first message that each side sends on a link; identifies the sender. */
 struct Hello {
     NodeRef from;
+    WireRevision revision = WireRevision::CustomerKeys;
 };
 
 /** What the receiver of an Exec does with its request. */
@@ -175,6 +187,8 @@
     Millis helloAge{0};
     KnownVersions versions;
     HttpRequest request;
+    /** The ingress has checked the key, or none is needed. False from a build that knows no keys. */
+    bool keyChecked = false;
 };
 
 /** Acknowledges a Work: the home has queued or started it. */
@@ -282,11 +296,52 @@
     KnownVersions versions;
     std::string config;
     std::vector<RegistryEntry> registry;
+    /** Time since the sender's configuration was proven to be the newest; nothing if it never was. */
+    std::optional<Millis> provenAge;
+};
+
+/** Reports requests of customers to the node that counts them in this region, and asks for grants. */
+struct QuotaReport {
+    std::uint64_t id = 0;
+    /** Version of the configuration that the limits are from; the counter keeps those of the highest version. */
+    std::uint64_t configVersion = 0;
+    std::vector<QuotaUse> uses;
+};
+
+/** The counter's answer for one customer. */
+struct QuotaGrant {
+    std::string customer;
+    /** How many of the wanted requests may run. */
+    std::uint32_t granted = 0;
+    QuotaMode mode = QuotaMode::Open;
+    /** When a request that was not granted may be; zero if all were. */
+    Millis retryAfter{0};
+};
+
+/** Asks the counter of another region for tokens of a customer. */
+struct QuotaLoanRequest {
+    std::uint64_t id = 0;
+    std::string customer;
+    QuotaLimit limit;
+    double tokens = 0.0;
+};
+
+/** The tokens lent; zero if there are none to spare. */
+struct QuotaLoanReply {
+    std::uint64_t id = 0;
+    double tokens = 0.0;
+};
+
+/** Answers a QuotaReport, or, with id 0, tells a node that a customer has come near its limit. */
+struct QuotaReply {
+    std::uint64_t id = 0;
+    std::vector<QuotaGrant> grants;
 };
 
 using Message = std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, RecordNames, DigestOffer, BucketNames, Ping,
                              Pong, ClaimHandover, Work, WorkAck, WorkReply, Fence, FenceReply, StateUpdateRequest,
-                             StateUpdate, BudgetTransferRequest, BudgetTransferReply, PathSuspicion>;
+                             StateUpdate, BudgetTransferRequest, BudgetTransferReply, PathSuspicion, QuotaReport,
+                             QuotaReply, QuotaLoanRequest, QuotaLoanReply>;
 
 /** Returns the body of the HTTP request or response in @p message, or null if it has none. Thread safe. */
 std::string *bodyOf(Message &message);
--- /dev/null
+++ b/src/customer/QuotaCounter.cpp
@@ -0,0 +1,166 @@
+#include "include/customer/QuotaCounter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace waxwing {
+
+namespace {
+
+/** Part of the tolerance that grants may use. The rest is for requests that are admitted before they are counted. */
+constexpr double grantedTolerance = 0.15;
+/** Levels, as fractions of the burst, at which metered mode begins and ends. */
+constexpr double meterBelow = 0.2;
+constexpr double openAbove = 0.4;
+constexpr double borrowBelow = 0.4;
+constexpr double lendAbove = 0.5;
+/** A node that reported within this time is reachable. */
+constexpr Millis recentTime{1000};
+/** A node that reported within this time and is not heard of any more may be cut off. */
+constexpr Millis knownTime{10000};
+/**
+ * A successor begins with this debt, in seconds of the rate: an earlier counter that is only cut off goes on granting
+ * at the full rate until it misses the nodes that report here.
+ */
+constexpr double successorDebtSeconds = 0.5;
+/** Bounds the memory that one report takes. */
+constexpr std::int64_t maxUsesPerReport = 1000;
+/** Of a denial's length that the number of waiting nodes calls for, and the longest denial. */
+constexpr double denialFactor = 0.7;
+constexpr Millis maxDenial{1000};
+
+} // namespace
+
+QuotaCounter::QuotaCounter(QuotaLimit limit, const QuotaTuning &tuning, bool isSuccessor, SteadyTime now)
+    : limit_(limit)
+    , tuning_(tuning)
+    , tokens_(isSuccessor ? -successorDebtSeconds * limit.ratePerSecond : limit.burst)
+    , refilledAt_(now)
+    , lastUsed_(now)
+    , createdAt_(now)
+    , isSuccessor_(isSuccessor)
+    , mode_(isSuccessor ? QuotaMode::Metered : QuotaMode::Open)
+{ }
+
+void QuotaCounter::setLimit(QuotaLimit limit, SteadyTime now)
+{
+    if (limit != limit_) {
+        refill(now);
+        limit_ = limit;
+        tokens_ = std::min(tokens_, limit_.burst);
+    }
+}
+
+std::size_t QuotaCounter::reportersWithin(Duration time) const
+{
+    return static_cast<std::size_t>(std::count_if(reporters_.begin(), reporters_.end(), [&](const auto &reporter) {
+        return refilledAt_ - reporter.second <= time;
+    }));
+}
+
+double QuotaCounter::reachableShare() const
+{
+    // Requests come to random ones of the nodes that this customer uses. If fewer different nodes report than so many
+    // requests would come from, the others are cut off, and their own counter may be granting the same tokens.
+    const auto known = static_cast<double>(std::max<std::size_t>(1, isSuccessor_ ? nodes_ : reportersWithin(knownTime)));
+    const double recent = static_cast<double>(reportersWithin(recentTime));
+    const double expected = known * (1.0 - std::exp(-static_cast<double>(recentUses_.size()) / known));
+    return expected <= 1.0 ? 1.0 : std::min(1.0, recent / expected);
+}
+
+void QuotaCounter::refill(SteadyTime now)
+{
+    // After a whole window nothing that the earlier counter granted lies in the window any more.
+    isSuccessor_ = isSuccessor_ && now - createdAt_ < tuning_.window;
+    const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - refilledAt_)).count();
+    refilledAt_ = std::max(refilledAt_, now);
+    while (!recentUses_.empty() && now - recentUses_.front() > recentTime) {
+        recentUses_.pop_front();
+    }
+    tokens_ = std::min(limit_.burst, tokens_ + seconds * limit_.ratePerSecond * reachableShare());
+}
+
+void QuotaCounter::record(const std::string &node, std::int64_t used, std::size_t nodes, SteadyTime now)
+{
+    nodes_ = std::max<std::size_t>(1, nodes);
+    refill(now);
+    reporters_[node] = now;
+    // Negative uses are requests that were given back; each report is one sign of life at least.
+    const auto uses = static_cast<std::size_t>(std::clamp<std::int64_t>(used, 1, maxUsesPerReport));
+    recentUses_.insert(recentUses_.end(), uses, now);
+    tokens_ = std::min(limit_.burst, tokens_ - static_cast<double>(used));
+    lastUsed_ = now;
+}
+
+double QuotaCounter::grantFloor() const
+{
+    const double window = std::chrono::duration<double>(tuning_.window).count();
+    return -grantedTolerance * (tuning_.over * (limit_.ratePerSecond * window + limit_.burst) + tuning_.slack);
+}
+
+std::uint32_t QuotaCounter::grant(std::uint32_t wanted, SteadyTime now)
+{
+    refill(now);
+    const double available = std::floor(tokens_ - grantFloor());
+    const auto granted = static_cast<std::uint32_t>(std::clamp(available, 0.0, static_cast<double>(wanted)));
+    tokens_ -= granted;
+    return granted;
+}
+
+bool QuotaCounter::needsLoan(SteadyTime now)
+{
+    refill(now);
+    return tokens_ < borrowBelow * limit_.burst;
+}
+
+double QuotaCounter::loanWanted(SteadyTime now)
+{
+    refill(now);
+    return std::max(0.0, limit_.burst - tokens_);
+}
+
+double QuotaCounter::lend(double wanted, SteadyTime now)
+{
+    refill(now);
+    const double spare = isSuccessor_ ? 0.0 : std::max(0.0, tokens_ - lendAbove * limit_.burst);
+    const double lent = std::clamp(wanted, 0.0, spare);
+    tokens_ -= lent;
+    return lent;
+}
+
+void QuotaCounter::borrow(double tokens, SteadyTime now)
+{
+    refill(now);
+    tokens_ = std::min(limit_.burst, tokens_ + std::max(0.0, tokens));
+}
+
+QuotaMode QuotaCounter::mode(SteadyTime now)
+{
+    refill(now);
+    if (tokens_ < meterBelow * limit_.burst) {
+        mode_ = QuotaMode::Metered;
+    } else if (tokens_ >= openAbove * limit_.burst) {
+        mode_ = QuotaMode::Open;
+    }
+    return mode_;
+}
+
+Millis QuotaCounter::retryAfter(SteadyTime now)
+{
+    refill(now);
+    if (limit_.ratePerSecond <= 0.0) {
+        return maxDenial;
+    }
+    // Tokens come at the rate, and every node that has asked wants the next one.
+    const double missing = std::max(0.0, 1.0 - (tokens_ - grantFloor()));
+    const double waiting = denialFactor * static_cast<double>(reportersWithin(recentTime));
+    const double seconds = std::max(missing, waiting) / limit_.ratePerSecond;
+    return std::min(maxDenial, Millis(static_cast<std::int64_t>(std::ceil(1000.0 * seconds))));
+}
+
+SteadyTime QuotaCounter::lastUsed() const
+{
+    return lastUsed_;
+}
+
+} // namespace waxwing
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -53,6 +53,7 @@
         connection_hdl handle;
         Endpoint endpoint;
         NodeRef peer;
+        WireRevision peerRevision = WireRevision::First;
         bool helloReceived = false;
         bool closed = false;
         SteadyTime since = std::chrono::steady_clock::now();
@@ -375,6 +376,7 @@
 {
     if (const auto *hello = std::get_if<Hello>(&message)) {
         link->peer = hello->from;
+        link->peerRevision = hello->revision;
         link->helloReceived = true;
         if (link->outgoing) {
             link->helloAt = clock.now();
@@ -513,6 +515,12 @@
     return found == state_->links.end() ? std::nullopt : std::optional<NodeRef>(found->second->peer);
 }
 
+bool PeerHub::peerKnowsKeys(LinkId link) const
+{
+    const auto found = state_->links.find(link);
+    return found != state_->links.end() && found->second->peerRevision >= WireRevision::CustomerKeys;
+}
+
 std::optional<Duration> PeerHub::helloAge(LinkId link) const
 {
     const auto found = state_->links.find(link);
--- a/src/link/PeerHub.h
+++ b/src/link/PeerHub.h
@@ -70,6 +70,8 @@
     std::optional<LinkId> openLinkAt(const Endpoint &endpoint) const;
     /** Returns the incarnation of the peer; nothing if the link has closed. */
     std::optional<NodeRef> peerOn(LinkId link) const;
+    /** Returns true if the peer's build understands messages about customers' keys and quotas. */
+    bool peerKnowsKeys(LinkId link) const;
     /**
      * Returns the time since the listening side's Hello was sent (on that side) or received (on the other side). If the
      * side that opened the link puts its age into a message, the receiver's own age minus that one is the sum of the
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -6,6 +6,7 @@
 #include "src/node/NodeCore.h"
 #include "src/sidecar/ConfigSync.h"
 #include "src/sidecar/Forwarder.h"
+#include "src/sidecar/QuotaService.h"
 
 #include <algorithm>
 
@@ -15,12 +16,17 @@
 
 constexpr unsigned badRequest = 400;
 constexpr unsigned firstClientError = 400;
+constexpr unsigned unauthorized = 401;
 constexpr unsigned noRoute = 404;
+constexpr unsigned tooManyRequests = 429;
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 /** A node without a configuration receives one within about this time. */
 constexpr Millis noConfigRetryAfter{1000};
+/** The same for a node that cannot confirm its configuration. */
+constexpr Millis notConfirmedRetryAfter{1000};
+constexpr Millis minQuotaRetryAfter{50};
 
 Millis toMillis(Duration value)
 {
@@ -30,7 +36,7 @@
 unsigned statusOf(const ForwardResult &result)
 {
     if (result.outcome == Outcome::NotRun) {
-        return unavailable;
+        return result.reason == keyRevokedReason ? unauthorized : unavailable;
     }
     return result.reason == "timeout" || result.reason == "server-timeout" ? gatewayTimeout : badGateway;
 }
@@ -52,8 +58,9 @@
 
 } // namespace
 
-CallerHandler::CallerHandler(NodeCore &core)
+CallerHandler::CallerHandler(NodeCore &core, const KeyAdmissionTuning &keyAdmission)
     : core_(core)
+    , keyAdmission_(keyAdmission)
 { }
 
 HttpReply CallerHandler::handleReadiness(const HttpRequest &request)
@@ -82,13 +89,70 @@
     balancer_.clear();
 }
 
-HttpReply CallerHandler::refuse(unsigned status, const std::string &requestId, const std::string &reason,
-                                Millis retryAfter)
+HttpReply CallerHandler::refuse(const Refusal &refusal)
 {
-    core_.metrics.count("refused_" + reason);
+    const ConfigSync &config = core_.service<ConfigSync>("config");
+    const std::optional<Duration> age = config.provenAge();
+    core_.metrics.count("refused_" + refusal.reason);
     core_.events.writeRequest(Severity::Warning, "refused",
-                              {{"request", requestId}, {"status", std::to_string(status)}, {"reason", reason}});
-    return HttpReply{platform::errorResponse(status, requestId, reason, retryAfter), AfterResponse::KeepOpen};
+                              {{"request", refusal.requestId},
+                               {"status", std::to_string(refusal.status)},
+                               {"reason", refusal.reason},
+                               {"customer", refusal.customer},
+                               {"config", std::to_string(config.version())},
+                               {"provenAgeMs", age ? std::to_string(toMillis(*age).count()) : ""},
+                               {"decidedBy", refusal.decidedBy},
+                               {"retryAfterMs", std::to_string(refusal.retryAfter.count())}});
+    return HttpReply{platform::errorResponse(refusal.status, refusal.requestId, refusal.reason, refusal.retryAfter),
+                     AfterResponse::KeepOpen};
+}
+
+Admission CallerHandler::admit(const FleetConfig &config, const Route &route, const Credential &credential) const
+{
+    const std::optional<Duration> age = core_.service<ConfigSync>("config").provenAge();
+    return admitCaller(config, AdmissionQuery{route, credential, age}, keyAdmission_);
+}
+
+std::optional<CallerHandler::Refusal> CallerHandler::admitCustomer(ForwardJob &job, const Credential &credential)
+{
+    job.priority = job.route->priority;
+    if (!job.config->requiresKeys) {
+        return std::nullopt;
+    }
+    platform::removeCredential(job.request);
+    const Admission admission = admit(*job.config, *job.route, credential);
+    Refusal refusal;
+    refusal.requestId = job.requestId;
+    refusal.reason = admission.reason;
+    if (admission.result != AdmissionResult::Admitted) {
+        const bool known = admission.result == AdmissionResult::Unauthorized;
+        refusal.status = known ? unauthorized : unavailable;
+        refusal.retryAfter = known ? Millis(0) : notConfirmedRetryAfter;
+        return refusal;
+    }
+    if (!admission.customer) {
+        return std::nullopt;
+    }
+    const Customer &customer = *admission.customer;
+    const QuotaVerdict verdict = core_.service<QuotaService>("quotas").admit(customer);
+    if (!verdict.admitted) {
+        refusal.status = tooManyRequests;
+        refusal.reason = "quota";
+        refusal.retryAfter = std::max(minQuotaRetryAfter, verdict.retryAfter);
+        refusal.customer = customer.name;
+        refusal.decidedBy = verdict.decidedBy;
+        return refusal;
+    }
+    platform::addCustomer(job.request, customer.name);
+    job.customer = customer.name;
+    job.priority = customer.priority.value_or(job.route->priority);
+    job.recheckKey = [this, credential, route = job.route, name = job.customer] {
+        const std::shared_ptr<const FleetConfig> current = core_.service<ConfigSync>("config").current();
+        const Admission again = admit(*current, *route, credential);
+        const bool movedToOther = again.customer && again.customer->name != name;
+        return movedToOther ? AdmissionResult::Unauthorized : again.result;
+    };
+    return std::nullopt;
 }
 
 HttpReply CallerHandler::handle(HttpRequest request, const CallerWatchPtr &caller)
@@ -98,44 +162,59 @@
     Expected<platform::CallerRequest> decoded =
         platform::decodeCallerRequest(std::move(request), core_.settings.server->service);
     if (!decoded) {
-        return refuse(badRequest, "", decoded.error().message, Millis(0));
+        return refuse(Refusal{badRequest, "", decoded.error().message, Millis(0), "", ""});
     }
     job->requestId = decoded->id;
     job->config = core_.service<ConfigSync>("config").current();
     if (!job->config) {
-        return refuse(unavailable, job->requestId, "no-configuration", noConfigRetryAfter);
+        return refuse(Refusal{unavailable, job->requestId, "no-configuration", noConfigRetryAfter, "", ""});
     }
     job->route = job->config->routeFor(decoded->host, decoded->forward.target);
     if (job->route == nullptr) {
-        return refuse(noRoute, job->requestId, "no-route", Millis(0));
+        return refuse(Refusal{noRoute, job->requestId, "no-route", Millis(0), "", ""});
     }
     const Route &route = *job->route;
-    job->service = balancer_.pick(route);
     job->request = std::move(decoded->forward);
     job->deadline = job->arrived + std::min(route.timeout, decoded->timeout.value_or(route.timeout));
+    if (const std::optional<Refusal> refusal = admitCustomer(*job, decoded->credential)) {
+        return refuse(*refusal);
+    }
+    job->service = balancer_.pick(route);
     job->control = std::make_shared<RunControl>();
+    if (caller->disconnected) {
+        job->control->cancel();
+    }
     caller->onDisconnect = [control = job->control] { control->cancel(); };
-    ForwardResult result = core_.service<Forwarder>("forwarder").run(job);
-    const Duration took = core_.clock.now() - job->arrived;
-    core_.service<BurnRecorder>("burn").record(job->service, route.name, burnResultOf(result, took, route));
+    return answer(*job, core_.service<Forwarder>("forwarder").run(job));
+}
+
+HttpReply CallerHandler::answer(const ForwardJob &job, ForwardResult result)
+{
+    const Duration took = core_.clock.now() - job.arrived;
+    const Route &route = *job.route;
+    if (result.outcome == Outcome::NotRun && !job.customer.empty()) {
+        core_.service<QuotaService>("quotas").giveBack(job.customer);
+    }
+    core_.service<BurnRecorder>("burn").record(job.service, route.name, burnResultOf(result, took, route));
     core_.metrics.count(std::string("outcome_") + outcomeName(result.outcome));
     core_.metrics.observe("request", took);
     const bool hasResponse = result.outcome == Outcome::Ran;
     const unsigned status = hasResponse ? result.response.status : statusOf(result);
     core_.events.writeRequest(status >= firstClientError ? Severity::Warning : Severity::Info, "answered",
-                              {{"request", job->requestId},
+                              {{"request", job.requestId},
                                {"route", route.name},
-                               {"service", job->service},
-                               {"config", std::to_string(job->config->version)},
+                               {"service", job.service},
+                               {"customer", job.customer},
+                               {"config", std::to_string(job.config->version)},
                                {"outcome", outcomeName(result.outcome)},
                                {"status", std::to_string(status)},
                                {"reason", result.reason},
-                               {"callerGone", job->control->cancelled ? "yes" : "no"},
+                               {"callerGone", job.control->cancelled ? "yes" : "no"},
                                {"tookMs", std::to_string(toMillis(took).count())}});
     if (hasResponse) {
         return HttpReply{std::move(result.response), AfterResponse::KeepOpen};
     }
-    return HttpReply{platform::errorResponse(status, job->requestId, result.reason, result.retryAfter),
+    return HttpReply{platform::errorResponse(status, job.requestId, result.reason, result.retryAfter),
                      AfterResponse::KeepOpen};
 }
 
--- a/src/sidecar/CallerHandler.h
+++ b/src/sidecar/CallerHandler.h
@@ -1,8 +1,13 @@
 #pragma once
 
+#include "include/customer/KeyAdmission.h"
 #include "include/fleet/FleetConfig.h"
 #include "include/fleet/WeightedRoundRobin.h"
 #include "src/http/HttpServer.h"
+#include "src/sidecar/Forwarder.h"
+
+#include <optional>
+#include <string>
 
 namespace waxwing {
 
@@ -15,7 +20,7 @@
 class CallerHandler
 {
 public:
-    explicit CallerHandler(NodeCore &core);
+    CallerHandler(NodeCore &core, const KeyAdmissionTuning &keyAdmission);
     /** Runs a caller's request and returns the response. @pre called from a fiber. */
     HttpReply handle(HttpRequest request, const CallerWatchPtr &caller);
     /** Handles the platform's readiness check. */
@@ -24,10 +29,29 @@
     void configChanged();
 
 private:
+    /** A request that is answered without being sent. */
+    struct Refusal {
+        unsigned status = 0;
+        std::string requestId;
+        std::string reason;
+        Millis retryAfter{0};
+        std::string customer;
+        /** What decided on the quota; empty if something else. */
+        std::string decidedBy;
+    };
+
     /** Returns an error response, and logs and counts the refusal. */
-    HttpReply refuse(unsigned status, const std::string &requestId, const std::string &reason, Millis retryAfter);
+    HttpReply refuse(const Refusal &refusal);
+    Admission admit(const FleetConfig &config, const Route &route, const Credential &credential) const;
+    /**
+     * Checks the key and the quota of the customer that sent @p job, and completes @p job if it may run. Returns why
+     * not otherwise.
+     */
+    std::optional<Refusal> admitCustomer(ForwardJob &job, const Credential &credential);
+    HttpReply answer(const ForwardJob &job, ForwardResult result);
 
     NodeCore &core_;
+    KeyAdmissionTuning keyAdmission_;
     WeightedRoundRobin balancer_;
     /** Result of the last readiness check. A node that is ready may stay so with an older configuration. */
     bool lastReady_ = false;
--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/ConfigSync.cpp
@@ -20,19 +20,21 @@
 /** Each end of a watcher's wait confirms the version for its whole region, which has no other confirmation. */
 constexpr Millis minConfigWait{500};
 constexpr Millis maxConfigWait{1000};
+/** Ages of the proof, as fractions of the age up to which keys are accepted, from which on a node looks for another. */
+constexpr double askForProofAt = 0.5;
+constexpr double callStoreForProofAt = 0.7;
 
 } // namespace
 
-ConfigSync::ConfigSync(NodeCore &core)
+ConfigSync::ConfigSync(NodeCore &core, const KeyAdmissionTuning &keyAdmission)
     : core_(core)
+    , keyAdmission_(keyAdmission)
 {
     StoreWatchTuning tuning;
     tuning.pollAfter = pollAge;
     tuning.minWait = minConfigWait;
     tuning.maxWait = maxConfigWait;
-    tuning.role = [this] {
-        return core_.service<RegionWatch>("region-watch").updateRole(watch_->freshness().age(core_.clock.now()));
-    };
+    tuning.role = [this] { return core_.service<RegionWatch>("region-watch").updateRole(ageForRole()); };
     watch_ = std::make_unique<StoreWatch>(core_, platform::names::configKind, tuning,
                                           [this](const ObjectChanges &changes) { handleChanges(changes); });
 }
@@ -70,6 +72,7 @@
         // The version in force stays; the event shows the operator what is wrong with this one.
         core_.events.write(Severity::Error, "config_refused", {{"source", source}, {"findings", findings.text()}});
         core_.metrics.count("config_refused");
+        hasRefusedNewer_ = true;
         return;
     }
     const bool newer = decoded.version > version();
@@ -84,6 +87,7 @@
     }
     const std::string before = std::to_string(version());
     current_ = std::make_shared<const FleetConfig>(std::move(decoded));
+    hasRefusedNewer_ = false;
     core_.events.write(Severity::Info, "config_in_force",
                        {{"version", std::to_string(version())},
                         {"before", before},
@@ -114,6 +118,35 @@
     return watch_->freshness();
 }
 
+std::optional<Duration> ConfigSync::provenAge() const
+{
+    return hasRefusedNewer_ ? std::nullopt : watch_->proof().age(core_.clock.now());
+}
+
+void ConfigSync::confirmProof(SteadyTime provenAt)
+{
+    watch_->proof().confirm(provenAt);
+}
+
+bool ConfigSync::hasProofOlderThan(double fraction) const
+{
+    if (!keyAdmission_.maxConfigAge || !current_ || !current_->requiresKeys) {
+        return false;
+    }
+    const Duration limit = std::chrono::duration_cast<Duration>(*keyAdmission_.maxConfigAge * fraction);
+    return watch_->proof().isOlderThan(limit, core_.clock.now());
+}
+
+bool ConfigSync::needsProof() const
+{
+    return hasProofOlderThan(askForProofAt);
+}
+
+std::optional<Duration> ConfigSync::ageForRole() const
+{
+    return hasProofOlderThan(callStoreForProofAt) ? std::nullopt : watch_->freshness().age(core_.clock.now());
+}
+
 void ConfigSync::requestPoll()
 {
     watch_->requestPoll();
--- a/src/sidecar/ConfigSync.h
+++ b/src/sidecar/ConfigSync.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "include/customer/KeyAdmission.h"
 #include "include/fleet/FleetConfig.h"
 #include "platform/ObjectApi.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,7 +26,7 @@
     using ChangeHook = std::function<void(const FleetConfig &)>;
 
     /** @pre "region-watch" is in the kernel before start(). */
-    explicit ConfigSync(NodeCore &core);
+    ConfigSync(NodeCore &core, const KeyAdmissionTuning &keyAdmission);
     ~ConfigSync();
     ConfigSync(const ConfigSync &) = delete;
     ConfigSync &operator=(const ConfigSync &) = delete;
@@ -42,6 +44,12 @@
     std::uint64_t version() const;
     /** Returns the freshness of the version in force. Other nodes that hold the same version may confirm it. */
     Freshness &freshness();
+    /** Returns the time since the version in force was proven to be the newest; nothing if it may not be. */
+    std::optional<Duration> provenAge() const;
+    /** Records that the version in force was the newest at @p provenAt. */
+    void confirmProof(SteadyTime provenAt);
+    /** Returns true if the proof is so old that this node must look for a newer one by every path. */
+    bool needsProof() const;
     /** Polls the store at once instead of waiting for the watch, because a newer version is known to exist. */
     void requestPoll();
     /** Returns whether the store responded to the last call. */
@@ -50,7 +58,14 @@
 private:
     void handleChanges(const ObjectChanges &changes);
 
+    /** Returns the age by which this node's role is chosen. */
+    std::optional<Duration> ageForRole() const;
+    bool hasProofOlderThan(double fraction) const;
+
     NodeCore &core_;
+    KeyAdmissionTuning keyAdmission_;
+    /** A newer document was refused: the version in force is known not to be the newest. */
+    bool hasRefusedNewer_ = false;
     std::shared_ptr<const FleetConfig> current_;
     std::vector<ChangeHook> hooks_;
     std::unique_ptr<StoreWatch> watch_;
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -125,7 +125,16 @@
 
 int Forwarder::priorityOf(const Run &run)
 {
-    return run.nestedCall ? nestedCallRank : callerRankOffset + run.job.route->priority;
+    return run.nestedCall ? nestedCallRank : callerRankOffset + run.job.priority;
+}
+
+std::string Forwarder::keyProblem(const Run &run)
+{
+    const AdmissionResult result = run.job.recheckKey ? run.job.recheckKey() : AdmissionResult::Admitted;
+    if (result == AdmissionResult::Admitted) {
+        return {};
+    }
+    return result == AdmissionResult::Unauthorized ? keyRevokedReason : "config-not-confirmed";
 }
 
 HomeQuery Forwarder::homeQueryOf(const Run &run) const
@@ -234,6 +243,10 @@
     attempt->reply.reason = "no-sound-home";
     while (!attempt->control->cancelled && !run->finished && run->search.canContinue()) {
         const SteadyTime now = core_.clock.now();
+        if (const std::string problem = keyProblem(*run); !problem.empty()) {
+            attempt->reply.reason = problem;
+            return;
+        }
         if (run->queuedCancelled || now >= latestStart(*run)) {
             attempt->reply.reason = "stopping";
             return;
@@ -275,6 +288,7 @@
     work.queueTimeout = choice.queueTimeout;
     work.versions = core_.service<StateUpdateService>("state-updates").versions();
     work.request = job.request;
+    work.keyChecked = true;
     attempt->home = choice.node;
     ranking_.noteSent(choice.node);
     // Recorded before the send, so that a concurrent attempt does not use the same server.
@@ -428,7 +442,7 @@
     } const active{active_, run};
     home_.noteArrival(job.route->name, job.service);
     run->nestedCall = home_.isNestedCall(job.route->name);
-    run->budgetRank = callerRankOffset + job.route->priority;
+    run->budgetRank = callerRankOffset + job.priority;
     if (run->nestedCall) {
         run->budgetRank = home_.callerRank(job.service).value_or(nestedCallRank);
     }
@@ -521,6 +535,15 @@
     ranking_.keepOnly(nodes);
 }
 
+void Forwarder::configChanged()
+{
+    for (const RunPtr &run : active_) {
+        if (keyProblem(*run) == keyRevokedReason) {
+            cancelQueued(*run);
+        }
+    }
+}
+
 void Forwarder::setStopDeadline(SteadyTime deadline)
 {
     stopDeadline_ = deadline;
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/customer/KeyAdmission.h"
 #include "include/fleet/FleetConfig.h"
 #include "include/limit/NestedCallTracker.h"
 #include "include/route/HomeRanking.h"
@@ -7,6 +8,7 @@
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -22,6 +24,9 @@
 class WorkSender;
 enum class RetryReason;
 
+/** Reason of a request that was not sent because its key was taken away meanwhile. */
+constexpr const char *keyRevokedReason = "key-revoked";
+
 /** A caller's request on its way to a server. */
 struct ForwardJob {
     /** Owns @c route, so that the route stays valid when a newer configuration is applied. */
@@ -29,6 +34,12 @@
     const Route *route = nullptr;
     std::string service;
     std::string requestId;
+    /** The customer that sent the request; empty if none is known. */
+    std::string customer;
+    /** Rank of the request among those of callers; 0 is the most urgent. */
+    int priority = 0;
+    /** Checks the key again before each send. Not set if the request needs no key. */
+    std::function<AdmissionResult()> recheckKey;
     HttpRequest request;
     SteadyTime arrived;
     SteadyTime deadline;
@@ -61,6 +72,8 @@
     ForwardResult run(const std::shared_ptr<const ForwardJob> &job);
     /** Drops the state of nodes that are no longer in the registry. */
     void registryChanged();
+    /** Returns queued requests whose key the new configuration does not have. */
+    void configChanged();
     /**
      * Sets when the node exits. A request that has not started when too little time is left to complete it before
      * @p deadline is refused as not run, so that its caller can retry elsewhere. Otherwise its connection would close
@@ -114,6 +127,8 @@
     std::vector<RankedHome> homesOf(const std::string &service) const;
     HomeQuery homeQueryOf(const Run &run) const;
     static int priorityOf(const Run &run);
+    /** Returns why the request must not be sent any more; empty if it may be. */
+    static std::string keyProblem(const Run &run);
     Duration expectedWorkTime(const Route &route) const;
     SteadyTime hedgeTime(const Run &run) const;
     /** Returns the retry budget tokens that one more attempt costs, by service, nested calls included. */
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -5,6 +5,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/node/PoisonService.h"
+#include "src/sidecar/ConfigSync.h"
 #include "src/sidecar/RegistrySync.h"
 
 #include <algorithm>
@@ -262,6 +263,12 @@
     return true;
 }
 
+bool LocalHome::isKeyChecked(const Work &work) const
+{
+    const auto config = core_.service<ConfigSync>("config").current();
+    return work.keyChecked || !config || !config->requiresKeys;
+}
+
 WorkReply LocalHome::run(const WorkKey &key, const Work &work, const RunControlPtr &control,
                          const std::function<void()> &onAdmitted)
 {
@@ -276,6 +283,11 @@
         job.reply.load = load(work.priority);
         return job.reply;
     }
+    if (!isKeyChecked(work)) {
+        job.reply = refusal(job, "key-not-checked");
+        job.reply.load = load(work.priority);
+        return job.reply;
+    }
     if (core_.service<PoisonService>("poison").mustRefuse(requestDigest(work.service, work.request))) {
         job.reply = refusal(job, poisonReason);
         job.reply.load = load(work.priority);
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -119,6 +119,8 @@
     void handleFailure(Job &job, const ExchangeError &error, Duration processingTime);
     /** Returns true, and records a crash by this request, if the server's process ended while it ran the request. */
     bool detectCrash(const Job &job);
+    /** Returns false if customers need keys and the sender's build has not checked the key of @p work. */
+    bool isKeyChecked(const Work &work) const;
     WorkReply refusal(const Job &job, const std::string &reason) const;
     void storeResult(const WorkKey &key, const WorkReply &reply);
     /** Drops the oldest large responses beyond the limit. Their Works stay ended, with the outcome Unknown. */
--- /dev/null
+++ b/src/sidecar/QuotaService.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "include/customer/CounterElection.h"
+#include "include/customer/QuotaLedger.h"
+#include "include/wire/Messages.h"
+#include "src/link/PeerHub.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+struct NodeCore;
+class FiberNotifier;
+
+/** Whether a request is within its customer's quota. */
+struct QuotaVerdict {
+    bool admitted = true;
+    /** When there will be room; zero if admitted. */
+    Millis retryAfter{0};
+    /** What decided: a stable code for logs. */
+    const char *decidedBy = "";
+};
+
+/**
+ * Keeps customers within their quotas over all nodes. In each region one node counts the requests of a customer
+ * (CounterElection, QuotaCounter); the ingresses report to it what they have admitted, and ask it first once the
+ * customer is near its limit (QuotaLedger). Counters of different regions lend each other tokens. Not thread safe.
+ */
+class QuotaService
+{
+public:
+    /** @pre "peers", "config" and "registry" are in the kernel before start(). */
+    QuotaService(NodeCore &core, const QuotaTuning &tuning);
+    void start();
+    /** Takes the nodes of the registry into account. */
+    void registryChanged();
+
+    /** Decides on a request of @p customer and counts it if admitted. @pre called from a fiber. */
+    QuotaVerdict admit(const Customer &customer);
+    /** Gives back a request that was admitted but has not run. */
+    void giveBack(const std::string &customer);
+
+    void handle(LinkId link, const NodeRef &from, const QuotaReport &report);
+    void handleReply(const QuotaReply &reply);
+    void handle(LinkId link, const QuotaLoanRequest &request);
+    void handleReply(const QuotaLoanReply &reply);
+
+private:
+    struct Counter {
+        QuotaCounter counter;
+        std::uint64_t configVersion = 0;
+        QuotaMode mode = QuotaMode::Open;
+        SteadyTime borrowedAt;
+        /** When the nodes of the region were last told that the customer is near its limit. */
+        SteadyTime announcedAt;
+    };
+    /** A report that waits for its reply. */
+    struct PendingReport {
+        std::string counter;
+        std::vector<QuotaUse> uses;
+        SteadyTime sentAt;
+        /** Set if a fiber waits for the grant. */
+        std::shared_ptr<FiberNotifier> waiter;
+        std::optional<QuotaReply> reply;
+    };
+    using PendingReportPtr = std::shared_ptr<PendingReport>;
+    struct PendingLoan {
+        std::shared_ptr<FiberNotifier> waiter;
+        std::optional<double> tokens;
+    };
+
+    void run();
+    void sendReports();
+    void expireReports();
+    /** Asks the counter for one request, and the next one if it does not reply. */
+    QuotaVerdict ask(const std::string &customer);
+    std::optional<QuotaReply> askAt(const std::string &counter, const QuotaUse &use);
+    QuotaVerdict verdictOf(const std::string &customer, const QuotaGrant &grant);
+    /** Sends a report over the open link to @p node. Returns false if there is none. @p id: of its reply. */
+    bool send(const std::string &node, std::uint64_t id, const std::vector<QuotaUse> &uses);
+    std::optional<LinkId> linkTo(const std::string &node, Duration timeout);
+
+    QuotaReply count(const std::string &from, const QuotaReport &report);
+    QuotaGrant countOne(const std::string &from, std::uint64_t configVersion, const QuotaUse &use);
+    Counter &counterFor(const std::string &customer, const QuotaLimit &limit);
+    bool mayHaveBeenCountedElsewhere(const std::string &customer) const;
+    /** Tells all nodes of the region: most nodes of a large one have not met the customer lately. */
+    void announceMetered(const std::string &customer);
+    void borrowTokens(const std::string &customer, const QuotaLimit &limit);
+    double requestLoan(const std::string &region, const std::string &customer, const QuotaLimit &limit, double tokens);
+    /** Returns this region's part of a limit: its part of the nodes. */
+    QuotaLimit regionPart(const QuotaLimit &limit) const;
+    CounterElection &ownElection();
+
+    NodeCore &core_;
+    QuotaTuning tuning_;
+    QuotaLedger ledger_;
+    SteadyTime startedAt_;
+    std::map<std::string, CounterElection> elections_;
+    std::size_t nodeCount_ = 1;
+    std::map<std::string, Counter> counters_;
+    std::map<std::uint64_t, PendingReportPtr> pendingReports_;
+    std::map<std::uint64_t, std::shared_ptr<PendingLoan>> pendingLoans_;
+    std::uint64_t nextId_ = 1;
+};
+
+} // namespace waxwing
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -15,6 +15,7 @@
 #include "src/sidecar/Forwarder.h"
 #include "src/sidecar/LocalHome.h"
 #include "src/sidecar/PathMonitor.h"
+#include "src/sidecar/QuotaService.h"
 #include "src/sidecar/RegionWatch.h"
 #include "src/sidecar/RegistrySync.h"
 #include "src/sidecar/RetryBudgetService.h"
@@ -50,6 +51,8 @@
 /** A killed process is back within about a second; a lost VM costs an occasional connection attempt. */
 constexpr Millis initialReconnectDelay{500};
 constexpr Millis maxReconnectDelay{8000};
+/** For clocks that run at different rates, and for timers. */
+constexpr Millis revokeMargin{300};
 
 Millis stopGrace(const NodeSettings &settings)
 {
@@ -71,6 +74,25 @@
     return tuning;
 }
 
+KeyAdmissionTuning keyAdmissionTuning(const NodeSettings &settings)
+{
+    KeyAdmissionTuning tuning;
+    Findings findings;
+    if (settings.bounds.empty()) {
+        return tuning;
+    }
+    if (const auto bound = platform::decodeBounds(settings.bounds, findings).revokeWithin) {
+        tuning.maxConfigAge = std::max(Millis(0), *bound - revokeMargin);
+    }
+    return tuning;
+}
+
+QuotaTuning quotaTuning(const NodeSettings &settings)
+{
+    Findings findings;
+    return settings.bounds.empty() ? QuotaTuning() : platform::decodeBounds(settings.bounds, findings).quota;
+}
+
 WatchElectionTuning watchElectionTuning(const NodeSettings &settings)
 {
     // Age at which a node becomes a stand-in, as a fraction of the time within which a change must be in force. The
@@ -102,12 +124,13 @@
         , paths(core)
         , sender(core, fences, paths)
         , region(core, watchElectionTuning(settings))
-        , config(core)
+        , config(core, keyAdmissionTuning(settings))
         , registry(core)
         , updates(core)
         , retryBudgets(core, retryTuning(settings))
         , forwarder(core, home, sender, retryBudgets, paths)
-        , callerHandler(core)
+        , quotas(core, quotaTuning(settings))
+        , callerHandler(core, keyAdmissionTuning(settings))
     { }
 
     Expected<void> build();
@@ -139,6 +162,7 @@
     StateUpdateService updates;
     RetryBudgetService retryBudgets;
     Forwarder forwarder;
+    QuotaService quotas;
     CallerHandler callerHandler;
     std::unique_ptr<PeerHub> peers;
     std::map<LinkId, LinkDelayEstimator> linkDelays;
@@ -191,12 +215,14 @@
     provide("registry", registry);
     provide("state-updates", updates);
     provide("forwarder", forwarder);
+    provide("quotas", quotas);
     config.onChange([this](const FleetConfig &changed) {
         applyConfig(changed);
         updates.configChanged();
     });
     registry.onChange([this] {
         forwarder.registryChanged();
+        quotas.registryChanged();
         warmLinks();
     });
     return ok;
@@ -284,6 +310,14 @@
         retryBudgets.handle(link, *transferRequest);
     } else if (const auto *transferReply = std::get_if<BudgetTransferReply>(&message)) {
         retryBudgets.handleReply(*transferReply);
+    } else if (const auto *quotaReport = std::get_if<QuotaReport>(&message)) {
+        quotas.handle(link, from, *quotaReport);
+    } else if (const auto *quotaReply = std::get_if<QuotaReply>(&message)) {
+        quotas.handleReply(*quotaReply);
+    } else if (const auto *loanRequest = std::get_if<QuotaLoanRequest>(&message)) {
+        quotas.handle(link, *loanRequest);
+    } else if (const auto *loanReply = std::get_if<QuotaLoanReply>(&message)) {
+        quotas.handleReply(*loanReply);
     } else if (const auto *suspicion = std::get_if<PathSuspicion>(&message)) {
         paths.handle(*suspicion);
     } else if (const auto *request = std::get_if<StateUpdateRequest>(&message)) {
@@ -343,6 +377,7 @@
 void SidecarNode::Impl::applyConfig(const FleetConfig &changed)
 {
     callerHandler.configChanged();
+    forwarder.configChanged();
     HttpLimits limits = MakeHttpLimits(core.settings.limits);
     limits.headerBytes = changed.limits.headerBytes;
     limits.bodyBytes = changed.limits.bodyBytes;
@@ -418,6 +453,7 @@
     impl->config.start();
     impl->registry.start();
     impl->updates.start();
+    impl->quotas.start();
     impl->core.events.write(Severity::Info, "node_started",
                             {{"node", impl->core.self.text()},
                              {"service", settings.server->service},
--- a/src/sidecar/StateUpdateService.cpp
+++ b/src/sidecar/StateUpdateService.cpp
@@ -165,8 +165,8 @@
         sendRequest(*source, true, isStoreUnreachable());
         return;
     }
-    const bool stale =
-        config.freshness().isOlderThan(isFollower() ? followerVersionRequestAge : versionRequestAge, now);
+    const bool stale = config.freshness().isOlderThan(isFollower() ? followerVersionRequestAge : versionRequestAge, now)
+                       || config.needsProof();
     if (config.version() == 0 || !stale || now - lastRequestAt_ < versionRequestInterval) {
         return;
     }
@@ -216,6 +216,9 @@
     StateUpdate update;
     update.id = request.id;
     update.versions = versions();
+    if (const std::optional<Duration> age = core_.service<ConfigSync>("config").provenAge()) {
+        update.provenAge = std::chrono::ceil<Millis>(*age);
+    }
     if (request.wantsConfig && update.versions.config > request.versions.config) {
         update.config = core_.service<ConfigSync>("config").current()->source;
     }
@@ -241,6 +244,9 @@
     // A reply to a later request confirms at least as much as one to the oldest request.
     if (pending != pendingRequests_.end() && update.id >= pending->second.id) {
         confirmFreshness(update.versions, pending->second.sentAt);
+        if (update.provenAge && update.versions.config == config.version()) {
+            config.confirmProof(pending->second.sentAt - *update.provenAge);
+        }
         pendingRequests_.erase(pending);
     }
     core_.service<RegionWatch>("region-watch").noteStoreReachable(from.id, update.versions.isStoreReachable);
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -12,6 +12,8 @@
 constexpr Millis pollCheckInterval{250};
 /** How soon a follower starts to watch when its role changes. */
 constexpr Millis roleCheckInterval{200};
+/** While the store drops its history, watches may report no changes for this long. */
+constexpr Millis maxWatchLag{1000};
 } // namespace
 
 StoreWatch::StoreWatch(NodeCore &core, std::string kind, StoreWatchTuning tuning, ChangesHook onChanges)
@@ -164,6 +166,17 @@
     const bool waited = call.since > 0 && call.wait > WatchCall::minWait;
     freshness_.confirm(waited ? std::min(core_.clock.now(), calledAt + call.wait) : calledAt);
     onChanges_(changes);
+    proof_.confirm(provenAt(call, calledAt, changes));
+}
+
+SteadyTime StoreWatch::provenAt(const WatchCall &call, SteadyTime calledAt, const ObjectChanges &changes) const
+{
+    if (call.since == 0 || changes.complete) {
+        return calledAt;
+    }
+    // A call without changes lasts for its whole wait at the store. One with changes may have lain unread since.
+    const bool waitedInFull = changes.objects.empty() && core_.clock.now() - calledAt >= call.wait;
+    return calledAt + (waitedInFull ? call.wait : Millis(0)) - maxWatchLag;
 }
 
 void StoreWatch::handleFailure(SteadyTime calledAt, const std::string &reason)
@@ -205,6 +218,11 @@
     return freshness_;
 }
 
+Freshness &StoreWatch::proof()
+{
+    return proof_;
+}
+
 void StoreWatch::requestPoll()
 {
     pollRequested_ = true;
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/StoreWatch.h
@@ -61,6 +61,11 @@
     /** Returns the freshness of the state held. Other nodes that hold the same version may confirm it. */
     Freshness &freshness();
     const Freshness &freshness() const;
+    /**
+     * Returns when the state held was proven to be the newest. Unlike freshness(), which serves to notice dead
+     * connections, it never counts a time at which a newer state may have existed.
+     */
+    Freshness &proof();
     /**
      * Polls the store in parallel with the watch as soon as possible, because newer state is known to exist. No effect
      * without StoreWatchTuning::pollAfter.
@@ -83,6 +88,8 @@
     void poll();
     CallResult callStore(const WatchCall &call);
     void handleResponse(const WatchCall &call, SteadyTime calledAt, const ObjectChanges &changes);
+    /** Returns a time at which the state that the response shows was certainly the newest. */
+    SteadyTime provenAt(const WatchCall &call, SteadyTime calledAt, const ObjectChanges &changes) const;
     void handleFailure(SteadyTime calledAt, const std::string &reason);
     Millis randomBetween(Millis lower, Millis upper);
     /** Writes one line per call, so that refused, failed and unanswered calls can be told apart. */
@@ -93,6 +100,7 @@
     StoreWatchTuning tuning_;
     ChangesHook onChanges_;
     Freshness freshness_;
+    Freshness proof_;
     std::uint64_t revision_ = 0;
     bool healthy_ = false;
     /** A call has ended. If the first call fails, that is logged as the loss of the store as well. */
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -32,6 +32,10 @@
     BudgetTransferRequest,
     BudgetTransferReply,
     PathSuspicion,
+    QuotaReport,
+    QuotaReply,
+    QuotaLoanRequest,
+    QuotaLoanReply,
 };
 
 /** Position of the first field of a message's contents. Positions 0 and 1 hold the protocol version and the type. */
@@ -178,6 +182,16 @@
                          static_cast<std::int64_t>(steps) * configAgeStep, value.at(3).get<bool>()};
 }
 
+json quotaLimitOf(const QuotaLimit &limit)
+{
+    return json::array({static_cast<float>(limit.ratePerSecond), static_cast<float>(limit.burst)});
+}
+
+QuotaLimit quotaLimitFrom(const json &value)
+{
+    return QuotaLimit{value.at(0).get<double>(), value.at(1).get<double>()};
+}
+
 json loadOf(const HomeLoad &load)
 {
     return json::array({load.freeSlots, load.queued, load.wait.count(),
@@ -248,7 +262,7 @@
 struct Encoder {
     json operator()(const Hello &m) const
     {
-        return makeMessage(Type::Hello, m.from.id, m.from.incarnation);
+        return makeMessage(Type::Hello, m.from.id, m.from.incarnation, static_cast<int>(m.revision));
     }
     json operator()(const Exec &m) const
     {
@@ -321,7 +335,8 @@
     {
         return makeMessage(Type::Work, m.id, bytesOf(m.requestId), m.service, m.route, m.idempotent, m.retryable,
                            m.acceptsGray, m.priority, m.remaining.count(), m.untilObjective.count(),
-                           m.queueTimeout.count(), m.helloAge.count(), versionsOf(m.versions), requestOf(m.request));
+                           m.queueTimeout.count(), m.helloAge.count(), versionsOf(m.versions), requestOf(m.request),
+                           m.keyChecked);
     }
     json operator()(const WorkAck &m) const
     {
@@ -350,7 +365,8 @@
         for (const RegistryEntry &entry : m.registry) {
             registry.push_back(registryEntryOf(entry));
         }
-        return makeMessage(Type::StateUpdate, m.id, versionsOf(m.versions), bytesOf(m.config), std::move(registry));
+        return makeMessage(Type::StateUpdate, m.id, versionsOf(m.versions), bytesOf(m.config), std::move(registry),
+                           m.provenAge ? json(m.provenAge->count()) : json());
     }
     json operator()(const BudgetTransferRequest &m) const
     {
@@ -364,8 +380,40 @@
     {
         return makeMessage(Type::PathSuspicion, m.node);
     }
+    json operator()(const QuotaReport &m) const
+    {
+        json uses = json::array();
+        for (const QuotaUse &use : m.uses) {
+            uses.push_back(json::array({bytesOf(use.customer), quotaLimitOf(use.limit), use.used, use.wanted}));
+        }
+        return makeMessage(Type::QuotaReport, m.id, m.configVersion, std::move(uses));
+    }
+    json operator()(const QuotaLoanRequest &m) const
+    {
+        return makeMessage(Type::QuotaLoanRequest, m.id, bytesOf(m.customer), quotaLimitOf(m.limit), m.tokens);
+    }
+    json operator()(const QuotaLoanReply &m) const
+    {
+        return makeMessage(Type::QuotaLoanReply, m.id, m.tokens);
+    }
+    json operator()(const QuotaReply &m) const
+    {
+        json grants = json::array();
+        for (const QuotaGrant &grant : m.grants) {
+            grants.push_back(json::array(
+                {bytesOf(grant.customer), grant.granted, static_cast<int>(grant.mode), grant.retryAfter.count()}));
+        }
+        return makeMessage(Type::QuotaReply, m.id, std::move(grants));
+    }
 };
 
+/** Returns a field that earlier builds do not send; null if it is missing. */
+const json &optionalField(const json &in, std::size_t field)
+{
+    static const json missing;
+    return in.size() > firstField + field ? in.at(firstField + field) : missing;
+}
+
 Work workFrom(const json &in)
 {
     Work m;
@@ -383,6 +431,7 @@
     m.helloAge = Millis(in.at(firstField + 11).get<std::int64_t>());
     m.versions = versionsFrom(in.at(firstField + 12));
     m.request = requestFrom(in.at(firstField + 13));
+    m.keyChecked = optionalField(in, 14).is_boolean() && optionalField(in, 14).get<bool>();
     return m;
 }
 
@@ -410,6 +459,47 @@
     for (const json &entry : in.at(firstField + 3)) {
         m.registry.push_back(registryEntryFrom(entry));
     }
+    if (const json &provenAge = optionalField(in, 4); provenAge.is_number_unsigned()) {
+        m.provenAge = Millis(provenAge.get<std::int64_t>());
+    }
+    return m;
+}
+
+QuotaReport quotaReportFrom(const json &in)
+{
+    QuotaReport m;
+    m.id = in.at(firstField).get<std::uint64_t>();
+    m.configVersion = in.at(firstField + 1).get<std::uint64_t>();
+    for (const json &use : in.at(firstField + 2)) {
+        m.uses.push_back(QuotaUse{textOf(use.at(0)), quotaLimitFrom(use.at(1)), use.at(2).get<std::int64_t>(),
+                                  use.at(3).get<std::uint32_t>()});
+    }
+    return m;
+}
+
+QuotaReply quotaReplyFrom(const json &in)
+{
+    QuotaReply m;
+    m.id = in.at(firstField).get<std::uint64_t>();
+    for (const json &grant : in.at(firstField + 1)) {
+        const int mode = grant.at(2).get<int>();
+        if (mode != static_cast<int>(QuotaMode::Open) && mode != static_cast<int>(QuotaMode::Metered)) {
+            throw json::other_error::create(501, "unknown quota mode", &in);
+        }
+        m.grants.push_back(QuotaGrant{textOf(grant.at(0)), grant.at(1).get<std::uint32_t>(),
+                                      static_cast<QuotaMode>(mode), Millis(grant.at(3).get<std::int64_t>())});
+    }
+    return m;
+}
+
+Hello helloFrom(const json &in)
+{
+    Hello m;
+    m.from = NodeRef{in.at(firstField).get<std::string>(), in.at(firstField + 1).get<std::uint64_t>()};
+    // A later build may state a revision that this one does not know; it includes all that this one knows.
+    const json &revision = optionalField(in, 2);
+    const bool knowsKeys = revision.is_number_unsigned() && revision.get<std::uint64_t>() > 0;
+    m.revision = knowsKeys ? WireRevision::CustomerKeys : WireRevision::First;
     return m;
 }
 
@@ -495,7 +585,7 @@
 {
     switch (type) {
     case Type::Hello:
-        return Hello{NodeRef{in.at(firstField).get<std::string>(), in.at(firstField + 1).get<std::uint64_t>()}};
+        return helloFrom(in);
     case Type::Exec:
         return execFrom(in);
     case Type::ExecReply:
@@ -555,6 +645,15 @@
         return BudgetTransferReply{in.at(firstField).get<std::uint64_t>(), in.at(firstField + 1).get<double>()};
     case Type::PathSuspicion:
         return PathSuspicion{in.at(firstField).get<std::string>()};
+    case Type::QuotaReport:
+        return quotaReportFrom(in);
+    case Type::QuotaReply:
+        return quotaReplyFrom(in);
+    case Type::QuotaLoanRequest:
+        return QuotaLoanRequest{in.at(firstField).get<std::uint64_t>(), textOf(in.at(firstField + 1)),
+                                quotaLimitFrom(in.at(firstField + 2)), in.at(firstField + 3).get<double>()};
+    case Type::QuotaLoanReply:
+        return QuotaLoanReply{in.at(firstField).get<std::uint64_t>(), in.at(firstField + 1).get<double>()};
     }
     throw json::other_error::create(501, "unknown message type", &in);
 }
--- /dev/null
+++ b/tests/support/QuotaFleetModel.cpp
@@ -0,0 +1,365 @@
+#include "tests/support/QuotaFleetModel.h"
+
+#include "include/limit/TokenBucket.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+#include <memory>
+
+namespace waxwing::testing {
+
+namespace {
+
+const std::string customer = "customer";
+constexpr Millis regionDelay{1};
+constexpr Millis farDelay{31};
+constexpr Millis flushInterval{50};
+constexpr Millis askTimeout{250};
+constexpr Millis reportTimeout{400};
+constexpr Millis loanInterval{400};
+constexpr Millis downTime{2000};
+/** Nodes have run for this long before the customer's first request. */
+constexpr Millis settledFor{10000};
+constexpr int maxAsks = 2;
+
+} // namespace
+
+double QuotaFleetOutcome::refusedOwedShare() const
+{
+    return owed == 0 ? 0.0 : std::max(0.0, static_cast<double>(owed - admitted) / owed);
+}
+
+bool QuotaFleetModel::Event::operator<(const Event &other) const
+{
+    return at != other.at ? at > other.at : order > other.order;
+}
+
+QuotaFleetModel::QuotaFleetModel(QuotaFleetLoad load, QuotaPolicy policy, std::uint32_t seed)
+    : load_(std::move(load))
+    , policy_(policy)
+    , random_(seed)
+    , nodes_(static_cast<std::size_t>(load_.nodes))
+{
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        nodes_[i].name = "node-" + std::to_string(i);
+        indexes_[nodes_[i].name] = i;
+        nodes_[i].region = policy_ == QuotaPolicy::RegionCounters ? static_cast<int>(i) % load_.regions : 0;
+    }
+    for (Node &node : nodes_) {
+        std::vector<std::string> names;
+        for (const Node &other : nodes_) {
+            if (other.region == node.region) {
+                names.push_back(other.name);
+            }
+        }
+        node.election.setNodes(names, start_ - settledFor);
+        node.ledger.emplace(tuning_);
+        node.startedAt = start_ - settledFor;
+    }
+}
+
+void QuotaFleetModel::schedule(SteadyTime at, std::function<void()> action)
+{
+    events_.push(Event{at, order_++, std::move(action)});
+}
+
+void QuotaFleetModel::send(std::size_t from, std::size_t to, std::function<void()> onArrival)
+{
+    const bool isLocal = static_cast<int>(from) % load_.regions == static_cast<int>(to) % load_.regions;
+    (isLocal ? outcome_.messagesInRegion : outcome_.messagesBetweenRegions) += 1;
+    schedule(now_ + (isLocal ? regionDelay : farDelay), [this, from, to, onArrival = std::move(onArrival)] {
+        const bool crossesCut = nodes_[from].isCut != nodes_[to].isCut;
+        if (!crossesCut && !nodes_[from].isDead && !nodes_[to].isDead) {
+            onArrival();
+        }
+    });
+}
+
+void QuotaFleetModel::scheduleArrivals()
+{
+    const int used = load_.usedNodes > 0 ? load_.usedNodes : load_.nodes;
+    boost::random::uniform_int_distribution<std::size_t> node(0, static_cast<std::size_t>(used) - 1);
+    SteadyTime at = start_;
+    while (at < start_ + load_.length) {
+        const bool isHot = at >= start_ + load_.hotFrom && at < start_ + load_.hotUntil;
+        const double rate = load_.requestsPerSecond * (isHot ? load_.hotFactor : 1.0);
+        const std::chrono::duration<double> gap(boost::random::exponential_distribution<double>(rate)(random_));
+        at += std::chrono::duration_cast<Duration>(gap);
+        schedule(at, [this, to = node(random_)] { arrive(to); });
+    }
+}
+
+void QuotaFleetModel::scheduleTroubles()
+{
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        const bool isCut = static_cast<double>(i) < load_.cutShare * load_.nodes;
+        if (isCut) {
+            schedule(start_ + load_.cutFrom, [this, i] { nodes_[i].isCut = true; });
+            schedule(start_ + load_.cutUntil, [this, i] { nodes_[i].isCut = false; });
+        }
+        const auto phase = Millis(static_cast<std::int64_t>(i) % flushInterval.count());
+        schedule(start_ + phase, [this, i] { flush(i); });
+    }
+    for (const Millis at : load_.counterKills) {
+        schedule(start_ + at, [this] {
+            const std::size_t victim = firstCounterOf(0);
+            nodes_[victim].isDead = true;
+            schedule(now_ + downTime, [this, victim] { startNode(victim); });
+        });
+    }
+}
+
+void QuotaFleetModel::startNode(std::size_t node)
+{
+    nodes_[node].isDead = false;
+    nodes_[node].startedAt = now_;
+    nodes_[node].ledger.emplace(tuning_);
+    nodes_[node].counter.reset();
+}
+
+std::size_t QuotaFleetModel::firstCounterOf(int region)
+{
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (nodes_[i].region == region && nodes_[i].counter && !nodes_[i].isDead) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+QuotaLimit QuotaFleetModel::currentLimit() const
+{
+    const bool isLater = load_.laterLimit && now_ >= start_ + load_.laterLimitFrom;
+    return isLater ? *load_.laterLimit : load_.limit;
+}
+
+QuotaLimit QuotaFleetModel::counterLimit() const
+{
+    const double parts = policy_ == QuotaPolicy::RegionCounters ? load_.regions : 1;
+    const QuotaLimit limit = currentLimit();
+    return QuotaLimit{limit.ratePerSecond / parts, limit.burst / parts};
+}
+
+std::optional<std::size_t> QuotaFleetModel::counterOf(std::size_t node)
+{
+    const auto found = indexes_.find(nodes_[node].election.counterOf(customer, now_));
+    return found == indexes_.end() ? std::nullopt : std::optional<std::size_t>(found->second);
+}
+
+void QuotaFleetModel::admit(SteadyTime arrivedAt)
+{
+    ++outcome_.admitted;
+    admittedAt_.push_back(now_);
+    delays_.push_back(std::chrono::duration_cast<Millis>(now_ - arrivedAt));
+}
+
+void QuotaFleetModel::arrive(std::size_t node)
+{
+    if (nodes_[node].isDead) {
+        return;
+    }
+    ++outcome_.requests;
+    const auto count = static_cast<std::size_t>(load_.nodes);
+    QuotaLedger &ledger = *nodes_[node].ledger;
+    const QuotaDecision decision = ledger.decide(customer, currentLimit(), now_);
+    if (policy_ == QuotaPolicy::EqualShares) {
+        if (ledger.admitAlone(customer, count, now_)) {
+            admit(now_);
+        }
+    } else if (policy_ == QuotaPolicy::CentralGrants || decision == QuotaDecision::Ask) {
+        ask(node, now_, 0);
+    } else if (decision == QuotaDecision::Admit) {
+        admit(now_);
+    } else if (decision == QuotaDecision::NoCounter) {
+        ledger.admitAlone(customer, count, now_) ? admit(now_) : ask(node, now_, 0);
+    }
+}
+
+void QuotaFleetModel::ask(std::size_t node, SteadyTime arrivedAt, int attempt)
+{
+    QuotaLedger &ledger = *nodes_[node].ledger;
+    const std::optional<std::size_t> counter = counterOf(node);
+    if (!counter || attempt == maxAsks) {
+        if (ledger.admitAlone(customer, static_cast<std::size_t>(load_.nodes), now_)) {
+            admit(arrivedAt);
+        }
+        return;
+    }
+    QuotaUse use = ledger.takeUnreported(customer, now_);
+    // With grants for every request nothing is admitted before it is counted.
+    use.used = policy_ == QuotaPolicy::CentralGrants ? 0 : use.used;
+    use.wanted = 1;
+    const auto done = std::make_shared<bool>(false);
+    const auto onReply = [this, node, arrivedAt, done](const Reply &reply) {
+        if (*done || nodes_[node].isDead) {
+            return;
+        }
+        *done = true;
+        const SteadyTime deniedUntil = reply.granted > 0 ? now_ : now_ + reply.retryAfter;
+        nodes_[node].ledger->noteReply(customer, reply.mode, deniedUntil, now_);
+        if (reply.granted > 0) {
+            admit(arrivedAt);
+        }
+    };
+    if (*counter == node) {
+        onReply(count(node, node, use));
+        return;
+    }
+    send(node, *counter, [this, node, counter = *counter, use, onReply] {
+        const Reply reply = count(counter, node, use);
+        send(counter, node, [onReply, reply] { onReply(reply); });
+    });
+    schedule(now_ + askTimeout, [this, node, counter = *counter, use, arrivedAt, attempt, done] {
+        if (!*done && !nodes_[node].isDead) {
+            *done = true;
+            nodes_[node].ledger->restore(use);
+            nodes_[node].election.noteUnreachable(nodes_[counter].name, now_);
+            ask(node, arrivedAt, attempt + 1);
+        }
+    });
+}
+
+void QuotaFleetModel::flush(std::size_t node)
+{
+    schedule(now_ + flushInterval, [this, node] { flush(node); });
+    const std::optional<std::size_t> counter = counterOf(node);
+    if (policy_ != QuotaPolicy::RegionCounters || nodes_[node].isDead || !counter
+        || !nodes_[node].ledger->hasUnreported()) {
+        return;
+    }
+    const QuotaUse use = nodes_[node].ledger->takeUnreported(customer, now_);
+    const auto done = std::make_shared<bool>(false);
+    const auto onReply = [this, node, done](const Reply &reply) {
+        *done = true;
+        nodes_[node].ledger->noteReply(customer, reply.mode, now_, now_);
+    };
+    if (*counter == node) {
+        onReply(count(node, node, use));
+        return;
+    }
+    send(node, *counter, [this, node, counter = *counter, use, onReply] {
+        const Reply reply = count(counter, node, use);
+        send(counter, node, [onReply, reply] { onReply(reply); });
+    });
+    schedule(now_ + reportTimeout, [this, node, counter = *counter, use, done] {
+        if (!*done && !nodes_[node].isDead) {
+            nodes_[node].ledger->restore(use);
+            nodes_[node].election.noteUnreachable(nodes_[counter].name, now_);
+        }
+    });
+}
+
+QuotaCounter &QuotaFleetModel::counterAt(std::size_t index)
+{
+    Node &node = nodes_[index];
+    if (!node.counter) {
+        const bool isFirst = node.election.isFirst(node.name, customer);
+        const bool isSuccessor = node.startedAt > now_ - tuning_.window || !isFirst;
+        QuotaTuning tuning = tuning_;
+        tuning.slack /= policy_ == QuotaPolicy::RegionCounters ? load_.regions : 1;
+        node.counter.emplace(counterLimit(), tuning, isSuccessor, now_);
+    }
+    return *node.counter;
+}
+
+QuotaFleetModel::Reply QuotaFleetModel::count(std::size_t counter, std::size_t from, const QuotaUse &use)
+{
+    Node &node = nodes_[counter];
+    counterAt(counter).setLimit(counterLimit(), now_);
+    node.counter->record(nodes_[from].name, use.used, node.election.nodeCount(), now_);
+    Reply reply;
+    reply.granted = node.counter->grant(use.wanted, now_);
+    reply.retryAfter = node.counter->retryAfter(now_);
+    reply.mode = node.counter->mode(now_);
+    const bool isDue = node.announced != reply.mode || now_ - node.announcedAt >= tuning_.window;
+    if (policy_ == QuotaPolicy::RegionCounters && reply.mode == QuotaMode::Metered && isDue) {
+        node.announcedAt = now_;
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            if (nodes_[i].region == node.region && i != counter) {
+                send(counter, i, [this, i] { nodes_[i].ledger->setMode(customer, QuotaMode::Metered, now_); });
+            }
+        }
+    }
+    node.announced = reply.mode;
+    if (policy_ == QuotaPolicy::RegionCounters && node.counter->needsLoan(now_)
+        && now_ - node.borrowedAt >= loanInterval) {
+        node.borrowedAt = now_;
+        borrow(counter);
+    }
+    return reply;
+}
+
+void QuotaFleetModel::borrow(std::size_t counter)
+{
+    // The first nodes by number are one of each region, so their elections name the counters of all regions.
+    for (int region = 0; region < load_.regions; ++region) {
+        const std::optional<std::size_t> lender = counterOf(static_cast<std::size_t>(region));
+        if (region == nodes_[counter].region || !lender) {
+            continue;
+        }
+        const std::size_t i = *lender;
+        const double wanted = nodes_[counter].counter->loanWanted(now_);
+        send(counter, i, [this, i, counter, wanted] {
+            const double lent = counterAt(i).lend(wanted, now_);
+            send(i, counter, [this, counter, lent] {
+                if (nodes_[counter].counter) {
+                    nodes_[counter].counter->borrow(lent, now_);
+                }
+            });
+        });
+    }
+}
+
+double QuotaFleetModel::worstOverrun() const
+{
+    // A lower limit binds one window after it is in force.
+    const SteadyTime laterFrom = start_ + load_.laterLimitFrom + tuning_.window;
+    const double seconds = std::chrono::duration<double>(tuning_.window).count();
+    double worst = -1e9;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < admittedAt_.size(); ++last) {
+        while (admittedAt_[first] <= admittedAt_[last] - tuning_.window) {
+            ++first;
+        }
+        QuotaLimit limit = load_.limit;
+        if (load_.laterLimit && admittedAt_[last] >= laterFrom) {
+            limit = *load_.laterLimit;
+        } else if (load_.laterLimit && load_.laterLimit->ratePerSecond > limit.ratePerSecond) {
+            limit = *load_.laterLimit;
+        }
+        const double bound = (limit.ratePerSecond * seconds + limit.burst) * (1.0 + tuning_.over) + tuning_.slack;
+        worst = std::max(worst, static_cast<double>(last - first + 1) - bound);
+    }
+    return worst;
+}
+
+QuotaFleetOutcome QuotaFleetModel::run()
+{
+    scheduleArrivals();
+    scheduleTroubles();
+    TokenBucket ideal(load_.limit.ratePerSecond, load_.limit.burst, start_);
+    int seen = 0;
+    while (!events_.empty() && events_.top().at <= start_ + load_.length) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = event.at;
+        event.action();
+        if (outcome_.requests > seen) {
+            seen = outcome_.requests;
+            const QuotaLimit limit = currentLimit();
+            ideal.setRate(limit.ratePerSecond, limit.burst);
+            outcome_.owed += ideal.tryTake(1.0, now_) ? 1 : 0;
+        }
+    }
+    outcome_.worstOverrun = worstOverrun();
+    std::sort(delays_.begin(), delays_.end());
+    if (!delays_.empty()) {
+        outcome_.medianDelay = delays_[delays_.size() / 2];
+        outcome_.p99Delay = delays_[delays_.size() * 99 / 100];
+    }
+    return outcome_;
+}
+
+} // namespace waxwing::testing
--- /dev/null
+++ b/tests/support/QuotaFleetModel.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "include/customer/CounterElection.h"
+#include "include/customer/QuotaLedger.h"
+
+#include <boost/random/mersenne_twister.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace waxwing::testing {
+
+/** How a fleet keeps one customer within its quota. */
+enum class QuotaPolicy {
+    /** The decisions of the production code: a counter a region, reports, grants near the limit, loans. */
+    RegionCounters,
+    /** Each node has an equal, fixed part of the quota. */
+    EqualShares,
+    /** One counter for the whole fleet grants every request before it runs. */
+    CentralGrants,
+};
+
+/** The requests of one customer and what happens meanwhile. Times are from the start of the run. */
+struct QuotaFleetLoad {
+    int nodes = 102;
+    int regions = 3;
+    QuotaLimit limit{136.0, 136.0};
+    double requestsPerSecond = 85.0;
+    /** The request rate is multiplied by @c hotFactor from @c hotFrom to @c hotUntil. */
+    double hotFactor = 1.0;
+    Millis hotFrom{0};
+    Millis hotUntil{0};
+    /** All requests come to the first nodes, this many; 0: to all. */
+    int usedNodes = 0;
+    /** This share of the nodes can't reach the others for a time. */
+    double cutShare = 0.0;
+    Millis cutFrom{0};
+    Millis cutUntil{0};
+    /** When the node that counts in the first region is killed; it is back 2 s later with nothing. */
+    std::vector<Millis> counterKills;
+    /** A new limit from a time on. */
+    std::optional<QuotaLimit> laterLimit;
+    Millis laterLimitFrom{0};
+    Millis length{12000};
+};
+
+struct QuotaFleetOutcome {
+    int requests = 0;
+    int admitted = 0;
+    /** Requests that a token bucket at a single place would have admitted. */
+    int owed = 0;
+    /** By how many requests the worst window exceeds (rate x window + burst) x (1 + over) + slack; negative: below. */
+    double worstOverrun = 0.0;
+    /** Delay of admitted requests by questions to a counter. */
+    Millis medianDelay{0};
+    Millis p99Delay{0};
+    int messagesInRegion = 0;
+    int messagesBetweenRegions = 0;
+
+    /** Share of the owed requests that the fleet admitted fewer than a single bucket would have. */
+    double refusedOwedShare() const;
+};
+
+/**
+ * Simulates the nodes of a fleet and one customer's requests. Ledger, counter and election are the production code;
+ * links have a fixed delay, and a cut loses what is sent across it. Seeded; opens no socket.
+ */
+class QuotaFleetModel
+{
+public:
+    QuotaFleetModel(QuotaFleetLoad load, QuotaPolicy policy, std::uint32_t seed);
+    QuotaFleetOutcome run();
+
+private:
+    struct Node {
+        std::string name;
+        int region = 0;
+        bool isCut = false;
+        bool isDead = false;
+        SteadyTime startedAt;
+        std::optional<QuotaLedger> ledger;
+        CounterElection election;
+        std::optional<QuotaCounter> counter;
+        QuotaMode announced = QuotaMode::Open;
+        SteadyTime announcedAt;
+        SteadyTime borrowedAt;
+    };
+    struct Event {
+        SteadyTime at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const;
+    };
+    struct Reply {
+        std::uint32_t granted = 0;
+        QuotaMode mode = QuotaMode::Open;
+        Millis retryAfter{0};
+    };
+
+    void schedule(SteadyTime at, std::function<void()> action);
+    /** Delivers a message unless it crosses a cut or an end of it is down. */
+    void send(std::size_t from, std::size_t to, std::function<void()> onArrival);
+    void scheduleArrivals();
+    void scheduleTroubles();
+    void startNode(std::size_t node);
+    void arrive(std::size_t node);
+    void ask(std::size_t node, SteadyTime arrivedAt, int attempt);
+    void admit(SteadyTime arrivedAt);
+    void flush(std::size_t node);
+    Reply count(std::size_t counter, std::size_t from, const QuotaUse &use);
+    QuotaCounter &counterAt(std::size_t node);
+    void borrow(std::size_t counter);
+    QuotaLimit currentLimit() const;
+    /** Returns the limit of one counter: the region's part, or the whole. */
+    QuotaLimit counterLimit() const;
+    std::optional<std::size_t> counterOf(std::size_t node);
+    std::size_t firstCounterOf(int region);
+    double worstOverrun() const;
+
+    QuotaFleetLoad load_;
+    QuotaPolicy policy_;
+    QuotaTuning tuning_;
+    boost::random::mt19937 random_;
+    SteadyTime start_ = SteadyTime(std::chrono::hours(1000));
+    SteadyTime now_ = start_;
+    std::uint64_t order_ = 0;
+    std::priority_queue<Event> events_;
+    std::vector<Node> nodes_;
+    std::unordered_map<std::string, std::size_t> indexes_;
+    std::vector<SteadyTime> admittedAt_;
+    std::vector<Millis> delays_;
+    QuotaFleetOutcome outcome_;
+};
+
+} // namespace waxwing::testing
