--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -2,8 +2,10 @@
 
 #include "include/base/Clock.h"
 #include "include/health/GrayFilter.h"
+#include "include/health/WorkTimeModel.h"
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <string>
@@ -103,6 +105,12 @@
      */
     double fastFailureRatio = 500.0;
     double slowFailureRatio = 6.0;
+    /**
+     * Work counts as overdue when a healthy server would still run this share of such work, and a gray server hangs in
+     * this share of its work.
+     */
+    double overdueSurvival = 0.05;
+    double hangShare = 0.6;
     /** A failure within this fraction of the usual work time is a fast one. */
     double fastFailureFraction = 0.2;
     /** Weight of the newest work time in the moving average. */
@@ -159,6 +167,14 @@
      * send: other homes are preferred, but work that can't be retried is still admitted.
      */
     void noteShed(SteadyTime now);
+    /**
+     * Counts work in progress as evidence against the server once it has run for longer than nearly all work of its
+     * route: a server that hangs sends no response that could show it. Each run counts once. @p waitsForCall: returns
+     * true for a route whose work may wait for a nested call, which says nothing about the server.
+     */
+    void noteOverdueWork(const std::function<bool(const std::string &route)> &waitsForCall, SteadyTime now);
+    /** Returns true if the run was counted by noteOverdueWork(). */
+    bool isOverdue(std::uint64_t id) const;
     /** Adds other evidence against the server. @p ratio: likelihood ratio of a gray to a healthy server. */
     void addEvidence(double ratio, SteadyTime now);
 
@@ -193,6 +209,9 @@
         bool probe = false;
         int rank = 0;
         SteadyTime since;
+        std::string route;
+        /** Counted as evidence against the server. */
+        bool overdue = false;
     };
     /** Slot time used by one rank, in seconds, with exponential decay. */
     struct Occupancy {
@@ -202,6 +221,7 @@
     struct WorkTime {
         double recent = 0.0;
         double baseline = 0.0;
+        WorkTimeModel model;
     };
 
     bool isMoreUrgent(const SlotRequest &a, const SlotRequest &b, SteadyTime now) const;
--- /dev/null
+++ b/src/health/WorkTimeModel.cpp
@@ -0,0 +1,38 @@
+#include "include/health/WorkTimeModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace waxwing {
+
+namespace {
+
+constexpr int minSamples = 5;
+/** Weight of the newest sample once there are many. */
+constexpr double minWeight = 0.05;
+/** Lower bound of the standard deviation: a few samples can lie close together by chance. */
+constexpr double minDeviation = 0.25;
+
+} // namespace
+
+void WorkTimeModel::add(Duration workTime)
+{
+    const double sample = std::log(std::max(1e-3, std::chrono::duration<double>(workTime).count()));
+    ++samples_;
+    const double weight = std::max(minWeight, 1.0 / samples_);
+    const double difference = sample - mean_;
+    mean_ += weight * difference;
+    variance_ = (1.0 - weight) * (variance_ + weight * difference * difference);
+}
+
+double WorkTimeModel::survival(Duration age) const
+{
+    if (samples_ < minSamples || age <= Duration(0)) {
+        return 1.0;
+    }
+    const double deviation = std::max(minDeviation, std::sqrt(variance_));
+    const double distance = (std::log(std::chrono::duration<double>(age).count()) - mean_) / deviation;
+    return 0.5 * std::erfc(distance / std::sqrt(2.0));
+}
+
+} // namespace waxwing
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -145,7 +145,7 @@
     if (probe) {
         lastProbe_ = now;
     }
-    running_[request.id] = Running{probe, rankOf(request, now), now};
+    running_[request.id] = Running{probe, rankOf(request, now), now, request.route, false};
 }
 
 Duration SlotQueue::expectedWait(const SlotRequest &request, SteadyTime now) const
@@ -240,6 +240,7 @@
     gray_.addSuccess(now);
     probeInterval_ = tuning_.initialProbeInterval;
     WorkTime &workTime = workTimes_[route];
+    workTime.model.add(took);
     const bool first = workTime.baseline == 0.0;
     workTime.recent = first ? seconds : workTime.recent + tuning_.smoothing * (seconds - workTime.recent);
     workTime.baseline =
@@ -261,6 +262,29 @@
     return shedShare_ * std::exp2(-std::max(0.0, halfLives));
 }
 
+void SlotQueue::noteOverdueWork(const std::function<bool(const std::string &route)> &waitsForCall, SteadyTime now)
+{
+    for (auto &[id, run] : running_) {
+        const auto workTime = workTimes_.find(run.route);
+        if (run.overdue || workTime == workTimes_.end()) {
+            continue;
+        }
+        const double survival = workTime->second.model.survival(now - run.since);
+        if (survival >= tuning_.overdueSurvival || waitsForCall(run.route)) {
+            continue;
+        }
+        run.overdue = true;
+        const double healthy = std::max(survival, tuning_.overdueSurvival / 2);
+        noteFailure((tuning_.hangShare + (1.0 - tuning_.hangShare) * healthy) / healthy, now);
+    }
+}
+
+bool SlotQueue::isOverdue(std::uint64_t id) const
+{
+    const auto found = running_.find(id);
+    return found != running_.end() && found->second.overdue;
+}
+
 void SlotQueue::addEvidence(double ratio, SteadyTime now)
 {
     noteFailure(ratio, now);
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -435,13 +435,20 @@
     struct Active {
         std::set<RunPtr> &runs;
         const RunPtr &run;
+        LocalHome &home;
         ~Active()
         {
             runs.erase(run);
+            if (run->nestedCall) {
+                home.noteCallEnded();
+            }
         }
-    } const active{active_, run};
+    } const active{active_, run, home_};
     home_.noteArrival(job.route->name, job.service);
     run->nestedCall = home_.isNestedCall(job.route->name);
+    if (run->nestedCall) {
+        home_.noteCallStarted();
+    }
     run->budgetRank = callerRankOffset + job.priority;
     if (run->nestedCall) {
         run->budgetRank = home_.callerRank(job.service).value_or(nestedCallRank);
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -219,6 +219,24 @@
     entries_.erase(found);
 }
 
+void LocalHome::noteOverdueWork()
+{
+    const auto waitsForCall = [this](const std::string &route) {
+        return callsInProgress_ > 0 && !nestedCalls_.rates(route).empty();
+    };
+    queue_.noteOverdueWork(waitsForCall, core_.clock.now());
+}
+
+void LocalHome::noteCallStarted()
+{
+    ++callsInProgress_;
+}
+
+void LocalHome::noteCallEnded()
+{
+    --callsInProgress_;
+}
+
 bool LocalHome::awaitSlot(Job &job, const std::function<void()> &onAdmitted)
 {
     SlotRequest request;
@@ -230,6 +248,7 @@
     request.deadline = job.deadline;
     request.queueTimeout = job.work.queueTimeout;
     request.acceptsGray = job.work.acceptsGray;
+    noteOverdueWork();
     const SlotDecision decision = queue_.submit(request, job.arrived);
     if (decision.action == SlotAction::Refuse) {
         job.reply = refusal(job, refusalReasonName(decision.reason));
@@ -305,6 +324,7 @@
         pollQueue();
     }
     job.reply.id = key.id;
+    noteOverdueWork();
     job.reply.load = load(work.priority);
     job.reply.nestedCall = origins_.isNestedCall(work.route);
     if (entries_[key].phase == Phase::Fenced) {
@@ -424,14 +444,16 @@
     }
     reply.outcome = Outcome::Unknown;
     reply.serverFault = true;
+    // A hedge that succeeds elsewhere cancels the work that hangs here, which may be the only sign of the hang.
+    noteOverdueWork();
     if (job.control->cancelled) {
         reply.reason = "cancelled";
         return;
     }
     if (error.failure == ExchangeFailure::Timeout) {
         // Until a request of the route has completed here, a timeout is no evidence against the server.
-        const bool hasSamples = queue_.hasWorkTime(job.work.route);
-        if (hasSamples && processingTime > timeoutWorkFactor * queue_.expectedWorkTime(job.work.route)) {
+        const bool isNew = queue_.hasWorkTime(job.work.route) && !queue_.isOverdue(job.id);
+        if (isNew && processingTime > timeoutWorkFactor * queue_.expectedWorkTime(job.work.route)) {
             queue_.addEvidence(timeoutLikelihoodRatio, now);
         }
         return;
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -79,6 +79,9 @@
     bool isNestedCall(const std::string &route) const;
     /** Returns the rank of the most urgent running work that may call @p service; nullopt if there is none. */
     std::optional<int> callerRank(const std::string &service) const;
+    /** Record the begin and end of a nested call of the server here: work may wait for it without hanging. */
+    void noteCallStarted();
+    void noteCallEnded();
     /** Records a failed nested call: the work that made it may fail for that reason, without a fault of the server. */
     void noteFailedCall(const std::string &route, const std::string &service);
     /** Returns true if the server has announced itself but accepts no work, as when it drains or has deregistered. */
@@ -113,6 +116,8 @@
     void releaseQueued(const std::vector<std::uint64_t> &ids);
     void pollQueue();
     void expiryLoop();
+    /** Lets work that has run for too long count against the server. */
+    void noteOverdueWork();
     bool awaitSlot(Job &job, const std::function<void()> &onAdmitted);
     void dispatch(Job &job);
     void handleResponse(Job &job, const tl::expected<HttpResponse, ExchangeError> &response, Duration processingTime);
@@ -143,6 +148,7 @@
     std::uint64_t nextJob_ = 1;
     NestedCallTracker nestedCalls_;
     RouteOrigins origins_;
+    int callsInProgress_ = 0;
     bool stopped_ = false;
 };
 
--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -158,7 +158,8 @@
 }
 
 // Guards against a key that works on while nobody can tell whether it was taken away.
-TEST_CASE_FIXTURE(Customers, "customers, store silent for longer than the bound, keys are refused and public routes served")
+TEST_CASE_FIXTURE(Customers,
+                  "customers, store silent for longer than the bound, keys are refused and public routes served")
 {
     mesh_.setStoreFault({{"silent", true}, {"cutWatches", true}});
     pause(revokeBound + Millis(500));
@@ -172,7 +173,8 @@
 }
 
 // Guards against a node that was suspended beyond the bound and serves the first request with the keys it remembers.
-TEST_CASE_FIXTURE(Customers, "customers, key taken away while the node is suspended, does not run the request that waits")
+TEST_CASE_FIXTURE(Customers,
+                  "customers, key taken away while the node is suspended, does not run the request that waits")
 {
     mesh_.node(0).signal(SIGSTOP);
     mesh_.configureCustomers(2, customersWith({"other-key-of-firm"}));
@@ -236,8 +238,8 @@
     for (std::size_t i = 0; i < statuses.size(); ++i) {
         tasks.emplace_back([&, i] {
             pause(Millis(static_cast<std::int64_t>(i) * 25));
-            const auto response = mesh_.sendWithKey(static_cast<int>(i % 3), "many-" + std::to_string(i), "/dates/1",
-                                                    "key-of-small");
+            const auto response =
+                mesh_.sendWithKey(static_cast<int>(i % 3), "many-" + std::to_string(i), "/dates/1", "key-of-small");
             statuses[i] = statusOf(response);
             const bool isTold = response && !headerValue(response->headers, "Retry-After").empty();
             allTold = allTold && (statuses[i] != 429 || isTold);
--- a/tests/unit/CustomerTest.cpp
+++ b/tests/unit/CustomerTest.cpp
@@ -128,7 +128,8 @@
 }
 
 // Guards against a key that was taken away and still works at a node that has not heard of it.
-TEST_CASE_FIXTURE(KeyCheck, "key check, configuration not proven within the bound, refuses every key but not public routes")
+TEST_CASE_FIXTURE(KeyCheck,
+                  "key check, configuration not proven within the bound, refuses every key but not public routes")
 {
     CHECK(admit("/dates/1", good_, Millis(4700)).result == AdmissionResult::Admitted);
     CHECK(admit("/dates/1", good_, Millis(4701)).result == AdmissionResult::Unconfirmed);
@@ -220,9 +221,8 @@
         CHECK_FALSE(config.customers.findByKey(key));
     }
     const std::string warnings = config.warnings.text();
-    for (const char *place :
-         {"/tenants/1/name", "/tenants/2/name", "/tenants/3/api_keys/0", "/tenants/3/rate_per_s", "/tenants/3/burst",
-          "/tenants/4"}) {
+    for (const char *place : {"/tenants/1/name", "/tenants/2/name", "/tenants/3/api_keys/0", "/tenants/3/rate_per_s",
+                              "/tenants/3/burst", "/tenants/4"}) {
         CHECK(warnings.find(place) != std::string::npos);
     }
     for (const char *key : {"k1", "k2", "k3", "k4"}) {
