Let a counter that has restarted grant the usual load at once

It now begins empty, without debt; only a node that counts in place of a higher-ranked one begins in debt.

--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -26,6 +26,19 @@
     Metered = 1,
 };
 
+/** What a new counter knows of the window before it. */
+enum class CounterStart {
+    /** No node has counted for the customer within the window, so the bucket is full. */
+    Fresh,
+    /** This node has counted, or another one that has stopped. What was granted is unknown: the bucket is empty. */
+    AfterLoss,
+    /**
+     * Another node ranks before this one and may still be counting for the nodes that it reaches. The bucket begins in
+     * debt, and all nodes of the region count as nodes of the customer.
+     */
+    InPlaceOfOther,
+};
+
 /**
  * Counts the requests of one customer at all nodes of a region, as a token bucket with the region's part of the
  * customer's rate and burst. The parts of all regions add up to the quota, so regions stay within it together even if
@@ -36,11 +49,7 @@
 class QuotaCounter
 {
 public:
-    /**
-     * @p isSuccessor: another node may have counted for this customer within the window. Its count is not known, so the
-     * bucket starts empty, and all nodes of the region count as nodes of this customer.
-     */
-    QuotaCounter(QuotaLimit limit, const QuotaTuning &tuning, bool isSuccessor, SteadyTime now);
+    QuotaCounter(QuotaLimit limit, const QuotaTuning &tuning, CounterStart start, SteadyTime now);
 
     /** Changes the limit; tokens above the new burst are lost. */
     void setLimit(QuotaLimit limit, SteadyTime now);
@@ -84,7 +93,7 @@
     SteadyTime refilledAt_;
     SteadyTime lastUsed_;
     SteadyTime createdAt_;
-    bool isSuccessor_ = false;
+    CounterStart start_ = CounterStart::Fresh;
     QuotaMode mode_ = QuotaMode::Open;
     std::size_t nodes_ = 1;
     std::map<std::string, SteadyTime> reporters_;
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -19,26 +19,31 @@
 /** A node that reported within this time and is not heard of any more may be cut off. */
 constexpr Millis knownTime{10000};
 /**
- * A successor begins with this debt, in seconds of the rate: an earlier counter that is only cut off goes on granting
- * at the full rate until it misses the nodes that report here.
+ * Debt in seconds of the rate: a counter that is only cut off goes on granting at the full rate until it misses the
+ * nodes that report here.
  */
-constexpr double successorDebtSeconds = 0.5;
+constexpr double initialDebtSeconds = 0.5;
 /** Of a denial's length that the number of waiting nodes calls for, and the longest denial. */
 constexpr double denialFactor = 0.7;
 constexpr Millis maxDenial{700};
 
 } // namespace
 
-QuotaCounter::QuotaCounter(QuotaLimit limit, const QuotaTuning &tuning, bool isSuccessor, SteadyTime now)
+QuotaCounter::QuotaCounter(QuotaLimit limit, const QuotaTuning &tuning, CounterStart start, SteadyTime now)
     : limit_(limit)
     , tuning_(tuning)
-    , tokens_(isSuccessor ? -successorDebtSeconds * limit.ratePerSecond : limit.burst)
     , refilledAt_(now)
     , lastUsed_(now)
     , createdAt_(now)
-    , isSuccessor_(isSuccessor)
-    , mode_(isSuccessor ? QuotaMode::Metered : QuotaMode::Open)
-{ }
+    , start_(start)
+    , mode_(start == CounterStart::Fresh ? QuotaMode::Open : QuotaMode::Metered)
+{
+    if (start == CounterStart::Fresh) {
+        tokens_ = limit.burst;
+    } else if (start == CounterStart::InPlaceOfOther) {
+        tokens_ = -initialDebtSeconds * limit.ratePerSecond;
+    }
+}
 
 void QuotaCounter::setLimit(QuotaLimit limit, SteadyTime now)
 {
@@ -60,8 +65,8 @@
 {
     // Requests come to random ones of the nodes that this customer uses. If fewer different nodes report than so many
     // requests would come from, the others are cut off, and their own counter may be granting the same tokens.
-    const auto known =
-        static_cast<double>(std::max<std::size_t>(1, isSuccessor_ ? nodes_ : reportersWithin(knownTime)));
+    const auto known = static_cast<double>(
+        std::max<std::size_t>(1, start_ == CounterStart::InPlaceOfOther ? nodes_ : reportersWithin(knownTime)));
     const double recent = static_cast<double>(reportersWithin(recentTime));
     double requests = 0.0;
     for (const Arrivals &arrivals : arrivals_) {
@@ -74,7 +79,9 @@
 void QuotaCounter::refill(SteadyTime now)
 {
     // After a whole window nothing that the earlier counter granted lies in the window any more.
-    isSuccessor_ = isSuccessor_ && now - createdAt_ < tuning_.window;
+    if (now - createdAt_ >= tuning_.window) {
+        start_ = CounterStart::Fresh;
+    }
     const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - refilledAt_)).count();
     refilledAt_ = std::max(refilledAt_, now);
     while (!arrivals_.empty() && now - arrivals_.front().at > recentTime) {
@@ -124,7 +131,8 @@
 double QuotaCounter::lend(double wanted, SteadyTime now)
 {
     refill(now);
-    const double spare = isSuccessor_ ? 0.0 : std::max(0.0, tokens_ - lendAbove * limit_.burst);
+    const bool mayLend = start_ == CounterStart::Fresh;
+    const double spare = mayLend ? std::max(0.0, tokens_ - lendAbove * limit_.burst) : 0.0;
     const double lent = std::clamp(wanted, 0.0, spare);
     tokens_ -= lent;
     return lent;
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -277,12 +277,15 @@
     return reply;
 }
 
-bool QuotaService::mayHaveBeenCountedElsewhere(const std::string &customer) const
+CounterStart QuotaService::startOf(const std::string &customer) const
 {
     const SteadyTime windowAgo = core_.clock.now() - tuning_.window;
     const auto own = elections_.find(core_.settings.region);
-    return own == elections_.end() || startedAt_ > windowAgo || own->second.changedAt() > windowAgo
-           || !own->second.isFirst(core_.self.id, customer);
+    if (own == elections_.end() || !own->second.isFirst(core_.self.id, customer)) {
+        return CounterStart::InPlaceOfOther;
+    }
+    const bool isNew = startedAt_ > windowAgo || own->second.changedAt() > windowAgo;
+    return isNew ? CounterStart::AfterLoss : CounterStart::Fresh;
 }
 
 QuotaService::Counter &QuotaService::counterFor(const std::string &customer, const QuotaLimit &limit)
@@ -291,13 +294,14 @@
     if (found != counters_.end()) {
         return found->second;
     }
-    const bool isSuccessor = mayHaveBeenCountedElsewhere(customer);
+    const CounterStart start = startOf(customer);
+    const bool isFresh = start == CounterStart::Fresh;
     QuotaTuning tuning = tuning_;
     const QuotaLimit part = regionPart(limit);
     tuning.slack *= limit.ratePerSecond > 0.0 ? part.ratePerSecond / limit.ratePerSecond : 0.0;
-    const QuotaCounter counter(part, tuning, isSuccessor, core_.clock.now());
-    core_.metrics.count(isSuccessor ? "quota_counters_taken_over" : "quota_counters_new");
-    const QuotaMode mode = isSuccessor ? QuotaMode::Metered : QuotaMode::Open;
+    const QuotaCounter counter(part, tuning, start, core_.clock.now());
+    core_.metrics.count(isFresh ? "quota_counters_new" : "quota_counters_taken_over");
+    const QuotaMode mode = isFresh ? QuotaMode::Open : QuotaMode::Metered;
     return counters_.emplace(customer, Counter{counter, 0, mode, SteadyTime(), SteadyTime()}).first->second;
 }
 
@@ -392,7 +396,7 @@
 {
     const auto found = counters_.find(request.customer);
     double lent = 0.0;
-    if (found != counters_.end() || !mayHaveBeenCountedElsewhere(request.customer)) {
+    if (found != counters_.end() || startOf(request.customer) == CounterStart::Fresh) {
         lent = counterFor(request.customer, request.limit).counter.lend(request.tokens, core_.clock.now());
     }
     core_.service<PeerHub>("peers").reply(link, QuotaLoanReply{request.id, lent});
--- a/src/sidecar/QuotaService.h
+++ b/src/sidecar/QuotaService.h
@@ -87,7 +87,7 @@
     QuotaReply count(const std::string &from, const QuotaReport &report);
     QuotaGrant countOne(const std::string &from, std::uint64_t configVersion, const QuotaUse &use);
     Counter &counterFor(const std::string &customer, const QuotaLimit &limit);
-    bool mayHaveBeenCountedElsewhere(const std::string &customer) const;
+    CounterStart startOf(const std::string &customer) const;
     /** Tells all nodes of the region: most nodes of a large one have not met the customer lately. */
     void announceMetered(const std::string &customer);
     void borrowTokens(const std::string &customer, const QuotaLimit &limit);
--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -256,10 +256,11 @@
     Node &node = nodes_[index];
     if (!node.counter) {
         const bool isFirst = node.election.isFirst(node.name, customer);
-        const bool isSuccessor = node.startedAt > now_ - tuning_.window || !isFirst;
+        const bool isNew = node.startedAt > now_ - tuning_.window;
+        const CounterStart ownStart = isNew ? CounterStart::AfterLoss : CounterStart::Fresh;
         QuotaTuning tuning = tuning_;
         tuning.slack /= policy_ == QuotaPolicy::RegionCounters ? load_.regions : 1;
-        node.counter.emplace(counterLimit(), tuning, isSuccessor, now_);
+        node.counter.emplace(counterLimit(), tuning, isFirst ? ownStart : CounterStart::InPlaceOfOther, now_);
     }
     return *node.counter;
 }
--- a/tests/unit/QuotaTest.cpp
+++ b/tests/unit/QuotaTest.cpp
@@ -16,9 +16,9 @@
 class Counter
 {
 protected:
-    QuotaCounter make(bool isSuccessor = false)
+    QuotaCounter make(CounterStart start = CounterStart::Fresh)
     {
-        return QuotaCounter(limit_, tuning_, isSuccessor, clock_.now());
+        return QuotaCounter(limit_, tuning_, start, clock_.now());
     }
 
     ManualClock clock_;
@@ -91,14 +91,27 @@
 }
 
 // Guards against a window that is handed out twice because the node that counted it was lost.
-TEST_CASE_FIXTURE(Counter, "quota counter, successor of a lost one, does not grant the burst again")
+TEST_CASE_FIXTURE(Counter, "quota counter, in place of another one, does not grant the burst again")
 {
-    QuotaCounter counter = make(true);
+    QuotaCounter counter = make(CounterStart::InPlaceOfOther);
     CHECK(counter.grant(1000, clock_.now()) == 0);
     CHECK(counter.mode(clock_.now()) == QuotaMode::Metered);
     CHECK(counter.lend(50.0, clock_.now()) == 0.0);
 }
 
+// Guards against customers that are refused for seconds after a restart although they send less than their rate.
+TEST_CASE_FIXTURE(Counter, "quota counter, node has restarted, grants the usual load at once but not the burst")
+{
+    QuotaCounter counter = make(CounterStart::AfterLoss);
+    int granted = 0;
+    for (int step = 0; step < 40; ++step) {
+        clock_.advance(Millis(50));
+        granted += static_cast<int>(counter.grant(3, clock_.now()));
+    }
+    CHECK(granted >= 115);
+    CHECK(counter.grant(1000, clock_.now()) <= 100);
+}
+
 TEST_CASE_FIXTURE(Counter, "quota counter, loan, leaves the lender half of its burst and is not created from nothing")
 {
     QuotaCounter lender = make();
@@ -313,3 +326,17 @@
         CHECK(play(load, seed).worstOverrun <= 0.0);
     }
 }
+
+// The same with a customer of few requests, whose silence at a counter shows late that nodes are cut off.
+TEST_CASE("quota of a fleet, small hot customer while the fleet is split in halves, stays within the bound")
+{
+    QuotaFleetLoad load = hotLoad();
+    load.limit = QuotaLimit{16.0, 16.0};
+    load.requestsPerSecond = 10.0;
+    load.cutShare = 0.5;
+    load.cutFrom = Millis(2000);
+    load.cutUntil = Millis(7500);
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        CHECK(play(load, seed).worstOverrun <= 0.0);
+    }
+}
