--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -121,14 +121,11 @@
     }
     platform::removeCredential(job.request);
     const Admission admission = admit(*job.config, *job.route, credential);
-    Refusal refusal;
-    refusal.requestId = job.requestId;
-    refusal.reason = admission.reason;
-    if (admission.result != AdmissionResult::Admitted) {
-        const bool known = admission.result == AdmissionResult::Unauthorized;
-        refusal.status = known ? unauthorized : unavailable;
-        refusal.retryAfter = known ? Millis(0) : notConfirmedRetryAfter;
-        return refusal;
+    if (admission.result == AdmissionResult::Unauthorized) {
+        return Refusal{unauthorized, job.requestId, admission.reason, Millis(0), "", ""};
+    }
+    if (admission.result == AdmissionResult::Unconfirmed) {
+        return Refusal{unavailable, job.requestId, admission.reason, notConfirmedRetryAfter, "", ""};
     }
     if (!admission.customer) {
         return std::nullopt;
@@ -136,13 +133,16 @@
     const Customer &customer = *admission.customer;
     const QuotaVerdict verdict = core_.service<QuotaService>("quotas").admit(customer);
     if (!verdict.admitted) {
-        refusal.status = tooManyRequests;
-        refusal.reason = "quota";
-        refusal.retryAfter = std::max(minQuotaRetryAfter, verdict.retryAfter);
-        refusal.customer = customer.name;
-        refusal.decidedBy = verdict.decidedBy;
-        return refusal;
+        const Millis retryAfter = std::max(minQuotaRetryAfter, verdict.retryAfter);
+        return Refusal{tooManyRequests,  job.requestId, "quota", retryAfter, std::string(customer.name),
+                       verdict.decidedBy};
     }
+    setCustomer(job, customer, credential);
+    return std::nullopt;
+}
+
+void CallerHandler::setCustomer(ForwardJob &job, const Customer &customer, const Credential &credential)
+{
     platform::addCustomer(job.request, customer.name);
     job.customer = customer.name;
     job.priority = customer.priority.value_or(job.route->priority);
@@ -152,7 +152,6 @@
         const bool movedToOther = again.customer && again.customer->name != name;
         return movedToOther ? AdmissionResult::Unauthorized : again.result;
     };
-    return std::nullopt;
 }
 
 HttpReply CallerHandler::handle(HttpRequest request, const CallerWatchPtr &caller)
--- a/src/sidecar/CallerHandler.h
+++ b/src/sidecar/CallerHandler.h
@@ -48,6 +48,8 @@
      * not otherwise.
      */
     std::optional<Refusal> admitCustomer(ForwardJob &job, const Credential &credential);
+    /** Names the customer to the server, ranks the request, and has the key checked again before each send. */
+    void setCustomer(ForwardJob &job, const Customer &customer, const Credential &credential);
     HttpReply answer(const ForwardJob &job, ForwardResult result);
 
     NodeCore &core_;
