--- a/src/customer/QuotaLedger.cpp
+++ b/src/customer/QuotaLedger.cpp
@@ -86,7 +86,7 @@
 
 QuotaUse QuotaLedger::takeFrom(const std::string &customer, Account &account, SteadyTime now)
 {
-    const QuotaUse use{customer, account.limit, account.unreported, 0, account.seen};
+    QuotaUse use{customer, account.limit, account.unreported, 0, account.seen};
     account.unreported = 0;
     account.seen = 0;
     account.reportedAt = account.reportedAt.value_or(now);
--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -324,12 +324,9 @@
         while (admittedAt_[first] <= admittedAt_[last] - tuning_.window) {
             ++first;
         }
-        QuotaLimit limit = load_.limit;
-        if (load_.laterLimit && admittedAt_[last] >= laterFrom) {
-            limit = *load_.laterLimit;
-        } else if (load_.laterLimit && load_.laterLimit->ratePerSecond > limit.ratePerSecond) {
-            limit = *load_.laterLimit;
-        }
+        const bool isHigher = load_.laterLimit && load_.laterLimit->ratePerSecond > load_.limit.ratePerSecond;
+        const bool usesLater = isHigher || (load_.laterLimit && admittedAt_[last] >= laterFrom);
+        const QuotaLimit limit = usesLater ? *load_.laterLimit : load_.limit;
         const double bound = (limit.ratePerSecond * seconds + limit.burst) * (1.0 + tuning_.over) + tuning_.slack;
         worst = std::max(worst, static_cast<double>(last - first + 1) - bound);
     }
--- a/tests/unit/QuotaTest.cpp
+++ b/tests/unit/QuotaTest.cpp
@@ -206,6 +206,7 @@
 TEST_CASE("counter election, many customers, spreads them over the nodes and moves few when one is lost")
 {
     std::vector<std::string> nodes;
+    nodes.reserve(34);
     for (int i = 0; i < 34; ++i) {
         nodes.push_back("n" + std::to_string(i));
     }
