--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -34,7 +34,7 @@
     AfterLoss,
     /**
      * Another node ranks before this one and may still be counting for the nodes that it reaches. The bucket begins in
-     * debt, and all nodes of the region count as nodes of the customer.
+     * debt, and for half a minute all nodes of the region count as nodes of the customer.
      */
     InPlaceOfOther,
 };
@@ -68,7 +68,7 @@
     double lend(double wanted, SteadyTime now);
     /** Adds tokens that another region's counter has lent. */
     void borrow(double tokens, SteadyTime now);
-    /** Returns how nodes must treat the customer. Metered mode ends when half of the burst is there again. */
+    /** Returns how nodes must treat the customer. Metered mode ends when part of the burst is there again. */
     QuotaMode mode(SteadyTime now);
     /** Returns the time until a grant is possible. */
     Millis retryAfter(SteadyTime now);
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -17,7 +17,7 @@
 /** A node that reported within this time is reachable. */
 constexpr Millis recentTime{1000};
 /** A node that reported within this time and is not heard of any more may be cut off. */
-constexpr Millis knownTime{10000};
+constexpr Millis knownTime{30000};
 /**
  * Debt in seconds of the rate: a counter that is only cut off goes on granting at the full rate until it misses the
  * nodes that report here.
@@ -78,8 +78,11 @@
 
 void QuotaCounter::refill(SteadyTime now)
 {
-    // After a whole window nothing that the earlier counter granted lies in the window any more.
-    if (now - createdAt_ >= tuning_.window) {
+    // After a whole window nothing that the earlier counter granted lies in the window any more; one that is only cut
+    // off goes on granting.
+    const bool isOver =
+        start_ == CounterStart::AfterLoss ? now - createdAt_ >= tuning_.window : now - createdAt_ >= knownTime;
+    if (isOver) {
         start_ = CounterStart::Fresh;
     }
     const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - refilledAt_)).count();
--- a/tests/unit/QuotaTest.cpp
+++ b/tests/unit/QuotaTest.cpp
@@ -328,6 +328,20 @@
     }
 }
 
+// The same for longer than any window: neither side may forget the nodes that it does not hear of.
+TEST_CASE("quota of a fleet, hot customer while the fleet is split for 12 s, stays within the bound")
+{
+    QuotaFleetLoad load = hotLoad();
+    load.hotUntil = Millis(14000);
+    load.cutShare = 0.5;
+    load.cutFrom = Millis(2000);
+    load.cutUntil = Millis(14000);
+    load.length = Millis(15000);
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        CHECK(play(load, seed).worstOverrun <= 0.0);
+    }
+}
+
 // The same with a customer of few requests, whose silence at a counter shows late that nodes are cut off.
 TEST_CASE("quota of a fleet, small hot customer while the fleet is split in halves, stays within the bound")
 {
