--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -1,7 +1,5 @@
 #include "tests/support/QuotaFleetModel.h"
 
-#include "include/limit/TokenBucket.h"
-
 #include <boost/random/exponential_distribution.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 
@@ -56,6 +54,8 @@
         }
         node.election.setNodes(names, start_ - settledFor);
         node.ledger.emplace(tuning_);
+        node.share.emplace(load_.limit.ratePerSecond / load_.nodes, std::max(1.0, load_.limit.burst / load_.nodes),
+                           start_);
         node.startedAt = start_ - settledFor;
     }
 }
@@ -165,7 +165,7 @@
     QuotaLedger &ledger = *nodes_[node].ledger;
     const QuotaDecision decision = ledger.decide(customer, currentLimit(), now_);
     if (policy_ == QuotaPolicy::EqualShares) {
-        if (ledger.admitAlone(customer, count, now_)) {
+        if (nodes_[node].share->tryTake(1.0, now_)) {
             admit(now_);
         }
     } else if (policy_ == QuotaPolicy::CentralGrants || decision == QuotaDecision::Ask) {
--- a/tests/support/QuotaFleetModel.h
+++ b/tests/support/QuotaFleetModel.h
@@ -2,6 +2,7 @@
 
 #include "include/customer/CounterElection.h"
 #include "include/customer/QuotaLedger.h"
+#include "include/limit/TokenBucket.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
@@ -86,6 +87,8 @@
         std::optional<QuotaLedger> ledger;
         CounterElection election;
         std::optional<QuotaCounter> counter;
+        /** For equal shares. Its limit does not change during the run. */
+        std::optional<TokenBucket> share;
         QuotaMode announced = QuotaMode::Open;
         SteadyTime announcedAt;
         SteadyTime borrowedAt;
