Keep a customer's limit in reports about one that was forgotten

Cause: a request that was given back, or a report that was restored, more than two windows after its customer's last request made a new account without a limit; its report would have set the counter's limit to zero and refused the customer. Found by reading. Change: a give-back for a forgotten customer is dropped, a restored report brings its limit. Measured: two tests, red before, green now.

--- a/src/customer/QuotaLedger.cpp
+++ b/src/customer/QuotaLedger.cpp
@@ -57,7 +57,11 @@
 
 void QuotaLedger::giveBack(const std::string &customer)
 {
-    --accounts_[customer].unreported;
+    // A customer that was forgotten has not used its quota for longer than a window, so nothing is lost.
+    const auto found = accounts_.find(customer);
+    if (found != accounts_.end()) {
+        --found->second.unreported;
+    }
 }
 
 void QuotaLedger::noteReply(const std::string &customer, QuotaMode mode, SteadyTime deniedUntil, SteadyTime now)
@@ -112,6 +116,7 @@
 void QuotaLedger::restore(const QuotaUse &use)
 {
     Account &account = accounts_[use.customer];
+    account.limit = account.limit.isUnlimited() ? use.limit : account.limit;
     account.unreported += use.used;
     account.seen += use.seen;
 }
--- a/tests/unit/QuotaTest.cpp
+++ b/tests/unit/QuotaTest.cpp
@@ -203,6 +203,34 @@
     CHECK(ledger_.size() == 0);
 }
 
+// Guards against a counter whose limit becomes zero because a node reports a customer that it has forgotten.
+TEST_CASE_FIXTURE(Ledger,
+                  "quota ledger, request given back after its customer was forgotten, is not reported without a limit")
+{
+    ledger_.decide("c", limit_, clock_.now());
+    ledger_.takeUnreported(clock_.now());
+    clock_.advance(std::chrono::seconds(11));
+    ledger_.evictIdle(clock_.now());
+    ledger_.giveBack("c");
+    for (const QuotaUse &use : ledger_.takeUnreported(clock_.now())) {
+        CHECK(use.limit == limit_);
+    }
+}
+
+// The same for a report that is restored after its customer was forgotten.
+TEST_CASE_FIXTURE(Ledger, "quota ledger, report restored after its customer was forgotten, keeps its limit")
+{
+    ledger_.decide("c", limit_, clock_.now());
+    const auto uses = ledger_.takeUnreported(clock_.now());
+    clock_.advance(std::chrono::seconds(11));
+    ledger_.evictIdle(clock_.now());
+    ledger_.restore(uses.at(0));
+    const auto again = ledger_.takeUnreported(clock_.now());
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].used == 1);
+    CHECK(again[0].limit == limit_);
+}
+
 TEST_CASE("counter election, many customers, spreads them over the nodes and moves few when one is lost")
 {
     std::vector<std::string> nodes;
