Count reporting nodes over a span that fits the customer's requests

Cause: a counter takes the nodes that it does not hear of for cut off; over one second a customer of few requests, or one whose nodes wait out denials, seemed to have lost a quarter of them, and got so much less than its limit. Hypothesis: the span must hold some requests a node. Change: one second, up to four until there are four requests for each known node.

--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -14,8 +14,12 @@
 constexpr double openAbove = 0.4;
 constexpr double borrowBelow = 0.4;
 constexpr double lendAbove = 0.5;
-/** A node that reported within this time is reachable. */
+/** Nodes that reported within this time wait for tokens. */
 constexpr Millis recentTime{1000};
+/** Span over which the reporting nodes are counted: until it has so many requests for each known node. */
+constexpr Millis minObservedTime{1000};
+constexpr Millis maxObservedTime{4000};
+constexpr double requestsPerNode = 4.0;
 /** A node that reported within this time and is not heard of any more may be cut off. */
 constexpr Millis knownTime{30000};
 /**
@@ -64,16 +68,22 @@
 double QuotaCounter::reachableShare() const
 {
     // Requests come to random ones of the nodes that this customer uses. If fewer different nodes report than so many
-    // requests would come from, the others are cut off, and their own counter may be granting the same tokens.
+    // requests would come from, the others are cut off, and their own counter may be granting the same tokens. With few
+    // requests only a longer span shows that.
     const auto known = static_cast<double>(
         std::max<std::size_t>(1, start_ == CounterStart::InPlaceOfOther ? nodes_ : reportersWithin(knownTime)));
-    const double recent = static_cast<double>(reportersWithin(recentTime));
     double requests = 0.0;
-    for (const Arrivals &arrivals : arrivals_) {
-        requests += arrivals.count;
+    Duration span = minObservedTime;
+    for (auto it = arrivals_.rbegin(); it != arrivals_.rend(); ++it) {
+        const Duration age = refilledAt_ - it->at;
+        if (age > minObservedTime && requests >= requestsPerNode * known) {
+            break;
+        }
+        span = std::max(span, age);
+        requests += it->count;
     }
     const double expected = known * (1.0 - std::exp(-requests / known));
-    return expected <= 1.0 ? 1.0 : std::min(1.0, recent / expected);
+    return expected <= 1.0 ? 1.0 : std::min(1.0, static_cast<double>(reportersWithin(span)) / expected);
 }
 
 void QuotaCounter::refill(SteadyTime now)
@@ -87,7 +97,7 @@
     }
     const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - refilledAt_)).count();
     refilledAt_ = std::max(refilledAt_, now);
-    while (!arrivals_.empty() && now - arrivals_.front().at > recentTime) {
+    while (!arrivals_.empty() && now - arrivals_.front().at > maxObservedTime) {
         arrivals_.pop_front();
     }
     tokens_ = std::min(limit_.burst, tokens_ + seconds * limit_.ratePerSecond * reachableShare());
