Count quotas with the token bucket that the project has

Cause: the counter and a lone node's share each wrote a token bucket again beside TokenBucket; two functions of platform/ and one of the election served tests or nobody; config_in_force did not say how many customers a version has. Change: both use TokenBucket, which gained level(); the tests count headers themselves, in any case and number; the line has customers=.

--- a/include/customer/CounterElection.h
+++ b/include/customer/CounterElection.h
@@ -20,7 +20,6 @@
     void setNodes(std::vector<std::string> nodes, SteadyTime now);
     /** Passes over @p node for a while. */
     void noteUnreachable(const std::string &node, SteadyTime now);
-    void noteReachable(const std::string &node);
     /** Returns the highest-ranked node that is not passed over; empty if there is none. */
     const std::string &counterOf(const std::string &customer, SteadyTime now);
     /** Returns true if @p node is the highest-ranked one for @p customer. */
--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/customer/CustomerTable.h"
+#include "include/limit/TokenBucket.h"
 
 #include <cstdint>
 #include <deque>
@@ -49,6 +50,7 @@
 class QuotaCounter
 {
 public:
+    /** @p limit: the region's part of the customer's limit. @pre no later call has an earlier time. */
     QuotaCounter(QuotaLimit limit, const QuotaTuning &tuning, CounterStart start, SteadyTime now);
 
     /** Changes the limit; tokens above the new burst are lost. */
@@ -70,8 +72,9 @@
     void borrow(double tokens, SteadyTime now);
     /** Returns how nodes must treat the customer. Metered mode ends when part of the burst is there again. */
     QuotaMode mode(SteadyTime now);
-    /** Returns the time until a grant is possible. */
+    /** Returns the time until a grant is possible, at most as long as a denial lasts. */
     Millis retryAfter(SteadyTime now);
+    /** Returns when requests were last recorded; the start if none were. */
     SteadyTime lastUsed() const;
 
 private:
@@ -80,7 +83,8 @@
         std::uint32_t count = 0;
     };
 
-    void refill(SteadyTime now);
+    /** Advances the time and returns the tokens that there are. */
+    double level(SteadyTime now);
     /** Returns the level above which requests are granted; negative. */
     double grantFloor() const;
     std::size_t reportersWithin(Duration time) const;
@@ -89,8 +93,9 @@
 
     QuotaLimit limit_;
     QuotaTuning tuning_;
-    double tokens_ = 0.0;
-    SteadyTime refilledAt_;
+    TokenBucket bucket_;
+    /** Time of the last call. */
+    SteadyTime now_;
     SteadyTime lastUsed_;
     SteadyTime createdAt_;
     CounterStart start_ = CounterStart::Fresh;
--- a/include/customer/QuotaLedger.h
+++ b/include/customer/QuotaLedger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/customer/QuotaCounter.h"
+#include "include/limit/TokenBucket.h"
 
 #include <map>
 #include <optional>
@@ -71,9 +72,9 @@
         QuotaMode mode = QuotaMode::Open;
         std::int64_t unreported = 0;
         std::uint32_t seen = 0;
-        /** Token bucket of this node's share. */
-        double shareTokens = 0.0;
-        SteadyTime shareAt;
+        /** This node's share, while its counter does not reply. */
+        std::optional<TokenBucket> share;
+        SteadyTime repliedAt;
         QuotaLimit limit;
         /** When the oldest report without a reply was sent. */
         std::optional<SteadyTime> reportedAt;
--- a/include/limit/TokenBucket.h
+++ b/include/limit/TokenBucket.h
@@ -16,8 +16,11 @@
     bool tryTakeAbove(double tokens, double minTokens, SteadyTime now);
     /** Takes @p tokens even if the balance becomes negative, for costs known only afterwards. */
     void take(double tokens, SteadyTime now);
+    /** Returns the balance. */
+    double level(SteadyTime now);
     /** Returns true if the balance is positive. */
     bool hasAny(SteadyTime now);
+    /** Changes the rate from the last call with a time on; tokens above a lower burst are lost. */
     void setRate(double perSecond, double burst);
 
 private:
--- a/src/customer/CounterElection.cpp
+++ b/src/customer/CounterElection.cpp
@@ -32,11 +32,6 @@
     passedOverUntil_[node] = now + passOverTime;
 }
 
-void CounterElection::noteReachable(const std::string &node)
-{
-    passedOverUntil_.erase(node);
-}
-
 std::vector<std::string> CounterElection::rank(const std::string &customer) const
 {
     const std::uint64_t seed = stableHash(customer);
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -36,33 +36,31 @@
 QuotaCounter::QuotaCounter(QuotaLimit limit, const QuotaTuning &tuning, CounterStart start, SteadyTime now)
     : limit_(limit)
     , tuning_(tuning)
-    , refilledAt_(now)
+    , bucket_(limit.ratePerSecond, limit.burst, now)
+    , now_(now)
     , lastUsed_(now)
     , createdAt_(now)
     , start_(start)
     , mode_(start == CounterStart::Fresh ? QuotaMode::Open : QuotaMode::Metered)
 {
-    if (start == CounterStart::Fresh) {
-        tokens_ = limit.burst;
-    } else if (start == CounterStart::InPlaceOfOther) {
-        tokens_ = -initialDebtSeconds * limit.ratePerSecond;
+    if (start != CounterStart::Fresh) {
+        bucket_.take(limit.burst, now);
+    }
+    if (start == CounterStart::InPlaceOfOther) {
+        bucket_.take(initialDebtSeconds * limit.ratePerSecond, now);
     }
 }
 
 void QuotaCounter::setLimit(QuotaLimit limit, SteadyTime now)
 {
-    if (limit != limit_) {
-        refill(now);
-        limit_ = limit;
-        tokens_ = std::min(tokens_, limit_.burst);
-    }
+    level(now);
+    limit_ = limit;
 }
 
 std::size_t QuotaCounter::reportersWithin(Duration time) const
 {
-    return static_cast<std::size_t>(std::count_if(reporters_.begin(), reporters_.end(), [&](const auto &reporter) {
-        return refilledAt_ - reporter.second <= time;
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        reporters_.begin(), reporters_.end(), [&](const auto &reporter) { return now_ - reporter.second <= time; }));
 }
 
 double QuotaCounter::reachableShare() const
@@ -75,7 +73,7 @@
     double requests = 0.0;
     Duration span = minObservedTime;
     for (auto it = arrivals_.rbegin(); it != arrivals_.rend(); ++it) {
-        const Duration age = refilledAt_ - it->at;
+        const Duration age = now_ - it->at;
         if (age > minObservedTime && requests >= requestsPerNode * known) {
             break;
         }
@@ -86,31 +84,30 @@
     return expected <= 1.0 ? 1.0 : std::min(1.0, static_cast<double>(reportersWithin(span)) / expected);
 }
 
-void QuotaCounter::refill(SteadyTime now)
+double QuotaCounter::level(SteadyTime now)
 {
     // After a whole window nothing that the earlier counter granted lies in the window any more; one that is only cut
     // off goes on granting.
-    const bool isOver =
-        start_ == CounterStart::AfterLoss ? now - createdAt_ >= tuning_.window : now - createdAt_ >= knownTime;
-    if (isOver) {
+    const Duration age = now - createdAt_;
+    if (age >= knownTime || (start_ == CounterStart::AfterLoss && age >= tuning_.window)) {
         start_ = CounterStart::Fresh;
     }
-    const double seconds = std::chrono::duration<double>(std::max(Duration(0), now - refilledAt_)).count();
-    refilledAt_ = std::max(refilledAt_, now);
+    now_ = now;
     while (!arrivals_.empty() && now - arrivals_.front().at > maxObservedTime) {
         arrivals_.pop_front();
     }
-    tokens_ = std::min(limit_.burst, tokens_ + seconds * limit_.ratePerSecond * reachableShare());
+    bucket_.setRate(limit_.ratePerSecond * reachableShare(), limit_.burst);
+    return bucket_.level(now);
 }
 
 void QuotaCounter::record(const std::string &node, std::int64_t used, std::uint32_t seen, std::size_t nodes,
                           SteadyTime now)
 {
     nodes_ = std::max<std::size_t>(1, nodes);
-    refill(now);
+    level(now);
     reporters_[node] = now;
     arrivals_.push_back(Arrivals{now, seen});
-    tokens_ = std::min(limit_.burst, tokens_ - static_cast<double>(used));
+    bucket_.take(static_cast<double>(used), now);
     lastUsed_ = now;
 }
 
@@ -122,47 +119,44 @@
 
 std::uint32_t QuotaCounter::grant(std::uint32_t wanted, SteadyTime now)
 {
-    refill(now);
-    const double available = std::floor(tokens_ - grantFloor());
+    const double available = std::floor(level(now) - grantFloor());
     const auto granted = static_cast<std::uint32_t>(std::clamp(available, 0.0, static_cast<double>(wanted)));
-    tokens_ -= granted;
+    bucket_.take(granted, now);
     return granted;
 }
 
 bool QuotaCounter::needsLoan(SteadyTime now)
 {
-    refill(now);
-    return tokens_ < borrowBelow * limit_.burst;
+    return level(now) < borrowBelow * limit_.burst;
 }
 
 double QuotaCounter::loanWanted(SteadyTime now)
 {
-    refill(now);
-    return std::max(0.0, limit_.burst - tokens_);
+    return std::max(0.0, limit_.burst - level(now));
 }
 
 double QuotaCounter::lend(double wanted, SteadyTime now)
 {
-    refill(now);
+    const double tokens = level(now);
     const bool mayLend = start_ == CounterStart::Fresh;
-    const double spare = mayLend ? std::max(0.0, tokens_ - lendAbove * limit_.burst) : 0.0;
+    const double spare = mayLend ? std::max(0.0, tokens - lendAbove * limit_.burst) : 0.0;
     const double lent = std::clamp(wanted, 0.0, spare);
-    tokens_ -= lent;
+    bucket_.take(lent, now);
     return lent;
 }
 
 void QuotaCounter::borrow(double tokens, SteadyTime now)
 {
-    refill(now);
-    tokens_ = std::min(limit_.burst, tokens_ + std::max(0.0, tokens));
+    level(now);
+    bucket_.take(-std::max(0.0, tokens), now);
 }
 
 QuotaMode QuotaCounter::mode(SteadyTime now)
 {
-    refill(now);
-    if (tokens_ < meterBelow * limit_.burst) {
+    const double tokens = level(now);
+    if (tokens < meterBelow * limit_.burst) {
         mode_ = QuotaMode::Metered;
-    } else if (tokens_ >= openAbove * limit_.burst) {
+    } else if (tokens >= openAbove * limit_.burst) {
         mode_ = QuotaMode::Open;
     }
     return mode_;
@@ -170,12 +164,12 @@
 
 Millis QuotaCounter::retryAfter(SteadyTime now)
 {
-    refill(now);
+    const double tokens = level(now);
     if (limit_.ratePerSecond <= 0.0) {
         return maxDenial;
     }
     // Tokens come at the rate, and every node that has asked wants the next one.
-    const double missing = std::max(0.0, 1.0 - (tokens_ - grantFloor()));
+    const double missing = std::max(0.0, 1.0 - (tokens - grantFloor()));
     const double waiting = denialFactor * static_cast<double>(reportersWithin(recentTime));
     const double seconds = std::max(missing, waiting) / limit_.ratePerSecond;
     return std::min(maxDenial, Millis(static_cast<std::int64_t>(std::ceil(1000.0 * seconds))));
--- a/src/customer/QuotaLedger.cpp
+++ b/src/customer/QuotaLedger.cpp
@@ -40,17 +40,19 @@
 bool QuotaLedger::admitAlone(const std::string &customer, std::size_t nodes, SteadyTime now)
 {
     Account &account = accounts_[customer];
-    // The counter has counted all that this node admitted before, so the share begins empty.
-    const SteadyTime since = std::max(account.shareAt, now - tuning_.window);
     const double perSecond =
         shareFactor * account.limit.ratePerSecond / static_cast<double>(std::max<std::size_t>(1, nodes));
-    const double earned = std::chrono::duration<double>(now - since).count() * perSecond;
-    account.shareTokens = std::min(std::max(minShareBurst, perSecond), account.shareTokens + earned);
-    account.shareAt = now;
-    if (account.shareTokens < 1.0) {
+    const double burst = std::max(minShareBurst, perSecond);
+    if (!account.share) {
+        // The counter has counted all that this node admitted before its last reply, so the share began empty then.
+        const SteadyTime since = std::max(account.repliedAt, now - tuning_.window);
+        account.share.emplace(perSecond, burst, since);
+        account.share->take(burst, since);
+    }
+    account.share->setRate(perSecond, burst);
+    if (!account.share->tryTake(1.0, now)) {
         return false;
     }
-    account.shareTokens -= 1.0;
     ++account.unreported;
     return true;
 }
@@ -69,8 +71,8 @@
     Account &account = accounts_[customer];
     account.mode = mode;
     account.reportedAt.reset();
-    account.shareTokens = 0.0;
-    account.shareAt = now;
+    account.share.reset();
+    account.repliedAt = now;
     account.deniedUntil = deniedUntil;
     account.lastUsed = std::max(account.lastUsed, now);
 }
--- a/src/limit/TokenBucket.cpp
+++ b/src/limit/TokenBucket.cpp
@@ -40,6 +40,12 @@
     tokens_ -= tokens;
 }
 
+double TokenBucket::level(SteadyTime now)
+{
+    refill(now);
+    return tokens_;
+}
+
 bool TokenBucket::hasAny(SteadyTime now)
 {
     refill(now);
--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/ConfigSync.cpp
@@ -92,6 +92,7 @@
                        {{"version", std::to_string(version())},
                         {"before", before},
                         {"routes", std::to_string(current_->routeCount())},
+                        {"customers", std::to_string(current_->customers.size())},
                         {"source", source}});
     for (const Finding &warning : current_->warnings.all()) {
         core_.events.write(
--- a/tests/unit/CustomerTest.cpp
+++ b/tests/unit/CustomerTest.cpp
@@ -3,8 +3,10 @@
 #include "platform/ConfigDecoder.h"
 #include "platform/Names.h"
 
+#include <boost/beast/core/string.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <random>
 
 using namespace waxwing;
@@ -37,6 +39,13 @@
     return *decoded;
 }
 
+/** Returns how many headers have @p name, in any case. */
+std::ptrdiff_t countOf(const HttpRequest &request, std::string_view name)
+{
+    return std::count_if(request.headers.begin(), request.headers.end(),
+                         [name](const auto &header) { return boost::beast::iequals(header.first, name); });
+}
+
 Credential::Kind kindOf(const std::string &value)
 {
     return decodeWith({{names::credential, value}}).credential.kind;
@@ -191,11 +200,12 @@
                                {"waxwingcove-TENANT", "forged"},
                                {names::credential, "Bearer abc"},
                                {"AUTHORIZATION", "Bearer def"}});
-    CHECK_FALSE(platform::namesCustomer(decoded.forward));
+    CHECK(countOf(decoded.forward, names::customer) == 0);
     platform::removeCredential(decoded.forward);
-    CHECK_FALSE(platform::hasCredential(decoded.forward));
+    CHECK(countOf(decoded.forward, names::credential) == 0);
     platform::addCustomer(decoded.forward, "firm");
     CHECK(headerValue(decoded.forward.headers, names::customer) == "firm");
+    CHECK(countOf(decoded.forward, names::customer) == 1);
 }
 
 TEST_CASE("error response, key is missing or unknown, names the scheme")
