Decode the platform's bounds once, and say which are out of range

Cause: SidecarNode decoded them five times and dropped the findings; revoke_ms that could not be read switched the check of keys to a bound of zero, without it off, and nothing said so. Change: SidecarTuning decodes them once, each finding is a line, out-of-range values leave the default.

--- a/include/customer/KeyAdmission.h
+++ b/include/customer/KeyAdmission.h
@@ -9,6 +9,9 @@
 
 namespace waxwing {
 
+/** Reason of a request that was refused because its key may have been taken away without this node knowing it. */
+constexpr const char *unconfirmedReason = "config-not-confirmed";
+
 /** How a request's key is checked at its ingress. */
 struct KeyAdmissionTuning {
     /**
--- a/src/customer/KeyAdmission.cpp
+++ b/src/customer/KeyAdmission.cpp
@@ -35,7 +35,7 @@
         return rejected(AdmissionResult::Unauthorized, "malformed-key");
     }
     if (!isConfirmed(query, tuning)) {
-        return rejected(AdmissionResult::Unconfirmed, "config-not-confirmed");
+        return rejected(AdmissionResult::Unconfirmed, unconfirmedReason);
     }
     Admission admission;
     admission.customer = config.customers.findByKey(credential.key);
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -134,7 +134,7 @@
     if (result == AdmissionResult::Admitted) {
         return {};
     }
-    return result == AdmissionResult::Unauthorized ? keyRevokedReason : "config-not-confirmed";
+    return result == AdmissionResult::Unauthorized ? keyRevokedReason : unconfirmedReason;
 }
 
 HomeQuery Forwarder::homeQueryOf(const Run &run) const
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -213,7 +213,12 @@
         pending->uses = uses;
         pending->sentAt = now;
         pendingReports_[id] = pending;
-        spawnFiber([this, counter = counter, id, pending] { send(counter, id, pending->uses); });
+        spawnFiber([this, counter = counter, id, pending] {
+            // The report is repeated when its time is over.
+            if (!send(counter, id, pending->uses)) {
+                core_.metrics.count("quota_reports_not_sent");
+            }
+        });
     }
 }
 
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -2,7 +2,6 @@
 
 #include "include/fleet/LinkDelayEstimator.h"
 #include "include/report/BurnRecorder.h"
-#include "platform/ConfigDecoder.h"
 #include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/http/HttpServer.h"
@@ -19,6 +18,7 @@
 #include "src/sidecar/RegionWatch.h"
 #include "src/sidecar/RegistrySync.h"
 #include "src/sidecar/RetryBudgetService.h"
+#include "src/sidecar/SidecarTuning.h"
 #include "src/sidecar/StateUpdateService.h"
 #include "src/sidecar/WorkSender.h"
 
@@ -51,67 +51,11 @@
 /** A killed process is back within about a second; a lost VM costs an occasional connection attempt. */
 constexpr Millis initialReconnectDelay{500};
 constexpr Millis maxReconnectDelay{8000};
-/** For clocks that run at different rates, and for timers. */
-constexpr Millis revokeMargin{300};
-
-Millis stopGrace(const NodeSettings &settings)
-{
-    Findings findings;
-    return settings.bounds.empty() ? settings.times.stopWithin
-                                   : platform::decodeBounds(settings.bounds, findings).stopGrace;
-}
-
-FleetRetryTuning retryTuning(const NodeSettings &settings)
-{
-    FleetRetryTuning tuning;
-    if (!settings.bounds.empty()) {
-        Findings findings;
-        const platform::FleetBounds bounds = platform::decodeBounds(settings.bounds, findings);
-        tuning.share = bounds.retryShare;
-        tuning.slack = bounds.retrySlack;
-        tuning.window = bounds.retryWindow;
-    }
-    return tuning;
-}
-
-KeyAdmissionTuning keyAdmissionTuning(const NodeSettings &settings)
-{
-    KeyAdmissionTuning tuning;
-    Findings findings;
-    if (settings.bounds.empty()) {
-        return tuning;
-    }
-    if (const auto bound = platform::decodeBounds(settings.bounds, findings).revokeWithin) {
-        tuning.maxConfigAge = std::max(Millis(0), *bound - revokeMargin);
-    }
-    return tuning;
-}
-
-QuotaTuning quotaTuning(const NodeSettings &settings)
-{
-    Findings findings;
-    return settings.bounds.empty() ? QuotaTuning() : platform::decodeBounds(settings.bounds, findings).quota;
-}
-
-WatchElectionTuning watchElectionTuning(const NodeSettings &settings)
-{
-    // Age at which a node becomes a stand-in, as a fraction of the time within which a change must be in force. The
-    // rest of that time is for reading the change.
-    constexpr double standInFraction = 0.6;
-    WatchElectionTuning tuning;
-    if (!settings.bounds.empty()) {
-        Findings findings;
-        const Millis applyTime = platform::decodeBounds(settings.bounds, findings).configApply;
-        tuning.standInAfter = std::chrono::duration_cast<Millis>(applyTime * standInFraction);
-    }
-    return tuning;
-}
-
 } // namespace
 
 struct SidecarNode::Impl {
     Impl(boost::asio::io_context &ioContext, const Clock &clock, const NodeSettings &settings,
-         std::uint64_t incarnation)
+         std::uint64_t incarnation, const SidecarTuning &tuning)
         : core(ioContext, clock, settings, incarnation, stableHash(settings.node, incarnation), maxKeptEvents)
         , store(core.client, settings.objectApi)
         , burn(clock)
@@ -123,16 +67,17 @@
                  })
         , paths(core)
         , sender(core, fences, paths)
-        , region(core, watchElectionTuning(settings))
-        , config(core, keyAdmissionTuning(settings))
+        , region(core, tuning.watchElection)
+        , config(core, tuning.keyAdmission)
         , registry(core)
         , updates(core)
-        , retryBudgets(core, retryTuning(settings))
+        , retryBudgets(core, tuning.retry)
         , forwarder(core, home, sender, retryBudgets, paths)
-        , quotas(core, quotaTuning(settings))
-        , callerHandler(core, keyAdmissionTuning(settings))
+        , quotas(core, tuning.quota)
+        , callerHandler(core, tuning.keyAdmission)
     { }
 
+    void logBoundsFindings(const Findings &findings);
     Expected<void> build();
     Expected<void> listen();
     Expected<std::unique_ptr<HttpServer>> listenAt(const Endpoint &endpoint, HttpServer::Handler handler);
@@ -149,6 +94,7 @@
     void reconnect(const std::string &peer);
 
     NodeCore core;
+    Millis stopGrace{0};
     ObjectApi store;
     BurnRecorder burn;
     PoisonService poison;
@@ -176,6 +122,13 @@
     std::unique_ptr<HttpServer> metricsServer;
 };
 
+void SidecarNode::Impl::logBoundsFindings(const Findings &findings)
+{
+    for (const Finding &finding : findings.all()) {
+        core.events.write(Severity::Warning, "bound_refused", {{"place", finding.place}, {"reason", finding.message}});
+    }
+}
+
 Expected<void> SidecarNode::Impl::build()
 {
     PeerHub::Hooks hooks;
@@ -443,7 +396,11 @@
 Expected<std::unique_ptr<SidecarNode>> SidecarNode::MakeStarted(boost::asio::io_context &ioContext, const Clock &clock,
                                                                 const NodeSettings &settings, std::uint64_t incarnation)
 {
-    auto impl = std::make_unique<Impl>(ioContext, clock, settings, incarnation);
+    Findings findings;
+    const SidecarTuning tuning = makeSidecarTuning(settings, findings);
+    auto impl = std::make_unique<Impl>(ioContext, clock, settings, incarnation, tuning);
+    impl->stopGrace = tuning.stopGrace;
+    impl->logBoundsFindings(findings);
     Expected<void> ok = impl->build();
     ok = ok ? impl->listen() : ok;
     if (!ok) {
@@ -481,6 +438,9 @@
     own.bounds = settings.bounds;
     own.limits = settings.limits;
     own.times = settings.times;
+    Findings findings;
+    impl_->stopGrace = makeSidecarTuning(settings, findings).stopGrace;
+    impl_->logBoundsFindings(findings);
     impl_->core.events.write(Severity::Info, "settings_reloaded", {{"node", impl_->core.self.text()}});
 }
 
@@ -488,7 +448,7 @@
 {
     NodeCore &core = impl_->core;
     const SteadyTime startedAt = core.clock.now();
-    const SteadyTime deadline = startedAt + stopGrace(core.settings) - stopMargin;
+    const SteadyTime deadline = startedAt + impl_->stopGrace - stopMargin;
     const bool willReturn = !impl_->home.serverLeft();
     core.events.write(Severity::Info, "node_stopping",
                       {{"node", core.self.text()}, {"serverLeft", willReturn ? "no" : "yes"}});
--- /dev/null
+++ b/src/sidecar/SidecarTuning.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "include/customer/KeyAdmission.h"
+#include "include/customer/QuotaCounter.h"
+#include "include/fleet/WatchElection.h"
+#include "include/limit/FleetRetryBudget.h"
+#include "include/settings/NodeSettings.h"
+
+namespace waxwing {
+
+/** Parameters of a node's services that follow from the platform's bounds. */
+struct SidecarTuning {
+    /** Longest time from SIGTERM to the end of the process. */
+    Millis stopGrace{0};
+    FleetRetryTuning retry;
+    WatchElectionTuning watchElection;
+    KeyAdmissionTuning keyAdmission;
+    QuotaTuning quota;
+};
+
+/**
+ * Returns the parameters for @p settings; defaults without bounds. Each faulty bound is a finding with its place, and
+ * its default is used. Thread safe.
+ */
+SidecarTuning makeSidecarTuning(const NodeSettings &settings, Findings &findings);
+
+} // namespace waxwing
--- a/tests/unit/CustomerTest.cpp
+++ b/tests/unit/CustomerTest.cpp
@@ -253,3 +253,21 @@
     CHECK_FALSE(platform::decodeBounds(R"({"strict_revoke":false,"revoke_ms":4000})", findings).revokeWithin);
     CHECK(findings.empty());
 }
+
+// Guards against a bound that can't be read and lets keys that were taken away work for ever.
+TEST_CASE("bounds, revocation and quotas out of range, defaults hold and each has its place")
+{
+    Findings findings;
+    const auto bounds = platform::decodeBounds(
+        R"(["strict_revoke=true","revoke_ms=soon","quota_window_s=0","quota_over=-1","quota_slack=-5"])", findings);
+    CHECK(bounds.revokeWithin == Millis(5000));
+    CHECK(bounds.quota.window == Millis(5000));
+    CHECK(bounds.quota.over == doctest::Approx(0.1));
+    CHECK(bounds.quota.slack == doctest::Approx(20.0));
+    const std::string text = findings.text();
+    for (const char *name : {"revoke_ms", "quota_window_s", "quota_over", "quota_slack"}) {
+        CHECK(text.find(std::string("/bounds/") + name) != std::string::npos);
+    }
+    Findings missing;
+    CHECK(platform::decodeBounds(R"(["strict_revoke=true"])", missing).revokeWithin == Millis(5000));
+}
