Give the table of a home's work its own class

Cause: LocalHome.cpp (625 lines) held the home of a server and, beside it, which works are queued, running, ended or must never start. Two fields that nobody read are gone.

--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -9,7 +9,6 @@
 #include "src/sidecar/RegistrySync.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace waxwing {
 
@@ -18,15 +17,6 @@
 /** Longest time between two polls of the queue, and between two evictions of old results. */
 constexpr Millis maxPollInterval{1000};
 constexpr Millis minPollInterval{1};
-/** How long the result of a Work is kept. A sender queries it within its deadline, and most deadlines are shorter. */
-constexpr Millis resultRetention = std::chrono::seconds(12);
-constexpr std::size_t maxRetainedResults = 2000;
-/** Longest transit time of a Fence. Its sender stops waiting sooner and ignores a later reply. */
-constexpr Millis maxFenceTransit{1500};
-/** A response with a larger body counts against the limit below. */
-constexpr std::size_t largeResponseBytes = 16UL * 1024;
-/** Total size limit for large responses kept for senders' queries: three seconds of traffic on a 13 Mbit/s link. */
-constexpr std::size_t maxLargeResponseBytes = 5UL * 1024 * 1024;
 /** No server can respond in less time than this. */
 constexpr Millis minTimeLeft{5};
 /** Maximum idle time of a reused connection: servers close theirs after about ten seconds, some sooner. */
@@ -45,11 +35,6 @@
 
 } // namespace
 
-bool WorkKey::operator<(const WorkKey &other) const
-{
-    return std::tie(origin, id) < std::tie(other.origin, other.id);
-}
-
 struct LocalHome::Job {
     const WorkKey &key;
     const Work &work;
@@ -64,6 +49,7 @@
 
 LocalHome::LocalHome(NodeCore &core)
     : core_(core)
+    , works_(core.clock)
     , origins_(
           [this](const std::string &zone, const std::set<std::string> &services) { return zoneShare(zone, services); })
 { }
@@ -154,16 +140,10 @@
                                    ? Duration(maxPollInterval)
                                    : std::clamp<Duration>(due - before, minPollInterval, maxPollInterval);
         expiry_.wait(core_.ioContext, pause);
-        const SteadyTime now = core_.clock.now();
         if (queue_.waiting() > 0) {
             pollQueue();
         }
-        while (!ended_.empty()
-               && (now - ended_.front().first >= resultRetention || ended_.size() > maxRetainedResults)) {
-            evictedUntil_ = std::max(evictedUntil_, ended_.front().first);
-            evict(ended_.front().second);
-            ended_.pop_front();
-        }
+        works_.evictOld();
     }
 }
 
@@ -176,49 +156,6 @@
     return reply;
 }
 
-void LocalHome::storeResult(const WorkKey &key, const WorkReply &reply)
-{
-    Entry &entry = entries_[key];
-    entry.phase = Phase::Ended;
-    entry.control.reset();
-    entry.reply = reply;
-    entry.endedAt = core_.clock.now();
-    ended_.emplace_back(entry.endedAt, key);
-    if (reply.response.body.size() > largeResponseBytes) {
-        largeResponses_.push_back(key);
-        largeBytes_ += reply.response.body.size();
-        evictLargeResponses();
-    }
-}
-
-void LocalHome::evictLargeResponses()
-{
-    while (largeBytes_ > maxLargeResponseBytes) {
-        const auto oldest = entries_.find(largeResponses_.front());
-        largeResponses_.pop_front();
-        if (oldest == entries_.end()) {
-            continue;
-        }
-        WorkReply &reply = oldest->second.reply;
-        largeBytes_ -= reply.response.body.size();
-        reply.response = HttpResponse();
-        reply.outcome = Outcome::Unknown;
-        reply.reason = "answer-dropped";
-    }
-}
-
-void LocalHome::evict(const WorkKey &key)
-{
-    const auto found = entries_.find(key);
-    if (found == entries_.end()) {
-        return;
-    }
-    if (found->second.reply.response.body.size() > largeResponseBytes) {
-        largeBytes_ -= found->second.reply.response.body.size();
-    }
-    entries_.erase(found);
-}
-
 void LocalHome::noteOverdueWork()
 {
     const auto waitsForCall = [this](const std::string &route) {
@@ -293,8 +230,7 @@
 {
     const SteadyTime now = core_.clock.now();
     Job job{key, work, control, nextJob_++, now + work.remaining, now, {}};
-    const auto existing = entries_.find(key);
-    if (existing != entries_.end()) {
+    if (works_.contains(key)) {
         return refusal(job, "forbidden");
     }
     if (stopped_ || work.service != core_.settings.server->service) {
@@ -313,11 +249,7 @@
         return job.reply;
     }
     noteOrigin(key, work.route);
-    Entry entry;
-    entry.jobId = job.id;
-    entry.idempotent = work.idempotent;
-    entry.control = control;
-    entries_[key] = entry;
+    works_.addQueued(key, control);
     if (awaitSlot(job, onAdmitted)) {
         dispatch(job);
         queue_.release(job.id, core_.clock.now());
@@ -327,11 +259,7 @@
     noteOverdueWork();
     job.reply.load = load(work.priority);
     job.reply.nestedCall = origins_.isNestedCall(work.route);
-    if (entries_[key].phase == Phase::Fenced) {
-        ended_.emplace_back(core_.clock.now(), key);
-    } else {
-        storeResult(key, job.reply);
-    }
+    works_.finish(key, job.reply);
     core_.events.writeRequest(job.reply.serverFault ? Severity::Warning : Severity::Info, "home_done",
                               {{"request", work.requestId},
                                {"from", key.origin.id},
@@ -355,7 +283,7 @@
         job.reply = refusal(job, serving == nullptr ? "no-server" : "too-late");
         return;
     }
-    entries_[job.key].phase = Phase::Running;
+    works_.noteRunning(job.key);
     job.reply.server = serving->server;
     job.reply.reachedServer = true;
     ExchangeCancel cancel;
@@ -489,67 +417,22 @@
 
 void LocalHome::cancelQueued(const WorkKey &key)
 {
-    const auto found = entries_.find(key);
-    if (found != entries_.end() && found->second.phase == Phase::Queued) {
-        found->second.control->cancelQueued();
-    }
+    works_.cancelQueued(key);
 }
 
 void LocalHome::cancel(const WorkKey &key)
 {
-    const auto found = entries_.find(key);
-    if (found == entries_.end()) {
-        // A Cancel can overtake its Work if the Work has a large body.
-        entries_[key].phase = Phase::Fenced;
-        ended_.emplace_back(core_.clock.now(), key);
-    } else if (found->second.control) {
-        found->second.control->cancel();
-    }
+    works_.cancel(key);
 }
 
 FenceReply LocalHome::fence(const WorkKey &key, bool queryOnly, Duration workAge)
 {
-    FenceReply reply;
-    const auto found = entries_.find(key);
-    if (found == entries_.end()) {
-        // If the Work was sent before the latest evicted one ended, it may have run and been evicted as well.
-        const SteadyTime sentAt = core_.clock.now() - workAge - maxFenceTransit;
-        if (!queryOnly && sentAt > evictedUntil_) {
-            entries_[key].phase = Phase::Fenced;
-            ended_.emplace_back(core_.clock.now(), key);
-            reply.state = FenceState::NeverRuns;
-        }
-        return reply;
-    }
-    Entry &entry = found->second;
-    switch (entry.phase) {
-    case Phase::Fenced:
-        reply.state = FenceState::NeverRuns;
-        break;
-    case Phase::Queued:
-        if (queryOnly) {
-            reply.state = FenceState::Underway;
-            break;
-        }
-        entry.phase = Phase::Fenced;
-        entry.control->cancel();
-        reply.state = FenceState::NeverRuns;
-        break;
-    case Phase::Running:
-        reply.state = FenceState::Underway;
-        break;
-    case Phase::Ended:
-        reply.state = FenceState::Ended;
-        reply.reply = entry.reply;
-        break;
-    }
-    return reply;
+    return works_.fence(key, queryOnly, workAge);
 }
 
 bool LocalHome::isInProgress(const WorkKey &key) const
 {
-    const auto found = entries_.find(key);
-    return found != entries_.end() && (found->second.phase == Phase::Queued || found->second.phase == Phase::Running);
+    return works_.isInProgress(key);
 }
 
 void LocalHome::stopAccepting()
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -7,8 +7,8 @@
 #include "include/wire/Messages.h"
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/RunControl.h"
+#include "src/sidecar/WorkTable.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,14 +22,6 @@
 /** Reason for a final refusal: servers crashed while they ran this request, so it is sent to no other server. */
 constexpr const char *poisonReason = "request-ends-servers";
 
-/** Identifies a Work in the fleet: the node that sent it and that node's id for it. */
-struct WorkKey {
-    NodeRef origin;
-    std::uint64_t id = 0;
-
-    bool operator<(const WorkKey &other) const;
-};
-
 /**
  * The home of the one server beside this node: handles its heartbeats, admits and queues Works, dispatches them to the
  * server, and keeps the outcome of each Work for senders that have not received the reply. SlotQueue and
@@ -88,20 +80,6 @@
     bool serverLeft() const;
 
 private:
-    enum class Phase {
-        Fenced,
-        Queued,
-        Running,
-        Ended,
-    };
-    struct Entry {
-        Phase phase = Phase::Queued;
-        std::uint64_t jobId = 0;
-        bool idempotent = false;
-        RunControlPtr control;
-        WorkReply reply;
-        SteadyTime endedAt;
-    };
     struct QueuedJob {
         std::shared_ptr<FiberLatch> latch;
         /** Whether the latch was released because the job may start. */
@@ -127,22 +105,11 @@
     /** Returns false if customers need keys and the sender's build has not checked the key of @p work. */
     bool isKeyChecked(const Work &work) const;
     WorkReply refusal(const Job &job, const std::string &reason) const;
-    void storeResult(const WorkKey &key, const WorkReply &reply);
-    /** Drops the oldest large responses beyond the limit. Their Works stay ended, with the outcome Unknown. */
-    void evictLargeResponses();
-    void evict(const WorkKey &key);
 
     NodeCore &core_;
     LocalServerState server_;
     SlotQueue queue_;
-    std::map<WorkKey, Entry> entries_;
-    /** Works that ended or were fenced, and when, oldest first. */
-    std::deque<std::pair<SteadyTime, WorkKey>> ended_;
-    /** The latest end time of the evicted results. */
-    SteadyTime evictedUntil_;
-    /** Ended works with large responses, oldest first, and the total bytes of these responses. */
-    std::deque<WorkKey> largeResponses_;
-    std::size_t largeBytes_ = 0;
+    WorkTable works_;
     std::map<std::uint64_t, QueuedJob> queuedJobs_;
     FiberNotifier expiry_;
     std::uint64_t nextJob_ = 1;
