Take the values out of the messages' codec

Cause: Messages.cpp (731 lines) encoded the values that messages consist of and the messages. Change: FieldCodec holds the values' functions, unchanged.

--- a/src/sidecar/WorkTable.cpp
+++ b/src/sidecar/WorkTable.cpp
@@ -52,8 +52,7 @@
 void WorkTable::evictOld()
 {
     const SteadyTime now = clock_.now();
-    while (!ended_.empty()
-           && (now - ended_.front().first >= resultRetention || ended_.size() > maxRetainedResults)) {
+    while (!ended_.empty() && (now - ended_.front().first >= resultRetention || ended_.size() > maxRetainedResults)) {
         evictedUntil_ = std::max(evictedUntil_, ended_.front().first);
         evict(ended_.front().second);
         ended_.pop_front();
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -1,14 +1,15 @@
 #include "include/wire/Messages.h"
 
-#include <nlohmann/json.hpp>
+#include "src/wire/FieldCodec.h"
 
-#include <limits>
+#include <nlohmann/json.hpp>
 
 namespace waxwing {
 
 namespace {
 
 using nlohmann::json;
+using namespace wire;
 
 enum class Type : int {
     Hello = 1,
@@ -40,40 +41,6 @@
 
 /** Position of the first field of a message's contents. Positions 0 and 1 hold the protocol version and the type. */
 constexpr std::size_t firstField = 2;
-constexpr std::size_t maxHeaders = 1000;
-
-json bytesOf(const std::string &text)
-{
-    return json::binary({text.begin(), text.end()});
-}
-
-std::string textOf(const json &value)
-{
-    const json::binary_t &bytes = value.get_binary();
-    return {bytes.begin(), bytes.end()};
-}
-
-json headersOf(const HeaderList &headers)
-{
-    json out = json::array();
-    for (const auto &[name, value] : headers) {
-        out.push_back(bytesOf(name));
-        out.push_back(bytesOf(value));
-    }
-    return out;
-}
-
-HeaderList headersFrom(const json &value)
-{
-    HeaderList headers;
-    if (!value.is_array() || value.size() % 2 != 0 || value.size() / 2 > maxHeaders) {
-        throw json::other_error::create(501, "malformed header list", &value);
-    }
-    for (std::size_t i = 0; i < value.size(); i += 2) {
-        headers.emplace_back(textOf(value[i]), textOf(value[i + 1]));
-    }
-    return headers;
-}
 
 json startMessage(Type type)
 {
@@ -88,177 +55,6 @@
     return out;
 }
 
-json requestOf(const HttpRequest &request)
-{
-    return json::array({request.method, bytesOf(request.target), headersOf(request.headers), bytesOf(request.body)});
-}
-
-HttpRequest requestFrom(const json &value)
-{
-    return HttpRequest{value.at(0).get<std::string>(), textOf(value.at(1)), headersFrom(value.at(2)),
-                       textOf(value.at(3))};
-}
-
-json responseOf(const HttpResponse &response)
-{
-    return json::array({response.status, headersOf(response.headers), bytesOf(response.body)});
-}
-
-HttpResponse responseFrom(const json &value)
-{
-    return HttpResponse{value.at(0).get<unsigned>(), headersFrom(value.at(1)), textOf(value.at(2))};
-}
-
-Outcome outcomeFrom(const json &value)
-{
-    const int number = value.get<int>();
-    if (number < static_cast<int>(Outcome::Ran) || number > static_cast<int>(Outcome::Unknown)) {
-        throw json::other_error::create(501, "unknown outcome", &value);
-    }
-    return static_cast<Outcome>(number);
-}
-
-RecordKind kindFrom(const json &value)
-{
-    const int number = value.get<int>();
-    if (number < static_cast<int>(RecordKind::Node) || number > static_cast<int>(RecordKind::Successor)) {
-        throw json::other_error::create(501, "unknown record kind", &value);
-    }
-    return static_cast<RecordKind>(number);
-}
-
-json recordOf(const Record &record)
-{
-    return json::array({static_cast<int>(record.kind), bytesOf(record.key), record.version.major, record.version.minor,
-                        json::binary(record.payload)});
-}
-
-Record recordFrom(const json &value)
-{
-    return Record{kindFrom(value.at(0)), textOf(value.at(1)),
-                  RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()},
-                  value.at(4).get_binary()};
-}
-
-json nameOf(const RecordName &name)
-{
-    return json::array({static_cast<int>(name.kind), bytesOf(name.key), name.version.major, name.version.minor});
-}
-
-RecordName nameFrom(const json &value)
-{
-    return RecordName{kindFrom(value.at(0)), textOf(value.at(1)),
-                      RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()}};
-}
-
-constexpr double probabilitySteps = 1000.0;
-constexpr double slowdownSteps = 100.0;
-
-json refOf(const NodeRef &ref)
-{
-    return json::array({ref.id, ref.incarnation});
-}
-
-NodeRef refFrom(const json &value)
-{
-    return NodeRef{value.at(0).get<std::string>(), value.at(1).get<std::uint64_t>()};
-}
-
-/** Ages are encoded in these steps, so that each takes one or two bytes. */
-constexpr Millis configAgeStep{100};
-constexpr std::uint64_t maxConfigAgeSteps = KnownVersions::maxConfigAge / configAgeStep;
-
-json versionsOf(const KnownVersions &versions)
-{
-    // Rounded up: the receiver may overestimate the age, but must not underestimate it.
-    const auto steps = (versions.configAge + configAgeStep - Millis(1)) / configAgeStep;
-    return json::array({versions.config, versions.registry, steps, versions.isStoreReachable});
-}
-
-KnownVersions versionsFrom(const json &value)
-{
-    const auto steps = std::min<std::uint64_t>(value.at(2).get<std::uint64_t>(), maxConfigAgeSteps);
-    return KnownVersions{value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>(),
-                         static_cast<std::int64_t>(steps) * configAgeStep, value.at(3).get<bool>()};
-}
-
-json quotaLimitOf(const QuotaLimit &limit)
-{
-    return json::array({static_cast<float>(limit.ratePerSecond), static_cast<float>(limit.burst)});
-}
-
-QuotaLimit quotaLimitFrom(const json &value)
-{
-    return QuotaLimit{value.at(0).get<double>(), value.at(1).get<double>()};
-}
-
-json loadOf(const HomeLoad &load)
-{
-    return json::array({load.freeSlots, load.queued, load.wait.count(),
-                        static_cast<int>(load.grayProbability * probabilitySteps),
-                        static_cast<int>(load.slowdown * slowdownSteps),
-                        static_cast<int>(load.shedRate * probabilitySteps), load.slots});
-}
-
-HomeLoad loadFrom(const json &value)
-{
-    HomeLoad load;
-    load.freeSlots = value.at(0).get<std::int32_t>();
-    load.queued = value.at(1).get<std::int32_t>();
-    load.wait = Millis(value.at(2).get<std::int64_t>());
-    load.grayProbability = value.at(3).get<int>() / probabilitySteps;
-    load.slowdown = value.at(4).get<int>() / slowdownSteps;
-    load.shedRate = value.at(5).get<int>() / probabilitySteps;
-    load.slots = value.at(6).get<std::int32_t>();
-    return load;
-}
-
-json workReplyOf(const WorkReply &m)
-{
-    const bool hasResponse =
-        m.response.status != HttpResponse().status || !m.response.headers.empty() || !m.response.body.empty();
-    json response = hasResponse ? responseOf(m.response) : json();
-    return json::array({m.id, static_cast<int>(m.outcome), m.serverFault, m.reachedServer, m.reason, m.server,
-                        m.processingTime.count(), loadOf(m.load), versionsOf(m.versions), std::move(response),
-                        json(m.calls), m.nestedCall});
-}
-
-WorkReply workReplyFrom(const json &in)
-{
-    WorkReply m;
-    m.id = in.at(0).get<std::uint64_t>();
-    m.outcome = outcomeFrom(in.at(1));
-    m.serverFault = in.at(2).get<bool>();
-    m.reachedServer = in.at(3).get<bool>();
-    m.reason = in.at(4).get<std::string>();
-    m.server = in.at(5).get<std::string>();
-    m.processingTime = Millis(in.at(6).get<std::int64_t>());
-    m.load = loadFrom(in.at(7));
-    m.versions = versionsFrom(in.at(8));
-    if (!in.at(9).is_null()) {
-        m.response = responseFrom(in.at(9));
-    }
-    if (!in.at(10).is_null()) {
-        m.calls = in.at(10).get<CallRates>();
-    }
-    m.nestedCall = in.at(11).get<bool>();
-    return m;
-}
-
-json registryEntryOf(const RegistryEntry &entry)
-{
-    return json::array(
-        {entry.id, entry.links.address, entry.links.port, entry.zone, entry.region, entry.service, entry.revision});
-}
-
-RegistryEntry registryEntryFrom(const json &value)
-{
-    return RegistryEntry{
-        value.at(0).get<std::string>(), Endpoint{value.at(1).get<std::string>(), value.at(2).get<std::uint16_t>()},
-        value.at(3).get<std::string>(), value.at(4).get<std::string>(),
-        value.at(5).get<std::string>(), value.at(6).get<std::uint64_t>()};
-}
-
 struct Encoder {
     json operator()(const Hello &m) const
     {
