--- a/src/wire/FieldCodec.cpp
+++ b/src/wire/FieldCodec.cpp
@@ -111,7 +111,6 @@
                       RecordVersion{value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()}};
 }
 
-
 json refOf(const NodeRef &ref)
 {
     return json::array({ref.id, ref.incarnation});
@@ -122,7 +121,6 @@
     return NodeRef{value.at(0).get<std::string>(), value.at(1).get<std::uint64_t>()};
 }
 
-
 json versionsOf(const KnownVersions &versions)
 {
     // Rounded up: the receiver may overestimate the age, but must not underestimate it.
