Let only the named successor start the tickets of a stopped owner

Change: ClaimTable asks whether the node is the owner's successor (the published record) before it starts an adopted owner's ticket or passes the owner on; ClaimService no longer looks at what was adopted. A node that has adopted and not yet heard the record answers 'unknown', as every other node does until then.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -225,7 +225,8 @@
     static const SystemClock clock;
     memorySlope("claim with a 300-byte answer", {10000, 25000, 50000, 75000, 100000}, [](int size) {
         auto table = std::make_shared<ClaimTable>(NodeRef{"n1", 1}, clock,
-                                                  ClaimLimits{1000000, 1000000000, std::chrono::hours(1)});
+                                                  ClaimLimits{1000000, 1000000000, std::chrono::hours(1)},
+                                                  [](const NodeRef &) { return true; });
         for (int i = 0; i < size; ++i) {
             const Ticket ticket{{"n1", 1}, Millis(0), static_cast<std::uint64_t>(i)};
             table->begin(ticket, Millis(1), 1);
--- a/include/claim/ClaimTable.h
+++ b/include/claim/ClaimTable.h
@@ -5,6 +5,7 @@
 #include "include/wire/Messages.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -41,7 +42,10 @@
     Full,
     /** This node is stopping and accepts no new claims. */
     Stopping,
-    /** The owner is neither this incarnation nor an adopted one, or its age is less than the ticket's issue time. */
+    /**
+     * The owner is neither this incarnation nor one that named this node its successor, or its age is less than the
+     * ticket's issue time.
+     */
     NotOwner,
 };
 
@@ -59,6 +63,9 @@
  */
 std::vector<ClaimHandover> splitHandover(const ClaimHandover &handover, std::size_t bytes);
 
+/** Returns true if the node is the one that decides about the tickets of @p owner, which has stopped. */
+using SuccessorCheck = std::function<bool(const NodeRef &owner)>;
+
 /**
  * Records which tickets of one owner were used and how their requests ended.
  *
@@ -70,8 +77,11 @@
 class ClaimTable
 {
 public:
-    /** @pre @p clock outlives the table. */
-    ClaimTable(NodeRef self, const Clock &clock, ClaimLimits limits = {});
+    /**
+     * @p isSuccessor: asked about each owner whose claims were adopted, since an owner that got no acknowledgement of
+     * its handover may have named another node. @pre @p clock outlives the table.
+     */
+    ClaimTable(NodeRef self, const Clock &clock, ClaimLimits limits, SuccessorCheck isSuccessor);
 
     /**
      * Decides whether the request with @p ticket may run. On Start the claim is held from this call on. @p ownAge:
@@ -90,16 +100,17 @@
     void stopClaiming();
     std::size_t running() const;
     std::size_t size() const;
-    /** Returns all finished claims for the successor. @pre stopClaiming() was called and running() is 0. */
+    /**
+     * Returns all finished claims, and the owners that this node decides about, for its successor. @pre stopClaiming()
+     * was called and running() is 0.
+     */
     ClaimHandover handOver(Millis ownAge) const;
     /**
      * Takes over the tickets of owners that have stopped. begin() then replays the responses of their finished claims,
-     * returns OutcomeUnknown for those without a stored response, and lets requests with unused tickets start. @pre
-     * only one node is ever named as an owner's successor.
+     * returns OutcomeUnknown for those without a stored response. Requests with unused tickets start only while this
+     * node is the owner's successor. @pre only one node is ever named as an owner's successor.
      */
     void adopt(const ClaimHandover &handover);
-    /** Returns true if @p owner handed its claims over to this node. */
-    bool hasAdopted(const NodeRef &owner) const;
     /** Returns the owners that handed their claims over to this node. */
     std::vector<NodeRef> adoptedOwners() const;
     /** Removes finished claims whose tickets have expired, and adopted owners when all their tickets have expired. */
@@ -127,6 +138,7 @@
     NodeRef self_;
     const Clock &clock_;
     ClaimLimits limits_;
+    SuccessorCheck isSuccessor_;
     std::unordered_map<std::string, Entry> entries_;
     std::multimap<SteadyTime, std::string> expiryQueue_;
     std::map<NodeRef, Adopted> adopted_;
--- a/src/claim/ClaimTable.cpp
+++ b/src/claim/ClaimTable.cpp
@@ -62,10 +62,11 @@
     return parts;
 }
 
-ClaimTable::ClaimTable(NodeRef self, const Clock &clock, ClaimLimits limits)
+ClaimTable::ClaimTable(NodeRef self, const Clock &clock, ClaimLimits limits, SuccessorCheck isSuccessor)
     : self_(std::move(self))
     , clock_(clock)
     , limits_(limits)
+    , isSuccessor_(std::move(isSuccessor))
 { }
 
 ClaimDecision ClaimTable::decisionFor(const Entry &entry, std::uint64_t digest) const
@@ -88,7 +89,7 @@
         return ownAge;
     }
     const auto found = adopted_.find(owner);
-    if (found == adopted_.end()) {
+    if (found == adopted_.end() || !isSuccessor_(owner)) {
         return std::nullopt;
     }
     return found->second.age + std::chrono::duration_cast<Millis>(clock_.now() - found->second.at);
@@ -180,7 +181,9 @@
     ClaimHandover handover;
     handover.owners.push_back(ClaimOwner{self_, ownAge});
     for (const auto &[owner, adopted] : adopted_) {
-        handover.owners.push_back(ClaimOwner{owner, ageOf(owner, ownAge).value_or(adopted.age)});
+        if (const std::optional<Millis> age = ageOf(owner, ownAge)) {
+            handover.owners.push_back(ClaimOwner{owner, *age});
+        }
     }
     for (const auto &[key, entry] : entries_) {
         const Outcome outcome = entry.responseStored ? entry.result.outcome : Outcome::Unknown;
@@ -208,11 +211,6 @@
     }
 }
 
-bool ClaimTable::hasAdopted(const NodeRef &owner) const
-{
-    return adopted_.count(owner) != 0;
-}
-
 std::vector<NodeRef> ClaimTable::adoptedOwners() const
 {
     std::vector<NodeRef> owners;
--- a/src/node/ClaimService.cpp
+++ b/src/node/ClaimService.cpp
@@ -58,7 +58,10 @@
 ClaimService::ClaimService(NodeCore &core)
     : core_(core)
     , issuer_(core.self, core.clock)
-    , table_(core.self, core.clock, limitsOf(core.settings))
+    , table_(core.self, core.clock, limitsOf(core.settings),
+             [&core](const NodeRef &owner) {
+                 return core.service<GossipService>("gossip").claimHolder(owner) == core.self;
+             })
     , keyWrites_(1.0, minKeyBurst, core.clock.now())
 { }
 
@@ -143,7 +146,7 @@
     exec.ticket = ticket.text();
     exec.stage = ExecStage::Claim;
     const NodeRef holder = core_.service<GossipService>("gossip").claimHolder(ticket.owner);
-    if (holder == core_.self || table_.hasAdopted(ticket.owner)) {
+    if (holder == core_.self) {
         return claimLocally(exec, cls);
     }
     return forwardToOwner(holder, exec);
@@ -300,8 +303,8 @@
             return peers.sendAcknowledged(successor, endpoint, part, ackTimeout).has_value();
         });
         if (!accepted) {
-            // The node may still have adopted the claims, but other nodes send requests only to the successor that the
-            // published record names.
+            // The node may still have adopted the claims. It starts none of their tickets unless the published record
+            // names it.
             continue;
         }
         const nlohmann::json body = {successor.id, successor.incarnation};
--- a/tests/unit/ClaimTableTest.cpp
+++ b/tests/unit/ClaimTableTest.cpp
@@ -12,12 +12,14 @@
 
 constexpr std::uint64_t digest = 7;
 
+const SuccessorCheck named = [](const NodeRef &) { return true; };
+
 struct OwnerFixture {
     ManualClock clock;
     NodeRef self{"n1", 42};
     ClaimLimits limits{4, 1000, std::chrono::minutes(10)};
     TicketIssuer issuer{self, clock};
-    ClaimTable table{self, clock, limits};
+    ClaimTable table{self, clock, limits, named};
 
     ClaimDecision begin(const Ticket &ticket)
     {
@@ -129,7 +131,7 @@
     const NodeRef next{"n2", 50};
     ManualClock nextClock;
     TicketIssuer nextIssuer(next, nextClock);
-    ClaimTable successor(next, nextClock, limits);
+    ClaimTable successor(next, nextClock, limits, named);
     successor.adopt(table.handOver(issuer.age()));
     CHECK(successor.begin(used, nextIssuer.age(), digest) == ClaimDecision::Replay);
     CHECK(successor.begin(unused, nextIssuer.age(), digest) == ClaimDecision::Start);
@@ -140,7 +142,7 @@
 {
     // The claims of a stopping node with many stored responses don't fit into one message, and none may be lost. Guards
     // against a successor that received only some of the messages and runs a request again whose claim is in another.
-    ClaimTable many(self, clock, ClaimLimits{1000, 1000000, std::chrono::minutes(10)});
+    ClaimTable many(self, clock, ClaimLimits{1000, 1000000, std::chrono::minutes(10)}, named);
     std::vector<Ticket> used;
     for (int i = 0; i < 40; ++i) {
         used.push_back(issuer.issue());
@@ -152,7 +154,7 @@
     CHECK(parts.size() > 5);
     const NodeRef next{"n2", 50};
     TicketIssuer nextIssuer(next, clock);
-    ClaimTable successor(next, clock, ClaimLimits{1000, 1000000, std::chrono::minutes(10)});
+    ClaimTable successor(next, clock, ClaimLimits{1000, 1000000, std::chrono::minutes(10)}, named);
     const Ticket unused = issuer.issue();
     for (const ClaimHandover &part : parts) {
         CHECK(successor.begin(unused, nextIssuer.age(), digest) == ClaimDecision::NotOwner);
@@ -165,11 +167,48 @@
     CHECK(successor.begin(unused, nextIssuer.age(), digest) == ClaimDecision::Start);
 }
 
+TEST_CASE_FIXTURE(OwnerFixture, "handover, its last acknowledgement lost, lets an unused ticket start at one node only")
+{
+    // Guards against a booking that runs twice: the first node has adopted the owner, the owner didn't hear of it and
+    // named another one.
+    const Ticket unused = issuer.issue();
+    const Ticket used = issuer.issue();
+    begin(used);
+    table.finish(used, ran("seat 9"));
+    table.stopClaiming();
+    const ClaimHandover handover = table.handOver(issuer.age());
+    const NodeRef unheard{"n2", 50};
+    const NodeRef successor{"n3", 51};
+    std::map<NodeRef, NodeRef> records;
+    const auto tableOf = [&](const NodeRef &node) {
+        return ClaimTable(node, clock, limits, [&records, node](const NodeRef &owner) {
+            const auto found = records.find(owner);
+            return found != records.end() && found->second == node;
+        });
+    };
+    ClaimTable first = tableOf(unheard);
+    ClaimTable second = tableOf(successor);
+    first.adopt(handover);
+    CHECK(first.begin(unused, Millis(0), digest) == ClaimDecision::NotOwner);
+    second.adopt(handover);
+    records[self] = successor;
+    CHECK(first.begin(unused, Millis(0), digest) == ClaimDecision::NotOwner);
+    CHECK(second.begin(unused, Millis(0), digest) == ClaimDecision::Start);
+    CHECK(second.begin(used, Millis(0), digest) == ClaimDecision::Replay);
+
+    // Nor does the first node pass the owner on when it stops itself.
+    first.stopClaiming();
+    const ClaimHandover further = first.handOver(Millis(0));
+    CHECK(std::none_of(further.owners.begin(), further.owners.end(),
+                       [&](const ClaimOwner &owner) { return owner.ref == self; }));
+}
+
 TEST_CASE("claims, random schedules of resends, kills, handovers and lost responses, run each key at most once")
 {
     // Callers resend through any node while nodes are killed, stopped gracefully, or suspended between the claim and
-    // the execution; responses are lost at random. A suspended node resumes and executes the request after the same
-    // ticket was resent, also through other nodes. Runs 600 seeded schedules and counts every execution.
+    // the execution; responses and acknowledgements of handovers are lost at random. A suspended node resumes and
+    // executes the request after the same ticket was resent, also through other nodes. Runs 600 seeded schedules and
+    // counts every execution.
     constexpr int schedules = 600;
     int runs = 0;
     int refusedNew = 0;
@@ -184,12 +223,19 @@
         };
         std::vector<Owner> owners;
         std::map<NodeRef, NodeRef> successors;
+        const auto holderOf = [&successors](NodeRef holder) {
+            while (successors.count(holder) != 0) {
+                holder = successors[holder];
+            }
+            return holder;
+        };
         std::uint64_t incarnation = 1;
         const auto addOwner = [&](const std::string &id) {
             Owner owner{{id, incarnation++}, nullptr, nullptr, false};
             owner.issuer = std::make_unique<TicketIssuer>(owner.ref, clock);
-            owner.table =
-                std::make_unique<ClaimTable>(owner.ref, clock, ClaimLimits{1000, 10000, std::chrono::minutes(1)});
+            owner.table = std::make_unique<ClaimTable>(
+                owner.ref, clock, ClaimLimits{1000, 10000, std::chrono::minutes(1)},
+                [&holderOf, node = owner.ref](const NodeRef &stopped) { return holderOf(stopped) == node; });
             owners.push_back(std::move(owner));
         };
         for (const char *id : {"a", "b", "c"}) {
@@ -230,6 +276,10 @@
                 const ClaimHandover handover = leaving.table->handOver(leaving.issuer->age());
                 leaving.dead = true;
                 addOwner("z" + std::to_string(step));
+                if (random() % 3 == 0) {
+                    // Its acknowledgement is lost, so the owner names another node.
+                    live().table->adopt(handover);
+                }
                 Owner &next = live();
                 next.table->adopt(handover);
                 for (const ClaimOwner &owner : handover.owners) {
@@ -248,10 +298,8 @@
                 }
             } else if (!tickets.empty()) {
                 const Ticket ticket = tickets[random() % tickets.size()];
-                NodeRef holder = ticket.owner;
-                while (successors.count(holder) != 0) {
-                    holder = successors[holder];
-                }
+                // A third arrives at a node that may have adopted the owner without being its successor.
+                const NodeRef holder = random() % 3 == 0 ? live().ref : holderOf(ticket.owner);
                 const auto at =
                     std::find_if(owners.begin(), owners.end(), [&](const Owner &one) { return one.ref == holder; });
                 if (at->dead) {
