Serve customers that send far more than usual behind the others of their priority

Change: CustomerUse keeps each customer's slot time at a home, as sums that decay within 1 s and 30 s; above three times the usual use a request's rank is behind the others of its priority (fair-share scheduling by decayed use), so that it is also refused at once by the wait that the rank has. Ranks are a type of their own in place of numbers.

--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/health/GrayFilter.h"
 #include "include/health/WorkTimeModel.h"
+#include "include/home/CustomerUse.h"
 
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,8 @@
 struct SlotRequest {
     std::uint64_t id = 0;
     std::string route;
+    /** Empty for a request without a customer. */
+    std::string customer;
     /** If the server fails the request, the sender can and will send it to another one. */
     bool retryable = false;
     int priority = 0;
@@ -129,6 +132,7 @@
     /** Largest number of waiting requests. It bounds memory and is far above what queue timeouts allow. */
     std::size_t maxWaiting = 256;
     GrayTuning gray;
+    CustomerUseTuning customerUse;
 };
 
 /**
@@ -205,9 +209,20 @@
         SlotRequest request;
         SteadyTime expiresAt;
     };
+    /** The order in which requests are served. The members count in this order; the lesser rank goes first. */
+    struct Rank {
+        /** A response is expected after the objective: behind all priorities. */
+        bool late = false;
+        int priority = 0;
+        /** The customer sends far more than usual: behind the other customers of the priority. */
+        bool aboveUsual = false;
+
+        bool operator<(const Rank &other) const;
+        bool operator==(const Rank &other) const;
+    };
     struct Running {
         bool probe = false;
-        int rank = 0;
+        Rank rank;
         SteadyTime since;
         std::string route;
         /** Counted as evidence against the server. */
@@ -236,22 +251,19 @@
      * Returns the wait behind @p ahead queued requests at the mean work time, including more urgent requests that
      * arrive meanwhile.
      */
-    Duration waitBehind(std::ptrdiff_t ahead, int rank, SteadyTime now) const;
+    Duration waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const;
     /**
-     * Returns true if the request will miss its objective and more urgent requests leave no slot for it before its
-     * queue timeout. Its caller is refused at once instead of at the timeout.
+     * Returns true if the request will miss its objective, or its customer sends far more than usual, and more urgent
+     * requests leave no slot for it before its queue timeout. Its caller is refused at once instead of at the timeout.
      */
     bool willTimeOut(const Waiting &one, SteadyTime now) const;
     /** Returns the recent share of the slots that ranks more urgent than @p rank used. */
-    double occupancyAbove(int rank, SteadyTime now) const;
+    double occupancyAbove(const Rank &rank, SteadyTime now) const;
     Duration meanWorkTime() const;
     double slowdown() const;
     double shedRate(SteadyTime now) const;
-    /**
-     * Returns the rank in which the request is served: its priority, or a rank behind all priorities if a response is
-     * expected after its objective.
-     */
-    int rankOf(const SlotRequest &request, SteadyTime now) const;
+    Rank rankOf(const SlotRequest &request, SteadyTime now) const;
+    bool isFarAboveUsual(const SlotRequest &request, SteadyTime now) const;
 
     SlotTuning tuning_;
     GrayFilter gray_;
@@ -269,7 +281,8 @@
      * By rank. Accounts for more urgent requests that arrive later and start first, which the queue length does not
      * include. Without it, less urgent requests would be admitted and would time out in the queue.
      */
-    std::map<int, Occupancy> occupancy_;
+    std::map<Rank, Occupancy> occupancy_;
+    CustomerUse customerUse_;
 };
 
 } // namespace waxwing
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace waxwing {
 
@@ -11,8 +12,6 @@
 constexpr double baselineSmoothing = 0.1;
 constexpr double minSlowdown = 1.0;
 constexpr double maxSlowdown = 20.0;
-/** Late requests are served after all ranks of requests that can still meet their objective. */
-constexpr int firstLateRank = 1000;
 
 double secondsOf(Duration value)
 {
@@ -47,8 +46,19 @@
     : tuning_(tuning)
     , gray_(tuning.gray)
     , probeInterval_(tuning.initialProbeInterval)
+    , customerUse_(tuning.customerUse)
 { }
 
+bool SlotQueue::Rank::operator<(const Rank &other) const
+{
+    return std::tie(late, priority, aboveUsual) < std::tie(other.late, other.priority, other.aboveUsual);
+}
+
+bool SlotQueue::Rank::operator==(const Rank &other) const
+{
+    return std::tie(late, priority, aboveUsual) == std::tie(other.late, other.priority, other.aboveUsual);
+}
+
 void SlotQueue::setServer(std::uint32_t slots, bool newProcess, SteadyTime now)
 {
     slots_ = slots;
@@ -100,19 +110,25 @@
     return meanWorkTime_ == 0.0 ? Duration(tuning_.defaultWorkTime) : durationOf(meanWorkTime_);
 }
 
-int SlotQueue::rankOf(const SlotRequest &request, SteadyTime now) const
+SlotQueue::Rank SlotQueue::rankOf(const SlotRequest &request, SteadyTime now) const
 {
     // Requests that will be late anyway are served after those that can still meet their objective: more waiting
     // costs them little.
     const bool late = now + expectedWorkTime(request.route) > request.objective;
-    return late ? firstLateRank + request.priority : request.priority;
+    return Rank{late, request.priority, isFarAboveUsual(request, now)};
+}
+
+bool SlotQueue::isFarAboveUsual(const SlotRequest &request, SteadyTime now) const
+{
+    return !request.customer.empty()
+           && customerUse_.isFarAboveUsual(request.customer, expectedWorkTime(request.route), now);
 }
 
 bool SlotQueue::isMoreUrgent(const SlotRequest &a, const SlotRequest &b, SteadyTime now) const
 {
-    const int rankA = rankOf(a, now);
-    const int rankB = rankOf(b, now);
-    return rankA != rankB ? rankA < rankB : a.objective < b.objective;
+    const Rank rankA = rankOf(a, now);
+    const Rank rankB = rankOf(b, now);
+    return rankA == rankB ? a.objective < b.objective : rankA < rankB;
 }
 
 RefusalReason SlotQueue::grayRefusal(const SlotRequest &request, SteadyTime now) const
@@ -146,6 +162,9 @@
         lastProbe_ = now;
     }
     running_[request.id] = Running{probe, rankOf(request, now), now, request.route, false};
+    if (!request.customer.empty()) {
+        customerUse_.add(request.customer, expectedWorkTime(request.route), now);
+    }
 }
 
 Duration SlotQueue::expectedWait(const SlotRequest &request, SteadyTime now) const
@@ -158,14 +177,14 @@
     return hasFreeSlot() && ahead == 0 ? Duration(0) : waitBehind(ahead, rankOf(request, now), now);
 }
 
-Duration SlotQueue::waitBehind(std::ptrdiff_t ahead, int rank, SteadyTime now) const
+Duration SlotQueue::waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const
 {
     const double slots = std::max<std::uint32_t>(1, slots_);
     const double idleWait = secondsOf(meanWorkTime()) * static_cast<double>(ahead + 1) / slots;
     return durationOf(idleWait / (1.0 - occupancyAbove(rank, now)));
 }
 
-double SlotQueue::occupancyAbove(int rank, SteadyTime now) const
+double SlotQueue::occupancyAbove(const Rank &rank, SteadyTime now) const
 {
     const double timeConstant = secondsOf(tuning_.occupancyTimeConstant);
     double seconds = 0.0;
@@ -341,8 +360,8 @@
 
 bool SlotQueue::willTimeOut(const Waiting &one, SteadyTime now) const
 {
-    const int rank = rankOf(one.request, now);
-    if (rank < firstLateRank) {
+    const Rank rank = rankOf(one.request, now);
+    if (!rank.late && !rank.aboveUsual) {
         return false;
     }
     const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const Waiting &other) {
@@ -379,10 +398,11 @@
     load.slots = static_cast<std::int32_t>(slots_);
     load.freeSlots = std::max(0, static_cast<std::int32_t>(slots_) - inUse);
     load.queued = static_cast<std::int32_t>(waiting_.size());
+    const Rank rank{false, priority, false};
     const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
-                                     [&](const Waiting &one) { return rankOf(one.request, now) <= priority; });
+                                     [&](const Waiting &one) { return !(rank < rankOf(one.request, now)); });
     if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0)) {
-        load.wait = std::chrono::duration_cast<Millis>(waitBehind(ahead, priority, now));
+        load.wait = std::chrono::duration_cast<Millis>(waitBehind(ahead, rank, now));
     }
     load.grayProbability = gray_.grayProbability(now);
     load.slowdown = slowdown();
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -179,6 +179,7 @@
     SlotRequest request;
     request.id = job.id;
     request.route = job.work.route;
+    request.customer = platform::customerOf(job.work.request);
     request.retryable = job.work.retryable;
     request.priority = job.work.priority;
     request.objective = job.arrived + job.work.untilObjective;
