Test that a request whose key was taken away goes to no second server

Cause: nothing with processes checked hedges and retries after a key was taken away. Change: two requests at slow servers, or at ones that fail; one key is taken away meanwhile. The other request is the control and reaches two servers.

--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -226,6 +226,32 @@
     CHECK_FALSE(hasRun("queued"));
 }
 
+// Guards against a request whose key was taken away while a server worked on it, and that is sent to a second server
+// because the first one is slow or fails.
+TEST_CASE_FIXTURE(Customers, "customers, key taken away while a server works, the request goes to no second server")
+{
+    json mode;
+    SUBCASE("slow server")
+    {
+        mode = {{"mode", "ok"}, {"workMs", 2000}};
+    }
+    SUBCASE("server that fails")
+    {
+        mode = {{"mode", "reset"}, {"workMs", 1000}};
+    }
+    for (int server = 0; server < 3; ++server) {
+        mesh_.setServerMode(server, mode);
+    }
+    runConcurrently({[&] { get(0, "kept", "key-of-school"); }, [&] { get(0, "taken", "key-of-firm"); },
+                     [&] {
+                         pause(Millis(100));
+                         mesh_.configureCustomers(2, customersWith({"other-key-of-firm"}));
+                     }});
+    const auto executions = mesh_.executions();
+    CHECK(executions.at("kept") == 2);
+    CHECK(executions.at("taken") == 1);
+}
+
 // Guards against a customer that sends more than its quota by using all nodes at once.
 TEST_CASE_FIXTURE(Customers, "customers, many requests at all nodes, stay within the quota and are told when to return")
 {
