Test with processes that requests which find no server leave the quota alone

Cause: that a quota is given back for what was refused was shown in the model only. Change: 40 requests of a customer with four a second while no server runs; none may be refused for its quota.

--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -281,3 +281,23 @@
     CHECK(allTold);
     CHECK(get(0, "not-limited", "key-of-school") == 200);
 }
+
+// Guards against a quota that is used up by requests that no server has run.
+TEST_CASE_FIXTURE(Customers, "customers, requests that find no server, leave the quota to later ones")
+{
+    // A counter that has just started does not know what was used within the last window.
+    pause(std::chrono::seconds(5));
+    for (int server = 0; server < 3; ++server) {
+        mesh_.server(server).signal(SIGTERM);
+        mesh_.server(server).waitForExit();
+    }
+    int refused = 0;
+    for (int i = 0; i < 40; ++i) {
+        refused += get(i % 3, "no-server-" + std::to_string(i), "key-of-small") == 429 ? 1 : 0;
+        pause(Millis(20));
+    }
+    CHECK(refused == 0);
+    const auto executions = mesh_.executions();
+    CHECK(std::none_of(executions.begin(), executions.end(),
+                       [](const auto &one) { return one.first.find("no-server") == 0; }));
+}
