--- a/src/intent/ClassIntent.cpp
+++ b/src/intent/ClassIntent.cpp
@@ -84,7 +84,7 @@
     JsonReader reader(value, place, findings);
     rejectWeightsAndAddresses(value, place, findings);
     rule.prefix = reader.requiredText("prefix");
-    if (!rule.prefix.empty() && rule.prefix.front() != '/') {
+    if (rule.prefix.empty() || rule.prefix.front() != '/') {
         findings.add(reader.placeOf("prefix"), "must begin with /");
     }
     const nlohmann::json &methods = reader.child("methods");
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -176,6 +176,15 @@
           != std::string::npos);
 }
 
+// Guards against an empty prefix, past whose end the search for a route reads.
+TEST_CASE("intents, route with an empty prefix, are refused with its location")
+{
+    CHECK(intentFindings(R"({"classes": {"a": {"routes": [{"prefix": "", "methods": ["GET"]}], "idempotent": true}}})")
+              .text()
+              .find("/classes/a/routes/0/prefix: must begin with /")
+          != std::string::npos);
+}
+
 TEST_CASE("intent, several matching prefixes, uses the longest and prefers one with methods")
 {
     Findings findings;
--- a/tests/unit/PlatformDialectTest.cpp
+++ b/tests/unit/PlatformDialectTest.cpp
@@ -191,6 +191,24 @@
     CHECK(text.find("/listeners/0/rules/0/action/service") != std::string::npos);
 }
 
+// Guards against limits that wrap around: -1 bytes of body became 16 EiB, and a number beyond all integers is
+// undefined.
+TEST_CASE("configuration decoder, limits out of range, keep their defaults and are reported with their locations")
+{
+    Findings findings;
+    const FleetConfig config = decodeConfig(
+        R"({"version":"r1","limits":{"max_header_bytes":-1,"max_body_bytes":-1,"header_timeout_ms":1e300,
+            "idle_timeout_ms":0},"listeners":[]})",
+        findings);
+    const CallerLimits defaults;
+    CHECK(findings.empty());
+    CHECK(config.limits.headerBytes == defaults.headerBytes);
+    CHECK(config.limits.bodyBytes == defaults.bodyBytes);
+    CHECK(config.limits.headerTimeout == defaults.headerTimeout);
+    CHECK(config.limits.idleTimeout == defaults.idleTimeout);
+    CHECK(config.warnings.all().size() == 4);
+}
+
 TEST_CASE("configuration decoder, kinds of requests, decide what may be retried and an unknown one is never retried")
 {
     // Guards against downloads that are treated as work that must run once: they got no retry, and each gray server
