Count results and running work in the order in which the runs started

Change: GrayFilter keeps the evidence of three seconds in the order of starts; SlotQueue adds the running work, together at most 12 to one, since a server that is slow as a whole lets all its work run longer. Tests: two new ones, red before. Three existing ones were wrong in their set-up and are as strict now: probes that succeed start after the failure (they were reported at its instant, as if begun before it), and the late request waits behind work of a route without a known time (it waited behind three runs of 200 ms that had hung for 850).

--- a/include/health/GrayFilter.h
+++ b/include/health/GrayFilter.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 
 #include <optional>
+#include <vector>
 
 namespace waxwing {
 
@@ -27,12 +28,22 @@
     double minProbability = 0.002;
     /** Upper bound, after any number of failures: the phase can end between two of them, and successes then count. */
     double maxProbability = 0.99;
+    /** Results count in the order in which their runs started, if these started within this time. */
+    Millis orderingWindow = std::chrono::seconds(3);
+};
+
+/** A run without a result yet. */
+struct UnfinishedRun {
+    SteadyTime startedAt;
+    /** Likelihood ratio (gray server to healthy server) of the run's age. */
+    double ratio = 1.0;
 };
 
 /**
- * Estimates the probability that a server is gray now from the results of its requests. It is the forward filter of a
- * hidden Markov model with two states. Gray phases end by themselves, so without evidence the probability returns to
- * its stationary value over time, and a server needs no ejection time.
+ * Estimates the probability that a server is gray now from the results of its requests and from those that still run.
+ * It is the forward filter of a hidden Markov model with two states. Runs count in the order of their starts, so a
+ * success outweighs only the silence of runs that started before its own. Gray phases end by themselves, so without
+ * evidence the probability returns to its stationary value over time, and a server needs no ejection time.
  *
  * Phases differ: some fail half of the requests for a few seconds, others nearly all of them for 15 seconds. The
  * failure rate and the length are therefore estimated anew in each phase. With fixed values, a server in a long phase
@@ -42,12 +53,18 @@
 {
 public:
     explicit GrayFilter(GrayTuning tuning = {});
-    /** Records a success. */
-    void addSuccess(SteadyTime now);
-    /** Records a failure. @p ratio: likelihood ratio of such a failure (gray server to healthy server). */
-    void addFailure(double ratio, SteadyTime now);
-    /** Returns the probability that the server is gray, 0 to 1. */
-    double grayProbability(SteadyTime now) const;
+    /** Records the success of a run. @pre @p startedAt <= @p now. */
+    void addSuccess(SteadyTime startedAt, SteadyTime now);
+    /**
+     * Records the failure of a run. @p ratio: likelihood ratio of such a failure (gray server to healthy server). @pre
+     * @p startedAt <= @p now.
+     */
+    void addFailure(double ratio, SteadyTime startedAt, SteadyTime now);
+    /**
+     * Returns the probability that the server is gray, 0 to 1. @p unfinished: the runs whose age is evidence, in the
+     * order of their starts.
+     */
+    double grayProbability(SteadyTime now, const std::vector<UnfinishedRun> &unfinished = {}) const;
     /** Discards all evidence, for a new process of the server. */
     void reset(SteadyTime now);
 
@@ -60,15 +77,30 @@
         double successes = 0.0;
     };
 
-    void applyRatio(double ratio, SteadyTime now);
+    struct Evidence {
+        SteadyTime at;
+        double ratio = 1.0;
+    };
+    /** A probability and the time of the last evidence in it. */
+    struct Estimate {
+        double probability = 0.0;
+        SteadyTime at;
+    };
+
+    void add(const Evidence &evidence, SteadyTime now);
+    /** Returns @p estimate without evidence until @p now. */
+    Estimate decayed(const Estimate &estimate, SteadyTime now) const;
+    Estimate updated(const Estimate &estimate, const Evidence &evidence) const;
     /** Returns the estimated share of requests that fail in the current phase. */
     double currentFailureRate() const;
     /** Returns for how long the current phase is expected to continue. */
     Duration expectedGrayDuration() const;
 
     GrayTuning tuning_;
-    double probability_;
-    SteadyTime updatedAt_;
+    /** After all evidence before @c recent_. */
+    Estimate base_;
+    /** In the order of time. */
+    std::vector<Evidence> recent_;
     std::optional<Phase> phase_;
 };
 
--- a/include/health/WorkTimeModel.h
+++ b/include/health/WorkTimeModel.h
@@ -13,7 +13,7 @@
 public:
     /** Adds the work time of a success. */
     void add(Duration workTime);
-    /** Returns the probability that work which will end still runs at @p age; 1 while there are too few samples. */
+    /** Returns the probability that work which will end still runs at @p age; 1 before the first sample. */
     double survival(Duration age) const;
 
 private:
--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -114,6 +114,11 @@
      */
     double overdueSurvival = 0.05;
     double hangShare = 0.6;
+    /**
+     * Upper bound on the likelihood ratio of all work together that runs and is not overdue: a server that is slow as a
+     * whole lets all of its work run for longer.
+     */
+    double maxSilenceRatio = 12.0;
     /** A failure within this fraction of the usual work time is a fast one. */
     double fastFailureFraction = 0.2;
     /** Weight of the newest work time in the moving average. */
@@ -172,11 +177,14 @@
      */
     void noteShed(SteadyTime now);
     /**
-     * Counts work in progress as evidence against the server once it has run for longer than nearly all work of its
-     * route: a server that hangs sends no response that could show it. Each run counts once. @p waitsForCall: returns
-     * true for a route whose work may wait for a nested call, which says nothing about the server.
+     * Sets a check for routes whose work may be waiting for a nested call now: its age says nothing about the server.
+     */
+    void setCallCheck(std::function<bool(const std::string &route)> mayWaitForCall);
+    /**
+     * Records work that has run for longer than nearly all work of its route as a failure, once each: a server that
+     * hangs sends no response that could show it. Younger work counts by its age for as long as it runs.
      */
-    void noteOverdueWork(const std::function<bool(const std::string &route)> &waitsForCall, SteadyTime now);
+    void noteOverdueWork(SteadyTime now);
     /** Returns true if the run was counted by noteOverdueWork(). */
     bool isOverdue(std::uint64_t id) const;
     /** Adds other evidence against the server. @p ratio: likelihood ratio of a gray to a healthy server. */
@@ -245,7 +253,13 @@
     /** Returns the interval between the last probe and @p request as the next one. */
     Duration probeIntervalFor(const SlotRequest &request) const;
     void start(const SlotRequest &request, SteadyTime now);
-    void noteFailure(double ratio, SteadyTime now);
+    void noteFailure(double ratio, SteadyTime startedAt, SteadyTime now);
+    /** Returns the probability that work of a healthy server still runs at this age; 1 if that is not known. */
+    double survivalOf(const Running &run, SteadyTime now) const;
+    /** Returns the likelihood ratio (gray server to healthy server) of work that still runs. */
+    double ratioOfSilence(double survival) const;
+    /** Returns the running work whose age is evidence, in the order of its starts. */
+    std::vector<UnfinishedRun> unfinishedRuns(SteadyTime now) const;
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
     /**
      * Returns the wait behind @p ahead queued requests at the mean work time, including more urgent requests that
@@ -283,6 +297,7 @@
      */
     std::map<Rank, Occupancy> occupancy_;
     CustomerUse customerUse_;
+    std::function<bool(const std::string &route)> mayWaitForCall_;
 };
 
 } // namespace waxwing
--- a/src/health/GrayFilter.cpp
+++ b/src/health/GrayFilter.cpp
@@ -26,28 +26,28 @@
 
 GrayFilter::GrayFilter(GrayTuning tuning)
     : tuning_(tuning)
-    , probability_(stationaryProbability(tuning))
+    , base_{stationaryProbability(tuning), SteadyTime()}
 { }
 
-void GrayFilter::addSuccess(SteadyTime now)
+void GrayFilter::addSuccess(SteadyTime startedAt, SteadyTime now)
 {
     const double gray = 1.0 - currentFailureRate();
     const double healthy = 1.0 - tuning_.healthyFailureRate;
-    applyRatio(gray / healthy, now);
+    add(Evidence{startedAt, gray / healthy}, now);
     if (!phase_) {
         return;
     }
     phase_->successes += 1.0;
-    if (probability_ < phaseEndThreshold) {
+    if (grayProbability(now) < phaseEndThreshold) {
         phase_.reset();
     }
 }
 
-void GrayFilter::addFailure(double ratio, SteadyTime now)
+void GrayFilter::addFailure(double ratio, SteadyTime startedAt, SteadyTime now)
 {
     const bool starts = !phase_ || grayProbability(now) < phaseEndThreshold;
-    applyRatio(ratio, now);
-    if (probability_ < phaseStartThreshold) {
+    add(Evidence{startedAt, ratio}, now);
+    if (grayProbability(now) < phaseStartThreshold) {
         return;
     }
     if (starts) {
@@ -70,26 +70,58 @@
     return std::clamp<Duration>(lasted, tuning_.meanGrayDuration, tuning_.maxGrayDuration);
 }
 
-void GrayFilter::applyRatio(double ratio, SteadyTime now)
+void GrayFilter::add(const Evidence &evidence, SteadyTime now)
 {
-    const double before = grayProbability(now);
-    const double after = before * ratio / (before * ratio + 1.0 - before);
-    probability_ = std::clamp(after, tuning_.minProbability, tuning_.maxProbability);
-    updatedAt_ = now;
+    const auto after = [](const Evidence &a, const Evidence &b) { return a.at < b.at; };
+    recent_.insert(std::upper_bound(recent_.begin(), recent_.end(), evidence, after), evidence);
+    const auto settled = std::find_if(recent_.begin(), recent_.end(),
+                                      [&](const Evidence &one) { return one.at + tuning_.orderingWindow >= now; });
+    for (auto it = recent_.begin(); it != settled; ++it) {
+        base_ = updated(base_, *it);
+    }
+    recent_.erase(recent_.begin(), settled);
 }
 
-double GrayFilter::grayProbability(SteadyTime now) const
+GrayFilter::Estimate GrayFilter::decayed(const Estimate &estimate, SteadyTime now) const
 {
+    if (now <= estimate.at) {
+        return estimate;
+    }
     const double stationary = stationaryProbability(tuning_);
-    const double elapsed = std::max(0.0, std::chrono::duration<double>(now - updatedAt_).count());
     const double rate = ratePerSecond(tuning_.meanHealthyDuration) + ratePerSecond(expectedGrayDuration());
-    return stationary + (probability_ - stationary) * std::exp(-rate * elapsed);
+    const double kept = std::exp(-rate * std::chrono::duration<double>(now - estimate.at).count());
+    return Estimate{stationary + (estimate.probability - stationary) * kept, now};
+}
+
+GrayFilter::Estimate GrayFilter::updated(const Estimate &estimate, const Evidence &evidence) const
+{
+    const Estimate before = decayed(estimate, evidence.at);
+    const double gray = before.probability * evidence.ratio;
+    const double after = gray / (gray + 1.0 - before.probability);
+    return Estimate{std::clamp(after, tuning_.minProbability, tuning_.maxProbability), before.at};
+}
+
+double GrayFilter::grayProbability(SteadyTime now, const std::vector<UnfinishedRun> &unfinished) const
+{
+    Estimate estimate = base_;
+    auto run = unfinished.begin();
+    const auto addRunsUntil = [&](SteadyTime until) {
+        for (; run != unfinished.end() && run->startedAt <= until; ++run) {
+            estimate = updated(estimate, Evidence{run->startedAt, run->ratio});
+        }
+    };
+    for (const Evidence &one : recent_) {
+        addRunsUntil(one.at);
+        estimate = updated(estimate, one);
+    }
+    addRunsUntil(now);
+    return decayed(estimate, now).probability;
 }
 
 void GrayFilter::reset(SteadyTime now)
 {
-    probability_ = stationaryProbability(tuning_);
-    updatedAt_ = now;
+    base_ = Estimate{stationaryProbability(tuning_), now};
+    recent_.clear();
     phase_.reset();
 }
 
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -133,8 +133,8 @@
 
 RefusalReason SlotQueue::grayRefusal(const SlotRequest &request, SteadyTime now) const
 {
-    const double grayProbability = gray_.grayProbability(now);
-    if (grayProbability < (request.acceptsGray ? tuning_.certainGrayThreshold : tuning_.grayThreshold)) {
+    const double probability = grayProbability(now);
+    if (probability < (request.acceptsGray ? tuning_.certainGrayThreshold : tuning_.grayThreshold)) {
         return RefusalReason::None;
     }
     if (!request.retryable) {
@@ -157,7 +157,7 @@
 
 void SlotQueue::start(const SlotRequest &request, SteadyTime now)
 {
-    const bool probe = gray_.grayProbability(now) >= tuning_.grayThreshold;
+    const bool probe = grayProbability(now) >= tuning_.grayThreshold;
     if (probe) {
         lastProbe_ = now;
     }
@@ -251,12 +251,12 @@
     const double seconds = secondsOf(took);
     if (failed) {
         const bool fast = seconds < tuning_.fastFailureFraction * secondsOf(expectedWorkTime(route));
-        noteFailure(fast ? tuning_.fastFailureRatio : tuning_.slowFailureRatio, now);
+        noteFailure(fast ? tuning_.fastFailureRatio : tuning_.slowFailureRatio, now - took, now);
         return;
     }
     shedShare_ = (1.0 - tuning_.shedSmoothing) * shedRate(now);
     shedAt_ = now;
-    gray_.addSuccess(now);
+    gray_.addSuccess(now - took, now);
     probeInterval_ = tuning_.initialProbeInterval;
     WorkTime &workTime = workTimes_[route];
     workTime.model.add(took);
@@ -281,20 +281,35 @@
     return shedShare_ * std::exp2(-std::max(0.0, halfLives));
 }
 
-void SlotQueue::noteOverdueWork(const std::function<bool(const std::string &route)> &waitsForCall, SteadyTime now)
+void SlotQueue::setCallCheck(std::function<bool(const std::string &route)> mayWaitForCall)
+{
+    mayWaitForCall_ = std::move(mayWaitForCall);
+}
+
+double SlotQueue::survivalOf(const Running &run, SteadyTime now) const
+{
+    const auto workTime = workTimes_.find(run.route);
+    const bool isUnknown = workTime == workTimes_.end() || (mayWaitForCall_ && mayWaitForCall_(run.route));
+    return isUnknown ? 1.0 : workTime->second.model.survival(now - run.since);
+}
+
+double SlotQueue::ratioOfSilence(double survival) const
+{
+    return (tuning_.hangShare + (1.0 - tuning_.hangShare) * survival) / survival;
+}
+
+void SlotQueue::noteOverdueWork(SteadyTime now)
 {
     for (auto &[id, run] : running_) {
-        const auto workTime = workTimes_.find(run.route);
-        if (run.overdue || workTime == workTimes_.end()) {
+        if (run.overdue) {
             continue;
         }
-        const double survival = workTime->second.model.survival(now - run.since);
-        if (survival >= tuning_.overdueSurvival || waitsForCall(run.route)) {
+        const double survival = survivalOf(run, now);
+        if (survival >= tuning_.overdueSurvival) {
             continue;
         }
         run.overdue = true;
-        const double healthy = std::max(survival, tuning_.overdueSurvival / 2);
-        noteFailure((tuning_.hangShare + (1.0 - tuning_.hangShare) * healthy) / healthy, now);
+        noteFailure(ratioOfSilence(std::max(survival, tuning_.overdueSurvival / 2)), run.since, now);
     }
 }
 
@@ -306,16 +321,16 @@
 
 void SlotQueue::addEvidence(double ratio, SteadyTime now)
 {
-    noteFailure(ratio, now);
+    noteFailure(ratio, now, now);
 }
 
-void SlotQueue::noteFailure(double ratio, SteadyTime now)
+void SlotQueue::noteFailure(double ratio, SteadyTime startedAt, SteadyTime now)
 {
-    if (gray_.grayProbability(now) >= tuning_.grayThreshold) {
+    if (grayProbability(now) >= tuning_.grayThreshold) {
         const auto longer = std::chrono::duration_cast<Duration>(probeInterval_ * tuning_.probeIntervalFactor);
         probeInterval_ = std::min<Duration>(tuning_.maxProbeInterval, longer);
     }
-    gray_.addFailure(ratio, now);
+    gray_.addFailure(ratio, startedAt, now);
 }
 
 SlotQueue::PollResult SlotQueue::poll(SteadyTime now)
@@ -404,7 +419,7 @@
     if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0)) {
         load.wait = std::chrono::duration_cast<Millis>(waitBehind(ahead, rank, now));
     }
-    load.grayProbability = gray_.grayProbability(now);
+    load.grayProbability = grayProbability(now);
     load.slowdown = slowdown();
     load.shedRate = shedRate(now);
     return load;
@@ -420,9 +435,28 @@
     return waiting_.size();
 }
 
+std::vector<UnfinishedRun> SlotQueue::unfinishedRuns(SteadyTime now) const
+{
+    std::vector<UnfinishedRun> runs;
+    for (const auto &[id, run] : running_) {
+        const double survival = run.overdue ? 1.0 : survivalOf(run, now);
+        if (survival < 1.0) {
+            runs.push_back(UnfinishedRun{run.since, ratioOfSilence(std::max(survival, tuning_.overdueSurvival))});
+        }
+    }
+    std::sort(runs.begin(), runs.end(),
+              [](const UnfinishedRun &a, const UnfinishedRun &b) { return a.startedAt < b.startedAt; });
+    double left = tuning_.maxSilenceRatio;
+    for (UnfinishedRun &run : runs) {
+        run.ratio = std::min(run.ratio, left);
+        left /= run.ratio;
+    }
+    return runs;
+}
+
 double SlotQueue::grayProbability(SteadyTime now) const
 {
-    return gray_.grayProbability(now);
+    return gray_.grayProbability(now, unfinishedRuns(now));
 }
 
 } // namespace waxwing
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -52,7 +52,10 @@
     , works_(core.clock)
     , origins_(
           [this](const std::string &zone, const std::set<std::string> &services) { return zoneShare(zone, services); })
-{ }
+{
+    queue_.setCallCheck(
+        [this](const std::string &route) { return callsInProgress_ > 0 && !nestedCalls_.rates(route).empty(); });
+}
 
 void LocalHome::start()
 {
@@ -158,10 +161,7 @@
 
 void LocalHome::noteOverdueWork()
 {
-    const auto waitsForCall = [this](const std::string &route) {
-        return callsInProgress_ > 0 && !nestedCalls_.rates(route).empty();
-    };
-    queue_.noteOverdueWork(waitsForCall, core_.clock.now());
+    queue_.noteOverdueWork(core_.clock.now());
 }
 
 void LocalHome::noteCallStarted()
--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -52,6 +52,13 @@
         queue.addResult("read", true, Millis(1), now);
     }
 
+    /** Starts a request now that succeeds after the usual time. */
+    void probeInTime()
+    {
+        now += Millis(200);
+        queue.addResult("read", false, Millis(200), now);
+    }
+
     SteadyTime now = start;
     SlotQueue queue;
     std::uint64_t next = 1;
@@ -188,7 +195,9 @@
 
 TEST_CASE_FIXTURE(OneServer, "slot queue, late request with no other ahead, continues to wait")
 {
-    fill();
+    for (int i = 0; i < 3; ++i) {
+        REQUIRE(submit(request("download", true)).action == SlotAction::Start);
+    }
     SlotRequest booking = request("book", false);
     booking.queueTimeout = Millis(1800);
     REQUIRE(submit(booking).action == SlotAction::Queue);
@@ -230,7 +239,7 @@
 {
     failAtOnce();
     for (int i = 0; i < 6; ++i) {
-        queue.addResult("read", false, Millis(200), now);
+        probeInTime();
     }
     CHECK(submit(request("book", false)).action == SlotAction::Start);
 }
@@ -324,7 +333,7 @@
         failAtOnce();
     }
     for (int i = 0; i < 3; ++i) {
-        queue.addResult("read", false, Millis(200), now);
+        probeInTime();
     }
     CHECK(submit(request("book", false)).action == SlotAction::Start);
 }
@@ -340,7 +349,7 @@
 {
     GrayFilter filter;
     const double stationary = filter.grayProbability(start);
-    filter.addFailure(150.0, start);
+    filter.addFailure(150.0, start, start);
     CHECK(filter.grayProbability(start) > 0.9);
     CHECK(filter.grayProbability(start + std::chrono::seconds(3)) < filter.grayProbability(start));
     CHECK(filter.grayProbability(start + std::chrono::seconds(60)) == doctest::Approx(stationary).epsilon(0.01));
@@ -349,10 +358,11 @@
 TEST_CASE("gray filter, long phase, is expected to last as long again")
 {
     GrayFilter shortPhase;
-    shortPhase.addFailure(500.0, start);
+    shortPhase.addFailure(500.0, start, start);
     GrayFilter longPhase;
     for (int second = 0; second <= 15; second += 3) {
-        longPhase.addFailure(500.0, start + std::chrono::seconds(second));
+        const SteadyTime at = start + std::chrono::seconds(second);
+        longPhase.addFailure(500.0, at, at);
     }
     const Duration pause = std::chrono::seconds(5);
     CHECK(longPhase.grayProbability(start + std::chrono::seconds(15) + pause)
@@ -364,13 +374,13 @@
     GrayFilter half;
     GrayFilter all;
     for (int i = 0; i < 10; ++i) {
-        all.addFailure(500.0, start);
-        half.addFailure(500.0, start);
-        half.addSuccess(start);
+        all.addFailure(500.0, start, start);
+        half.addFailure(500.0, start, start);
+        half.addSuccess(start, start);
     }
     for (int i = 0; i < 3; ++i) {
-        all.addSuccess(start);
-        half.addSuccess(start);
+        all.addSuccess(start, start);
+        half.addSuccess(start, start);
     }
     CHECK(all.grayProbability(start) < 0.45);
     CHECK(half.grayProbability(start) > 0.45);
@@ -380,11 +390,11 @@
 {
     GrayFilter busy;
     for (int i = 0; i < 10; ++i) {
-        busy.addSuccess(start);
+        busy.addSuccess(start, start);
     }
-    busy.addFailure(50.0, start);
+    busy.addFailure(50.0, start, start);
     GrayFilter withoutEvidence;
-    withoutEvidence.addFailure(50.0, start);
+    withoutEvidence.addFailure(50.0, start, start);
     CHECK(busy.grayProbability(start) < withoutEvidence.grayProbability(start));
 }
 
@@ -417,7 +427,8 @@
 
     void noteOverdue(bool waitsForCall = false)
     {
-        queue_.noteOverdueWork([waitsForCall](const std::string &) { return waitsForCall; }, clock_.now());
+        queue_.setCallCheck([waitsForCall](const std::string &) { return waitsForCall; });
+        queue_.noteOverdueWork(clock_.now());
     }
 
     RefusalReason refusalOfBooking()
@@ -465,6 +476,34 @@
     CHECK_FALSE(queue_.isOverdue(1));
 }
 
+// Guards against a server that hangs and is taken for sound, since work that it had begun before still ends well.
+TEST_CASE_FIXTURE(BusyServer, "slot queue, successes of work started before a silence, are no sign of its end")
+{
+    clock_.advance(Millis(1000));
+    start(1, "short");
+    start(2, "short");
+    clock_.advance(Millis(600));
+    noteOverdue();
+    for (int i = 0; i < 4; ++i) {
+        queue_.addResult("long", false, Millis(1500), clock_.now());
+    }
+    CHECK(refusalOfBooking() == RefusalReason::LikelyGray);
+}
+
+// Guards against a hang that nobody sees because the server has had little work of the route.
+TEST_CASE_FIXTURE(BusyServer, "slot queue, route seen once, is overdue at many times its work time")
+{
+    queue_.addResult("rare", false, Millis(2), clock_.now());
+    start(1, "rare");
+    start(2, "rare");
+    clock_.advance(Millis(10));
+    noteOverdue();
+    CHECK(refusalOfBooking() == RefusalReason::None);
+    clock_.advance(Millis(200));
+    noteOverdue();
+    CHECK(refusalOfBooking() == RefusalReason::LikelyGray);
+}
+
 // Guards against a server that is blamed because it waits for another service.
 TEST_CASE_FIXTURE(BusyServer, "slot queue, work that waits for a nested call, is not taken for a hang")
 {
