Let hedges use the budget that failures don't need

Hypothesis: what failures needed within the window tells how much they will need. Change: a hedge leaves as much as failures took in the window, a tenth at least and half at most. The limit of all retries together is unchanged.

--- a/include/limit/FleetRetryBudget.h
+++ b/include/limit/FleetRetryBudget.h
@@ -24,8 +24,10 @@
      * Tokens transferred from another node expire after this time, so that both nodes count them in the same window.
      */
     Millis transferLifetime{500};
-    /** Fraction that hedges and low-priority retries leave to other retries. */
+    /** Fraction that low-priority retries leave to other retries. Hedges never leave more than this. */
     double reservedFraction = 0.5;
+    /** Hedges leave at least this fraction. Above it, they leave as much as failures needed within the window. */
+    double minHedgeReserve = 0.1;
 };
 
 /** How a node that has used up its tokens requests more from other nodes. */
@@ -67,7 +69,7 @@
      * Uses @p tokens. For a retry whose run makes nested calls, the caller also spends their mean number from the
      * budget of the called service.
      */
-    void spend(double tokens, SteadyTime now);
+    void spend(double tokens, RetryReason reason, SteadyTime now);
     /** Gives back tokens for sends that did not happen, at most those spent in the current step of the window. */
     void refund(double tokens, SteadyTime now);
     /**
@@ -83,6 +85,8 @@
         std::int64_t number = -1;
         std::uint32_t requests = 0;
         double retries = 0.0;
+        /** Part of @c retries that followed a failure, here or at a node that got tokens. */
+        double afterFailures = 0.0;
     };
 
     struct Transfer {
@@ -90,6 +94,8 @@
         SteadyTime expiresAt;
     };
 
+    /** Returns the fraction of the limit that must be left. @p failureFraction: what failures needed of it. */
+    double reserveOf(RetryReason reason, double failureFraction) const;
     /** Returns what remains of this node's own part. */
     double remaining(std::size_t nodes, RetryReason reason, SteadyTime now) const;
     double transferredTokens(SteadyTime now) const;
--- a/src/limit/FleetRetryBudget.cpp
+++ b/src/limit/FleetRetryBudget.cpp
@@ -19,7 +19,7 @@
     const std::int64_t number = numberAt(now);
     Step &step = steps_[static_cast<std::size_t>(number) % steps_.size()];
     if (step.number != number) {
-        step = Step{number, 0, 0.0};
+        step = Step{number, 0, 0.0, 0.0};
     }
     return step;
 }
@@ -34,16 +34,30 @@
     const std::int64_t oldest = numberAt(now) - static_cast<std::int64_t>(steps);
     double requests = 0.0;
     double retries = 0.0;
+    double afterFailures = 0.0;
     for (const Step &step : steps_) {
         if (step.number >= oldest) {
             requests += step.requests;
             retries += step.retries;
+            afterFailures += step.afterFailures;
         }
     }
     const double slack = tuning_.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
-    const double fraction = reason == RetryReason::Failure ? tuning_.usableFraction
-                                                           : tuning_.usableFraction * (1.0 - tuning_.reservedFraction);
-    return fraction * (tuning_.share * requests + slack) - retries;
+    const double limit = tuning_.usableFraction * (tuning_.share * requests + slack);
+    return limit * (1.0 - reserveOf(reason, limit > 0.0 ? afterFailures / limit : 1.0)) - retries;
+}
+
+double FleetRetryBudget::reserveOf(RetryReason reason, double failureFraction) const
+{
+    switch (reason) {
+    case RetryReason::Failure:
+        return 0.0;
+    case RetryReason::LowPriorityFailure:
+        return tuning_.reservedFraction;
+    case RetryReason::Hedge:
+        break;
+    }
+    return std::clamp(failureFraction, tuning_.minHedgeReserve, tuning_.reservedFraction);
 }
 
 double FleetRetryBudget::transferredTokens(SteadyTime now) const
@@ -60,7 +74,7 @@
     return tokens <= std::max(0.0, remaining(nodes, reason, now)) + transferredTokens(now);
 }
 
-void FleetRetryBudget::spend(double tokens, SteadyTime now)
+void FleetRetryBudget::spend(double tokens, RetryReason reason, SteadyTime now)
 {
     while (!transfers_.empty() && now >= transfers_.front().expiresAt) {
         transfers_.pop_front();
@@ -72,7 +86,9 @@
         transfer.tokens -= used;
         rest -= used;
     }
-    stepAt(now).retries += rest;
+    Step &step = stepAt(now);
+    step.retries += rest;
+    step.afterFailures += reason == RetryReason::Hedge ? 0.0 : rest;
 }
 
 void FleetRetryBudget::refund(double tokens, SteadyTime now)
@@ -85,7 +101,9 @@
 {
     constexpr double maxFraction = 0.5;
     const double transferred = std::clamp(maxFraction * remaining(nodes, reason, now), 0.0, std::max(0.0, tokens));
-    stepAt(now).retries += transferred;
+    Step &step = stepAt(now);
+    step.retries += transferred;
+    step.afterFailures += transferred;
     return transferred;
 }
 
--- a/src/sidecar/RetryBudgetService.cpp
+++ b/src/sidecar/RetryBudgetService.cpp
@@ -90,14 +90,14 @@
     if (!has(tokens, reason)) {
         return false;
     }
-    debit(tokens);
+    debit(tokens, reason);
     return true;
 }
 
-void RetryBudgetService::debit(const CallRates &tokens)
+void RetryBudgetService::debit(const CallRates &tokens, RetryReason reason)
 {
     for (const auto &[service, count] : tokens) {
-        budgetOf(service).spend(count, core_.clock.now());
+        budgetOf(service).spend(count, reason, core_.clock.now());
     }
 }
 
--- a/src/sidecar/RetryBudgetService.h
+++ b/src/sidecar/RetryBudgetService.h
@@ -60,7 +60,7 @@
     };
 
     bool has(const CallRates &tokens, RetryReason reason) const;
-    void debit(const CallRates &tokens);
+    void debit(const CallRates &tokens, RetryReason reason);
     /**
      * Requests transfers from some nodes of this region, one after the other, until @p tokens of @p service are
      * available.
