Bound the results that a gray filter keeps in order

Cause (read): an estimate goes through all results of three seconds, some thousands at a server with short work, several times a request. Change: at most the 128 latest ones are kept in order; earlier ones count at the oldest of these.

--- a/include/health/GrayFilter.h
+++ b/include/health/GrayFilter.h
@@ -28,8 +28,12 @@
     double minProbability = 0.002;
     /** Upper bound, after any number of failures: the phase can end between two of them, and successes then count. */
     double maxProbability = 0.99;
-    /** Results count in the order in which their runs started, if these started within this time. */
+    /**
+     * Results count in the order in which their runs started, if these started within this time and are among this many
+     * latest ones. Each estimate goes through all of them.
+     */
     Millis orderingWindow = std::chrono::seconds(3);
+    std::size_t maxOrdered = 128;
 };
 
 /** A run without a result yet. */
--- a/src/health/GrayFilter.cpp
+++ b/src/health/GrayFilter.cpp
@@ -74,8 +74,11 @@
 {
     const auto after = [](const Evidence &a, const Evidence &b) { return a.at < b.at; };
     recent_.insert(std::upper_bound(recent_.begin(), recent_.end(), evidence, after), evidence);
-    const auto settled = std::find_if(recent_.begin(), recent_.end(),
-                                      [&](const Evidence &one) { return one.at + tuning_.orderingWindow >= now; });
+    auto settled = std::find_if(recent_.begin(), recent_.end(),
+                                [&](const Evidence &one) { return one.at + tuning_.orderingWindow >= now; });
+    if (recent_.size() > tuning_.maxOrdered) {
+        settled = std::max(settled, recent_.end() - static_cast<std::ptrdiff_t>(tuning_.maxOrdered));
+    }
     for (auto it = recent_.begin(); it != settled; ++it) {
         base_ = updated(base_, *it);
     }
--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -386,6 +386,27 @@
     CHECK(half.grayProbability(start) > 0.45);
 }
 
+// Guards against a filter that goes through all results of a busy server for each estimate: only the latest ones are
+// kept in order, and an earlier one that comes late counts as one of the oldest of these.
+TEST_CASE("gray filter, more results than are kept in order, counts a late failure among the latest ones")
+{
+    GrayTuning tuning;
+    tuning.maxOrdered = 4;
+    GrayFilter bounded(tuning);
+    GrayFilter ordered;
+    for (int i = 1; i <= 100; ++i) {
+        for (GrayFilter *filter : {&bounded, &ordered}) {
+            filter->addSuccess(start + Millis(i), start + Millis(i));
+        }
+    }
+    for (GrayFilter *filter : {&bounded, &ordered}) {
+        filter->addFailure(1e6, start, start + Millis(100));
+    }
+    const SteadyTime now = start + Millis(100);
+    CHECK(ordered.grayProbability(now) < 0.01);
+    CHECK(bounded.grayProbability(now) > ordered.grayProbability(now));
+}
+
 TEST_CASE("gray filter, failure after many successes, weighs less than one without evidence")
 {
     GrayFilter busy;
