--- a/tests/support/HotCustomerModel.cpp
+++ b/tests/support/HotCustomerModel.cpp
@@ -147,10 +147,22 @@
     } else if (decision.action == SlotAction::Refuse) {
         refuse(id);
     } else {
-        schedule(now_ + pollInterval, [this] { poll(); });
+        schedulePoll();
     }
 }
 
+void HotCustomerModel::schedulePoll()
+{
+    if (pollScheduled_) {
+        return;
+    }
+    pollScheduled_ = true;
+    schedule(now_ + pollInterval, [this] {
+        pollScheduled_ = false;
+        poll();
+    });
+}
+
 void HotCustomerModel::start(std::uint64_t id)
 {
     const double mean = secondsOf(active_[id].booking ? bookingWork : lookupWork);
@@ -190,7 +202,7 @@
         refuse(id);
     }
     if (queue_.waiting() > 0) {
-        schedule(now_ + pollInterval, [this] { poll(); });
+        schedulePoll();
     }
 }
 
--- a/tests/support/HotCustomerModel.h
+++ b/tests/support/HotCustomerModel.h
@@ -80,6 +80,7 @@
     void start(std::uint64_t id);
     void finish(std::uint64_t id, Duration work);
     void refuse(std::uint64_t id);
+    void schedulePoll();
     void poll();
     CustomerShare &shareOf(const Request &request);
 
@@ -94,6 +95,7 @@
     std::priority_queue<Event> events_;
     std::uint64_t nextOrder_ = 0;
     std::uint64_t nextId_ = 1;
+    bool pollScheduled_ = false;
     HotCustomerOutcome outcome_;
 };
 
