Give the models of tests one schedule of events and one count of what was served

Cause: the model of hot customers wrote the event loop and the shares of HomeFleetModel again, and QuotaFleetModel had a third copy of the loop. Change: EventSchedule and ServedCounts, used by all three; the ideal bucket of the quota model is asked where a request arrives.

--- a/tests/support/HomeFleetModel.cpp
+++ b/tests/support/HomeFleetModel.cpp
@@ -20,58 +20,33 @@
 
 } // namespace
 
-double HomeFleetOutcome::refusedShare() const
-{
-    return static_cast<double>(refused) / std::max(1, requests);
-}
-
-double HomeFleetOutcome::inTimeShare() const
-{
-    return static_cast<double>(inTime) / std::max(1, requests);
-}
-
-bool HomeFleetModel::Event::operator<(const Event &other) const
-{
-    return at != other.at ? at > other.at : order > other.order;
-}
-
 HomeFleetModel::HomeFleetModel(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed)
     : load_(load)
     , policy_(policy)
     , random_(seed)
-    , now_(std::chrono::hours(1))
-    , burstFrom_(now_ + warmUp)
+    , events_(SteadyTime(std::chrono::hours(1)))
+    , burstFrom_(events_.now() + warmUp)
     , end_(burstFrom_ + load.burstDuration)
     , homes_(static_cast<std::size_t>(load.homes))
 {
     for (int i = 0; i < load.homes; ++i) {
         ranked_.push_back(RankedHome{"home-" + std::to_string(i), Distance::SameZone});
         Home &home = homes_[static_cast<std::size_t>(i)];
-        home.queue.setServer(load.slots, true, now_);
-        home.freeAt.assign(load.slots, now_);
+        home.queue.setServer(load.slots, true, events_.now());
+        home.freeAt.assign(load.slots, events_.now());
     }
     for (int i = 0; i < load.nodes; ++i) {
         rankings_.emplace_back([this] { return static_cast<std::uint64_t>(random_()); });
     }
 }
 
-HomeFleetOutcome HomeFleetModel::run()
+ServedCounts HomeFleetModel::run()
 {
     scheduleArrival();
-    while (!events_.empty()) {
-        const Event event = events_.top();
-        events_.pop();
-        now_ = event.at;
-        event.action();
-    }
+    events_.run();
     return outcome_;
 }
 
-void HomeFleetModel::schedule(SteadyTime when, std::function<void()> action)
-{
-    events_.push(Event{when, nextOrder_++, std::move(action)});
-}
-
 double HomeFleetModel::uniform()
 {
     return boost::random::uniform_01<double>()(random_);
@@ -79,16 +54,17 @@
 
 bool HomeFleetModel::isBurst() const
 {
-    return now_ >= burstFrom_ && now_ < end_;
+    return events_.now() >= burstFrom_ && events_.now() < end_;
 }
 
 void HomeFleetModel::scheduleArrival()
 {
     const double rate = load_.requestsPerSecond * (isBurst() ? load_.burst : 1.0);
     const double seconds = boost::random::exponential_distribution<double>(rate)(random_);
-    const SteadyTime next = now_ + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    const SteadyTime next =
+        events_.now() + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
     if (next < end_) {
-        schedule(next, [this] { arrive(); });
+        events_.add(next, [this] { arrive(); });
     }
 }
 
@@ -97,8 +73,8 @@
     const auto request = std::make_shared<Request>();
     request->id = nextId_++;
     request->sender = static_cast<int>(uniform() * load_.nodes);
-    request->objective = now_ + objective;
-    request->deadline = now_ + deadline;
+    request->objective = events_.now() + objective;
+    request->deadline = events_.now() + deadline;
     request->work = Millis(static_cast<std::int64_t>(boost::random::uniform_real_distribution<double>(0.5, 1.5)(random_)
                                                      * static_cast<double>(load_.meanWork.count())));
     request->counted = isBurst();
@@ -109,7 +85,7 @@
 
 void HomeFleetModel::dispatch(const RequestPtr &request)
 {
-    const int home = request->search.canContinue() && now_ < request->deadline ? chooseHome(*request) : -1;
+    const int home = request->search.canContinue() && events_.now() < request->deadline ? chooseHome(*request) : -1;
     if (home < 0) {
         finish(request, false);
         return;
@@ -117,12 +93,12 @@
     request->home = ranked_[static_cast<std::size_t>(home)].node;
     request->search.noteSent(request->home);
     rankings_[static_cast<std::size_t>(request->sender)].noteSent(request->home);
-    schedule(now_ + linkDelay, [this, home, request] { submit(home, request); });
+    events_.add(events_.now() + linkDelay, [this, home, request] { submit(home, request); });
 }
 
 int HomeFleetModel::chooseHome(Request &request)
 {
-    request.queueTimeout = request.deadline - now_;
+    request.queueTimeout = request.deadline - events_.now();
     switch (policy_) {
     case HomePolicy::Product:
         return chooseByRanking(request);
@@ -138,12 +114,12 @@
 {
     HomeQuery query;
     query.priority = priority;
-    query.untilObjective = std::chrono::duration_cast<Millis>(request.objective - now_);
-    query.untilDeadline = std::chrono::duration_cast<Millis>(request.deadline - now_);
+    query.untilObjective = std::chrono::duration_cast<Millis>(request.objective - events_.now());
+    query.untilDeadline = std::chrono::duration_cast<Millis>(request.deadline - events_.now());
     query.workTime = load_.meanWork;
     query.mustQueue = request.search.mustQueue();
-    const HomeChoice choice =
-        rankings_[static_cast<std::size_t>(request.sender)].choose(ranked_, request.search.excluded(), query, now_);
+    const HomeChoice choice = rankings_[static_cast<std::size_t>(request.sender)].choose(
+        ranked_, request.search.excluded(), query, events_.now());
     if (choice.node.empty()) {
         return -1;
     }
@@ -159,7 +135,7 @@
     const auto best = std::min_element(homes_.begin(), homes_.end(),
                                        [&](const Home &a, const Home &b) { return freeAt(a) < freeAt(b); });
     auto slot = std::min_element(best->freeAt.begin(), best->freeAt.end());
-    const SteadyTime ends = std::max(now_ + linkDelay, *slot) + request.work;
+    const SteadyTime ends = std::max(events_.now() + linkDelay, *slot) + request.work;
     if (ends + linkDelay > request.deadline) {
         return -1;
     }
@@ -177,7 +153,7 @@
     slotRequest.objective = request->objective;
     slotRequest.deadline = request->deadline;
     slotRequest.queueTimeout = std::chrono::duration_cast<Millis>(request->queueTimeout);
-    const SlotDecision decision = target.queue.submit(slotRequest, now_);
+    const SlotDecision decision = target.queue.submit(slotRequest, events_.now());
     target.active[request->id] = request;
     if (decision.action == SlotAction::Start) {
         begin(home, request);
@@ -195,7 +171,7 @@
         return;
     }
     target.pollScheduled = true;
-    schedule(now_ + pollInterval, [this, home] {
+    events_.add(events_.now() + pollInterval, [this, home] {
         homes_[static_cast<std::size_t>(home)].pollScheduled = false;
         poll(home);
     });
@@ -203,16 +179,16 @@
 
 void HomeFleetModel::begin(int home, const RequestPtr &request)
 {
-    schedule(now_ + request->work, [this, home, request] {
+    events_.add(events_.now() + request->work, [this, home, request] {
         Home &target = homes_[static_cast<std::size_t>(home)];
-        target.queue.addResult(route, false, request->work, now_);
-        target.queue.release(request->id, now_);
+        target.queue.addResult(route, false, request->work, events_.now());
+        target.queue.release(request->id, events_.now());
         target.active.erase(request->id);
-        const HomeLoad load = target.queue.load(priority, now_);
-        schedule(now_ + linkDelay, [this, request, load] {
+        const HomeLoad load = target.queue.load(priority, events_.now());
+        events_.add(events_.now() + linkDelay, [this, request, load] {
             HomeRanking &ranking = rankings_[static_cast<std::size_t>(request->sender)];
             ranking.noteDone(request->home);
-            ranking.noteLoad(request->home, load, priority, now_);
+            ranking.noteLoad(request->home, load, priority, events_.now());
             finish(request, true);
         });
         poll(home);
@@ -222,7 +198,7 @@
 void HomeFleetModel::poll(int home)
 {
     Home &target = homes_[static_cast<std::size_t>(home)];
-    const SlotQueue::PollResult result = target.queue.poll(now_);
+    const SlotQueue::PollResult result = target.queue.poll(events_.now());
     for (const std::uint64_t id : result.start) {
         begin(home, target.active.at(id));
     }
@@ -236,11 +212,11 @@
 {
     Home &target = homes_[static_cast<std::size_t>(home)];
     target.active.erase(request->id);
-    const HomeLoad load = target.queue.load(priority, now_);
-    schedule(now_ + linkDelay, [this, request, load] {
+    const HomeLoad load = target.queue.load(priority, events_.now());
+    events_.add(events_.now() + linkDelay, [this, request, load] {
         HomeRanking &ranking = rankings_[static_cast<std::size_t>(request->sender)];
         ranking.noteDone(request->home);
-        ranking.noteLoad(request->home, load, priority, now_);
+        ranking.noteLoad(request->home, load, priority, events_.now());
         request->search.noteRefused(request->home);
         dispatch(request);
     });
@@ -252,8 +228,8 @@
         return;
     }
     outcome_.refused += served ? 0 : 1;
-    outcome_.inTime += served && now_ <= request->objective ? 1 : 0;
-    outcome_.late += served && now_ > request->objective ? 1 : 0;
+    outcome_.inTime += served && events_.now() <= request->objective ? 1 : 0;
+    outcome_.late += served && events_.now() > request->objective ? 1 : 0;
 }
 
 } // namespace waxwing::testing
--- a/tests/support/HomeFleetModel.h
+++ b/tests/support/HomeFleetModel.h
@@ -3,13 +3,14 @@
 #include "include/home/SlotQueue.h"
 #include "include/route/HomeRanking.h"
 #include "include/route/HomeSearch.h"
+#include "tests/support/EventSchedule.h"
+#include "tests/support/ServedCounts.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -37,16 +38,6 @@
     Millis burstDuration{0};
 };
 
-struct HomeFleetOutcome {
-    int requests = 0;
-    int inTime = 0;
-    int late = 0;
-    int refused = 0;
-
-    double refusedShare() const;
-    double inTimeShare() const;
-};
-
 /**
  * Simulates the homes of one service and the nodes that send them work. Ranking, search and queues are the production
  * code. Links have a fixed delay and lose nothing. Seeded; opens no socket.
@@ -56,7 +47,7 @@
 public:
     HomeFleetModel(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed);
     /** Runs the load to its end. Counts the requests that arrive during the burst. */
-    HomeFleetOutcome run();
+    ServedCounts run();
 
 private:
     struct Request {
@@ -78,15 +69,7 @@
         std::vector<SteadyTime> freeAt;
         bool pollScheduled = false;
     };
-    struct Event {
-        SteadyTime at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const Event &other) const;
-    };
 
-    void schedule(SteadyTime when, std::function<void()> action);
     void scheduleArrival();
     void arrive();
     void dispatch(const RequestPtr &request);
@@ -105,16 +88,14 @@
     HomeFleetLoad load_;
     HomePolicy policy_;
     boost::random::mt19937 random_;
-    SteadyTime now_;
+    EventSchedule events_;
     SteadyTime burstFrom_;
     SteadyTime end_;
-    std::priority_queue<Event> events_;
-    std::uint64_t nextOrder_ = 0;
     std::uint64_t nextId_ = 1;
     std::vector<Home> homes_;
     std::vector<RankedHome> ranked_;
     std::vector<HomeRanking> rankings_;
-    HomeFleetOutcome outcome_;
+    ServedCounts outcome_;
 };
 
 } // namespace waxwing::testing
--- a/tests/support/HotCustomerModel.cpp
+++ b/tests/support/HotCustomerModel.cpp
@@ -39,30 +39,15 @@
 
 } // namespace
 
-double CustomerShare::inTimeShare() const
-{
-    return static_cast<double>(inTime) / std::max(1, requests);
-}
-
-double CustomerShare::refusedShare() const
-{
-    return static_cast<double>(refused) / std::max(1, requests);
-}
-
-bool HotCustomerModel::Event::operator<(const Event &other) const
-{
-    return at != other.at ? at > other.at : order > other.order;
-}
-
 HotCustomerModel::HotCustomerModel(const HotCustomerLoad &load, SlotTuning tuning, std::uint32_t seed)
     : load_(load)
     , random_(seed)
-    , now_(std::chrono::hours(1))
-    , hotFrom_(now_ + warmUp)
+    , events_(SteadyTime(std::chrono::hours(1)))
+    , hotFrom_(events_.now() + warmUp)
     , end_(hotFrom_ + hotPhase)
     , queue_(tuning)
 {
-    queue_.setServer(load.slots, true, now_);
+    queue_.setServer(load.slots, true, events_.now());
     const double meanWork = bookingShare * secondsOf(bookingWork) + (1.0 - bookingShare) * secondsOf(lookupWork);
     double weights = 0.0;
     for (int i = 0; i < load.customers; ++i) {
@@ -71,7 +56,7 @@
     for (int i = 0; i < load.customers; ++i) {
         const double share = std::pow(i + 1, -zipfExponent) / weights;
         const double rate = load.usualLoad * load.slots / meanWork * share;
-        customers_.push_back(Customer{rate, std::max(minQuotaBurst, rate * quotaFactor), now_});
+        customers_.push_back(Customer{rate, std::max(minQuotaBurst, rate * quotaFactor), events_.now()});
     }
 }
 
@@ -80,32 +65,22 @@
     for (int i = 0; i < load_.customers; ++i) {
         scheduleArrival(i);
     }
-    while (!events_.empty()) {
-        const Event event = events_.top();
-        events_.pop();
-        now_ = event.at;
-        event.action();
-    }
+    events_.run();
     return outcome_;
 }
 
-void HotCustomerModel::schedule(SteadyTime when, std::function<void()> action)
-{
-    events_.push(Event{when, nextOrder_++, std::move(action)});
-}
-
 bool HotCustomerModel::isHotPhase() const
 {
-    return now_ >= hotFrom_ && now_ < end_;
+    return events_.now() >= hotFrom_ && events_.now() < end_;
 }
 
 void HotCustomerModel::scheduleArrival(int customer)
 {
     const double factor = customer == hotCustomer && isHotPhase() ? load_.hotFactor : 1.0;
     const double rate = customers_[static_cast<std::size_t>(customer)].usualRate * factor;
-    const SteadyTime next = now_ + durationOf(boost::random::exponential_distribution<double>(rate)(random_));
+    const SteadyTime next = events_.now() + durationOf(boost::random::exponential_distribution<double>(rate)(random_));
     if (next < end_) {
-        schedule(next, [this, customer] { arrive(customer); });
+        events_.add(next, [this, customer] { arrive(customer); });
     }
 }
 
@@ -113,8 +88,8 @@
 {
     const double limit = customer.usualRate * quotaFactor;
     const double burst = std::max(minQuotaBurst, limit);
-    customer.tokens = std::min(burst, customer.tokens + limit * secondsOf(now_ - customer.refilled));
-    customer.refilled = now_;
+    customer.tokens = std::min(burst, customer.tokens + limit * secondsOf(events_.now() - customer.refilled));
+    customer.refilled = events_.now();
     if (customer.tokens < 1.0) {
         return false;
     }
@@ -130,18 +105,19 @@
     }
     const bool booking = boost::random::uniform_01<double>()(random_) < bookingShare;
     const std::uint64_t id = nextId_++;
-    const Request request{customer, booking, now_, now_ + (booking ? bookingObjective : lookupObjective)};
+    const Request request{customer, booking, events_.now(),
+                          events_.now() + (booking ? bookingObjective : lookupObjective)};
     active_[id] = request;
-    shareOf(request).requests += isHotPhase() ? 1 : 0;
+    countsOf(request).requests += isHotPhase() ? 1 : 0;
     SlotRequest slotRequest;
     slotRequest.id = id;
     slotRequest.route = booking ? "booking" : "lookup";
     slotRequest.customer = "customer-" + std::to_string(customer);
     slotRequest.retryable = !booking;
     slotRequest.objective = request.objective;
-    slotRequest.deadline = now_ + deadline;
+    slotRequest.deadline = events_.now() + deadline;
     slotRequest.queueTimeout = queueTimeout;
-    const SlotDecision decision = queue_.submit(slotRequest, now_);
+    const SlotDecision decision = queue_.submit(slotRequest, events_.now());
     if (decision.action == SlotAction::Start) {
         start(id);
     } else if (decision.action == SlotAction::Refuse) {
@@ -157,7 +133,7 @@
         return;
     }
     pollScheduled_ = true;
-    schedule(now_ + pollInterval, [this] {
+    events_.add(events_.now() + pollInterval, [this] {
         pollScheduled_ = false;
         poll();
     });
@@ -167,7 +143,7 @@
 {
     const double mean = secondsOf(active_[id].booking ? bookingWork : lookupWork);
     const Duration work = durationOf(boost::random::gamma_distribution<double>(workShape, mean / workShape)(random_));
-    schedule(now_ + work, [this, id, work] { finish(id, work); });
+    events_.add(events_.now() + work, [this, id, work] { finish(id, work); });
 }
 
 void HotCustomerModel::finish(std::uint64_t id, Duration work)
@@ -175,10 +151,11 @@
     const Request request = active_[id];
     active_.erase(id);
     if (request.arrived >= hotFrom_) {
-        shareOf(request).inTime += now_ <= request.objective ? 1 : 0;
+        const bool inTime = events_.now() <= request.objective;
+        (inTime ? countsOf(request).inTime : countsOf(request).late) += 1;
     }
-    queue_.addResult(request.booking ? "booking" : "lookup", false, work, now_);
-    queue_.release(id, now_);
+    queue_.addResult(request.booking ? "booking" : "lookup", false, work, events_.now());
+    queue_.release(id, events_.now());
     poll();
 }
 
@@ -187,14 +164,14 @@
     const Request request = active_[id];
     active_.erase(id);
     if (request.arrived >= hotFrom_) {
-        shareOf(request).refused += 1;
-        outcome_.waitedInVain += now_ > request.arrived ? 1 : 0;
+        countsOf(request).refused += 1;
+        outcome_.waitedInVain += events_.now() > request.arrived ? 1 : 0;
     }
 }
 
 void HotCustomerModel::poll()
 {
-    const SlotQueue::PollResult result = queue_.poll(now_);
+    const SlotQueue::PollResult result = queue_.poll(events_.now());
     for (const std::uint64_t id : result.start) {
         start(id);
     }
@@ -206,7 +183,7 @@
     }
 }
 
-CustomerShare &HotCustomerModel::shareOf(const Request &request)
+ServedCounts &HotCustomerModel::countsOf(const Request &request)
 {
     return request.customer == hotCustomer ? outcome_.hot : outcome_.others;
 }
--- a/tests/support/HotCustomerModel.h
+++ b/tests/support/HotCustomerModel.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "include/home/SlotQueue.h"
+#include "tests/support/EventSchedule.h"
+#include "tests/support/ServedCounts.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -25,18 +26,9 @@
     bool limited = false;
 };
 
-struct CustomerShare {
-    int requests = 0;
-    int inTime = 0;
-    int refused = 0;
-
-    double inTimeShare() const;
-    double refusedShare() const;
-};
-
 struct HotCustomerOutcome {
-    CustomerShare hot;
-    CustomerShare others;
+    ServedCounts hot;
+    ServedCounts others;
     /** Refused after they had waited. */
     int waitedInVain = 0;
 };
@@ -64,15 +56,7 @@
         double tokens = 0.0;
         SteadyTime refilled;
     };
-    struct Event {
-        SteadyTime at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const Event &other) const;
-    };
 
-    void schedule(SteadyTime when, std::function<void()> action);
     void scheduleArrival(int customer);
     void arrive(int customer);
     bool isWithinQuota(Customer &customer) const;
@@ -82,18 +66,16 @@
     void refuse(std::uint64_t id);
     void schedulePoll();
     void poll();
-    CustomerShare &shareOf(const Request &request);
+    ServedCounts &countsOf(const Request &request);
 
     HotCustomerLoad load_;
     boost::random::mt19937_64 random_;
-    SteadyTime now_;
+    EventSchedule events_;
     SteadyTime hotFrom_;
     SteadyTime end_;
     SlotQueue queue_;
     std::vector<Customer> customers_;
     std::map<std::uint64_t, Request> active_;
-    std::priority_queue<Event> events_;
-    std::uint64_t nextOrder_ = 0;
     std::uint64_t nextId_ = 1;
     bool pollScheduled_ = false;
     HotCustomerOutcome outcome_;
--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -29,15 +29,11 @@
     return owed == 0 ? 0.0 : std::max(0.0, static_cast<double>(owed - admitted) / owed);
 }
 
-bool QuotaFleetModel::Event::operator<(const Event &other) const
-{
-    return at != other.at ? at > other.at : order > other.order;
-}
-
 QuotaFleetModel::QuotaFleetModel(QuotaFleetLoad load, QuotaPolicy policy, std::uint32_t seed)
     : load_(std::move(load))
     , policy_(policy)
     , random_(seed)
+    , ideal_(load_.limit.ratePerSecond, load_.limit.burst, start_)
     , nodes_(static_cast<std::size_t>(load_.nodes))
 {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -60,16 +56,11 @@
     }
 }
 
-void QuotaFleetModel::schedule(SteadyTime at, std::function<void()> action)
-{
-    events_.push(Event{at, order_++, std::move(action)});
-}
-
 void QuotaFleetModel::send(std::size_t from, std::size_t to, std::function<void()> onArrival)
 {
     const bool isLocal = static_cast<int>(from) % load_.regions == static_cast<int>(to) % load_.regions;
     (isLocal ? outcome_.messagesInRegion : outcome_.messagesBetweenRegions) += 1;
-    schedule(now_ + (isLocal ? regionDelay : farDelay), [this, from, to, onArrival = std::move(onArrival)] {
+    events_.add(events_.now() + (isLocal ? regionDelay : farDelay), [this, from, to, onArrival = std::move(onArrival)] {
         const bool crossesCut = nodes_[from].isCut != nodes_[to].isCut;
         if (!crossesCut && !nodes_[from].isDead && !nodes_[to].isDead) {
             onArrival();
@@ -87,7 +78,7 @@
         const double rate = load_.requestsPerSecond * (isHot ? load_.hotFactor : 1.0);
         const std::chrono::duration<double> gap(boost::random::exponential_distribution<double>(rate)(random_));
         at += std::chrono::duration_cast<Duration>(gap);
-        schedule(at, [this, to = node(random_)] { arrive(to); });
+        events_.add(at, [this, to = node(random_)] { arrive(to); });
     }
 }
 
@@ -96,17 +87,17 @@
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
         const bool isCut = static_cast<double>(i) < load_.cutShare * load_.nodes;
         if (isCut) {
-            schedule(start_ + load_.cutFrom, [this, i] { nodes_[i].isCut = true; });
-            schedule(start_ + load_.cutUntil, [this, i] { nodes_[i].isCut = false; });
+            events_.add(start_ + load_.cutFrom, [this, i] { nodes_[i].isCut = true; });
+            events_.add(start_ + load_.cutUntil, [this, i] { nodes_[i].isCut = false; });
         }
         const auto phase = Millis(static_cast<std::int64_t>(i) % flushInterval.count());
-        schedule(start_ + phase, [this, i] { flush(i); });
+        events_.add(start_ + phase, [this, i] { flush(i); });
     }
     for (const Millis at : load_.counterKills) {
-        schedule(start_ + at, [this] {
+        events_.add(start_ + at, [this] {
             const std::size_t victim = firstCounterOf(0);
             nodes_[victim].isDead = true;
-            schedule(now_ + downTime, [this, victim] { startNode(victim); });
+            events_.add(events_.now() + downTime, [this, victim] { startNode(victim); });
         });
     }
 }
@@ -114,7 +105,7 @@
 void QuotaFleetModel::startNode(std::size_t node)
 {
     nodes_[node].isDead = false;
-    nodes_[node].startedAt = now_;
+    nodes_[node].startedAt = events_.now();
     nodes_[node].ledger.emplace(tuning_);
     nodes_[node].counter.reset();
 }
@@ -131,7 +122,7 @@
 
 QuotaLimit QuotaFleetModel::currentLimit() const
 {
-    const bool isLater = load_.laterLimit && now_ >= start_ + load_.laterLimitFrom;
+    const bool isLater = load_.laterLimit && events_.now() >= start_ + load_.laterLimitFrom;
     return isLater ? *load_.laterLimit : load_.limit;
 }
 
@@ -144,15 +135,15 @@
 
 std::optional<std::size_t> QuotaFleetModel::counterOf(std::size_t node)
 {
-    const auto found = indexes_.find(nodes_[node].election.counterOf(customer, now_));
+    const auto found = indexes_.find(nodes_[node].election.counterOf(customer, events_.now()));
     return found == indexes_.end() ? std::nullopt : std::optional<std::size_t>(found->second);
 }
 
 void QuotaFleetModel::admit(SteadyTime arrivedAt)
 {
     ++outcome_.admitted;
-    admittedAt_.push_back(now_);
-    delays_.push_back(std::chrono::duration_cast<Millis>(now_ - arrivedAt));
+    admittedAt_.push_back(events_.now());
+    delays_.push_back(std::chrono::duration_cast<Millis>(events_.now() - arrivedAt));
 }
 
 void QuotaFleetModel::arrive(std::size_t node)
@@ -161,19 +152,22 @@
         return;
     }
     ++outcome_.requests;
+    const QuotaLimit limit = currentLimit();
+    ideal_.setRate(limit.ratePerSecond, limit.burst);
+    outcome_.owed += ideal_.tryTake(1.0, events_.now()) ? 1 : 0;
     const auto count = static_cast<std::size_t>(load_.nodes);
     QuotaLedger &ledger = *nodes_[node].ledger;
-    const QuotaDecision decision = ledger.decide(customer, currentLimit(), now_);
+    const QuotaDecision decision = ledger.decide(customer, currentLimit(), events_.now());
     if (policy_ == QuotaPolicy::EqualShares) {
-        if (nodes_[node].share->tryTake(1.0, now_)) {
-            admit(now_);
+        if (nodes_[node].share->tryTake(1.0, events_.now())) {
+            admit(events_.now());
         }
     } else if (policy_ == QuotaPolicy::CentralGrants || decision == QuotaDecision::Ask) {
-        ask(node, now_, 0);
+        ask(node, events_.now(), 0);
     } else if (decision == QuotaDecision::Admit) {
-        admit(now_);
+        admit(events_.now());
     } else if (decision == QuotaDecision::NoCounter) {
-        ledger.admitAlone(customer, count, now_) ? admit(now_) : ask(node, now_, 0);
+        ledger.admitAlone(customer, count, events_.now()) ? admit(events_.now()) : ask(node, events_.now(), 0);
     }
 }
 
@@ -182,12 +176,12 @@
     QuotaLedger &ledger = *nodes_[node].ledger;
     const std::optional<std::size_t> counter = counterOf(node);
     if (!counter || attempt == maxAsks) {
-        if (ledger.admitAlone(customer, static_cast<std::size_t>(load_.nodes), now_)) {
+        if (ledger.admitAlone(customer, static_cast<std::size_t>(load_.nodes), events_.now())) {
             admit(arrivedAt);
         }
         return;
     }
-    QuotaUse use = ledger.takeUnreported(customer, now_);
+    QuotaUse use = ledger.takeUnreported(customer, events_.now());
     // With grants for every request nothing is admitted before it is counted.
     use.used = policy_ == QuotaPolicy::CentralGrants ? 0 : use.used;
     use.wanted = 1;
@@ -197,8 +191,8 @@
             return;
         }
         *done = true;
-        const SteadyTime deniedUntil = reply.granted > 0 ? now_ : now_ + reply.retryAfter;
-        nodes_[node].ledger->noteReply(customer, reply.mode, deniedUntil, now_);
+        const SteadyTime deniedUntil = reply.granted > 0 ? events_.now() : events_.now() + reply.retryAfter;
+        nodes_[node].ledger->noteReply(customer, reply.mode, deniedUntil, events_.now());
         if (reply.granted > 0) {
             admit(arrivedAt);
         }
@@ -211,11 +205,11 @@
         const Reply reply = count(counter, node, use);
         send(counter, node, [onReply, reply] { onReply(reply); });
     });
-    schedule(now_ + askTimeout, [this, node, counter = *counter, use, arrivedAt, attempt, done] {
+    events_.add(events_.now() + askTimeout, [this, node, counter = *counter, use, arrivedAt, attempt, done] {
         if (!*done && !nodes_[node].isDead) {
             *done = true;
             nodes_[node].ledger->restore(use);
-            nodes_[node].election.noteUnreachable(nodes_[counter].name, now_);
+            nodes_[node].election.noteUnreachable(nodes_[counter].name, events_.now());
             ask(node, arrivedAt, attempt + 1);
         }
     });
@@ -223,17 +217,17 @@
 
 void QuotaFleetModel::flush(std::size_t node)
 {
-    schedule(now_ + flushInterval, [this, node] { flush(node); });
+    events_.add(events_.now() + flushInterval, [this, node] { flush(node); });
     const std::optional<std::size_t> counter = counterOf(node);
     if (policy_ != QuotaPolicy::RegionCounters || nodes_[node].isDead || !counter
         || !nodes_[node].ledger->hasUnreported()) {
         return;
     }
-    const QuotaUse use = nodes_[node].ledger->takeUnreported(customer, now_);
+    const QuotaUse use = nodes_[node].ledger->takeUnreported(customer, events_.now());
     const auto done = std::make_shared<bool>(false);
     const auto onReply = [this, node, done](const Reply &reply) {
         *done = true;
-        nodes_[node].ledger->noteReply(customer, reply.mode, now_, now_);
+        nodes_[node].ledger->noteReply(customer, reply.mode, events_.now(), events_.now());
     };
     if (*counter == node) {
         onReply(count(node, node, use));
@@ -243,10 +237,10 @@
         const Reply reply = count(counter, node, use);
         send(counter, node, [onReply, reply] { onReply(reply); });
     });
-    schedule(now_ + reportTimeout, [this, node, counter = *counter, use, done] {
+    events_.add(events_.now() + reportTimeout, [this, node, counter = *counter, use, done] {
         if (!*done && !nodes_[node].isDead) {
             nodes_[node].ledger->restore(use);
-            nodes_[node].election.noteUnreachable(nodes_[counter].name, now_);
+            nodes_[node].election.noteUnreachable(nodes_[counter].name, events_.now());
         }
     });
 }
@@ -256,11 +250,11 @@
     Node &node = nodes_[index];
     if (!node.counter) {
         const bool isFirst = node.election.isFirst(node.name, customer);
-        const bool isNew = node.startedAt > now_ - tuning_.window;
+        const bool isNew = node.startedAt > events_.now() - tuning_.window;
         const CounterStart ownStart = isNew ? CounterStart::AfterLoss : CounterStart::Fresh;
         QuotaTuning tuning = tuning_;
         tuning.slack /= policy_ == QuotaPolicy::RegionCounters ? load_.regions : 1;
-        node.counter.emplace(counterLimit(), tuning, isFirst ? ownStart : CounterStart::InPlaceOfOther, now_);
+        node.counter.emplace(counterLimit(), tuning, isFirst ? ownStart : CounterStart::InPlaceOfOther, events_.now());
     }
     return *node.counter;
 }
@@ -268,25 +262,25 @@
 QuotaFleetModel::Reply QuotaFleetModel::count(std::size_t counter, std::size_t from, const QuotaUse &use)
 {
     Node &node = nodes_[counter];
-    counterAt(counter).setLimit(counterLimit(), now_);
-    node.counter->record(nodes_[from].name, use.used, use.seen, node.election.nodeCount(), now_);
+    counterAt(counter).setLimit(counterLimit(), events_.now());
+    node.counter->record(nodes_[from].name, use.used, use.seen, node.election.nodeCount(), events_.now());
     Reply reply;
-    reply.granted = node.counter->grant(use.wanted, now_);
-    reply.retryAfter = node.counter->retryAfter(now_);
-    reply.mode = node.counter->mode(now_);
-    const bool isDue = node.announced != reply.mode || now_ - node.announcedAt >= tuning_.window;
+    reply.granted = node.counter->grant(use.wanted, events_.now());
+    reply.retryAfter = node.counter->retryAfter(events_.now());
+    reply.mode = node.counter->mode(events_.now());
+    const bool isDue = node.announced != reply.mode || events_.now() - node.announcedAt >= tuning_.window;
     if (policy_ == QuotaPolicy::RegionCounters && reply.mode == QuotaMode::Metered && isDue) {
-        node.announcedAt = now_;
+        node.announcedAt = events_.now();
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             if (nodes_[i].region == node.region && i != counter) {
-                send(counter, i, [this, i] { nodes_[i].ledger->setMode(customer, QuotaMode::Metered, now_); });
+                send(counter, i, [this, i] { nodes_[i].ledger->setMode(customer, QuotaMode::Metered, events_.now()); });
             }
         }
     }
     node.announced = reply.mode;
-    if (policy_ == QuotaPolicy::RegionCounters && node.counter->needsLoan(now_)
-        && now_ - node.borrowedAt >= loanInterval) {
-        node.borrowedAt = now_;
+    if (policy_ == QuotaPolicy::RegionCounters && node.counter->needsLoan(events_.now())
+        && events_.now() - node.borrowedAt >= loanInterval) {
+        node.borrowedAt = events_.now();
         borrow(counter);
     }
     return reply;
@@ -301,12 +295,12 @@
             continue;
         }
         const std::size_t i = *lender;
-        const double wanted = nodes_[counter].counter->loanWanted(now_);
+        const double wanted = nodes_[counter].counter->loanWanted(events_.now());
         send(counter, i, [this, i, counter, wanted] {
-            const double lent = counterAt(i).lend(wanted, now_);
+            const double lent = counterAt(i).lend(wanted, events_.now());
             send(i, counter, [this, counter, lent] {
                 if (nodes_[counter].counter) {
-                    nodes_[counter].counter->borrow(lent, now_);
+                    nodes_[counter].counter->borrow(lent, events_.now());
                 }
             });
         });
@@ -337,20 +331,7 @@
 {
     scheduleArrivals();
     scheduleTroubles();
-    TokenBucket ideal(load_.limit.ratePerSecond, load_.limit.burst, start_);
-    int seen = 0;
-    while (!events_.empty() && events_.top().at <= start_ + load_.length) {
-        const Event event = events_.top();
-        events_.pop();
-        now_ = event.at;
-        event.action();
-        if (outcome_.requests > seen) {
-            seen = outcome_.requests;
-            const QuotaLimit limit = currentLimit();
-            ideal.setRate(limit.ratePerSecond, limit.burst);
-            outcome_.owed += ideal.tryTake(1.0, now_) ? 1 : 0;
-        }
-    }
+    events_.run(start_ + load_.length);
     outcome_.worstOverrun = worstOverrun();
     std::sort(delays_.begin(), delays_.end());
     if (!delays_.empty()) {
--- a/tests/support/QuotaFleetModel.h
+++ b/tests/support/QuotaFleetModel.h
@@ -3,13 +3,13 @@
 #include "include/customer/CounterElection.h"
 #include "include/customer/QuotaLedger.h"
 #include "include/limit/TokenBucket.h"
+#include "tests/support/EventSchedule.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -93,20 +93,12 @@
         SteadyTime announcedAt;
         SteadyTime borrowedAt;
     };
-    struct Event {
-        SteadyTime at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const Event &other) const;
-    };
     struct Reply {
         std::uint32_t granted = 0;
         QuotaMode mode = QuotaMode::Open;
         Millis retryAfter{0};
     };
 
-    void schedule(SteadyTime at, std::function<void()> action);
     /** Delivers a message unless it crosses a cut or an end of it is down. */
     void send(std::size_t from, std::size_t to, std::function<void()> onArrival);
     void scheduleArrivals();
@@ -131,9 +123,9 @@
     QuotaTuning tuning_;
     boost::random::mt19937 random_;
     SteadyTime start_ = SteadyTime(std::chrono::hours(1000));
-    SteadyTime now_ = start_;
-    std::uint64_t order_ = 0;
-    std::priority_queue<Event> events_;
+    EventSchedule events_{start_};
+    /** A bucket at a single place, for the requests that are owed. */
+    TokenBucket ideal_;
     std::vector<Node> nodes_;
     std::unordered_map<std::string, std::size_t> indexes_;
     std::vector<SteadyTime> admittedAt_;
--- a/tests/unit/HomeFleetTest.cpp
+++ b/tests/unit/HomeFleetTest.cpp
@@ -19,7 +19,7 @@
     return load;
 }
 
-HomeFleetOutcome run(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed)
+ServedCounts run(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed)
 {
     return HomeFleetModel(load, policy, seed).run();
 }
@@ -35,9 +35,9 @@
     for (const int homes : {12, 130}) {
         for (const std::uint32_t seed : {1U, 2U, 3U}) {
             const HomeFleetLoad load = burstOn(homes, burstFactor);
-            const HomeFleetOutcome ours = run(load, HomePolicy::Product, seed);
-            const HomeFleetOutcome any = run(load, HomePolicy::Random, seed);
-            const HomeFleetOutcome best = run(load, HomePolicy::Oracle, seed);
+            const ServedCounts ours = run(load, HomePolicy::Product, seed);
+            const ServedCounts any = run(load, HomePolicy::Random, seed);
+            const ServedCounts best = run(load, HomePolicy::Oracle, seed);
             MESSAGE(homes << " homes, refused " << ours.refusedShare() << ", in time " << ours.inTimeShare()
                           << "; any home " << any.inTimeShare() << "; at best " << best.inTimeShare());
             CHECK(ours.refusedShare() < maxRefusedShare);
--- a/tests/unit/HotCustomerTest.cpp
+++ b/tests/unit/HotCustomerTest.cpp
@@ -12,20 +12,13 @@
 
 constexpr std::uint32_t seeds = 20;
 
-void add(CustomerShare &sum, const CustomerShare &one)
-{
-    sum.requests += one.requests;
-    sum.inTime += one.inTime;
-    sum.refused += one.refused;
-}
-
 HotCustomerOutcome runAll(const HotCustomerLoad &load, SlotTuning tuning = {})
 {
     HotCustomerOutcome sum;
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
         const HotCustomerOutcome one = HotCustomerModel(load, tuning, seed).run();
-        add(sum.hot, one.hot);
-        add(sum.others, one.others);
+        sum.hot += one.hot;
+        sum.others += one.others;
         sum.waitedInVain += one.waitedInVain;
     }
     MESSAGE("hot " << sum.hot.inTimeShare() << " in time, " << sum.hot.refusedShare() << " refused; others "
