--- a/bench/detectors.cpp
+++ b/bench/detectors.cpp
@@ -89,7 +89,7 @@
                     if (correct && !found) {
                         found = true;
                         const SteadyTime from = std::max(rig.firstLate("s3"), rig.start() + faultAt);
-                        detection.push_back(std::chrono::duration<double>(ejection.at - from).count());
+                        detection.push_back(secondsOf(ejection.at - from));
                     }
                 }
                 missed += found || fault.harmless ? 0 : 1;
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -107,7 +107,7 @@
     std::map<long, std::pair<int, int>> buckets;
     std::map<std::string, int> reasons;
     const auto start = std::chrono::steady_clock::now();
-    const auto elapsed = [&] { return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - start); };
+    const auto elapsed = [&] { return millisOf(std::chrono::steady_clock::now() - start); };
     std::vector<std::function<void()>> tasks;
     tasks.reserve(clients + 1);
     for (int client = 0; client < clients; ++client) {
@@ -159,7 +159,7 @@
     const Totals before = totals(fleet);
     pause(observationTime);
     const Totals after = totals(fleet);
-    const double seconds = std::chrono::duration<double>(observationTime).count();
+    const double seconds = secondsOf(observationTime);
     const double perNode = 1.0 / nodes;
     std::printf(
         "idle %3d nodes x %d servers  processor %.4f%% of a core  memory %.1f MB  links out %.0f in %.0f B/s a node  "
--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -43,7 +43,7 @@
 {
     HomeRig rig(overloadOptions(loadFactor, limits));
     rig.runUntil(length);
-    const double seconds = std::chrono::duration<double>(length).count();
+    const double seconds = secondsOf(length);
     std::printf("load %.1fx  %-22s good %6.1f/s  late or timed out %6.1f/s  refused at once %6.1f/s  p99 %6.1f ms\n",
                 loadFactor, limits ? "limits" : "baseline (no limits)", static_cast<double>(rig.good) / seconds,
                 static_cast<double>(rig.late + rig.failed) / seconds, static_cast<double>(rig.refused) / seconds,
--- a/include/base/Clock.h
+++ b/include/base/Clock.h
@@ -9,6 +9,23 @@
 using Duration = std::chrono::steady_clock::duration;
 using Millis = std::chrono::milliseconds;
 
+/** Thread safe, as the next two. */
+constexpr double secondsOf(Duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+constexpr Duration durationOf(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+/** Rounds towards zero. */
+constexpr Millis millisOf(Duration value)
+{
+    return std::chrono::duration_cast<Millis>(value);
+}
+
 /** Source of time. All decisions read the time through this interface, so that tests can control it. */
 class Clock
 {
--- a/src/base/EventLog.cpp
+++ b/src/base/EventLog.cpp
@@ -98,7 +98,7 @@
 
 std::string Event::line() const
 {
-    const auto ms = std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
+    const auto ms = millisOf(at.time_since_epoch()).count();
     std::string out = "t=" + std::to_string(ms) + " event=" + name;
     for (const EventField &field : fields) {
         out += " " + field.first + "=" + quoted(field.second);
--- a/src/claim/ClaimTable.cpp
+++ b/src/claim/ClaimTable.cpp
@@ -92,7 +92,7 @@
     if (found == adopted_.end() || !isSuccessor_(owner)) {
         return std::nullopt;
     }
-    return found->second.age + std::chrono::duration_cast<Millis>(clock_.now() - found->second.at);
+    return found->second.age + millisOf(clock_.now() - found->second.at);
 }
 
 ClaimDecision ClaimTable::begin(const Ticket &ticket, Millis ownAge, std::uint64_t requestDigest)
--- a/src/claim/Ticket.cpp
+++ b/src/claim/Ticket.cpp
@@ -68,7 +68,7 @@
 
 Millis TicketIssuer::age() const
 {
-    return std::chrono::duration_cast<Millis>(clock_.now() - startedAt_);
+    return millisOf(clock_.now() - startedAt_);
 }
 
 } // namespace waxwing
--- a/src/ctl/Commands.cpp
+++ b/src/ctl/Commands.cpp
@@ -275,7 +275,7 @@
                 }
             }
         }
-        const auto took = std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - started);
+        const auto took = millisOf(std::chrono::steady_clock::now() - started);
         if (missing.empty()) {
             out["inForceAfterMs"] = took.count();
             if (!options_.json) {
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -113,7 +113,7 @@
 
 double QuotaCounter::grantFloor() const
 {
-    const double window = std::chrono::duration<double>(tuning_.window).count();
+    const double window = secondsOf(tuning_.window);
     return -grantedTolerance * (tuning_.over * (limit_.ratePerSecond * window + limit_.burst) + tuning_.slack);
 }
 
--- a/src/fleet/LinkDelayEstimator.cpp
+++ b/src/fleet/LinkDelayEstimator.cpp
@@ -8,7 +8,7 @@
 {
     const Duration transitTime = std::max(Duration(0), ageHere - ageThere);
     baseDelay_ = std::min(baseDelay_, transitTime);
-    return std::chrono::duration_cast<Millis>(transitTime - baseDelay_);
+    return millisOf(transitTime - baseDelay_);
 }
 
 } // namespace waxwing
--- a/src/health/GrayFilter.cpp
+++ b/src/health/GrayFilter.cpp
@@ -13,7 +13,7 @@
 
 double ratePerSecond(Duration mean)
 {
-    return 1.0 / std::chrono::duration<double>(mean).count();
+    return 1.0 / secondsOf(mean);
 }
 
 double stationaryProbability(const GrayTuning &tuning)
@@ -92,7 +92,7 @@
     }
     const double stationary = stationaryProbability(tuning_);
     const double rate = ratePerSecond(tuning_.meanHealthyDuration) + ratePerSecond(expectedGrayDuration());
-    const double kept = std::exp(-rate * std::chrono::duration<double>(now - estimate.at).count());
+    const double kept = std::exp(-rate * secondsOf(now - estimate.at));
     return Estimate{stationary + (estimate.probability - stationary) * kept, now};
 }
 
--- a/src/health/WorkTimeModel.cpp
+++ b/src/health/WorkTimeModel.cpp
@@ -21,7 +21,7 @@
 
 void WorkTimeModel::add(Duration workTime)
 {
-    const double sample = std::log(std::max(minWorkSeconds, std::chrono::duration<double>(workTime).count()));
+    const double sample = std::log(std::max(minWorkSeconds, secondsOf(workTime)));
     ++samples_;
     const double weight = std::max(minWeight, 1.0 / samples_);
     const double difference = sample - mean_;
@@ -37,7 +37,7 @@
     const double variance =
         (samples_ * variance_ + assumedSamples * assumedDeviation * assumedDeviation) / (samples_ + assumedSamples);
     const double deviation = std::max(minDeviation, std::sqrt(variance));
-    const double distance = (std::log(std::chrono::duration<double>(age).count()) - mean_) / deviation;
+    const double distance = (std::log(secondsOf(age)) - mean_) / deviation;
     return 0.5 * std::erfc(distance / std::sqrt(2.0));
 }
 
--- a/src/home/CustomerUse.cpp
+++ b/src/home/CustomerUse.cpp
@@ -4,15 +4,6 @@
 
 namespace waxwing {
 
-namespace {
-
-double secondsOf(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
-} // namespace
-
 CustomerUse::CustomerUse(CustomerUseTuning tuning)
     : tuning_(tuning)
 { }
--- a/src/home/ServiceHome.cpp
+++ b/src/home/ServiceHome.cpp
@@ -201,7 +201,7 @@
 {
     Admission out;
     out.reason = std::move(reason);
-    out.retryAfter = std::clamp(std::chrono::duration_cast<Millis>(retryAfter), minRetryAfter, maxRetryAfter);
+    out.retryAfter = std::clamp(millisOf(retryAfter), minRetryAfter, maxRetryAfter);
     return out;
 }
 
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -13,16 +13,6 @@
 constexpr double minSlowdown = 1.0;
 constexpr double maxSlowdown = 20.0;
 
-double secondsOf(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
-Duration durationOf(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 } // namespace
 
 const char *refusalReasonName(RefusalReason reason)
@@ -417,7 +407,7 @@
     const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
                                      [&](const Waiting &one) { return !(rank < rankOf(one.request, now)); });
     if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0)) {
-        load.wait = std::chrono::duration_cast<Millis>(waitBehind(ahead, rank, now));
+        load.wait = millisOf(waitBehind(ahead, rank, now));
     }
     load.grayProbability = grayProbability(now);
     load.slowdown = slowdown();
--- a/src/limit/NestedCallTracker.cpp
+++ b/src/limit/NestedCallTracker.cpp
@@ -45,7 +45,7 @@
 
 void NestedCallTracker::advanceTime(SteadyTime now)
 {
-    const double elapsed = std::max(0.0, std::chrono::duration<double>(now - advancedAt_).count());
+    const double elapsed = std::max(0.0, secondsOf(now - advancedAt_));
     advancedAt_ = now;
     if (runs_.empty()) {
         idleSeconds_ += elapsed;
--- a/src/limit/TokenBucket.cpp
+++ b/src/limit/TokenBucket.cpp
@@ -13,7 +13,7 @@
 
 void TokenBucket::refill(SteadyTime now)
 {
-    const double seconds = std::chrono::duration<double>(now - refilledAt_).count();
+    const double seconds = secondsOf(now - refilledAt_);
     tokens_ = std::min(burst_, tokens_ + seconds * perSecond_);
     refilledAt_ = now;
 }
--- a/src/node/ClaimService.cpp
+++ b/src/node/ClaimService.cpp
@@ -96,7 +96,7 @@
     }
     ObjectApi &api = core_.service<ObjectApi>("platform");
     const Ticket ticket = issuer_.issue();
-    const auto wallMs = std::chrono::duration_cast<Millis>(core_.clock.wallNow().time_since_epoch()).count();
+    const auto wallMs = millisOf(core_.clock.wallNow().time_since_epoch()).count();
     const nlohmann::json value = {{"ticket", ticket.text()}, {"at", wallMs}};
     const UpdateResult created = api.update(keyKind, name, 0, value.dump());
     std::optional<Ticket> bound;
@@ -291,7 +291,7 @@
     const std::vector<ClaimHandover> parts = splitHandover(handover, handoverBytes);
     GossipService &gossip = core_.service<GossipService>("gossip");
     PeerHub &peers = core_.service<PeerHub>("peers");
-    const auto wallMs = std::chrono::duration_cast<Millis>(core_.clock.wallNow().time_since_epoch()).count();
+    const auto wallMs = millisOf(core_.clock.wallNow().time_since_epoch()).count();
     for (const std::string &id : gossip.upIds()) {
         const NodeRecord *node = gossip.node(id);
         if (id == core_.self.id || node == nullptr) {
--- a/src/node/DispatchService.cpp
+++ b/src/node/DispatchService.cpp
@@ -157,7 +157,7 @@
         const SteadyTime now = core_.clock.now();
         const std::vector<HomeCandidate> all = candidates(exec.service);
         const HomeCandidate *home = chooser_.choose(exec.service, all, tried, now);
-        const auto left = std::chrono::duration_cast<Millis>(deadline - now);
+        const auto left = millisOf(deadline - now);
         // After a refusal, the next attempt doesn't use the retry budget, because the refusal cost the home nothing.
         // After an unknown outcome, it does.
         const bool isRetry = reply.outcome == Outcome::Unknown;
--- a/src/node/GossipService.cpp
+++ b/src/node/GossipService.cpp
@@ -28,7 +28,7 @@
 
 std::uint64_t wallMs(const Clock &clock)
 {
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<Millis>(clock.wallNow().time_since_epoch()).count());
+    return static_cast<std::uint64_t>(millisOf(clock.wallNow().time_since_epoch()).count());
 }
 
 /** Splits a list into messages of bounded size. */
--- a/src/node/HomeService.cpp
+++ b/src/node/HomeService.cpp
@@ -287,7 +287,7 @@
         return false;
     }
     HttpRequest request = run.exec.request;
-    const Millis left = std::max(Millis(1), std::chrono::duration_cast<Millis>(run.deadline - started));
+    const Millis left = std::max(Millis(1), millisOf(run.deadline - started));
     request.headers.emplace_back(deadlineHeader, std::to_string(left.count()));
 
     attempts_.push_back(Attempt{run.exec.service, run.server, started, run.cls->responseTime, 0, run.cls->idempotent,
--- a/src/node/OperatorApi.cpp
+++ b/src/node/OperatorApi.cpp
@@ -35,7 +35,7 @@
         for (const EventField &field : event.fields) {
             fields[field.first] = field.second;
         }
-        const auto ms = std::chrono::duration_cast<Millis>(event.at.time_since_epoch()).count();
+        const auto ms = millisOf(event.at.time_since_epoch()).count();
         list.push_back({{"at", ms}, {"event", event.name}, {"fields", fields}});
     }
     return list;
--- a/src/poison/PoisonRegistry.cpp
+++ b/src/poison/PoisonRegistry.cpp
@@ -19,7 +19,7 @@
 
 Record toRecord(const PoisonDeath &death, WallTime at)
 {
-    const auto ms = std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
+    const auto ms = millisOf(at.time_since_epoch()).count();
     return Record{RecordKind::Poison,
                   hexText(death.digest) + separator + death.server,
                   RecordVersion{static_cast<std::uint64_t>(ms), 0},
--- a/src/report/BurnRecorder.cpp
+++ b/src/report/BurnRecorder.cpp
@@ -18,7 +18,7 @@
 
 WallTime sliceStart(WallTime at, Millis length)
 {
-    const auto sinceEpoch = std::chrono::duration_cast<Millis>(at.time_since_epoch());
+    const auto sinceEpoch = millisOf(at.time_since_epoch());
     return WallTime(sinceEpoch - sinceEpoch % length);
 }
 
@@ -107,7 +107,7 @@
         nlohmann::json list = nlohmann::json::array();
         for (const BurnSlice &one : all) {
             const BurnCounts &c = one.counts;
-            const auto ms = std::chrono::duration_cast<Millis>(one.start.time_since_epoch()).count();
+            const auto ms = millisOf(one.start.time_since_epoch()).count();
             list.push_back({ms, c.good, c.late, c.failed, c.refused, c.unknown});
         }
         out[name] = std::move(list);
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -256,7 +256,7 @@
     choice.queueTimeout = queueTimeoutFor(*best, query, defaults, maxLoss, now);
     const auto found = homes_.find(choice.node);
     if (found != homes_.end() && found->second.hasLoad) {
-        choice.loadAge = std::chrono::duration_cast<Millis>(now - found->second.loadAt);
+        choice.loadAge = millisOf(now - found->second.loadAt);
     }
     return choice;
 }
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -28,11 +28,6 @@
 constexpr Millis notConfirmedRetryAfter{1000};
 constexpr Millis minQuotaRetryAfter{50};
 
-Millis toMillis(Duration value)
-{
-    return std::chrono::duration_cast<Millis>(value);
-}
-
 unsigned statusOf(const ForwardResult &result)
 {
     if (result.outcome == Outcome::NotRun) {
@@ -78,7 +73,7 @@
         const std::optional<Duration> age = config.freshness().age(now);
         core_.events.write(Severity::Info, ready ? "node_ready" : "node_not_ready",
                            {{"config", std::to_string(version)},
-                            {"ageMs", age ? std::to_string(toMillis(*age).count()) : ""},
+                            {"ageMs", age ? std::to_string(millisOf(*age).count()) : ""},
                             {"draining", core_.draining ? "yes" : "no"}});
     }
     return HttpReply{jsonResponse(ready ? ok : unavailable, "{}\n"), AfterResponse::KeepOpen};
@@ -100,7 +95,7 @@
                                {"reason", refusal.reason},
                                {"customer", refusal.customer},
                                {"config", std::to_string(config.version())},
-                               {"provenAgeMs", age ? std::to_string(toMillis(*age).count()) : ""},
+                               {"provenAgeMs", age ? std::to_string(millisOf(*age).count()) : ""},
                                {"decidedBy", refusal.decidedBy},
                                {"retryAfterMs", std::to_string(refusal.retryAfter.count())}});
     return HttpReply{platform::errorResponse(refusal.status, refusal.requestId, refusal.reason, refusal.retryAfter),
@@ -209,7 +204,7 @@
                                {"status", std::to_string(status)},
                                {"reason", result.reason},
                                {"callerGone", job.control->cancelled ? "yes" : "no"},
-                               {"tookMs", std::to_string(toMillis(took).count())}});
+                               {"tookMs", std::to_string(millisOf(took).count())}});
     if (hasResponse) {
         return HttpReply{std::move(result.response), AfterResponse::KeepOpen};
     }
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -38,11 +38,6 @@
 /** Time for a home to reply to a Cancel: a round trip between regions, with a margin for a busy home. */
 constexpr Millis cancelReplyTimeout{120};
 
-Millis toMillis(Duration value)
-{
-    return std::chrono::duration_cast<Millis>(value);
-}
-
 /** Nested calls are the most urgent, since other work waits for them; callers' requests follow by route priority. */
 constexpr int nestedCallRank = 0;
 constexpr int callerRankOffset = 1;
@@ -119,8 +114,8 @@
     const auto found = stats_.find(route.name);
     const double seconds = found != stats_.end() && found->second.workSeconds > 0.0
                                ? found->second.workSeconds
-                               : assumedWorkFraction * std::chrono::duration<double>(route.responseTime).count();
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+                               : assumedWorkFraction * secondsOf(route.responseTime);
+    return durationOf(seconds);
 }
 
 int Forwarder::priorityOf(const Run &run)
@@ -145,9 +140,9 @@
     HomeQuery query;
     query.retryable = canRetry(run);
     query.priority = priorityOf(run);
-    query.untilObjective = toMillis(run.objective - now);
-    query.untilDeadline = toMillis(run.job.deadline - now);
-    query.workTime = toMillis(workTime);
+    query.untilObjective = millisOf(run.objective - now);
+    query.untilDeadline = millisOf(run.job.deadline - now);
+    query.workTime = millisOf(workTime);
     query.mustQueue = run.search.mustQueue();
     query.responseKilobytes = stats == stats_.end() ? 0.0 : stats->second.kilobytes;
     return query;
@@ -283,8 +278,8 @@
     work.retryable = canRetry(*run);
     work.acceptsGray = choice.acceptsGray;
     work.priority = static_cast<std::uint8_t>(priorityOf(*run));
-    work.remaining = toMillis(job.deadline - now);
-    work.untilObjective = toMillis(run->objective - now);
+    work.remaining = millisOf(job.deadline - now);
+    work.untilObjective = millisOf(run->objective - now);
     work.queueTimeout = choice.queueTimeout;
     work.versions = core_.service<StateUpdateService>("state-updates").versions();
     work.request = job.request;
@@ -338,7 +333,7 @@
                                {"outcome", outcomeName(reply.outcome)},
                                {"reason", reply.reason},
                                {"pathFailed", result.pathFailed ? "yes" : "no"},
-                               {"tookMs", std::to_string(toMillis(after - now).count())}});
+                               {"tookMs", std::to_string(millisOf(after - now).count())}});
     attempt->reply = reply;
     attempt->reachedServer = attempt->reachedServer || reply.reachedServer || reply.outcome == Outcome::Unknown;
     const bool refused = reply.outcome == Outcome::NotRun && !reply.reachedServer;
@@ -369,7 +364,7 @@
         const auto smooth = [](double &mean, double sample) {
             mean = mean == 0.0 ? sample : mean + workSmoothing * (sample - mean);
         };
-        smooth(stats.workSeconds, std::chrono::duration<double>(reply.processingTime).count());
+        smooth(stats.workSeconds, secondsOf(reply.processingTime));
         smooth(stats.kilobytes, static_cast<double>(reply.response.body.size()) / bytesPerKilobyte);
     }
     if (reply.reachedServer) {
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -30,7 +30,7 @@
 
 std::string millisText(Duration value)
 {
-    return std::to_string(std::chrono::duration_cast<Millis>(value).count());
+    return std::to_string(millisOf(value).count());
 }
 
 } // namespace
@@ -279,7 +279,7 @@
 {
     const Announcement *serving = server_.serving();
     const SteadyTime now = core_.clock.now();
-    const auto left = std::chrono::duration_cast<Millis>(job.deadline - now);
+    const auto left = millisOf(job.deadline - now);
     if (serving == nullptr || left < minTimeLeft) {
         job.reply = refusal(job, serving == nullptr ? "no-server" : "too-late");
         return;
@@ -307,7 +307,7 @@
     job.reply.calls = nestedCalls_.rates(job.work.route);
     job.control->interrupt = {};
     const Duration processingTime = core_.clock.now() - now;
-    job.reply.processingTime = std::chrono::duration_cast<Millis>(processingTime);
+    job.reply.processingTime = millisOf(processingTime);
     handleResponse(job, response, processingTime);
 }
 
--- a/src/sidecar/RegionWatch.cpp
+++ b/src/sidecar/RegionWatch.cpp
@@ -48,7 +48,7 @@
     const WatchRole before = role_;
     role_ = election_.role(age, core_.clock.now());
     if (role_ != before) {
-        const std::string ageMs = age ? std::to_string(std::chrono::duration_cast<Millis>(*age).count()) : "";
+        const std::string ageMs = age ? std::to_string(millisOf(*age).count()) : "";
         core_.metrics.count(std::string("watch_role_") + watchRoleName(role_));
         core_.events.writeRequest(
             Severity::Info, "watch_role",
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -191,7 +191,7 @@
 
 void StoreWatch::logCall(const WatchCall &call, Duration took, const Expected<ObjectChanges> &result)
 {
-    const auto tookMs = std::chrono::duration_cast<Millis>(took).count();
+    const auto tookMs = millisOf(took).count();
     core_.events.writeRequest(result ? Severity::Info : Severity::Warning, "store_call",
                               {{"kind", kind_},
                                {"call", call.since == 0 ? "list" : "watch"},
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -79,11 +79,11 @@
         return pathFailure(id, "other-node");
     }
     const auto pending = std::make_shared<Pending>();
-    const auto waited = std::chrono::duration_cast<Millis>(core_.clock.now() - opened);
+    const auto waited = millisOf(core_.clock.now() - opened);
     work.id = id;
     work.remaining -= waited;
     work.untilObjective -= waited;
-    work.helloAge = std::chrono::duration_cast<Millis>(peers.helloAge(*link).value_or(Duration(0)));
+    work.helloAge = millisOf(peers.helloAge(*link).value_or(Duration(0)));
     pending->requestId = work.requestId;
     pending->home = home.id;
     pending->link = *link;
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -39,7 +39,7 @@
         : ioContext_(ioContext)
         , client_(ioContext)
         , options_(std::move(options))
-        , startedAt_(std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count())
+        , startedAt_(millisOf(std::chrono::system_clock::now().time_since_epoch()).count())
         , ledger_(options_.ledger, std::ios::app)
     { }
 
--- a/tests/support/HomeFleetModel.cpp
+++ b/tests/support/HomeFleetModel.cpp
@@ -61,8 +61,7 @@
 {
     const double rate = load_.requestsPerSecond * (isBurst() ? load_.burst : 1.0);
     const double seconds = boost::random::exponential_distribution<double>(rate)(random_);
-    const SteadyTime next =
-        events_.now() + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    const SteadyTime next = events_.now() + durationOf(seconds);
     if (next < end_) {
         events_.add(next, [this] { arrive(); });
     }
@@ -114,8 +113,8 @@
 {
     HomeQuery query;
     query.priority = priority;
-    query.untilObjective = std::chrono::duration_cast<Millis>(request.objective - events_.now());
-    query.untilDeadline = std::chrono::duration_cast<Millis>(request.deadline - events_.now());
+    query.untilObjective = millisOf(request.objective - events_.now());
+    query.untilDeadline = millisOf(request.deadline - events_.now());
     query.workTime = load_.meanWork;
     query.mustQueue = request.search.mustQueue();
     const HomeChoice choice = rankings_[static_cast<std::size_t>(request.sender)].choose(
@@ -152,7 +151,7 @@
     slotRequest.priority = priority;
     slotRequest.objective = request->objective;
     slotRequest.deadline = request->deadline;
-    slotRequest.queueTimeout = std::chrono::duration_cast<Millis>(request->queueTimeout);
+    slotRequest.queueTimeout = millisOf(request->queueTimeout);
     const SlotDecision decision = target.queue.submit(slotRequest, events_.now());
     target.active[request->id] = request;
     if (decision.action == SlotAction::Start) {
--- a/tests/support/HomeRig.cpp
+++ b/tests/support/HomeRig.cpp
@@ -124,8 +124,7 @@
 void HomeRig::arrive()
 {
     std::exponential_distribution<double> gap(options_.rate);
-    schedule(clock_.now() + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random_))),
-             [this] { arrive(); });
+    schedule(clock_.now() + durationOf(gap(random_)), [this] { arrive(); });
     const std::uint64_t id = nextId_++;
     Request request;
     request.idempotent = std::uniform_real_distribution<double>(0.0, 1.0)(random_) < options_.idempotentShare;
--- a/tests/support/HotCustomerModel.cpp
+++ b/tests/support/HotCustomerModel.cpp
@@ -27,16 +27,6 @@
 constexpr double minQuotaBurst = 3.0;
 constexpr double workShape = 6.0;
 
-double secondsOf(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
-Duration durationOf(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 } // namespace
 
 HotCustomerModel::HotCustomerModel(const HotCustomerLoad &load, SlotTuning tuning, std::uint32_t seed)
--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -143,7 +143,7 @@
 {
     ++outcome_.admitted;
     admittedAt_.push_back(events_.now());
-    delays_.push_back(std::chrono::duration_cast<Millis>(events_.now() - arrivedAt));
+    delays_.push_back(millisOf(events_.now() - arrivedAt));
 }
 
 void QuotaFleetModel::arrive(std::size_t node)
@@ -311,7 +311,7 @@
 {
     // A lower limit binds one window after it is in force.
     const SteadyTime laterFrom = start_ + load_.laterLimitFrom + tuning_.window;
-    const double seconds = std::chrono::duration<double>(tuning_.window).count();
+    const double seconds = secondsOf(tuning_.window);
     double worst = -1e9;
     std::size_t first = 0;
     for (std::size_t last = 0; last < admittedAt_.size(); ++last) {
