Date time-outs by the start of their work, and ask for a server's state once a poll

Cause: results count in the order of starts, but a time-out counted at its end, some seconds after the run began, so that it outweighed everything since; and a poll worked the probability out anew for each waiting request, also with none waiting. Change: evidence carries how long its run took; the probability is worked out once a poll, and not at all with an empty queue.

--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -187,8 +187,11 @@
     void noteOverdueWork(SteadyTime now);
     /** Returns true if the run was counted by noteOverdueWork(). */
     bool isOverdue(std::uint64_t id) const;
-    /** Adds other evidence against the server. @p ratio: likelihood ratio of a gray to a healthy server. */
-    void addEvidence(double ratio, SteadyTime now);
+    /**
+     * Adds other evidence against the server. @p ratio: likelihood ratio of a gray to a healthy server. @p took: since
+     * the start of the run that shows it.
+     */
+    void addEvidence(double ratio, Duration took, SteadyTime now);
 
     struct PollResult {
         std::vector<std::uint64_t> start;
@@ -249,10 +252,11 @@
 
     bool isMoreUrgent(const SlotRequest &a, const SlotRequest &b, SteadyTime now) const;
     bool hasFreeSlot() const;
-    RefusalReason grayRefusal(const SlotRequest &request, SteadyTime now) const;
+    /** Returns whether the server may get @p request, if it is gray with @p probability. */
+    RefusalReason grayRefusal(const SlotRequest &request, double probability, SteadyTime now) const;
     /** Returns the interval between the last probe and @p request as the next one. */
     Duration probeIntervalFor(const SlotRequest &request) const;
-    void start(const SlotRequest &request, SteadyTime now);
+    void start(const SlotRequest &request, double grayProbability, SteadyTime now);
     void noteFailure(double ratio, SteadyTime startedAt, SteadyTime now);
     /** Returns the probability that work of a healthy server still runs at this age; 1 if that is not known. */
     double survivalOf(const Running &run, SteadyTime now) const;
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -121,9 +121,8 @@
     return rankA == rankB ? a.objective < b.objective : rankA < rankB;
 }
 
-RefusalReason SlotQueue::grayRefusal(const SlotRequest &request, SteadyTime now) const
+RefusalReason SlotQueue::grayRefusal(const SlotRequest &request, double probability, SteadyTime now) const
 {
-    const double probability = grayProbability(now);
     if (probability < (request.acceptsGray ? tuning_.certainGrayThreshold : tuning_.grayThreshold)) {
         return RefusalReason::None;
     }
@@ -145,9 +144,9 @@
     return std::min<Duration>(tuning_.maxUninformedProbeInterval, longer);
 }
 
-void SlotQueue::start(const SlotRequest &request, SteadyTime now)
+void SlotQueue::start(const SlotRequest &request, double grayProbability, SteadyTime now)
 {
-    const bool probe = grayProbability(now) >= tuning_.grayThreshold;
+    const bool probe = grayProbability >= tuning_.grayThreshold;
     if (probe) {
         lastProbe_ = now;
     }
@@ -196,13 +195,14 @@
     if (request.deadline <= now) {
         return refuse(RefusalReason::TooLate);
     }
-    const RefusalReason grayReason = grayRefusal(request, now);
+    const double probability = grayProbability(now);
+    const RefusalReason grayReason = grayRefusal(request, probability, now);
     if (grayReason != RefusalReason::None) {
         return refuse(grayReason);
     }
     const Duration wait = expectedWait(request, now);
     if (wait == Duration(0)) {
-        start(request, now);
+        start(request, probability, now);
         return SlotDecision{SlotAction::Start, RefusalReason::None};
     }
     if (wait > request.queueTimeout || waiting_.size() >= tuning_.maxWaiting) {
@@ -309,9 +309,9 @@
     return found != running_.end() && found->second.overdue;
 }
 
-void SlotQueue::addEvidence(double ratio, SteadyTime now)
+void SlotQueue::addEvidence(double ratio, Duration took, SteadyTime now)
 {
-    noteFailure(ratio, now, now);
+    noteFailure(ratio, now - took, now);
 }
 
 void SlotQueue::noteFailure(double ratio, SteadyTime startedAt, SteadyTime now)
@@ -334,10 +334,15 @@
             ++it;
         }
     }
+    if (waiting_.empty()) {
+        return result;
+    }
+    // Work that starts now says nothing yet, so the probability holds for the whole poll.
+    const double probability = grayProbability(now);
     while (hasFreeSlot()) {
         auto best = waiting_.end();
         for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
-            const bool allowed = grayRefusal(it->request, now) == RefusalReason::None;
+            const bool allowed = grayRefusal(it->request, probability, now) == RefusalReason::None;
             if (allowed && (best == waiting_.end() || isMoreUrgent(it->request, best->request, now))) {
                 best = it;
             }
@@ -345,14 +350,14 @@
         if (best == waiting_.end()) {
             break;
         }
-        start(best->request, now);
+        start(best->request, probability, now);
         result.start.push_back(best->request.id);
         waiting_.erase(best);
     }
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         // The server became likely gray while the request waited. Another home may be healthy, and there is still time
         // to use it.
-        const bool likelyGray = grayRefusal(it->request, now) != RefusalReason::None;
+        const bool likelyGray = grayRefusal(it->request, probability, now) != RefusalReason::None;
         if (likelyGray || willTimeOut(*it, now)) {
             result.expired.push_back(it->request.id);
             it = waiting_.erase(it);
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -367,7 +367,7 @@
             server_.noteReplaced();
             serverChanged(ServerChange::Stopped, "connection refused");
         } else if (!job.control->cancelled) {
-            queue_.addEvidence(timeoutLikelihoodRatio, now);
+            queue_.addEvidence(timeoutLikelihoodRatio, processingTime, now);
         }
         return;
     }
@@ -383,7 +383,7 @@
         // Until a request of the route has completed here, a timeout is no evidence against the server.
         const bool isNew = queue_.hasWorkTime(job.work.route) && !queue_.isOverdue(job.id);
         if (isNew && processingTime > timeoutWorkFactor * queue_.expectedWorkTime(job.work.route)) {
-            queue_.addEvidence(timeoutLikelihoodRatio, now);
+            queue_.addEvidence(timeoutLikelihoodRatio, processingTime, now);
         }
         return;
     }
--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -511,6 +511,26 @@
     CHECK(refusalOfBooking() == RefusalReason::LikelyGray);
 }
 
+// Guards against a sound server that is blamed for time-outs of work that it began long before: it has ended much
+// since.
+TEST_CASE_FIXTURE(BusyServer, "slot queue, time-outs of work started before many successes, blame nobody")
+{
+    constexpr double ratio = 8.0;
+    constexpr int timeouts = 4;
+    for (int i = 0; i < 20; ++i) {
+        clock_.advance(Millis(100));
+        queue_.addResult("short", false, Millis(250), clock_.now());
+    }
+    for (int i = 0; i < timeouts; ++i) {
+        queue_.addEvidence(ratio, Millis(2500), clock_.now());
+    }
+    CHECK(refusalOfBooking() == RefusalReason::None);
+    for (int i = 0; i < timeouts; ++i) {
+        queue_.addEvidence(ratio, Millis(0), clock_.now());
+    }
+    CHECK(refusalOfBooking() == RefusalReason::LikelyGray);
+}
+
 // Guards against a hang that nobody sees because the server has had little work of the route.
 TEST_CASE_FIXTURE(BusyServer, "slot queue, route seen once, is overdue at many times its work time")
 {
