Let a counter grant no more than the share of its region that it reaches, until it knows the customer

Ruled out before: shorter reports; all nodes of the region as the customer's (throttles customers of one zone without any cut). Hypothesis: the node knows of cuts by its own paths, soon enough. Change: PathMonitor tells how many paths of a region have failed; until four requests a node were reported, a counter grants at most that share of its rate.

--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -27,6 +27,13 @@
     Metered = 1,
 };
 
+/** The nodes of a counter's region, this one included. */
+struct RegionNodes {
+    std::size_t all = 1;
+    /** Those to which this node knows no failed path. */
+    std::size_t reachable = 1;
+};
+
 /** What a new counter knows of the window before it. */
 enum class CounterStart {
     /** No node has counted for the customer within the window, so the bucket is full. */
@@ -57,9 +64,10 @@
     void setLimit(QuotaLimit limit, SteadyTime now);
     /**
      * Takes the tokens of requests that @p node has admitted (negative: gives back). @p seen: requests that came to it
-     * since its last report, admitted or not. @p nodes: number of nodes in the region.
+     * since its last report, admitted or not. @p nodes: those of the region now.
      */
-    void record(const std::string &node, std::int64_t used, std::uint32_t seen, std::size_t nodes, SteadyTime now);
+    void record(const std::string &node, std::int64_t used, std::uint32_t seen, const RegionNodes &nodes,
+                SteadyTime now);
     /** Grants up to @p wanted requests and takes their tokens. */
     std::uint32_t grant(std::uint32_t wanted, SteadyTime now);
     /** Returns true if the bucket is so low that tokens of other regions' counters are needed. */
@@ -89,6 +97,8 @@
     double grantFloor() const;
     std::size_t reportersWithin(Duration time) const;
     /** Returns the share of the customer's nodes that report here, as far as the recent reports show it. */
+    double reportingShare() const;
+    /** Returns the share of the rate that this counter may grant. */
     double reachableShare() const;
 
     QuotaLimit limit_;
@@ -100,7 +110,9 @@
     SteadyTime createdAt_;
     CounterStart start_ = CounterStart::Fresh;
     QuotaMode mode_ = QuotaMode::Open;
-    std::size_t nodes_ = 1;
+    RegionNodes nodes_;
+    /** Requests of the customer that were reported here. */
+    double met_ = 0.0;
     std::map<std::string, SteadyTime> reporters_;
     /** The requests that came lately, as reported. */
     std::deque<Arrivals> arrivals_;
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -63,13 +63,13 @@
         reporters_.begin(), reporters_.end(), [&](const auto &reporter) { return now_ - reporter.second <= time; }));
 }
 
-double QuotaCounter::reachableShare() const
+double QuotaCounter::reportingShare() const
 {
     // Requests come to random ones of the nodes that this customer uses. If fewer different nodes report than so many
     // requests would come from, the others are cut off, and their own counter may be granting the same tokens. With few
     // requests only a longer span shows that.
     const auto known = static_cast<double>(
-        std::max<std::size_t>(1, start_ == CounterStart::InPlaceOfOther ? nodes_ : reportersWithin(knownTime)));
+        std::max<std::size_t>(1, start_ == CounterStart::InPlaceOfOther ? nodes_.all : reportersWithin(knownTime)));
     double requests = 0.0;
     Duration span = minObservedTime;
     for (auto it = arrivals_.rbegin(); it != arrivals_.rend(); ++it) {
@@ -84,6 +84,14 @@
     return expected <= 1.0 ? 1.0 : std::min(1.0, static_cast<double>(reportersWithin(span)) / expected);
 }
 
+double QuotaCounter::reachableShare() const
+{
+    // A customer that has sent few requests may come to any node, and reports don't show which of them are missing.
+    const double share = reportingShare();
+    const bool isMet = met_ >= requestsPerNode * static_cast<double>(nodes_.all);
+    return isMet ? share : std::min(share, static_cast<double>(nodes_.reachable) / static_cast<double>(nodes_.all));
+}
+
 double QuotaCounter::level(SteadyTime now)
 {
     // After a whole window nothing that the earlier counter granted lies in the window any more; one that is only cut
@@ -100,10 +108,11 @@
     return bucket_.level(now);
 }
 
-void QuotaCounter::record(const std::string &node, std::int64_t used, std::uint32_t seen, std::size_t nodes,
+void QuotaCounter::record(const std::string &node, std::int64_t used, std::uint32_t seen, const RegionNodes &nodes,
                           SteadyTime now)
 {
-    nodes_ = std::max<std::size_t>(1, nodes);
+    nodes_ = nodes;
+    met_ += seen;
     level(now);
     reporters_[node] = now;
     arrivals_.push_back(Arrivals{now, seen});
--- a/src/sidecar/PathMonitor.cpp
+++ b/src/sidecar/PathMonitor.cpp
@@ -69,13 +69,24 @@
             notePathRecovered(node, true);
         } else {
             core_.events.write(Severity::Warning, "path_failed", {{"home", node}});
+            failed_.insert(node);
             notifyRegion(node);
             probeUntilRecovered(node);
+            failed_.erase(node);
         }
         probing_.erase(node);
     });
 }
 
+std::size_t PathMonitor::failedCount(const std::string &region) const
+{
+    const RegistrySync &registry = core_.service<RegistrySync>("registry");
+    return static_cast<std::size_t>(std::count_if(failed_.begin(), failed_.end(), [&](const std::string &node) {
+        const RegistryEntryPtr entry = registry.registry().find(node);
+        return entry != nullptr && entry->region == region;
+    }));
+}
+
 void PathMonitor::notePathRecovered(const std::string &node, bool falseAlarm)
 {
     if (falseAlarm) {
--- a/src/sidecar/PathMonitor.h
+++ b/src/sidecar/PathMonitor.h
@@ -43,6 +43,8 @@
      * link, and nodes that are being probed or were checked recently.
      */
     void handle(const PathSuspicion &suspicion);
+    /** Returns the number of nodes of @p region to which the path has failed, as a check has confirmed. */
+    std::size_t failedCount(const std::string &region) const;
 
 private:
     void notifyRegion(const std::string &node);
@@ -57,6 +59,8 @@
     Hooks hooks_;
     std::map<std::string, RttEstimator> estimators_;
     std::set<std::string> probing_;
+    /** Of these, the nodes that did not reply to the check. */
+    std::set<std::string> failed_;
     /** Time of the last check after a notification, by node. */
     std::map<std::string, SteadyTime> lastCheckedAt_;
 };
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -4,6 +4,7 @@
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/ConfigSync.h"
+#include "src/sidecar/PathMonitor.h"
 #include "src/sidecar/RegionWatch.h"
 #include "src/sidecar/RegistrySync.h"
 
@@ -32,8 +33,9 @@
 
 } // namespace
 
-QuotaService::QuotaService(NodeCore &core, const QuotaTuning &tuning)
+QuotaService::QuotaService(NodeCore &core, const PathMonitor &paths, const QuotaTuning &tuning)
     : core_(core)
+    , paths_(paths)
     , tuning_(tuning)
     , ledger_(tuning)
 { }
@@ -66,6 +68,12 @@
     return elections_[core_.settings.region];
 }
 
+RegionNodes QuotaService::regionNodes()
+{
+    const std::size_t all = std::max<std::size_t>(1, ownElection().nodeCount());
+    return RegionNodes{all, all - std::min(all - 1, paths_.failedCount(core_.settings.region))};
+}
+
 QuotaLimit QuotaService::regionPart(const QuotaLimit &limit) const
 {
     const auto own = elections_.find(core_.settings.region);
@@ -318,7 +326,7 @@
         entry.configVersion = configVersion;
         entry.counter.setLimit(regionPart(use.limit), now);
     }
-    entry.counter.record(from, use.used, use.seen, ownElection().nodeCount(), now);
+    entry.counter.record(from, use.used, use.seen, regionNodes(), now);
     QuotaGrant grant;
     grant.customer = use.customer;
     grant.granted = entry.counter.grant(use.wanted, now);
--- a/src/sidecar/QuotaService.h
+++ b/src/sidecar/QuotaService.h
@@ -14,6 +14,7 @@
 namespace waxwing {
 
 struct NodeCore;
+class PathMonitor;
 class FiberNotifier;
 
 /** Whether a request is within its customer's quota. */
@@ -34,7 +35,7 @@
 {
 public:
     /** @pre "peers", "config" and "registry" are in the kernel before start(). */
-    QuotaService(NodeCore &core, const QuotaTuning &tuning);
+    QuotaService(NodeCore &core, const PathMonitor &paths, const QuotaTuning &tuning);
     void start();
     /** Takes the nodes of the registry into account. */
     void registryChanged();
@@ -95,8 +96,10 @@
     /** Returns this region's part of a limit: its part of the nodes. */
     QuotaLimit regionPart(const QuotaLimit &limit) const;
     CounterElection &ownElection();
+    RegionNodes regionNodes();
 
     NodeCore &core_;
+    const PathMonitor &paths_;
     QuotaTuning tuning_;
     QuotaLedger ledger_;
     SteadyTime startedAt_;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -73,7 +73,7 @@
         , updates(core)
         , retryBudgets(core, tuning.retry)
         , forwarder(core, home, sender, retryBudgets, paths)
-        , quotas(core, tuning.quota)
+        , quotas(core, paths, tuning.quota)
         , callerHandler(core, tuning.keyAdmission)
     { }
 
--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -21,6 +21,9 @@
 /** Nodes have run for this long before the customer's first request. */
 constexpr Millis settledFor{10000};
 constexpr int maxAsks = 2;
+/** How long after a cut the first and the last failed path is known. */
+constexpr Millis firstPathFailed{600};
+constexpr Millis lastPathFailed{1500};
 
 } // namespace
 
@@ -259,11 +262,26 @@
     return *node.counter;
 }
 
+RegionNodes QuotaFleetModel::regionNodes(std::size_t index) const
+{
+    RegionNodes nodes{0, 0};
+    double cutOff = 0.0;
+    for (const Node &other : nodes_) {
+        const bool isInRegion = other.region == nodes_[index].region;
+        nodes.all += isInRegion ? 1 : 0;
+        cutOff += isInRegion && other.isCut != nodes_[index].isCut ? 1.0 : 0.0;
+    }
+    const double sinceCut = secondsOf(events_.now() - start_ - load_.cutFrom - firstPathFailed);
+    const double known = std::clamp(sinceCut / secondsOf(lastPathFailed - firstPathFailed), 0.0, 1.0);
+    nodes.reachable = nodes.all - static_cast<std::size_t>(known * cutOff);
+    return nodes;
+}
+
 QuotaFleetModel::Reply QuotaFleetModel::count(std::size_t counter, std::size_t from, const QuotaUse &use)
 {
     Node &node = nodes_[counter];
     counterAt(counter).setLimit(counterLimit(), events_.now());
-    node.counter->record(nodes_[from].name, use.used, use.seen, node.election.nodeCount(), events_.now());
+    node.counter->record(nodes_[from].name, use.used, use.seen, regionNodes(counter), events_.now());
     Reply reply;
     reply.granted = node.counter->grant(use.wanted, events_.now());
     reply.retryAfter = node.counter->retryAfter(events_.now());
--- a/tests/support/QuotaFleetModel.h
+++ b/tests/support/QuotaFleetModel.h
@@ -110,6 +110,8 @@
     void flush(std::size_t node);
     Reply count(std::size_t counter, std::size_t from, const QuotaUse &use);
     QuotaCounter &counterAt(std::size_t node);
+    /** Returns the nodes of its region, without those to which it knows a failed path. */
+    RegionNodes regionNodes(std::size_t index) const;
     void borrow(std::size_t counter);
     QuotaLimit currentLimit() const;
     /** Returns the limit of one counter: the region's part, or the whole. */
--- a/tests/unit/QuotaTest.cpp
+++ b/tests/unit/QuotaTest.cpp
@@ -93,7 +93,7 @@
 {
     QuotaCounter counter = make();
     const std::uint32_t granted = counter.grant(1000, clock_.now());
-    counter.record("n1", -static_cast<std::int64_t>(granted), 0, 1, clock_.now());
+    counter.record("n1", -static_cast<std::int64_t>(granted), 0, RegionNodes{}, clock_.now());
     CHECK(counter.grant(1000, clock_.now()) == granted);
 }
 
@@ -133,7 +133,7 @@
 {
     QuotaCounter lender = make();
     QuotaCounter borrower = make();
-    borrower.record("n1", 100, 100, 1, clock_.now());
+    borrower.record("n1", 100, 100, RegionNodes{}, clock_.now());
     CHECK(borrower.needsLoan(clock_.now()));
     const double lent = lender.lend(borrower.loanWanted(clock_.now()), clock_.now());
     CHECK(lent == doctest::Approx(50.0));
@@ -142,13 +142,42 @@
     CHECK(borrower.loanWanted(clock_.now()) == doctest::Approx(50.0));
 }
 
+// Guards against a counter that grants the whole rate after a cut, since it has not met the nodes that it lost.
+TEST_CASE_FIXTURE(Counter, "quota counter, customer met seldom and half of the paths failed, grants half of the rate")
+{
+    QuotaCounter counter = make();
+    const auto grantedInASecond = [&](const RegionNodes &nodes) {
+        counter.record("n1", 0, 1, nodes, clock_.now());
+        counter.grant(1000, clock_.now());
+        clock_.advance(std::chrono::seconds(1));
+        return counter.grant(1000, clock_.now());
+    };
+    CHECK(grantedInASecond(RegionNodes{20, 20}) == doctest::Approx(100.0).epsilon(0.02));
+    CHECK(grantedInASecond(RegionNodes{20, 10}) == doctest::Approx(50.0).epsilon(0.02));
+}
+
+// Guards against a customer whose nodes are all in reach and that is refused because other nodes are cut off.
+TEST_CASE_FIXTURE(Counter,
+                  "quota counter, customer met often at one node and half of the paths failed, grants the rate")
+{
+    QuotaCounter counter = make();
+    for (int step = 0; step < 20; ++step) {
+        counter.record("n1", 0, 10, RegionNodes{20, 10}, clock_.now());
+        counter.grant(1000, clock_.now());
+        clock_.advance(Millis(100));
+    }
+    counter.grant(1000, clock_.now());
+    clock_.advance(std::chrono::seconds(1));
+    CHECK(counter.grant(1000, clock_.now()) == doctest::Approx(100.0).epsilon(0.02));
+}
+
 // Guards against two counters that each grant the whole rate to their half of the nodes.
 TEST_CASE_FIXTURE(Counter, "quota counter, half of its nodes fall silent under load, grants half of the rate")
 {
     QuotaCounter counter = make();
     const auto report = [&](int nodes) {
         for (int node = 0; node < nodes; ++node) {
-            counter.record("n" + std::to_string(node), 0, 5, 20, clock_.now());
+            counter.record("n" + std::to_string(node), 0, 5, RegionNodes{20, 20}, clock_.now());
         }
         counter.grant(1000, clock_.now());
         clock_.advance(Millis(500));
