--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -17,16 +17,6 @@
 
 namespace {
 
-/** Weight of the newest sample in the moving averages of a route. */
-constexpr double workSmoothing = 0.1;
-constexpr double bytesPerKilobyte = 1024.0;
-/** Expected work time of a route without samples, as a fraction of its response time objective. */
-constexpr double assumedWorkFraction = 0.3;
-/** An idempotent request is hedged after this many times its expected work time. */
-constexpr double hedgeDelayFactor = 3.0;
-constexpr Millis minHedgeDelay{120};
-/** A hedge that starts after this fraction of the objective can't help any more; minHedgeDelay has precedence. */
-constexpr double maxHedgeFraction = 0.75;
 /** A request is refused without being sent only if the load report is at most a round trip between regions old. */
 constexpr Millis maxFreshLoadAge{100};
 constexpr Millis minRetryAfter{300};
@@ -109,15 +99,6 @@
     return homes;
 }
 
-Duration Forwarder::expectedWorkTime(const Route &route) const
-{
-    const auto found = stats_.find(route.name);
-    const double seconds = found != stats_.end() && found->second.workSeconds > 0.0
-                               ? found->second.workSeconds
-                               : assumedWorkFraction * secondsOf(route.responseTime);
-    return durationOf(seconds);
-}
-
 int Forwarder::priorityOf(const Run &run)
 {
     return run.nestedCall ? nestedCallRank : callerRankOffset + run.job.priority;
@@ -135,33 +116,20 @@
 HomeQuery Forwarder::homeQueryOf(const Run &run) const
 {
     const SteadyTime now = core_.clock.now();
-    const Duration workTime = expectedWorkTime(*run.job.route);
-    const auto stats = stats_.find(run.job.route->name);
     HomeQuery query;
     query.retryable = canRetry(run);
     query.priority = priorityOf(run);
     query.untilObjective = millisOf(run.objective - now);
     query.untilDeadline = millisOf(run.job.deadline - now);
-    query.workTime = millisOf(workTime);
+    query.workTime = millisOf(stats_.expectedWorkTime(*run.job.route));
     query.mustQueue = run.search.mustQueue();
-    query.responseKilobytes = stats == stats_.end() ? 0.0 : stats->second.kilobytes;
+    query.responseKilobytes = stats_.responseKilobytes(run.job.route->name);
     return query;
 }
 
-SteadyTime Forwarder::hedgeTime(const Run &run) const
-{
-    const auto byWorkTime = std::chrono::duration_cast<Duration>(expectedWorkTime(*run.job.route) * hedgeDelayFactor);
-    const auto byObjective = std::chrono::duration_cast<Duration>(run.job.route->responseTime * maxHedgeFraction);
-    return run.job.arrived + std::max<Duration>(minHedgeDelay, std::min(byWorkTime, byObjective));
-}
-
 CallRates Forwarder::retryCostOf(const Run &run) const
 {
-    CallRates cost;
-    const auto found = stats_.find(run.job.route->name);
-    if (found != stats_.end()) {
-        cost = found->second.calls;
-    }
+    CallRates cost = stats_.calls(run.job.route->name);
     cost[run.job.service] += 1.0;
     return cost;
 }
@@ -320,7 +288,10 @@
     if (likelyGray) {
         ranking_.noteLikelyGray(RankedHome{choice.node, choice.distance}, after);
     }
-    updateStats(job.route->name, reply);
+    stats_.add(job.route->name, reply);
+    if (reply.nestedCall) {
+        home_.noteNestedCall(job.route->name);
+    }
     core_.events.writeRequest(result.pathFailed ? Severity::Warning : Severity::Info, "sent",
                               {{"request", job.requestId},
                                {"home", choice.node},
@@ -356,25 +327,6 @@
     return true;
 }
 
-void Forwarder::updateStats(const std::string &route, const WorkReply &reply)
-{
-    const bool ran = reply.outcome == Outcome::Ran && !reply.serverFault;
-    if (ran) {
-        RouteStats &stats = stats_[route];
-        const auto smooth = [](double &mean, double sample) {
-            mean = mean == 0.0 ? sample : mean + workSmoothing * (sample - mean);
-        };
-        smooth(stats.workSeconds, secondsOf(reply.processingTime));
-        smooth(stats.kilobytes, static_cast<double>(reply.response.body.size()) / bytesPerKilobyte);
-    }
-    if (reply.reachedServer) {
-        stats_[route].calls = reply.calls;
-    }
-    if (reply.nestedCall) {
-        home_.noteNestedCall(route);
-    }
-}
-
 ForwardResult Forwarder::finish(const RunPtr &run, const WorkReply &reply)
 {
     run->finished = true;
@@ -462,7 +414,7 @@
     bool hasLastReply = false;
     while (true) {
         const SteadyTime now = core_.clock.now();
-        const SteadyTime hedgeAt = retryable && !hedged ? hedgeTime(*run) : SteadyTime::max();
+        const SteadyTime hedgeAt = retryable && !hedged ? stats_.hedgeTime(*job.route, job.arrived) : SteadyTime::max();
         const std::size_t ended = static_cast<std::size_t>(std::count_if(
             run->attempts.begin(), run->attempts.end(), [](const AttemptPtr &one) { return one->ended; }));
         const SteadyTime cancelQueuedAt = run->queuedCancelled ? SteadyTime::max() : latestStart(*run);
@@ -567,7 +519,7 @@
     if (stopDeadline_ == SteadyTime::max()) {
         return stopDeadline_;
     }
-    const auto reserve = std::chrono::duration_cast<Duration>(expectedWorkTime(*run.job.route) * stopWorkFactor);
+    const auto reserve = std::chrono::duration_cast<Duration>(stats_.expectedWorkTime(*run.job.route) * stopWorkFactor);
     return stopDeadline_ - std::clamp<Duration>(reserve, minStopReserve, maxStopReserve);
 }
 
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -2,14 +2,13 @@
 
 #include "include/customer/KeyAdmission.h"
 #include "include/fleet/FleetConfig.h"
-#include "include/limit/NestedCallTracker.h"
 #include "include/route/HomeRanking.h"
 #include "include/route/HomeSearch.h"
+#include "include/route/RouteStats.h"
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -102,15 +101,6 @@
         bool reachedServer = false;
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
-    struct RouteStats {
-        /** Moving average of the processing time; 0 if there is no sample. */
-        double workSeconds = 0.0;
-        /** Moving average of the response size. */
-        double kilobytes = 0.0;
-        /** Mean number of nested calls per execution. */
-        CallRates calls;
-    };
-
     /** Why an attempt is made. */
     enum class AttemptKind {
         First,
@@ -129,8 +119,6 @@
     static int priorityOf(const Run &run);
     /** Returns why the request must not be sent any more; empty if it may be. */
     static std::string keyProblem(const Run &run);
-    Duration expectedWorkTime(const Route &route) const;
-    SteadyTime hedgeTime(const Run &run) const;
     /** Returns the retry budget tokens that one more attempt costs, by service, nested calls included. */
     CallRates retryCostOf(const Run &run) const;
     /** Returns the reason under which a retry after a failure is accounted. */
@@ -142,7 +130,6 @@
     void cancelQueued(Run &run);
     /** Takes the tokens for one more attempt from the retry budget. Returns false if the attempt must not be made. */
     bool reserveRetry(Run &run, RetryReason reason, const char *why);
-    void updateStats(const std::string &route, const WorkReply &reply);
     ForwardResult finish(const RunPtr &run, const WorkReply &reply);
     /**
      * Cancels all attempts and returns how the request ended. Unless @p immediately, waits for up to a round trip until
@@ -156,7 +143,7 @@
     RetryBudgetService &retryBudgets_;
     PathMonitor &paths_;
     HomeRanking ranking_;
-    std::map<std::string, RouteStats> stats_;
+    RouteStats stats_;
     std::uint64_t nextLocalWork_ = 1;
     std::set<RunPtr> active_;
     SteadyTime stopDeadline_ = SteadyTime::max();
