--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,22 @@
     Millis ramp = std::chrono::seconds(10);
 };
 
+/** Which requests may wait for capacity at their ingress, and how much of it may be in use for them. */
+struct WaitingSettings {
+    /** A request may wait only if its route's response time objective is at least this long; zero: none waits. */
+    Millis minObjective = std::chrono::seconds(2);
+    std::uint32_t maxHeld = 512;
+    std::uint64_t maxHeldBytes = 4UL * 1024 * 1024;
+};
+
+/** Limits on what a node buffers for callers and servers that read slowly. */
+struct FlowSettings {
+    std::uint64_t connectionBytes = 1024UL * 1024;
+    std::uint64_t nodeBytes = 24UL * 1024 * 1024;
+    /** A connection that makes no progress for this long is closed. */
+    Millis stall = std::chrono::seconds(10);
+};
+
 /** The one backend server beside this node, which only processes on the same VM can reach. */
 struct LocalServer {
     std::string service;
@@ -93,6 +110,10 @@
     std::vector<Endpoint> seeds;
     NodeLimits limits;
     NodeTimes times;
+    WaitingSettings waiting;
+    FlowSettings flow;
+    /** Parts of the platform's contract that are in force; names that this build does not know are kept. */
+    std::set<std::string> contracts;
 };
 
 /** Parses and validates a settings document; each error is a finding with its place. Thread safe. */
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -116,6 +116,55 @@
     }
 }
 
+void readWaiting(const nlohmann::json &value, WaitingSettings &waiting, Findings &findings)
+{
+    if (value.is_null()) {
+        return;
+    }
+    constexpr std::int64_t maxHeldRequests = 100000;
+    constexpr std::int64_t maxHeldBytes = 64L * 1024 * 1024;
+    JsonReader reader(value, "/waiting", findings);
+    waiting.minObjective = reader.duration("minObjective", waiting.minObjective, Millis(0), maxDuration);
+    waiting.maxHeld = static_cast<std::uint32_t>(reader.integer("maxHeld", waiting.maxHeld, 0, maxHeldRequests));
+    waiting.maxHeldBytes = static_cast<std::uint64_t>(
+        reader.integer("maxHeldBytes", static_cast<std::int64_t>(waiting.maxHeldBytes), 0, maxHeldBytes));
+    reader.rejectUnknown();
+}
+
+void readFlow(const nlohmann::json &value, FlowSettings &flow, Findings &findings)
+{
+    if (value.is_null()) {
+        return;
+    }
+    constexpr std::int64_t minBytes = 64L * 1024;
+    constexpr std::int64_t maxBytes = 1024L * 1024 * 1024;
+    JsonReader reader(value, "/flow", findings);
+    const auto read = [&](const char *key, std::uint64_t &field) {
+        field = static_cast<std::uint64_t>(reader.integer(key, static_cast<std::int64_t>(field), minBytes, maxBytes));
+    };
+    read("connectionBytes", flow.connectionBytes);
+    read("nodeBytes", flow.nodeBytes);
+    flow.stall = reader.duration("stall", flow.stall, minDuration, maxDuration);
+    reader.rejectUnknown();
+    if (flow.connectionBytes > flow.nodeBytes) {
+        findings.add("/flow/connectionBytes", "must be at most /flow/nodeBytes");
+    }
+}
+
+void readContracts(const nlohmann::json &value, std::set<std::string> &contracts, Findings &findings)
+{
+    if (!value.is_null() && !value.is_array()) {
+        findings.add("/contracts", "must be a list of names");
+    }
+    for (std::size_t i = 0; value.is_array() && i < value.size(); ++i) {
+        if (value[i].is_string()) {
+            contracts.insert(value[i].get<std::string>());
+        } else {
+            findings.add("/contracts/" + std::to_string(i), "must be a string");
+        }
+    }
+}
+
 } // namespace
 
 std::string Endpoint::text() const
@@ -190,6 +239,9 @@
     }
     readLimits(reader.child("limits"), settings.limits, findings);
     readTimes(reader.child("times"), settings.times, findings);
+    readWaiting(reader.child("waiting"), settings.waiting, findings);
+    readFlow(reader.child("flow"), settings.flow, findings);
+    readContracts(reader.child("contracts"), settings.contracts, findings);
     reader.rejectUnknown();
     return settings;
 }
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -161,6 +161,22 @@
     CHECK(settingsFindings("{\n\"node\": }").text().find("s.json:2:") == 0);
 }
 
+// Guards against a limit on waiting or buffering that is out of range and is used all the same.
+TEST_CASE("settings, waiting and flow limits out of range, are findings with their locations")
+{
+    const std::string text =
+        settingsFindings(R"({"node": "n", "zone": "z", "region": "r", "objectApi": "127.0.0.1:7000",
+        "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
+        "waiting": {"minObjective": "-1s", "maxHeld": -1}, "contracts": ["pressure", 3],
+        "flow": {"connectionBytes": 2097152, "nodeBytes": 1048576}})")
+            .text();
+    for (const char *place :
+         {"/waiting/minObjective:", "/waiting/maxHeld:", "/flow/connectionBytes:", "/contracts/1:"}) {
+        INFO(place << " in\n" << text);
+        CHECK(text.find(place) != std::string::npos);
+    }
+}
+
 TEST_CASE("intents, duplicate routes or a newer schema, are findings")
 {
     CHECK(intentFindings(intentText).empty());
