--- a/include/route/HomeChooser.h
+++ b/include/route/HomeChooser.h
@@ -20,6 +20,9 @@
     OtherRegion,
 };
 
+/** Returns the name of @p distance that logs use. Thread safe. */
+const char *distanceName(Distance distance);
+
 /** A node that is home to servers of the requested service. */
 struct HomeCandidate {
     NodeRef node;
--- a/src/route/HomeChooser.cpp
+++ b/src/route/HomeChooser.cpp
@@ -38,6 +38,21 @@
 
 } // namespace
 
+const char *distanceName(Distance distance)
+{
+    switch (distance) {
+    case Distance::SameNode:
+        return "node";
+    case Distance::SameZone:
+        return "zone";
+    case Distance::SameRegion:
+        return "region";
+    case Distance::OtherRegion:
+        break;
+    }
+    return "other-region";
+}
+
 HomeChooser::HomeChooser(Random random)
     : random_(std::move(random))
 { }
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -199,6 +199,8 @@
                                {"route", route.name},
                                {"service", job.service},
                                {"customer", job.customer},
+                               {"priority", std::to_string(job.priority)},
+                               {"objectiveMs", std::to_string(route.responseTime.count())},
                                {"config", std::to_string(job.config->version)},
                                {"outcome", outcomeName(result.outcome)},
                                {"status", std::to_string(status)},
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -252,6 +252,7 @@
     work.versions = core_.service<StateUpdateService>("state-updates").versions();
     work.request = job.request;
     work.keyChecked = true;
+    const std::size_t requestBytes = job.request.body.size();
     attempt->home = choice.node;
     ranking_.noteSent(choice.node);
     // Recorded before the send, so that a concurrent attempt does not use the same server.
@@ -295,6 +296,8 @@
     core_.events.writeRequest(result.pathFailed ? Severity::Warning : Severity::Info, "sent",
                               {{"request", job.requestId},
                                {"home", choice.node},
+                               {"distance", distanceName(choice.distance)},
+                               {"bytes", std::to_string(requestBytes + reply.response.body.size())},
                                {"loss", std::to_string(static_cast<int>(choice.loss))},
                                {"loadAgeMs", std::to_string(choice.loadAge.count())},
                                {"patienceMs", std::to_string(choice.queueTimeout.count())},
