--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -43,6 +43,11 @@
     slot->samples(std::chrono::duration<double, std::milli>(value).count());
 }
 
+void Metrics::setGauge(const std::string &name, std::uint64_t value)
+{
+    gauges_[name] = value;
+}
+
 std::uint64_t Metrics::counter(const std::string &name) const
 {
     const auto found = counters_.find(name);
@@ -64,6 +69,10 @@
         const std::string full = nameOf(name) + "_total";
         out << "# TYPE " << full << " counter\n" << full << " " << value << "\n";
     }
+    for (const auto &[name, value] : gauges_) {
+        const std::string full = nameOf(name);
+        out << "# TYPE " << full << " gauge\n" << full << " " << value << "\n";
+    }
     constexpr double millisPerSecond = 1000.0;
     for (const auto &[name, distribution] : distributions_) {
         const auto &samples = distribution->samples;
@@ -82,7 +91,7 @@
 
 std::string Metrics::json() const
 {
-    nlohmann::json out = {{"counters", counters_}, {"latenciesMs", nlohmann::json::object()}};
+    nlohmann::json out = {{"counters", counters_}, {"gauges", gauges_}, {"latenciesMs", nlohmann::json::object()}};
     for (const auto &[name, distribution] : distributions_) {
         const auto &samples = distribution->samples;
         const auto quantiles = acc::extended_p_square(samples);
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/http.hpp>
 
 #include <charconv>
-#include <limits>
 #include <optional>
 
 namespace waxwing {
@@ -166,7 +165,7 @@
 {
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
         http::response_parser<http::string_body> parser;
-        parser.body_limit(std::numeric_limits<std::uint32_t>::max());
+        parser.body_limit(options.maxResponseBytes);
         if (request.method == "HEAD") {
             parser.skip(true);
         }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -62,6 +63,8 @@
      * at that moment, it is unknown whether the request ran.
      */
     Duration maxIdle = std::chrono::hours(1);
+    /** A response with a larger body fails as malformed. */
+    std::uint64_t maxResponseBytes = std::numeric_limits<std::uint32_t>::max();
     /** Opens a new connection for this exchange and closes it after the response. */
     bool newConnection = false;
     /**
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "src/http/HttpConnection.h"
 
 #include "src/fiber/FiberLoop.h"
+#include "src/http/ResponseFlow.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -123,6 +124,9 @@
 {
     boost::system::error_code ignored;
     socket_.non_blocking(true, ignored);
+    if (server_->flow) {
+        socket_.set_option(boost::asio::socket_base::send_buffer_size(ResponseFlow::sendBufferBytes), ignored);
+    }
 }
 
 void HttpConnection::onDrain()
@@ -199,6 +203,20 @@
     return takesRequests();
 }
 
+bool HttpConnection::hasRoom() const
+{
+    if (exchanges_.size() >= server_->limits.pipelinedRequests || bytesHeld_ >= server_->limits.pipelinedBytes) {
+        return false;
+    }
+    if (!server_->flow || exchanges_.empty()) {
+        return true;
+    }
+    // Responses that are not ready yet are assumed to be as large as the largest one on this connection.
+    const auto running = static_cast<std::size_t>(std::count_if(
+        exchanges_.begin(), exchanges_.end(), [](const ExchangePtr &exchange) { return !exchange->done; }));
+    return bytesHeld_ + (running + 1) * largestResponse_ <= server_->flow->settings().connectionBytes;
+}
+
 bool HttpConnection::awaitFirstByte()
 {
     readAhead();
@@ -300,9 +318,38 @@
     bytesHeld_ += exchange->bytes;
     exchange->reply = std::move(reply);
     exchange->done = true;
+    addToFlow(exchange);
     writeReady();
 }
 
+void HttpConnection::addToFlow(const ExchangePtr &exchange)
+{
+    largestResponse_ = std::max(largestResponse_, exchange->bytes);
+    if (!server_->flow || !exchange->watch->reservation) {
+        return;
+    }
+    server_->flow->addResponse(*exchange->watch->reservation, exchange->watch->requestId, exchange->bytes,
+                               [weak = weak_from_this()] {
+                                   if (const auto self = weak.lock()) {
+                                       self->reset();
+                                   }
+                               });
+}
+
+void HttpConnection::releaseFlow(const Exchange &exchange)
+{
+    if (server_->flow && exchange.watch->reservation) {
+        server_->flow->release(*exchange.watch->reservation);
+    }
+}
+
+void HttpConnection::reset()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+}
+
 bool HttpConnection::isLastResponse(const HttpReply &reply) const
 {
     const bool ending = requestsDone_ || server_->closing || server_->draining;
@@ -321,9 +368,10 @@
             const bool last = isLastResponse(exchange->reply);
             // Set before the first byte is sent: no request is started behind a closing response.
             requestsDone_ = requestsDone_ || last;
-            responsesDone_ = !write(std::move(exchange->reply), !last) || last;
+            responsesDone_ = !write(exchange, !last) || last;
         }
         bytesHeld_ -= exchange->bytes;
+        releaseFlow(*exchange);
         --server_->inFlight;
         exchanges_.pop_front();
         if (responsesDone_) {
@@ -335,12 +383,11 @@
     notifier_.notify();
 }
 
-bool HttpConnection::write(HttpReply reply, bool keepAlive)
+bool HttpConnection::write(const ExchangePtr &exchange, bool keepAlive)
 {
+    HttpReply reply = std::move(exchange->reply);
     if (reply.after == AfterResponse::Reset) {
-        boost::system::error_code ignored;
-        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        socket_.close(ignored);
+        reset();
         return false;
     }
     const bool truncate = reply.after == AfterResponse::TruncateBody;
@@ -350,38 +397,50 @@
         // Most responses fit into the socket buffer at once, and then need neither a timer nor a turn of the event
         // loop.
         beast::error_code error;
-        http::write_some(socket_, serializer, error);
+        std::size_t bytes = http::write_some(socket_, serializer, error);
         if (error == boost::asio::error::would_block) {
-            error = writeSome(serializer);
+            const IoResult written = writeSome(serializer, exchange);
+            error = written.error;
+            bytes = written.bytes;
         }
         if (error) {
             return false;
         }
+        if (server_->flow && exchange->watch->reservation) {
+            server_->flow->noteProgress(*exchange->watch->reservation, bytes);
+        }
     }
     return !truncate;
 }
 
-boost::system::error_code HttpConnection::writeSome(Serializer &serializer)
+Millis HttpConnection::stallTimeout() const
+{
+    return server_->flow ? server_->flow->settings().stall : server_->limits.messageTimeout;
+}
+
+IoResult HttpConnection::writeSome(Serializer &serializer, const ExchangePtr &exchange)
 {
-    // A caller may read a large response slowly. The connection is closed only if it reads nothing for messageTimeout.
-    boost::asio::steady_timer timer(server_->ioContext, server_->limits.messageTimeout);
-    timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (!error) {
-            boost::system::error_code ignored;
-            self->socket_.close(ignored);
+    // A caller may read a large response slowly. The connection is closed only if it reads nothing for a while.
+    boost::asio::steady_timer timer(server_->ioContext, stallTimeout());
+    timer.async_wait([self = shared_from_this(), exchange](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        if (self->server_->flow && exchange->watch->reservation) {
+            self->server_->flow->noteStalled(*exchange->watch->reservation);
+            // The kernel keeps what it buffers for a socket that is closed normally.
+            self->reset();
         }
+        boost::system::error_code ignored;
+        self->socket_.close(ignored);
     });
-    const IoResult written =
-        await([&](auto handle) { http::async_write_some(socket_, serializer, std::move(handle)); });
-    return written.error;
+    return await([&](auto handle) { http::async_write_some(socket_, serializer, std::move(handle)); });
 }
 
 void HttpConnection::serve()
 {
     while (awaitFirstByte()) {
-        const std::size_t maxPipelined = server_->limits.pipelinedRequests;
-        const std::uint64_t maxPipelinedBytes = server_->limits.pipelinedBytes;
-        if (!awaitUntil([&] { return exchanges_.size() < maxPipelined && bytesHeld_ < maxPipelinedBytes; })) {
+        if (!awaitUntil([this] { return hasRoom(); })) {
             break;
         }
         std::optional<ReadRequest> read = readRequest();
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -21,6 +21,8 @@
     HttpServer::Handler handler;
     HttpLimits limits;
     HttpServer::RejectHook onReject;
+    /** Null if the bytes held for slow readers are not bounded. */
+    std::shared_ptr<ResponseFlow> flow;
     /** Requests that were read and have no response yet. */
     std::size_t inFlight = 0;
     /** Each connection closes after the responses to the requests that it has read, or after its next request. */
@@ -75,18 +77,27 @@
     bool awaitFirstByte();
     /** Waits until @p ready returns true. Returns false if the connection accepts no more requests. */
     bool awaitUntil(const std::function<bool()> &ready);
+    /** Returns true if one more request may run. */
+    bool hasRoom() const;
     std::optional<ReadRequest> readRequest();
     void confirmContinue();
     /** Sends an error as the last response of this connection. */
     void reject(unsigned status, const std::string &message);
     void start(HttpRequest request);
     void finish(const ExchangePtr &exchange, HttpReply reply);
+    /** Adds the response of @p exchange to the server's flow control, if the exchange has a reservation there. */
+    void addToFlow(const ExchangePtr &exchange);
+    void releaseFlow(const Exchange &exchange);
     /** Writes the completed responses that are next in order. */
     void writeReady();
     /** Writes a response. Returns false if no other response can follow on this connection. */
-    bool write(HttpReply reply, bool keepAlive);
+    bool write(const ExchangePtr &exchange, bool keepAlive);
     /** Writes the next part of a response once the socket accepts it. */
-    boost::system::error_code writeSome(Serializer &serializer);
+    IoResult writeSome(Serializer &serializer, const ExchangePtr &exchange);
+    /** Returns how long a caller may read nothing of its response. */
+    Millis stallTimeout() const;
+    /** Closes the connection without sending what its socket buffers. */
+    void reset();
     bool isLastResponse(const HttpReply &reply) const;
     bool takesRequests() const;
     void lingerAndClose();
@@ -100,6 +111,8 @@
     bool inputEnded_ = false;
     std::deque<ExchangePtr> exchanges_;
     std::size_t bytesHeld_ = 0;
+    /** Size of the largest response on this connection so far. */
+    std::size_t largestResponse_ = 0;
     SteadyTime idleSince_;
     bool writing_ = false;
     /** No further request is read: the last one was announced or rejected, or a response closes the connection. */
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -30,7 +30,8 @@
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
     State(boost::asio::io_context &ioContext, Handler handler, HttpLimits limits, RejectHook onReject)
-        : shared(std::make_shared<HttpShared>(HttpShared{ioContext, std::move(handler), limits, std::move(onReject)}))
+        : shared(std::make_shared<HttpShared>(
+            HttpShared{ioContext, std::move(handler), limits, std::move(onReject), nullptr}))
         , acceptor(ioContext)
     { }
 
@@ -130,6 +131,11 @@
     state_->shared->limits = limits;
 }
 
+void HttpServer::setFlow(std::shared_ptr<ResponseFlow> flow)
+{
+    state_->shared->flow = std::move(flow);
+}
+
 void HttpServer::announceClose()
 {
     state_->shared->closing = true;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -10,10 +10,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace waxwing {
 
+class ResponseFlow;
+
 /** Limits on the resources that callers may use. */
 struct HttpLimits {
     std::uint32_t headerBytes = 16 * 1024;
@@ -56,6 +59,10 @@
     bool disconnected = false;
     /** Set by the handler, called at most once. */
     std::function<void()> onDisconnect;
+    /** Id of the request in log lines; set by the handler. */
+    std::string requestId;
+    /** What the handler has reserved for this request with the server's ResponseFlow; released with the response. */
+    std::optional<std::uint64_t> reservation;
 };
 
 using CallerWatchPtr = std::shared_ptr<CallerWatch>;
@@ -89,6 +96,8 @@
      * the next wait on, and the limit on connections to new ones only.
      */
     void setLimits(const HttpLimits &limits);
+    /** Bounds the bytes that connections hold for slow readers. @pre called before the first connection. */
+    void setFlow(std::shared_ptr<ResponseFlow> flow);
     /**
      * From now on each connection closes after the responses to the requests that it has read, or an idle one after its
      * next request. The last response announces this. New connections are still accepted.
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -61,6 +61,10 @@
         std::optional<SteadyTime> helloAt;
         std::vector<std::shared_ptr<FiberLatch>> waiters;
         LinkFramer framer;
+        /** What State::queuedBytes contains of this link. */
+        std::size_t queuedBytes = 0;
+        /** When the queue last became shorter, or was empty. */
+        SteadyTime drainedAt;
         /** When the last frame was received. */
         SteadyTime lastReceivedAt;
     };
@@ -90,8 +94,12 @@
     tl::expected<ExecReply, CallError> sendAndWait(const NodeRef &to, const Endpoint &endpoint,
                                                    const std::function<Message(std::uint64_t)> &messageOf,
                                                    Duration timeout, const std::function<void(std::uint64_t)> &onSent);
+    /** Returns the bytes that wait to be sent on @p link; nullopt if its connection has ended. */
+    std::optional<std::size_t> bufferedBytes(const LinkPtr &link);
     /** Returns false if the link has closed, or if more than maxBufferedBytes wait to be sent on it. */
     bool canSend(const LinkPtr &link);
+    /** Updates queuedBytes after the queue of @p link has changed. */
+    void noteQueued(const LinkPtr &link);
     bool writeFrame(const LinkPtr &link, const std::string &frame);
     bool sendOn(const LinkPtr &link, Message message);
     void onFrame(const LinkPtr &link, const std::string &payload);
@@ -120,6 +128,8 @@
     /** The latest outgoing link to each endpoint from which a Hello was received. */
     std::map<Endpoint, LinkPtr> byEndpoint;
     std::map<std::uint64_t, std::shared_ptr<Pending>> pending;
+    /** Bytes of large bodies that wait to be sent on all links. */
+    std::size_t queuedBytes = 0;
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
 };
@@ -297,18 +307,31 @@
     return link->id;
 }
 
-bool PeerHub::State::canSend(const LinkPtr &link)
+std::optional<std::size_t> PeerHub::State::bufferedBytes(const LinkPtr &link)
 {
-    if (link->closed) {
-        return false;
-    }
     websocketpp::lib::error_code error;
     const auto buffered = [&](auto &endpoint) {
         const auto connection = endpoint.get_con_from_hdl(link->handle, error);
         return error ? 0 : connection->get_buffered_amount();
     };
     const std::size_t waiting = link->outgoing ? buffered(client) : buffered(server);
-    return !error && waiting + link->framer.queuedBytes() <= maxBufferedBytes;
+    return error ? std::nullopt : std::optional<std::size_t>(waiting + link->framer.queuedBytes());
+}
+
+bool PeerHub::State::canSend(const LinkPtr &link)
+{
+    const std::optional<std::size_t> buffered = link->closed ? std::nullopt : bufferedBytes(link);
+    return buffered && *buffered <= maxBufferedBytes;
+}
+
+void PeerHub::State::noteQueued(const LinkPtr &link)
+{
+    const std::size_t queued = link->closed ? 0 : link->framer.queuedBytes();
+    if (queued < link->queuedBytes || link->queuedBytes == 0) {
+        link->drainedAt = clock.now();
+    }
+    queuedBytes = queuedBytes - link->queuedBytes + queued;
+    link->queuedBytes = queued;
 }
 
 bool PeerHub::State::writeFrame(const LinkPtr &link, const std::string &frame)
@@ -330,6 +353,7 @@
     }
     const bool written =
         link->framer.send(std::move(message), [&](const std::string &frame) { return writeFrame(link, frame); });
+    noteQueued(link);
     if (!written) {
         closeLink(link, websocketpp::close::status::going_away);
     }
@@ -359,6 +383,7 @@
     link->lastReceivedAt = clock.now();
     Expected<std::optional<Message>> received =
         link->framer.receive(payload, [&](const std::string &frame) { return writeFrame(link, frame); });
+    noteQueued(link);
     const bool helloFirst = link->helloReceived || (received && *received && std::holds_alternative<Hello>(**received));
     if (!received || !helloFirst) {
         if (hooks.onMalformed && (received || received.error().code == ErrorCode::Malformed)) {
@@ -419,6 +444,7 @@
         return;
     }
     link->closed = true;
+    noteQueued(link);
     releaseWaiters(*link);
     links.erase(link->id);
     const auto opened = opening.find(link->endpoint);
@@ -659,6 +685,24 @@
     return found == state_->links.end() ? std::nullopt : std::optional<SteadyTime>(found->second->lastReceivedAt);
 }
 
+std::size_t PeerHub::queuedBytes(LinkId link) const
+{
+    const auto found = state_->links.find(link);
+    return found == state_->links.end() ? 0 : state_->bufferedBytes(found->second).value_or(0);
+}
+
+Duration PeerHub::sendStalledFor(LinkId link) const
+{
+    const auto found = state_->links.find(link);
+    const bool waits = found != state_->links.end() && found->second->queuedBytes > 0;
+    return waits ? state_->clock.now() - found->second->drainedAt : Duration(0);
+}
+
+std::size_t PeerHub::queuedBytes() const
+{
+    return state_->queuedBytes;
+}
+
 void PeerHub::disconnect(const NodeRef &peer)
 {
     const auto found = state_->outgoing.find(peer);
--- a/src/link/PeerHub.h
+++ b/src/link/PeerHub.h
@@ -109,6 +109,12 @@
      * closed.
      */
     std::optional<SteadyTime> lastReceivedAt(LinkId link) const;
+    /** Returns the bytes that wait to be sent on the link; 0 if it has closed. */
+    std::size_t queuedBytes(LinkId link) const;
+    /** Returns how long the peer has acknowledged no chunk though some wait to be sent; zero if none waits. */
+    Duration sendStalledFor(LinkId link) const;
+    /** Returns the bytes of large bodies that wait to be sent on all links. */
+    std::size_t queuedBytes() const;
     /** Closes incoming links from which no Hello was received within @p olderThan. */
     void closeUnidentified(Duration olderThan);
     /** Closes the outgoing link to @p peer. */
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -3,6 +3,7 @@
 #include "include/fleet/Freshness.h"
 #include "include/report/BurnRecorder.h"
 #include "platform/CallerDialect.h"
+#include "src/http/ResponseFlow.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/ConfigSync.h"
 #include "src/sidecar/Forwarder.h"
@@ -84,6 +85,36 @@
     balancer_.clear();
 }
 
+void CallerHandler::setFlow(std::shared_ptr<ResponseFlow> flow)
+{
+    flow_ = std::move(flow);
+}
+
+std::optional<CallerHandler::Refusal> CallerHandler::reserveBytes(const ForwardJob &job, const CallerWatchPtr &caller)
+{
+    if (!flow_) {
+        return std::nullopt;
+    }
+    caller->requestId = job.requestId;
+    caller->reservation = flow_->reserve(job.route->name, job.request.body.size());
+    if (caller->reservation) {
+        return std::nullopt;
+    }
+    // The callers that are refused at one time return spread over twice the expected time.
+    std::uniform_real_distribution<double> spread(1.0, 2.0);
+    const auto retryAfter =
+        std::chrono::duration_cast<Millis>(flow_->retryAfter(job.route->name) * spread(core_.random));
+    return Refusal{unavailable, job.requestId, "node-bytes", retryAfter, "", ""};
+}
+
+void CallerHandler::releaseBytes(const CallerWatchPtr &caller)
+{
+    if (flow_ && caller->reservation) {
+        flow_->release(*caller->reservation);
+        caller->reservation.reset();
+    }
+}
+
 HttpReply CallerHandler::refuse(const Refusal &refusal)
 {
     const ConfigSync &config = core_.service<ConfigSync>("config");
@@ -170,7 +201,11 @@
     const Route &route = *job->route;
     job->request = std::move(decoded->forward);
     job->deadline = job->arrived + std::min(route.timeout, decoded->timeout.value_or(route.timeout));
+    if (const std::optional<Refusal> refusal = reserveBytes(*job, caller)) {
+        return refuse(*refusal);
+    }
     if (const std::optional<Refusal> refusal = admitCustomer(*job, decoded->credential)) {
+        releaseBytes(caller);
         return refuse(*refusal);
     }
     job->service = balancer_.pick(route);
@@ -179,10 +214,10 @@
         job->control->cancel();
     }
     caller->onDisconnect = [control = job->control] { control->cancel(); };
-    return answer(*job, core_.service<Forwarder>("forwarder").run(job));
+    return answer(*job, core_.service<Forwarder>("forwarder").run(job), caller);
 }
 
-HttpReply CallerHandler::answer(const ForwardJob &job, ForwardResult result)
+HttpReply CallerHandler::answer(const ForwardJob &job, ForwardResult result, const CallerWatchPtr &caller)
 {
     const Duration took = core_.clock.now() - job.arrived;
     const Route &route = *job.route;
@@ -205,6 +240,9 @@
                                {"reason", result.reason},
                                {"callerGone", job.control->cancelled ? "yes" : "no"},
                                {"tookMs", std::to_string(millisOf(took).count())}});
+    if (status >= firstClientError) {
+        releaseBytes(caller);
+    }
     if (hasResponse) {
         return HttpReply{std::move(result.response), AfterResponse::KeepOpen};
     }
--- a/src/sidecar/CallerHandler.h
+++ b/src/sidecar/CallerHandler.h
@@ -6,12 +6,14 @@
 #include "src/http/HttpServer.h"
 #include "src/sidecar/Forwarder.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 
 namespace waxwing {
 
 struct NodeCore;
+class ResponseFlow;
 
 /**
  * Handles callers' requests at a node on the platform: finds the route, forwards the request, and returns the server's
@@ -27,6 +29,8 @@
     HttpReply handleReadiness(const HttpRequest &request);
     /** Resets the load balancing state after a configuration change. */
     void configChanged();
+    /** Bounds the bytes of responses to slow readers. */
+    void setFlow(std::shared_ptr<ResponseFlow> flow);
 
 private:
     /** A request that is answered without being sent. */
@@ -50,11 +54,17 @@
     std::optional<Refusal> admitCustomer(ForwardJob &job, const Credential &credential);
     /** Names the customer to the server, ranks the request, and has the key checked again before each send. */
     void setCustomer(ForwardJob &job, const Customer &customer, const Credential &credential);
-    HttpReply answer(const ForwardJob &job, ForwardResult result);
+    /** Reserves bytes for the response to @p job. Returns why the request may not run otherwise. */
+    std::optional<Refusal> reserveBytes(const ForwardJob &job, const CallerWatchPtr &caller);
+    /** Releases a reservation: the response is an error whose size does not matter. */
+    void releaseBytes(const CallerWatchPtr &caller);
+    HttpReply answer(const ForwardJob &job, ForwardResult result, const CallerWatchPtr &caller);
 
     NodeCore &core_;
     KeyAdmissionTuning keyAdmission_;
     WeightedRoundRobin balancer_;
+    /** Null if callers don't read slowly. */
+    std::shared_ptr<ResponseFlow> flow_;
     /** Result of the last readiness check. A node that is ready may stay so with an older configuration. */
     bool lastReady_ = false;
 };
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -43,6 +43,10 @@
     SteadyTime deadline;
     SteadyTime arrived;
     WorkReply reply;
+    /** When the request joins the queue for a slot. */
+    SteadyTime queuedAt;
+    /** The request has waited for the server's memory, and its sender knows that it was accepted. */
+    bool accepted = false;
     /** A nested call that the server may have made for this work failed. */
     bool callFailed = false;
 };
@@ -62,6 +66,17 @@
     spawnFiber([this] { expiryLoop(); });
 }
 
+void LocalHome::setFlow(const FlowSettings &flow)
+{
+    memory_ = std::make_unique<ServerMemoryGate>(core_);
+    maxResponseBytes_ = flow.nodeBytes;
+}
+
+std::uint64_t LocalHome::requestBytes() const
+{
+    return requestBytes_;
+}
+
 std::optional<HttpResponse> LocalHome::handleServerCall(const HttpRequest &request)
 {
     const std::optional<Expected<platform::ServerCall>> call = platform::decodeServerCall(request);
@@ -174,6 +189,41 @@
     --callsInProgress_;
 }
 
+bool LocalHome::awaitAdmission(Job &job, const std::function<void()> &onAdmitted)
+{
+    return (!memory_ || awaitMemory(job, onAdmitted)) && awaitSlot(job, onAdmitted);
+}
+
+bool LocalHome::awaitMemory(Job &job, const std::function<void()> &onAdmitted)
+{
+    ServerMemoryGate::Request request;
+    request.id = job.id;
+    request.bytes = job.work.request.body.size();
+    request.until = std::min(job.deadline, job.arrived + job.work.queueTimeout);
+    request.control = job.control;
+    const ServerMemoryGate::Result result = memory_->admit(request, [&] {
+        job.accepted = true;
+        if (onAdmitted) {
+            onAdmitted();
+        }
+    });
+    job.queuedAt = job.accepted ? core_.clock.now() : job.queuedAt;
+    switch (result) {
+    case ServerMemoryGate::Result::Admitted:
+        return true;
+    case ServerMemoryGate::Result::TooLarge:
+        job.reply = refusal(job, tooLargeReason);
+        break;
+    case ServerMemoryGate::Result::TimedOut:
+        job.reply = refusal(job, job.accepted ? "waited-in-vain" : refusalReasonName(RefusalReason::Busy));
+        break;
+    case ServerMemoryGate::Result::Cancelled:
+        job.reply = refusal(job, "cancelled");
+        break;
+    }
+    return false;
+}
+
 bool LocalHome::awaitSlot(Job &job, const std::function<void()> &onAdmitted)
 {
     SlotRequest request;
@@ -184,15 +234,15 @@
     request.priority = job.work.priority;
     request.objective = job.arrived + job.work.untilObjective;
     request.deadline = job.deadline;
-    request.queueTimeout = job.work.queueTimeout;
+    request.queueTimeout = std::max(Millis(0), job.work.queueTimeout - millisOf(job.queuedAt - job.arrived));
     request.acceptsGray = job.work.acceptsGray;
     noteOverdueWork();
-    const SlotDecision decision = queue_.submit(request, job.arrived);
+    const SlotDecision decision = queue_.submit(request, job.queuedAt);
     if (decision.action == SlotAction::Refuse) {
         job.reply = refusal(job, refusalReasonName(decision.reason));
         return false;
     }
-    if (onAdmitted) {
+    if (onAdmitted && !job.accepted) {
         onAdmitted();
     }
     if (decision.action == SlotAction::Start) {
@@ -230,7 +280,7 @@
                          const std::function<void()> &onAdmitted)
 {
     const SteadyTime now = core_.clock.now();
-    Job job{key, work, control, nextJob_++, now + work.remaining, now, {}};
+    Job job{key, work, control, nextJob_++, now + work.remaining, now, {}, now};
     if (works_.contains(key)) {
         return refusal(job, "forbidden");
     }
@@ -251,11 +301,16 @@
     }
     noteOrigin(key, work.route);
     works_.addQueued(key, control);
-    if (awaitSlot(job, onAdmitted)) {
+    requestBytes_ += work.request.body.size();
+    if (awaitAdmission(job, onAdmitted)) {
         dispatch(job);
         queue_.release(job.id, core_.clock.now());
         pollQueue();
     }
+    requestBytes_ -= work.request.body.size();
+    if (memory_) {
+        memory_->release(job.id);
+    }
     job.reply.id = key.id;
     noteOverdueWork();
     job.reply.load = load(work.priority);
@@ -291,6 +346,7 @@
     ExchangeOptions options;
     options.timeout = left;
     options.cancel = &cancel;
+    options.maxResponseBytes = memory_ ? maxResponseBytes_ : options.maxResponseBytes;
     options.maxIdle = job.work.idempotent ? maxIdle : maxIdleNonIdempotent;
     const std::string requestId = platform::requestIdOf(job.work.request);
     options.matchesRequest = [&requestId](const HttpResponse &response) {
@@ -320,6 +376,9 @@
         return;
     }
     WorkReply &reply = job.reply;
+    if (memory_) {
+        memory_->noteCompleted();
+    }
     switch (platform::classifyResponse(*response)) {
     case platform::ServerResponse::Answer:
         queue_.addResult(job.work.route, false, processingTime, now);
@@ -387,6 +446,9 @@
         }
         return;
     }
+    if (memory_ && error.failure == ExchangeFailure::Reset) {
+        memory_->noteReset();
+    }
     if (error.failure == ExchangeFailure::Reset && detectCrash(job)) {
         return;
     }
@@ -409,6 +471,9 @@
         return false;
     }
     core_.service<PoisonService>("poison").noteDeath(requestDigest(job.work.service, job.work.request), server);
+    if (memory_) {
+        memory_->noteCrash(server);
+    }
     if (server_.serving() != nullptr) {
         server_.noteReplaced();
         serverChanged(ServerChange::Stopped, "its process ended");
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -8,6 +8,7 @@
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/RunControl.h"
 #include "src/sidecar/WorkTable.h"
+#include "src/sidecar/home/ServerMemoryGate.h"
 
 #include <functional>
 #include <map>
@@ -33,6 +34,10 @@
     /** @pre "poison" is in the kernel before the first request. */
     explicit LocalHome(NodeCore &core);
     void start();
+    /** Bounds the bytes of requests in progress at the server, and the size of its responses. */
+    void setFlow(const FlowSettings &flow);
+    /** Returns the bytes of the requests queued or running here. */
+    std::uint64_t requestBytes() const;
 
     /** Handles a call of the server beside this node. Returns nullopt if @p request is not such a call. */
     std::optional<HttpResponse> handleServerCall(const HttpRequest &request);
@@ -96,6 +101,9 @@
     void expiryLoop();
     /** Lets work that has run for too long count against the server. */
     void noteOverdueWork();
+    /** Waits until the server's memory has room for the request, and then for a slot. */
+    bool awaitAdmission(Job &job, const std::function<void()> &onAdmitted);
+    bool awaitMemory(Job &job, const std::function<void()> &onAdmitted);
     bool awaitSlot(Job &job, const std::function<void()> &onAdmitted);
     void dispatch(Job &job);
     void handleResponse(Job &job, const tl::expected<HttpResponse, ExchangeError> &response, Duration processingTime);
@@ -117,6 +125,10 @@
     RouteOrigins origins_;
     int callsInProgress_ = 0;
     bool stopped_ = false;
+    /** Null if callers and servers don't read slowly. */
+    std::unique_ptr<ServerMemoryGate> memory_;
+    std::uint64_t maxResponseBytes_ = 0;
+    std::uint64_t requestBytes_ = 0;
 };
 
 } // namespace waxwing
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -5,6 +5,7 @@
 #include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/http/HttpServer.h"
+#include "src/http/ResponseFlow.h"
 #include "src/link/PeerHub.h"
 #include "src/node/NodeCore.h"
 #include "src/node/PoisonService.h"
@@ -51,6 +52,8 @@
 /** A killed process is back within about a second; a lost VM costs an occasional connection attempt. */
 constexpr Millis initialReconnectDelay{500};
 constexpr Millis maxReconnectDelay{8000};
+/** A peer that reads acknowledges a chunk within this time even over a narrow link. */
+constexpr Millis linkStall{2000};
 } // namespace
 
 struct SidecarNode::Impl {
@@ -84,6 +87,11 @@
     HttpReply handleControl(const HttpRequest &request);
     void handleMessage(LinkId link, const NodeRef &from, Message message);
     void handleWork(LinkId link, const NodeRef &from, Work work);
+    void refuseWork(LinkId link, const Work &work, const std::string &reason);
+    /** Bounds the bytes buffered for slow readers by @p settings. @pre the node listens. */
+    void enableFlow(const FlowSettings &settings);
+    /** Returns true if this node buffers too much to accept work that arrived on @p link. */
+    bool holdsTooMuch(LinkId link) const;
     /** Stores @p link if the sender of work in progress sent @p fence: the WorkReply goes to the last such link. */
     void noteReplyLink(LinkId link, const NodeRef &from, const Fence &fence);
     void applyConfig(const FleetConfig &changed);
@@ -111,6 +119,8 @@
     QuotaService quotas;
     CallerHandler callerHandler;
     std::unique_ptr<PeerHub> peers;
+    /** Null if callers and servers don't read slowly. */
+    std::shared_ptr<ResponseFlow> flow;
     std::map<LinkId, LinkDelayEstimator> linkDelays;
     std::map<WorkKey, LinkId> replyLinks;
     /** Links that this node opened, with the node at the other end. */
@@ -294,13 +304,12 @@
         core.events.write(
             Severity::Warning, "work_arrived_late",
             {{"request", work.requestId}, {"from", from.text()}, {"lateMs", std::to_string(delay.count())}});
-        WorkReply refusal;
-        refusal.id = work.id;
-        refusal.outcome = Outcome::NotRun;
-        refusal.reason = "arrived-late";
-        refusal.load = home.load(work.priority);
-        refusal.versions = updates.versions();
-        peers->reply(link, refusal);
+        refuseWork(link, work, "arrived-late");
+        return;
+    }
+    if (holdsTooMuch(link)) {
+        core.metrics.count("work_refused_node_bytes");
+        refuseWork(link, work, "node-bytes");
         return;
     }
     spawnFiber([this, link, from, work = std::move(work)] {
@@ -318,6 +327,54 @@
     });
 }
 
+void SidecarNode::Impl::refuseWork(LinkId link, const Work &work, const std::string &reason)
+{
+    WorkReply refusal;
+    refusal.id = work.id;
+    refusal.outcome = Outcome::NotRun;
+    refusal.reason = reason;
+    refusal.load = home.load(work.priority);
+    refusal.versions = updates.versions();
+    peers->reply(link, refusal);
+}
+
+bool SidecarNode::Impl::holdsTooMuch(LinkId link) const
+{
+    if (!flow) {
+        return false;
+    }
+    const FlowSettings &settings = flow->settings();
+    // A link that is only narrow acknowledges chunks; one whose peer doesn't read takes no more responses.
+    return (peers->sendStalledFor(link) >= linkStall && peers->queuedBytes(link) > settings.connectionBytes)
+           || home.requestBytes() + peers->queuedBytes() > settings.nodeBytes;
+}
+
+void SidecarNode::Impl::enableFlow(const FlowSettings &settings)
+{
+    const auto write = [this](const char *event, const SlowReader &reader, const std::string &reason) {
+        core.events.writeRequest(Severity::Warning, event,
+                                 {{"request", reader.requestId},
+                                  {"bytes", std::to_string(reader.bytes)},
+                                  {"readBytes", std::to_string(reader.readBytes)},
+                                  {"writingMs", std::to_string(reader.writing.count())},
+                                  {"reason", reason}});
+    };
+    ResponseFlow::Hooks hooks;
+    hooks.onSlow = [this, write](const SlowReader &reader) {
+        core.metrics.count("slow_readers");
+        write("slow_reader", reader, "");
+    };
+    hooks.onClosed = [this, write](const SlowReader &reader, const std::string &reason) {
+        core.metrics.count("slow_readers_closed");
+        write("slow_reader_closed", reader, reason);
+    };
+    hooks.onHeld = [this](std::uint64_t bytes) { core.metrics.setGauge("held_bytes", bytes); };
+    flow = std::make_shared<ResponseFlow>(settings, core.clock, std::move(hooks));
+    callerServer->setFlow(flow);
+    callerHandler.setFlow(flow);
+    home.setFlow(settings);
+}
+
 void SidecarNode::Impl::noteReplyLink(LinkId link, const NodeRef &from, const Fence &fence)
 {
     // The sender queries over a new link because nothing came on the one that carried the Work.
@@ -406,6 +463,9 @@
     if (!ok) {
         return tl::unexpected<Error>(ok.error());
     }
+    if (tuning.flow) {
+        impl->enableFlow(*tuning.flow);
+    }
     impl->home.start();
     impl->config.start();
     impl->registry.start();
--- a/src/sidecar/SidecarTuning.cpp
+++ b/src/sidecar/SidecarTuning.cpp
@@ -22,6 +22,9 @@
 {
     SidecarTuning tuning;
     tuning.stopGrace = settings.times.stopWithin;
+    if (platform::mayReadSlowly(settings.contracts)) {
+        tuning.flow = settings.flow;
+    }
     if (settings.bounds.empty()) {
         return tuning;
     }
--- a/src/sidecar/SidecarTuning.h
+++ b/src/sidecar/SidecarTuning.h
@@ -6,6 +6,8 @@
 #include "include/limit/FleetRetryBudget.h"
 #include "include/settings/NodeSettings.h"
 
+#include <optional>
+
 namespace waxwing {
 
 /** Parameters of a node's services that follow from the platform's bounds. */
@@ -16,6 +18,8 @@
     WatchElectionTuning watchElection;
     KeyAdmissionTuning keyAdmission;
     QuotaTuning quota;
+    /** Bounds on what is buffered for slow readers; nothing if callers and servers don't read slowly. */
+    std::optional<FlowSettings> flow;
 };
 
 /**
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -1,7 +1,8 @@
 /**
  * Stand-in for a backend server on the platform: sends heartbeats to the node beside it, runs requests in slots, signs
  * its responses, and records every execution in a ledger. On demand it fails gray, cuts or resets its responses, leaves
- * out the signature, or names another request in them.
+ * out the signature, names another request in them, or ends when the bodies of the requests that it holds exceed its
+ * memory. A path that ends in "bytes-N" gets a response of N bytes.
  */
 #include "platform/Names.h"
 #include "src/http/HttpClient.h"
@@ -11,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <fstream>
+#include <limits>
 
 namespace {
 
@@ -21,6 +23,13 @@
 constexpr Millis heartbeatTimeout{1000};
 const std::string poisonMarker = "ends-the-server";
 constexpr Millis crashDelay{20};
+const std::string sizeMarker = "bytes-";
+
+std::size_t responseBytes(const std::string &target)
+{
+    const std::size_t at = target.find(sizeMarker);
+    return at == std::string::npos ? 0 : std::stoul(target.substr(at + sizeMarker.size()));
+}
 
 struct Options {
     std::string service;
@@ -115,6 +124,9 @@
         HttpReply reply{jsonResponse(200, "whole answer to " + id), AfterResponse::KeepOpen};
         reply.response.headers.emplace_back(names::signature, "seal-" + options_.id);
         reply.response.headers.emplace_back(names::requestId, id);
+        if (const std::size_t bytes = responseBytes(request.target)) {
+            reply.response.body.assign(bytes, 'x');
+        }
         if (request.target.find(poisonMarker) != std::string::npos) {
             // A crashing process closes its sockets one after the other: the connection first, then the listener.
             spawnFiber([this] {
@@ -129,11 +141,16 @@
             return reply;
         }
         ++running_;
+        heldBytes_ += request.body.size();
+        if (mode_.is_object() && heldBytes_ > mode_.value("memoryBytes", std::numeric_limits<std::size_t>::max())) {
+            std::_Exit(9);
+        }
         boost::asio::steady_timer timer(ioContext_, workTime);
         caller->onDisconnect = [&timer] { timer.cancel(); };
         await([&](auto handle) { timer.async_wait(std::move(handle)); });
         caller->onDisconnect = {};
         --running_;
+        heldBytes_ -= request.body.size();
         if (mode == "cut") {
             reply.after = AfterResponse::TruncateBody;
         } else if (mode == "reset") {
@@ -155,6 +172,8 @@
     std::uint64_t sequence_ = 0;
     std::uint16_t port_ = 0;
     std::uint32_t running_ = 0;
+    /** Bytes of the bodies of the requests in progress. */
+    std::size_t heldBytes_ = 0;
     bool stopping_ = false;
 };
 
@@ -170,6 +189,7 @@
         ("id", po::value<std::string>()->required(), "server id")
         ("control", po::value<std::string>()->required(), "control endpoint of the node beside it")
         ("ledger", po::value<std::string>()->required(), "file to append executions to")
+        ("slots", po::value<std::uint32_t>()->default_value(3), "requests that run at once")
         ("work-ms", po::value<int>()->default_value(20), "time that a request takes")
         ("port", po::value<std::uint16_t>()->required(), "port to serve on");
     // clang-format on
@@ -181,6 +201,7 @@
             parsed.id = values["id"].as<std::string>();
             parsed.control = parseEndpoint(values["control"].as<std::string>(), "--control", findings);
             parsed.ledger = values["ledger"].as<std::string>();
+            parsed.slots = values["slots"].as<std::uint32_t>();
             parsed.work = Millis(values["work-ms"].as<int>());
             if (!findings.empty()) {
                 std::cerr << findings.text();
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -172,6 +172,18 @@
     return child_.running();
 }
 
+std::size_t Process::memoryKilobytes(const std::string &name) const
+{
+    std::ifstream status("/proc/" + std::to_string(child_.id()) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.compare(0, name.size() + 1, name + ":") == 0) {
+            return std::stoul(line.substr(name.size() + 1));
+        }
+    }
+    return 0;
+}
+
 std::string Process::output() const
 {
     return contents(log_);
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -46,6 +46,8 @@
     /** Waits for the process to exit. Returns its exit code, or -1 if it was still running after @p within. */
     int waitForExit(Millis within = std::chrono::seconds(25));
     bool running();
+    /** Returns a memory figure of the process in kilobytes by its name in /proc, such as "VmHWM"; 0 if it has ended. */
+    std::size_t memoryKilobytes(const std::string &name) const;
     /** Waits until the process has printed "name=number" and returns the number. */
     std::uint16_t waitForPrintedNumber(const std::string &name);
     std::string output() const;
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -56,7 +56,7 @@
         {"version", "r" + std::to_string(version)},
         {"limits",
          {{"max_header_bytes", 16384},
-          {"max_body_bytes", 100000},
+          {"max_body_bytes", options_.maxBodyBytes},
           {"header_timeout_ms", 2000},
           {"idle_timeout_ms", 5000}}},
         {"listeners", json::array({{{"host", "desk.example"},
@@ -100,6 +100,11 @@
             startProxy(member.proxy, member.links, "proxy" + std::to_string(i), member.advertisedLinks,
                        member.proxyControl);
         }
+        member.serverEndpoint = member.serverAddress;
+        if (options_.serverProxies) {
+            startProxy(member.serverProxy, member.serverAddress, "serverproxy" + std::to_string(i),
+                       member.serverEndpoint, member.serverProxyControl);
+        }
         member.storeAddress = store_;
         if (options_.storeProxies) {
             startProxy(member.storeProxy, store_, "storeproxy" + std::to_string(i), member.storeAddress,
@@ -132,20 +137,24 @@
     for (const std::string &bound : options_.bounds) {
         bounds.push_back(bound);
     }
-    const json settings = {{"node", "n" + std::to_string(index)},
-                           {"zone", "z" + std::to_string(index)},
-                           {"region", "r"},
-                           {"listen",
-                            {{"callers", member.callers.text()},
-                             {"peers", member.links.text()},
-                             {"advertisedPeers", member.advertisedLinks.text()},
-                             {"operators", member.control.text()},
-                             {"readiness", member.readiness.text()}}},
-                           {"objectApi", member.storeAddress.text()},
-                           {"server",
-                            {{"service", options_.services.at(static_cast<std::size_t>(index))},
-                             {"address", member.serverAddress.text()}}},
-                           {"bounds", bounds}};
+    json settings = {{"node", "n" + std::to_string(index)},
+                     {"zone", "z" + std::to_string(index)},
+                     {"region", "r"},
+                     {"listen",
+                      {{"callers", member.callers.text()},
+                       {"peers", member.links.text()},
+                       {"advertisedPeers", member.advertisedLinks.text()},
+                       {"operators", member.control.text()},
+                       {"readiness", member.readiness.text()}}},
+                     {"objectApi", member.storeAddress.text()},
+                     {"server",
+                      {{"service", options_.services.at(static_cast<std::size_t>(index))},
+                       {"address", member.serverEndpoint.text()}}},
+                     {"contracts", options_.contracts},
+                     {"bounds", bounds}};
+    if (!options_.flow.is_null()) {
+        settings["flow"] = options_.flow;
+    }
     std::string path = directory_ + "/n" + std::to_string(index) + ".json";
     std::ofstream(path) << settings.dump(2);
     return path;
@@ -167,10 +176,13 @@
     const auto i = static_cast<std::size_t>(index);
     Member &member = members_.at(i);
     member.server.reset();
-    const std::vector<std::string> arguments = {
-        "--service", options_.services.at(i),         "--id",     "i-" + std::to_string(index),
-        "--control", member.control.text(),           "--ledger", directory_ + "/ledger." + std::to_string(index),
-        "--work-ms", std::to_string(options_.workMs), "--port",   std::to_string(member.serverAddress.port)};
+    const std::vector<std::string> arguments = {"--service", options_.services.at(i),
+                                                "--id",      "i-" + std::to_string(index),
+                                                "--control", member.control.text(),
+                                                "--ledger",  directory_ + "/ledger." + std::to_string(index),
+                                                "--slots",   std::to_string(options_.slots),
+                                                "--work-ms", std::to_string(options_.workMs),
+                                                "--port",    std::to_string(member.serverAddress.port)};
     member.server = std::make_unique<Process>("tests/standins/standin-sidecarserver", arguments,
                                               directory_ + "/server" + std::to_string(index) + ".log");
     member.server->waitForPrintedNumber("port");
@@ -206,6 +218,23 @@
     setProxyFault(members_.at(static_cast<std::size_t>(index)).proxyControl, fault);
 }
 
+void Mesh::setServerLinkFault(int index, const json &fault)
+{
+    setProxyFault(members_.at(static_cast<std::size_t>(index)).serverProxyControl, fault);
+}
+
+Endpoint Mesh::callersOf(int index) const
+{
+    return members_.at(static_cast<std::size_t>(index)).callers;
+}
+
+std::string Mesh::requestText(const std::string &id, const std::string &path, const std::string &body)
+{
+    return std::string(body.empty() ? "GET " : "POST ") + path + " HTTP/1.1\r\nHost: desk.example\r\n"
+           + names::requestId + ": " + id + "\r\n" + names::timeoutMs
+           + ": 30000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 void Mesh::setStoreLinkFault(int index, const json &fault)
 {
     setProxyFault(members_.at(static_cast<std::size_t>(index)).storeProxyControl, fault);
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -31,6 +31,15 @@
     nlohmann::json customers;
     /** Each node reaches the store through a fault proxy of its own. */
     bool storeProxies = false;
+    /** Each node reaches its server through a fault proxy. */
+    bool serverProxies = false;
+    /** Parts of the platform's contract in force. */
+    std::vector<std::string> contracts;
+    /** Settings for slow readers; null: defaults. */
+    nlohmann::json flow;
+    std::uint64_t maxBodyBytes = 100000;
+    /** Slots of each server. */
+    int slots = 3;
     /** The first process of each node runs the build that WAXWING_OTHER_BUILD names. */
     bool upgrade = false;
 };
@@ -49,6 +58,12 @@
     Process &node(int index);
     Process &server(int index);
     void setServerMode(int index, const nlohmann::json &mode);
+    /** Sets a fault of the proxy between one node and its server. @pre MeshOptions::serverProxies. */
+    void setServerLinkFault(int index, const nlohmann::json &fault);
+    /** Returns the endpoint at which a node accepts callers. */
+    Endpoint callersOf(int index) const;
+    /** Returns the text of a request to a node's callers' port. */
+    static std::string requestText(const std::string &id, const std::string &path, const std::string &body = "");
     void setStoreFault(const nlohmann::json &fault);
     /** Sets a fault of the proxy between the other nodes and this node's links. @pre MeshOptions::proxies. */
     void setLinkFault(int index, const nlohmann::json &fault);
@@ -102,6 +117,10 @@
         Endpoint proxyControl;
         Endpoint storeAddress;
         Endpoint storeProxyControl;
+        /** Where the node reaches its server. */
+        Endpoint serverEndpoint;
+        Endpoint serverProxyControl;
+        std::unique_ptr<Process> serverProxy;
         std::unique_ptr<Process> storeProxy;
         std::unique_ptr<Process> proxy;
         std::unique_ptr<Process> node;
--- a/tests/unit/PlatformDialectTest.cpp
+++ b/tests/unit/PlatformDialectTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/ConfigDecoder.h"
 #include "platform/Names.h"
 #include "platform/ServerDialect.h"
+#include "src/sidecar/SidecarTuning.h"
 
 #include <doctest/doctest.h>
 
@@ -256,3 +257,18 @@
     decodeBounds(R"(["grace_s"])", findings);
     CHECK_FALSE(findings.empty());
 }
+
+TEST_CASE("flow control, part of the contract not in force, is off whatever the settings say")
+{
+    NodeSettings settings;
+    settings.flow.nodeBytes = 7;
+    Findings findings;
+    CHECK(!makeSidecarTuning(settings, findings).flow);
+    settings.contracts = {"other"};
+    CHECK(!makeSidecarTuning(settings, findings).flow);
+    settings.contracts = {"other", "pressure"};
+    const SidecarTuning tuning = makeSidecarTuning(settings, findings);
+    REQUIRE(tuning.flow);
+    CHECK(tuning.flow->nodeBytes == 7);
+    CHECK(findings.empty());
+}
