--- a/tests/integration/SlowReaderTest.cpp
+++ b/tests/integration/SlowReaderTest.cpp
@@ -28,13 +28,14 @@
     return options;
 }
 
-/** Sends @p count small requests through node 0 one after the other. Returns their durations, shortest first. */
+/** Sends @p count requests of a route with small responses through node 0 one after the other. Returns their durations,
+ * shortest first. */
 std::vector<Millis> timeSmallRequests(Mesh &mesh, const std::string &name, int count)
 {
     std::vector<Millis> durations;
     for (int i = 0; i < count; ++i) {
         const auto start = std::chrono::steady_clock::now();
-        const auto response = mesh.send(0, name + "-" + std::to_string(i), "/dates/1", std::chrono::seconds(10));
+        const auto response = mesh.send(0, name + "-" + std::to_string(i), "/open/1", std::chrono::seconds(10));
         durations.push_back(millisOf(std::chrono::steady_clock::now() - start));
         CHECK(response);
         CHECK((response ? response->status : 0) == 200);
@@ -202,12 +203,12 @@
     REQUIRE(!mesh.server(1).running());
     CHECK(eventually([&] { return mesh.countLogLines(1, {"event=server_memory_learned"}) == 1; }));
     mesh.startServer(1);
-    mesh.setServerMode(1, mode);
     REQUIRE(eventually([&] {
         static int number = 0;
         const auto response = mesh.send(0, "back-" + std::to_string(++number), "/dates/1");
         return response && response->status == 200;
     }));
+    mesh.setServerMode(1, mode);
     for (int i = 0; i < 3; ++i) {
         const std::vector<unsigned> statuses = uploadAll();
         CHECK(mesh.server(1).running());
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -39,6 +39,8 @@
     Millis work{20};
     Millis heartbeatInterval{300};
     std::uint32_t slots = 3;
+    /** Port at which the node reaches the server; 0: the one that it serves on. */
+    std::uint16_t announcedPort = 0;
 };
 
 class Server
@@ -66,7 +68,7 @@
 
     void heartbeatLoop(std::uint16_t port)
     {
-        port_ = port;
+        announcedPort_ = options_.announcedPort != 0 ? options_.announcedPort : port;
         while (!stopping_) {
             heartbeat("ready");
             sleepFor(ioContext_, options_.heartbeatInterval);
@@ -99,7 +101,7 @@
     void heartbeat(const std::string &state)
     {
         call(names::heartbeatCall, json{{"service", options_.service},
-                                        {"address", "127.0.0.1:" + std::to_string(port_)},
+                                        {"address", "127.0.0.1:" + std::to_string(announcedPort_)},
                                         {"zone", "z"},
                                         {"version", "v1"},
                                         {"slots", options_.slots},
@@ -170,7 +172,7 @@
     std::ofstream ledger_;
     json mode_;
     std::uint64_t sequence_ = 0;
-    std::uint16_t port_ = 0;
+    std::uint16_t announcedPort_ = 0;
     std::uint32_t running_ = 0;
     /** Bytes of the bodies of the requests in progress. */
     std::size_t heldBytes_ = 0;
@@ -189,6 +191,7 @@
         ("id", po::value<std::string>()->required(), "server id")
         ("control", po::value<std::string>()->required(), "control endpoint of the node beside it")
         ("ledger", po::value<std::string>()->required(), "file to append executions to")
+        ("announced-port", po::value<std::uint16_t>()->default_value(0), "port to announce; 0: the one served on")
         ("slots", po::value<std::uint32_t>()->default_value(3), "requests that run at once")
         ("work-ms", po::value<int>()->default_value(20), "time that a request takes")
         ("port", po::value<std::uint16_t>()->required(), "port to serve on");
@@ -201,6 +204,7 @@
             parsed.id = values["id"].as<std::string>();
             parsed.control = parseEndpoint(values["control"].as<std::string>(), "--control", findings);
             parsed.ledger = values["ledger"].as<std::string>();
+            parsed.announcedPort = values["announced-port"].as<std::uint16_t>();
             parsed.slots = values["slots"].as<std::uint32_t>();
             parsed.work = Millis(values["work-ms"].as<int>());
             if (!findings.empty()) {
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -176,13 +176,22 @@
     const auto i = static_cast<std::size_t>(index);
     Member &member = members_.at(i);
     member.server.reset();
-    const std::vector<std::string> arguments = {"--service", options_.services.at(i),
-                                                "--id",      "i-" + std::to_string(index),
-                                                "--control", member.control.text(),
-                                                "--ledger",  directory_ + "/ledger." + std::to_string(index),
-                                                "--slots",   std::to_string(options_.slots),
-                                                "--work-ms", std::to_string(options_.workMs),
-                                                "--port",    std::to_string(member.serverAddress.port)};
+    const std::vector<std::string> arguments = {"--service",
+                                                options_.services.at(i),
+                                                "--id",
+                                                "i-" + std::to_string(index),
+                                                "--control",
+                                                member.control.text(),
+                                                "--ledger",
+                                                directory_ + "/ledger." + std::to_string(index),
+                                                "--slots",
+                                                std::to_string(options_.slots),
+                                                "--work-ms",
+                                                std::to_string(options_.workMs),
+                                                "--port",
+                                                std::to_string(member.serverAddress.port),
+                                                "--announced-port",
+                                                std::to_string(member.serverEndpoint.port)};
     member.server = std::make_unique<Process>("tests/standins/standin-sidecarserver", arguments,
                                               directory_ + "/server" + std::to_string(index) + ".log");
     member.server->waitForPrintedNumber("port");
