--- a/include/flow/ByteBudget.h
+++ b/include/flow/ByteBudget.h
@@ -18,8 +18,11 @@
     /** Requests of routes whose responses are at most this large have a part of @c nodeBytes for themselves. */
     std::uint64_t smallBytes = 16UL * 1024;
     double smallShare = 0.25;
-    /** Response size assumed for a route that had no response yet. */
-    std::uint64_t unknownBytes = 32UL * 1024;
+    /**
+     * Response size assumed for a route that had no response yet. With 32 KB, a node that had just started admitted so
+     * many requests for 540 KB at once that it grew to 106 MB.
+     */
+    std::uint64_t unknownBytes = 320UL * 1024;
     /**
      * Responses may turn out larger than expected and are delivered nevertheless, up to this multiple of @c nodeBytes.
      * Beyond it the slowest reader's connection is closed.
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -7,6 +7,7 @@
 #include "src/node/NodeCore.h"
 #include "src/sidecar/ConfigSync.h"
 #include "src/sidecar/Forwarder.h"
+#include "src/sidecar/LocalHome.h"
 #include "src/sidecar/QuotaService.h"
 
 #include <algorithm>
@@ -104,7 +105,7 @@
     std::uniform_real_distribution<double> spread(1.0, 2.0);
     const auto retryAfter =
         std::chrono::duration_cast<Millis>(flow_->retryAfter(job.route->name) * spread(core_.random));
-    return Refusal{unavailable, job.requestId, "node-bytes", retryAfter, "", ""};
+    return Refusal{unavailable, job.requestId, nodeBytesReason, retryAfter, "", ""};
 }
 
 void CallerHandler::releaseBytes(const CallerWatchPtr &caller)
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -66,8 +66,9 @@
     spawnFiber([this] { expiryLoop(); });
 }
 
-void LocalHome::setFlow(const FlowSettings &flow)
+void LocalHome::setFlow(const FlowSettings &flow, std::function<bool()> holdsTooMuch)
 {
+    holdsTooMuch_ = std::move(holdsTooMuch);
     memory_ = std::make_unique<ServerMemoryGate>(core_);
     maxResponseBytes_ = flow.nodeBytes;
 }
@@ -339,6 +340,10 @@
         job.reply = refusal(job, serving == nullptr ? "no-server" : "too-late");
         return;
     }
+    if (holdsTooMuch_ && holdsTooMuch_()) {
+        job.reply = refusal(job, nodeBytesReason);
+        return;
+    }
     works_.noteRunning(job.key);
     job.reply.server = serving->server;
     job.reply.reachedServer = true;
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -20,6 +20,9 @@
 struct NodeCore;
 class FiberLatch;
 
+/** Reason for a refusal: this node buffers too many bytes. */
+constexpr const char *nodeBytesReason = "node-bytes";
+
 /** Reason for a final refusal: servers crashed while they ran this request, so it is sent to no other server. */
 constexpr const char *poisonReason = "request-ends-servers";
 
@@ -34,8 +37,11 @@
     /** @pre "poison" is in the kernel before the first request. */
     explicit LocalHome(NodeCore &core);
     void start();
-    /** Bounds the bytes of requests in progress at the server, and the size of its responses. */
-    void setFlow(const FlowSettings &flow);
+    /**
+     * Bounds the bytes of requests in progress at the server, and the size of its responses. Works that would start are
+     * refused while @p holdsTooMuch returns true.
+     */
+    void setFlow(const FlowSettings &flow, std::function<bool()> holdsTooMuch);
     /** Returns the bytes of the requests queued or running here. */
     std::uint64_t requestBytes() const;
 
@@ -128,6 +134,7 @@
     /** Null if callers and servers don't read slowly. */
     std::unique_ptr<ServerMemoryGate> memory_;
     std::uint64_t maxResponseBytes_ = 0;
+    std::function<bool()> holdsTooMuch_;
     std::uint64_t requestBytes_ = 0;
 };
 
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -24,6 +24,7 @@
 #include "src/sidecar/WorkSender.h"
 
 #include <algorithm>
+#include <malloc.h>
 #include <map>
 #include <set>
 
@@ -54,6 +55,8 @@
 constexpr Millis maxReconnectDelay{8000};
 /** A peer that reads acknowledges a chunk within this time even over a narrow link. */
 constexpr Millis linkStall{2000};
+/** Bodies from this size on are returned to the operating system when they are freed; stacks of fibers are smaller. */
+constexpr int mmapThreshold = 192 * 1024;
 } // namespace
 
 struct SidecarNode::Impl {
@@ -92,6 +95,7 @@
     void enableFlow(const FlowSettings &settings);
     /** Returns true if this node buffers too much to accept work that arrived on @p link. */
     bool holdsTooMuch(LinkId link) const;
+    bool holdsTooMuch() const;
     /** Stores @p link if the sender of work in progress sent @p fence: the WorkReply goes to the last such link. */
     void noteReplyLink(LinkId link, const NodeRef &from, const Fence &fence);
     void applyConfig(const FleetConfig &changed);
@@ -309,7 +313,7 @@
     }
     if (holdsTooMuch(link)) {
         core.metrics.count("work_refused_node_bytes");
-        refuseWork(link, work, "node-bytes");
+        refuseWork(link, work, nodeBytesReason);
         return;
     }
     spawnFiber([this, link, from, work = std::move(work)] {
@@ -345,8 +349,13 @@
     }
     const FlowSettings &settings = flow->settings();
     // A link that is only narrow acknowledges chunks; one whose peer doesn't read takes no more responses.
-    return (peers->sendStalledFor(link) >= linkStall && peers->queuedBytes(link) > settings.connectionBytes)
-           || home.requestBytes() + peers->queuedBytes() > settings.nodeBytes;
+    const bool stalled = peers->sendStalledFor(link) >= linkStall;
+    return (stalled && peers->queuedBytes(link) > settings.connectionBytes) || holdsTooMuch();
+}
+
+bool SidecarNode::Impl::holdsTooMuch() const
+{
+    return flow && home.requestBytes() + peers->queuedBytes() > flow->settings().nodeBytes;
 }
 
 void SidecarNode::Impl::enableFlow(const FlowSettings &settings)
@@ -372,7 +381,9 @@
     flow = std::make_shared<ResponseFlow>(settings, core.clock, std::move(hooks));
     callerServer->setFlow(flow);
     callerHandler.setFlow(flow);
-    home.setFlow(settings);
+    home.setFlow(settings, [this] { return holdsTooMuch(); });
+    // Without this, freed bodies stay in the heap as gaps, and the process grows to a multiple of what it holds.
+    mallopt(M_MMAP_THRESHOLD, mmapThreshold);
 }
 
 void SidecarNode::Impl::noteReplyLink(LinkId link, const NodeRef &from, const Fence &fence)
