--- a/tests/integration/SlowReaderTest.cpp
+++ b/tests/integration/SlowReaderTest.cpp
@@ -1,3 +1,5 @@
+#include "src/http/HttpServer.h"
+#include "src/http/ResponseFlow.h"
 #include "tests/support/Mesh.h"
 #include "tests/support/SlowCaller.h"
 
@@ -147,6 +149,7 @@
     }
     sleepFor(loopContext(), Millis(4000));
     std::vector<std::function<void()>> tasks;
+    tasks.reserve(maxTasks);
     for (const auto &caller : callers) {
         tasks.emplace_back([&caller] { caller->readAll(downloadBytes, Millis(50), std::chrono::seconds(20)); });
     }
@@ -158,6 +161,46 @@
     CHECK(mesh.countLogLines(0, {"event=slow_reader"}) == 0);
 }
 
+TEST_CASE("slow readers, pipelined requests with large responses, run together only within the connection's bound")
+{
+    // Guards against one connection that makes a node hold 16 large responses at once.
+    const auto maxRunningWith = [](std::uint64_t connectionBytes) {
+        constexpr std::size_t responseBytes = 40UL * 1024;
+        constexpr int pipelined = 6;
+        int running = 0;
+        int maxRunning = 0;
+        FlowSettings settings;
+        settings.connectionBytes = connectionBytes;
+        const SystemClock clock;
+        const auto flow = std::make_shared<ResponseFlow>(
+            settings, clock, ResponseFlow::Hooks{[](auto &&...) {}, [](auto &&...) {}, [](auto &&...) {}});
+        const auto server = *HttpServer::MakeListening(loopContext(), "127.0.0.1", 0,
+                                                       [&](const HttpRequest &, const CallerWatchPtr &watch) {
+                                                           watch->reservation = flow->reserve("route", 0);
+                                                           maxRunning = std::max(maxRunning, ++running);
+                                                           pause(Millis(20));
+                                                           --running;
+                                                           HttpReply reply;
+                                                           reply.response.body.assign(responseBytes, 'x');
+                                                           return reply;
+                                                       });
+        server->setFlow(flow);
+        const std::string one = Mesh::requestText("1", "/");
+        SlowCaller caller(Endpoint{"127.0.0.1", server->port()}, one);
+        CHECK(caller.read(responseBytes, Millis(3000)));
+        std::string many;
+        for (int i = 0; i < pipelined; ++i) {
+            many += one;
+        }
+        caller.write(many);
+        CHECK(caller.read(pipelined * responseBytes, Millis(5000)));
+        CHECK(eventually([&] { return flow->budget().reservedBytes() == 0; }));
+        return maxRunning;
+    };
+    CHECK(maxRunningWith(64UL * 1024) == 1);
+    CHECK(maxRunningWith(megabyte) == 6);
+}
+
 TEST_CASE("slow server, large request read slowly, delays no other request")
 {
     MeshOptions options = twoNodes();
@@ -185,6 +228,7 @@
         ++round;
         std::vector<unsigned> statuses(uploads);
         std::vector<std::function<void()>> tasks;
+        tasks.reserve(maxTasks);
         for (int i = 0; i < uploads; ++i) {
             tasks.emplace_back([&, i] {
                 const std::string id = "upload-" + std::to_string(round) + "-" + std::to_string(i);
--- a/tests/support/SlowCaller.h
+++ b/tests/support/SlowCaller.h
@@ -27,6 +27,11 @@
         socket_.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
         const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(to.address), to.port);
         await([&](auto handle) { socket_.async_connect(endpoint, std::move(handle)); });
+        write(bytes);
+    }
+
+    void write(const std::string &bytes)
+    {
         await([&](auto handle) { boost::asio::async_write(socket_, boost::asio::buffer(bytes), std::move(handle)); });
     }
 
--- a/tests/unit/ByteBudgetTest.cpp
+++ b/tests/unit/ByteBudgetTest.cpp
@@ -91,6 +91,7 @@
     // A node that has just started meets 500 downloads at once.
     ByteBudget budget;
     std::vector<ByteBudget::Id> ids;
+    ids.reserve(50);
     for (int i = 0; i < 50; ++i) {
         ids.push_back(budget.reserve("download", 0).value());
     }
@@ -106,6 +107,7 @@
     tuning.unknownBytes = 32 * kilobyte;
     ByteBudget budget(tuning);
     std::vector<ByteBudget::Id> ids;
+    ids.reserve(100);
     for (int i = 0; i < 100; ++i) {
         ids.push_back(budget.reserve("download", 0).value());
     }
