--- a/tests/unit/ResponseFlowTest.cpp
+++ b/tests/unit/ResponseFlowTest.cpp
@@ -94,7 +94,7 @@
     respond("c");
     CHECK(resets == std::vector<std::string>{"b"});
     CHECK(closed == std::vector<std::string>{"b node-bytes"});
-    CHECK(held == 2 * 1500 * kilobyte);
+    CHECK(held == 3000 * kilobyte);
     flow.release(reserved["b"]);
-    CHECK(held == 2 * 1500 * kilobyte);
+    CHECK(held == 3000 * kilobyte);
 }
