--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -8,6 +8,7 @@
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/RunControl.h"
 #include "src/sidecar/WorkTable.h"
+#include "src/sidecar/home/ServerMemoryGate.h"
 
 #include <functional>
 #include <map>
@@ -19,6 +20,9 @@
 struct NodeCore;
 class FiberLatch;
 
+/** Reason for a refusal: this node buffers too many bytes. */
+constexpr const char *nodeBytesReason = "node-bytes";
+
 /** Reason for a final refusal: servers crashed while they ran this request, so it is sent to no other server. */
 constexpr const char *poisonReason = "request-ends-servers";
 
@@ -33,6 +37,13 @@
     /** @pre "poison" is in the kernel before the first request. */
     explicit LocalHome(NodeCore &core);
     void start();
+    /**
+     * Bounds the bytes of requests in progress at the server, and the size of its responses. Works that would start are
+     * refused while @p holdsTooMuch returns true.
+     */
+    void setFlow(const FlowSettings &flow, std::function<bool()> holdsTooMuch);
+    /** Returns the bytes of the requests queued or running here. */
+    std::uint64_t requestBytes() const;
 
     /** Handles a call of the server beside this node. Returns nullopt if @p request is not such a call. */
     std::optional<HttpResponse> handleServerCall(const HttpRequest &request);
@@ -96,6 +107,9 @@
     void expiryLoop();
     /** Lets work that has run for too long count against the server. */
     void noteOverdueWork();
+    /** Waits until the server's memory has room for the request, and then for a slot. */
+    bool awaitAdmission(Job &job, const std::function<void()> &onAdmitted);
+    bool awaitMemory(Job &job, const std::function<void()> &onAdmitted);
     bool awaitSlot(Job &job, const std::function<void()> &onAdmitted);
     void dispatch(Job &job);
     void handleResponse(Job &job, const tl::expected<HttpResponse, ExchangeError> &response, Duration processingTime);
@@ -117,6 +131,11 @@
     RouteOrigins origins_;
     int callsInProgress_ = 0;
     bool stopped_ = false;
+    /** Null if callers and servers don't read slowly. */
+    std::unique_ptr<ServerMemoryGate> memory_;
+    std::uint64_t maxResponseBytes_ = 0;
+    std::function<bool()> holdsTooMuch_;
+    std::uint64_t requestBytes_ = 0;
 };
 
 } // namespace waxwing
