--- a/include/base/JsonReader.h
+++ b/include/base/JsonReader.h
@@ -6,8 +6,8 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace waxwing {
 
@@ -41,14 +41,19 @@
     void rejectUnknown();
 
 private:
+    /** Returns the field and marks it as read; null if there is none. */
     const nlohmann::json *field(const std::string &key);
+    std::string textOf(const nlohmann::json &value, const std::string &key, const std::string &fallback);
 
     const nlohmann::json &value_;
     std::string place_;
     Findings &findings_;
-    std::set<std::string> read_;
+    /** Fields that were read. Addresses take no allocation each, unlike names. */
+    std::vector<const nlohmann::json *> read_;
 };
 
+/** Returns @p source:line:column of the last of the first @p bytes of @p text. Thread safe. */
+std::string placeInText(const std::string &text, std::size_t bytes, const std::string &source);
 /** Parses JSON with comments. A syntax error becomes a finding at line:column of @p source. */
 nlohmann::json parseJsonWithComments(const std::string &text, const std::string &source, Findings &findings);
 /** Parses "99.9%" as 0.999. Errors: Malformed unless from 0% to 100%. Thread safe. */
--- a/src/base/JsonReader.cpp
+++ b/src/base/JsonReader.cpp
@@ -31,31 +31,40 @@
 
 const nlohmann::json *JsonReader::field(const std::string &key)
 {
-    read_.insert(key);
-    return has(key) ? &value_.at(key) : nullptr;
+    if (!value_.is_object()) {
+        return nullptr;
+    }
+    const auto found = value_.find(key);
+    if (found == value_.end()) {
+        return nullptr;
+    }
+    read_.push_back(&*found);
+    return read_.back();
 }
 
-std::string JsonReader::text(const std::string &key, const std::string &fallback)
+std::string JsonReader::textOf(const nlohmann::json &value, const std::string &key, const std::string &fallback)
 {
-    const nlohmann::json *found = field(key);
-    if (found == nullptr) {
-        return fallback;
-    }
-    if (!found->is_string()) {
+    if (!value.is_string()) {
         findings_.add(placeOf(key), "must be a string");
         return fallback;
     }
-    return found->get<std::string>();
+    return value.get_ref<const std::string &>();
+}
+
+std::string JsonReader::text(const std::string &key, const std::string &fallback)
+{
+    const nlohmann::json *found = field(key);
+    return found == nullptr ? fallback : textOf(*found, key, fallback);
 }
 
 std::string JsonReader::requiredText(const std::string &key)
 {
-    if (!has(key)) {
-        read_.insert(key);
+    const nlohmann::json *found = field(key);
+    if (found == nullptr) {
         findings_.add(placeOf(key), "is missing");
         return {};
     }
-    return text(key, {});
+    return textOf(*found, key, {});
 }
 
 bool JsonReader::boolean(const std::string &key, bool fallback)
@@ -132,22 +141,27 @@
         return;
     }
     for (const auto &item : value_.items()) {
-        if (read_.count(item.key()) == 0) {
+        if (std::find(read_.begin(), read_.end(), &item.value()) == read_.end()) {
             findings_.add(placeOf(item.key()), "unknown field");
         }
     }
 }
 
+std::string placeInText(const std::string &text, std::size_t bytes, const std::string &source)
+{
+    const std::size_t end = std::min(bytes > 0 ? bytes - 1 : 0, text.size());
+    const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), '\n');
+    const std::size_t lastBreak = end == 0 ? std::string::npos : text.rfind('\n', end - 1);
+    const std::size_t column = lastBreak == std::string::npos ? end + 1 : end - lastBreak;
+    return source + ":" + std::to_string(line) + ":" + std::to_string(column);
+}
+
 nlohmann::json parseJsonWithComments(const std::string &text, const std::string &source, Findings &findings)
 {
     try {
         return nlohmann::json::parse(text, nullptr, true, true);
     } catch (const nlohmann::json::parse_error &error) {
-        const std::size_t end = std::min(error.byte > 0 ? error.byte - 1 : 0, text.size());
-        const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), '\n');
-        const std::size_t lastBreak = end == 0 ? std::string::npos : text.rfind('\n', end - 1);
-        const std::size_t column = lastBreak == std::string::npos ? end + 1 : end - lastBreak;
-        findings.add(source + ":" + std::to_string(line) + ":" + std::to_string(column), error.what());
+        findings.add(placeInText(text, error.byte, source), error.what());
         return {};
     }
 }
--- a/src/fleet/FleetConfig.cpp
+++ b/src/fleet/FleetConfig.cpp
@@ -26,9 +26,9 @@
 void FleetConfig::addRoute(Route route)
 {
     auto &prefixes = routesByHost_[hostKey(route.host)];
-    const std::string prefix = route.prefix;
-    routeCount_ += prefixes.count(prefix) == 0 ? 1 : 0;
-    prefixes[prefix] = std::move(route);
+    std::string prefix = route.prefix;
+    const bool isNew = prefixes.insert_or_assign(std::move(prefix), std::move(route)).second;
+    routeCount_ += isNew ? 1 : 0;
 }
 
 const Route *FleetConfig::routeFor(std::string_view host, std::string_view target) const
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -27,6 +27,8 @@
 /** The same for a node that cannot confirm its configuration. */
 constexpr Millis notConfirmedRetryAfter{1000};
 constexpr Millis minQuotaRetryAfter{50};
+/** Bounds the wait of a request whose configuration changes each time while it waits for a grant. */
+constexpr int maxJudgements = 3;
 
 unsigned statusOf(const ForwardResult &result)
 {
@@ -111,6 +113,7 @@
 std::optional<CallerHandler::Refusal> CallerHandler::admitCustomer(ForwardJob &job, const Credential &credential)
 {
     job.priority = job.route->priority;
+    job.recheckKey = nullptr;
     if (!job.config->requiresKeys) {
         return std::nullopt;
     }
@@ -126,20 +129,27 @@
         return std::nullopt;
     }
     const Customer &customer = *admission.customer;
+    if (!job.customer.empty()) {
+        if (customer.name != job.customer) {
+            return Refusal{unauthorized, job.requestId, keyRevokedReason, Millis(0), job.customer, ""};
+        }
+        setCustomer(job, customer, credential);
+        return std::nullopt;
+    }
     const QuotaVerdict verdict = core_.service<QuotaService>("quotas").admit(customer);
     if (!verdict.admitted) {
         const Millis retryAfter = std::max(minQuotaRetryAfter, verdict.retryAfter);
         return Refusal{tooManyRequests,  job.requestId, "quota", retryAfter, std::string(customer.name),
                        verdict.decidedBy};
     }
+    platform::addCustomer(job.request, customer.name);
+    job.customer = customer.name;
     setCustomer(job, customer, credential);
     return std::nullopt;
 }
 
 void CallerHandler::setCustomer(ForwardJob &job, const Customer &customer, const Credential &credential)
 {
-    platform::addCustomer(job.request, customer.name);
-    job.customer = customer.name;
     job.priority = customer.priority.value_or(job.route->priority);
     job.recheckKey = [this, credential, route = job.route, name = job.customer] {
         const std::shared_ptr<const FleetConfig> current = core_.service<ConfigSync>("config").current();
@@ -149,6 +159,34 @@
     };
 }
 
+std::optional<CallerHandler::Refusal> CallerHandler::judge(ForwardJob &job, const platform::CallerRequest &request)
+{
+    const ConfigSync &config = core_.service<ConfigSync>("config");
+    if (!config.current()) {
+        return Refusal{unavailable, job.requestId, "no-configuration", noConfigRetryAfter, "", ""};
+    }
+    // A newer configuration can come into force while a request waits for its grant, and applies to it then.
+    for (int i = 0; i < maxJudgements && job.config != config.current(); ++i) {
+        if (std::optional<Refusal> refusal = judgeBy(config.current(), job, request)) {
+            return refusal;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<CallerHandler::Refusal> CallerHandler::judgeBy(const std::shared_ptr<const FleetConfig> &config,
+                                                             ForwardJob &job, const platform::CallerRequest &request)
+{
+    job.config = config;
+    job.route = config->routeFor(request.host, job.request.target);
+    if (job.route == nullptr) {
+        return Refusal{noRoute, job.requestId, "no-route", Millis(0), "", ""};
+    }
+    const Millis timeout = job.route->timeout;
+    job.deadline = job.arrived + std::min(timeout, request.timeout.value_or(timeout));
+    return admitCustomer(job, request.credential);
+}
+
 HttpReply CallerHandler::handle(HttpRequest request, const CallerWatchPtr &caller)
 {
     const auto job = std::make_shared<ForwardJob>();
@@ -159,20 +197,14 @@
         return refuse(Refusal{badRequest, "", decoded.error().message, Millis(0), "", ""});
     }
     job->requestId = decoded->id;
-    job->config = core_.service<ConfigSync>("config").current();
-    if (!job->config) {
-        return refuse(Refusal{unavailable, job->requestId, "no-configuration", noConfigRetryAfter, "", ""});
-    }
-    job->route = job->config->routeFor(decoded->host, decoded->forward.target);
-    if (job->route == nullptr) {
-        return refuse(Refusal{noRoute, job->requestId, "no-route", Millis(0), "", ""});
-    }
-    const Route &route = *job->route;
     job->request = std::move(decoded->forward);
-    job->deadline = job->arrived + std::min(route.timeout, decoded->timeout.value_or(route.timeout));
-    if (const std::optional<Refusal> refusal = admitCustomer(*job, decoded->credential)) {
+    if (const std::optional<Refusal> refusal = judge(*job, *decoded)) {
+        if (!job->customer.empty()) {
+            core_.service<QuotaService>("quotas").giveBack(job->customer);
+        }
         return refuse(*refusal);
     }
+    const Route &route = *job->route;
     job->service = balancer_.pick(route);
     job->control = std::make_shared<RunControl>();
     if (caller->disconnected) {
--- a/src/sidecar/CallerHandler.h
+++ b/src/sidecar/CallerHandler.h
@@ -3,9 +3,11 @@
 #include "include/customer/KeyAdmission.h"
 #include "include/fleet/FleetConfig.h"
 #include "include/fleet/WeightedRoundRobin.h"
+#include "platform/CallerDialect.h"
 #include "src/http/HttpServer.h"
 #include "src/sidecar/Forwarder.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -43,9 +45,17 @@
     /** Returns an error response, and logs and counts the refusal. */
     HttpReply refuse(const Refusal &refusal);
     Admission admit(const FleetConfig &config, const Route &route, const Credential &credential) const;
+    /**
+     * Finds the route of @p job and admits its customer by the newest configuration. Returns why it may not run
+     * otherwise.
+     */
+    std::optional<Refusal> judge(ForwardJob &job, const platform::CallerRequest &request);
+    /** Does the same by one configuration. */
+    std::optional<Refusal> judgeBy(const std::shared_ptr<const FleetConfig> &config, ForwardJob &job,
+                                   const platform::CallerRequest &request);
     /**
      * Checks the key and the quota of the customer that sent @p job, and completes @p job if it may run. Returns why
-     * not otherwise.
+     * not otherwise. Asks for the quota only once: a customer that @p job names already has its grant.
      */
     std::optional<Refusal> admitCustomer(ForwardJob &job, const Credential &credential);
     /** Names the customer to the server, ranks the request, and has the key checked again before each send. */
--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/ConfigSync.cpp
@@ -31,6 +31,7 @@
     , keyAdmission_(keyAdmission)
 {
     StoreWatchTuning tuning;
+    tuning.valueText = ValueText::AsSent;
     tuning.pollAfter = pollAge;
     tuning.minWait = minConfigWait;
     tuning.maxWait = maxConfigWait;
@@ -53,18 +54,23 @@
 
 void ConfigSync::handleChanges(const ObjectChanges &changes)
 {
-    for (const StoredObject &object : changes.objects) {
-        if (object.name == platform::names::configName && !object.deleted) {
-            applyDocument(object.value, "store revision " + std::to_string(object.version));
+    // Decoding a document that the same response replaces would delay the newest one. An older one still counts if the
+    // newest is refused.
+    bool refused = false;
+    for (const StoredObject *object : newestFirst(changes.objects, platform::names::configName)) {
+        if (applyDocument(object->value, "store revision " + std::to_string(object->version))) {
+            break;
         }
+        refused = true;
     }
+    hasRefusedNewer_ = hasRefusedNewer_ || refused;
 }
 
-void ConfigSync::applyDocument(const std::string &document, const std::string &source)
+bool ConfigSync::applyDocument(const std::string &document, const std::string &source)
 {
-    // Decoding a large document takes a second on a slow VM, and lists contain the one in force again.
+    // Lists contain the document in force again.
     if (current_ && document == current_->source) {
-        return;
+        return true;
     }
     Findings findings;
     FleetConfig decoded = platform::decodeConfig(document, findings);
@@ -73,7 +79,7 @@
         core_.events.write(Severity::Error, "config_refused", {{"source", source}, {"findings", findings.text()}});
         core_.metrics.count("config_refused");
         hasRefusedNewer_ = true;
-        return;
+        return false;
     }
     const bool newer = decoded.version > version();
     core_.events.writeRequest(Severity::Info, "config_read",
@@ -83,7 +89,7 @@
                                {"source", source}});
     core_.metrics.count(newer ? "config_documents_newer" : "config_documents_not_newer");
     if (!newer) {
-        return;
+        return true;
     }
     const std::string before = std::to_string(version());
     current_ = std::make_shared<const FleetConfig>(std::move(decoded));
@@ -102,6 +108,7 @@
     for (const ChangeHook &hook : hooks_) {
         hook(*current_);
     }
+    return true;
 }
 
 std::shared_ptr<const FleetConfig> ConfigSync::current() const
--- a/src/sidecar/ConfigSync.h
+++ b/src/sidecar/ConfigSync.h
@@ -36,9 +36,9 @@
     void onChange(ChangeHook hook);
     /**
      * Applies the document if it is valid and its version is higher. Logs the faults of an invalid one. @p source:
-     * where it came from, for the log.
+     * where it came from, for the log. Returns false if it is invalid.
      */
-    void applyDocument(const std::string &document, const std::string &source);
+    bool applyDocument(const std::string &document, const std::string &source);
     /** Returns null while no version is known. */
     std::shared_ptr<const FleetConfig> current() const;
     std::uint64_t version() const;
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -14,6 +14,18 @@
 constexpr Millis roleCheckInterval{200};
 /** While the store drops its history, watches may report no changes for this long. */
 constexpr Millis maxWatchLag{1000};
+/**
+ * Parsing a response with a value of this size, and decoding the value, take some milliseconds of processor time each,
+ * and ten times as long on a node with a tenth of a core. Other fibers run between the two.
+ */
+constexpr std::size_t largeValueBytes = 128UL * 1024;
+constexpr Millis yieldTime{1};
+
+bool hasLargeValue(const ObjectChanges &changes)
+{
+    return std::any_of(changes.objects.begin(), changes.objects.end(),
+                       [](const StoredObject &object) { return object.value.size() >= largeValueBytes; });
+}
 } // namespace
 
 StoreWatch::StoreWatch(NodeCore &core, std::string kind, StoreWatchTuning tuning, ChangesHook onChanges)
@@ -81,6 +93,7 @@
 WatchCall StoreWatch::nextCall(WatchRole role, bool firstInRole)
 {
     WatchCall call;
+    call.valueText = tuning_.valueText;
     call.since = revision_;
     // A node often becomes a stand-in because the store is down; a short first call shows that soon.
     if (healthy_ && revision_ > 0 && !firstInRole) {
@@ -124,6 +137,7 @@
 void StoreWatch::poll()
 {
     WatchCall call;
+    call.valueText = tuning_.valueText;
     call.since = revision_;
     call.responseTimeout = tuning_.pollTimeout;
     call.newConnection = true;
@@ -139,6 +153,11 @@
     const SteadyTime calledAt = core_.clock.now();
     const Expected<ObjectChanges> changes = core_.service<ObjectApi>("platform").watch(kind_, call, tuning_.mode);
     logCall(call, core_.clock.now() - calledAt, changes);
+    if (changes && hasLargeValue(*changes)) {
+        // The call has ended, so a poll must not cancel it. Nothing of its response is used before the pause ends.
+        isWaiting_ = isWaiting_ && call.cancel == nullptr;
+        sleepFor(core_.ioContext, yieldTime);
+    }
     const bool cancelled = !changes && call.cancel != nullptr && watchCancelled_;
     watchCancelled_ = watchCancelled_ && call.cancel == nullptr;
     if (cancelled) {
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/StoreWatch.h
@@ -17,6 +17,7 @@
 /** How a watch calls the store, whose calls are counted and paid for. */
 struct StoreWatchTuning {
     ReadMode mode = ReadMode::Current;
+    ValueText valueText = ValueText::Normalized;
     /** Delay of the next call after changes, so that a burst of changes costs one call. */
     Millis batchDelay{0};
     /**
--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -63,6 +63,51 @@
     Mesh mesh_;
 };
 
+/** Four customers with limits; the links to nodes 0 and 1, whose servers do the bookings, can be held. */
+class LimitedCustomers : public Customers
+{
+protected:
+    static constexpr int count = 4;
+
+    LimitedCustomers()
+        : Customers([] {
+            MeshOptions options = customerOptions();
+            options.services.at(2) = "archive";
+            options.proxies = true;
+            options.bounds = {"quota_window_s=5", "quota_over=0.1", "quota_slack=2"};
+            options.customers = json::array();
+            for (int i = 0; i < count; ++i) {
+                options.customers.push_back(
+                    {{"name", nameOf(i)}, {"api_keys", {"key-of-" + nameOf(i)}}, {"rate_per_s", 3}, {"burst", 3}});
+            }
+            return options;
+        }())
+    { }
+
+    static std::string nameOf(int customer)
+    {
+        return "limited-" + std::to_string(customer);
+    }
+
+    /** Uses up the quotas, so that node 2 has to ask for each request. */
+    void exhaustQuotas()
+    {
+        constexpr int requests = 15;
+        std::vector<std::function<void()>> tasks;
+        for (int i = 0; i < requests * count; ++i) {
+            tasks.emplace_back([this, i] { get(2, "first-" + std::to_string(i), "key-of-" + nameOf(i % count)); });
+        }
+        runConcurrently(tasks);
+    }
+
+    void holdLinks(bool hold)
+    {
+        for (const int node : {0, 1}) {
+            mesh_.setLinkFault(node, {{"toTarget", {{"hold", hold}}}, {"fromTarget", {{"hold", hold}}}});
+        }
+    }
+};
+
 class OneNodeCustomers : public Customers
 {
 protected:
@@ -301,3 +346,31 @@
     CHECK(std::none_of(executions.begin(), executions.end(),
                        [](const auto &one) { return one.first.find("no-server") == 0; }));
 }
+
+// Guards against a request that waits for the grant of its quota while a new configuration comes into force, and is
+// then sent by the route of the old one.
+TEST_CASE_FIXTURE(LimitedCustomers,
+                  "customers, configuration changes while requests wait for a grant, they are sent by the new one")
+{
+    exhaustQuotas();
+    // The quotas recover for one request each.
+    pause(Millis(2000));
+    holdLinks(true);
+    int archived = 0;
+    std::vector<std::function<void()>> tasks;
+    for (int i = 0; i < count; ++i) {
+        tasks.emplace_back([&, i] {
+            const auto response = mesh_.sendWithKey(2, "waits-" + std::to_string(i), "/seats/1", "key-of-" + nameOf(i));
+            archived +=
+                statusOf(response) == 200 && headerValue(response->headers, names::signature) == "seal-i-2" ? 1 : 0;
+        });
+    }
+    tasks.emplace_back([&] {
+        pause(Millis(30));
+        mesh_.configure(2, "archive");
+    });
+    runConcurrently(tasks);
+    holdLinks(false);
+    // A customer whose counter is node 2 itself gets its grant at once.
+    CHECK(archived > 0);
+}
