--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -94,6 +94,7 @@
     {
         constexpr int requests = 15;
         std::vector<std::function<void()>> tasks;
+        tasks.reserve(static_cast<std::size_t>(requests) * count);
         for (int i = 0; i < requests * count; ++i) {
             tasks.emplace_back([this, i] { get(2, "first-" + std::to_string(i), "key-of-" + nameOf(i % count)); });
         }
@@ -358,6 +359,7 @@
     holdLinks(true);
     int archived = 0;
     std::vector<std::function<void()>> tasks;
+    tasks.reserve(count + 1);
     for (int i = 0; i < count; ++i) {
         tasks.emplace_back([&, i] {
             const auto response = mesh_.sendWithKey(2, "waits-" + std::to_string(i), "/seats/1", "key-of-" + nameOf(i));
--- a/tests/unit/ConfigDecoderTest.cpp
+++ b/tests/unit/ConfigDecoderTest.cpp
@@ -53,11 +53,11 @@
 }
 
 /** Writes an object. Members are left out, repeated, replaced and reordered at random. */
-std::string objectOf(std::vector<std::pair<std::string, std::string>> members, Random &random)
+std::string objectOf(const std::vector<std::pair<std::string, std::string>> &members, Random &random)
 {
     constexpr std::uint64_t faultInterval = 250;
     std::vector<std::pair<std::string, std::string>> written;
-    for (auto &[name, value] : members) {
+    for (const auto &[name, value] : members) {
         const std::uint64_t fault = random() % faultInterval;
         if (fault == 0) {
             continue;
