--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -47,6 +47,8 @@
     Millis queueTimeout{0};
     /** The sender has no better home and knows that the server here is likely gray. */
     bool acceptsGray = false;
+    /** A reservation: its start only holds the slot, until bind() or release(). */
+    bool isReservation = false;
 };
 
 enum class SlotAction {
@@ -136,6 +138,11 @@
     Millis shedHalfLife{2000};
     /** Largest number of waiting requests. It bounds memory and is far above what queue timeouts allow. */
     std::size_t maxWaiting = 256;
+    /**
+     * Share of a queued request that a reservation counts as in expected waits. A request reserves at two homes and is
+     * served at one of them; counted in full, reservations would double the waits that homes report.
+     */
+    double reservationWeight = 0.5;
     GrayTuning gray;
     CustomerUseTuning customerUse;
 };
@@ -162,7 +169,12 @@
     SlotDecision submit(const SlotRequest &request, SteadyTime now);
     /** Removes a waiting request. Returns false if it is not waiting. */
     bool cancel(std::uint64_t id);
-    /** Frees the slot of a started request. */
+    /**
+     * Records that the request of a started reservation has arrived and starts now. Until then the held slot is neither
+     * evidence about the server nor slot time of @p customer.
+     */
+    void bind(std::uint64_t id, const std::string &customer, SteadyTime now);
+    /** Frees the slot of a started request or reservation. */
     void release(std::uint64_t id, SteadyTime now);
     /**
      * Adds the result of a finished request. @p took: how long the server worked on it. A failure much sooner than the
@@ -238,6 +250,8 @@
         std::string route;
         /** Counted as evidence against the server. */
         bool overdue = false;
+        /** The slot is held for a reservation; nothing runs in it. */
+        bool held = false;
     };
     /** Slot time used by one rank, in seconds, with exponential decay. */
     struct Occupancy {
@@ -265,11 +279,13 @@
     /** Returns the running work whose age is evidence, in the order of its starts. */
     std::vector<UnfinishedRun> unfinishedRuns(SteadyTime now) const;
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
+    /** Returns what @p one counts as in expected waits. */
+    double weightOf(const Waiting &one) const;
     /**
-     * Returns the wait behind @p ahead queued requests at the mean work time, including more urgent requests that
+     * Returns the wait behind queued requests of the total weight @p ahead at the mean work time, including more urgent requests that
      * arrive meanwhile.
      */
-    Duration waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const;
+    Duration waitBehind(double ahead, const Rank &rank, SteadyTime now) const;
     /**
      * Returns true if the request will miss its objective, or its customer sends far more than usual, and more urgent
      * requests leave no slot for it before its queue timeout. Its caller is refused at once instead of at the timeout.
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -40,12 +40,14 @@
     First = 0,
     /** QuotaReport and QuotaReply; the sender of a Work states that it has checked the key. */
     CustomerKeys = 1,
+    /** SlotReserve, SlotOffer and SlotRelease; a Work states the reservation that it belongs to. */
+    SlotReservations = 2,
 };
 
 /** The first message that each side sends on a link; identifies the sender. */
 struct Hello {
     NodeRef from;
-    WireRevision revision = WireRevision::CustomerKeys;
+    WireRevision revision = WireRevision::SlotReservations;
 };
 
 /** What the receiver of an Exec does with its request. */
@@ -189,6 +191,42 @@
     HttpRequest request;
     /** The ingress has checked the key, or none is needed. False from a build that knows no keys. */
     bool keyChecked = false;
+    /** The sender's reservation whose offered slot this Work uses; 0: none. Not encoded if 0. */
+    std::uint64_t reservation = 0;
+};
+
+/** Reserves the next free slot at a home for a request that waits at its sender. Carries no request. */
+struct SlotReserve {
+    /** Unique within the sender's incarnation. */
+    std::uint64_t id = 0;
+    std::string service;
+    std::string route;
+    /** Empty for a request without a customer. */
+    std::string customer;
+    /** As in Work. */
+    std::uint8_t priority = 0;
+    bool retryable = false;
+    /** Time left at sending until the latest useful start and until the response-time objective. */
+    Millis remaining{0};
+    Millis untilObjective{0};
+    /** As in Work. */
+    Millis helloAge{0};
+};
+
+/** Tells the sender of a SlotReserve that a slot is held for it, or that there will be none. */
+struct SlotOffer {
+    std::uint64_t id = 0;
+    /** Time for which the slot is held; zero: refused. */
+    Millis validFor{0};
+    /** Stable code of the refusal; empty if a slot is held. */
+    std::string reason;
+    /** As it applies to the priority of the reservation. */
+    HomeLoad load;
+};
+
+/** The sender no longer needs the reservation, whether it is waiting or offered. */
+struct SlotRelease {
+    std::uint64_t id = 0;
 };
 
 /** Acknowledges a Work: the home has queued or started it. */
@@ -341,7 +379,7 @@
 using Message = std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, RecordNames, DigestOffer, BucketNames, Ping,
                              Pong, ClaimHandover, Work, WorkAck, WorkReply, Fence, FenceReply, StateUpdateRequest,
                              StateUpdate, BudgetTransferRequest, BudgetTransferReply, PathSuspicion, QuotaReport,
-                             QuotaReply, QuotaLoanRequest, QuotaLoanReply>;
+                             QuotaReply, QuotaLoanRequest, QuotaLoanReply, SlotReserve, SlotOffer, SlotRelease>;
 
 /** Returns the body of the HTTP request or response in @p message, or null if it has none. Thread safe. */
 std::string *bodyOf(Message &message);
--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -49,6 +49,17 @@
     return found == counters_.end() ? 0 : found->second;
 }
 
+void Metrics::set(const std::string &name, double value)
+{
+    gauges_[name] = value;
+}
+
+double Metrics::gauge(const std::string &name) const
+{
+    const auto found = gauges_.find(name);
+    return found == gauges_.end() ? 0.0 : found->second;
+}
+
 std::string Metrics::text() const
 {
     const auto nameOf = [](const std::string &name) {
@@ -64,6 +75,10 @@
         const std::string full = nameOf(name) + "_total";
         out << "# TYPE " << full << " counter\n" << full << " " << value << "\n";
     }
+    for (const auto &[name, value] : gauges_) {
+        const std::string full = nameOf(name);
+        out << "# TYPE " << full << " gauge\n" << full << " " << value << "\n";
+    }
     constexpr double millisPerSecond = 1000.0;
     for (const auto &[name, distribution] : distributions_) {
         const auto &samples = distribution->samples;
@@ -82,7 +97,7 @@
 
 std::string Metrics::json() const
 {
-    nlohmann::json out = {{"counters", counters_}, {"latenciesMs", nlohmann::json::object()}};
+    nlohmann::json out = {{"counters", counters_}, {"gauges", gauges_}, {"latenciesMs", nlohmann::json::object()}};
     for (const auto &[name, distribution] : distributions_) {
         const auto &samples = distribution->samples;
         const auto quantiles = acc::extended_p_square(samples);
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -150,26 +150,46 @@
     if (probe) {
         lastProbe_ = now;
     }
-    running_[request.id] = Running{probe, rankOf(request, now), now, request.route, false};
-    if (!request.customer.empty()) {
+    running_[request.id] = Running{probe, rankOf(request, now), now, request.route, false, request.isReservation};
+    if (!request.customer.empty() && !request.isReservation) {
         customerUse_.add(request.customer, expectedWorkTime(request.route), now);
     }
 }
 
+void SlotQueue::bind(std::uint64_t id, const std::string &customer, SteadyTime now)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end() || !found->second.held) {
+        return;
+    }
+    found->second.held = false;
+    found->second.since = now;
+    if (!customer.empty()) {
+        customerUse_.add(customer, expectedWorkTime(found->second.route), now);
+    }
+}
+
+double SlotQueue::weightOf(const Waiting &one) const
+{
+    return one.request.isReservation ? tuning_.reservationWeight : 1.0;
+}
+
 Duration SlotQueue::expectedWait(const SlotRequest &request, SteadyTime now) const
 {
     if (slots_ == 0) {
         return Duration::max();
     }
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
-                                     [&](const Waiting &one) { return !isMoreUrgent(request, one.request, now); });
-    return hasFreeSlot() && ahead == 0 ? Duration(0) : waitBehind(ahead, rankOf(request, now), now);
+    double ahead = 0.0;
+    for (const Waiting &one : waiting_) {
+        ahead += isMoreUrgent(request, one.request, now) ? 0.0 : weightOf(one);
+    }
+    return hasFreeSlot() && ahead == 0.0 ? Duration(0) : waitBehind(ahead, rankOf(request, now), now);
 }
 
-Duration SlotQueue::waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const
+Duration SlotQueue::waitBehind(double ahead, const Rank &rank, SteadyTime now) const
 {
     const double slots = std::max<std::uint32_t>(1, slots_);
-    const double idleWait = secondsOf(meanWorkTime()) * static_cast<double>(ahead + 1) / slots;
+    const double idleWait = secondsOf(meanWorkTime()) * (ahead + 1.0) / slots;
     return durationOf(idleWait / (1.0 - occupancyAbove(rank, now)));
 }
 
@@ -229,6 +249,10 @@
     if (found == running_.end()) {
         return;
     }
+    if (found->second.held) {
+        running_.erase(found);
+        return;
+    }
     Occupancy &occupancy = occupancy_[found->second.rank];
     const double decayed = std::exp(-secondsOf(now - occupancy.at) / secondsOf(tuning_.occupancyTimeConstant));
     occupancy.seconds = occupancy.seconds * decayed + secondsOf(now - found->second.since);
@@ -279,7 +303,7 @@
 double SlotQueue::survivalOf(const Running &run, SteadyTime now) const
 {
     const auto workTime = workTimes_.find(run.route);
-    const bool isUnknown = workTime == workTimes_.end() || (mayWaitForCall_ && mayWaitForCall_(run.route));
+    const bool isUnknown = run.held || workTime == workTimes_.end() || (mayWaitForCall_ && mayWaitForCall_(run.route));
     return isUnknown ? 1.0 : workTime->second.model.survival(now - run.since);
 }
 
@@ -374,9 +398,10 @@
     if (!rank.late && !rank.aboveUsual) {
         return false;
     }
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const Waiting &other) {
-        return isMoreUrgent(other.request, one.request, now);
-    });
+    double ahead = 0.0;
+    for (const Waiting &other : waiting_) {
+        ahead += isMoreUrgent(other.request, one.request, now) ? weightOf(other) : 0.0;
+    }
     return now + waitBehind(ahead, rank, now) > one.expiresAt;
 }
 
@@ -409,9 +434,11 @@
     load.freeSlots = std::max(0, static_cast<std::int32_t>(slots_) - inUse);
     load.queued = static_cast<std::int32_t>(waiting_.size());
     const Rank rank{false, priority, false};
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
-                                     [&](const Waiting &one) { return !(rank < rankOf(one.request, now)); });
-    if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0)) {
+    double ahead = 0.0;
+    for (const Waiting &one : waiting_) {
+        ahead += rank < rankOf(one.request, now) ? 0.0 : weightOf(one);
+    }
+    if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0.0)) {
         load.wait = millisOf(waitBehind(ahead, rank, now));
     }
     load.grayProbability = grayProbability(now);
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -521,6 +521,12 @@
     return found != state_->links.end() && found->second->peerRevision >= WireRevision::CustomerKeys;
 }
 
+bool PeerHub::peerKnowsReservations(LinkId link) const
+{
+    const auto found = state_->links.find(link);
+    return found != state_->links.end() && found->second->peerRevision >= WireRevision::SlotReservations;
+}
+
 std::optional<Duration> PeerHub::helloAge(LinkId link) const
 {
     const auto found = state_->links.find(link);
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -1,9 +1,12 @@
 #include "include/wire/Messages.h"
 
 #include "src/wire/FieldCodec.h"
+#include "src/wire/SlotCodec.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace waxwing {
 
 namespace {
@@ -37,6 +40,9 @@
     QuotaReply,
     QuotaLoanRequest,
     QuotaLoanReply,
+    SlotReserve,
+    SlotOffer,
+    SlotRelease,
 };
 
 /** Position of the first field of a message's contents. Positions 0 and 1 hold the protocol version and the type. */
@@ -129,10 +135,14 @@
     }
     json operator()(const Work &m) const
     {
-        return makeMessage(Type::Work, m.id, bytesOf(m.requestId), m.service, m.route, m.idempotent, m.retryable,
-                           m.acceptsGray, m.priority, m.remaining.count(), m.untilObjective.count(),
-                           m.queueTimeout.count(), m.helloAge.count(), versionsOf(m.versions), requestOf(m.request),
-                           m.keyChecked);
+        json out = makeMessage(Type::Work, m.id, bytesOf(m.requestId), m.service, m.route, m.idempotent, m.retryable,
+                               m.acceptsGray, m.priority, m.remaining.count(), m.untilObjective.count(),
+                               m.queueTimeout.count(), m.helloAge.count(), versionsOf(m.versions), requestOf(m.request),
+                               m.keyChecked);
+        if (m.reservation != 0) {
+            out.push_back(m.reservation);
+        }
+        return out;
     }
     json operator()(const WorkAck &m) const
     {
@@ -193,6 +203,18 @@
     {
         return makeMessage(Type::QuotaLoanReply, m.id, m.tokens);
     }
+    json operator()(const SlotReserve &m) const
+    {
+        return makeMessage(Type::SlotReserve, slotReserveOf(m));
+    }
+    json operator()(const SlotOffer &m) const
+    {
+        return makeMessage(Type::SlotOffer, slotOfferOf(m));
+    }
+    json operator()(const SlotRelease &m) const
+    {
+        return makeMessage(Type::SlotRelease, m.id);
+    }
     json operator()(const QuotaReply &m) const
     {
         json grants = json::array();
@@ -229,6 +251,7 @@
     m.versions = versionsFrom(in.at(firstField + 12));
     m.request = requestFrom(in.at(firstField + 13));
     m.keyChecked = optionalField(in, 14).is_boolean() && optionalField(in, 14).get<bool>();
+    m.reservation = optionalField(in, 15).is_number_unsigned() ? optionalField(in, 15).get<std::uint64_t>() : 0;
     return m;
 }
 
@@ -295,8 +318,9 @@
     m.from = NodeRef{in.at(firstField).get<std::string>(), in.at(firstField + 1).get<std::uint64_t>()};
     // A later build may state a revision that this one does not know; it includes all that this one knows.
     const json &revision = optionalField(in, 2);
-    const bool knowsKeys = revision.is_number_unsigned() && revision.get<std::uint64_t>() > 0;
-    m.revision = knowsKeys ? WireRevision::CustomerKeys : WireRevision::First;
+    const auto newest = static_cast<std::uint64_t>(WireRevision::SlotReservations);
+    const std::uint64_t stated = revision.is_number_unsigned() ? revision.get<std::uint64_t>() : 0;
+    m.revision = static_cast<WireRevision>(std::min(stated, newest));
     return m;
 }
 
@@ -451,6 +475,12 @@
                                 quotaLimitFrom(in.at(firstField + 2)), in.at(firstField + 3).get<double>()};
     case Type::QuotaLoanReply:
         return QuotaLoanReply{in.at(firstField).get<std::uint64_t>(), in.at(firstField + 1).get<double>()};
+    case Type::SlotReserve:
+        return slotReserveFrom(in.at(firstField));
+    case Type::SlotOffer:
+        return slotOfferFrom(in.at(firstField));
+    case Type::SlotRelease:
+        return SlotRelease{in.at(firstField).get<std::uint64_t>()};
     }
     throw json::other_error::create(501, "unknown message type", &in);
 }
