--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -47,6 +47,11 @@
     Millis queueTimeout{0};
     /** The sender has no better home and knows that the server here is likely gray. */
     bool acceptsGray = false;
+    /**
+     * The request itself waits at its sender. Its slot is held from its start on, and its work begins with
+     * SlotQueue::beginHeld().
+     */
+    bool isReservation = false;
 };
 
 enum class SlotAction {
@@ -162,7 +167,12 @@
     SlotDecision submit(const SlotRequest &request, SteadyTime now);
     /** Removes a waiting request. Returns false if it is not waiting. */
     bool cancel(std::uint64_t id);
-    /** Frees the slot of a started request. */
+    /**
+     * Records that the work of a started reservation begins now. Returns false if @p id holds no slot. Until then the
+     * held slot counts neither as work in progress nor as use by the customer.
+     */
+    bool beginHeld(std::uint64_t id, SteadyTime now);
+    /** Frees the slot of a started request or of a held slot. */
     void release(std::uint64_t id, SteadyTime now);
     /**
      * Adds the result of a finished request. @p took: how long the server worked on it. A failure much sooner than the
@@ -236,6 +246,9 @@
         Rank rank;
         SteadyTime since;
         std::string route;
+        std::string customer;
+        /** Of a reservation whose work has not begun. */
+        bool held = false;
         /** Counted as evidence against the server. */
         bool overdue = false;
     };
@@ -257,6 +270,7 @@
     /** Returns the interval between the last probe and @p request as the next one. */
     Duration probeIntervalFor(const SlotRequest &request) const;
     void start(const SlotRequest &request, double grayProbability, SteadyTime now);
+    void addCustomerUse(const Running &run, SteadyTime now);
     void noteFailure(double ratio, SteadyTime startedAt, SteadyTime now);
     /** Returns the probability that work of a healthy server still runs at this age; 1 if that is not known. */
     double survivalOf(const Running &run, SteadyTime now) const;
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -52,6 +52,18 @@
     Millis loadAge{-1};
 };
 
+/** What a node knows about a home, for a choice other than HomeRanking's own. */
+struct HomeStatus {
+    /** Last load report, with the wait as it applies to the query's priority; nothing without a report. */
+    std::optional<HomeLoad> load;
+    SteadyTime loadAt;
+    /** Requests that this node has sent there since the report and that have not ended. */
+    std::int32_t sentSince = 0;
+    bool hasServer = true;
+    bool likelyGray = false;
+    bool pathFailed = false;
+};
+
 /**
  * Expected loss for each drawback of a home, in thousandths of a request's value. Waiting costs nothing while the
  * objective is safe. Traffic between zones and regions always has a cost.
@@ -148,6 +160,9 @@
      */
     HomeChoice choose(const std::vector<RankedHome> &homes, const std::set<std::string> &tried, const HomeQuery &query,
                       SteadyTime now) const;
+    /** Returns what is known about each of @p homes, in their order. */
+    std::vector<HomeStatus> statusOf(const std::vector<RankedHome> &homes, const HomeQuery &query,
+                                     SteadyTime now) const;
     void noteSent(const std::string &node);
     void noteDone(const std::string &node);
     /** Records a load report. @p load: as it applies to a request of @p priority. */
@@ -192,6 +207,7 @@
         double grayProbability = 0.0;
     };
 
+    HomeStatus statusOf(const RankedHome &home, const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
     Defaults defaultsFor(const std::vector<RankedHome> &homes, const HomeQuery &query, SteadyTime now) const;
     /** Returns true if the home may be tried for this request. */
     bool isCandidate(const RankedHome &home, const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -150,12 +150,32 @@
     if (probe) {
         lastProbe_ = now;
     }
-    running_[request.id] = Running{probe, rankOf(request, now), now, request.route, false};
-    if (!request.customer.empty()) {
-        customerUse_.add(request.customer, expectedWorkTime(request.route), now);
+    Running &run = running_[request.id];
+    run = Running{probe, rankOf(request, now), now, request.route, request.customer, request.isReservation, false};
+    if (!run.held) {
+        addCustomerUse(run, now);
     }
 }
 
+void SlotQueue::addCustomerUse(const Running &run, SteadyTime now)
+{
+    if (!run.customer.empty()) {
+        customerUse_.add(run.customer, expectedWorkTime(run.route), now);
+    }
+}
+
+bool SlotQueue::beginHeld(std::uint64_t id, SteadyTime now)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end() || !found->second.held) {
+        return false;
+    }
+    found->second.held = false;
+    found->second.since = now;
+    addCustomerUse(found->second, now);
+    return true;
+}
+
 Duration SlotQueue::expectedWait(const SlotRequest &request, SteadyTime now) const
 {
     if (slots_ == 0) {
@@ -291,7 +311,7 @@
 void SlotQueue::noteOverdueWork(SteadyTime now)
 {
     for (auto &[id, run] : running_) {
-        if (run.overdue) {
+        if (run.overdue || run.held) {
             continue;
         }
         const double survival = survivalOf(run, now);
@@ -434,7 +454,7 @@
 {
     std::vector<UnfinishedRun> runs;
     for (const auto &[id, run] : running_) {
-        const double survival = run.overdue ? 1.0 : survivalOf(run, now);
+        const double survival = run.overdue || run.held ? 1.0 : survivalOf(run, now);
         if (survival < 1.0) {
             runs.push_back(UnfinishedRun{run.since, ratioOfSilence(std::max(survival, tuning_.overdueSurvival))});
         }
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -261,6 +261,40 @@
     return choice;
 }
 
+std::vector<HomeStatus> HomeRanking::statusOf(const std::vector<RankedHome> &homes, const HomeQuery &query,
+                                              SteadyTime now) const
+{
+    const Defaults defaults = defaultsFor(homes, query, now);
+    std::vector<HomeStatus> all;
+    all.reserve(homes.size());
+    for (const RankedHome &home : homes) {
+        all.push_back(statusOf(home, query, defaults, now));
+    }
+    return all;
+}
+
+HomeStatus HomeRanking::statusOf(const RankedHome &home, const HomeQuery &query, const Defaults &defaults,
+                                 SteadyTime now) const
+{
+    HomeStatus status;
+    const auto found = homes_.find(home.node);
+    if (found == homes_.end()) {
+        return status;
+    }
+    const Home &known = found->second;
+    status.hasServer = now >= known.noServerUntil;
+    status.pathFailed = known.pathFailed;
+    status.sentSince = std::max(0, known.inFlight - known.inFlightAtLoad);
+    status.likelyGray =
+        now < known.grayBackoffUntil || currentGrayProbability(home, defaults, now) >= tuning_.acceptGrayThreshold;
+    if (known.hasLoad) {
+        status.load = known.load;
+        status.load->wait = Millis(static_cast<std::int64_t>(expectedWait(home, query, defaults, now)));
+        status.loadAt = known.loadAt;
+    }
+    return status;
+}
+
 void HomeRanking::noteSent(const std::string &node)
 {
     ++homes_[node].inFlight;
