--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -47,7 +47,10 @@
     Millis queueTimeout{0};
     /** The sender has no better home and knows that the server here is likely gray. */
     bool acceptsGray = false;
-    /** A reservation: its start only holds the slot, until bind() or release(). */
+    /**
+     * The request itself waits at its sender. Its slot is held from its start on, and its work begins with
+     * SlotQueue::beginHeld().
+     */
     bool isReservation = false;
 };
 
@@ -138,11 +141,6 @@
     Millis shedHalfLife{2000};
     /** Largest number of waiting requests. It bounds memory and is far above what queue timeouts allow. */
     std::size_t maxWaiting = 256;
-    /**
-     * Share of a queued request that a reservation counts as in expected waits. A request reserves at two homes and is
-     * served at one of them; counted in full, reservations would double the waits that homes report.
-     */
-    double reservationWeight = 0.5;
     GrayTuning gray;
     CustomerUseTuning customerUse;
 };
@@ -170,11 +168,11 @@
     /** Removes a waiting request. Returns false if it is not waiting. */
     bool cancel(std::uint64_t id);
     /**
-     * Records that the request of a started reservation has arrived and starts now. Until then the held slot is neither
-     * evidence about the server nor slot time of @p customer.
+     * Records that the work of a started reservation begins now. Returns false if @p id holds no slot. Until then the
+     * held slot counts neither as work in progress nor as use by the customer.
      */
-    void bind(std::uint64_t id, const std::string &customer, SteadyTime now);
-    /** Frees the slot of a started request or reservation. */
+    bool beginHeld(std::uint64_t id, SteadyTime now);
+    /** Frees the slot of a started request or of a held slot. */
     void release(std::uint64_t id, SteadyTime now);
     /**
      * Adds the result of a finished request. @p took: how long the server worked on it. A failure much sooner than the
@@ -248,10 +246,11 @@
         Rank rank;
         SteadyTime since;
         std::string route;
+        std::string customer;
+        /** Of a reservation whose work has not begun. */
+        bool held = false;
         /** Counted as evidence against the server. */
         bool overdue = false;
-        /** The slot is held for a reservation; nothing runs in it. */
-        bool held = false;
     };
     /** Slot time used by one rank, in seconds, with exponential decay. */
     struct Occupancy {
@@ -271,6 +270,7 @@
     /** Returns the interval between the last probe and @p request as the next one. */
     Duration probeIntervalFor(const SlotRequest &request) const;
     void start(const SlotRequest &request, double grayProbability, SteadyTime now);
+    void addCustomerUse(const Running &run, SteadyTime now);
     void noteFailure(double ratio, SteadyTime startedAt, SteadyTime now);
     /** Returns the probability that work of a healthy server still runs at this age; 1 if that is not known. */
     double survivalOf(const Running &run, SteadyTime now) const;
@@ -279,13 +279,11 @@
     /** Returns the running work whose age is evidence, in the order of its starts. */
     std::vector<UnfinishedRun> unfinishedRuns(SteadyTime now) const;
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
-    /** Returns what @p one counts as in expected waits. */
-    double weightOf(const Waiting &one) const;
     /**
-     * Returns the wait behind queued requests of the total weight @p ahead at the mean work time, including more urgent requests that
+     * Returns the wait behind @p ahead queued requests at the mean work time, including more urgent requests that
      * arrive meanwhile.
      */
-    Duration waitBehind(double ahead, const Rank &rank, SteadyTime now) const;
+    Duration waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const;
     /**
      * Returns true if the request will miss its objective, or its customer sends far more than usual, and more urgent
      * requests leave no slot for it before its queue timeout. Its caller is refused at once instead of at the timeout.
