--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -10,6 +10,7 @@
 #include "src/sidecar/RetryBudgetService.h"
 #include "src/sidecar/StateUpdateService.h"
 #include "src/sidecar/WorkSender.h"
+#include "src/sidecar/ingress/SlotRequester.h"
 
 #include <algorithm>
 
@@ -27,6 +28,8 @@
 constexpr Millis maxStopReserve{3000};
 /** Time for a home to reply to a Cancel: a round trip between regions, with a margin for a busy home. */
 constexpr Millis cancelReplyTimeout{120};
+/** A shorter expected wait at the best home is less than the round trips that a reservation costs. */
+constexpr Millis minWaitToReserve{20};
 
 /** Nested calls are the most urgent, since other work waits for them; callers' requests follow by route priority. */
 constexpr int nestedCallRank = 0;
@@ -60,19 +63,27 @@
     bool noOtherHome = false;
     /** This node is stopping: queued attempts are cancelled and no further home is tried. */
     bool queuedCancelled = false;
+    /** An attempt waits for a slot; a hedge would find none either. */
+    bool waitsForSlot = false;
     bool finished = false;
 };
 
 Forwarder::Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, RetryBudgetService &retryBudgets,
-                     PathMonitor &paths)
+                     PathMonitor &paths, SlotRequester &slots)
     : core_(core)
     , home_(home)
     , sender_(sender)
     , retryBudgets_(retryBudgets)
     , paths_(paths)
+    , slots_(slots)
     , ranking_([&core] { return core.random(); })
 {
-    paths_.setHooks(PathMonitor::Hooks{[this](const std::string &node) { ranking_.notePathFailure(node); },
+    slots_.setOfferListener(
+        [this](const std::string &node, const SlotOffer &offer, int priority) { noteOffer(node, offer, priority); });
+    paths_.setHooks(PathMonitor::Hooks{[this](const std::string &node) {
+                                           ranking_.notePathFailure(node);
+                                           slots_.homeLost(node);
+                                       },
                                        [this](const std::string &node) { ranking_.notePathRecovered(node); }});
 }
 
@@ -204,6 +215,7 @@
     const ForwardJob &job = run->job;
     attempt->reply.outcome = Outcome::NotRun;
     attempt->reply.reason = "no-sound-home";
+    bool canReserve = true;
     while (!attempt->control->cancelled && !run->finished && run->search.canContinue()) {
         const SteadyTime now = core_.clock.now();
         if (const std::string problem = keyProblem(*run); !problem.empty()) {
@@ -228,13 +240,97 @@
         if (kind == AttemptKind::Hedge) {
             choice.queueTimeout = Millis(0);
         }
-        if (sendToHome(run, attempt, choice)) {
+        std::uint64_t reservation = 0;
+        if (canReserve && shouldReserve(*run, *attempt, kind, choice)) {
+            const SlotWaitEnd end = awaitSlot(run, attempt, choice, reservation);
+            if (end == SlotWaitEnd::NoOffer) {
+                return;
+            }
+            if (end == SlotWaitEnd::Cancelled) {
+                continue;
+            }
+            canReserve = end == SlotWaitEnd::Offered;
+        }
+        if (sendToHome(run, attempt, choice, reservation)) {
             return;
         }
     }
 }
 
-bool Forwarder::sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice)
+bool Forwarder::shouldReserve(const Run &run, const Attempt &attempt, AttemptKind kind, const HomeChoice &choice) const
+{
+    // A hedge is useful only where a slot is free now.
+    if (kind == AttemptKind::Hedge || !slots_.mayWait(*run.job.route)) {
+        return false;
+    }
+    const bool loadIsFresh = choice.loadAge >= Millis(0) && choice.loadAge <= maxFreshLoadAge;
+    return attempt.reply.reason == refusalReasonName(RefusalReason::Busy)
+           || (loadIsFresh && choice.wait >= minWaitToReserve);
+}
+
+std::vector<ReservationCandidate> Forwarder::reservationCandidates(const Run &run) const
+{
+    const std::vector<RankedHome> homes = homesOf(run.job.service);
+    const std::vector<HomeStatus> statuses = ranking_.statusOf(homes, homeQueryOf(run), core_.clock.now());
+    std::vector<ReservationCandidate> candidates;
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        if (run.reachedHomes.count(homes[i].node) == 0) {
+            candidates.push_back(ReservationCandidate{homes[i].node, homes[i].distance, statuses[i]});
+        }
+    }
+    return candidates;
+}
+
+SlotWaitEnd Forwarder::awaitSlot(const RunPtr &run, const AttemptPtr &attempt, HomeChoice &choice,
+                                 std::uint64_t &reservation)
+{
+    const ForwardJob &job = run->job;
+    SlotWait want;
+    want.requestId = job.requestId;
+    want.service = job.service;
+    want.route = job.route->name;
+    want.customer = job.customer;
+    want.priority = static_cast<std::uint8_t>(priorityOf(*run));
+    want.retryable = canRetry(*run);
+    want.need.objective = run->objective;
+    want.need.deadline = job.deadline;
+    want.need.workTime = millisOf(stats_.expectedWorkTime(*job.route));
+    want.need.responseKilobytes = stats_.responseKilobytes(job.route->name);
+    want.need.tried = run->search.excluded();
+    want.until = latestStart(*run);
+    want.candidates = [this, run] { return reservationCandidates(*run); };
+    want.control = attempt->control;
+    run->waitsForSlot = true;
+    const SlotWaitResult result = slots_.wait(want);
+    run->waitsForSlot = false;
+    run->notifier.notify();
+    if (result.end == SlotWaitEnd::NoOffer) {
+        attempt->reply.outcome = Outcome::NotRun;
+        attempt->reply.reason = "no-slot";
+        attempt->reply.load.wait = result.retryAfter;
+    } else if (result.end == SlotWaitEnd::Offered && result.home != choice.node) {
+        choice.node = result.home;
+        choice.acceptsGray = false;
+        for (const RankedHome &home : homesOf(job.service)) {
+            choice.distance = home.node == result.home ? home.distance : choice.distance;
+        }
+    }
+    reservation = result.reservation;
+    return result.end;
+}
+
+void Forwarder::noteOffer(const std::string &home, const SlotOffer &offer, int priority)
+{
+    const SteadyTime now = core_.clock.now();
+    ranking_.noteLoad(home, offer.load, priority, now);
+    if (offer.reason == refusalReasonName(RefusalReason::NoServer) || offer.reason == "stopping"
+        || offer.reason == "other-service") {
+        ranking_.noteNoServer(home, now);
+    }
+}
+
+bool Forwarder::sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice,
+                           std::uint64_t reservation)
 {
     const ForwardJob &job = run->job;
     const SteadyTime now = core_.clock.now();
@@ -252,6 +348,7 @@
     work.versions = core_.service<StateUpdateService>("state-updates").versions();
     work.request = job.request;
     work.keyChecked = true;
+    work.reservation = reservation;
     attempt->home = choice.node;
     ranking_.noteSent(choice.node);
     // Recorded before the send, so that a concurrent attempt does not use the same server.
@@ -414,7 +511,8 @@
     bool hasLastReply = false;
     while (true) {
         const SteadyTime now = core_.clock.now();
-        const SteadyTime hedgeAt = retryable && !hedged ? stats_.hedgeTime(*job.route, job.arrived) : SteadyTime::max();
+        const bool mayHedge = retryable && !hedged && !run->waitsForSlot;
+        const SteadyTime hedgeAt = mayHedge ? stats_.hedgeTime(*job.route, job.arrived) : SteadyTime::max();
         const std::size_t ended = static_cast<std::size_t>(std::count_if(
             run->attempts.begin(), run->attempts.end(), [](const AttemptPtr &one) { return one->ended; }));
         const SteadyTime cancelQueuedAt = run->queuedCancelled ? SteadyTime::max() : latestStart(*run);
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -5,6 +5,7 @@
 #include "include/route/HomeRanking.h"
 #include "include/route/HomeSearch.h"
 #include "include/route/RouteStats.h"
+#include "include/schedule/ReservationPlanner.h"
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
 
@@ -20,7 +21,9 @@
 class LocalHome;
 class PathMonitor;
 class RetryBudgetService;
+class SlotRequester;
 class WorkSender;
+enum class SlotWaitEnd;
 enum class RetryReason;
 
 /** Reason of a request that was not sent because its key was taken away meanwhile. */
@@ -61,8 +64,8 @@
 class Forwarder
 {
 public:
-    Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, RetryBudgetService &retryBudgets,
-              PathMonitor &paths);
+    Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, RetryBudgetService &retryBudgets, PathMonitor &paths,
+              SlotRequester &slots);
 
     /**
      * Runs @p job and returns how it ended. @p job is kept until its last attempt has ended, which may be after the
@@ -112,8 +115,20 @@
 
     void startAttempt(const RunPtr &run, AttemptKind kind);
     void runAttempt(const RunPtr &run, const AttemptPtr &attempt, AttemptKind kind);
-    /** Returns true if the attempt has ended, false if another home is to be tried. */
-    bool sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice);
+    /**
+     * Returns true if the attempt has ended, false if another home is to be tried. @p reservation: id of the
+     * reservation for which the home holds a slot; 0: none.
+     */
+    bool sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice, std::uint64_t reservation);
+    /** Returns true if no home has room now, so that the request waits for the next free slot of several homes. */
+    bool shouldReserve(const Run &run, const Attempt &attempt, AttemptKind kind, const HomeChoice &choice) const;
+    /**
+     * Reserves at several homes and waits for an offer. With one, sets @p choice to its home, and @p reservation.
+     * Without, sets the reply of @p attempt.
+     */
+    SlotWaitEnd awaitSlot(const RunPtr &run, const AttemptPtr &attempt, HomeChoice &choice, std::uint64_t &reservation);
+    std::vector<ReservationCandidate> reservationCandidates(const Run &run) const;
+    void noteOffer(const std::string &home, const SlotOffer &offer, int priority);
     std::vector<RankedHome> homesOf(const std::string &service) const;
     HomeQuery homeQueryOf(const Run &run) const;
     static int priorityOf(const Run &run);
@@ -142,6 +157,7 @@
     WorkSender &sender_;
     RetryBudgetService &retryBudgets_;
     PathMonitor &paths_;
+    SlotRequester &slots_;
     HomeRanking ranking_;
     RouteStats stats_;
     std::uint64_t nextLocalWork_ = 1;
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -28,6 +28,10 @@
 /** A timeout counts against the server only after this many times the route's expected work time. */
 constexpr int timeoutWorkFactor = 4;
 
+/** Reason for a request or reservation that left the queue without a slot. */
+constexpr const char *timedOutReason = "waited-in-vain";
+constexpr const char *stoppingReason = "stopping";
+
 std::string millisText(Duration value)
 {
     return std::to_string(millisOf(value).count());
@@ -98,7 +102,11 @@
     if (const Announcement *serving = server_.serving()) {
         queue_.setServer(serving->slots, change == ServerChange::Started, now);
     } else {
-        releaseQueued(queue_.clearServer());
+        const std::string reason = refusalReasonName(RefusalReason::NoServer);
+        releaseQueued(queue_.clearServer(), reason);
+        if (reservations_.onClosed) {
+            reservations_.onClosed(reason);
+        }
     }
     if (change != ServerChange::None) {
         const Announcement *latest = server_.latest();
@@ -108,29 +116,36 @@
     pollQueue();
 }
 
-void LocalHome::releaseQueued(const std::vector<std::uint64_t> &ids)
+void LocalHome::releaseQueued(const std::vector<std::uint64_t> &ids, const std::string &reason)
 {
     for (const std::uint64_t id : ids) {
         const auto found = queuedJobs_.find(id);
         if (found != queuedJobs_.end()) {
             found->second.latch->release();
+        } else if (reservations_.onRemoved) {
+            reservations_.onRemoved(id, reason);
         }
     }
 }
 
 void LocalHome::pollQueue()
 {
-    const SlotQueue::PollResult result = queue_.poll(core_.clock.now());
-    for (const std::uint64_t id : result.start) {
-        const auto found = queuedJobs_.find(id);
-        if (found != queuedJobs_.end()) {
-            found->second.started = true;
-            found->second.latch->release();
-        } else {
-            queue_.release(id, core_.clock.now());
+    bool hasUnusedSlot = true;
+    while (hasUnusedSlot) {
+        hasUnusedSlot = false;
+        const SlotQueue::PollResult result = queue_.poll(core_.clock.now());
+        for (const std::uint64_t id : result.start) {
+            const auto found = queuedJobs_.find(id);
+            if (found != queuedJobs_.end()) {
+                found->second.started = true;
+                found->second.latch->release();
+            } else if (!reservations_.onStarted || !reservations_.onStarted(id)) {
+                queue_.release(id, core_.clock.now());
+                hasUnusedSlot = true;
+            }
         }
+        releaseQueued(result.expired, timedOutReason);
     }
-    releaseQueued(result.expired);
 }
 
 void LocalHome::expiryLoop()
@@ -174,8 +189,62 @@
     --callsInProgress_;
 }
 
+void LocalHome::setReservationHooks(ReservationHooks hooks)
+{
+    reservations_ = std::move(hooks);
+}
+
+std::uint64_t LocalHome::nextSlotId()
+{
+    return nextJob_++;
+}
+
+SlotDecision LocalHome::submitReservation(const SlotRequest &request)
+{
+    noteOverdueWork();
+    const SlotDecision decision = queue_.submit(request, core_.clock.now());
+    if (decision.action == SlotAction::Queue) {
+        expiry_.notify();
+    }
+    return decision;
+}
+
+void LocalHome::freeSlot(std::uint64_t slotId)
+{
+    queue_.cancel(slotId);
+    queue_.release(slotId, core_.clock.now());
+    pollQueue();
+}
+
+std::string LocalHome::closedReason(const std::string &service) const
+{
+    if (stopped_) {
+        return stoppingReason;
+    }
+    return service == core_.settings.server->service ? "" : "other-service";
+}
+
+bool LocalHome::claimSlot(Job &job)
+{
+    if (job.work.reservation == 0 || !reservations_.claim) {
+        return false;
+    }
+    const std::optional<std::uint64_t> slotId = reservations_.claim(job.key.origin, job.work.reservation);
+    if (!slotId) {
+        return false;
+    }
+    job.id = *slotId;
+    return queue_.beginHeld(*slotId, core_.clock.now());
+}
+
 bool LocalHome::awaitSlot(Job &job, const std::function<void()> &onAdmitted)
 {
+    if (claimSlot(job)) {
+        if (onAdmitted) {
+            onAdmitted();
+        }
+        return true;
+    }
     SlotRequest request;
     request.id = job.id;
     request.route = job.work.route;
@@ -214,7 +283,7 @@
     queuedJobs_.erase(job.id);
     if (!started || job.control->cancelled) {
         queue_.release(job.id, core_.clock.now());
-        job.reply = refusal(job, job.control->cancelled ? "cancelled" : "waited-in-vain");
+        job.reply = refusal(job, job.control->cancelled ? "cancelled" : timedOutReason);
         return false;
     }
     return true;
@@ -234,8 +303,8 @@
     if (works_.contains(key)) {
         return refusal(job, "forbidden");
     }
-    if (stopped_ || work.service != core_.settings.server->service) {
-        job.reply = refusal(job, stopped_ ? "stopping" : "other-service");
+    if (const std::string closed = closedReason(work.service); !closed.empty()) {
+        job.reply = refusal(job, closed);
         job.reply.load = load(work.priority);
         return job.reply;
     }
@@ -440,7 +509,10 @@
 {
     if (!stopped_) {
         stopped_ = true;
-        releaseQueued(queue_.removeWaiting());
+        releaseQueued(queue_.removeWaiting(), stoppingReason);
+        if (reservations_.onClosed) {
+            reservations_.onClosed(stoppingReason);
+        }
     }
 }
 
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -30,9 +30,26 @@
 class LocalHome
 {
 public:
+    /**
+     * Connects ids of SlotQueue with the reservations they stand for. None of them may start or free a slot before it
+     * returns, except onClosed.
+     */
+    struct ReservationHooks {
+        /** The id has started. Returns true if a slot is held for its reservation, false if the slot is not used. */
+        std::function<bool(std::uint64_t slotId)> onStarted;
+        /** The id was removed from the queue without a start. */
+        std::function<void(std::uint64_t slotId, const std::string &reason)> onRemoved;
+        /** Returns the slot held for the Work's reservation and takes it out; nullopt if there is none. */
+        std::function<std::optional<std::uint64_t>(const NodeRef &sender, std::uint64_t reservation)> claim;
+        /** This home accepts no more work: its server has left, or the node stops. */
+        std::function<void(const std::string &reason)> onClosed;
+    };
+
     /** @pre "poison" is in the kernel before the first request. */
     explicit LocalHome(NodeCore &core);
     void start();
+    /** @pre called once, before start(). */
+    void setReservationHooks(ReservationHooks hooks);
 
     /** Handles a call of the server beside this node. Returns nullopt if @p request is not such a call. */
     std::optional<HttpResponse> handleServerCall(const HttpRequest &request);
@@ -61,6 +78,14 @@
     void stopAccepting();
     /** Returns the load that a request of @p priority meets here. */
     HomeLoad load(int priority) const;
+    /** Returns an id that no other work or reservation of this home has. */
+    std::uint64_t nextSlotId();
+    /** Submits a reservation to the queue. @pre its id is from nextSlotId(). */
+    SlotDecision submitReservation(const SlotRequest &request);
+    /** Removes a reservation from the queue, or frees the slot held for it, and starts what is next. */
+    void freeSlot(std::uint64_t slotId);
+    /** Returns why this home accepts no work for @p service; empty if it does. */
+    std::string closedReason(const std::string &service) const;
     /** Returns the number of works queued or running here. */
     std::size_t inProgressCount() const;
     /** Records a request of @p route for @p service from this VM: from a caller, or from the server itself. */
@@ -91,11 +116,14 @@
     double zoneShare(const std::string &zone, const std::set<std::string> &services) const;
     void noteOrigin(const WorkKey &key, const std::string &route);
     void serverChanged(ServerChange change, const std::string &cause);
-    void releaseQueued(const std::vector<std::uint64_t> &ids);
+    /** Ends the wait of works that were removed from the queue. @p reason: for reservations. */
+    void releaseQueued(const std::vector<std::uint64_t> &ids, const std::string &reason);
     void pollQueue();
     void expiryLoop();
     /** Lets work that has run for too long count against the server. */
     void noteOverdueWork();
+    /** Lets the job take over the slot held for its reservation. Returns false if there is none. */
+    bool claimSlot(Job &job);
     bool awaitSlot(Job &job, const std::function<void()> &onAdmitted);
     void dispatch(Job &job);
     void handleResponse(Job &job, const tl::expected<HttpResponse, ExchangeError> &response, Duration processingTime);
@@ -115,6 +143,7 @@
     std::uint64_t nextJob_ = 1;
     NestedCallTracker nestedCalls_;
     RouteOrigins origins_;
+    ReservationHooks reservations_;
     int callsInProgress_ = 0;
     bool stopped_ = false;
 };
--- a/src/sidecar/SidecarTuning.cpp
+++ b/src/sidecar/SidecarTuning.cpp
@@ -22,6 +22,7 @@
 {
     SidecarTuning tuning;
     tuning.stopGrace = settings.times.stopWithin;
+    tuning.reservations.minObjective = settings.waiting.minObjective;
     if (settings.bounds.empty()) {
         return tuning;
     }
--- a/src/sidecar/SidecarTuning.h
+++ b/src/sidecar/SidecarTuning.h
@@ -4,11 +4,12 @@
 #include "include/customer/QuotaCounter.h"
 #include "include/fleet/WatchElection.h"
 #include "include/limit/FleetRetryBudget.h"
+#include "include/schedule/ReservationPlanner.h"
 #include "include/settings/NodeSettings.h"
 
 namespace waxwing {
 
-/** Parameters of a node's services that follow from the platform's bounds. */
+/** Parameters of a node's services that follow from the settings and the platform's bounds. */
 struct SidecarTuning {
     /** Longest time from SIGTERM to the end of the process. */
     Millis stopGrace{0};
@@ -16,6 +17,7 @@
     WatchElectionTuning watchElection;
     KeyAdmissionTuning keyAdmission;
     QuotaTuning quota;
+    ReservationTuning reservations;
 };
 
 /**
--- a/src/sidecar/home/SlotReservationService.cpp
+++ b/src/sidecar/home/SlotReservationService.cpp
@@ -7,6 +7,16 @@
 
 namespace waxwing {
 
+namespace {
+
+/**
+ * SlotQueue counts a request at each of the two homes where it reserves, so that its expected waits are up to twice too
+ * long. The deadline of the reservation still bounds its wait.
+ */
+constexpr int waitEstimateMargin = 2;
+
+} // namespace
+
 SlotReservationService::SlotReservationService(const Clock &clock, Metrics &metrics, EventLog &events, Hooks hooks,
                                                SlotReservationTuning tuning)
     : clock_(clock)
@@ -41,7 +51,7 @@
     request.priority = reserve.priority;
     request.objective = now + std::clamp(reserve.untilObjective, -tuning_.maxRemaining, tuning_.maxRemaining);
     request.deadline = now + remaining;
-    request.queueTimeout = remaining;
+    request.queueTimeout = remaining * waitEstimateMargin;
     request.isReservation = true;
     const SlotDecision decision = hooks_.submit(request);
     if (decision.action == SlotAction::Refuse) {
@@ -148,11 +158,12 @@
     const std::optional<std::uint64_t> slotId = offered_.claim(key, clock_.now());
     if (slotId) {
         take(*slotId);
-    } else if (slotIds_.count(key) != 0) {
-        // The Work is judged as a new one; its reservation must not hold a second slot.
-        handle(sender, SlotRelease{reservation});
+        return slotId;
     }
-    return slotId;
+    // The Work is judged as a new one; its reservation must not hold a second slot.
+    expire();
+    handle(sender, SlotRelease{reservation});
+    return std::nullopt;
 }
 
 void SlotReservationService::refuseAll(const std::string &reason)
--- /dev/null
+++ b/src/sidecar/ingress/SlotRequester.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "include/schedule/ReservationPlanner.h"
+#include "include/schedule/ReservationSet.h"
+#include "include/wire/Messages.h"
+#include "src/link/PeerHub.h"
+#include "src/node/RunControl.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+class EventLog;
+class FiberNotifier;
+class Metrics;
+
+struct SlotRequesterTuning {
+    /** Requests that may wait for an offer at the same time; a further one is sent as if there were no reservations. */
+    std::size_t maxWaiting = 512;
+    /** Reservations that one request makes in one wait, refused ones included. */
+    int maxReservations = 8;
+    /** Shortest Retry-After of a request without an offer, before the random factor. */
+    Millis minRetryAfter{300};
+    /** The Retry-After is multiplied by a random factor from 1 to this, so that callers don't return together. */
+    double retryAfterSpread = 2.0;
+    /** Number of ids of earlier bindings that are kept to recognize duplicate offers. */
+    std::size_t maxRecentBindings = 256;
+};
+
+/** A request that waits for an offer. */
+struct SlotWait {
+    std::string requestId;
+    std::string service;
+    std::string route;
+    std::string customer;
+    std::uint8_t priority = 0;
+    bool retryable = false;
+    SlotNeed need;
+    /** The wait ends at this time even if a later start is useful, as when this node stops. */
+    SteadyTime until = SteadyTime::max();
+    /** Returns the homes at which the request may reserve, with their current status. */
+    std::function<std::vector<ReservationCandidate>()> candidates;
+    RunControlPtr control;
+};
+
+enum class SlotWaitEnd {
+    /** A home holds a slot: send the Work there with the reservation's id. */
+    Offered,
+    /** No home made an offer in time: the request is refused as not run. */
+    NoOffer,
+    /** No reservation was possible: the request is sent as if there were no reservations. */
+    NotPossible,
+    /** The request was cancelled. */
+    Cancelled,
+};
+
+struct SlotWaitResult {
+    SlotWaitEnd end = SlotWaitEnd::NotPossible;
+    std::string home;
+    std::uint64_t reservation = 0;
+    /** For NoOffer: when the caller may retry. */
+    Millis retryAfter{0};
+};
+
+/**
+ * The sender's side of late binding: reserves the next free slot at some homes for a request that found no room, binds
+ * the request to the first offer and releases the other reservations. Sends no request itself. Not thread safe.
+ */
+class SlotRequester
+{
+public:
+    /** How messages reach the homes. None of them calls the requester before it returns. */
+    struct Transport {
+        /** Returns true if the home is this node, or a peer with an open link whose build knows reservations. */
+        std::function<bool(const std::string &home)> canReserve;
+        /** Returns the link over which @p reserve was sent; nullopt if it was not. */
+        std::function<std::optional<LinkId>(const std::string &home, const SlotReserve &reserve)> reserve;
+        std::function<void(const std::string &home, const SlotRelease &release)> release;
+        /** Waits for a notification, for at most @p timeout. */
+        std::function<void(FiberNotifier &notifier, Duration timeout)> pause;
+    };
+    using Random = ReservationPlanner::Random;
+    /** Receives each offer and refusal for a waiting request, with its load report. */
+    using OfferListener = std::function<void(const std::string &home, const SlotOffer &offer, int priority)>;
+
+    SlotRequester(const Clock &clock, Metrics &metrics, EventLog &events, Random random, Transport transport,
+                  const ReservationTuning &reservations = {}, SlotRequesterTuning tuning = {});
+    /** @pre called once, before the first wait. */
+    void setOfferListener(OfferListener listener);
+
+    /** Returns true if requests of the route may wait for offers at all. */
+    bool mayWait(const Route &route) const;
+    /**
+     * Reserves for the request and waits for the first offer, its latest useful start, or its cancellation. No
+     * reservation is left when it returns, except the one offered. @pre called from a fiber.
+     */
+    SlotWaitResult wait(const SlotWait &want);
+
+    void handle(const std::string &home, const SlotOffer &offer);
+    /** Reserves at other homes for the requests that held reservations over the link. */
+    void linkClosed(LinkId link);
+    /** The same for a home that does not respond. */
+    void homeLost(const std::string &home);
+
+    /** Sets the gauges of waiting requests by service and priority, and of the age of the oldest. */
+    void updateGauges();
+    /** Returns the number of requests that wait for an offer. */
+    std::size_t waiting() const;
+
+private:
+    struct Waiter;
+    using WaiterPtr = std::shared_ptr<Waiter>;
+    struct Pending {
+        std::string home;
+        LinkId link = 0;
+        WaiterPtr waiter;
+    };
+
+    void awaitOffer(const WaiterPtr &waiter, SteadyTime latest);
+    /** Reserves at further homes until the request holds as many reservations as it may. */
+    void reserveMore(const WaiterPtr &waiter, SteadyTime latest);
+    bool reserveAt(const std::string &home, const WaiterPtr &waiter, SteadyTime latest);
+    /** Removes a reservation that got no offer. */
+    void lose(std::uint64_t id);
+    void loseAll(const std::function<bool(const Pending &pending)> &isLost);
+    SlotWaitResult finish(const WaiterPtr &waiter);
+    SlotWaitResult bindTo(const WaiterPtr &waiter, const HomeReservation &bound);
+    Millis retryAfter(const Waiter &waiter);
+
+    const Clock &clock_;
+    Metrics &metrics_;
+    EventLog &events_;
+    Random random_;
+    Transport transport_;
+    ReservationPlanner planner_;
+    SlotRequesterTuning tuning_;
+    OfferListener onOffer_;
+    std::set<WaiterPtr> waiters_;
+    /** By the id of the reservation. */
+    std::map<std::uint64_t, Pending> pending_;
+    std::deque<std::uint64_t> recentBindings_;
+    std::set<std::string> gauges_;
+    std::uint64_t nextId_ = 1;
+};
+
+} // namespace waxwing
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -171,6 +171,7 @@
         ("control", po::value<std::string>()->required(), "control endpoint of the node beside it")
         ("ledger", po::value<std::string>()->required(), "file to append executions to")
         ("work-ms", po::value<int>()->default_value(20), "time that a request takes")
+        ("slots", po::value<std::uint32_t>()->default_value(3), "requests that run at the same time")
         ("port", po::value<std::uint16_t>()->required(), "port to serve on");
     // clang-format on
     return standin::runStandin(
@@ -182,6 +183,7 @@
             parsed.control = parseEndpoint(values["control"].as<std::string>(), "--control", findings);
             parsed.ledger = values["ledger"].as<std::string>();
             parsed.work = Millis(values["work-ms"].as<int>());
+            parsed.slots = values["slots"].as<std::uint32_t>();
             if (!findings.empty()) {
                 std::cerr << findings.text();
                 return 2;
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -40,7 +40,7 @@
                              const std::string &to) {
         return json{{"name", name},
                     {"kind", kind},
-                    {"target_latency_ms", 1000},
+                    {"target_latency_ms", options_.objectiveMs},
                     {"priority", 1},
                     {"public", false},
                     {"match", {{"path_prefix", prefix}}},
@@ -48,22 +48,26 @@
     };
     json open = rule("open", "safe", "/open/", "desk");
     open["public"] = true;
+    json deskRules =
+        json::array({rule("browse", "safe", "/dates/", "desk"), rule("book", "unsafe", "/seats/", service), open});
+    if (options_.urgentRoute) {
+        json urgent = rule("urgent", "safe", "/urgent/", "desk");
+        urgent["priority"] = 0;
+        deskRules.push_back(urgent);
+    }
     json spareRules = json::array();
     for (int i = 0; i < options_.spareRoutes; ++i) {
         spareRules.push_back(rule("spare" + std::to_string(i), "safe", "/spare" + std::to_string(i) + "/", "desk"));
     }
-    json document = {
-        {"version", "r" + std::to_string(version)},
-        {"limits",
-         {{"max_header_bytes", 16384},
-          {"max_body_bytes", 100000},
-          {"header_timeout_ms", 2000},
-          {"idle_timeout_ms", 5000}}},
-        {"listeners", json::array({{{"host", "desk.example"},
-                                    {"rules", json::array({rule("browse", "safe", "/dates/", "desk"),
-                                                           rule("book", "unsafe", "/seats/", service), open})}},
-                                   {{"host", "spare.example"}, {"rules", spareRules}}})},
-        {"clusters", json::array()}};
+    json document = {{"version", "r" + std::to_string(version)},
+                     {"limits",
+                      {{"max_header_bytes", 16384},
+                       {"max_body_bytes", 100000},
+                       {"header_timeout_ms", 2000},
+                       {"idle_timeout_ms", 5000}}},
+                     {"listeners", json::array({{{"host", "desk.example"}, {"rules", deskRules}},
+                                                {{"host", "spare.example"}, {"rules", spareRules}}})},
+                     {"clusters", json::array()}};
     if (!options_.customers.is_null()) {
         document["tenants"] = options_.customers;
     }
@@ -170,7 +174,8 @@
     const std::vector<std::string> arguments = {
         "--service", options_.services.at(i),         "--id",     "i-" + std::to_string(index),
         "--control", member.control.text(),           "--ledger", directory_ + "/ledger." + std::to_string(index),
-        "--work-ms", std::to_string(options_.workMs), "--port",   std::to_string(member.serverAddress.port)};
+        "--work-ms", std::to_string(options_.workMs), "--port",   std::to_string(member.serverAddress.port),
+        "--slots",   std::to_string(options_.slots)};
     member.server = std::make_unique<Process>("tests/standins/standin-sidecarserver", arguments,
                                               directory_ + "/server" + std::to_string(index) + ".log");
     member.server->waitForPrintedNumber("port");
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -16,6 +16,12 @@
     /** Each node's links are reached through a fault proxy. */
     bool proxies = false;
     int workMs = 20;
+    /** Slots of each server. */
+    int slots = 3;
+    /** Response time objective of the routes. */
+    int objectiveMs = 1000;
+    /** Adds an idempotent route "/urgent/" whose priority is above that of the others. */
+    bool urgentRoute = false;
     /** Timeout of the routes. */
     int timeoutMs = 3000;
     /** Longest time from SIGTERM to the node's exit. */
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -72,7 +72,11 @@
             names,
             Ping{1},
             Pong{1},
-            handover};
+            handover,
+            SlotReserve{3, "course-desk", "booking", "c\xff", 1, true, Millis(900), Millis(-5), Millis(40)},
+            SlotOffer{3, Millis(50), "", {}},
+            SlotOffer{4, Millis(0), "busy", {}},
+            SlotRelease{3}};
 }
 
 const std::string settingsText = R"({ // comment
