--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -143,6 +143,12 @@
     Millis noServerBackoff{700};
 };
 
+/**
+ * Returns the loss for the distance of a home and the bytes of a response that come from there, in thousandths of the
+ * request's value. Thread safe.
+ */
+double distanceLoss(const RankingTuning &tuning, Distance distance, double responseKilobytes);
+
 /**
  * Orders the homes of a service for one request by expected loss: distance, risk of being late, probability that the
  * server is gray, failed paths. Uses only what replies and refusals reported. Not thread safe.
@@ -213,7 +219,6 @@
     bool isCandidate(const RankedHome &home, const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
     /** Returns true if there is no recent report, and no older one by which the server is still likely gray. */
     bool isStale(const RankedHome &home, const Defaults &defaults, SteadyTime now) const;
-    double distanceLoss(Distance distance, const HomeQuery &query) const;
     /** Returns the expected loss without delayLoss(). */
     double lossWithoutWait(const RankedHome &home, const HomeQuery &query, const Defaults &defaults,
                            SteadyTime now) const;
--- a/include/schedule/ReservationPlanner.h
+++ b/include/schedule/ReservationPlanner.h
@@ -19,16 +19,17 @@
     std::size_t homes = 2;
     /** A load report counts as current for this long. */
     Millis reportMaxAge{1000};
-    /** Upper bound on the distance loss (RankingTuning) at which a request reserves: large responses stay near. */
-    double maxDistanceLoss = 450.0;
-    /**
-     * Added to the expected wait when homes of different distances are compared, for each unit of distance loss.
-     */
-    double waitMsPerLoss = 2.0;
-    /** Share of requests whose work takes at most this many times its usual time is nearly one. */
+    /** Free slots assumed of a home without a current report. */
+    double unknownFreeSlots = 1.0;
+    /** Largest distance loss (RankingTuning) at which a request reserves: large responses stay near. */
+    double maxDistanceLoss = 480.0;
+    /** Nearly all work ends within this many times its usual time. */
     double workTimeMargin = 1.5;
-    /** For one binding and the response, at the largest distance. */
-    Millis bindingTime{150};
+    /** A request reserves, instead of being sent at once, if its best home is expected to let it wait for this long. */
+    Millis minWait{5};
+    /** Reservations of one request in all. Each costs two small messages, and refusals cause new ones. */
+    std::size_t maxReservations = 8;
+    /** Round trips and losses by distance. */
     RankingTuning ranking;
 };
 
@@ -37,6 +38,8 @@
     std::string node;
     Distance distance = Distance::SameRegion;
     HomeStatus status;
+    /** Reservations of this node that wait for an offer there. */
+    std::int32_t reserved = 0;
 };
 
 /** Properties of a waiting request that the choice of its homes depends on. */
@@ -51,9 +54,14 @@
     std::set<std::string> held;
     /** Homes that it was sent to or that refused it: planned only if nothing else is left. */
     std::set<std::string> tried;
+    /** Number of reservations made for the request so far. */
+    std::size_t made = 0;
 };
 
-/** Decides where a request that found no room reserves, and how long it waits. Not thread safe. */
+/**
+ * Decides whether and where a request that found no room reserves, and how long it waits. Uses only what replies,
+ * refusals and offers reported. Not thread safe.
+ */
 class ReservationPlanner
 {
 public:
@@ -61,12 +69,16 @@
 
     explicit ReservationPlanner(Random random, ReservationTuning tuning = {});
 
-    /** Returns true if the request may wait for an offer at all. */
+    /** Returns true if requests of @p route may wait for an offer at all. */
     bool mayWait(const Route &route) const;
+    /** Returns true if a request whose best home is @p best reserves instead of being sent there. */
+    bool shouldReserve(const HomeChoice &best) const;
     /**
      * Returns the homes to reserve at, so that with @c need.held there are at most @c tuning.homes. The own zone comes
      * first. When its reports show no free slot, other zones follow in proportion to their free slots, then other
-     * regions, as far as distance and bytes allow. Empty if no home is left.
+     * regions, as far as objective and bytes allow; farther ones only if nothing else is left. Without a free slot,
+     * homes with the shortest wait are chosen. Homes that are likely gray, have no server or are on a failed path are
+     * left out. Empty if no home is left.
      */
     std::vector<std::string> plan(const std::vector<ReservationCandidate> &candidates, const SlotNeed &need,
                                   SteadyTime now) const;
@@ -77,6 +89,22 @@
     SteadyTime latestStart(const SlotNeed &need, SteadyTime now) const;
 
 private:
+    using Candidates = std::vector<const ReservationCandidate *>;
+
+    /** Returns the candidates without those held, gray, failed or without a server. */
+    Candidates usable(const std::vector<ReservationCandidate> &candidates, const SlotNeed &need) const;
+    bool isInReach(const ReservationCandidate &candidate, const SlotNeed &need, SteadyTime now) const;
+    /** Adds the best of @p from to @p homes until there are @p count. */
+    void take(Candidates from, std::size_t count, std::vector<std::string> &homes, SteadyTime now) const;
+    /** Returns one of the nearest candidates that have free slots, at random in proportion to these; end() if none. */
+    Candidates::iterator pickFree(Candidates &from, SteadyTime now) const;
+    Candidates::iterator pickShortestWait(Candidates &from) const;
+    double freeSlots(const ReservationCandidate &candidate, SteadyTime now) const;
+    /** Returns the time until work could begin there: expected wait and messages. */
+    Millis delayAt(const ReservationCandidate &candidate) const;
+    /** Returns the time for reserving, the offer, the Work and its reply. */
+    Millis messageTime(Distance distance) const;
+
     Random random_;
     ReservationTuning tuning_;
 };
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -20,6 +20,21 @@
 
 } // namespace
 
+double distanceLoss(const RankingTuning &tuning, Distance distance, double responseKilobytes)
+{
+    const double large = std::max(0.0, responseKilobytes - tuning.freeKilobytes);
+    switch (distance) {
+    case Distance::SameNode:
+    case Distance::SameZone:
+        return 0.0;
+    case Distance::SameRegion:
+        return tuning.otherZoneLoss + std::min(tuning.maxBytesLoss, large * tuning.otherZoneLossPerKilobyte);
+    case Distance::OtherRegion:
+        break;
+    }
+    return tuning.otherRegionLoss + std::min(tuning.maxBytesLoss, large * tuning.otherRegionLossPerKilobyte);
+}
+
 HomeRanking::HomeRanking(Random random, RankingTuning tuning)
     : random_(std::move(random))
     , tuning_(tuning)
@@ -141,21 +156,6 @@
     return now >= found->second.grayBackoffUntil && !tooLikelyGray;
 }
 
-double HomeRanking::distanceLoss(Distance distance, const HomeQuery &query) const
-{
-    const double large = std::max(0.0, query.responseKilobytes - tuning_.freeKilobytes);
-    switch (distance) {
-    case Distance::SameNode:
-    case Distance::SameZone:
-        return 0.0;
-    case Distance::SameRegion:
-        return tuning_.otherZoneLoss + std::min(tuning_.maxBytesLoss, large * tuning_.otherZoneLossPerKilobyte);
-    case Distance::OtherRegion:
-        break;
-    }
-    return tuning_.otherRegionLoss + std::min(tuning_.maxBytesLoss, large * tuning_.otherRegionLossPerKilobyte);
-}
-
 bool HomeRanking::isStale(const RankedHome &candidate, const Defaults &defaults, SteadyTime now) const
 {
     const auto found = homes_.find(candidate.node);
@@ -167,7 +167,7 @@
 double HomeRanking::lossWithoutWait(const RankedHome &candidate, const HomeQuery &query, const Defaults &defaults,
                                     SteadyTime now) const
 {
-    double loss = distanceLoss(candidate.distance, query);
+    double loss = distanceLoss(tuning_, candidate.distance, query.responseKilobytes);
     const auto found = homes_.find(candidate.node);
     // Retryable work explores homes without a recent report. Otherwise a server that joins, or one without a report by
     // chance, would get no work as long as the other servers are known to be healthy and have free slots.
--- a/src/schedule/ReservationPlanner.cpp
+++ b/src/schedule/ReservationPlanner.cpp
@@ -1,9 +1,21 @@
 #include "include/schedule/ReservationPlanner.h"
 
 #include <algorithm>
+#include <limits>
+#include <numeric>
 
 namespace waxwing {
 
+namespace {
+
+/** Homes in the same zone are as near as this node itself. */
+int levelOf(Distance distance)
+{
+    return static_cast<int>(std::max(distance, Distance::SameZone));
+}
+
+} // namespace
+
 ReservationPlanner::ReservationPlanner(Random random, ReservationTuning tuning)
     : random_(std::move(random))
     , tuning_(tuning)
@@ -14,16 +26,131 @@
     return tuning_.minObjective > Millis(0) && route.responseTime >= tuning_.minObjective;
 }
 
+bool ReservationPlanner::shouldReserve(const HomeChoice &best) const
+{
+    return best.node.empty() || best.wait >= tuning_.minWait;
+}
+
+Millis ReservationPlanner::messageTime(Distance distance) const
+{
+    constexpr int roundTrips = 2;
+    double roundTripMs = 0.0;
+    if (distance == Distance::SameRegion) {
+        roundTripMs = tuning_.ranking.zoneRoundTripMs;
+    } else if (distance == Distance::OtherRegion) {
+        roundTripMs = tuning_.ranking.regionRoundTripMs;
+    }
+    return Millis(static_cast<std::int64_t>(roundTrips * roundTripMs));
+}
+
+bool ReservationPlanner::isInReach(const ReservationCandidate &candidate, const SlotNeed &need, SteadyTime now) const
+{
+    if (levelOf(candidate.distance) == levelOf(Distance::SameZone)) {
+        return true;
+    }
+    // A request that is late at any home anyway is limited by its deadline alone.
+    const SteadyTime limit = now + need.workTime > need.objective ? need.deadline : need.objective;
+    return distanceLoss(tuning_.ranking, candidate.distance, need.responseKilobytes) <= tuning_.maxDistanceLoss
+           && now + messageTime(candidate.distance) + need.workTime <= limit;
+}
+
+ReservationPlanner::Candidates ReservationPlanner::usable(const std::vector<ReservationCandidate> &candidates,
+                                                          const SlotNeed &need) const
+{
+    Candidates found;
+    for (const ReservationCandidate &candidate : candidates) {
+        const HomeStatus &status = candidate.status;
+        if (status.hasServer && !status.likelyGray && !status.pathFailed && need.held.count(candidate.node) == 0) {
+            found.push_back(&candidate);
+        }
+    }
+    // Starting at a random home spreads requests over homes of equal wait.
+    if (!found.empty()) {
+        const auto start = static_cast<std::ptrdiff_t>(random_() % found.size());
+        std::rotate(found.begin(), found.begin() + start, found.end());
+    }
+    return found;
+}
+
+double ReservationPlanner::freeSlots(const ReservationCandidate &candidate, SteadyTime now) const
+{
+    const HomeStatus &status = candidate.status;
+    const bool current = status.load && now - status.loadAt < tuning_.reportMaxAge;
+    const double reported = current ? status.load->freeSlots : tuning_.unknownFreeSlots;
+    return std::max(0.0, reported - status.sentSince - candidate.reserved);
+}
+
+Millis ReservationPlanner::delayAt(const ReservationCandidate &candidate) const
+{
+    const Millis wait = candidate.status.load ? candidate.status.load->wait : Millis(0);
+    return wait + messageTime(candidate.distance);
+}
+
+ReservationPlanner::Candidates::iterator ReservationPlanner::pickShortestWait(Candidates &from) const
+{
+    return std::min_element(from.begin(), from.end(),
+                            [&](const auto *a, const auto *b) { return delayAt(*a) < delayAt(*b); });
+}
+
+ReservationPlanner::Candidates::iterator ReservationPlanner::pickFree(Candidates &from, SteadyTime now) const
+{
+    int level = std::numeric_limits<int>::max();
+    for (const ReservationCandidate *one : from) {
+        level = freeSlots(*one, now) > 0.0 ? std::min(level, levelOf(one->distance)) : level;
+    }
+    std::vector<double> slots;
+    for (const ReservationCandidate *one : from) {
+        slots.push_back(levelOf(one->distance) == level ? freeSlots(*one, now) : 0.0);
+    }
+    const double all = std::accumulate(slots.begin(), slots.end(), 0.0);
+    if (all <= 0.0) {
+        return from.end();
+    }
+    constexpr double randomRange = 18446744073709551616.0;
+    double left = all * static_cast<double>(random_()) / randomRange;
+    auto picked = from.end();
+    for (std::size_t i = 0; i < slots.size() && left >= 0.0; ++i) {
+        picked = slots[i] > 0.0 ? from.begin() + static_cast<std::ptrdiff_t>(i) : picked;
+        left -= slots[i];
+    }
+    return picked;
+}
+
+void ReservationPlanner::take(Candidates from, std::size_t count, std::vector<std::string> &homes, SteadyTime now) const
+{
+    while (homes.size() < count && !from.empty()) {
+        const auto nearest = pickShortestWait(from);
+        auto picked = pickFree(from, now);
+        // A free slot far away starts the request no sooner than a slot nearby that is free within the message time.
+        if (picked == from.end() || delayAt(**nearest) < messageTime((*picked)->distance)) {
+            picked = nearest;
+        }
+        homes.push_back((*picked)->node);
+        from.erase(picked);
+    }
+}
+
 std::vector<std::string> ReservationPlanner::plan(const std::vector<ReservationCandidate> &candidates,
-                                                  const SlotNeed &need, SteadyTime) const
+                                                  const SlotNeed &need, SteadyTime now) const
 {
     std::vector<std::string> homes;
-    const std::size_t start = candidates.empty() ? 0 : random_() % candidates.size();
-    for (std::size_t i = 0; i < candidates.size() && need.held.size() + homes.size() < tuning_.homes; ++i) {
-        const std::string &node = candidates[(start + i) % candidates.size()].node;
-        if (need.held.count(node) == 0) {
-            homes.push_back(node);
-        }
+    const std::size_t open = tuning_.homes - std::min(tuning_.homes, need.held.size());
+    const std::size_t left = tuning_.maxReservations - std::min(tuning_.maxReservations, need.made);
+    const std::size_t count = std::min(open, left);
+    Candidates fresh = usable(candidates, need);
+    const auto far =
+        std::stable_partition(fresh.begin(), fresh.end(), [&](const auto *one) { return isInReach(*one, need, now); });
+    const Candidates outOfReach(far, fresh.end());
+    fresh.erase(far, fresh.end());
+    const auto repeated = std::stable_partition(fresh.begin(), fresh.end(),
+                                                [&](const auto *one) { return need.tried.count(one->node) == 0; });
+    const Candidates tried(repeated, fresh.end());
+    fresh.erase(repeated, fresh.end());
+    take(fresh, count, homes, now);
+    take(tried, count, homes, now);
+    // A distant home is better than none.
+    if (homes.empty() && need.held.empty()) {
+        take(outOfReach, count, homes, now);
     }
     return homes;
 }
@@ -31,7 +158,7 @@
 SteadyTime ReservationPlanner::latestStart(const SlotNeed &need, SteadyTime now) const
 {
     const auto work = std::chrono::duration_cast<Duration>(need.workTime * tuning_.workTimeMargin);
-    return std::max(now, need.deadline - work - tuning_.bindingTime);
+    return std::max(now, need.deadline - work - messageTime(Distance::OtherRegion));
 }
 
 } // namespace waxwing
