--- a/tests/support/HomeFleetModel.cpp
+++ b/tests/support/HomeFleetModel.cpp
@@ -1,234 +1,312 @@
 #include "tests/support/HomeFleetModel.h"
 
+#include "tests/support/SlotPolicies.h"
+
 #include <boost/random/exponential_distribution.hpp>
 #include <boost/random/uniform_01.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
 
-#include <algorithm>
+#include <cmath>
 
 namespace waxwing::testing {
 
 namespace {
 
-constexpr Millis warmUp = std::chrono::seconds(6);
-constexpr Millis linkDelay{2};
-constexpr Millis pollInterval{10};
-constexpr Millis objective{1000};
-constexpr Millis deadline{4000};
-constexpr int priority = 2;
-const std::string route = "booking";
+/** One way. */
+constexpr Duration zoneDelay = std::chrono::microseconds(200);
+constexpr Duration otherZoneDelay = Millis(1);
+constexpr Duration otherRegionDelay = Millis(30);
+constexpr Millis spillInterval{250};
+constexpr double shortestWork = 0.5;
+constexpr double longestWork = 1.5;
+const std::string hotCustomer = "customer-0";
+
+std::unique_ptr<SlotPolicy> makePolicy(HomePolicy policy, HomeFleetModel &model)
+{
+    switch (policy) {
+    case HomePolicy::Reservations:
+        return std::make_unique<ReservationPolicy>(model);
+    case HomePolicy::ZoneQueue:
+        return std::make_unique<ZoneQueuePolicy>(model);
+    case HomePolicy::Polling:
+    case HomePolicy::Random:
+    case HomePolicy::Oracle:
+        break;
+    }
+    return std::make_unique<PollingPolicy>(model, policy);
+}
 
 } // namespace
 
-HomeFleetModel::HomeFleetModel(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed)
-    : load_(load)
-    , policy_(policy)
+SlotPolicy::SlotPolicy(HomeFleetModel &model)
+    : model_(model)
+{ }
+
+HomeFleetModel::HomeFleetModel(HomeFleetLoad load, HomePolicy policy, std::uint32_t seed)
+    : load_(std::move(load))
     , random_(seed)
     , events_(SteadyTime(std::chrono::hours(1)))
-    , burstFrom_(events_.now() + warmUp)
-    , end_(burstFrom_ + load.burstDuration)
-    , homes_(static_cast<std::size_t>(load.homes))
-{
-    for (int i = 0; i < load.homes; ++i) {
-        ranked_.push_back(RankedHome{"home-" + std::to_string(i), Distance::SameZone});
-        Home &home = homes_[static_cast<std::size_t>(i)];
-        home.queue.setServer(load.slots, true, events_.now());
-        home.freeAt.assign(load.slots, events_.now());
-    }
-    for (int i = 0; i < load.nodes; ++i) {
-        rankings_.emplace_back([this] { return static_cast<std::uint64_t>(random_()); });
+    , burstFrom_(events_.now() + load_.warmUp)
+    , end_(burstFrom_ + load_.burstDuration)
+    , homesFrom_(static_cast<std::size_t>(load_.zones))
+{
+    for (int home = 0; home < load_.homes; ++home) {
+        names_.push_back("home-" + std::to_string(home));
+        for (int zone = 0; zone < load_.zones; ++zone) {
+            homesFrom_[static_cast<std::size_t>(zone)].push_back(RankedHome{names_.back(), distance(zone, home)});
+        }
     }
+    policy_ = makePolicy(policy, *this);
 }
 
-ServedCounts HomeFleetModel::run()
+FleetCounts HomeFleetModel::run()
 {
+    events_.add(burstFrom_, [this] {
+        for (int home = 0; home < load_.homesGone; ++home) {
+            policy_->serverLeft(home);
+        }
+    });
     scheduleArrival();
     events_.run();
-    return outcome_;
+    for (const auto &[priority, one] : counts_.byPriority) {
+        counts_.unfinished += one.requests - one.inTime - one.late - one.refused;
+    }
+    for (const Spill &spill : spills_) {
+        counts_.spilledShares.push_back(static_cast<double>(spill.elsewhere) / std::max(1, spill.all));
+    }
+    return counts_;
 }
 
-double HomeFleetModel::uniform()
+const HomeFleetLoad &HomeFleetModel::load() const
 {
-    return boost::random::uniform_01<double>()(random_);
+    return load_;
 }
 
-bool HomeFleetModel::isBurst() const
+SteadyTime HomeFleetModel::now() const
 {
-    return events_.now() >= burstFrom_ && events_.now() < end_;
+    return events_.now();
 }
 
-void HomeFleetModel::scheduleArrival()
+std::uint64_t HomeFleetModel::random()
 {
-    const double rate = load_.requestsPerSecond * (isBurst() ? load_.burst : 1.0);
-    const double seconds = boost::random::exponential_distribution<double>(rate)(random_);
-    const SteadyTime next = events_.now() + durationOf(seconds);
-    if (next < end_) {
-        events_.add(next, [this] { arrive(); });
+    return random_();
+}
+
+std::uint64_t HomeFleetModel::nextId()
+{
+    return nextId_++;
+}
+
+const std::string &HomeFleetModel::homeName(int home) const
+{
+    return names_[static_cast<std::size_t>(home)];
+}
+
+int HomeFleetModel::homeIndex(const std::string &name) const
+{
+    return static_cast<int>(std::find(names_.begin(), names_.end(), name) - names_.begin());
+}
+
+int HomeFleetModel::zoneOf(int nodeOrHome) const
+{
+    return nodeOrHome % load_.zones;
+}
+
+Distance HomeFleetModel::distance(int node, int home) const
+{
+    if (zoneOf(node) == zoneOf(home)) {
+        return Distance::SameZone;
     }
+    const bool sameRegion = zoneOf(node) / load_.zonesPerRegion == zoneOf(home) / load_.zonesPerRegion;
+    return sameRegion ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-void HomeFleetModel::arrive()
+const std::vector<RankedHome> &HomeFleetModel::homesFrom(int node) const
 {
-    const auto request = std::make_shared<Request>();
-    request->id = nextId_++;
-    request->sender = static_cast<int>(uniform() * load_.nodes);
-    request->objective = events_.now() + objective;
-    request->deadline = events_.now() + deadline;
-    request->work = Millis(static_cast<std::int64_t>(boost::random::uniform_real_distribution<double>(0.5, 1.5)(random_)
-                                                     * static_cast<double>(load_.meanWork.count())));
-    request->counted = isBurst();
-    outcome_.requests += request->counted ? 1 : 0;
-    dispatch(request);
-    scheduleArrival();
+    return homesFrom_[static_cast<std::size_t>(zoneOf(node))];
 }
 
-void HomeFleetModel::dispatch(const RequestPtr &request)
+Duration HomeFleetModel::delay(Distance distance) const
 {
-    const int home = request->search.canContinue() && events_.now() < request->deadline ? chooseHome(*request) : -1;
-    if (home < 0) {
-        finish(request, false);
-        return;
+    if (distance == Distance::OtherRegion) {
+        return otherRegionDelay;
     }
-    request->home = ranked_[static_cast<std::size_t>(home)].node;
-    request->search.noteSent(request->home);
-    rankings_[static_cast<std::size_t>(request->sender)].noteSent(request->home);
-    events_.add(events_.now() + linkDelay, [this, home, request] { submit(home, request); });
+    return distance == Distance::SameRegion ? otherZoneDelay : zoneDelay;
 }
 
-int HomeFleetModel::chooseHome(Request &request)
+void HomeFleetModel::at(SteadyTime when, std::function<void()> action)
 {
-    request.queueTimeout = request.deadline - events_.now();
-    switch (policy_) {
-    case HomePolicy::Product:
-        return chooseByRanking(request);
-    case HomePolicy::Random:
-        return static_cast<int>(uniform() * load_.homes);
-    case HomePolicy::Oracle:
-        break;
+    events_.add(when, std::move(action));
+}
+
+void HomeFleetModel::after(Duration time, std::function<void()> action)
+{
+    at(now() + time, std::move(action));
+}
+
+void HomeFleetModel::sendSmall(const FleetRequest &request, Distance distance, std::function<void()> action)
+{
+    counts_.smallMessages += request.counted ? 1 : 0;
+    after(delay(distance), std::move(action));
+}
+
+void HomeFleetModel::sendWork(const FleetRequestPtr &request, int home, std::function<void()> action)
+{
+    counts_.sends += request->counted ? 1 : 0;
+    request->home = home;
+    after(delay(distance(request->sender, home)), std::move(action));
+}
+
+void HomeFleetModel::noteInVain(const FleetRequest &request)
+{
+    counts_.sendsInVain += request.counted ? 1 : 0;
+}
+
+void HomeFleetModel::noteIdleSlot(Duration idle)
+{
+    counts_.longestIdleSlot = std::max(counts_.longestIdleSlot, idle);
+}
+
+template<typename Change>
+void HomeFleetModel::count(const FleetRequest &request, Change change)
+{
+    if (request.counted) {
+        change(counts_.byPriority[request.route->route.priority]);
+        change(request.customer == hotCustomer ? counts_.hotCustomer : counts_.otherCustomers);
     }
-    return chooseFirstFree(request);
 }
 
-int HomeFleetModel::chooseByRanking(Request &request)
+void HomeFleetModel::begin(int home, const FleetRequestPtr &request)
 {
-    HomeQuery query;
-    query.priority = priority;
-    query.untilObjective = millisOf(request.objective - events_.now());
-    query.untilDeadline = millisOf(request.deadline - events_.now());
-    query.workTime = load_.meanWork;
-    query.mustQueue = request.search.mustQueue();
-    const HomeChoice choice = rankings_[static_cast<std::size_t>(request.sender)].choose(
-        ranked_, request.search.excluded(), query, events_.now());
-    if (choice.node.empty()) {
-        return -1;
+    const Duration wait = now() - request->arrived;
+    count(*request, [wait](PriorityCounts &counts) {
+        counts.waited += wait;
+        counts.longestWait = std::max(counts.longestWait, wait);
+    });
+    const Distance far = distance(request->sender, home);
+    if (request->counted) {
+        counts_.halfObjectiveUsed += now() > request->arrived + (request->objective - request->arrived) / 2 ? 1 : 0;
+        counts_.otherZone += far == Distance::SameRegion ? 1 : 0;
+        counts_.otherRegion += far == Distance::OtherRegion ? 1 : 0;
+        if (zoneOf(request->sender) == 0) {
+            const auto interval = static_cast<std::size_t>((now() - burstFrom_) / spillInterval);
+            spills_.resize(std::max(spills_.size(), interval + 1));
+            ++spills_[interval].all;
+            spills_[interval].elsewhere += far == Distance::SameZone ? 0 : 1;
+        }
     }
-    request.queueTimeout = choice.queueTimeout;
-    const auto found =
-        std::find_if(ranked_.begin(), ranked_.end(), [&](const RankedHome &home) { return home.node == choice.node; });
-    return static_cast<int>(found - ranked_.begin());
+    const bool isSlow = home >= load_.homes - load_.slowHomes;
+    const Duration took = durationOf(secondsOf(request->work) * (isSlow ? load_.slowFactor : 1.0));
+    after(took, [this, home, request, took] { policy_->workEnded(home, request, took); });
 }
 
-int HomeFleetModel::chooseFirstFree(const Request &request)
+void HomeFleetModel::finish(const FleetRequestPtr &request, bool served)
 {
-    const auto freeAt = [](const Home &home) { return *std::min_element(home.freeAt.begin(), home.freeAt.end()); };
-    const auto best = std::min_element(homes_.begin(), homes_.end(),
-                                       [&](const Home &a, const Home &b) { return freeAt(a) < freeAt(b); });
-    auto slot = std::min_element(best->freeAt.begin(), best->freeAt.end());
-    const SteadyTime ends = std::max(events_.now() + linkDelay, *slot) + request.work;
-    if (ends + linkDelay > request.deadline) {
-        return -1;
+    request->done = true;
+    // A response after the deadline reaches no caller.
+    const bool inTime = served && now() <= request->objective;
+    const bool late = served && !inTime && now() <= request->deadline;
+    count(*request, [&](PriorityCounts &counts) {
+        counts.inTime += inTime ? 1 : 0;
+        counts.late += late ? 1 : 0;
+        counts.refused += inTime || late ? 0 : 1;
+    });
+    if (request->counted) {
+        counts_.longestAfterDeadline = std::max(counts_.longestAfterDeadline, now() - request->deadline);
     }
-    *slot = ends;
-    return static_cast<int>(best - homes_.begin());
-}
-
-void HomeFleetModel::submit(int home, const RequestPtr &request)
-{
-    Home &target = homes_[static_cast<std::size_t>(home)];
-    SlotRequest slotRequest;
-    slotRequest.id = request->id;
-    slotRequest.route = route;
-    slotRequest.priority = priority;
-    slotRequest.objective = request->objective;
-    slotRequest.deadline = request->deadline;
-    slotRequest.queueTimeout = millisOf(request->queueTimeout);
-    const SlotDecision decision = target.queue.submit(slotRequest, events_.now());
-    target.active[request->id] = request;
-    if (decision.action == SlotAction::Start) {
-        begin(home, request);
-    } else if (decision.action == SlotAction::Refuse) {
-        refuse(home, request);
-    } else {
-        schedulePoll(home);
+}
+
+double HomeFleetModel::uniform()
+{
+    return boost::random::uniform_01<double>()(random_);
+}
+
+bool HomeFleetModel::isBurst() const
+{
+    return now() >= burstFrom_ && now() < end_;
+}
+
+double HomeFleetModel::hotRateFactor() const
+{
+    return isBurst() ? 1.0 + (load_.hotFactor - 1.0) / load_.customers : 1.0;
+}
+
+double HomeFleetModel::rateOf(const FleetRoute &route) const
+{
+    const bool inBurst = isBurst() && (load_.burstRoute.empty() || load_.burstRoute == route.route.name);
+    return route.requestsPerSecond * (inBurst ? load_.burst : 1.0);
+}
+
+double HomeFleetModel::totalRate() const
+{
+    double rate = 0.0;
+    for (const FleetRoute &route : load_.routes) {
+        rate += rateOf(route);
     }
+    return rate * hotRateFactor();
 }
 
-void HomeFleetModel::schedulePoll(int home)
+const FleetRoute &HomeFleetModel::pickRoute()
 {
-    Home &target = homes_[static_cast<std::size_t>(home)];
-    if (target.pollScheduled || target.queue.waiting() == 0) {
-        return;
+    double left = uniform() * totalRate() / hotRateFactor();
+    for (const FleetRoute &route : load_.routes) {
+        left -= rateOf(route);
+        if (left < 0.0) {
+            return route;
+        }
     }
-    target.pollScheduled = true;
-    events_.add(events_.now() + pollInterval, [this, home] {
-        homes_[static_cast<std::size_t>(home)].pollScheduled = false;
-        poll(home);
-    });
+    return load_.routes.back();
 }
 
-void HomeFleetModel::begin(int home, const RequestPtr &request)
-{
-    events_.add(events_.now() + request->work, [this, home, request] {
-        Home &target = homes_[static_cast<std::size_t>(home)];
-        target.queue.addResult(route, false, request->work, events_.now());
-        target.queue.release(request->id, events_.now());
-        target.active.erase(request->id);
-        const HomeLoad load = target.queue.load(priority, events_.now());
-        events_.add(events_.now() + linkDelay, [this, request, load] {
-            HomeRanking &ranking = rankings_[static_cast<std::size_t>(request->sender)];
-            ranking.noteDone(request->home);
-            ranking.noteLoad(request->home, load, priority, events_.now());
-            finish(request, true);
-        });
-        poll(home);
-    });
+int HomeFleetModel::pickSender()
+{
+    const int node = static_cast<int>(uniform() * load_.nodes);
+    if (load_.waveAmplitude == 0.0 || zoneOf(node) > 1) {
+        return node;
+    }
+    constexpr double fullTurn = 6.283185307179586;
+    const double phase = secondsOf(now() - burstFrom_) / secondsOf(load_.wavePeriod);
+    const bool toZone0 = uniform() < (1.0 + load_.waveAmplitude * std::sin(fullTurn * phase)) / 2.0;
+    return node - zoneOf(node) + (toZone0 ? 0 : 1);
 }
 
-void HomeFleetModel::poll(int home)
+std::string HomeFleetModel::pickCustomer()
 {
-    Home &target = homes_[static_cast<std::size_t>(home)];
-    const SlotQueue::PollResult result = target.queue.poll(events_.now());
-    for (const std::uint64_t id : result.start) {
-        begin(home, target.active.at(id));
+    const double hotShare = (isBurst() ? load_.hotFactor : 1.0) / load_.customers / hotRateFactor();
+    if (load_.customers == 1) {
+        return {};
     }
-    for (const std::uint64_t id : result.expired) {
-        refuse(home, RequestPtr(target.active.at(id)));
+    if (uniform() < hotShare) {
+        return hotCustomer;
     }
-    schedulePoll(home);
+    return "customer-" + std::to_string(1 + static_cast<int>(uniform() * (load_.customers - 1)));
 }
 
-void HomeFleetModel::refuse(int home, const RequestPtr &request)
+void HomeFleetModel::scheduleArrival()
 {
-    Home &target = homes_[static_cast<std::size_t>(home)];
-    target.active.erase(request->id);
-    const HomeLoad load = target.queue.load(priority, events_.now());
-    events_.add(events_.now() + linkDelay, [this, request, load] {
-        HomeRanking &ranking = rankings_[static_cast<std::size_t>(request->sender)];
-        ranking.noteDone(request->home);
-        ranking.noteLoad(request->home, load, priority, events_.now());
-        request->search.noteRefused(request->home);
-        dispatch(request);
-    });
+    const double seconds = boost::random::exponential_distribution<double>(totalRate())(random_);
+    const SteadyTime next = now() + durationOf(seconds);
+    if (next < end_) {
+        at(next, [this] { arrive(); });
+    }
 }
 
-void HomeFleetModel::finish(const RequestPtr &request, bool served)
+void HomeFleetModel::arrive()
 {
-    if (!request->counted) {
-        return;
-    }
-    outcome_.refused += served ? 0 : 1;
-    outcome_.inTime += served && events_.now() <= request->objective ? 1 : 0;
-    outcome_.late += served && events_.now() > request->objective ? 1 : 0;
+    const auto request = std::make_shared<FleetRequest>();
+    request->id = nextId();
+    request->route = &pickRoute();
+    request->sender = pickSender();
+    request->customer = pickCustomer();
+    request->arrived = now();
+    request->objective = now() + request->route->route.responseTime;
+    request->deadline = now() + request->route->route.timeout;
+    const double factor = boost::random::uniform_real_distribution<double>(shortestWork, longestWork)(random_);
+    request->work = Millis(static_cast<std::int64_t>(factor * static_cast<double>(request->route->work.count())));
+    request->counted = isBurst();
+    count(*request, [](PriorityCounts &counts) { ++counts.requests; });
+    policy_->arrive(request);
+    scheduleArrival();
 }
 
 } // namespace waxwing::testing
--- a/tests/support/HomeFleetModel.h
+++ b/tests/support/HomeFleetModel.h
@@ -2,13 +2,11 @@
 
 #include "include/home/SlotQueue.h"
 #include "include/route/HomeRanking.h"
-#include "include/route/HomeSearch.h"
 #include "tests/support/EventSchedule.h"
-#include "tests/support/ServedCounts.h"
+#include "tests/support/FleetLoad.h"
 
 #include <boost/random/mersenne_twister.hpp>
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,86 +14,98 @@
 
 namespace waxwing::testing {
 
-/** How a request finds its home. */
-enum class HomePolicy {
-    /** The decisions of the production code. */
-    Product,
-    /** A random home, where the request waits until its deadline. */
-    Random,
-    /** The home with the earliest free slot, by all work times and queues. No real node knows these. */
-    Oracle,
-};
+class HomeFleetModel;
+
+/** A way to schedule: brings each request to a home or refuses it. */
+class SlotPolicy
+{
+public:
+    explicit SlotPolicy(HomeFleetModel &model);
+    virtual ~SlotPolicy() = default;
+    SlotPolicy(const SlotPolicy &) = delete;
+    SlotPolicy &operator=(const SlotPolicy &) = delete;
 
-/** A service and the requests for it. */
-struct HomeFleetLoad {
-    int nodes = 0;
-    int homes = 0;
-    std::uint32_t slots = 3;
-    Millis meanWork{250};
-    double requestsPerSecond = 0.0;
-    /** Factor on the request rate during the burst, which follows a warm-up time. */
-    double burst = 1.0;
-    Millis burstDuration{0};
+    /** Called at the request's sender. */
+    virtual void arrive(const FleetRequestPtr &request) = 0;
+    /** Called at the home when the work ends. @p took: how long the server worked on it. */
+    virtual void workEnded(int home, const FleetRequestPtr &request, Duration took) = 0;
+    /** Called when the server of @p home accepts no more work. Running work goes on. */
+    virtual void serverLeft(int home) = 0;
+
+protected:
+    HomeFleetModel &model_;
 };
 
 /**
- * Simulates the homes of one service and the nodes that send them work. Ranking, search and queues are the production
- * code. Links have a fixed delay and lose nothing. Seeded; opens no socket.
+ * Simulates the homes of one service and the nodes that send them work. Policies made of production classes decide.
+ * Links have a fixed delay by distance and lose nothing; every message counts. Seeded; opens no socket.
  */
 class HomeFleetModel
 {
 public:
-    HomeFleetModel(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed);
+    HomeFleetModel(HomeFleetLoad load, HomePolicy policy, std::uint32_t seed);
     /** Runs the load to its end. Counts the requests that arrive during the burst. */
-    ServedCounts run();
+    FleetCounts run();
+
+    // For policies.
+
+    const HomeFleetLoad &load() const;
+    SteadyTime now() const;
+    std::uint64_t random();
+    std::uint64_t nextId();
+    const std::string &homeName(int home) const;
+    int homeIndex(const std::string &name) const;
+    int zoneOf(int nodeOrHome) const;
+    Distance distance(int node, int home) const;
+    /** Returns the homes as @p node sees them. */
+    const std::vector<RankedHome> &homesFrom(int node) const;
+    Duration delay(Distance distance) const;
+    void at(SteadyTime when, std::function<void()> action);
+    void after(Duration time, std::function<void()> action);
+    /** Counts a message about @p request other than a Work or its reply, and runs @p action where it arrives. */
+    void sendSmall(const FleetRequest &request, Distance distance, std::function<void()> action);
+    /** Counts a Work and runs @p action at its home. */
+    void sendWork(const FleetRequestPtr &request, int home, std::function<void()> action);
+    /** Counts a Work that did not run. */
+    void noteInVain(const FleetRequest &request);
+    /** Begins the work at a home. The policy has checked that a slot is free. */
+    void begin(int home, const FleetRequestPtr &request);
+    /** Records that a slot was free for @p idle beside a request that waited there. */
+    void noteIdleSlot(Duration idle);
+    /** Ends the request at its sender. */
+    void finish(const FleetRequestPtr &request, bool served);
 
 private:
-    struct Request {
-        std::uint64_t id = 0;
-        int sender = 0;
-        SteadyTime objective;
-        SteadyTime deadline;
-        Millis work{0};
-        bool counted = false;
-        HomeSearch search;
-        std::string home;
-        Duration queueTimeout{0};
-    };
-    using RequestPtr = std::shared_ptr<Request>;
-    struct Home {
-        SlotQueue queue;
-        std::map<std::uint64_t, RequestPtr> active;
-        /** For HomePolicy::Oracle: when each slot becomes free, by the work assigned to it. */
-        std::vector<SteadyTime> freeAt;
-        bool pollScheduled = false;
+    struct Spill {
+        int all = 0;
+        int elsewhere = 0;
     };
 
     void scheduleArrival();
     void arrive();
-    void dispatch(const RequestPtr &request);
-    int chooseHome(Request &request);
-    int chooseByRanking(Request &request);
-    int chooseFirstFree(const Request &request);
-    void submit(int home, const RequestPtr &request);
-    void begin(int home, const RequestPtr &request);
-    void poll(int home);
-    void schedulePoll(int home);
-    void refuse(int home, const RequestPtr &request);
-    void finish(const RequestPtr &request, bool served);
     bool isBurst() const;
     double uniform();
+    double rateOf(const FleetRoute &route) const;
+    double totalRate() const;
+    const FleetRoute &pickRoute();
+    int pickSender();
+    std::string pickCustomer();
+    double hotRateFactor() const;
+    template<typename Change>
+    void count(const FleetRequest &request, Change change);
 
     HomeFleetLoad load_;
-    HomePolicy policy_;
-    boost::random::mt19937 random_;
+    boost::random::mt19937_64 random_;
     EventSchedule events_;
     SteadyTime burstFrom_;
     SteadyTime end_;
     std::uint64_t nextId_ = 1;
-    std::vector<Home> homes_;
-    std::vector<RankedHome> ranked_;
-    std::vector<HomeRanking> rankings_;
-    ServedCounts outcome_;
+    std::vector<std::string> names_;
+    /** By zone of the node. */
+    std::vector<std::vector<RankedHome>> homesFrom_;
+    std::vector<Spill> spills_;
+    FleetCounts counts_;
+    std::unique_ptr<SlotPolicy> policy_;
 };
 
 } // namespace waxwing::testing
--- a/tests/unit/HomeFleetTest.cpp
+++ b/tests/unit/HomeFleetTest.cpp
@@ -13,15 +13,21 @@
     HomeFleetLoad load;
     load.homes = homes;
     load.nodes = 2 * homes;
-    load.requestsPerSecond = 6.0 * homes;
+    FleetRoute booking;
+    booking.route.name = "booking";
+    booking.route.priority = 2;
+    booking.route.responseTime = Millis(1000);
+    booking.route.timeout = Millis(4000);
+    booking.requestsPerSecond = 6.0 * homes;
+    load.routes = {booking};
     load.burst = burst;
     load.burstDuration = Millis(2700);
     return load;
 }
 
-ServedCounts run(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed)
+PriorityCounts run(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed)
 {
-    return HomeFleetModel(load, policy, seed).run();
+    return HomeFleetModel(load, policy, seed).run().all();
 }
 
 } // namespace
@@ -35,9 +41,9 @@
     for (const int homes : {12, 130}) {
         for (const std::uint32_t seed : {1U, 2U, 3U}) {
             const HomeFleetLoad load = burstOn(homes, burstFactor);
-            const ServedCounts ours = run(load, HomePolicy::Product, seed);
-            const ServedCounts any = run(load, HomePolicy::Random, seed);
-            const ServedCounts best = run(load, HomePolicy::Oracle, seed);
+            const PriorityCounts ours = run(load, HomePolicy::Polling, seed);
+            const PriorityCounts any = run(load, HomePolicy::Random, seed);
+            const PriorityCounts best = run(load, HomePolicy::Oracle, seed);
             MESSAGE(homes << " homes, refused " << ours.refusedShare() << ", in time " << ours.inTimeShare()
                           << "; any home " << any.inTimeShare() << "; at best " << best.inTimeShare());
             CHECK(ours.refusedShare() < maxRefusedShare);
