--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -139,6 +139,11 @@
     /** Share of requests that the server sheds: weight of the newest result, and half-life without results. */
     double shedSmoothing = 0.15;
     Millis shedHalfLife{2000};
+    /**
+     * Share of a request that a waiting reservation counts as in expected waits: its sender holds two, and only one of
+     * them gets the request.
+     */
+    double reservationWeight = 0.5;
     /** Largest number of waiting requests. It bounds memory and is far above what queue timeouts allow. */
     std::size_t maxWaiting = 256;
     GrayTuning gray;
@@ -279,11 +284,14 @@
     /** Returns the running work whose age is evidence, in the order of its starts. */
     std::vector<UnfinishedRun> unfinishedRuns(SteadyTime now) const;
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
+    /** Returns the number of waiting requests for which @p isAhead; reservations count as @c reservationWeight. */
+    template<typename Predicate>
+    double countWaiting(Predicate isAhead) const;
     /**
      * Returns the wait behind @p ahead queued requests at the mean work time, including more urgent requests that
      * arrive meanwhile.
      */
-    Duration waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const;
+    Duration waitBehind(double ahead, const Rank &rank, SteadyTime now) const;
     /**
      * Returns true if the request will miss its objective, or its customer sends far more than usual, and more urgent
      * requests leave no slot for it before its queue timeout. Its caller is refused at once instead of at the timeout.
--- a/include/schedule/ReservationPlanner.h
+++ b/include/schedule/ReservationPlanner.h
@@ -19,16 +19,31 @@
     std::size_t homes = 2;
     /** A load report counts as current for this long. */
     Millis reportMaxAge{1000};
-    /** Free slots assumed of a home without a current report. */
+    /**
+     * Free slots assumed of a home without a current report: the mean of the reports at its distance, in which this
+     * value has the weight of one report.
+     */
     double unknownFreeSlots = 1.0;
+    /** From this estimate on, a home counts as having a free slot. */
+    double minFreeSlots = 0.5;
+    /**
+     * Wait that is as bad as one unit of distance loss. HomeRanking values a response after the objective at 500 units,
+     * and most objectives are about 2 s.
+     */
+    double waitMsPerLoss = 4.0;
     /** Largest distance loss (RankingTuning) at which a request reserves: large responses stay near. */
     double maxDistanceLoss = 480.0;
     /** Nearly all work ends within this many times its usual time. */
     double workTimeMargin = 1.5;
-    /** A request reserves, instead of being sent at once, if its best home is expected to let it wait for this long. */
-    Millis minWait{5};
+    /**
+     * A request reserves, instead of being sent at once, if its best home is expected to let it wait for this long. At
+     * ordinary load queues are shorter, and a reservation would cost more messages than it saves time.
+     */
+    Millis minWait{100};
+    /** Longest time in the queue of a home for a request that is sent without an offer. */
+    Millis maxDirectWait{500};
     /** Reservations of one request in all. Each costs two small messages, and refusals cause new ones. */
-    std::size_t maxReservations = 8;
+    std::size_t maxReservations = 4;
     /** Round trips and losses by distance. */
     RankingTuning ranking;
 };
@@ -73,6 +88,8 @@
     bool mayWait(const Route &route) const;
     /** Returns true if a request whose best home is @p best reserves instead of being sent there. */
     bool shouldReserve(const HomeChoice &best) const;
+    /** Returns the queue timeout of a request that may wait for an offer and is sent to @p best without one. */
+    Millis directQueueTimeout(const HomeChoice &best) const;
     /**
      * Returns the homes to reserve at, so that with @c need.held there are at most @c tuning.homes. The own zone comes
      * first. When its reports show no free slot, other zones follow in proportion to their free slots, then other
@@ -94,14 +111,18 @@
     /** Returns the candidates without those held, gray, failed or without a server. */
     Candidates usable(const std::vector<ReservationCandidate> &candidates, const SlotNeed &need) const;
     bool isInReach(const ReservationCandidate &candidate, const SlotNeed &need, SteadyTime now) const;
+    bool isCurrent(const HomeStatus &status, SteadyTime now) const;
+    /** Returns the estimates of free slots, in the order of @p homes. */
+    std::vector<double> freeSlots(const Candidates &homes, SteadyTime now) const;
     /** Adds the best of @p from to @p homes until there are @p count. */
-    void take(Candidates from, std::size_t count, std::vector<std::string> &homes, SteadyTime now) const;
+    void take(Candidates from, const SlotNeed &need, std::size_t count, std::vector<std::string> &homes,
+              SteadyTime now) const;
     /** Returns one of the nearest candidates that have free slots, at random in proportion to these; end() if none. */
     Candidates::iterator pickFree(Candidates &from, SteadyTime now) const;
-    Candidates::iterator pickShortestWait(Candidates &from) const;
-    double freeSlots(const ReservationCandidate &candidate, SteadyTime now) const;
     /** Returns the time until work could begin there: expected wait and messages. */
     Millis delayAt(const ReservationCandidate &candidate) const;
+    /** Returns delayAt() and what the distance costs, in milliseconds. */
+    double costOf(const ReservationCandidate &candidate, const SlotNeed &need) const;
     /** Returns the time for reserving, the offer, the Work and its reply. */
     Millis messageTime(Distance distance) const;
 
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -176,20 +176,30 @@
     return true;
 }
 
+template<typename Predicate>
+double SlotQueue::countWaiting(Predicate isAhead) const
+{
+    double count = 0.0;
+    for (const Waiting &one : waiting_) {
+        const double weight = one.request.isReservation ? tuning_.reservationWeight : 1.0;
+        count += isAhead(one.request) ? weight : 0.0;
+    }
+    return count;
+}
+
 Duration SlotQueue::expectedWait(const SlotRequest &request, SteadyTime now) const
 {
     if (slots_ == 0) {
         return Duration::max();
     }
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
-                                     [&](const Waiting &one) { return !isMoreUrgent(request, one.request, now); });
-    return hasFreeSlot() && ahead == 0 ? Duration(0) : waitBehind(ahead, rankOf(request, now), now);
+    const double ahead = countWaiting([&](const SlotRequest &one) { return !isMoreUrgent(request, one, now); });
+    return hasFreeSlot() && ahead == 0.0 ? Duration(0) : waitBehind(ahead, rankOf(request, now), now);
 }
 
-Duration SlotQueue::waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const
+Duration SlotQueue::waitBehind(double ahead, const Rank &rank, SteadyTime now) const
 {
     const double slots = std::max<std::uint32_t>(1, slots_);
-    const double idleWait = secondsOf(meanWorkTime()) * static_cast<double>(ahead + 1) / slots;
+    const double idleWait = secondsOf(meanWorkTime()) * (ahead + 1.0) / slots;
     return durationOf(idleWait / (1.0 - occupancyAbove(rank, now)));
 }
 
@@ -394,9 +404,7 @@
     if (!rank.late && !rank.aboveUsual) {
         return false;
     }
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const Waiting &other) {
-        return isMoreUrgent(other.request, one.request, now);
-    });
+    const double ahead = countWaiting([&](const SlotRequest &other) { return isMoreUrgent(other, one.request, now); });
     return now + waitBehind(ahead, rank, now) > one.expiresAt;
 }
 
@@ -429,9 +437,8 @@
     load.freeSlots = std::max(0, static_cast<std::int32_t>(slots_) - inUse);
     load.queued = static_cast<std::int32_t>(waiting_.size());
     const Rank rank{false, priority, false};
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
-                                     [&](const Waiting &one) { return !(rank < rankOf(one.request, now)); });
-    if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0)) {
+    const double ahead = countWaiting([&](const SlotRequest &one) { return !(rank < rankOf(one, now)); });
+    if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0.0)) {
         load.wait = millisOf(waitBehind(ahead, rank, now));
     }
     load.grayProbability = grayProbability(now);
--- a/src/schedule/ReservationPlanner.cpp
+++ b/src/schedule/ReservationPlanner.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
+#include <map>
 
 namespace waxwing {
 
@@ -26,11 +26,21 @@
     return tuning_.minObjective > Millis(0) && route.responseTime >= tuning_.minObjective;
 }
 
+bool ReservationPlanner::isCurrent(const HomeStatus &status, SteadyTime now) const
+{
+    return status.load && now - status.loadAt < tuning_.reportMaxAge;
+}
+
 bool ReservationPlanner::shouldReserve(const HomeChoice &best) const
 {
     return best.node.empty() || best.wait >= tuning_.minWait;
 }
 
+Millis ReservationPlanner::directQueueTimeout(const HomeChoice &best) const
+{
+    return std::min(best.queueTimeout, tuning_.maxDirectWait);
+}
+
 Millis ReservationPlanner::messageTime(Distance distance) const
 {
     constexpr int roundTrips = 2;
@@ -72,12 +82,31 @@
     return found;
 }
 
-double ReservationPlanner::freeSlots(const ReservationCandidate &candidate, SteadyTime now) const
+std::vector<double> ReservationPlanner::freeSlots(const Candidates &homes, SteadyTime now) const
 {
-    const HomeStatus &status = candidate.status;
-    const bool current = status.load && now - status.loadAt < tuning_.reportMaxAge;
-    const double reported = current ? status.load->freeSlots : tuning_.unknownFreeSlots;
-    return std::max(0.0, reported - status.sentSince - candidate.reserved);
+    const auto reported = [](const HomeLoad &load) { return std::max(0, load.freeSlots - load.queued); };
+    struct Mean {
+        double sum = 0.0;
+        double weight = 1.0;
+    };
+    std::map<int, Mean> means;
+    for (const ReservationCandidate *one : homes) {
+        Mean &mean = means[levelOf(one->distance)];
+        if (isCurrent(one->status, now)) {
+            mean.sum += reported(*one->status.load);
+            mean.weight += 1.0;
+        }
+    }
+    std::vector<double> slots;
+    for (const ReservationCandidate *one : homes) {
+        const HomeStatus &status = one->status;
+        const Mean &mean = means[levelOf(one->distance)];
+        const double known =
+            isCurrent(status, now) ? status.load->freeSlots : (mean.sum + tuning_.unknownFreeSlots) / mean.weight;
+        const double left = known - status.sentSince - one->reserved;
+        slots.push_back(left < tuning_.minFreeSlots ? 0.0 : left);
+    }
+    return slots;
 }
 
 Millis ReservationPlanner::delayAt(const ReservationCandidate &candidate) const
@@ -86,25 +115,23 @@
     return wait + messageTime(candidate.distance);
 }
 
-ReservationPlanner::Candidates::iterator ReservationPlanner::pickShortestWait(Candidates &from) const
+double ReservationPlanner::costOf(const ReservationCandidate &candidate, const SlotNeed &need) const
 {
-    return std::min_element(from.begin(), from.end(),
-                            [&](const auto *a, const auto *b) { return delayAt(*a) < delayAt(*b); });
+    const double loss = distanceLoss(tuning_.ranking, candidate.distance, need.responseKilobytes);
+    return static_cast<double>(delayAt(candidate).count()) + tuning_.waitMsPerLoss * loss;
 }
 
 ReservationPlanner::Candidates::iterator ReservationPlanner::pickFree(Candidates &from, SteadyTime now) const
 {
+    std::vector<double> slots = freeSlots(from, now);
     int level = std::numeric_limits<int>::max();
-    for (const ReservationCandidate *one : from) {
-        level = freeSlots(*one, now) > 0.0 ? std::min(level, levelOf(one->distance)) : level;
-    }
-    std::vector<double> slots;
-    for (const ReservationCandidate *one : from) {
-        slots.push_back(levelOf(one->distance) == level ? freeSlots(*one, now) : 0.0);
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+        level = slots[i] > 0.0 ? std::min(level, levelOf(from[i]->distance)) : level;
     }
-    const double all = std::accumulate(slots.begin(), slots.end(), 0.0);
-    if (all <= 0.0) {
-        return from.end();
+    double all = 0.0;
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+        slots[i] = levelOf(from[i]->distance) == level ? slots[i] : 0.0;
+        all += slots[i];
     }
     constexpr double randomRange = 18446744073709551616.0;
     double left = all * static_cast<double>(random_()) / randomRange;
@@ -116,14 +143,17 @@
     return picked;
 }
 
-void ReservationPlanner::take(Candidates from, std::size_t count, std::vector<std::string> &homes, SteadyTime now) const
+void ReservationPlanner::take(Candidates from, const SlotNeed &need, std::size_t count, std::vector<std::string> &homes,
+                              SteadyTime now) const
 {
     while (homes.size() < count && !from.empty()) {
-        const auto nearest = pickShortestWait(from);
+        const auto cheapest = std::min_element(from.begin(), from.end(), [&](const auto *a, const auto *b) {
+            return costOf(*a, need) < costOf(*b, need);
+        });
         auto picked = pickFree(from, now);
         // A free slot far away starts the request no sooner than a slot nearby that is free within the message time.
-        if (picked == from.end() || delayAt(**nearest) < messageTime((*picked)->distance)) {
-            picked = nearest;
+        if (picked == from.end() || delayAt(**cheapest) < messageTime((*picked)->distance)) {
+            picked = cheapest;
         }
         homes.push_back((*picked)->node);
         from.erase(picked);
@@ -146,11 +176,11 @@
                                                 [&](const auto *one) { return need.tried.count(one->node) == 0; });
     const Candidates tried(repeated, fresh.end());
     fresh.erase(repeated, fresh.end());
-    take(fresh, count, homes, now);
-    take(tried, count, homes, now);
+    take(fresh, need, count, homes, now);
+    take(tried, need, count, homes, now);
     // A distant home is better than none.
     if (homes.empty() && need.held.empty()) {
-        take(outOfReach, count, homes, now);
+        take(outOfReach, need, count, homes, now);
     }
     return homes;
 }
--- a/tests/support/FleetLoad.h
+++ b/tests/support/FleetLoad.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/fleet/FleetConfig.h"
 #include "include/route/HomeSearch.h"
+#include "include/schedule/ReservationPlanner.h"
 #include "include/schedule/ReservationSet.h"
 
 #include <algorithm>
@@ -62,6 +63,7 @@
     /** Amplitude of the share of the requests that arrive in zone 0 and, in opposite phase, in zone 1. */
     double waveAmplitude = 0.0;
     Millis wavePeriod{4000};
+    ReservationTuning reservations;
 };
 
 /** What became of the requests of one priority that arrived during the burst. */
--- a/tests/support/HomeFleetModel.h
+++ b/tests/support/HomeFleetModel.h
@@ -95,6 +95,8 @@
     void count(const FleetRequest &request, Change change);
 
     HomeFleetLoad load_;
+    /** Of the requests alone, so that all policies get the same ones. */
+    boost::random::mt19937_64 arrivals_;
     boost::random::mt19937_64 random_;
     EventSchedule events_;
     SteadyTime burstFrom_;
--- a/tests/support/PollingPolicy.cpp
+++ b/tests/support/PollingPolicy.cpp
@@ -154,13 +154,13 @@
     target.queue.addResult(request->route->route.name, false, took, model_.now());
     target.queue.release(request->slotId, model_.now());
     target.entries.erase(request->slotId);
+    poll(home, model_.now());
     const HomeLoad load = loadOf(home, *request);
     model_.after(model_.delay(model_.distance(request->sender, home)), [this, home, request, load] {
         rankingOf(*request).noteDone(model_.homeName(home));
         noteLoad(*request, home, load);
         model_.finish(request, true);
     });
-    poll(home, model_.now());
 }
 
 void PollingPolicy::serverLeft(int home)
