--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -28,8 +28,6 @@
 constexpr Millis maxStopReserve{3000};
 /** Time for a home to reply to a Cancel: a round trip between regions, with a margin for a busy home. */
 constexpr Millis cancelReplyTimeout{120};
-/** A shorter expected wait at the best home is less than the round trips that a reservation costs. */
-constexpr Millis minWaitToReserve{20};
 
 /** Nested calls are the most urgent, since other work waits for them; callers' requests follow by route priority. */
 constexpr int nestedCallRank = 0;
@@ -57,6 +55,9 @@
     HomeSearch search;
     /** Homes whose server has run the request, or may have; their number is limited by the route's maxAttempts. */
     std::set<std::string> reachedHomes;
+    /** Homes to which the request was sent, and the number of reservations made for it. */
+    std::set<std::string> sentHomes;
+    std::size_t reservationsMade = 0;
     /** The outcome of an attempt could not be queried, and no retry has been considered since. */
     bool hasLostAttempt = false;
     /** A retry was allowed but no home accepted it. */
@@ -215,7 +216,8 @@
     const ForwardJob &job = run->job;
     attempt->reply.outcome = Outcome::NotRun;
     attempt->reply.reason = "no-sound-home";
-    bool canReserve = true;
+    // A hedge is useful only where a slot is free now.
+    bool canReserve = kind != AttemptKind::Hedge && slots_.mayWait(*job.route);
     while (!attempt->control->cancelled && !run->finished && run->search.canContinue()) {
         const SteadyTime now = core_.clock.now();
         if (const std::string problem = keyProblem(*run); !problem.empty()) {
@@ -227,21 +229,11 @@
             return;
         }
         HomeChoice choice = ranking_.choose(homesOf(job.service), run->search.excluded(), homeQueryOf(*run), now);
-        if (choice.node.empty() || now + minTimeLeft >= job.deadline) {
-            return;
-        }
-        const bool loadIsFresh = choice.loadAge >= Millis(0) && choice.loadAge <= maxFreshLoadAge;
-        if (choice.missesDeadline && loadIsFresh) {
-            // Every home would queue the request beyond its deadline. Refusing it now lets the caller retry sooner.
-            attempt->reply.reason = "no-room";
-            attempt->reply.load.wait = choice.wait;
+        if (now + minTimeLeft >= job.deadline) {
             return;
         }
-        if (kind == AttemptKind::Hedge) {
-            choice.queueTimeout = Millis(0);
-        }
         std::uint64_t reservation = 0;
-        if (canReserve && shouldReserve(*run, *attempt, kind, choice)) {
+        if (canReserve && shouldReserve(*attempt, choice)) {
             const SlotWaitEnd end = awaitSlot(run, attempt, choice, reservation);
             if (end == SlotWaitEnd::NoOffer) {
                 return;
@@ -251,21 +243,32 @@
             }
             canReserve = end == SlotWaitEnd::Offered;
         }
+        if (choice.node.empty()) {
+            return;
+        }
+        const bool loadIsFresh = choice.loadAge >= Millis(0) && choice.loadAge <= maxFreshLoadAge;
+        if (reservation == 0 && choice.missesDeadline && loadIsFresh) {
+            // Every home would queue the request beyond its deadline. Refusing it now lets the caller retry sooner.
+            attempt->reply.reason = "no-room";
+            attempt->reply.load.wait = choice.wait;
+            return;
+        }
+        if (kind == AttemptKind::Hedge) {
+            choice.queueTimeout = Millis(0);
+        } else if (canReserve) {
+            choice.queueTimeout = slots_.directQueueTimeout(choice);
+        }
         if (sendToHome(run, attempt, choice, reservation)) {
             return;
         }
     }
 }
 
-bool Forwarder::shouldReserve(const Run &run, const Attempt &attempt, AttemptKind kind, const HomeChoice &choice) const
+bool Forwarder::shouldReserve(const Attempt &attempt, const HomeChoice &choice) const
 {
-    // A hedge is useful only where a slot is free now.
-    if (kind == AttemptKind::Hedge || !slots_.mayWait(*run.job.route)) {
-        return false;
-    }
-    const bool loadIsFresh = choice.loadAge >= Millis(0) && choice.loadAge <= maxFreshLoadAge;
-    return attempt.reply.reason == refusalReasonName(RefusalReason::Busy)
-           || (loadIsFresh && choice.wait >= minWaitToReserve);
+    const std::string &refused = attempt.reply.reason;
+    return refused == refusalReasonName(RefusalReason::Busy) || refused == "waited-in-vain"
+           || slots_.shouldReserve(choice);
 }
 
 std::vector<ReservationCandidate> Forwarder::reservationCandidates(const Run &run) const
@@ -296,13 +299,15 @@
     want.need.deadline = job.deadline;
     want.need.workTime = millisOf(stats_.expectedWorkTime(*job.route));
     want.need.responseKilobytes = stats_.responseKilobytes(job.route->name);
-    want.need.tried = run->search.excluded();
+    want.need.tried = run->sentHomes;
+    want.need.made = run->reservationsMade;
     want.until = latestStart(*run);
     want.candidates = [this, run] { return reservationCandidates(*run); };
     want.control = attempt->control;
     run->waitsForSlot = true;
     const SlotWaitResult result = slots_.wait(want);
     run->waitsForSlot = false;
+    run->reservationsMade += result.made;
     run->notifier.notify();
     if (result.end == SlotWaitEnd::NoOffer) {
         attempt->reply.outcome = Outcome::NotRun;
@@ -354,6 +359,7 @@
     // Recorded before the send, so that a concurrent attempt does not use the same server.
     run->reachedHomes.insert(choice.node);
     run->search.noteSent(choice.node);
+    run->sentHomes.insert(choice.node);
     SendResult result;
     if (choice.node == core_.self.id) {
         result.reply = home_.run(WorkKey{core_.self, nextLocalWork_++}, work, attempt->control);
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -120,8 +120,8 @@
      * reservation for which the home holds a slot; 0: none.
      */
     bool sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice, std::uint64_t reservation);
-    /** Returns true if no home has room now, so that the request waits for the next free slot of several homes. */
-    bool shouldReserve(const Run &run, const Attempt &attempt, AttemptKind kind, const HomeChoice &choice) const;
+    /** Returns true if no home has room now, so that the request reserves the next free slot of several homes. */
+    bool shouldReserve(const Attempt &attempt, const HomeChoice &choice) const;
     /**
      * Reserves at several homes and waits for an offer. With one, sets @p choice to its home, and @p reservation.
      * Without, sets the reply of @p attempt.
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -4,7 +4,6 @@
 #include "include/report/BurnRecorder.h"
 #include "platform/ObjectApi.h"
 #include "src/fiber/FiberLoop.h"
-#include "src/fiber/FiberNotifier.h"
 #include "src/http/HttpServer.h"
 #include "src/link/PeerHub.h"
 #include "src/node/NodeCore.h"
@@ -20,12 +19,9 @@
 #include "src/sidecar/RegistrySync.h"
 #include "src/sidecar/RetryBudgetService.h"
 #include "src/sidecar/SidecarTuning.h"
+#include "src/sidecar/SlotMessenger.h"
 #include "src/sidecar/StateUpdateService.h"
 #include "src/sidecar/WorkSender.h"
-#include "src/sidecar/home/SlotReservationService.h"
-#include "src/sidecar/ingress/SlotRequester.h"
-
-#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <map>
@@ -56,9 +52,6 @@
 /** A killed process is back within about a second; a lost VM costs an occasional connection attempt. */
 constexpr Millis initialReconnectDelay{500};
 constexpr Millis maxReconnectDelay{8000};
-/** Bounds on the pause of the loop that frees slots whose offers have expired. */
-constexpr Millis minExpiryInterval{1};
-constexpr Millis maxExpiryInterval{1000};
 } // namespace
 
 struct SidecarNode::Impl {
@@ -80,27 +73,13 @@
         , registry(core)
         , updates(core)
         , retryBudgets(core, tuning.retry)
-        , reservations(core.clock, core.metrics, core.events, makeReservationHooks())
-        , slots(
-              core.clock, core.metrics, core.events, [this] { return core.random(); }, makeSlotTransport(),
-              tuning.reservations)
-        , forwarder(core, home, sender, retryBudgets, paths, slots)
+        , slots(core, home, tuning.reservations)
+        , forwarder(core, home, sender, retryBudgets, paths, slots.requester())
         , quotas(core, paths, tuning.quota)
         , callerHandler(core, tuning.keyAdmission)
     { }
 
     void logBoundsFindings(const Findings &findings);
-    SlotReservationService::Hooks makeReservationHooks();
-    SlotRequester::Transport makeSlotTransport();
-    LocalHome::ReservationHooks makeHomeHooks();
-    /** Delivers an offer to this node's own ingress, or sends it. Returns false if the link has closed. */
-    bool sendOffer(LinkId link, const SlotOffer &offer);
-    std::optional<LinkId> sendReserve(const std::string &to, SlotReserve reserve);
-    void sendRelease(const std::string &to, const SlotRelease &release);
-    /** Returns the open link to a node whose build knows reservations. */
-    std::optional<LinkId> reservationLink(const std::string &to) const;
-    void handleReserve(LinkId link, const NodeRef &from, SlotReserve reserve);
-    void offerExpiryLoop();
     Expected<void> build();
     Expected<void> listen();
     Expected<std::unique_ptr<HttpServer>> listenAt(const Endpoint &endpoint, HttpServer::Handler handler);
@@ -130,9 +109,7 @@
     RegistrySync registry;
     StateUpdateService updates;
     RetryBudgetService retryBudgets;
-    SlotReservationService reservations;
-    FiberNotifier offerExpiry;
-    SlotRequester slots;
+    SlotMessenger slots;
     Forwarder forwarder;
     QuotaService quotas;
     CallerHandler callerHandler;
@@ -174,7 +151,6 @@
     hooks.onLinkClosed = [this](LinkId link) {
         linkDelays.erase(link);
         sender.linkClosed(link);
-        reservations.linkClosed(link);
         slots.linkClosed(link);
         updates.linkClosed(link);
         const auto lost = outgoingLinks.find(link);
@@ -247,7 +223,7 @@
                     [this](const HttpRequest &, const CallerWatchPtr &) {
                         HttpResponse text;
                         text.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
-                        slots.updateGauges();
+                        slots.requester().updateGauges();
                         text.body = core.metrics.text();
                         return HttpReply{std::move(text), AfterResponse::KeepOpen};
                     })
@@ -301,11 +277,12 @@
     } else if (const auto *loanReply = std::get_if<QuotaLoanReply>(&message)) {
         quotas.handleReply(*loanReply);
     } else if (const auto *reserve = std::get_if<SlotReserve>(&message)) {
-        handleReserve(link, from, *reserve);
+        const Duration helloAge = peers->helloAge(link).value_or(Duration(0));
+        slots.handle(link, from, *reserve, linkDelays[link].excessDelay(helloAge, reserve->helloAge));
     } else if (const auto *offer = std::get_if<SlotOffer>(&message)) {
-        slots.handle(from.id, *offer);
+        slots.handle(from, *offer);
     } else if (const auto *release = std::get_if<SlotRelease>(&message)) {
-        reservations.handle(from, *release);
+        slots.handle(from, *release);
     } else if (const auto *suspicion = std::get_if<PathSuspicion>(&message)) {
         paths.handle(*suspicion);
     } else if (const auto *request = std::get_if<StateUpdateRequest>(&message)) {
@@ -353,105 +330,6 @@
     });
 }
 
-SlotReservationService::Hooks SidecarNode::Impl::makeReservationHooks()
-{
-    SlotReservationService::Hooks hooks;
-    hooks.nextSlotId = [this] { return home.nextSlotId(); };
-    hooks.submit = [this](const SlotRequest &request) { return home.submitReservation(request); };
-    hooks.freeSlot = [this](std::uint64_t slotId) { home.freeSlot(slotId); };
-    hooks.load = [this](int priority) { return home.load(priority); };
-    hooks.refusal = [this](const std::string &service) { return home.closedReason(service); };
-    hooks.isInOtherRegion = [this](const NodeRef &from) {
-        const RegistryEntryPtr entry = registry.registry().find(from.id);
-        return entry != nullptr && entry->region != core.settings.region;
-    };
-    hooks.send = [this](LinkId link, const SlotOffer &offer) { return sendOffer(link, offer); };
-    hooks.onOffered = [this] { offerExpiry.notify(); };
-    return hooks;
-}
-
-LocalHome::ReservationHooks SidecarNode::Impl::makeHomeHooks()
-{
-    LocalHome::ReservationHooks hooks;
-    hooks.onStarted = [this](std::uint64_t slotId) { return reservations.slotStarted(slotId); };
-    hooks.onRemoved = [this](std::uint64_t slotId, const std::string &reason) {
-        reservations.slotRemoved(slotId, reason);
-    };
-    hooks.claim = [this](const NodeRef &from, std::uint64_t id) { return reservations.claim(from, id); };
-    hooks.onClosed = [this](const std::string &reason) { reservations.refuseAll(reason); };
-    return hooks;
-}
-
-SlotRequester::Transport SidecarNode::Impl::makeSlotTransport()
-{
-    SlotRequester::Transport transport;
-    transport.canReserve = [this](const std::string &to) {
-        return to == core.self.id || reservationLink(to).has_value();
-    };
-    transport.reserve = [this](const std::string &to, const SlotReserve &reserve) { return sendReserve(to, reserve); };
-    transport.release = [this](const std::string &to, const SlotRelease &release) { sendRelease(to, release); };
-    transport.pause = [this](FiberNotifier &notifier, Duration timeout) { notifier.wait(core.ioContext, timeout); };
-    return transport;
-}
-
-std::optional<LinkId> SidecarNode::Impl::reservationLink(const std::string &to) const
-{
-    const RegistryEntryPtr entry = registry.registry().find(to);
-    const std::optional<LinkId> link = entry != nullptr ? peers->openLinkAt(entry->links) : std::nullopt;
-    return link && peers->peerKnowsReservations(*link) ? link : std::nullopt;
-}
-
-bool SidecarNode::Impl::sendOffer(LinkId link, const SlotOffer &offer)
-{
-    if (link != localLink) {
-        return peers->reply(link, offer);
-    }
-    // Delivered later, because neither side expects a call before its own one returns.
-    boost::asio::post(core.ioContext, [this, offer] { slots.handle(core.self.id, offer); });
-    return true;
-}
-
-std::optional<LinkId> SidecarNode::Impl::sendReserve(const std::string &to, SlotReserve reserve)
-{
-    if (to == core.self.id) {
-        boost::asio::post(core.ioContext, [this, reserve] { reservations.handle(localLink, core.self, reserve); });
-        return localLink;
-    }
-    const std::optional<LinkId> link = reservationLink(to);
-    if (!link) {
-        return std::nullopt;
-    }
-    reserve.helloAge = millisOf(peers->helloAge(*link).value_or(Duration(0)));
-    return peers->reply(*link, reserve) ? link : std::nullopt;
-}
-
-void SidecarNode::Impl::sendRelease(const std::string &to, const SlotRelease &release)
-{
-    if (to == core.self.id) {
-        boost::asio::post(core.ioContext, [this, release] { reservations.handle(core.self, release); });
-    } else if (const std::optional<LinkId> link = reservationLink(to)) {
-        peers->reply(*link, release);
-    }
-}
-
-void SidecarNode::Impl::handleReserve(LinkId link, const NodeRef &from, SlotReserve reserve)
-{
-    const Millis delay = linkDelays[link].excessDelay(peers->helloAge(link).value_or(Duration(0)), reserve.helloAge);
-    reserve.remaining -= delay;
-    reserve.untilObjective -= delay;
-    reservations.handle(link, from, reserve);
-}
-
-void SidecarNode::Impl::offerExpiryLoop()
-{
-    while (!core.stopping) {
-        const SteadyTime due = reservations.nextExpiry();
-        const SteadyTime now = core.clock.now();
-        offerExpiry.wait(core.ioContext, std::clamp<Duration>(due - now, minExpiryInterval, maxExpiryInterval));
-        reservations.expire();
-    }
-}
-
 void SidecarNode::Impl::noteReplyLink(LinkId link, const NodeRef &from, const Fence &fence)
 {
     // The sender queries over a new link because nothing came on the one that carried the Work.
@@ -540,9 +418,8 @@
     if (!ok) {
         return tl::unexpected<Error>(ok.error());
     }
-    impl->home.setReservationHooks(impl->makeHomeHooks());
+    impl->slots.start();
     impl->home.start();
-    spawnFiber([node = impl.get()] { node->offerExpiryLoop(); });
     impl->config.start();
     impl->registry.start();
     impl->updates.start();
--- a/src/sidecar/home/SlotReservationService.cpp
+++ b/src/sidecar/home/SlotReservationService.cpp
@@ -7,16 +7,6 @@
 
 namespace waxwing {
 
-namespace {
-
-/**
- * SlotQueue counts a request at each of the two homes where it reserves, so that its expected waits are up to twice too
- * long. The deadline of the reservation still bounds its wait.
- */
-constexpr int waitEstimateMargin = 2;
-
-} // namespace
-
 SlotReservationService::SlotReservationService(const Clock &clock, Metrics &metrics, EventLog &events, Hooks hooks,
                                                SlotReservationTuning tuning)
     : clock_(clock)
@@ -51,7 +41,7 @@
     request.priority = reserve.priority;
     request.objective = now + std::clamp(reserve.untilObjective, -tuning_.maxRemaining, tuning_.maxRemaining);
     request.deadline = now + remaining;
-    request.queueTimeout = remaining * waitEstimateMargin;
+    request.queueTimeout = remaining;
     request.isReservation = true;
     const SlotDecision decision = hooks_.submit(request);
     if (decision.action == SlotAction::Refuse) {
--- a/src/sidecar/ingress/SlotRequester.cpp
+++ b/src/sidecar/ingress/SlotRequester.cpp
@@ -45,7 +45,9 @@
     FiberNotifier notifier;
     /** Homes that refused or were lost in this wait. */
     std::set<std::string> unavailable;
-    int reservations = 0;
+    std::size_t made = 0;
+    /** A reservation was lost, and another one takes its place. */
+    bool mustReplace = false;
     /** A home was full: without an offer, the request is refused instead of sent from home to home. */
     bool wasBusy = false;
     /** Shortest wait that a home reported. */
@@ -73,6 +75,18 @@
     return planner_.mayWait(route);
 }
 
+bool SlotRequester::shouldReserve(const HomeChoice &best) const
+{
+    return planner_.shouldReserve(best);
+}
+
+Millis SlotRequester::directQueueTimeout(const HomeChoice &best) const
+{
+    // A home of an older build gives no offers later, so that the request has nothing to leave its queue for.
+    const bool knowsReservations = transport_.knowsReservations(best.node).value_or(false);
+    return knowsReservations ? planner_.directQueueTimeout(best) : best.queueTimeout;
+}
+
 SlotWaitResult SlotRequester::wait(const SlotWait &want)
 {
     const SteadyTime now = clock_.now();
@@ -108,33 +122,48 @@
     while (!waiter->set.isBound() && waiter->set.count() > 0 && !control->cancelled && !control->queuedCancelled
            && clock_.now() < latest) {
         transport_.pause(waiter->notifier, latest - clock_.now());
-        reserveMore(waiter, latest);
+        // To replace a refused reservation costs two messages, and another one that is left mostly gets an offer.
+        if (waiter->mustReplace || waiter->set.count() == 0) {
+            waiter->mustReplace = false;
+            reserveMore(waiter, latest);
+        }
     }
     control->interrupt = {};
     control->onCancelQueued = {};
 }
 
-void SlotRequester::reserveMore(const WaiterPtr &waiter, SteadyTime latest)
+std::vector<std::string> SlotRequester::plan(const Waiter &waiter) const
 {
-    const SlotWait &want = waiter->want;
-    const SteadyTime now = clock_.now();
-    const bool mayReserve = !waiter->set.isBound() && !want.control->cancelled && !want.control->queuedCancelled
-                            && waiter->reservations < tuning_.maxReservations && now < latest;
-    if (!mayReserve) {
-        return;
+    std::vector<ReservationCandidate> candidates;
+    for (ReservationCandidate &one : waiter.want.candidates()) {
+        if (waiter.unavailable.count(one.node) == 0 && transport_.knowsReservations(one.node).value_or(true)) {
+            const auto reserved = reservedAt_.find(one.node);
+            one.reserved = reserved == reservedAt_.end() ? 0 : reserved->second;
+            candidates.push_back(std::move(one));
+        }
     }
-    std::vector<ReservationCandidate> candidates = want.candidates();
-    const auto isUnusable = [&](const ReservationCandidate &one) {
-        return waiter->unavailable.count(one.node) != 0 || !transport_.canReserve(one.node);
-    };
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isUnusable), candidates.end());
-    SlotNeed need = want.need;
-    for (const HomeReservation &held : waiter->set.held()) {
+    SlotNeed need = waiter.want.need;
+    for (const HomeReservation &held : waiter.set.held()) {
         need.held.insert(held.home);
     }
-    for (const std::string &home : planner_.plan(candidates, need, now)) {
-        if (waiter->reservations < tuning_.maxReservations && !reserveAt(home, waiter, latest)) {
-            waiter->unavailable.insert(home);
+    need.made += waiter.made;
+    return planner_.plan(candidates, need, clock_.now());
+}
+
+void SlotRequester::reserveMore(const WaiterPtr &waiter, SteadyTime latest)
+{
+    const RunControl &control = *waiter->want.control;
+    const auto mayReserve = [&] {
+        return !waiter->set.isBound() && !control.cancelled && !control.queuedCancelled && clock_.now() < latest;
+    };
+    bool hasUnreached = true;
+    for (int plans = 0; hasUnreached && plans < tuning_.maxPlans && mayReserve(); ++plans) {
+        hasUnreached = false;
+        for (const std::string &home : plan(*waiter)) {
+            if (mayReserve() && !reserveAt(home, waiter, latest)) {
+                waiter->unavailable.insert(home);
+                hasUnreached = true;
+            }
         }
     }
 }
@@ -156,9 +185,9 @@
     if (!link) {
         return false;
     }
-    ++waiter->reservations;
+    ++waiter->made;
     waiter->set.add(home, reserve.id);
-    pending_[reserve.id] = Pending{home, *link, waiter};
+    addPending(reserve.id, Pending{home, *link, waiter});
     metrics_.count("slot_reservations_sent");
     return true;
 }
@@ -184,23 +213,42 @@
         if (waiter->set.acceptOffer(home, offer.id) == OfferAction::Release) {
             transport_.release(home, SlotRelease{offer.id});
             waiter->set.remove(home, offer.id);
-            pending_.erase(offer.id);
+            erasePending(offer.id);
         }
     } else {
         waiter->wasBusy = waiter->wasBusy || isBusy(offer.reason);
         waiter->reportedWait = std::min(waiter->reportedWait.value_or(offer.load.wait), offer.load.wait);
-        lose(offer.id);
+        lose(offer.id, !isBusy(offer.reason));
     }
     waiter->notifier.notify();
 }
 
-void SlotRequester::lose(std::uint64_t id)
+void SlotRequester::addPending(std::uint64_t id, Pending pending)
+{
+    ++reservedAt_[pending.home];
+    pending_[id] = std::move(pending);
+}
+
+void SlotRequester::erasePending(std::uint64_t id)
 {
     const auto found = pending_.find(id);
-    const Pending pending = found->second;
+    if (found == pending_.end()) {
+        return;
+    }
+    const auto reserved = reservedAt_.find(found->second.home);
+    if (--reserved->second == 0) {
+        reservedAt_.erase(reserved);
+    }
+    pending_.erase(found);
+}
+
+void SlotRequester::lose(std::uint64_t id, bool replace)
+{
+    const Pending pending = pending_.at(id);
     if (pending.waiter->set.remove(pending.home, id)) {
-        pending_.erase(found);
+        erasePending(id);
         pending.waiter->unavailable.insert(pending.home);
+        pending.waiter->mustReplace = pending.waiter->mustReplace || replace;
         pending.waiter->notifier.notify();
     }
 }
@@ -214,7 +262,7 @@
         }
     }
     for (const std::uint64_t id : lost) {
-        lose(id);
+        lose(id, true);
     }
 }
 
@@ -236,27 +284,27 @@
     std::vector<HomeReservation> released = waiter->set.takeOthers();
     const std::optional<HomeReservation> bound = waiter->set.bound();
     if (bound) {
-        pending_.erase(bound->id);
+        erasePending(bound->id);
     }
     if (bound && cancelled) {
         released.push_back(*bound);
     }
     for (const HomeReservation &one : released) {
-        pending_.erase(one.id);
+        erasePending(one.id);
         transport_.release(one.home, SlotRelease{one.id});
     }
     if (cancelled) {
-        return SlotWaitResult{SlotWaitEnd::Cancelled, {}, 0, Millis(0)};
+        return SlotWaitResult{SlotWaitEnd::Cancelled, {}, 0, Millis(0), waiter->made};
     }
     if (bound) {
         return bindTo(waiter, *bound);
     }
     // Released reservations were still waiting at the latest useful start. Without any, every home refused.
     if (released.empty() && !waiter->wasBusy) {
-        return {};
+        return SlotWaitResult{SlotWaitEnd::NotPossible, {}, 0, Millis(0), waiter->made};
     }
     metrics_.count("slot_not_offered");
-    return SlotWaitResult{SlotWaitEnd::NoOffer, {}, 0, retryAfter(*waiter)};
+    return SlotWaitResult{SlotWaitEnd::NoOffer, {}, 0, retryAfter(*waiter), waiter->made};
 }
 
 SlotWaitResult SlotRequester::bindTo(const WaiterPtr &waiter, const HomeReservation &bound)
@@ -272,9 +320,9 @@
                          {{"request", waiter->want.requestId},
                           {"home", bound.home},
                           {"reservation", std::to_string(bound.id)},
-                          {"reservations", std::to_string(waiter->reservations)},
+                          {"reservations", std::to_string(waiter->made)},
                           {"waitedMs", std::to_string(millisOf(waited).count())}});
-    return SlotWaitResult{SlotWaitEnd::Offered, bound.home, bound.id, Millis(0)};
+    return SlotWaitResult{SlotWaitEnd::Offered, bound.home, bound.id, Millis(0), waiter->made};
 }
 
 Millis SlotRequester::retryAfter(const Waiter &waiter)
--- a/src/sidecar/ingress/SlotRequester.h
+++ b/src/sidecar/ingress/SlotRequester.h
@@ -25,8 +25,8 @@
 struct SlotRequesterTuning {
     /** Requests that may wait for an offer at the same time; a further one is sent as if there were no reservations. */
     std::size_t maxWaiting = 512;
-    /** Reservations that one request makes in one wait, refused ones included. */
-    int maxReservations = 8;
+    /** Plans made at once, because planned homes have no open link. */
+    int maxPlans = 3;
     /** Shortest Retry-After of a request without an offer, before the random factor. */
     Millis minRetryAfter{300};
     /** The Retry-After is multiplied by a random factor from 1 to this, so that callers don't return together. */
@@ -68,6 +68,8 @@
     std::uint64_t reservation = 0;
     /** For NoOffer: when the caller may retry. */
     Millis retryAfter{0};
+    /** Number of reservations made. */
+    std::size_t made = 0;
 };
 
 /**
@@ -79,9 +81,12 @@
 public:
     /** How messages reach the homes. None of them calls the requester before it returns. */
     struct Transport {
-        /** Returns true if the home is this node, or a peer with an open link whose build knows reservations. */
-        std::function<bool(const std::string &home)> canReserve;
-        /** Returns the link over which @p reserve was sent; nullopt if it was not. */
+        /** Returns whether the home's build knows reservations; nullopt: not known, since no link to it is open. */
+        std::function<std::optional<bool>(const std::string &home)> knowsReservations;
+        /**
+         * Returns the link over which @p reserve was sent; nullopt if none is open. It may then be opened for later
+         * requests; this one does not wait for it.
+         */
         std::function<std::optional<LinkId>(const std::string &home, const SlotReserve &reserve)> reserve;
         std::function<void(const std::string &home, const SlotRelease &release)> release;
         /** Waits for a notification, for at most @p timeout. */
@@ -98,6 +103,10 @@
 
     /** Returns true if requests of the route may wait for offers at all. */
     bool mayWait(const Route &route) const;
+    /** Returns true if a request that may wait reserves instead of being sent to its best home. */
+    bool shouldReserve(const HomeChoice &best) const;
+    /** Returns the queue timeout at @p best of a request that may wait for an offer and is sent without one. */
+    Millis directQueueTimeout(const HomeChoice &best) const;
     /**
      * Reserves for the request and waits for the first offer, its latest useful start, or its cancellation. No
      * reservation is left when it returns, except the one offered. @pre called from a fiber.
@@ -125,11 +134,16 @@
     };
 
     void awaitOffer(const WaiterPtr &waiter, SteadyTime latest);
+    /** Returns the homes where the request may reserve next. */
+    std::vector<std::string> plan(const Waiter &waiter) const;
     /** Reserves at further homes until the request holds as many reservations as it may. */
     void reserveMore(const WaiterPtr &waiter, SteadyTime latest);
+    /** Returns false if the home can't be reached. */
     bool reserveAt(const std::string &home, const WaiterPtr &waiter, SteadyTime latest);
-    /** Removes a reservation that got no offer. */
-    void lose(std::uint64_t id);
+    void addPending(std::uint64_t id, Pending pending);
+    void erasePending(std::uint64_t id);
+    /** Removes a reservation that got no offer. @p replace: another one is made even if the request holds others. */
+    void lose(std::uint64_t id, bool replace);
     void loseAll(const std::function<bool(const Pending &pending)> &isLost);
     SlotWaitResult finish(const WaiterPtr &waiter);
     SlotWaitResult bindTo(const WaiterPtr &waiter, const HomeReservation &bound);
@@ -146,6 +160,8 @@
     std::set<WaiterPtr> waiters_;
     /** By the id of the reservation. */
     std::map<std::uint64_t, Pending> pending_;
+    /** Number of entries of pending_ by home. */
+    std::map<std::string, std::int32_t> reservedAt_;
     std::deque<std::uint64_t> recentBindings_;
     std::set<std::string> gauges_;
     std::uint64_t nextId_ = 1;
--- a/tests/unit/SlotRequesterTest.cpp
+++ b/tests/unit/SlotRequesterTest.cpp
@@ -39,8 +39,13 @@
     SlotRequester::Transport makeTransport()
     {
         SlotRequester::Transport transport;
-        transport.canReserve = [this](const std::string &home) { return olderBuilds_.count(home) == 0; };
+        transport.knowsReservations = [this](const std::string &home) {
+            return unlinked_.count(home) != 0 ? std::nullopt : std::optional<bool>(olderBuilds_.count(home) == 0);
+        };
         transport.reserve = [this](const std::string &home, const SlotReserve &reserve) -> std::optional<LinkId> {
+            if (unlinked_.count(home) != 0) {
+                return std::nullopt;
+            }
             reserved_.push_back(Reserved{home, reserve});
             return linkOf(home);
         };
@@ -128,6 +133,7 @@
     std::mt19937_64 random_{7};
     std::vector<std::string> homes_ = {"n1", "n2", "n3"};
     std::set<std::string> olderBuilds_;
+    std::set<std::string> unlinked_;
     std::vector<Reserved> reserved_;
     std::vector<std::pair<std::string, std::uint64_t>> released_;
     std::multimap<SteadyTime, std::function<void()>> schedule_;
@@ -239,6 +245,17 @@
     CHECK(released_.empty());
 }
 
+// Guards against a request that waits at fewer homes than it may because the planned ones have no open link.
+TEST_CASE_FIXTURE(WaitingIngress, "wait, homes without an open link, reserves at the others")
+{
+    unlinked_ = {"n1"};
+    after(Millis(10), [this] { answer(0, Millis(50)); });
+    CHECK(requester_.wait(want()).end == SlotWaitEnd::Offered);
+    CHECK(reserved_.size() == 2);
+    unlinked_ = {"n1", "n2", "n3"};
+    CHECK(requester_.wait(want()).end == SlotWaitEnd::NotPossible);
+}
+
 // Failure table: no home makes an offer. The request is refused at the latest useful start, not at its deadline, and
 // callers must not come back at the same time.
 TEST_CASE_FIXTURE(WaitingIngress, "wait, no offer, ends at the latest useful start with different retry times")
@@ -270,6 +287,30 @@
     CHECK(reserved_.size() == 3);
 }
 
+// Guards against messages for a replacement that is not needed.
+TEST_CASE_FIXTURE(WaitingIngress, "wait, one of two homes is busy, is not replaced")
+{
+    after(Millis(10), [this] { answer(0, Millis(0), "busy"); });
+    after(Millis(50), [this] { answer(1, Millis(50)); });
+    CHECK(requester_.wait(want()).end == SlotWaitEnd::Offered);
+    CHECK(reserved_.size() == 2);
+}
+
+// Guards against a request that leaves the queue of a home of an older build although it gets no offer there.
+TEST_CASE_FIXTURE(WaitingIngress, "direct queue timeout, at a home of an older build, is as before")
+{
+    olderBuilds_ = {"n2"};
+    unlinked_ = {"n3"};
+    HomeChoice choice;
+    choice.queueTimeout = Millis(3000);
+    choice.node = "n1";
+    CHECK(requester_.directQueueTimeout(choice) < choice.queueTimeout);
+    for (const char *node : {"n2", "n3"}) {
+        choice.node = node;
+        CHECK(requester_.directQueueTimeout(choice) == choice.queueTimeout);
+    }
+}
+
 // Guards against a refusal of the caller although homes have no server for another reason than load.
 TEST_CASE_FIXTURE(WaitingIngress, "wait, every home stops, sends the request as before")
 {
