--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -243,7 +243,7 @@
             }
             canReserve = end == SlotWaitEnd::Offered;
         }
-        if (choice.node.empty()) {
+        if (choice.node.empty() || (kind == AttemptKind::Hedge && isHedgeUseless(*run, *attempt, choice))) {
             return;
         }
         const bool loadIsFresh = choice.loadAge >= Millis(0) && choice.loadAge <= maxFreshLoadAge;
@@ -271,6 +271,11 @@
            || slots_.shouldReserve(choice);
 }
 
+bool Forwarder::isHedgeUseless(const Run &run, const Attempt &attempt, const HomeChoice &choice) const
+{
+    return slots_.mayWait(*run.job.route) && slots_.offersSlots(choice.node) && shouldReserve(attempt, choice);
+}
+
 std::vector<ReservationCandidate> Forwarder::reservationCandidates(const Run &run) const
 {
     const std::vector<RankedHome> homes = homesOf(run.job.service);
--- a/src/sidecar/ingress/SlotRequester.cpp
+++ b/src/sidecar/ingress/SlotRequester.cpp
@@ -80,11 +80,15 @@
     return planner_.shouldReserve(best);
 }
 
+bool SlotRequester::offersSlots(const std::string &home) const
+{
+    return transport_.knowsReservations(home).value_or(false);
+}
+
 Millis SlotRequester::directQueueTimeout(const HomeChoice &best) const
 {
     // A home of an older build gives no offers later, so that the request has nothing to leave its queue for.
-    const bool knowsReservations = transport_.knowsReservations(best.node).value_or(false);
-    return knowsReservations ? planner_.directQueueTimeout(best) : best.queueTimeout;
+    return offersSlots(best.node) ? planner_.directQueueTimeout(best) : best.queueTimeout;
 }
 
 SlotWaitResult SlotRequester::wait(const SlotWait &want)
--- a/src/sidecar/ingress/SlotRequester.h
+++ b/src/sidecar/ingress/SlotRequester.h
@@ -105,6 +105,8 @@
     bool mayWait(const Route &route) const;
     /** Returns true if a request that may wait reserves instead of being sent to its best home. */
     bool shouldReserve(const HomeChoice &best) const;
+    /** Returns true if @p home is known to run a build that offers slots. */
+    bool offersSlots(const std::string &home) const;
     /** Returns the queue timeout at @p best of a request that may wait for an offer and is sent without one. */
     Millis directQueueTimeout(const HomeChoice &best) const;
     /**
