--- a/src/sidecar/home/SlotReservationService.cpp
+++ b/src/sidecar/home/SlotReservationService.cpp
@@ -48,7 +48,7 @@
         refuse(link, reserve.id, reserve.priority, refusalReasonName(decision.reason));
         return;
     }
-    reservations_[request.id] = Reservation{key, link, reserve.priority, false, now};
+    reservations_[request.id] = Reservation{key, link, reserve.priority, now, request.deadline};
     slotIds_[key] = request.id;
     if (decision.action == SlotAction::Start && !offer(request.id)) {
         hooks_.freeSlot(request.id);
@@ -72,7 +72,6 @@
         take(slotId);
         return false;
     }
-    reservation.offered = true;
     offered_.offer(reservation.key, slotId, validFor, now);
     metrics_.count("slot_offers");
     events_.writeRequest(Severity::Info, "slot_offered",
@@ -137,7 +136,8 @@
 
 void SlotReservationService::slotRemoved(std::uint64_t slotId, const std::string &reason)
 {
-    if (const std::optional<Reservation> reservation = take(slotId)) {
+    const std::optional<Reservation> reservation = take(slotId);
+    if (reservation && clock_.now() < reservation->until) {
         refuse(reservation->link, reservation->key.id, reservation->priority, reason);
     }
 }
--- a/src/sidecar/home/SlotReservationService.h
+++ b/src/sidecar/home/SlotReservationService.h
@@ -78,7 +78,10 @@
      * no reservation, or its sender can't be reached.
      */
     bool slotStarted(std::uint64_t slotId);
-    /** Called when SlotQueue has removed the waiting @p slotId: refuses its reservation, if it is one. */
+    /**
+     * Called when SlotQueue has removed the waiting @p slotId: refuses its reservation, if it is one. After the latest
+     * useful start its sender no longer waits and gets no message.
+     */
     void slotRemoved(std::uint64_t slotId, const std::string &reason);
     /**
      * Returns the slot held for the reservation, which the Work with its id takes over; nullopt if the offer has
@@ -100,8 +103,9 @@
         ReservationKey key;
         LinkId link = localLink;
         int priority = 0;
-        bool offered = false;
         SteadyTime since;
+        /** Latest useful start; the sender waits no longer either. */
+        SteadyTime until;
     };
 
     void refuse(LinkId link, std::uint64_t id, int priority, const std::string &reason);
--- a/tests/unit/SlotRequesterTest.cpp
+++ b/tests/unit/SlotRequesterTest.cpp
@@ -2,6 +2,7 @@
 #include "include/base/EventLog.h"
 #include "include/base/Metrics.h"
 #include "src/fiber/FiberNotifier.h"
+#include "src/sidecar/SidecarTuning.h"
 #include "tests/support/ManualClock.h"
 
 #include <doctest/doctest.h>
@@ -143,6 +144,26 @@
 
 } // namespace
 
+// Guards against a setting that is read but has no effect: waiting must be off where the operator switched it off.
+TEST_CASE("sidecar tuning, objective of the settings, decides which routes wait")
+{
+    Findings findings;
+    NodeSettings settings;
+    Route route;
+    const auto mayWait = [&] {
+        const ReservationTuning tuning = makeSidecarTuning(settings, findings).reservations;
+        return ReservationPlanner([] { return 0; }, tuning).mayWait(route);
+    };
+    route.responseTime = Millis(1999);
+    CHECK_FALSE(mayWait());
+    route.responseTime = Millis(2000);
+    CHECK(mayWait());
+    settings.waiting.minObjective = Millis(2001);
+    CHECK_FALSE(mayWait());
+    settings.waiting.minObjective = Millis(0);
+    CHECK_FALSE(mayWait());
+}
+
 // Guards against more than two reservations of one request, or a release that is missing.
 TEST_CASE_FIXTURE(WaitingIngress, "wait, first offer, binds the request and releases the other reservation")
 {
