--- a/tests/integration/ReservationTest.cpp
+++ b/tests/integration/ReservationTest.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/Mesh.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <doctest/doctest.h>
 
 using namespace waxwing;
@@ -104,11 +105,23 @@
     Mesh mesh_;
 };
 
+/** One server, beside node 2. In a fleet of two builds (tools/check-mixed), nodes 0, 2 and 4 run this build. */
 class OneScarceServer
 {
 protected:
     OneScarceServer()
-        : mesh_(scarceOptions({"other", "desk", "other"}, 150))
+        : mesh_(scarceOptions({"other", "other", "desk", "other", "other"}, 150))
+    { }
+
+    Mesh mesh_;
+};
+
+/** One server, beside node 1, which runs the earlier build in a fleet of two builds. */
+class ServerAtOtherBuild
+{
+protected:
+    ServerAtOtherBuild()
+        : mesh_(scarceOptions({"other", "desk", "other"}, 100))
     { }
 
     Mesh mesh_;
@@ -214,7 +227,7 @@
 {
     Callers callers(mesh_);
     for (int i = 0; i < 6; ++i) {
-        callers.add(2, "read-" + std::to_string(i), "/dates/1");
+        callers.add(4, "read-" + std::to_string(i), "/dates/1");
     }
     Callers lost(mesh_);
     // Requests that arrive while replies report a wait make reservations, and the urgent ones are offered slots first.
@@ -233,8 +246,25 @@
     callers.checkExecutions();
     lost.checkExecutions();
     CHECK(callers.countServed() == 6);
-    CHECK(mesh_.countLogLines(1, {"event=slot_offer_expired", "to=n0"}) > 0);
-    MESSAGE("expired " << mesh_.countLogLines(1, {"event=slot_offer_expired"}));
+    CHECK(mesh_.countLogLines(2, {"event=slot_offer_expired", "to=n0"}) > 0);
+    MESSAGE("expired " << mesh_.countLogLines(2, {"event=slot_offer_expired"}));
+}
+
+// Guards against an upgrade during which nodes send reservations to a build that closes the link on them.
+TEST_CASE_FIXTURE(ServerAtOtherBuild, "reservation, home of an earlier build, gets requests as before")
+{
+    Callers callers(mesh_);
+    for (int i = 0; i < 20; ++i) {
+        callers.add(2 * (i % 2), "read-" + std::to_string(i), "/dates/1", Millis(20 * i));
+    }
+    runConcurrently(callers.tasks);
+    callers.checkExecutions();
+    CHECK(callers.countServed() == 20);
+    const bool isMixed = std::getenv("WAXWING_OTHER_BUILD") != nullptr;
+    const int reserved =
+        mesh_.countLogLines(0, {"event=slot_reserved"}) + mesh_.countLogLines(2, {"event=slot_reserved"});
+    CHECK((reserved > 0) == !isMixed);
+    CHECK(mesh_.countLogLines(1, {"event=link_garbage"}) == 0);
 }
 
 // Guards against messages about reservations where they are not enabled.
