--- a/include/schedule/ReservationPlanner.h
+++ b/include/schedule/ReservationPlanner.h
@@ -40,6 +40,8 @@
      * ordinary load queues are shorter, and a reservation would cost more messages than it saves time.
      */
     Millis minWait{100};
+    /** A home of the own zone with an estimate of at least this many free slots gets requests without a reservation. */
+    double directFreeSlots = 2.0;
     /** Longest time in the queue of a home for a request that is sent without an offer. */
     Millis maxDirectWait{500};
     /** Reservations of one request in all. Each costs two small messages, and refusals cause new ones. */
@@ -88,6 +90,12 @@
     bool mayWait(const Route &route) const;
     /** Returns true if a request whose best home is @p best reserves instead of being sent there. */
     bool shouldReserve(const HomeChoice &best) const;
+    /**
+     * Returns the homes to which a request is not sent without an offer if its best home has a wait: those of other
+     * zones, and those without an estimate of several free slots. If HomeRanking finds a home beside these, a
+     * reservation would be two messages more for the same slot.
+     */
+    std::set<std::string> homesWithoutRoom(const std::vector<ReservationCandidate> &candidates, SteadyTime now) const;
     /** Returns the queue timeout of a request that may wait for an offer and is sent to @p best without one. */
     Millis directQueueTimeout(const HomeChoice &best) const;
     /**
--- a/src/schedule/ReservationPlanner.cpp
+++ b/src/schedule/ReservationPlanner.cpp
@@ -14,6 +14,11 @@
     return static_cast<int>(std::max(distance, Distance::SameZone));
 }
 
+int reportedFree(const HomeLoad &load)
+{
+    return std::max(0, load.freeSlots - load.queued);
+}
+
 } // namespace
 
 ReservationPlanner::ReservationPlanner(Random random, ReservationTuning tuning)
@@ -36,6 +41,24 @@
     return best.node.empty() || best.wait >= tuning_.minWait;
 }
 
+std::set<std::string> ReservationPlanner::homesWithoutRoom(const std::vector<ReservationCandidate> &candidates,
+                                                           SteadyTime now) const
+{
+    Candidates all;
+    for (const ReservationCandidate &one : candidates) {
+        all.push_back(&one);
+    }
+    const std::vector<double> slots = freeSlots(all, now);
+    std::set<std::string> full;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const bool near = levelOf(all[i]->distance) == levelOf(Distance::SameZone);
+        if (!near || slots[i] < tuning_.directFreeSlots) {
+            full.insert(all[i]->node);
+        }
+    }
+    return full;
+}
+
 Millis ReservationPlanner::directQueueTimeout(const HomeChoice &best) const
 {
     return std::min(best.queueTimeout, tuning_.maxDirectWait);
@@ -84,7 +107,6 @@
 
 std::vector<double> ReservationPlanner::freeSlots(const Candidates &homes, SteadyTime now) const
 {
-    const auto reported = [](const HomeLoad &load) { return std::max(0, load.freeSlots - load.queued); };
     struct Mean {
         double sum = 0.0;
         double weight = 1.0;
@@ -93,7 +115,7 @@
     for (const ReservationCandidate *one : homes) {
         Mean &mean = means[levelOf(one->distance)];
         if (isCurrent(one->status, now)) {
-            mean.sum += reported(*one->status.load);
+            mean.sum += reportedFree(*one->status.load);
             mean.weight += 1.0;
         }
     }
