--- a/include/schedule/ReservationPlanner.h
+++ b/include/schedule/ReservationPlanner.h
@@ -21,9 +21,10 @@
     Millis reportMaxAge{1000};
     /**
      * Free slots assumed of a home without a current report: the mean of the reports at its distance, in which this
-     * value has the weight of one report.
+     * value, half of the slots of most servers, has the weight of one report. With 1.0, a single report of a full home
+     * caused a reservation at ordinary load.
      */
-    double unknownFreeSlots = 1.0;
+    double unknownFreeSlots = 2.5;
     /** From this estimate on, a home counts as having a free slot. */
     double minFreeSlots = 0.5;
     /**
@@ -36,15 +37,20 @@
     /** Nearly all work ends within this many times its usual time. */
     double workTimeMargin = 1.5;
     /**
-     * A request reserves, instead of being sent at once, if its best home is expected to let it wait for this long. At
-     * ordinary load queues are shorter, and a reservation would cost more messages than it saves time.
+     * A request reserves, instead of being sent at once, if its best home is expected to let it wait for this long.
+     * With 100 ms, a fifth of the sends were refused under scarcity; with 25 ms, ordinary load has more messages.
      */
-    Millis minWait{100};
+    Millis minWait{50};
     /** A home of the own zone with an estimate of at least this many free slots gets requests without a reservation. */
-    double directFreeSlots = 2.0;
+    double directFreeSlots = 1.0;
     /** Longest time in the queue of a home for a request that is sent without an offer. */
     Millis maxDirectWait{500};
-    /** Reservations of one request in all. Each costs two small messages, and refusals cause new ones. */
+    /** Sends without an offer; after as many refusals a request reserves. */
+    std::size_t maxDirectSends = 2;
+    /**
+     * Reservations of one request in all. Each costs two small messages, and when two homes refuse because of the time
+     * left, others mostly refuse too.
+     */
     std::size_t maxReservations = 4;
     /** Round trips and losses by distance. */
     RankingTuning ranking;
@@ -78,6 +84,12 @@
 /**
  * Decides whether and where a request that found no room reserves, and how long it waits. Uses only what replies,
  * refusals and offers reported. Not thread safe.
+ *
+ * A sender asks HomeRanking for the best home. If shouldReserve(), or if a home has refused the request, it asks again
+ * without homesWithoutRoom(). If a home is left and the request mayBeSent(), it is sent there with
+ * directQueueTimeout(); otherwise it reserves at the homes of plan(). A reservation that is refused is replaced only if
+ * none is left: the others mostly get an offer. At latestStart() the request is refused, and its reservations end at
+ * both sides without a message.
  */
 class ReservationPlanner
 {
@@ -88,8 +100,10 @@
 
     /** Returns true if requests of @p route may wait for an offer at all. */
     bool mayWait(const Route &route) const;
-    /** Returns true if a request whose best home is @p best reserves instead of being sent there. */
+    /** Returns true if @p best lets a request wait for too long, or there is no home. */
     bool shouldReserve(const HomeChoice &best) const;
+    /** Returns true if a request that homes refused @p refusals times may be sent once more without an offer. */
+    bool mayBeSent(std::size_t refusals) const;
     /**
      * Returns the homes to which a request is not sent without an offer if its best home has a wait: those of other
      * zones, and those without an estimate of several free slots. If HomeRanking finds a home beside these, a
--- a/src/schedule/ReservationPlanner.cpp
+++ b/src/schedule/ReservationPlanner.cpp
@@ -41,6 +41,11 @@
     return best.node.empty() || best.wait >= tuning_.minWait;
 }
 
+bool ReservationPlanner::mayBeSent(std::size_t refusals) const
+{
+    return refusals < tuning_.maxDirectSends;
+}
+
 std::set<std::string> ReservationPlanner::homesWithoutRoom(const std::vector<ReservationCandidate> &candidates,
                                                            SteadyTime now) const
 {
@@ -124,7 +129,7 @@
         const HomeStatus &status = one->status;
         const Mean &mean = means[levelOf(one->distance)];
         const double known =
-            isCurrent(status, now) ? status.load->freeSlots : (mean.sum + tuning_.unknownFreeSlots) / mean.weight;
+            isCurrent(status, now) ? reportedFree(*status.load) : (mean.sum + tuning_.unknownFreeSlots) / mean.weight;
         const double left = known - status.sentSince - one->reserved;
         slots.push_back(left < tuning_.minFreeSlots ? 0.0 : left);
     }
--- a/tests/support/ReservationPolicy.cpp
+++ b/tests/support/ReservationPolicy.cpp
@@ -29,16 +29,17 @@
         PollingPolicy::dispatch(request);
         return;
     }
-    const auto choose = [&](const std::set<std::string> &excluded) {
+    std::set<std::string> excluded = request->search.excluded();
+    excluded.insert(request->tried.begin(), request->tried.end());
+    const auto choose = [&] {
         return rankingOf(*request).choose(model_.homesFrom(request->sender), excluded, queryOf(*request), model_.now());
     };
-    HomeChoice choice = choose(request->search.excluded());
-    if (planner_.shouldReserve(choice)) {
-        std::set<std::string> excluded = planner_.homesWithoutRoom(candidatesFor(*request), model_.now());
-        excluded.insert(request->search.excluded().begin(), request->search.excluded().end());
-        choice = choose(excluded);
+    HomeChoice choice = choose();
+    if (planner_.shouldReserve(choice) || !request->tried.empty()) {
+        excluded.merge(planner_.homesWithoutRoom(candidatesFor(*request), model_.now()));
+        choice = choose();
     }
-    if (choice.node.empty()) {
+    if (choice.node.empty() || !planner_.mayBeSent(request->tried.size())) {
         reserve(request);
     } else {
         send(request, model_.homeIndex(choice.node), planner_.directQueueTimeout(choice));
@@ -51,11 +52,7 @@
     if (request->reservations.isBound()) {
         request->reservations.unbind();
     }
-    if (planner_.mayWait(request->route->route)) {
-        reserve(request);
-    } else {
-        dispatch(request);
-    }
+    dispatch(request);
 }
 
 SlotNeed ReservationPolicy::needOf(const FleetRequest &request) const
--- a/tests/unit/ReservationTest.cpp
+++ b/tests/unit/ReservationTest.cpp
@@ -1,3 +1,4 @@
+#include "include/home/SlotQueue.h"
 #include "include/schedule/OfferedSlots.h"
 #include "include/schedule/ReservationPlanner.h"
 #include "include/schedule/ReservationSet.h"
@@ -286,3 +287,119 @@
     CHECK(latest > need.deadline - 2 * need.workTime);
     CHECK(planner().latestStart(need, start + Millis(4900)) == start + Millis(4900));
 }
+
+// Guards against reservations for homes that would serve the request at once.
+TEST_CASE("reservation planner, best home lets the request wait, sends only to homes of the zone with free slots")
+{
+    HomeChoice best;
+    best.node = "a";
+    best.wait = Millis(49);
+    best.queueTimeout = Millis(900);
+    CHECK_FALSE(planner().shouldReserve(best));
+    CHECK(planner().directQueueTimeout(best) == Millis(500));
+    best.wait = Millis(50);
+    CHECK(planner().shouldReserve(best));
+    CHECK(planner().shouldReserve(HomeChoice()));
+    CHECK(planner().mayBeSent(1));
+    CHECK_FALSE(planner().mayBeSent(2));
+    std::vector<ReservationCandidate> homes{
+        homeWith("free", Distance::SameZone, 2), fullHome("full", Distance::SameZone),
+        homeWith("far", Distance::SameRegion, 5), homeWith("queue", Distance::SameZone, 2)};
+    homes[3].status.load->queued = 2;
+    CHECK(planner().homesWithoutRoom(homes, start) == std::set<std::string>{"far", "full", "queue"});
+    homes[0].status.sentSince = 1;
+    homes[0].reserved = 1;
+    CHECK(planner().homesWithoutRoom(homes, start).count("free") == 1);
+}
+
+TEST_CASE("reservation planner, reports are old, counts homes as free by the mean of the current ones")
+{
+    std::vector<ReservationCandidate> homes{homeWith("old", Distance::SameZone, 0), fullHome("a", Distance::SameZone),
+                                            fullHome("b", Distance::SameZone)};
+    homes[0].status.loadAt = start - std::chrono::minutes(1);
+    CHECK(planner().homesWithoutRoom(homes, start).count("old") == 1);
+    homes.resize(1);
+    CHECK(planner().homesWithoutRoom(homes, start).count("old") == 0);
+}
+
+namespace {
+
+/** A home with one slot, in use by request 1, and a work time of 100 ms. */
+struct OneSlotHome {
+    OneSlotHome()
+    {
+        SlotTuning tuning;
+        tuning.customerUse.learningTime = Millis(0);
+        queue = SlotQueue(tuning);
+        queue.setServer(1, true, start);
+        for (int i = 0; i < 50; ++i) {
+            queue.addResult("read", false, Millis(100), start);
+        }
+        REQUIRE(queue.submit(request(1, 1), start).action == SlotAction::Start);
+    }
+
+    static SlotRequest request(std::uint64_t id, int priority, bool isReservation = false)
+    {
+        SlotRequest out;
+        out.id = id;
+        out.route = "read";
+        out.priority = priority;
+        out.objective = start + Millis(2500);
+        out.deadline = start + Millis(5000);
+        out.queueTimeout = Millis(4000);
+        out.isReservation = isReservation;
+        return out;
+    }
+
+    SlotQueue queue;
+};
+
+} // namespace
+
+// Guards against a reservation that overtakes, or is overtaken by, requests of another rank.
+TEST_CASE("reservation in a slot queue, waits with requests of other priorities, starts in the order of their ranks")
+{
+    OneSlotHome home;
+    CHECK(home.queue.submit(OneSlotHome::request(2, 2), start).action == SlotAction::Queue);
+    CHECK(home.queue.submit(OneSlotHome::request(3, 1, true), start).action == SlotAction::Queue);
+    CHECK(home.queue.submit(OneSlotHome::request(4, 0), start).action == SlotAction::Queue);
+    std::vector<std::uint64_t> order;
+    for (std::uint64_t running = 1; order.size() < 3; running = order.back()) {
+        home.queue.release(running, start);
+        const std::vector<std::uint64_t> started = home.queue.poll(start).start;
+        REQUIRE(started.size() == 1);
+        order.push_back(started.front());
+    }
+    CHECK(order == std::vector<std::uint64_t>{4, 3, 2});
+}
+
+// Guards against a healthy server that counts as hanging because a sender is slow to send the Work.
+TEST_CASE("reservation in a slot queue, slot is held for long, is no overdue work until the Work begins")
+{
+    OneSlotHome home;
+    home.queue.release(1, start);
+    REQUIRE(home.queue.submit(OneSlotHome::request(2, 1, true), start).action == SlotAction::Start);
+    const SteadyTime late = start + Millis(2000);
+    home.queue.noteOverdueWork(late);
+    CHECK_FALSE(home.queue.isOverdue(2));
+    CHECK(home.queue.running() == 1);
+    CHECK(home.queue.beginHeld(2, late));
+    CHECK_FALSE(home.queue.beginHeld(2, late));
+    CHECK_FALSE(home.queue.beginHeld(7, late));
+    home.queue.noteOverdueWork(late + Millis(2000));
+    CHECK(home.queue.isOverdue(2));
+}
+
+// Guards against refusals because of requests that are served elsewhere.
+TEST_CASE("reservation in a slot queue, expected wait, counts as half a request")
+{
+    OneSlotHome requests;
+    OneSlotHome reservations;
+    for (std::uint64_t id = 2; id < 6; ++id) {
+        requests.queue.submit(OneSlotHome::request(id, 1), start);
+        reservations.queue.submit(OneSlotHome::request(id, 1, true), start);
+    }
+    CHECK(requests.queue.load(1, start).wait == Millis(500));
+    CHECK(reservations.queue.load(1, start).wait == Millis(300));
+    CHECK(reservations.queue.load(1, start).queued == 4);
+}
--- a/tests/unit/SlotSchedulingTest.cpp
+++ b/tests/unit/SlotSchedulingTest.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <iomanip>
+#include <sstream>
+
 using namespace waxwing;
 using namespace waxwing::testing;
 
@@ -39,51 +42,157 @@
     return load;
 }
 
-void report(const std::string &name, const HomeFleetLoad &load, std::uint32_t seed)
+/** A home with five slots replies, and so reports, about as often. */
+constexpr Millis reportInterval{100};
+constexpr Millis longestRoundTrip{60};
+constexpr double tolerance = 0.02;
+
+FleetCounts run(const HomeFleetLoad &load, HomePolicy policy, std::uint32_t seed = 1)
+{
+    return HomeFleetModel(load, policy, seed).run();
+}
+
+std::string textOf(const FleetCounts &counts)
 {
-    for (const HomePolicy policy : {HomePolicy::Polling, HomePolicy::Reservations, HomePolicy::ZoneQueue}) {
-        const FleetCounts c = HomeFleetModel(load, policy, seed).run();
-        std::string text;
-        for (const auto &[p, one] : c.byPriority) {
-            text += " p" + std::to_string(p) + " " + std::to_string(one.servedShare()).substr(0, 5) + "/" + std::to_string(one.inTimeShare()).substr(0, 5)
-             + "/" + std::to_string(one.meanWait().count());
-        }
-        const PriorityCounts a = c.all();
-        MESSAGE(name << " " << int(policy) << " served " << a.servedShare() << " intime " << a.inTimeShare() << " sends " << c.sendsPerRun() << " vain " << c.sendsInVain
-          << " small " << c.smallPerRequest() << " half " << c.halfObjectiveUsed << " zone " << c.otherZone << " region " << c.otherRegion << " idle " << millisOf(c.longestIdleSlot).count()
-          << " after " << millisOf(c.longestAfterDeadline).count() << " unf " << c.unfinished << " n " << a.requests << " turns " << c.spillTurns(0.15)
-          << " hot " << c.hotCustomer.inTimeShare() << " others " << c.otherCustomers.inTimeShare() << text);
+    const PriorityCounts all = counts.all();
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3) << all.requests << " requests, served " << all.servedShare()
+         << ", in time " << all.inTimeShare() << ", sends per run " << counts.sendsPerRun() << ", in vain "
+         << counts.sendsInVain << ", small " << counts.smallPerRequest() << ", half of the objective "
+         << counts.halfObjectiveUsed << ", zone " << counts.otherZone << ", region " << counts.otherRegion
+         << ", idle ms " << millisOf(counts.longestIdleSlot).count() << ";";
+    for (const auto &[priority, one] : counts.byPriority) {
+        text << " p" << priority << " " << one.servedShare() << " " << one.inTimeShare() << " "
+             << one.meanWait().count() << " ms";
     }
+    return text.str();
+}
+
+/** Runs @p load with all ways to schedule, checks what must hold with reservations at any load, and returns that run.
+ */
+FleetCounts checkedRun(const std::string &name, const HomeFleetLoad &load)
+{
+    const FleetCounts counts = run(load, HomePolicy::Reservations);
+    MESSAGE(name << ", polling: " << textOf(run(load, HomePolicy::Polling)));
+    MESSAGE(name << ", reservations: " << textOf(counts));
+    MESSAGE(name << ", queue per zone: " << textOf(run(load, HomePolicy::ZoneQueue)));
+    CHECK(counts.sendsPerRun() < 1.6);
+    CHECK(counts.smallPerRequest() <= 4.0);
+    CHECK(counts.longestIdleSlot <= longestRoundTrip + reportInterval);
+    // Every request has its final response by its deadline.
+    CHECK(counts.unfinished == 0);
+    CHECK(counts.longestAfterDeadline <= Duration(0));
+    return counts;
+}
+
+void checkOrder(const PriorityCounts &moreUrgent, const PriorityCounts &lessUrgent)
+{
+    CHECK(moreUrgent.servedShare() >= lessUrgent.servedShare() - tolerance);
+    CHECK(moreUrgent.inTimeShare() >= lessUrgent.inTimeShare() - tolerance);
 }
 
 } // namespace
 
-TEST_CASE("reservation trial")
+// Guards against a fourth of all requests that go from one refusal to the next while slots become free elsewhere.
+TEST_CASE("slot reservations, 1.8 times as much work as slots in four priorities, keep the order with few sends")
+{
+    HomeFleetLoad load = ordinaryLoad();
+    load.burst = 4.5;
+    FleetCounts counts = checkedRun("scarce", load);
+    CHECK(counts.sendsInVain < counts.sends / 10);
+    // The least urgent route has three times the time of the others, so it is not compared.
+    checkOrder(counts.byPriority[0], counts.byPriority[1]);
+    checkOrder(counts.byPriority[1], counts.byPriority[2]);
+    for (FleetRoute &route : load.routes) {
+        route.route.responseTime = Millis(2500);
+        route.route.timeout = Millis(8000);
+    }
+    counts = checkedRun("scarce, equal objectives", load);
+    for (int priority = 0; priority < 3; ++priority) {
+        checkOrder(counts.byPriority[priority], counts.byPriority[priority + 1]);
+    }
+}
+
+// Guards against one customer that takes the slots of all others.
+TEST_CASE("slot reservations, one of ten customers at 7 times its usual rate, others are served no less often")
+{
+    HomeFleetLoad load = ordinaryLoad();
+    load.customers = 10;
+    load.hotFactor = 7.0;
+    load.burst = 2.2;
+    const FleetCounts counts = checkedRun("one customer", load);
+    CHECK(counts.otherCustomers.servedShare() >= 1.0 - tolerance);
+    CHECK(counts.otherCustomers.inTimeShare() >= counts.hotCustomer.inTimeShare() - tolerance);
+}
+
+// Guards against two zones that send their work to each other in turn, by reports that are stale by then.
+TEST_CASE("slot reservations, waves in opposite phase in two zones, spilled share turns no more often than the waves")
+{
+    HomeFleetLoad load = ordinaryLoad();
+    load.zones = 2;
+    load.burst = 2.4;
+    load.waveAmplitude = 0.6;
+    load.burstDuration = Millis(12000);
+    const FleetCounts counts = checkedRun("waves", load);
+    constexpr int turnsPerWave = 2;
+    constexpr double threshold = 0.1;
+    MESSAGE("turns of the spilled share: " << counts.spillTurns(threshold) << ", polling "
+                                           << run(load, HomePolicy::Polling).spillTurns(threshold));
+    CHECK(counts.spillTurns(threshold) <= turnsPerWave * (load.burstDuration / load.wavePeriod));
+}
+
+// Guards against requests that wait at slow servers while fast ones are free.
+TEST_CASE("slot reservations, 78 fast servers beside 18 slow ones, serve nearly all requests")
+{
+    HomeFleetLoad load = ordinaryLoad();
+    load.homes = 96;
+    load.nodes = 96;
+    load.zones = 4;
+    load.slowHomes = 18;
+    load.slowFactor = 2.5;
+    load.burst = 7.0;
+    const FleetCounts counts = checkedRun("slow servers", load);
+    CHECK(counts.all().servedShare() >= 1.0 - tolerance);
+}
+
+// Guards against requests that spend half of their time on the search for a slot.
+TEST_CASE("slot reservations, 5 of 37 servers gone at high load, few requests use half of their objective")
+{
+    HomeFleetLoad load = ordinaryLoad();
+    load.homesGone = 5;
+    load.burst = 2.8;
+    const FleetCounts counts = checkedRun("servers gone", load);
+    CHECK(counts.halfObjectiveUsed < 300);
+    CHECK(counts.all().servedShare() >= 1.0 - tolerance);
+}
+
+// Guards against a burst that delays more urgent requests, and against starvation of its own.
+TEST_CASE("slot reservations, burst of the least urgent route, others are in time and the burst is served later")
+{
+    HomeFleetLoad load = ordinaryLoad();
+    load.burstRoute = "least-urgent";
+    load.burst = 8.0;
+    FleetCounts counts = checkedRun("least urgent burst", load);
+    for (int priority = 0; priority < 3; ++priority) {
+        CHECK(counts.byPriority[priority].inTimeShare() >= 1.0 - tolerance);
+    }
+    CHECK(counts.byPriority[3].servedShare() >= 1.0 - tolerance);
+}
+
+// Guards against reservations where a send would have done.
+TEST_CASE("slot reservations, ordinary load, need no more messages than polling")
 {
-    const std::uint32_t seed = 1;
-    for (int wait : {50}) { for (std::uint32_t x = 2; x <= 9; ++x) { report("ord", ordinaryLoad(), x); }
-    HomeFleetLoad l = ordinaryLoad();
-    l.reservations.minWait = Millis(wait); l.reservations.maxReservations = wait == 51 ? 8 : 4;
-    const HomeFleetLoad base = l;
-    const std::string w = std::to_string(wait) + " ";
-    report(w+"ordinary", l, seed);
-    l.burst = 1.75;
-    report(w+"busy", l, seed);
-    l.burst = 4.5;
-    report(w+"scarce", l, seed);
-    for (auto &r : l.routes) { r.route.responseTime = Millis(2500); r.route.timeout = Millis(8000); }
-    report(w+"equal", l, seed);
-    l = base; l.customers = 10; l.hotFactor = 7; l.burst = 2.2;
-    report(w+"hot", l, seed);
-    l = base; l.zones = 2; l.waveAmplitude = 0.6; l.burstDuration = Millis(12000);
-    l.burst = 2;
-    report(w+"wave", l, seed);
-    l = base; l.homes = 96; l.nodes = 96; l.zones = 4; l.slowHomes = 18; l.slowFactor = 2.5; l.slots = 5;
-    l.burst = 7;
-    report(w+"slow", l, seed);
-    l = base; l.homesGone = 5; l.burst = 2.8;
-    report(w+"gone", l, seed);
-    l = base; l.burstRoute = "least-urgent"; l.burst = 8;
-    report(w+"least", l, seed);
+    double polling = 0.0;
+    double reservations = 0.0;
+    const auto messages = [](const FleetCounts &counts) { return 2.0 * counts.sends + counts.smallMessages; };
+    for (std::uint32_t seed = 1; seed <= 8; ++seed) {
+        polling += messages(run(ordinaryLoad(), HomePolicy::Polling, seed));
+        reservations += messages(run(ordinaryLoad(), HomePolicy::Reservations, seed));
     }
+    MESSAGE("messages with polling " << polling << ", with reservations " << reservations);
+    CHECK(reservations <= polling * (1.0 + tolerance));
+    checkedRun("ordinary", ordinaryLoad());
+    HomeFleetLoad busy = ordinaryLoad();
+    busy.burst = 1.75;
+    checkedRun("0.7 of all slots", busy);
 }
