--- a/include/schedule/ReservationPlanner.h
+++ b/include/schedule/ReservationPlanner.h
@@ -142,6 +142,12 @@
               SteadyTime now) const;
     /** Returns one of the nearest candidates that have free slots, at random in proportion to these; end() if none. */
     Candidates::iterator pickFree(Candidates &from, SteadyTime now) const;
+    /**
+     * Returns true if a request goes to the @p free home instead of waiting at the @p cheapest one: in its own region
+     * if it starts sooner there, in another one if this also makes up for the traffic between regions.
+     */
+    bool isWorthDistance(const ReservationCandidate &free, const ReservationCandidate &cheapest,
+                         const SlotNeed &need) const;
     /** Returns the time until work could begin there: expected wait and messages. */
     Millis delayAt(const ReservationCandidate &candidate) const;
     /** Returns delayAt() and what the distance costs, in milliseconds. */
--- a/src/schedule/ReservationPlanner.cpp
+++ b/src/schedule/ReservationPlanner.cpp
@@ -169,6 +169,15 @@
     return picked;
 }
 
+bool ReservationPlanner::isWorthDistance(const ReservationCandidate &free, const ReservationCandidate &cheapest,
+                                         const SlotNeed &need) const
+{
+    if (free.distance == Distance::OtherRegion) {
+        return costOf(free, need) <= costOf(cheapest, need);
+    }
+    return messageTime(free.distance) <= delayAt(cheapest);
+}
+
 void ReservationPlanner::take(Candidates from, const SlotNeed &need, std::size_t count, std::vector<std::string> &homes,
                               SteadyTime now) const
 {
@@ -177,8 +186,7 @@
             return costOf(*a, need) < costOf(*b, need);
         });
         auto picked = pickFree(from, now);
-        // A free slot far away starts the request no sooner than a slot nearby that is free within the message time.
-        if (picked == from.end() || delayAt(**cheapest) < messageTime((*picked)->distance)) {
+        if (picked == from.end() || !isWorthDistance(**picked, **cheapest, need)) {
             picked = cheapest;
         }
         homes.push_back((*picked)->node);
