--- a/src/schedule/ReservationPlanner.cpp
+++ b/src/schedule/ReservationPlanner.cpp
@@ -14,6 +14,11 @@
     return static_cast<int>(std::max(distance, Distance::SameZone));
 }
 
+int reportedFree(const HomeLoad &load)
+{
+    return std::max(0, load.freeSlots - load.queued);
+}
+
 } // namespace
 
 ReservationPlanner::ReservationPlanner(Random random, ReservationTuning tuning)
@@ -36,6 +41,29 @@
     return best.node.empty() || best.wait >= tuning_.minWait;
 }
 
+bool ReservationPlanner::mayBeSent(std::size_t refusals) const
+{
+    return refusals < tuning_.maxDirectSends;
+}
+
+std::set<std::string> ReservationPlanner::homesWithoutRoom(const std::vector<ReservationCandidate> &candidates,
+                                                           SteadyTime now) const
+{
+    Candidates all;
+    for (const ReservationCandidate &one : candidates) {
+        all.push_back(&one);
+    }
+    const std::vector<double> slots = freeSlots(all, now);
+    std::set<std::string> full;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const bool near = levelOf(all[i]->distance) == levelOf(Distance::SameZone);
+        if (!near || slots[i] < tuning_.directFreeSlots) {
+            full.insert(all[i]->node);
+        }
+    }
+    return full;
+}
+
 Millis ReservationPlanner::directQueueTimeout(const HomeChoice &best) const
 {
     return std::min(best.queueTimeout, tuning_.maxDirectWait);
@@ -84,7 +112,6 @@
 
 std::vector<double> ReservationPlanner::freeSlots(const Candidates &homes, SteadyTime now) const
 {
-    const auto reported = [](const HomeLoad &load) { return std::max(0, load.freeSlots - load.queued); };
     struct Mean {
         double sum = 0.0;
         double weight = 1.0;
@@ -93,7 +120,7 @@
     for (const ReservationCandidate *one : homes) {
         Mean &mean = means[levelOf(one->distance)];
         if (isCurrent(one->status, now)) {
-            mean.sum += reported(*one->status.load);
+            mean.sum += reportedFree(*one->status.load);
             mean.weight += 1.0;
         }
     }
@@ -102,7 +129,7 @@
         const HomeStatus &status = one->status;
         const Mean &mean = means[levelOf(one->distance)];
         const double known =
-            isCurrent(status, now) ? status.load->freeSlots : (mean.sum + tuning_.unknownFreeSlots) / mean.weight;
+            isCurrent(status, now) ? reportedFree(*status.load) : (mean.sum + tuning_.unknownFreeSlots) / mean.weight;
         const double left = known - status.sentSince - one->reserved;
         slots.push_back(left < tuning_.minFreeSlots ? 0.0 : left);
     }
@@ -111,8 +138,7 @@
 
 Millis ReservationPlanner::delayAt(const ReservationCandidate &candidate) const
 {
-    const Millis wait = candidate.status.load ? candidate.status.load->wait : Millis(0);
-    return wait + messageTime(candidate.distance);
+    return candidate.status.wait + messageTime(candidate.distance);
 }
 
 double ReservationPlanner::costOf(const ReservationCandidate &candidate, const SlotNeed &need) const
@@ -143,6 +169,15 @@
     return picked;
 }
 
+bool ReservationPlanner::isWorthDistance(const ReservationCandidate &free, const ReservationCandidate &cheapest,
+                                         const SlotNeed &need) const
+{
+    if (free.distance == Distance::OtherRegion) {
+        return costOf(free, need) <= costOf(cheapest, need);
+    }
+    return messageTime(free.distance) <= delayAt(cheapest);
+}
+
 void ReservationPlanner::take(Candidates from, const SlotNeed &need, std::size_t count, std::vector<std::string> &homes,
                               SteadyTime now) const
 {
@@ -151,8 +186,7 @@
             return costOf(*a, need) < costOf(*b, need);
         });
         auto picked = pickFree(from, now);
-        // A free slot far away starts the request no sooner than a slot nearby that is free within the message time.
-        if (picked == from.end() || delayAt(**cheapest) < messageTime((*picked)->distance)) {
+        if (picked == from.end() || !isWorthDistance(**picked, **cheapest, need)) {
             picked = cheapest;
         }
         homes.push_back((*picked)->node);
