--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -120,13 +120,16 @@
      * reservation for which the home holds a slot; 0: none.
      */
     bool sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice, std::uint64_t reservation);
-    /** Returns true if no home has room now, so that the request reserves the next free slot of several homes. */
-    bool shouldReserve(const Attempt &attempt, const HomeChoice &choice) const;
+    /**
+     * Returns true if no home has room now, so that the request reserves the next free slot of several homes. If the
+     * best home has none, but another one, sets @p choice to it.
+     */
+    bool shouldReserve(const Run &run, HomeChoice &choice) const;
     /**
      * Returns true if a hedge would be refused, since it doesn't queue: no home has a free slot, and those who wait for
      * one are offered it.
      */
-    bool isHedgeUseless(const Run &run, const Attempt &attempt, const HomeChoice &choice) const;
+    bool isHedgeUseless(const Run &run, const HomeChoice &choice) const;
     /**
      * Reserves at several homes and waits for an offer. With one, sets @p choice to its home, and @p reservation.
      * Without, sets the reply of @p attempt.
--- a/src/sidecar/ingress/SlotRequester.cpp
+++ b/src/sidecar/ingress/SlotRequester.cpp
@@ -34,13 +34,16 @@
 } // namespace
 
 struct SlotRequester::Waiter {
-    Waiter(const SlotWait &wantIn, SteadyTime now)
+    Waiter(const SlotWait &wantIn, SteadyTime now, SteadyTime latestIn)
         : want(wantIn)
         , since(now)
+        , latest(latestIn)
     { }
 
     SlotWait want;
     SteadyTime since;
+    /** End of the wait. */
+    SteadyTime latest;
     ReservationSet set;
     FiberNotifier notifier;
     /** Homes that refused or were lost in this wait. */
@@ -80,6 +83,29 @@
     return planner_.shouldReserve(best);
 }
 
+bool SlotRequester::canReserve(const std::vector<ReservationCandidate> &candidates) const
+{
+    std::size_t offering = 0;
+    std::size_t others = 0;
+    for (const ReservationCandidate &one : candidates) {
+        if (const std::optional<bool> knows = transport_.knowsReservations(one.node)) {
+            ++(*knows ? offering : others);
+        }
+    }
+    const auto known = static_cast<double>(offering + others);
+    return offering > 0 && static_cast<double>(offering) >= tuning_.minOfferingShare * known;
+}
+
+bool SlotRequester::mayBeSent(std::size_t tried) const
+{
+    return planner_.mayBeSent(tried);
+}
+
+std::set<std::string> SlotRequester::homesWithoutRoom(const std::vector<ReservationCandidate> &candidates) const
+{
+    return planner_.homesWithoutRoom(candidates, clock_.now());
+}
+
 bool SlotRequester::offersSlots(const std::string &home) const
 {
     return transport_.knowsReservations(home).value_or(false);
@@ -98,13 +124,13 @@
         metrics_.count("slot_waits_full");
         return {};
     }
-    const auto waiter = std::make_shared<Waiter>(want, now);
     const SteadyTime latest = std::min(want.until, planner_.latestStart(want.need, now));
     if (latest <= now) {
         return {};
     }
+    const auto waiter = std::make_shared<Waiter>(want, now, latest);
     waiters_.insert(waiter);
-    reserveMore(waiter, latest);
+    reserveMore(waiter);
     if (waiter->set.count() > 0) {
         events_.writeRequest(Severity::Info, "slot_reserved",
                              {{"request", want.requestId},
@@ -112,24 +138,24 @@
                               {"homes", joined(waiter->set.held())},
                               {"priority", std::to_string(want.priority)},
                               {"untilMs", std::to_string(millisOf(latest - now).count())}});
-        awaitOffer(waiter, latest);
+        awaitOffer(waiter);
     }
     return finish(waiter);
 }
 
-void SlotRequester::awaitOffer(const WaiterPtr &waiter, SteadyTime latest)
+void SlotRequester::awaitOffer(const WaiterPtr &waiter)
 {
     const RunControlPtr control = waiter->want.control;
     const auto wake = [waiter] { waiter->notifier.notify(); };
     control->interrupt = wake;
     control->onCancelQueued = wake;
     while (!waiter->set.isBound() && waiter->set.count() > 0 && !control->cancelled && !control->queuedCancelled
-           && clock_.now() < latest) {
-        transport_.pause(waiter->notifier, latest - clock_.now());
+           && clock_.now() < waiter->latest) {
+        transport_.pause(waiter->notifier, waiter->latest - clock_.now());
         // To replace a refused reservation costs two messages, and another one that is left mostly gets an offer.
         if (waiter->mustReplace || waiter->set.count() == 0) {
             waiter->mustReplace = false;
-            reserveMore(waiter, latest);
+            reserveMore(waiter);
         }
     }
     control->interrupt = {};
@@ -154,17 +180,18 @@
     return planner_.plan(candidates, need, clock_.now());
 }
 
-void SlotRequester::reserveMore(const WaiterPtr &waiter, SteadyTime latest)
+void SlotRequester::reserveMore(const WaiterPtr &waiter)
 {
     const RunControl &control = *waiter->want.control;
     const auto mayReserve = [&] {
-        return !waiter->set.isBound() && !control.cancelled && !control.queuedCancelled && clock_.now() < latest;
+        return !waiter->set.isBound() && !control.cancelled && !control.queuedCancelled
+               && clock_.now() < waiter->latest;
     };
     bool hasUnreached = true;
     for (int plans = 0; hasUnreached && plans < tuning_.maxPlans && mayReserve(); ++plans) {
         hasUnreached = false;
         for (const std::string &home : plan(*waiter)) {
-            if (mayReserve() && !reserveAt(home, waiter, latest)) {
+            if (mayReserve() && !reserveAt(home, waiter)) {
                 waiter->unavailable.insert(home);
                 hasUnreached = true;
             }
@@ -172,7 +199,7 @@
     }
 }
 
-bool SlotRequester::reserveAt(const std::string &home, const WaiterPtr &waiter, SteadyTime latest)
+bool SlotRequester::reserveAt(const std::string &home, const WaiterPtr &waiter)
 {
     const SteadyTime now = clock_.now();
     const SlotWait &want = waiter->want;
@@ -183,7 +210,7 @@
     reserve.customer = want.customer;
     reserve.priority = want.priority;
     reserve.retryable = want.retryable;
-    reserve.remaining = millisOf(latest - now);
+    reserve.remaining = millisOf(waiter->latest - now);
     reserve.untilObjective = millisOf(want.need.objective - now);
     const std::optional<LinkId> link = transport_.reserve(home, reserve);
     if (!link) {
@@ -280,62 +307,72 @@
     loseAll([&home](const Pending &pending) { return pending.home == home; });
 }
 
-SlotWaitResult SlotRequester::finish(const WaiterPtr &waiter)
+void SlotRequester::dropReservations(const WaiterPtr &waiter, bool cancelled)
 {
-    waiters_.erase(waiter);
-    const RunControl &control = *waiter->want.control;
-    const bool cancelled = control.cancelled || control.queuedCancelled;
-    std::vector<HomeReservation> released = waiter->set.takeOthers();
-    const std::optional<HomeReservation> bound = waiter->set.bound();
+    std::vector<HomeReservation> dropped = waiter->set.takeOthers();
+    const std::optional<HomeReservation> &bound = waiter->set.bound();
     if (bound) {
         erasePending(bound->id);
+        if (cancelled) {
+            dropped.push_back(*bound);
+        }
     }
-    if (bound && cancelled) {
-        released.push_back(*bound);
-    }
-    for (const HomeReservation &one : released) {
+    const bool endAtHomes = !bound && clock_.now() >= waiter->latest;
+    for (const HomeReservation &one : dropped) {
         erasePending(one.id);
-        transport_.release(one.home, SlotRelease{one.id});
+        if (!endAtHomes) {
+            transport_.release(one.home, SlotRelease{one.id});
+        }
     }
+}
+
+SlotWaitResult SlotRequester::finish(const WaiterPtr &waiter)
+{
+    waiters_.erase(waiter);
+    const RunControl &control = *waiter->want.control;
+    const bool cancelled = control.cancelled || control.queuedCancelled;
+    const bool wasWaiting = waiter->set.count() > 0;
+    dropReservations(waiter, cancelled);
+    SlotWaitResult result;
+    result.made = waiter->made;
     if (cancelled) {
-        return SlotWaitResult{SlotWaitEnd::Cancelled, {}, 0, Millis(0), waiter->made};
+        result.end = SlotWaitEnd::Cancelled;
+    } else if (waiter->set.isBound()) {
+        result.end = SlotWaitEnd::Offered;
+        result.home = waiter->set.bound()->home;
+        result.reservation = waiter->set.bound()->id;
+        noteBound(*waiter);
+    } else if (wasWaiting || waiter->wasBusy) {
+        result.end = SlotWaitEnd::NoOffer;
+        result.retryAfter = retryAfter(*waiter);
+        metrics_.count("slot_not_offered");
     }
-    if (bound) {
-        return bindTo(waiter, *bound);
-    }
-    // Released reservations were still waiting at the latest useful start. Without any, every home refused.
-    if (released.empty() && !waiter->wasBusy) {
-        return SlotWaitResult{SlotWaitEnd::NotPossible, {}, 0, Millis(0), waiter->made};
-    }
-    metrics_.count("slot_not_offered");
-    return SlotWaitResult{SlotWaitEnd::NoOffer, {}, 0, retryAfter(*waiter), waiter->made};
+    return result;
 }
 
-SlotWaitResult SlotRequester::bindTo(const WaiterPtr &waiter, const HomeReservation &bound)
+void SlotRequester::noteBound(const Waiter &waiter)
 {
+    const HomeReservation bound = *waiter.set.bound();
     recentBindings_.push_back(bound.id);
     if (recentBindings_.size() > tuning_.maxRecentBindings) {
         recentBindings_.pop_front();
     }
-    const Duration waited = clock_.now() - waiter->since;
+    const Duration waited = clock_.now() - waiter.since;
     metrics_.count("slot_bound");
     metrics_.observe("slot_wait", waited);
     events_.writeRequest(Severity::Info, "slot_bound",
-                         {{"request", waiter->want.requestId},
+                         {{"request", waiter.want.requestId},
                           {"home", bound.home},
                           {"reservation", std::to_string(bound.id)},
-                          {"reservations", std::to_string(waiter->made)},
+                          {"reservations", std::to_string(waiter.made)},
                           {"waitedMs", std::to_string(millisOf(waited).count())}});
-    return SlotWaitResult{SlotWaitEnd::Offered, bound.home, bound.id, Millis(0), waiter->made};
 }
 
 Millis SlotRequester::retryAfter(const Waiter &waiter)
 {
     std::optional<Millis> shortest = waiter.reportedWait;
     for (const ReservationCandidate &one : waiter.want.candidates()) {
-        if (one.status.load) {
-            shortest = std::min(shortest.value_or(one.status.load->wait), one.status.load->wait);
-        }
+        shortest = std::min(shortest.value_or(one.status.wait), one.status.wait);
     }
     const Millis base = std::max(tuning_.minRetryAfter, shortest.value_or(Millis(0)));
     const double share = static_cast<double>(random_() % spreadSteps) / static_cast<double>(spreadSteps);
--- a/src/sidecar/ingress/SlotRequester.h
+++ b/src/sidecar/ingress/SlotRequester.h
@@ -25,6 +25,11 @@
 struct SlotRequesterTuning {
     /** Requests that may wait for an offer at the same time; a further one is sent as if there were no reservations. */
     std::size_t maxWaiting = 512;
+    /**
+     * Share of a service's known homes that must offer slots. With half of two, requests waited for the one that did,
+     * and the other one's slot was free for half of the time.
+     */
+    double minOfferingShare = 0.75;
     /** Plans made at once, because planned homes have no open link. */
     int maxPlans = 3;
     /** Shortest Retry-After of a request without an offer, before the random factor. */
@@ -103,15 +108,25 @@
 
     /** Returns true if requests of the route may wait for offers at all. */
     bool mayWait(const Route &route) const;
-    /** Returns true if a request that may wait reserves instead of being sent to its best home. */
+    /** Returns true if the best home lets a request that may wait wait for too long. */
     bool shouldReserve(const HomeChoice &best) const;
+    /**
+     * Returns true if enough of the homes offer slots. During an upgrade, a request that waits for the few that do
+     * would leave the others unused.
+     */
+    bool canReserve(const std::vector<ReservationCandidate> &candidates) const;
+    /** Returns true if a request that was sent to @p tried homes may be sent once more without an offer. */
+    bool mayBeSent(std::size_t tried) const;
+    /** Returns the homes to which a request is not sent without an offer after shouldReserve() or a refusal. */
+    std::set<std::string> homesWithoutRoom(const std::vector<ReservationCandidate> &candidates) const;
     /** Returns true if @p home is known to run a build that offers slots. */
     bool offersSlots(const std::string &home) const;
     /** Returns the queue timeout at @p best of a request that may wait for an offer and is sent without one. */
     Millis directQueueTimeout(const HomeChoice &best) const;
     /**
      * Reserves for the request and waits for the first offer, its latest useful start, or its cancellation. No
-     * reservation is left when it returns, except the one offered. @pre called from a fiber.
+     * reservation is left when it returns, except the one offered; at the latest useful start the homes end them by
+     * themselves. @pre called from a fiber.
      */
     SlotWaitResult wait(const SlotWait &want);
 
@@ -135,20 +150,22 @@
         WaiterPtr waiter;
     };
 
-    void awaitOffer(const WaiterPtr &waiter, SteadyTime latest);
+    void awaitOffer(const WaiterPtr &waiter);
     /** Returns the homes where the request may reserve next. */
     std::vector<std::string> plan(const Waiter &waiter) const;
     /** Reserves at further homes until the request holds as many reservations as it may. */
-    void reserveMore(const WaiterPtr &waiter, SteadyTime latest);
+    void reserveMore(const WaiterPtr &waiter);
     /** Returns false if the home can't be reached. */
-    bool reserveAt(const std::string &home, const WaiterPtr &waiter, SteadyTime latest);
+    bool reserveAt(const std::string &home, const WaiterPtr &waiter);
     void addPending(std::uint64_t id, Pending pending);
     void erasePending(std::uint64_t id);
     /** Removes a reservation that got no offer. @p replace: another one is made even if the request holds others. */
     void lose(std::uint64_t id, bool replace);
     void loseAll(const std::function<bool(const Pending &pending)> &isLost);
     SlotWaitResult finish(const WaiterPtr &waiter);
-    SlotWaitResult bindTo(const WaiterPtr &waiter, const HomeReservation &bound);
+    /** Removes the reservations and tells their homes, if these don't end them by themselves. */
+    void dropReservations(const WaiterPtr &waiter, bool cancelled);
+    void noteBound(const Waiter &waiter);
     Millis retryAfter(const Waiter &waiter);
 
     const Clock &clock_;
