--- a/tests/integration/ReservationTest.cpp
+++ b/tests/integration/ReservationTest.cpp
@@ -68,7 +68,9 @@
     void checkExecutions() const
     {
         std::map<std::string, int> executions = mesh.executions();
-        for (const auto &[id, status] : statuses) {
+        for (const auto &one : statuses) {
+            const std::string &id = one.first;
+            const unsigned status = one.second;
             INFO("request " << id << " status " << status);
             const bool isBooking = id.compare(0, 4, "book") == 0;
             CHECK((!isBooking || executions[id] <= 1));
