--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -47,6 +47,11 @@
     Millis queueTimeout{0};
     /** The sender has no better home and knows that the server here is likely gray. */
     bool acceptsGray = false;
+    /**
+     * The request itself waits at its sender. Its slot is held from its start on, and its work begins with
+     * SlotQueue::beginHeld().
+     */
+    bool isReservation = false;
 };
 
 enum class SlotAction {
@@ -134,6 +139,11 @@
     /** Share of requests that the server sheds: weight of the newest result, and half-life without results. */
     double shedSmoothing = 0.15;
     Millis shedHalfLife{2000};
+    /**
+     * Share of a request that a waiting reservation counts as in expected waits: its sender holds two, and only one of
+     * them gets the request.
+     */
+    double reservationWeight = 0.5;
     /** Largest number of waiting requests. It bounds memory and is far above what queue timeouts allow. */
     std::size_t maxWaiting = 256;
     GrayTuning gray;
@@ -162,7 +172,12 @@
     SlotDecision submit(const SlotRequest &request, SteadyTime now);
     /** Removes a waiting request. Returns false if it is not waiting. */
     bool cancel(std::uint64_t id);
-    /** Frees the slot of a started request. */
+    /**
+     * Records that the work of a started reservation begins now. Returns false if @p id holds no slot. Until then the
+     * held slot counts neither as work in progress nor as use by the customer.
+     */
+    bool beginHeld(std::uint64_t id, SteadyTime now);
+    /** Frees the slot of a started request or of a held slot. */
     void release(std::uint64_t id, SteadyTime now);
     /**
      * Adds the result of a finished request. @p took: how long the server worked on it. A failure much sooner than the
@@ -236,6 +251,9 @@
         Rank rank;
         SteadyTime since;
         std::string route;
+        std::string customer;
+        /** Of a reservation whose work has not begun. */
+        bool held = false;
         /** Counted as evidence against the server. */
         bool overdue = false;
     };
@@ -257,6 +275,7 @@
     /** Returns the interval between the last probe and @p request as the next one. */
     Duration probeIntervalFor(const SlotRequest &request) const;
     void start(const SlotRequest &request, double grayProbability, SteadyTime now);
+    void addCustomerUse(const Running &run, SteadyTime now);
     void noteFailure(double ratio, SteadyTime startedAt, SteadyTime now);
     /** Returns the probability that work of a healthy server still runs at this age; 1 if that is not known. */
     double survivalOf(const Running &run, SteadyTime now) const;
@@ -265,11 +284,14 @@
     /** Returns the running work whose age is evidence, in the order of its starts. */
     std::vector<UnfinishedRun> unfinishedRuns(SteadyTime now) const;
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
+    /** Returns the number of waiting requests for which @p isAhead; reservations count as @c reservationWeight. */
+    template<typename Predicate>
+    double countWaiting(Predicate isAhead) const;
     /**
      * Returns the wait behind @p ahead queued requests at the mean work time, including more urgent requests that
      * arrive meanwhile.
      */
-    Duration waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const;
+    Duration waitBehind(double ahead, const Rank &rank, SteadyTime now) const;
     /**
      * Returns true if the request will miss its objective, or its customer sends far more than usual, and more urgent
      * requests leave no slot for it before its queue timeout. Its caller is refused at once instead of at the timeout.
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -54,6 +54,20 @@
     Millis loadAge{-1};
 };
 
+/** What a node knows about a home, for a choice other than HomeRanking's own. */
+struct HomeStatus {
+    /** Last load report; nothing without one. */
+    std::optional<HomeLoad> load;
+    SteadyTime loadAt;
+    /** Expected wait for the query; without a recent report by the reports of the service's other homes. */
+    Millis wait{0};
+    /** Requests that this node has sent there since the report and that have not ended. */
+    std::int32_t sentSince = 0;
+    bool hasServer = true;
+    bool likelyGray = false;
+    bool pathFailed = false;
+};
+
 /**
  * Expected loss for each drawback of a home, in thousandths of a request's value. Waiting costs nothing while the
  * objective is safe. Traffic between zones and regions always has a cost.
@@ -147,6 +161,12 @@
     double exploresPerSecond = 200.0;
 };
 
+/**
+ * Returns the loss for the distance of a home and the bytes of a response that come from there, in thousandths of the
+ * request's value. Thread safe.
+ */
+double distanceLoss(const RankingTuning &tuning, Distance distance, double responseKilobytes);
+
 /**
  * Orders the homes of a service for one request by expected loss: distance, risk of being late, probability that the
  * server is gray, failed paths. Uses only what replies and refusals reported. Not thread safe.
@@ -166,6 +186,9 @@
      */
     HomeChoice choose(const std::vector<RankedHome> &homes, const std::set<std::string> &tried, const HomeQuery &query,
                       SteadyTime now);
+    /** Returns what is known about each of @p homes, in their order. */
+    std::vector<HomeStatus> statusOf(const std::vector<RankedHome> &homes, const HomeQuery &query,
+                                     SteadyTime now) const;
     void noteSent(const std::string &node);
     void noteDone(const std::string &node);
     /** Records a load report. @p load: as it applies to a request of @p priority. */
@@ -218,6 +241,7 @@
         double grayProbability = 0.0;
     };
 
+    HomeStatus statusOf(const RankedHome &home, const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
     Defaults defaultsFor(const std::vector<RankedHome> &homes, const HomeQuery &query, SteadyTime now) const;
     /** Returns true if the home may be tried for this request. */
     bool isCandidate(const RankedHome &home, const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
@@ -233,7 +257,6 @@
     bool happens(double probability) const;
     /** Returns true if there is no recent report, and no older one by which the server is still likely gray. */
     bool isStale(const RankedHome &home, const Defaults &defaults, SteadyTime now) const;
-    double distanceLoss(Distance distance, const HomeQuery &query) const;
     /** Returns the expected loss without delayLoss(). */
     double lossWithoutWait(const RankedHome &home, const HomeQuery &query, const Defaults &defaults,
                            SteadyTime now) const;
--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -43,15 +43,21 @@
     slot->samples(std::chrono::duration<double, std::milli>(value).count());
 }
 
-void Metrics::setGauge(const std::string &name, std::uint64_t value)
+std::uint64_t Metrics::counter(const std::string &name) const
+{
+    const auto found = counters_.find(name);
+    return found == counters_.end() ? 0 : found->second;
+}
+
+void Metrics::set(const std::string &name, double value)
 {
     gauges_[name] = value;
 }
 
-std::uint64_t Metrics::counter(const std::string &name) const
+double Metrics::gauge(const std::string &name) const
 {
-    const auto found = counters_.find(name);
-    return found == counters_.end() ? 0 : found->second;
+    const auto found = gauges_.find(name);
+    return found == gauges_.end() ? 0.0 : found->second;
 }
 
 std::string Metrics::text() const
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -150,26 +150,56 @@
     if (probe) {
         lastProbe_ = now;
     }
-    running_[request.id] = Running{probe, rankOf(request, now), now, request.route, false};
-    if (!request.customer.empty()) {
-        customerUse_.add(request.customer, expectedWorkTime(request.route), now);
+    Running &run = running_[request.id];
+    run = Running{probe, rankOf(request, now), now, request.route, request.customer, request.isReservation, false};
+    if (!run.held) {
+        addCustomerUse(run, now);
     }
 }
 
+void SlotQueue::addCustomerUse(const Running &run, SteadyTime now)
+{
+    if (!run.customer.empty()) {
+        customerUse_.add(run.customer, expectedWorkTime(run.route), now);
+    }
+}
+
+bool SlotQueue::beginHeld(std::uint64_t id, SteadyTime now)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end() || !found->second.held) {
+        return false;
+    }
+    found->second.held = false;
+    found->second.since = now;
+    addCustomerUse(found->second, now);
+    return true;
+}
+
+template<typename Predicate>
+double SlotQueue::countWaiting(Predicate isAhead) const
+{
+    double count = 0.0;
+    for (const Waiting &one : waiting_) {
+        const double weight = one.request.isReservation ? tuning_.reservationWeight : 1.0;
+        count += isAhead(one.request) ? weight : 0.0;
+    }
+    return count;
+}
+
 Duration SlotQueue::expectedWait(const SlotRequest &request, SteadyTime now) const
 {
     if (slots_ == 0) {
         return Duration::max();
     }
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
-                                     [&](const Waiting &one) { return !isMoreUrgent(request, one.request, now); });
-    return hasFreeSlot() && ahead == 0 ? Duration(0) : waitBehind(ahead, rankOf(request, now), now);
+    const double ahead = countWaiting([&](const SlotRequest &one) { return !isMoreUrgent(request, one, now); });
+    return hasFreeSlot() && ahead == 0.0 ? Duration(0) : waitBehind(ahead, rankOf(request, now), now);
 }
 
-Duration SlotQueue::waitBehind(std::ptrdiff_t ahead, const Rank &rank, SteadyTime now) const
+Duration SlotQueue::waitBehind(double ahead, const Rank &rank, SteadyTime now) const
 {
     const double slots = std::max<std::uint32_t>(1, slots_);
-    const double idleWait = secondsOf(meanWorkTime()) * static_cast<double>(ahead + 1) / slots;
+    const double idleWait = secondsOf(meanWorkTime()) * (ahead + 1.0) / slots;
     return durationOf(idleWait / (1.0 - occupancyAbove(rank, now)));
 }
 
@@ -291,7 +321,7 @@
 void SlotQueue::noteOverdueWork(SteadyTime now)
 {
     for (auto &[id, run] : running_) {
-        if (run.overdue) {
+        if (run.overdue || run.held) {
             continue;
         }
         const double survival = survivalOf(run, now);
@@ -374,9 +404,7 @@
     if (!rank.late && !rank.aboveUsual) {
         return false;
     }
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const Waiting &other) {
-        return isMoreUrgent(other.request, one.request, now);
-    });
+    const double ahead = countWaiting([&](const SlotRequest &other) { return isMoreUrgent(other, one.request, now); });
     return now + waitBehind(ahead, rank, now) > one.expiresAt;
 }
 
@@ -409,9 +437,8 @@
     load.freeSlots = std::max(0, static_cast<std::int32_t>(slots_) - inUse);
     load.queued = static_cast<std::int32_t>(waiting_.size());
     const Rank rank{false, priority, false};
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
-                                     [&](const Waiting &one) { return !(rank < rankOf(one.request, now)); });
-    if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0)) {
+    const double ahead = countWaiting([&](const SlotRequest &one) { return !(rank < rankOf(one, now)); });
+    if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0.0)) {
         load.wait = millisOf(waitBehind(ahead, rank, now));
     }
     load.grayProbability = grayProbability(now);
@@ -434,7 +461,7 @@
 {
     std::vector<UnfinishedRun> runs;
     for (const auto &[id, run] : running_) {
-        const double survival = run.overdue ? 1.0 : survivalOf(run, now);
+        const double survival = run.overdue || run.held ? 1.0 : survivalOf(run, now);
         if (survival < 1.0) {
             runs.push_back(UnfinishedRun{run.since, ratioOfSilence(std::max(survival, tuning_.overdueSurvival))});
         }
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -183,6 +183,7 @@
 void CallerHandler::setCustomer(ForwardJob &job, const Customer &customer, const Credential &credential)
 {
     job.priority = customer.priority.value_or(job.route->priority);
+    job.hasQuota = !customer.quota.isUnlimited();
     job.recheckKey = [this, credential, route = job.route, name = job.customer] {
         const std::shared_ptr<const FleetConfig> current = core_.service<ConfigSync>("config").current();
         const Admission again = admit(*current, *route, credential);
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -10,6 +10,7 @@
 #include "src/sidecar/RetryBudgetService.h"
 #include "src/sidecar/StateUpdateService.h"
 #include "src/sidecar/WorkSender.h"
+#include "src/sidecar/ingress/SlotRequester.h"
 
 #include <algorithm>
 
@@ -54,25 +55,36 @@
     HomeSearch search;
     /** Homes whose server has run the request, or may have; their number is limited by the route's maxAttempts. */
     std::set<std::string> reachedHomes;
+    /** Homes to which the request was sent, and the number of reservations made for it. */
+    std::set<std::string> triedHomes;
+    std::size_t reservationsMade = 0;
     /** The outcome of an attempt could not be queried, and no retry has been considered since. */
     bool hasLostAttempt = false;
     /** A retry was allowed but no home accepted it. */
     bool noOtherHome = false;
     /** This node is stopping: queued attempts are cancelled and no further home is tried. */
     bool queuedCancelled = false;
+    /** An attempt waits for a slot; a hedge would find none either. */
+    bool waitsForSlot = false;
     bool finished = false;
 };
 
 Forwarder::Forwarder(NodeCore &core, LocalHome &home, WorkSender &sender, RetryBudgetService &retryBudgets,
-                     PathMonitor &paths)
+                     PathMonitor &paths, SlotRequester &slots)
     : core_(core)
     , home_(home)
     , sender_(sender)
     , retryBudgets_(retryBudgets)
     , paths_(paths)
+    , slots_(slots)
     , ranking_([&core] { return core.random(); })
 {
-    paths_.setHooks(PathMonitor::Hooks{[this](const std::string &node) { ranking_.notePathFailure(node); },
+    slots_.setOfferListener(
+        [this](const std::string &node, const SlotOffer &offer, int priority) { noteOffer(node, offer, priority); });
+    paths_.setHooks(PathMonitor::Hooks{[this](const std::string &node) {
+                                           ranking_.notePathFailure(node);
+                                           slots_.homeLost(node);
+                                       },
                                        [this](const std::string &node) { ranking_.notePathRecovered(node); }});
 }
 
@@ -204,6 +216,9 @@
     const ForwardJob &job = run->job;
     attempt->reply.outcome = Outcome::NotRun;
     attempt->reply.reason = "no-sound-home";
+    // A hedge is useful only where a slot is free now. A request that counts against a quota would run later than it
+    // was counted, and too many of them within one window of the quota.
+    bool canReserve = kind != AttemptKind::Hedge && !job.hasQuota && slots_.mayWait(*job.route);
     while (!attempt->control->cancelled && !run->finished && run->search.canContinue()) {
         const SteadyTime now = core_.clock.now();
         if (const std::string problem = keyProblem(*run); !problem.empty()) {
@@ -215,11 +230,25 @@
             return;
         }
         HomeChoice choice = ranking_.choose(homesOf(job.service), run->search.excluded(), homeQueryOf(*run), now);
-        if (choice.node.empty() || now + minTimeLeft >= job.deadline) {
+        if (now + minTimeLeft >= job.deadline) {
+            return;
+        }
+        std::uint64_t reservation = 0;
+        if (canReserve && shouldReserve(*run, choice)) {
+            const SlotWaitEnd end = awaitSlot(run, attempt, choice, reservation);
+            if (end == SlotWaitEnd::NoOffer) {
+                return;
+            }
+            if (end == SlotWaitEnd::Cancelled) {
+                continue;
+            }
+            canReserve = end == SlotWaitEnd::Offered;
+        }
+        if (choice.node.empty() || (kind == AttemptKind::Hedge && isHedgeUseless(*run, choice))) {
             return;
         }
         const bool loadIsFresh = choice.loadAge >= Millis(0) && choice.loadAge <= maxFreshLoadAge;
-        if (choice.missesDeadline && loadIsFresh) {
+        if (reservation == 0 && choice.missesDeadline && loadIsFresh) {
             // Every home would queue the request beyond its deadline. Refusing it now lets the caller retry sooner.
             attempt->reply.reason = "no-room";
             attempt->reply.load.wait = choice.wait;
@@ -227,14 +256,106 @@
         }
         if (kind == AttemptKind::Hedge) {
             choice.queueTimeout = Millis(0);
+        } else if (canReserve) {
+            choice.queueTimeout = slots_.directQueueTimeout(choice);
         }
-        if (sendToHome(run, attempt, choice)) {
+        if (sendToHome(run, attempt, choice, reservation)) {
             return;
         }
     }
 }
 
-bool Forwarder::sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice)
+bool Forwarder::shouldReserve(const Run &run, HomeChoice &choice)
+{
+    if (!slots_.shouldReserve(choice) && run.triedHomes.empty()) {
+        return false;
+    }
+    const std::vector<ReservationCandidate> candidates = reservationCandidates(run);
+    if (!slots_.canReserve(candidates)) {
+        return false;
+    }
+    std::set<std::string> excluded = slots_.homesWithoutRoom(candidates);
+    excluded.insert(run.search.excluded().begin(), run.search.excluded().end());
+    excluded.insert(run.triedHomes.begin(), run.triedHomes.end());
+    const HomeChoice other = ranking_.choose(homesOf(run.job.service), excluded, homeQueryOf(run), core_.clock.now());
+    if (other.node.empty() || !slots_.mayBeSent(run.triedHomes.size())) {
+        return true;
+    }
+    choice = other;
+    return false;
+}
+
+bool Forwarder::isHedgeUseless(const Run &run, const HomeChoice &choice) const
+{
+    return !run.job.hasQuota && slots_.mayWait(*run.job.route) && slots_.offersSlots(choice.node)
+           && slots_.shouldReserve(choice);
+}
+
+std::vector<ReservationCandidate> Forwarder::reservationCandidates(const Run &run) const
+{
+    const std::vector<RankedHome> homes = homesOf(run.job.service);
+    const std::vector<HomeStatus> statuses = ranking_.statusOf(homes, homeQueryOf(run), core_.clock.now());
+    std::vector<ReservationCandidate> candidates;
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        if (run.reachedHomes.count(homes[i].node) == 0) {
+            candidates.push_back(ReservationCandidate{homes[i].node, homes[i].distance, statuses[i]});
+        }
+    }
+    return candidates;
+}
+
+SlotWaitEnd Forwarder::awaitSlot(const RunPtr &run, const AttemptPtr &attempt, HomeChoice &choice,
+                                 std::uint64_t &reservation)
+{
+    const ForwardJob &job = run->job;
+    SlotWait want;
+    want.requestId = job.requestId;
+    want.service = job.service;
+    want.route = job.route->name;
+    want.customer = job.customer;
+    want.priority = static_cast<std::uint8_t>(priorityOf(*run));
+    want.retryable = canRetry(*run);
+    want.need.objective = run->objective;
+    want.need.deadline = job.deadline;
+    want.need.workTime = millisOf(stats_.expectedWorkTime(*job.route));
+    want.need.responseKilobytes = stats_.responseKilobytes(job.route->name);
+    want.need.tried = run->triedHomes;
+    want.need.made = run->reservationsMade;
+    want.until = latestStart(*run);
+    want.candidates = [this, run] { return reservationCandidates(*run); };
+    want.control = attempt->control;
+    run->waitsForSlot = true;
+    const SlotWaitResult result = slots_.wait(want);
+    run->waitsForSlot = false;
+    run->reservationsMade += result.made;
+    run->notifier.notify();
+    if (result.end == SlotWaitEnd::NoOffer) {
+        attempt->reply.outcome = Outcome::NotRun;
+        attempt->reply.reason = "no-slot";
+        attempt->reply.load.wait = result.retryAfter;
+    } else if (result.end == SlotWaitEnd::Offered && result.home != choice.node) {
+        choice.node = result.home;
+        choice.acceptsGray = false;
+        for (const RankedHome &home : homesOf(job.service)) {
+            choice.distance = home.node == result.home ? home.distance : choice.distance;
+        }
+    }
+    reservation = result.reservation;
+    return result.end;
+}
+
+void Forwarder::noteOffer(const std::string &home, const SlotOffer &offer, int priority)
+{
+    const SteadyTime now = core_.clock.now();
+    ranking_.noteLoad(home, offer.load, priority, now);
+    if (offer.reason == refusalReasonName(RefusalReason::NoServer) || offer.reason == "stopping"
+        || offer.reason == "other-service") {
+        ranking_.noteNoServer(home, now);
+    }
+}
+
+bool Forwarder::sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice,
+                           std::uint64_t reservation)
 {
     const ForwardJob &job = run->job;
     const SteadyTime now = core_.clock.now();
@@ -253,11 +374,13 @@
     work.request = job.request;
     work.keyChecked = true;
     const std::size_t requestBytes = job.request.body.size();
+    work.reservation = reservation;
     attempt->home = choice.node;
     ranking_.noteSent(choice.node);
     // Recorded before the send, so that a concurrent attempt does not use the same server.
     run->reachedHomes.insert(choice.node);
     run->search.noteSent(choice.node);
+    run->triedHomes.insert(choice.node);
     SendResult result;
     if (choice.node == core_.self.id) {
         result.reply = home_.run(WorkKey{core_.self, nextLocalWork_++}, work, attempt->control);
@@ -417,7 +540,8 @@
     bool hasLastReply = false;
     while (true) {
         const SteadyTime now = core_.clock.now();
-        const SteadyTime hedgeAt = retryable && !hedged ? stats_.hedgeTime(*job.route, job.arrived) : SteadyTime::max();
+        const bool mayHedge = retryable && !hedged && !run->waitsForSlot;
+        const SteadyTime hedgeAt = mayHedge ? stats_.hedgeTime(*job.route, job.arrived) : SteadyTime::max();
         const std::size_t ended = static_cast<std::size_t>(std::count_if(
             run->attempts.begin(), run->attempts.end(), [](const AttemptPtr &one) { return one->ended; }));
         const SteadyTime cancelQueuedAt = run->queuedCancelled ? SteadyTime::max() : latestStart(*run);
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -20,6 +20,7 @@
 #include "src/sidecar/RegistrySync.h"
 #include "src/sidecar/RetryBudgetService.h"
 #include "src/sidecar/SidecarTuning.h"
+#include "src/sidecar/SlotMessenger.h"
 #include "src/sidecar/StateUpdateService.h"
 #include "src/sidecar/WorkSender.h"
 
@@ -78,7 +79,8 @@
         , registry(core)
         , updates(core)
         , retryBudgets(core, tuning.retry)
-        , forwarder(core, home, sender, retryBudgets, paths)
+        , slots(core, home, tuning.reservations)
+        , forwarder(core, home, sender, retryBudgets, paths, slots.requester())
         , quotas(core, paths, tuning.quota)
         , callerHandler(core, tuning.keyAdmission)
     { }
@@ -119,6 +121,7 @@
     RegistrySync registry;
     StateUpdateService updates;
     RetryBudgetService retryBudgets;
+    SlotMessenger slots;
     Forwarder forwarder;
     QuotaService quotas;
     CallerHandler callerHandler;
@@ -162,6 +165,7 @@
     hooks.onLinkClosed = [this](LinkId link) {
         linkDelays.erase(link);
         sender.linkClosed(link);
+        slots.linkClosed(link);
         updates.linkClosed(link);
         const auto lost = outgoingLinks.find(link);
         if (lost != outgoingLinks.end()) {
@@ -233,6 +237,7 @@
                     [this](const HttpRequest &, const CallerWatchPtr &) {
                         HttpResponse text;
                         text.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+                        slots.requester().updateGauges();
                         text.body = core.metrics.text();
                         return HttpReply{std::move(text), AfterResponse::KeepOpen};
                     })
@@ -285,6 +290,13 @@
         quotas.handle(link, *loanRequest);
     } else if (const auto *loanReply = std::get_if<QuotaLoanReply>(&message)) {
         quotas.handleReply(*loanReply);
+    } else if (const auto *reserve = std::get_if<SlotReserve>(&message)) {
+        const Duration helloAge = peers->helloAge(link).value_or(Duration(0));
+        slots.handle(link, from, *reserve, linkDelays[link].excessDelay(helloAge, reserve->helloAge));
+    } else if (const auto *offer = std::get_if<SlotOffer>(&message)) {
+        slots.handle(from, *offer);
+    } else if (const auto *release = std::get_if<SlotRelease>(&message)) {
+        slots.handle(from, *release);
     } else if (const auto *suspicion = std::get_if<PathSuspicion>(&message)) {
         paths.handle(*suspicion);
     } else if (const auto *request = std::get_if<StateUpdateRequest>(&message)) {
@@ -377,7 +389,7 @@
         core.metrics.count("slow_readers_closed");
         write("slow_reader_closed", reader, reason);
     };
-    hooks.onHeld = [this](std::uint64_t bytes) { core.metrics.setGauge("held_bytes", bytes); };
+    hooks.onHeld = [this](std::uint64_t bytes) { core.metrics.set("held_bytes", static_cast<double>(bytes)); };
     flow = std::make_shared<ResponseFlow>(settings, core.clock, std::move(hooks));
     callerServer->setFlow(flow);
     callerHandler.setFlow(flow);
@@ -477,6 +489,7 @@
     if (tuning.flow) {
         impl->enableFlow(*tuning.flow);
     }
+    impl->slots.start();
     impl->home.start();
     impl->config.start();
     impl->registry.start();
--- a/src/sidecar/SidecarTuning.cpp
+++ b/src/sidecar/SidecarTuning.cpp
@@ -25,6 +25,7 @@
     if (platform::mayReadSlowly(settings.contracts)) {
         tuning.flow = settings.flow;
     }
+    tuning.reservations.minObjective = settings.waiting.minObjective;
     if (settings.bounds.empty()) {
         return tuning;
     }
--- a/src/sidecar/SidecarTuning.h
+++ b/src/sidecar/SidecarTuning.h
@@ -4,13 +4,14 @@
 #include "include/customer/QuotaCounter.h"
 #include "include/fleet/WatchElection.h"
 #include "include/limit/FleetRetryBudget.h"
+#include "include/schedule/ReservationPlanner.h"
 #include "include/settings/NodeSettings.h"
 
 #include <optional>
 
 namespace waxwing {
 
-/** Parameters of a node's services that follow from the platform's bounds. */
+/** Parameters of a node's services that follow from the settings and the platform's bounds. */
 struct SidecarTuning {
     /** Longest time from SIGTERM to the end of the process. */
     Millis stopGrace{0};
@@ -20,6 +21,7 @@
     QuotaTuning quota;
     /** Bounds on what is buffered for slow readers; nothing if callers and servers don't read slowly. */
     std::optional<FlowSettings> flow;
+    ReservationTuning reservations;
 };
 
 /**
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -194,6 +194,7 @@
         ("announced-port", po::value<std::uint16_t>()->default_value(0), "port to announce; 0: the one served on")
         ("slots", po::value<std::uint32_t>()->default_value(3), "requests that run at once")
         ("work-ms", po::value<int>()->default_value(20), "time that a request takes")
+        ("slots", po::value<std::uint32_t>()->default_value(3), "requests that run at the same time")
         ("port", po::value<std::uint16_t>()->required(), "port to serve on");
     // clang-format on
     return standin::runStandin(
@@ -207,6 +208,7 @@
             parsed.announcedPort = values["announced-port"].as<std::uint16_t>();
             parsed.slots = values["slots"].as<std::uint32_t>();
             parsed.work = Millis(values["work-ms"].as<int>());
+            parsed.slots = values["slots"].as<std::uint32_t>();
             if (!findings.empty()) {
                 std::cerr << findings.text();
                 return 2;
