--- a/include/fleet/WatchElection.h
+++ b/include/fleet/WatchElection.h
@@ -26,12 +26,26 @@
     std::size_t watchers = 2;
     /** Time within which others must confirm a follower's state. */
     Millis standInAfter{1500};
+    /**
+     * Only so many nodes of a region become stand-ins at that time. The next ones follow after laterStandIns, and after
+     * each standInGrowth twice as many in total: what the first ones read from the store reaches the others meanwhile.
+     * A large document read by all at once takes seconds on the path to the store.
+     */
+    std::size_t firstStandIns = 4;
+    Millis laterStandIns{800};
+    Millis standInGrowth{150};
     /** Minimum time as a stand-in, so that slow responses do not make a node switch roles all the time. */
     Millis standInFor{3000};
     /** A watcher that the store does not respond to is excluded until the store responds, or for this long. */
     Millis excludedFor = std::chrono::seconds(20);
 };
 
+/**
+ * Returns the time after standInAfter at which the node that comes after @p rank others becomes a stand-in. Thread
+ * safe.
+ */
+Millis standInDelay(const WatchElectionTuning &tuning, std::size_t rank);
+
 /**
  * Decides which nodes of a region watch the store, so that the number of calls to the store does not grow with the
  * region. No messages are exchanged: each node ranks the nodes that it can reach by a hash of their names, and the
@@ -59,6 +73,8 @@
     bool elected_ = true;
     /** Elected only because higher-ranked nodes are excluded. */
     bool isReplacement_ = false;
+    /** Number of nodes that are to become stand-ins before this one. */
+    std::size_t standInRank_ = 0;
     SteadyTime standInUntil_;
 };
 
--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -20,6 +20,18 @@
     return "watcher";
 }
 
+Millis standInDelay(const WatchElectionTuning &tuning, std::size_t rank)
+{
+    if (rank < tuning.firstStandIns) {
+        return Millis(0);
+    }
+    Millis delay = tuning.laterStandIns;
+    for (std::size_t groups = rank / tuning.firstStandIns; groups > 1; groups /= 2) {
+        delay += tuning.standInGrowth;
+    }
+    return delay;
+}
+
 WatchElection::WatchElection(std::string self, WatchElectionTuning tuning)
     : self_(std::move(self))
     , tuning_(tuning)
@@ -41,6 +53,9 @@
         }
     }
     const std::pair<std::uint64_t, std::string> self = ranked.front();
+    const auto ahead = static_cast<std::size_t>(
+        std::count_if(ranked.begin(), ranked.end(), [&](const auto &node) { return node < self; }));
+    standInRank_ = ahead - std::min(ahead, tuning_.watchers);
     const std::size_t elected = std::min(tuning_.watchers, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(elected), ranked.end());
     elected_ = false;
@@ -66,7 +81,7 @@
 
 WatchRole WatchElection::role(std::optional<Duration> age, SteadyTime now)
 {
-    const bool stale = !age || *age > tuning_.standInAfter;
+    const bool stale = !age || *age > tuning_.standInAfter + standInDelay(tuning_, standInRank_);
     // In an outage of the store each node excludes all others and elects itself. Replacements become stand-ins once
     // their state is stale, since stand-ins call the store less often.
     if (elected_ && !(isReplacement_ && stale)) {
--- a/tests/unit/WatchElectionTest.cpp
+++ b/tests/unit/WatchElectionTest.cpp
@@ -192,3 +192,27 @@
     }
     CHECK(watching == watchers);
 }
+
+// Guards against a region whose nodes all read a large document from the store at once when their watchers hang.
+TEST_CASE_FIXTURE(RegionOfNodes,
+                  "watch election, region without confirmation, a few nodes become stand-ins before the rest")
+{
+    start(30);
+    const WatchElectionTuning tuning;
+    const auto standInsAt = [&](Duration age) {
+        std::size_t standIns = 0;
+        for (const std::string &node : nodes_) {
+            WatchElection election(node);
+            election.setReachable(allBut(node), at(0));
+            standIns += election.role(age, at(0)) == WatchRole::StandIn ? 1 : 0;
+        }
+        return standIns;
+    };
+    CHECK(standInsAt(tuning.standInAfter) == 0);
+    CHECK(standInsAt(tuning.standInAfter + Millis(1)) == tuning.firstStandIns);
+    const Duration later = tuning.standInAfter + tuning.laterStandIns;
+    CHECK(standInsAt(later) == tuning.firstStandIns);
+    CHECK(standInsAt(later + Millis(1)) == 2 * tuning.firstStandIns);
+    CHECK(standInsAt(later + tuning.standInGrowth + Millis(1)) == 4 * tuning.firstStandIns);
+    CHECK(standInsAt(later + 2 * tuning.standInGrowth + Millis(1)) == nodes_.size() - watchers);
+}
