--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -287,6 +287,8 @@
     KnownVersions versions;
     bool wantsConfig = false;
     bool wantsRegistry = false;
+    /** The sender understands StateUpdate::deflatedConfig. False from an older build. */
+    bool acceptsDeflated = false;
 };
 
 /** Replies to a StateUpdateRequest, or announces a new configuration. State that is not sent is empty. */
@@ -298,6 +300,8 @@
     std::vector<RegistryEntry> registry;
     /** Time since the sender's configuration was proven to be the newest; nothing if it never was. */
     std::optional<Millis> provenAge;
+    /** The configuration as of deflateDocument(), instead of @c config; only if the request accepts it. */
+    std::string deflatedConfig;
 };
 
 /** Reports requests of customers to the node that counts them in this region, and asks for grants. */
--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/ConfigSync.cpp
@@ -51,11 +51,19 @@
     hooks_.push_back(std::move(hook));
 }
 
+void ConfigSync::onStoreDocument(DocumentHook hook)
+{
+    storeDocumentHook_ = std::move(hook);
+}
+
 void ConfigSync::handleChanges(const ObjectChanges &changes)
 {
     for (const StoredObject &object : changes.objects) {
         if (object.name == platform::names::configName && !object.deleted) {
-            applyDocument(object.value, "store revision " + std::to_string(object.version));
+            const std::string source = "store revision " + std::to_string(object.version);
+            if (!storeDocumentHook_ || !storeDocumentHook_(object.value, source)) {
+                applyDocument(object.value, source);
+            }
         }
     }
 }
--- a/src/sidecar/ConfigSync.h
+++ b/src/sidecar/ConfigSync.h
@@ -24,6 +24,7 @@
 {
 public:
     using ChangeHook = std::function<void(const FleetConfig &)>;
+    using DocumentHook = std::function<bool(const std::string &document, const std::string &source)>;
 
     /** @pre "region-watch" is in the kernel before start(). */
     ConfigSync(NodeCore &core, const KeyAdmissionTuning &keyAdmission);
@@ -34,6 +35,11 @@
     void start();
     /** Adds a hook that is called after each change. Register before start(). */
     void onChange(ChangeHook hook);
+    /**
+     * Sets a hook that gets each document read from the store. It may suspend the fiber, and returns true if it has
+     * applied the document itself.
+     */
+    void onStoreDocument(DocumentHook hook);
     /**
      * Applies the document if it is valid and its version is higher. Logs the faults of an invalid one. @p source:
      * where it came from, for the log.
@@ -68,6 +74,7 @@
     bool hasRefusedNewer_ = false;
     std::shared_ptr<const FleetConfig> current_;
     std::vector<ChangeHook> hooks_;
+    DocumentHook storeDocumentHook_;
     std::unique_ptr<StoreWatch> watch_;
 };
 
--- a/src/sidecar/RegionWatch.cpp
+++ b/src/sidecar/RegionWatch.cpp
@@ -1,9 +1,12 @@
 #include "src/sidecar/RegionWatch.h"
 
+#include "include/base/Ids.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/RegistrySync.h"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
 
 namespace waxwing {
 
@@ -40,13 +43,54 @@
             watcherEndpoints_.push_back(entry->links);
         }
     }
+    rankDelivery(std::move(reachable));
+}
+
+void RegionWatch::rankDelivery(std::vector<std::string> nodes)
+{
+    std::set<std::string> watchers(election_.otherWatchers().begin(), election_.otherWatchers().end());
+    if (role_ == WatchRole::Watcher) {
+        watchers.insert(core_.self.id);
+    }
+    nodes.push_back(core_.self.id);
+    std::vector<std::tuple<bool, std::uint64_t, std::string>> ranked;
+    ranked.reserve(nodes.size());
+    for (std::string &node : nodes) {
+        const bool isWatcher = watchers.count(node) > 0;
+        const std::uint64_t hash = stableHash(node);
+        ranked.emplace_back(!isWatcher, hash, std::move(node));
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> order;
+    order.reserve(ranked.size());
+    for (auto &[isNoRoot, hash, node] : ranked) {
+        order.push_back(std::move(node));
+    }
+    deliveryPlace_ = waxwing::deliveryPlace(order, watchers.size(), core_.self.id);
+}
+
+void RegionWatch::setDeliveryCheck(std::function<bool()> check)
+{
+    deliveryCheck_ = std::move(check);
+}
+
+const DeliveryPlace &RegionWatch::deliveryPlace() const
+{
+    return deliveryPlace_;
+}
+
+bool RegionWatch::isInRegion(const std::string &node) const
+{
+    const RegistryEntryPtr entry = core_.service<RegistrySync>("registry").registry().find(node);
+    return entry && entry->region == core_.settings.region;
 }
 
 WatchRole RegionWatch::updateRole(std::optional<Duration> age)
 {
     refresh();
     const WatchRole before = role_;
-    role_ = election_.role(age, core_.clock.now());
+    const bool isExpected = age && deliveryCheck_ && deliveryCheck_();
+    role_ = election_.role(isExpected ? Duration(0) : age, core_.clock.now());
     if (role_ != before) {
         const std::string ageMs = age ? std::to_string(millisOf(*age).count()) : "";
         core_.metrics.count(std::string("watch_role_") + watchRoleName(role_));
--- a/src/sidecar/RegionWatch.h
+++ b/src/sidecar/RegionWatch.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "include/fleet/ConfigFetch.h"
 #include "include/fleet/WatchElection.h"
 #include "src/link/PeerHub.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +23,15 @@
     RegionWatch(NodeCore &core, WatchElectionTuning tuning);
     /** Updates the role. @p age: that of the configuration held. @pre "peers" and "registry" are in the kernel. */
     WatchRole updateRole(std::optional<Duration> age);
+    /**
+     * Sets a check whether a newer configuration is expected from peers in time. While it returns true, a follower
+     * whose state is not confirmed does not become a stand-in, which would read the same document from the store.
+     */
+    void setDeliveryCheck(std::function<bool()> check);
+    /** Returns this node's place in the delivery of a document in its region, as of the last election. */
+    const DeliveryPlace &deliveryPlace() const;
+    /** Returns true if @p node is in this node's region. */
+    bool isInRegion(const std::string &node) const;
     /** Records whether the store is @p reachable for @p node. */
     void noteStoreReachable(const std::string &node, bool reachable);
     /** Returns the role of the last update. */
@@ -32,11 +43,14 @@
 
 private:
     void refresh();
+    void rankDelivery(std::vector<std::string> nodes);
 
     NodeCore &core_;
     WatchElection election_;
     WatchRole role_ = WatchRole::Watcher;
     SteadyTime refreshedAt_;
+    std::function<bool()> deliveryCheck_;
+    DeliveryPlace deliveryPlace_;
     /** Link endpoints of this region's other watchers. */
     std::vector<Endpoint> watcherEndpoints_;
 };
--- a/src/sidecar/StateUpdateService.cpp
+++ b/src/sidecar/StateUpdateService.cpp
@@ -14,11 +14,6 @@
 
 namespace {
 
-constexpr Millis checkInterval{100};
-/** Time for the watch to report a version that another node already holds; then the store is polled. */
-constexpr Millis storeNotifyTimeout{300};
-/** Minimum interval, so that a version that this node rejects does not cause continuous calls to the store. */
-constexpr Millis storePollInterval{700};
 /** Time for the store to answer a node that has just started. */
 constexpr Millis storeStartTimeout{1000};
 /** A large configuration takes seconds over a narrow link; a copy from a second node would only delay the first. */
@@ -28,20 +23,18 @@
 /** A follower checks earlier, so that a reply arrives before it has to call the store itself as a stand-in. */
 constexpr Millis followerVersionRequestAge{900};
 constexpr Millis versionRequestInterval{400};
-/**
- * A larger document is announced but not sent: nodes read it from the store, and it does not block a watcher's links.
- */
-constexpr std::size_t maxPushedConfigBytes = 16UL * 1024;
 
 } // namespace
 
 StateUpdateService::StateUpdateService(NodeCore &core)
     : core_(core)
+    , distribution_(core, [this](LinkId link) { return sendRequest(link, true, isStoreUnreachable()); })
 { }
 
 void StateUpdateService::start()
 {
     startedAt_ = core_.clock.now();
+    distribution_.start();
     spawnFiber([this] { run(); });
 }
 
@@ -49,7 +42,9 @@
 {
     ConfigSync &config = core_.service<ConfigSync>("config");
     KnownVersions own{config.version(), core_.service<RegistrySync>("registry").registry().revision()};
-    if (const std::optional<Duration> age = config.freshness().age(core_.clock.now())) {
+    const std::optional<Duration> age = config.freshness().age(core_.clock.now());
+    // While a newer document waits to be decoded, the version in force is known not to be the newest.
+    if (age && !distribution_.holdsNewer()) {
         own.configAge = std::min(KnownVersions::maxConfigAge, std::chrono::ceil<Millis>(*age));
     }
     own.isStoreReachable = config.isStoreReachable();
@@ -73,9 +68,10 @@
     if (configRequestedOn_ == link) {
         configRequestedOn_.reset();
     }
-    if (newerConfig_ && newerConfig_->link == link) {
-        newerConfig_.reset();
+    if (configHolder_ == link) {
+        configHolder_.reset();
     }
+    distribution_.linkClosed(link);
 }
 
 void StateUpdateService::noteVersions(LinkId link, const KnownVersions &peerVersions)
@@ -89,8 +85,12 @@
     }
     if (const std::optional<NodeRef> peer = core_.service<PeerHub>("peers").peerOn(link)) {
         core_.service<RegionWatch>("region-watch").noteStoreReachable(peer->id, peerVersions.isStoreReachable);
+        distribution_.noteHolder(link, *peer, peerVersions.config, false);
     }
-    noteNewerVersions(link, peerVersions);
+    if (config.version() == 0 && peerVersions.config > 0) {
+        configHolder_ = link;
+    }
+    noteNewerRegistry(link, peerVersions);
 }
 
 bool StateUpdateService::isFollower() const
@@ -100,22 +100,7 @@
 
 void StateUpdateService::configChanged()
 {
-    RegionWatch &region = core_.service<RegionWatch>("region-watch");
-    if (region.role() != WatchRole::Watcher) {
-        return;
-    }
-    StateUpdate update;
-    update.versions = versions();
-    const std::string &document = core_.service<ConfigSync>("config").current()->source;
-    if (document.size() <= maxPushedConfigBytes) {
-        update.config = document;
-    }
-    std::size_t notified = 0;
-    for (const LinkId link : region.regionLinks()) {
-        notified += core_.service<PeerHub>("peers").reply(link, update) ? 1 : 0;
-    }
-    core_.events.write(Severity::Info, "region_told",
-                       {{"version", std::to_string(update.versions.config)}, {"nodes", std::to_string(notified)}});
+    distribution_.configChanged();
 }
 
 void StateUpdateService::confirmFreshness(const KnownVersions &peerVersions, SteadyTime sentAt)
@@ -126,13 +111,9 @@
     }
 }
 
-void StateUpdateService::noteNewerVersions(LinkId link, const KnownVersions &peerVersions)
+void StateUpdateService::noteNewerRegistry(LinkId link, const KnownVersions &peerVersions)
 {
-    const std::uint64_t held = core_.service<ConfigSync>("config").version();
     const SteadyTime now = core_.clock.now();
-    if (peerVersions.config > held && (!newerConfig_ || peerVersions.config > newerConfig_->version)) {
-        newerConfig_ = NewerVersion{link, peerVersions.config, newerConfig_ ? newerConfig_->since : now};
-    }
     const bool newerRegistry = peerVersions.registry > core_.service<RegistrySync>("registry").registry().revision();
     if (newerRegistry && isStoreUnreachable() && now - lastRequestAt_ >= versionRequestInterval) {
         sendRequest(link, false, true);
@@ -142,8 +123,9 @@
 void StateUpdateService::run()
 {
     while (!core_.stopping) {
-        sleepFor(core_.ioContext, checkInterval);
         sendRequestIfNeeded();
+        const SteadyTime next = distribution_.update();
+        sleepFor(core_.ioContext, next - core_.clock.now());
     }
 }
 
@@ -151,14 +133,7 @@
 {
     ConfigSync &config = core_.service<ConfigSync>("config");
     const SteadyTime now = core_.clock.now();
-    if (newerConfig_ && newerConfig_->version <= config.version()) {
-        newerConfig_.reset();
-    }
-    if (newerConfig_ && now - newerConfig_->since >= storeNotifyTimeout && now - storePolledAt_ >= storePollInterval) {
-        storePolledAt_ = now;
-        config.requestPoll();
-    }
-    const std::optional<LinkId> source = configRequestLink();
+    const std::optional<LinkId> source = firstConfigRequestLink();
     if (source && (!configRequestedOn_ || now >= configRequestDeadline_)) {
         configRequestedOn_ = source;
         configRequestDeadline_ = now + configRequestTimeout;
@@ -181,17 +156,18 @@
     return watcher && pendingRequests_.count(*watcher) == 0 ? watcher : randomLink();
 }
 
-std::optional<LinkId> StateUpdateService::configRequestLink()
+std::optional<LinkId> StateUpdateService::firstConfigRequestLink()
 {
     ConfigSync &config = core_.service<ConfigSync>("config");
-    const SteadyTime now = core_.clock.now();
-    if (newerConfig_) {
-        const bool storeFails = config.freshness().hasFailedSince(newerConfig_->since) || !config.isStoreReachable();
-        return storeFails ? std::optional<LinkId>(newerConfig_->link) : std::nullopt;
+    if (config.version() != 0) {
+        return std::nullopt;
     }
-    const bool storeIsLate = !config.isStoreReachable() && now - startedAt_ >= storeStartTimeout;
     const bool storeFailed = config.freshness().hasFailedSince(startedAt_);
-    return config.version() == 0 && (storeIsLate || storeFailed) ? randomLink() : std::nullopt;
+    if (configHolder_) {
+        return storeFailed || !config.isStoreReachable() ? configHolder_ : std::nullopt;
+    }
+    const bool storeIsLate = !config.isStoreReachable() && core_.clock.now() - startedAt_ >= storeStartTimeout;
+    return storeIsLate || storeFailed ? randomLink() : std::nullopt;
 }
 
 std::optional<LinkId> StateUpdateService::randomLink()
@@ -202,12 +178,14 @@
     return *std::next(links_.begin(), static_cast<std::ptrdiff_t>(core_.random() % links_.size()));
 }
 
-void StateUpdateService::sendRequest(LinkId link, bool wantsConfig, bool wantsRegistry)
+std::uint64_t StateUpdateService::sendRequest(LinkId link, bool wantsConfig, bool wantsRegistry)
 {
     lastRequestAt_ = core_.clock.now();
     const std::uint64_t id = nextRequestId_++;
     pendingRequests_.emplace(link, PendingRequest{id, lastRequestAt_});
-    core_.service<PeerHub>("peers").reply(link, StateUpdateRequest{id, versions(), wantsConfig, wantsRegistry});
+    core_.service<PeerHub>("peers").reply(link,
+                                          StateUpdateRequest{id, versions(), wantsConfig, wantsRegistry, wantsConfig});
+    return id;
 }
 
 void StateUpdateService::handleRequest(LinkId link, const StateUpdateRequest &request)
@@ -219,8 +197,9 @@
     if (const std::optional<Duration> age = core_.service<ConfigSync>("config").provenAge()) {
         update.provenAge = std::chrono::ceil<Millis>(*age);
     }
-    if (request.wantsConfig && update.versions.config > request.versions.config) {
-        update.config = core_.service<ConfigSync>("config").current()->source;
+    const std::optional<NodeRef> peer = core_.service<PeerHub>("peers").peerOn(link);
+    if (request.wantsConfig && peer) {
+        distribution_.addDocument(*peer, request, update);
     }
     if (request.wantsRegistry && update.versions.registry > request.versions.registry) {
         for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
@@ -236,9 +215,7 @@
     if (configRequestedOn_ == link) {
         configRequestedOn_.reset();
     }
-    if (!update.config.empty() && update.versions.config > config.version()) {
-        config.applyDocument(update.config, from.id);
-    }
+    distribution_.handleUpdate(link, from, update);
     core_.service<RegistrySync>("registry").applyPeerList(update.registry, update.versions.registry);
     const auto pending = pendingRequests_.find(link);
     // A reply to a later request confirms at least as much as one to the oldest request.
@@ -250,7 +227,7 @@
         pendingRequests_.erase(pending);
     }
     core_.service<RegionWatch>("region-watch").noteStoreReachable(from.id, update.versions.isStoreReachable);
-    noteNewerVersions(link, update.versions);
+    noteNewerRegistry(link, update.versions);
 }
 
 } // namespace waxwing
--- a/src/sidecar/StateUpdateService.h
+++ b/src/sidecar/StateUpdateService.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/wire/Messages.h"
 #include "src/link/PeerHub.h"
+#include "src/sidecar/ConfigDistribution.h"
 
 #include <map>
 #include <optional>
@@ -16,8 +17,8 @@
  * Lets nodes obtain the configuration and the registry from each other if the store has not delivered them. Every
  * message about work carries the versions that its sender holds and the time since its configuration was known to be
  * the newest. If the receiver holds the same configuration, the message confirms it. If the receiver's version is
- * lower, it polls the store, and requests the configuration from the sender if the store does not respond. The registry
- * is requested only while the store does not respond. A node that cannot reach the store, or whose watch receives
+ * lower, it obtains the newer one as ConfigDistribution describes. The registry is requested only while the store does
+ * not respond. A node that cannot reach the store, or whose watch receives
  * nothing, is therefore as current as the nodes with which it exchanges work.
  *
  * A node whose configuration was not confirmed for a while requests the versions of a watcher of its region, or of
@@ -39,28 +40,21 @@
     void noteVersions(LinkId link, const KnownVersions &peerVersions);
     void handleRequest(LinkId link, const StateUpdateRequest &request);
     void handleUpdate(LinkId link, const NodeRef &from, const StateUpdate &update);
-    /** Sends the changed configuration, or only its version if it is large, to the region if this node is a watcher. */
+    /** See ConfigDistribution::configChanged(). */
     void configChanged();
 
 private:
-    /** A configuration version higher than this node's, a node that holds it, and when one was first seen. */
-    struct NewerVersion {
-        LinkId link = 0;
-        std::uint64_t version = 0;
-        SteadyTime since;
-    };
-
     struct PendingRequest {
         std::uint64_t id = 0;
         SteadyTime sentAt;
     };
 
-    void noteNewerVersions(LinkId link, const KnownVersions &peerVersions);
+    void noteNewerRegistry(LinkId link, const KnownVersions &peerVersions);
     void confirmFreshness(const KnownVersions &peerVersions, SteadyTime sentAt);
     void run();
     void sendRequestIfNeeded();
-    /** Returns the link on which to request a configuration; nothing if none is needed or the store can deliver it. */
-    std::optional<LinkId> configRequestLink();
+    /** Returns the link on which a node without a configuration requests one; nothing if the store can deliver it. */
+    std::optional<LinkId> firstConfigRequestLink();
     std::optional<LinkId> randomLink();
     /**
      * Returns the link on which to request versions: to a watcher, or to a random node if the watcher has left a
@@ -68,13 +62,16 @@
      */
     std::optional<LinkId> versionRequestLink();
     bool isFollower() const;
-    void sendRequest(LinkId link, bool wantsConfig, bool wantsRegistry);
+    /** Returns the id of the request. */
+    std::uint64_t sendRequest(LinkId link, bool wantsConfig, bool wantsRegistry);
     bool isStoreUnreachable() const;
 
     NodeCore &core_;
     std::set<LinkId> links_;
     SteadyTime startedAt_;
-    std::optional<NewerVersion> newerConfig_;
+    ConfigDistribution distribution_;
+    /** A node that holds a configuration, while this node has none. */
+    std::optional<LinkId> configHolder_;
     /** A request for the configuration is pending until the deadline, and no second one is sent. */
     std::optional<LinkId> configRequestedOn_;
     SteadyTime configRequestDeadline_;
@@ -82,7 +79,6 @@
     std::map<LinkId, PendingRequest> pendingRequests_;
     std::uint64_t nextRequestId_ = 1;
     SteadyTime lastRequestAt_;
-    SteadyTime storePolledAt_;
 };
 
 } // namespace waxwing
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -153,7 +153,8 @@
     }
     json operator()(const StateUpdateRequest &m) const
     {
-        return makeMessage(Type::StateUpdateRequest, m.id, versionsOf(m.versions), m.wantsConfig, m.wantsRegistry);
+        return makeMessage(Type::StateUpdateRequest, m.id, versionsOf(m.versions), m.wantsConfig, m.wantsRegistry,
+                           m.acceptsDeflated);
     }
     json operator()(const StateUpdate &m) const
     {
@@ -162,7 +163,7 @@
             registry.push_back(registryEntryOf(entry));
         }
         return makeMessage(Type::StateUpdate, m.id, versionsOf(m.versions), bytesOf(m.config), std::move(registry),
-                           m.provenAge ? json(m.provenAge->count()) : json());
+                           m.provenAge ? json(m.provenAge->count()) : json(), bytesOf(m.deflatedConfig));
     }
     json operator()(const BudgetTransferRequest &m) const
     {
@@ -259,6 +260,9 @@
     if (const json &provenAge = optionalField(in, 4); provenAge.is_number_unsigned()) {
         m.provenAge = Millis(provenAge.get<std::int64_t>());
     }
+    if (const json &deflated = optionalField(in, 5); deflated.is_binary()) {
+        m.deflatedConfig = textOf(deflated);
+    }
     return m;
 }
 
@@ -432,7 +436,8 @@
         return fenceReplyFrom(in);
     case Type::StateUpdateRequest:
         return StateUpdateRequest{in.at(firstField).get<std::uint64_t>(), versionsFrom(in.at(firstField + 1)),
-                                  in.at(firstField + 2).get<bool>(), in.at(firstField + 3).get<bool>()};
+                                  in.at(firstField + 2).get<bool>(), in.at(firstField + 3).get<bool>(),
+                                  optionalField(in, 4).is_boolean() && optionalField(in, 4).get<bool>()};
     case Type::StateUpdate:
         return stateUpdateFrom(in);
     case Type::BudgetTransferRequest:
@@ -499,6 +504,10 @@
     if (auto *exec = std::get_if<Exec>(&message)) {
         return &exec->request.body;
     }
+    if (auto *update = std::get_if<StateUpdate>(&message)) {
+        // Only builds that ask for it get a deflated document; older ones don't expect a body here.
+        return &update->deflatedConfig;
+    }
     auto *reply = std::get_if<ExecReply>(&message);
     return reply != nullptr ? &reply->response.body : nullptr;
 }
--- a/tests/support/ConfigPropagationRig.h
+++ b/tests/support/ConfigPropagationRig.h
@@ -26,6 +26,8 @@
         int spareRoutes = 0;
         int nodes = 3;
         bool proxies = false;
+        bool storeProxies = false;
+        bool upgrade = false;
     };
 
     explicit ConfigPropagationRig(const Options &options)
@@ -60,6 +62,8 @@
         out.services.at(2) = "archive";
         out.spareRoutes = options.spareRoutes;
         out.proxies = options.proxies;
+        out.storeProxies = options.storeProxies;
+        out.upgrade = options.upgrade;
         return out;
     }
 };
