--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/ConfigSync.cpp
@@ -52,13 +52,18 @@
     hooks_.push_back(std::move(hook));
 }
 
+void ConfigSync::onStoreDocument(DocumentHook hook)
+{
+    storeDocumentHook_ = std::move(hook);
+}
+
 void ConfigSync::handleChanges(const ObjectChanges &changes)
 {
     // Decoding a document that the same response replaces would delay the newest one. An older one still counts if the
     // newest is refused.
     bool refused = false;
     for (const StoredObject *object : newestFirst(changes.objects, platform::names::configName)) {
-        if (applyDocument(object->value, "store revision " + std::to_string(object->version))) {
+        if (applyStoreDocument(object->value, "store revision " + std::to_string(object->version))) {
             break;
         }
         refused = true;
@@ -66,6 +71,14 @@
     hasRefusedNewer_ = hasRefusedNewer_ || refused;
 }
 
+bool ConfigSync::applyStoreDocument(const std::string &document, const std::string &source)
+{
+    if (!storeDocumentHook_ || !storeDocumentHook_(document, source)) {
+        return applyDocument(document, source);
+    }
+    return !hasRefusedNewer_;
+}
+
 bool ConfigSync::applyDocument(const std::string &document, const std::string &source)
 {
     // Lists contain the document in force again.
--- a/src/sidecar/ConfigSync.h
+++ b/src/sidecar/ConfigSync.h
@@ -24,6 +24,7 @@
 {
 public:
     using ChangeHook = std::function<void(const FleetConfig &)>;
+    using DocumentHook = std::function<bool(const std::string &document, const std::string &source)>;
 
     /** @pre "region-watch" is in the kernel before start(). */
     ConfigSync(NodeCore &core, const KeyAdmissionTuning &keyAdmission);
@@ -34,6 +35,11 @@
     void start();
     /** Adds a hook that is called after each change. Register before start(). */
     void onChange(ChangeHook hook);
+    /**
+     * Sets a hook that gets each document read from the store. It may suspend the fiber, and returns true if it has
+     * applied the document itself.
+     */
+    void onStoreDocument(DocumentHook hook);
     /**
      * Applies the document if it is valid and its version is higher. Logs the faults of an invalid one. @p source:
      * where it came from, for the log. Returns false if it is invalid.
@@ -56,6 +62,8 @@
     bool isStoreReachable() const;
 
 private:
+    /** Applies a document that the store returned, by the hook if it takes it. Returns false if it is invalid. */
+    bool applyStoreDocument(const std::string &document, const std::string &source);
     void handleChanges(const ObjectChanges &changes);
 
     /** Returns the age by which this node's role is chosen. */
@@ -68,6 +76,7 @@
     bool hasRefusedNewer_ = false;
     std::shared_ptr<const FleetConfig> current_;
     std::vector<ChangeHook> hooks_;
+    DocumentHook storeDocumentHook_;
     std::unique_ptr<StoreWatch> watch_;
 };
 
