--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -1,7 +1,7 @@
 /**
  * Stand-in for a backend server on the platform: sends heartbeats to the node beside it, runs requests in slots, signs
- * its responses, and records every execution in a ledger. On demand it fails gray, cuts or resets its responses, leaves
- * out the signature, or names another request in them.
+ * its responses, and records every execution in a ledger. On demand it fails gray, sheds a part of its requests, cuts
+ * or resets its responses, leaves out the signature, or names another request in them.
  */
 #include "platform/Names.h"
 #include "src/http/HttpClient.h"
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 
 namespace {
@@ -20,6 +21,8 @@
 
 constexpr Millis heartbeatTimeout{1000};
 const std::string poisonMarker = "ends-the-server";
+/** A path with this marker and a number gets a response body of that many bytes. */
+const std::string sizeMarker = "bytes-";
 constexpr Millis crashDelay{20};
 
 struct Options {
@@ -52,7 +55,7 @@
         if (headerValue(request.headers, names::expectedServer) != options_.id) {
             return notRun(421);
         }
-        return running_ >= options_.slots ? notRun(503) : work(request, caller);
+        return running_ >= options_.slots || isShed() ? notRun(503) : work(request, caller);
     }
 
     void heartbeatLoop(std::uint16_t port)
@@ -74,6 +77,24 @@
     }
 
 private:
+    /** Spreads the requests that are shed evenly over those that arrive. */
+    bool isShed()
+    {
+        const std::uint64_t percent = mode_.is_object() ? mode_.value("shedPercent", 0U) : 0;
+        const std::uint64_t before = arrivals_++ * percent / 100;
+        return arrivals_ * percent / 100 > before;
+    }
+
+    static std::string bodyFor(const HttpRequest &request, const std::string &id)
+    {
+        std::string body = "whole answer to " + id;
+        const std::size_t marker = request.target.find(sizeMarker);
+        if (marker != std::string::npos) {
+            body.resize(std::max(body.size(), std::stoul(request.target.substr(marker + sizeMarker.size()))), '.');
+        }
+        return body;
+    }
+
     static HttpReply notRun(unsigned status)
     {
         HttpReply reply{jsonResponse(status, "{}"), AfterResponse::KeepOpen};
@@ -105,14 +126,15 @@
         const std::string id(headerValue(request.headers, names::requestId));
         const bool sawKey = !headerValue(request.headers, names::credential).empty();
         const std::string customer = sawKey ? "!" : std::string(headerValue(request.headers, names::customer));
-        ledger_ << id << " " << headerValue(request.headers, names::callerService) << " " << customer << "\n"
+        ledger_ << id << " " << millisOf(std::chrono::system_clock::now().time_since_epoch()).count() << " "
+                << headerValue(request.headers, names::callerService) << " " << customer << "\n"
                 << std::flush;
         const std::string mode = mode_.is_object() ? mode_.value("mode", "ok") : "ok";
         const Millis workTime(mode_.is_object() ? mode_.value("workMs", options_.work.count()) : options_.work.count());
         if (mode_.is_object() && mode_.value("onlyFirst", false)) {
             mode_ = json();
         }
-        HttpReply reply{jsonResponse(200, "whole answer to " + id), AfterResponse::KeepOpen};
+        HttpReply reply{jsonResponse(200, bodyFor(request, id)), AfterResponse::KeepOpen};
         reply.response.headers.emplace_back(names::signature, "seal-" + options_.id);
         reply.response.headers.emplace_back(names::requestId, id);
         if (request.target.find(poisonMarker) != std::string::npos) {
@@ -155,6 +177,7 @@
     std::uint64_t sequence_ = 0;
     std::uint16_t port_ = 0;
     std::uint32_t running_ = 0;
+    std::uint64_t arrivals_ = 0;
     bool stopping_ = false;
 };
 
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -52,18 +53,20 @@
     for (int i = 0; i < options_.spareRoutes; ++i) {
         spareRules.push_back(rule("spare" + std::to_string(i), "safe", "/spare" + std::to_string(i) + "/", "desk"));
     }
-    json document = {
-        {"version", "r" + std::to_string(version)},
-        {"limits",
-         {{"max_header_bytes", 16384},
-          {"max_body_bytes", 100000},
-          {"header_timeout_ms", 2000},
-          {"idle_timeout_ms", 5000}}},
-        {"listeners", json::array({{{"host", "desk.example"},
-                                    {"rules", json::array({rule("browse", "safe", "/dates/", "desk"),
-                                                           rule("book", "unsafe", "/seats/", service), open})}},
-                                   {{"host", "spare.example"}, {"rules", spareRules}}})},
-        {"clusters", json::array()}};
+    json rules =
+        json::array({rule("browse", "safe", "/dates/", "desk"), rule("book", "unsafe", "/seats/", service), open});
+    if (options_.downloads) {
+        rules.push_back(rule("files", names::largeResponseKind, "/files/", "desk"));
+    }
+    json document = {{"version", "r" + std::to_string(version)},
+                     {"limits",
+                      {{"max_header_bytes", 16384},
+                       {"max_body_bytes", 100000},
+                       {"header_timeout_ms", 2000},
+                       {"idle_timeout_ms", 5000}}},
+                     {"listeners", json::array({{{"host", "desk.example"}, {"rules", rules}},
+                                                {{"host", "spare.example"}, {"rules", spareRules}}})},
+                     {"clusters", json::array()}};
     if (!options_.customers.is_null()) {
         document["tenants"] = options_.customers;
     }
@@ -120,7 +123,9 @@
     members_.clear();
     storeProcess_.reset();
     std::error_code ignored;
-    std::filesystem::remove_all(directory_, ignored);
+    if (std::getenv("WAXWING_KEEP_LOGS") == nullptr) {
+        std::filesystem::remove_all(directory_, ignored);
+    }
 }
 
 std::string Mesh::settingsFile(int index)
@@ -284,28 +289,48 @@
     return response && response->status == 200;
 }
 
-std::map<std::string, int> Mesh::executions() const
+std::vector<Execution> Mesh::ledger() const
 {
-    std::map<std::string, int> counts;
+    std::vector<Execution> out;
     for (std::size_t i = 0; i < members_.size(); ++i) {
         std::ifstream ledger(directory_ + "/ledger." + std::to_string(i));
         std::string line;
         while (std::getline(ledger, line)) {
-            ++counts[line.substr(0, line.find(' '))];
+            const std::size_t space = line.find(' ');
+            out.push_back(Execution{line.substr(0, space), Millis(std::stoll(line.substr(space + 1))),
+                                    line.substr(line.rfind(' ') + 1)});
         }
     }
+    return out;
+}
+
+Endpoint Mesh::callers(int node) const
+{
+    return members_.at(static_cast<std::size_t>(node)).callers;
+}
+
+bool Mesh::isRigRunning()
+{
+    return storeProcess_->running() && std::all_of(members_.begin(), members_.end(), [](const Member &member) {
+               return (!member.proxy || member.proxy->running())
+                      && (!member.storeProxy || member.storeProxy->running());
+           });
+}
+
+std::map<std::string, int> Mesh::executions() const
+{
+    std::map<std::string, int> counts;
+    for (const Execution &execution : ledger()) {
+        ++counts[execution.id];
+    }
     return counts;
 }
 
 std::map<std::string, std::string> Mesh::customersSeen() const
 {
     std::map<std::string, std::string> customers;
-    for (std::size_t i = 0; i < members_.size(); ++i) {
-        std::ifstream ledger(directory_ + "/ledger." + std::to_string(i));
-        std::string line;
-        while (std::getline(ledger, line)) {
-            customers[line.substr(0, line.find(' '))] = line.substr(line.rfind(' ') + 1);
-        }
+    for (const Execution &execution : ledger()) {
+        customers[execution.id] = execution.customer;
     }
     return customers;
 }
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -29,12 +29,23 @@
     std::vector<std::string> bounds;
     /** Customers of the configuration, in the platform's form; null: requests need no key. */
     nlohmann::json customers;
+    /** Adds a route for large responses, "/files/". */
+    bool downloads = false;
     /** Each node reaches the store through a fault proxy of its own. */
     bool storeProxies = false;
     /** The first process of each node runs the build that WAXWING_OTHER_BUILD names. */
     bool upgrade = false;
 };
 
+/** One request that a server ran, as its ledger tells. */
+struct Execution {
+    std::string id;
+    /** Time since the epoch of the system clock. */
+    Millis at{0};
+    /** The customer that the server was told; "!" if it saw a credential. */
+    std::string customer;
+};
+
 /** Real processes on loopback in the platform's layout: a store stand-in, and nodes with one server each. */
 class Mesh
 {
@@ -76,6 +87,12 @@
     bool isReady(int node);
     /** Returns how often each request id was executed. */
     std::map<std::string, int> executions() const;
+    /** Returns what the servers' ledgers hold, server by server in the order of execution. */
+    std::vector<Execution> ledger() const;
+    /** Returns the address of a node's callers' port. */
+    Endpoint callers(int node) const;
+    /** Returns false if the store stand-in or a fault proxy has ended. */
+    bool isRigRunning();
     /** Returns the customer that the server of each executed request was told; "!" if it saw a credential. */
     std::map<std::string, std::string> customersSeen() const;
     /** Returns all that the nodes and servers have written to their logs and ledgers. */
