--- a/tests/soak/CallerConnection.cpp
+++ b/tests/soak/CallerConnection.cpp
@@ -18,7 +18,12 @@
 constexpr Millis connectTimeout{2000};
 constexpr std::size_t readBytes = 8UL * 1024;
 /** A small receive buffer, so that a slow reader soon stops its sender. */
-constexpr int receiveBufferBytes = 16 * 1024;
+constexpr int receiveBufferBytes = 32 * 1024;
+/**
+ * A connection is not reused this long after its last request was sent. A node counts the idle time (5 s in the mesh)
+ * from the time when it has written a response, while a slow reader may still be reading it.
+ */
+constexpr Millis maxReuseAge{3000};
 
 } // namespace
 
@@ -43,6 +48,11 @@
 
 bool CallerConnection::write(const std::string &bytes)
 {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (stream_ != nullptr && now - lastWrite_ > maxReuseAge) {
+        close();
+    }
+    lastWrite_ = now;
     bool done = stream_ != nullptr || connect();
     if (done) {
         stream_->expires_after(connectTimeout);
--- a/tests/soak/CallerConnection.h
+++ b/tests/soak/CallerConnection.h
@@ -29,7 +29,8 @@
 public:
     explicit CallerConnection(Endpoint endpoint);
 
-    /** Connects if necessary and writes @p bytes. Returns false if that fails; the connection is closed then. */
+    /** Connects unless a connection is open and fresh, and writes @p bytes. Returns false if that fails; the connection
+     * is closed then. */
     bool write(const std::string &bytes);
     /**
      * Reads the next response, pausing for @p pauseBetweenReads after every few kilobytes. Closes the connection on
@@ -44,6 +45,7 @@
     Endpoint endpoint_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_;
+    SteadyTime lastWrite_;
 };
 
 } // namespace waxwing::soak
--- a/tests/soak/Checks.cpp
+++ b/tests/soak/Checks.cpp
@@ -13,6 +13,8 @@
 
 /** A request sent shortly before a stop may still be unread when the node closes its connections. */
 constexpr Millis unreadMargin{100};
+/** Time that a node needs to listen after its start, on a machine that other work shares. */
+constexpr Millis startMargin{3000};
 /** Statuses by which a node says that a request has not run and never will. */
 constexpr std::array notRunStatuses = {400U, 401U, 404U, 413U, 421U, 422U, 429U, 431U, 503U};
 
@@ -170,6 +172,38 @@
     }
 };
 
+class EachIsAnswered : public Check
+{
+public:
+    std::string name() const override
+    {
+        return "each-is-answered";
+    }
+
+    std::vector<Finding> judge(const RunRecord &record) const override
+    {
+        std::vector<Finding> out;
+        for (const Observation &one : record.observations) {
+            if (one.status == 0 && !one.behindClose && !isInOutage(record, one)) {
+                const std::string how = one.brokenOff ? "its connection was closed" : "the time ran out";
+                out.push_back(finding("no response from n" + std::to_string(one.node) + " within "
+                                          + std::to_string((one.ended - one.sent).count())
+                                          + " ms, though the node was not stopped: " + how,
+                                      one.id, one.ended));
+            }
+        }
+        return out;
+    }
+
+private:
+    static bool isInOutage(const RunRecord &record, const Observation &one)
+    {
+        return std::any_of(record.outages.begin(), record.outages.end(), [&one](const Outage &outage) {
+            return outage.node == one.node && one.sent <= outage.until + startMargin && one.ended >= outage.from;
+        });
+    }
+};
+
 class QuotaHolds : public Check
 {
 public:
@@ -296,6 +330,7 @@
     checks.push_back(std::make_unique<OwnWholeResponse>());
     checks.push_back(std::make_unique<PipelineOrder>());
     checks.push_back(std::make_unique<KeysAndCustomers>());
+    checks.push_back(std::make_unique<EachIsAnswered>());
     checks.push_back(std::make_unique<QuotaHolds>());
     checks.push_back(std::make_unique<ServedAgain>());
     checks.push_back(std::make_unique<NoProcessEnds>());
--- a/tests/soak/Injector.cpp
+++ b/tests/soak/Injector.cpp
@@ -139,6 +139,13 @@
 }
 
 void Injector::bringToNode(const Fault &fault)
+{
+    const Millis from = systemNow();
+    endOrPauseNode(fault);
+    record_.outages.push_back(Outage{fault.target, from, systemNow()});
+}
+
+void Injector::endOrPauseNode(const Fault &fault)
 {
     if (fault.kind == FaultKind::NodePaused) {
         mesh_.node(fault.target).signal(SIGSTOP);
--- a/tests/soak/Injector.h
+++ b/tests/soak/Injector.h
@@ -32,6 +32,7 @@
     void bring(const Fault &fault);
     void bringToLink(const Fault &fault);
     void bringToNode(const Fault &fault);
+    void endOrPauseNode(const Fault &fault);
     void bringToStore(const Fault &fault);
     void bringToServer(const Fault &fault);
     void stopNode(const Fault &fault);
--- a/tests/soak/Record.h
+++ b/tests/soak/Record.h
@@ -41,6 +41,13 @@
     int exitCode = 0;
 };
 
+/** Time in which a node was stopped, killed or paused, so that requests to it may get no response. */
+struct Outage {
+    int node = 0;
+    Millis from{0};
+    Millis until{0};
+};
+
 /** Time in which a customer's key must not be accepted. */
 struct TakenKey {
     std::string key;
@@ -69,6 +76,7 @@
     std::vector<Observation> observations;
     std::vector<testing::Execution> executions;
     std::vector<StopRecord> stops;
+    std::vector<Outage> outages;
     std::vector<TakenKey> takenKeys;
     std::vector<UnexpectedEnd> ends;
     QuotaBound quota;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <map>
 
 namespace {
 
@@ -106,18 +107,20 @@
 
 void printSummary(const Options &options, const RunRecord &record, std::size_t faults)
 {
-    constexpr unsigned ok = 200;
-    const auto countIf = [&record](const auto &condition) {
-        return std::count_if(record.observations.begin(), record.observations.end(), condition);
-    };
+    std::map<unsigned, int> statuses;
+    for (const Observation &one : record.observations) {
+        ++statuses[one.status];
+    }
     Millis slowest{0};
     for (const Millis at : record.servedAgain) {
         slowest = std::max(slowest, at - record.lastFaultEnded);
     }
     std::cout << "seed " << options.seed << ": " << faults << " faults, " << record.observations.size()
-              << " requests, 200: " << countIf([](const Observation &one) { return one.status == ok; })
-              << ", no response: " << countIf([](const Observation &one) { return one.status == 0; })
-              << ", executions: " << record.executions.size() << ", stops: " << record.stops.size()
+              << " requests, by status";
+    for (const auto &[status, count] : statuses) {
+        std::cout << " " << (status == 0 ? "none" : std::to_string(status)) << ": " << count;
+    }
+    std::cout << ", executions: " << record.executions.size() << ", stops: " << record.stops.size()
               << ", served again after " << slowest.count() << " ms\n";
 }
 
