--- a/tests/soak/Checks.cpp
+++ b/tests/soak/Checks.cpp
@@ -223,6 +223,7 @@
             }
         }
         std::vector<Millis> times;
+        times.reserve(first.size());
         for (const auto &[id, at] : first) {
             times.push_back(at);
         }
--- a/tests/soak/Load.cpp
+++ b/tests/soak/Load.cpp
@@ -4,6 +4,7 @@
 #include "src/fiber/FiberLoop.h"
 
 #include <algorithm>
+#include <set>
 
 namespace waxwing::soak {
 
@@ -154,12 +155,9 @@
 
 void Load::startLimited()
 {
-    std::vector<std::shared_ptr<CallerConnection>> connections;
     for (int node = 0; node < nodes_; ++node) {
-        connections.push_back(std::make_shared<CallerConnection>(mesh_.callers(node)));
-    }
-    for (int node = 0; node < nodes_; ++node) {
-        run([this, node, connection = connections[static_cast<std::size_t>(node)]] {
+        const auto connection = std::make_shared<CallerConnection>(mesh_.callers(node));
+        run([this, node, connection] {
             exchange(*connection, {makeRequest(node, "GET", "/dates/4", keys_.limited)});
             testing::pause(pauseOfLimited);
         });
@@ -189,15 +187,13 @@
     std::vector<Request> requests = {makeRequest(node, "GET", "/dates/5", keys_.school),
                                      makeRequest(node, "POST", "/seats/5", keys_.secondOfFirm),
                                      makeRequest(node, "GET", "/files/bytes-20000", keys_.firm)};
-    std::vector<std::string> ids;
+    std::set<std::string> ids;
     for (const Request &request : requests) {
-        ids.push_back(request.observation.id);
+        ids.insert(request.observation.id);
     }
     exchange(connection, std::move(requests));
     return std::count_if(record_.observations.begin() + static_cast<std::ptrdiff_t>(first), record_.observations.end(),
-                         [&ids](const Observation &one) {
-                             return one.status == statusOk && std::find(ids.begin(), ids.end(), one.id) != ids.end();
-                         })
+                         [&ids](const Observation &one) { return one.status == statusOk && ids.count(one.id) != 0; })
            == static_cast<std::ptrdiff_t>(ids.size());
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -86,6 +86,7 @@
     injector.run(makeSchedule(options.seed, options.length, options.nodes));
     record.servedAgain.resize(static_cast<std::size_t>(options.nodes));
     std::vector<std::function<void()>> probes;
+    probes.reserve(record.servedAgain.size());
     for (int node = 0; node < options.nodes; ++node) {
         probes.emplace_back([&, node] {
             record.servedAgain[static_cast<std::size_t>(node)] =
