--- a/tests/soak/Checks.cpp
+++ b/tests/soak/Checks.cpp
@@ -285,7 +285,8 @@
     {
         std::vector<Finding> out;
         for (const UnexpectedEnd &end : record.ends) {
-            out.push_back(finding("ended by itself", end.process, end.at));
+            out.push_back(finding("ended by itself with code " + std::to_string(end.exitCode) + ": " + end.output,
+                                  end.process, end.at));
         }
         return out;
     }
--- a/tests/soak/Injector.cpp
+++ b/tests/soak/Injector.cpp
@@ -14,6 +14,8 @@
 /** Time beyond the grace after which a node that was told to stop counts as hanging. */
 constexpr Millis exitMargin{3000};
 constexpr Millis busyPoll{20};
+/** Bytes at the end of a process's output that its finding shows. */
+constexpr std::size_t shownOutput = 400;
 /** Longer than any request's timeout. */
 constexpr int hangMs = 600000;
 
@@ -253,11 +255,13 @@
     set({{"mode", "ok"}});
 }
 
-void Injector::noteIfEnded(Resource resource, int index, bool running)
+void Injector::noteIfEnded(Resource resource, int index, testing::Process &process)
 {
-    if (!running && down_.insert({resource, index}).second) {
+    if (!process.running() && down_.insert({resource, index}).second) {
+        const std::string output = process.output();
         const std::string kind = resource == Resource::Node ? "n" : "server ";
-        record_.ends.push_back(UnexpectedEnd{kind + std::to_string(index), systemNow()});
+        record_.ends.push_back(UnexpectedEnd{kind + std::to_string(index), systemNow(), process.waitForExit(Millis(0)),
+                                             output.substr(output.size() - std::min(output.size(), shownOutput))});
     }
 }
 
@@ -266,8 +270,7 @@
     for (int index = 0; index < nodes_; ++index) {
         for (const Resource resource : {Resource::Node, Resource::Server}) {
             if (down_.count({resource, index}) == 0) {
-                const bool isNode = resource == Resource::Node;
-                noteIfEnded(resource, index, isNode ? mesh_.node(index).running() : mesh_.server(index).running());
+                noteIfEnded(resource, index, resource == Resource::Node ? mesh_.node(index) : mesh_.server(index));
             }
         }
     }
--- a/tests/soak/Injector.h
+++ b/tests/soak/Injector.h
@@ -38,7 +38,7 @@
     void stopNode(const Fault &fault);
     void takeKeyAway(const Fault &fault);
     void setServerMode(const Fault &fault, const nlohmann::json &mode);
-    void noteIfEnded(Resource resource, int index, bool running);
+    void noteIfEnded(Resource resource, int index, testing::Process &process);
     bool isBusy(const Fault &fault) const;
 
     testing::Mesh &mesh_;
--- a/tests/soak/Record.h
+++ b/tests/soak/Record.h
@@ -72,6 +72,9 @@
 struct UnexpectedEnd {
     std::string process;
     Millis at{0};
+    int exitCode = 0;
+    /** The end of its output. */
+    std::string output;
 };
 
 /** All that one run has shown. */
--- a/tests/unit/SoakChecksTest.cpp
+++ b/tests/unit/SoakChecksTest.cpp
@@ -117,7 +117,7 @@
     }
     SUBCASE("process ends")
     {
-        record.ends = {{"n0", start}};
+        record.ends = {{"n0", start, 1, ""}};
         CHECK(failedChecks(record) == Names{"no-process-ends"});
     }
     SUBCASE("stop breaks a request off")
