--- a/tests/unit/SlotSchedulingTest.cpp
+++ b/tests/unit/SlotSchedulingTest.cpp
@@ -72,7 +72,7 @@
  */
 FleetCounts checkedRun(const std::string &name, const HomeFleetLoad &load)
 {
-    const FleetCounts counts = run(load, HomePolicy::Reservations);
+    FleetCounts counts = run(load, HomePolicy::Reservations);
     MESSAGE(name << ", polling: " << textOf(run(load, HomePolicy::Polling)));
     MESSAGE(name << ", reservations: " << textOf(counts));
     MESSAGE(name << ", queue per zone: " << textOf(run(load, HomePolicy::ZoneQueue)));
