--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -64,8 +64,8 @@
     bool noOtherHome = false;
     /** This node is stopping: queued attempts are cancelled and no further home is tried. */
     bool queuedCancelled = false;
-    /** An attempt waits for a slot; a hedge would find none either. */
-    bool waitsForSlot = false;
+    /** Attempts that wait for a slot; a hedge would find none either. */
+    int waitingForSlot = 0;
     bool finished = false;
 };
 
@@ -235,14 +235,24 @@
         }
         std::uint64_t reservation = 0;
         if (canReserve && shouldReserve(*run, choice)) {
-            const SlotWaitEnd end = awaitSlot(run, attempt, choice, reservation);
-            if (end == SlotWaitEnd::NoOffer) {
+            const SlotWaitResult slot = awaitSlot(run, attempt);
+            if (slot.end == SlotWaitEnd::NoOffer) {
                 return;
             }
-            if (end == SlotWaitEnd::Cancelled) {
+            if (slot.end == SlotWaitEnd::Cancelled) {
                 continue;
             }
-            canReserve = end == SlotWaitEnd::Offered;
+            // The key may have been taken away, or its configuration grown old, during the wait.
+            if (const std::string problem = keyProblem(*run); !problem.empty()) {
+                slots_.release(slot);
+                attempt->reply.reason = problem;
+                return;
+            }
+            canReserve = slot.end == SlotWaitEnd::Offered;
+            if (canReserve) {
+                choice = choiceOf(*run, slot, choice);
+                reservation = slot.reservation;
+            }
         }
         if (choice.node.empty() || (kind == AttemptKind::Hedge && isHedgeUseless(*run, choice))) {
             return;
@@ -304,8 +314,7 @@
     return candidates;
 }
 
-SlotWaitEnd Forwarder::awaitSlot(const RunPtr &run, const AttemptPtr &attempt, HomeChoice &choice,
-                                 std::uint64_t &reservation)
+SlotWaitResult Forwarder::awaitSlot(const RunPtr &run, const AttemptPtr &attempt)
 {
     const ForwardJob &job = run->job;
     SlotWait want;
@@ -324,24 +333,30 @@
     want.until = latestStart(*run);
     want.candidates = [this, run] { return reservationCandidates(*run); };
     want.control = attempt->control;
-    run->waitsForSlot = true;
+    ++run->waitingForSlot;
     const SlotWaitResult result = slots_.wait(want);
-    run->waitsForSlot = false;
+    --run->waitingForSlot;
     run->reservationsMade += result.made;
     run->notifier.notify();
     if (result.end == SlotWaitEnd::NoOffer) {
         attempt->reply.outcome = Outcome::NotRun;
         attempt->reply.reason = "no-slot";
         attempt->reply.load.wait = result.retryAfter;
-    } else if (result.end == SlotWaitEnd::Offered && result.home != choice.node) {
-        choice.node = result.home;
-        choice.acceptsGray = false;
-        for (const RankedHome &home : homesOf(job.service)) {
-            choice.distance = home.node == result.home ? home.distance : choice.distance;
-        }
     }
-    reservation = result.reservation;
-    return result.end;
+    return result;
+}
+
+HomeChoice Forwarder::choiceOf(const Run &run, const SlotWaitResult &slot, HomeChoice choice) const
+{
+    if (slot.home == choice.node) {
+        return choice;
+    }
+    choice.node = slot.home;
+    choice.acceptsGray = false;
+    for (const RankedHome &home : homesOf(run.job.service)) {
+        choice.distance = home.node == slot.home ? home.distance : choice.distance;
+    }
+    return choice;
 }
 
 void Forwarder::noteOffer(const std::string &home, const SlotOffer &offer, int priority)
@@ -373,8 +388,8 @@
     work.versions = core_.service<StateUpdateService>("state-updates").versions();
     work.request = job.request;
     work.keyChecked = true;
-    const std::size_t requestBytes = job.request.body.size();
     work.reservation = reservation;
+    const std::size_t requestBytes = job.request.body.size();
     attempt->home = choice.node;
     ranking_.noteSent(choice.node);
     // Recorded before the send, so that a concurrent attempt does not use the same server.
@@ -540,7 +555,7 @@
     bool hasLastReply = false;
     while (true) {
         const SteadyTime now = core_.clock.now();
-        const bool mayHedge = retryable && !hedged && !run->waitsForSlot;
+        const bool mayHedge = retryable && !hedged && run->waitingForSlot == 0;
         const SteadyTime hedgeAt = mayHedge ? stats_.hedgeTime(*job.route, job.arrived) : SteadyTime::max();
         const std::size_t ended = static_cast<std::size_t>(std::count_if(
             run->attempts.begin(), run->attempts.end(), [](const AttemptPtr &one) { return one->ended; }));
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -22,8 +22,8 @@
 class PathMonitor;
 class RetryBudgetService;
 class SlotRequester;
+struct SlotWaitResult;
 class WorkSender;
-enum class SlotWaitEnd;
 enum class RetryReason;
 
 /** Reason of a request that was not sent because its key was taken away meanwhile. */
@@ -132,11 +132,10 @@
      * one are offered it.
      */
     bool isHedgeUseless(const Run &run, const HomeChoice &choice) const;
-    /**
-     * Reserves at several homes and waits for an offer. With one, sets @p choice to its home, and @p reservation.
-     * Without, sets the reply of @p attempt.
-     */
-    SlotWaitEnd awaitSlot(const RunPtr &run, const AttemptPtr &attempt, HomeChoice &choice, std::uint64_t &reservation);
+    /** Reserves at several homes and waits for an offer. Without one, sets the reply of @p attempt. */
+    SlotWaitResult awaitSlot(const RunPtr &run, const AttemptPtr &attempt);
+    /** Returns the choice of the home that offers @p slot. @p choice: the home that was the best before the wait. */
+    HomeChoice choiceOf(const Run &run, const SlotWaitResult &slot, HomeChoice choice) const;
     std::vector<ReservationCandidate> reservationCandidates(const Run &run) const;
     void noteOffer(const std::string &home, const SlotOffer &offer, int priority);
     std::vector<RankedHome> homesOf(const std::string &service) const;
--- a/src/sidecar/ingress/SlotRequester.cpp
+++ b/src/sidecar/ingress/SlotRequester.cpp
@@ -143,6 +143,13 @@
     return finish(waiter);
 }
 
+void SlotRequester::release(const SlotWaitResult &result)
+{
+    if (result.end == SlotWaitEnd::Offered) {
+        transport_.release(result.home, SlotRelease{result.reservation});
+    }
+}
+
 void SlotRequester::awaitOffer(const WaiterPtr &waiter)
 {
     const RunControlPtr control = waiter->want.control;
--- a/src/sidecar/ingress/SlotRequester.h
+++ b/src/sidecar/ingress/SlotRequester.h
@@ -129,6 +129,8 @@
      * themselves. @pre called from a fiber.
      */
     SlotWaitResult wait(const SlotWait &want);
+    /** Frees the slot that @p result offers, because the request is not sent. Does nothing without an offer. */
+    void release(const SlotWaitResult &result);
 
     void handle(const std::string &home, const SlotOffer &offer);
     /** Reserves at other homes for the requests that held reservations over the link. */
--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -122,6 +122,22 @@
     { }
 };
 
+/** One server with one slot beside node 1, and requests that may wait seconds for it. */
+class KeysAtScarceServer : public Customers
+{
+protected:
+    KeysAtScarceServer()
+        : Customers([] {
+            MeshOptions options = customerOptions();
+            options.services = {"other", "desk"};
+            options.slots = 1;
+            options.objectiveMs = 7000;
+            options.timeoutMs = 9000;
+            return options;
+        }())
+    { }
+};
+
 } // namespace
 
 // Guards against requests without a valid key that run, against servers that see a key, and against callers that name
@@ -272,6 +288,26 @@
     CHECK_FALSE(hasRun("queued"));
 }
 
+// Guards against a request whose key could be confirmed when it began to wait for a slot, and not when it got one.
+TEST_CASE_FIXTURE(KeysAtScarceServer, "customers, store silent while a request waits for a slot, it is not sent")
+{
+    std::vector<unsigned> statuses(2);
+    mesh_.setServerMode(1, {{"workMs", 3500}});
+    mesh_.setStoreFault({{"silent", true}, {"cutWatches", true}});
+    const auto send = [this](const std::string &id, const std::string &key) {
+        return statusOf(mesh_.sendWithKey(0, id, "/dates/1", key, std::chrono::seconds(8)));
+    };
+    runConcurrently({[&] { statuses[0] = send("holds-slot", "key-of-school"); },
+                     [&] {
+                         pause(Millis(200));
+                         statuses[1] = send("waits", "key-of-firm");
+                     }});
+    CHECK(statuses[0] == 200);
+    CHECK(statuses[1] == 503);
+    CHECK(mesh_.countLogLines(0, {"event=slot_reserved", "request=waits"}) > 0);
+    CHECK_FALSE(hasRun("waits"));
+}
+
 // Guards against a request whose key was taken away while a server worked on it, and that is sent to a second server
 // because the first one is slow or fails.
 TEST_CASE_FIXTURE(Customers, "customers, key taken away while a server works, the request goes to no second server")
--- a/tests/unit/SlotRequesterTest.cpp
+++ b/tests/unit/SlotRequesterTest.cpp
@@ -199,6 +199,20 @@
 }
 
 // Failure table: an offer for a request that has ended is released, so that the next in order gets the slot.
+// Guards against a slot that stays held until its offer expires, because the request may not be sent any more.
+TEST_CASE_FIXTURE(WaitingIngress, "offer, request is not sent after its wait, is released")
+{
+    after(Millis(100), [this] { answer(0, Millis(50)); });
+    const SlotWaitResult result = requester_.wait(want());
+    REQUIRE(result.end == SlotWaitEnd::Offered);
+    CHECK_FALSE(wasReleased(0));
+    requester_.release(result);
+    CHECK(wasReleased(0));
+    released_.clear();
+    requester_.release(SlotWaitResult{});
+    CHECK(released_.empty());
+}
+
 TEST_CASE_FIXTURE(WaitingIngress, "offer, after the wait has ended, is released at once")
 {
     after(Millis(100), [this] { answer(0, Millis(50)); });
