--- a/include/fleet/ConfigDelivery.h
+++ b/include/fleet/ConfigDelivery.h
@@ -23,8 +23,8 @@
 };
 
 /**
- * Bounds the deliveries of a configuration document by one node, and remembers the nodes that asked in vain, to which
- * it offers the document later. Performs no I/O and takes the time as an argument. Not thread safe.
+ * Bounds the deliveries of a configuration document by one node, and remembers the nodes that asked while it was busy,
+ * to which it offers the document later. Performs no I/O and takes the time as an argument. Not thread safe.
  */
 class ConfigDelivery
 {
@@ -32,7 +32,8 @@
     explicit ConfigDelivery(ConfigDeliveryTuning tuning = {});
     /** Starts a delivery of @p bytes. Returns false if the node is busy with others. */
     bool tryStart(std::size_t bytes, SteadyTime now);
-    /** Remembers that @p peer waits for the document, which it asked for in vain or which this node delivers to it. */
+    /** Remembers that @p peer waits for the document, which it asked for without getting it, or which this node
+     * delivers to it. */
     void addWaiting(const std::string &peer);
     void removeWaiting(const std::string &peer);
     /** Takes out the peers to which the document is offered now; none if the node is busy. @pre it holds the document.
--- a/include/fleet/ConfigFetch.h
+++ b/include/fleet/ConfigFetch.h
@@ -108,7 +108,8 @@
     void setPlace(const DeliveryPlace &place);
     /** Records that @p peer holds @p version. */
     void noteHolder(std::uint64_t version, const std::string &peer, bool inRegion, SteadyTime now);
-    /** The same from an announcement. A peer that was asked in vain, or delivers to this node, is asked next. */
+    /** The same from an announcement. A peer that was asked and did not deliver, or that delivers to this node by rank,
+     * is asked next. */
     void noteOffer(std::uint64_t version, const std::string &peer, bool inRegion, SteadyTime now);
     /** Records a request to @p peer. */
     void noteSent(const std::string &peer, SteadyTime now);
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -59,12 +59,11 @@
     Millis ramp = std::chrono::seconds(10);
 };
 
-/** Which requests may wait for capacity at their ingress, and how much of it may be in use for them. */
+/** Which requests may wait at their ingress for a slot of a server, and how many at the same time. */
 struct WaitingSettings {
     /** A request may wait only if its route's response time objective is at least this long; zero: none waits. */
     Millis minObjective = std::chrono::seconds(2);
-    std::uint32_t maxHeld = 512;
-    std::uint64_t maxHeldBytes = 4UL * 1024 * 1024;
+    std::uint32_t maxRequests = 512;
 };
 
 /** Limits on what a node buffers for callers and servers that read slowly. */
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -25,7 +25,7 @@
     case RefusalReason::Busy:
         return "busy";
     case RefusalReason::LikelyGray:
-        return "doubtful";
+        return "likely-gray";
     case RefusalReason::TooLate:
         return "too-late";
     }
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -121,13 +121,11 @@
     if (value.is_null()) {
         return;
     }
-    constexpr std::int64_t maxHeldRequests = 100000;
-    constexpr std::int64_t maxHeldBytes = 64L * 1024 * 1024;
+    constexpr std::int64_t maxRequests = 100000;
     JsonReader reader(value, "/waiting", findings);
     waiting.minObjective = reader.duration("minObjective", waiting.minObjective, Millis(0), maxDuration);
-    waiting.maxHeld = static_cast<std::uint32_t>(reader.integer("maxHeld", waiting.maxHeld, 0, maxHeldRequests));
-    waiting.maxHeldBytes = static_cast<std::uint64_t>(
-        reader.integer("maxHeldBytes", static_cast<std::int64_t>(waiting.maxHeldBytes), 0, maxHeldBytes));
+    waiting.maxRequests =
+        static_cast<std::uint32_t>(reader.integer("maxRequests", waiting.maxRequests, 0, maxRequests));
     reader.rejectUnknown();
 }
 
--- a/src/sidecar/ConfigDistribution.cpp
+++ b/src/sidecar/ConfigDistribution.cpp
@@ -266,7 +266,7 @@
         announcement_->notified += sent ? 1 : 0;
     }
     if (last == links.size()) {
-        core_.events.write(Severity::Info, "region_told",
+        core_.events.write(Severity::Info, "region_notified",
                            {{"version", std::to_string(announcement_->update.versions.config)},
                             {"nodes", std::to_string(announcement_->notified)}});
         announcement_.reset();
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -177,14 +177,14 @@
         retryBudgets_.noteDenied(run.job.service, run.budgetRank);
     }
     core_.events.writeRequest(
-        allowed ? Severity::Info : Severity::Warning, "second_send",
+        allowed ? Severity::Info : Severity::Warning, "retry_requested",
         {{"request", run.job.requestId},
          {"service", run.job.service},
          {"why", why},
          {"servers", std::to_string(run.reachedHomes.size())},
          {"allowed",
           allowed ? "yes" : (!hasAttemptsLeft ? "no-servers-used" : (!canStillRun() ? "no-time" : "no-budget"))}});
-    core_.metrics.count(allowed ? "second_sends" : "second_sends_refused");
+    core_.metrics.count(allowed ? "retries_allowed" : "retries_denied");
     return allowed;
 }
 
@@ -406,7 +406,7 @@
                                  attempt->control);
         } else {
             result.reply.outcome = Outcome::NotRun;
-            result.reply.reason = "left-the-roster";
+            result.reply.reason = "left-the-registry";
         }
     }
     ranking_.noteDone(choice.node);
@@ -438,10 +438,10 @@
                                {"bytes", std::to_string(requestBytes + reply.response.body.size())},
                                {"loss", std::to_string(static_cast<int>(choice.loss))},
                                {"loadAgeMs", std::to_string(choice.loadAge.count())},
-                               {"patienceMs", std::to_string(choice.queueTimeout.count())},
+                               {"queueTimeoutMs", std::to_string(choice.queueTimeout.count())},
                                {"expectedWaitMs", std::to_string(choice.wait.count())},
-                               {"toldWaitMs", std::to_string(reply.load.wait.count())},
-                               {"acceptsDoubt", choice.acceptsGray ? "yes" : "no"},
+                               {"reportedWaitMs", std::to_string(reply.load.wait.count())},
+                               {"acceptsGray", choice.acceptsGray ? "yes" : "no"},
                                {"outcome", outcomeName(reply.outcome)},
                                {"reason", reply.reason},
                                {"pathFailed", result.pathFailed ? "yes" : "no"},
@@ -605,7 +605,7 @@
                 return one->ended || one->outcomeUnknown;
             });
             const bool retry = retryable && nonePending && !run->noOtherHome;
-            if (retry && reserveRetry(*run, retryReasonOf(*run), "fate-unknown")) {
+            if (retry && reserveRetry(*run, retryReasonOf(*run), "outcome-unknown")) {
                 hedged = true;
                 startAttempt(run, AttemptKind::Retry);
             }
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -29,7 +29,7 @@
 constexpr int timeoutWorkFactor = 4;
 
 /** Reason for a request or reservation that left the queue without a slot. */
-constexpr const char *timedOutReason = "waited-in-vain";
+constexpr const char *timedOutReason = "queue-timeout";
 constexpr const char *stoppingReason = "stopping";
 
 std::string millisText(Duration value)
@@ -231,7 +231,7 @@
         job.reply = refusal(job, tooLargeReason);
         break;
     case ServerMemoryGate::Result::TimedOut:
-        job.reply = refusal(job, job.accepted ? "waited-in-vain" : refusalReasonName(RefusalReason::Busy));
+        job.reply = refusal(job, job.accepted ? "queue-timeout" : refusalReasonName(RefusalReason::Busy));
         break;
     case ServerMemoryGate::Result::Cancelled:
         job.reply = refusal(job, "cancelled");
@@ -397,7 +397,7 @@
                                {"server", job.reply.server},
                                {"workedMs", std::to_string(job.reply.processingTime.count())},
                                {"hereMs", millisText(core_.clock.now() - now)},
-                               {"doubt", std::to_string(job.reply.load.grayProbability)},
+                               {"grayProbability", std::to_string(job.reply.load.grayProbability)},
                                {"queued", std::to_string(job.reply.load.queued)}});
     return job.reply;
 }
--- a/src/sidecar/PathMonitor.cpp
+++ b/src/sidecar/PathMonitor.cpp
@@ -94,7 +94,7 @@
         core_.metrics.count("paths_false_alarms");
     }
     hooks_.onPathRecovered(node);
-    core_.events.write(Severity::Info, "path_good_again", {{"home", node}, {"falseAlarm", falseAlarm ? "yes" : "no"}});
+    core_.events.write(Severity::Info, "path_recovered", {{"home", node}, {"falseAlarm", falseAlarm ? "yes" : "no"}});
 }
 
 void PathMonitor::notifyRegion(const std::string &node)
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -353,7 +353,7 @@
     const QuotaReply announcement{0, {QuotaGrant{customer, 0, QuotaMode::Metered, Millis(0)}}};
     for (const LinkId link : core_.service<RegionWatch>("region-watch").regionLinks()) {
         if (!peers.peerKnowsKeys(link) || !peers.reply(link, announcement)) {
-            core_.metrics.count("quota_mode_not_told");
+            core_.metrics.count("quota_mode_not_sent");
         }
     }
 }
--- a/src/sidecar/RegistrySync.cpp
+++ b/src/sidecar/RegistrySync.cpp
@@ -63,7 +63,7 @@
         const std::optional<RegistryEntry> entry =
             object.deleted ? std::nullopt : platform::decodeRegistryEntry(object.name, object.value, object.version);
         if (!entry && !object.deleted) {
-            core_.events.write(Severity::Warning, "roster_entry_unreadable", {{"node", object.name}});
+            core_.events.write(Severity::Warning, "registry_entry_unreadable", {{"node", object.name}});
         }
         if (changes.complete && entry) {
             listed.push_back(*entry);
@@ -79,7 +79,7 @@
     registry_.advance(changes.revision);
     hasList_ = true;
     if (changed) {
-        core_.events.write(Severity::Info, "roster_changed",
+        core_.events.write(Severity::Info, "registry_changed",
                            {{"nodes", std::to_string(registry_.size())},
                             {"revision", std::to_string(registry_.revision())},
                             {"source", "store"}});
@@ -95,7 +95,7 @@
         return;
     }
     core_.events.write(
-        Severity::Info, "roster_changed",
+        Severity::Info, "registry_changed",
         {{"nodes", std::to_string(registry_.size())}, {"revision", std::to_string(revision)}, {"source", "node"}});
     if (onChange_) {
         onChange_();
@@ -132,7 +132,8 @@
             RegistryEntry written = own;
             written.revision = result.version;
             registry_.putOwn(written);
-            core_.events.write(Severity::Info, "roster_entry_written", {{"revision", std::to_string(result.version)}});
+            core_.events.write(Severity::Info, "registry_entry_written",
+                               {{"revision", std::to_string(result.version)}});
             break;
         }
         case UpdateResult::Kind::Conflict:
@@ -142,7 +143,7 @@
         case UpdateResult::Kind::NotStored:
         case UpdateResult::Kind::Unknown:
             // Retrying is safe: the entry is the same, and the conditional update fails if it is stored already.
-            core_.events.write(Severity::Warning, "roster_entry_not_written", {{"reason", result.message}});
+            core_.events.write(Severity::Warning, "registry_entry_not_written", {{"reason", result.message}});
             sleepFor(core_.ioContext, pause);
             pause = std::min(maxPublishBackoff, pause * 2);
             break;
@@ -160,7 +161,7 @@
     const UpdateResult result =
         core_.service<ObjectApi>("platform").remove(platform::registryKind, own->id, own->revision);
     const bool removed = result.kind == UpdateResult::Kind::Stored;
-    core_.events.write(removed ? Severity::Info : Severity::Warning, "roster_entry_removed",
+    core_.events.write(removed ? Severity::Info : Severity::Warning, "registry_entry_removed",
                        {{"done", removed ? "yes" : "no"}, {"reason", result.message}});
 }
 
--- a/src/sidecar/RetryBudgetService.cpp
+++ b/src/sidecar/RetryBudgetService.cpp
@@ -143,10 +143,10 @@
     if (received < tokens) {
         noTransferUntil_[service] = core_.clock.now() + transferPause;
     }
-    core_.metrics.count(received > 0.0 ? "second_sends_borrowed" : "second_sends_not_lent");
+    core_.metrics.count(received > 0.0 ? "retry_budget_transferred" : "retry_budget_not_transferred");
     core_.events.writeRequest(
-        Severity::Info, "second_sends_borrowed",
-        {{"service", service}, {"asked", std::to_string(tokens)}, {"borrowed", std::to_string(received)}});
+        Severity::Info, "retry_budget_transferred",
+        {{"service", service}, {"requested", std::to_string(tokens)}, {"received", std::to_string(received)}});
 }
 
 double RetryBudgetService::requestTransfer(const RegistryEntry &donor, const std::string &service, double tokens,
@@ -156,7 +156,7 @@
     const Expected<LinkId> link = peers.linkAt(donor.links, transferTimeout);
     const std::uint64_t id = nextId_++;
     if (!link || !peers.reply(*link, BudgetTransferRequest{id, service, tokens, reason != RetryReason::Failure})) {
-        core_.metrics.count("lenders_not_reached");
+        core_.metrics.count("retry_budget_donors_unreachable");
         return 0.0;
     }
     const auto pending = std::make_shared<Pending>();
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -79,7 +79,7 @@
         , registry(core)
         , updates(core)
         , retryBudgets(core, tuning.retry)
-        , slots(core, home, tuning.reservations)
+        , slots(core, home, tuning.reservations, tuning.maxWaitingRequests)
         , forwarder(core, home, sender, retryBudgets, paths, slots.requester())
         , quotas(core, paths, tuning.quota)
         , callerHandler(core, tuning.keyAdmission)
@@ -441,7 +441,7 @@
         spawnFiber([this, record, links = entry->links, id = entry->id] {
             const Expected<LinkId> link = peers->linkAt(links, warmTimeout);
             if (!link || !peers->reply(*link, RecordsPush{{record}})) {
-                core.events.write(Severity::Warning, "news_not_told", {{"node", id}, {"record", record.key}});
+                core.events.write(Severity::Warning, "record_not_sent", {{"node", id}, {"record", record.key}});
             }
         });
     }
--- a/src/sidecar/SidecarTuning.cpp
+++ b/src/sidecar/SidecarTuning.cpp
@@ -26,6 +26,7 @@
         tuning.flow = settings.flow;
     }
     tuning.reservations.minObjective = settings.waiting.minObjective;
+    tuning.maxWaitingRequests = settings.waiting.maxRequests;
     if (settings.bounds.empty()) {
         return tuning;
     }
--- a/src/sidecar/SidecarTuning.h
+++ b/src/sidecar/SidecarTuning.h
@@ -22,6 +22,8 @@
     /** Bounds on what is buffered for slow readers; nothing if callers and servers don't read slowly. */
     std::optional<FlowSettings> flow;
     ReservationTuning reservations;
+    /** Requests that may wait for an offer at the same time. */
+    std::size_t maxWaitingRequests = 512;
 };
 
 /**
--- a/src/sidecar/SlotMessenger.cpp
+++ b/src/sidecar/SlotMessenger.cpp
@@ -19,14 +19,23 @@
 /** Timeout of opening a link that no request waits for. */
 constexpr Millis openTimeout{1500};
 
+SlotRequesterTuning requesterTuning(std::size_t maxWaiting)
+{
+    SlotRequesterTuning tuning;
+    tuning.maxWaiting = maxWaiting;
+    return tuning;
+}
+
 } // namespace
 
-SlotMessenger::SlotMessenger(NodeCore &core, LocalHome &home, const ReservationTuning &tuning)
+SlotMessenger::SlotMessenger(NodeCore &core, LocalHome &home, const ReservationTuning &tuning,
+                             std::size_t maxWaitingRequests)
     : core_(core)
     , home_(home)
     , reservations_(core.clock, core.metrics, core.events, makeServiceHooks())
     , requester_(
-          core.clock, core.metrics, core.events, [&core] { return core.random(); }, makeTransport(), tuning)
+          core.clock, core.metrics, core.events, [&core] { return core.random(); }, makeTransport(), tuning,
+          requesterTuning(maxWaitingRequests))
 { }
 
 void SlotMessenger::start()
--- a/src/sidecar/SlotMessenger.h
+++ b/src/sidecar/SlotMessenger.h
@@ -7,6 +7,7 @@
 #include "src/sidecar/home/SlotReservationService.h"
 #include "src/sidecar/ingress/SlotRequester.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -23,7 +24,7 @@
 {
 public:
     /** @pre "peers" and "registry" are in the kernel before start(). */
-    SlotMessenger(NodeCore &core, LocalHome &home, const ReservationTuning &tuning);
+    SlotMessenger(NodeCore &core, LocalHome &home, const ReservationTuning &tuning, std::size_t maxWaitingRequests);
     /** @pre called once, before the home starts. */
     void start();
 
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -174,7 +174,7 @@
 void StoreWatch::handleResponse(const WatchCall &call, SteadyTime calledAt, const ObjectChanges &changes)
 {
     if (!healthy_) {
-        core_.events.write(Severity::Info, "store_answers",
+        core_.events.write(Severity::Info, "store_recovered",
                            {{"kind", kind_}, {"revision", std::to_string(changes.revision)}});
     }
     healthy_ = true;
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -190,7 +190,7 @@
 
 void WorkSender::logFenceReply(const Pending &pending, const SentWork &sent, const FenceReply &fenceReply) const
 {
-    core_.events.writeRequest(Severity::Warning, "fate_asked",
+    core_.events.writeRequest(Severity::Warning, "outcome_queried",
                               {{"request", pending.requestId},
                                {"home", sent.target.text()},
                                {"work", std::to_string(sent.id)},
--- a/src/sidecar/home/SlotReservationService.h
+++ b/src/sidecar/home/SlotReservationService.h
@@ -46,8 +46,10 @@
 class SlotReservationService
 {
 public:
-    /** What the service needs of the home and of the links. None of them calls the service before it returns, except
-     * freeSlot. */
+    /**
+     * What the service needs of the home and of the links. None of them calls the service before it returns, except
+     * freeSlot.
+     */
     struct Hooks {
         /** Returns a new id for SlotQueue. */
         std::function<std::uint64_t()> nextSlotId;
--- a/src/sidecar/ingress/SlotRequester.cpp
+++ b/src/sidecar/ingress/SlotRequester.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t spreadSteps = 1000;
 
 /** Refusals of homes whose slots are all needed for other requests. */
-constexpr std::array<const char *, 3> busyReasons = {"busy", "waited-in-vain", "too-many-reservations"};
+constexpr std::array<const char *, 3> busyReasons = {"busy", "queue-timeout", "too-many-reservations"};
 
 bool isBusy(const std::string &reason)
 {
--- a/tests/integration/RetryTest.cpp
+++ b/tests/integration/RetryTest.cpp
@@ -27,7 +27,7 @@
 
     int allowedRetries() const
     {
-        return mesh_.countLogLines(0, {"event=second_send", "allowed=yes"});
+        return mesh_.countLogLines(0, {"event=retry_requested", "allowed=yes"});
     }
 
     Mesh mesh_;
--- a/tests/integration/SidecarTest.cpp
+++ b/tests/integration/SidecarTest.cpp
@@ -108,7 +108,7 @@
         CHECK(statuses[static_cast<std::size_t>(i)] == 200);
         CHECK(executions[id("cut", i)] == 1);
     }
-    CHECK(mesh.log(0).find("event=fate_asked") != std::string::npos);
+    CHECK(mesh.log(0).find("event=outcome_queried") != std::string::npos);
 }
 
 TEST_CASE("mesh, home stops responding for good, loses only the bookings sent before that is detected")
--- a/tests/integration/StaleStateTest.cpp
+++ b/tests/integration/StaleStateTest.cpp
@@ -89,14 +89,14 @@
 TEST_CASE_FIXTURE(StaleState, "stale state, watches on dead connections, nodes soon detect a node that joins")
 {
     mesh_.addRegistryEntry("first-to-join");
-    REQUIRE(eventually([&] { return mesh_.countLogLines(0, {"event=roster_changed", "nodes=4"}) > 0; }));
+    REQUIRE(eventually([&] { return mesh_.countLogLines(0, {"event=registry_changed", "nodes=4"}) > 0; }));
     pause(Millis(600));
     mesh_.setStoreFault({{"deafWatches", true}});
     mesh_.addRegistryEntry("second-to-join");
     for (int node = 0; node < 3; ++node) {
         CHECK(eventually(
             [&] {
-                return mesh_.countLogLines(node, {"event=roster_changed", "nodes=5"}) > 0;
+                return mesh_.countLogLines(node, {"event=registry_changed", "nodes=5"}) > 0;
             },
             2 * dueAfterDisturbance));
     }
--- a/tests/integration/UpgradeTest.cpp
+++ b/tests/integration/UpgradeTest.cpp
@@ -162,9 +162,9 @@
         static int number = 0;
         const auto response = mesh_.send(0, "lookup-" + std::to_string(++number), "/dates/1");
         CHECK((response && response->status == 200));
-        return mesh_.countLogLines(0, {"event=second_send ", "allowed=yes"}) > 0;
+        return mesh_.countLogLines(0, {"event=retry_requested ", "allowed=yes"}) > 0;
     };
     REQUIRE(eventually(lookup));
     // Another node transfers at most half of its own part.
-    CHECK(mesh_.countLogLines(0, {"event=second_sends_borrowed", "borrowed=0.375"}) > 0);
+    CHECK(mesh_.countLogLines(0, {"event=retry_budget_transferred", "received=0.375"}) > 0);
 }
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -460,7 +460,7 @@
         return true;
     }
     // A node whose own entry completes the registry logs no change for it, only that it wrote the entry.
-    const std::size_t written = text.find("event=roster_entry_written");
+    const std::size_t written = text.find("event=registry_entry_written");
     const std::string others = "nodes=" + std::to_string(members_.size() - 1);
     return written != std::string::npos && text.rfind(others, written) != std::string::npos;
 }
--- a/tests/unit/SlotRequesterTest.cpp
+++ b/tests/unit/SlotRequesterTest.cpp
@@ -163,6 +163,8 @@
     CHECK_FALSE(mayWait());
     settings.waiting.minObjective = Millis(0);
     CHECK_FALSE(mayWait());
+    settings.waiting.maxRequests = 7;
+    CHECK(makeSidecarTuning(settings, findings).maxWaitingRequests == 7);
 }
 
 // Guards against more than two reservations of one request, or a release that is missing.
--- a/tests/unit/SlotReservationServiceTest.cpp
+++ b/tests/unit/SlotReservationServiceTest.cpp
@@ -62,7 +62,7 @@
             }
         }
         for (const std::uint64_t id : result.expired) {
-            service_.slotRemoved(id, "waited-in-vain");
+            service_.slotRemoved(id, "queue-timeout");
         }
     }
 
@@ -299,9 +299,9 @@
     occupy();
     reserve(sender, 1);
     for (const std::uint64_t id : queue_.removeWaiting()) {
-        service_.slotRemoved(id, "waited-in-vain");
+        service_.slotRemoved(id, "queue-timeout");
     }
-    CHECK(refusalOf(1) == "waited-in-vain");
+    CHECK(refusalOf(1) == "queue-timeout");
     CHECK(service_.count() == 0);
 }
 
--- a/tools/losses.cpp
+++ b/tools/losses.cpp
@@ -166,7 +166,7 @@
             ++responses_[line.field("status") + " " + line.field("reason")];
         } else if (event == "home_done") {
             addWork(line);
-        } else if (event == "second_send") {
+        } else if (event == "retry_requested") {
             ++retries_[line.field("why") + ", " + line.field("allowed")];
         } else if (event == "store_call") {
             ++storeCalls_[line.field("kind") + " " + line.field("call")
