--- a/bench/slow_readers.cpp
+++ b/bench/slow_readers.cpp
@@ -20,7 +20,8 @@
 /** Time until the slow readers hold what the bound allows. */
 constexpr Millis settleTime{3000};
 constexpr Millis requestInterval{10};
-constexpr Millis refusedPause{2000};
+/** For a refusal without Retry-After. */
+constexpr Millis defaultRetryAfter{2000};
 /** Each slow reader reads about 100 KB/s. */
 constexpr std::size_t bytesPerTick = 24UL * 1024;
 constexpr Millis tick{250};
@@ -66,6 +67,14 @@
     return *latency;
 }
 
+Millis retryAfter(const SlowCaller &caller)
+{
+    const std::string name = "Retry-After: ";
+    const std::string head = caller.head();
+    const std::size_t at = head.find(name);
+    return at == std::string::npos ? defaultRetryAfter : millisOf(durationOf(std::stod(head.substr(at + name.size()))));
+}
+
 void readSlowly(const Mesh &mesh, int reader, SteadyTime until, Counts &counts)
 {
     for (int i = 0; std::chrono::steady_clock::now() < until; ++i) {
@@ -75,7 +84,7 @@
         constexpr unsigned unavailable = 503;
         if (caller.status() == unavailable) {
             ++counts.refused;
-            pause(refusedPause);
+            pause(retryAfter(caller));
         } else if (caller.isComplete()) {
             ++counts.complete;
         } else if (caller.ended()) {
