--- a/bench/slow_readers.cpp
+++ b/bench/slow_readers.cpp
@@ -3,6 +3,7 @@
  * With "off", flow control is off. Prints the peak memory of the nodes, and the latency of the ordinary requests
  * without and with slow readers.
  */
+#include "platform/Names.h"
 #include "tests/support/Mesh.h"
 #include "tests/support/SlowCaller.h"
 
@@ -104,7 +105,7 @@
     MeshOptions options;
     options.services = {"front", "desk", "desk"};
     if (enabled) {
-        options.contracts = {"pressure"};
+        options.contracts = {platform::names::slowReading};
     }
     options.slots = 11;
     options.timeoutMs = 10000;
--- a/tests/integration/SlowReaderTest.cpp
+++ b/tests/integration/SlowReaderTest.cpp
@@ -1,3 +1,4 @@
+#include "platform/Names.h"
 #include "src/http/HttpServer.h"
 #include "src/http/ResponseFlow.h"
 #include "tests/support/Mesh.h"
@@ -25,7 +26,7 @@
     options.timeoutMs = 30000;
     options.flow = {{"nodeBytes", 8 * megabyte}, {"connectionBytes", megabyte}, {"stall", "4s"}};
     if (enabled) {
-        options.contracts = {"pressure"};
+        options.contracts = {platform::names::slowReading};
     }
     return options;
 }
--- a/tests/unit/PlatformDialectTest.cpp
+++ b/tests/unit/PlatformDialectTest.cpp
@@ -266,7 +266,7 @@
     CHECK(!makeSidecarTuning(settings, findings).flow);
     settings.contracts = {"other"};
     CHECK(!makeSidecarTuning(settings, findings).flow);
-    settings.contracts = {"other", "pressure"};
+    settings.contracts = {"other", names::slowReading};
     const SidecarTuning tuning = makeSidecarTuning(settings, findings);
     REQUIRE(tuning.flow);
     CHECK(tuning.flow->nodeBytes == 7);
