--- a/tests/integration/SlowReaderTest.cpp
+++ b/tests/integration/SlowReaderTest.cpp
@@ -41,6 +41,8 @@
         const auto response = mesh.send(0, name + "-" + std::to_string(i), "/open/1", std::chrono::seconds(10));
         durations.push_back(millisOf(std::chrono::steady_clock::now() - start));
         CHECK(response);
+        // The body of a refusal names its reason.
+        INFO("response " << (response ? response->body : "none"));
         CHECK((response ? response->status : 0) == 200);
     }
     std::sort(durations.begin(), durations.end());
