--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -334,7 +334,7 @@
     want.candidates = [this, run] { return reservationCandidates(*run); };
     want.control = attempt->control;
     ++run->waitingForSlot;
-    const SlotWaitResult result = slots_.wait(want);
+    SlotWaitResult result = slots_.wait(want);
     --run->waitingForSlot;
     run->reservationsMade += result.made;
     run->notifier.notify();
