--- a/bench/customers.cpp
+++ b/bench/customers.cpp
@@ -1,5 +1,5 @@
 /** Measures the table of customers at several sizes: bench-customers. Prints time a lookup and memory. */
-#include "include/customer/CustomerTable.h"
+#include "include/fleet/CustomerTable.h"
 
 #include <chrono>
 #include <cstdio>
--- a/include/base/EventLog.h
+++ b/include/base/EventLog.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "include/base/Clock.h"
-#include "include/limit/TokenBucket.h"
+#include "include/base/TokenBucket.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "include/base/Clock.h"
-#include "include/customer/CustomerTable.h"
-#include "include/limit/TokenBucket.h"
+#include "include/base/TokenBucket.h"
+#include "include/fleet/CustomerTable.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/customer/QuotaLedger.h
+++ b/include/customer/QuotaLedger.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "include/base/TokenBucket.h"
 #include "include/customer/QuotaCounter.h"
-#include "include/limit/TokenBucket.h"
 
 #include <map>
 #include <optional>
--- a/include/fleet/FleetConfig.h
+++ b/include/fleet/FleetConfig.h
@@ -2,7 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/base/Findings.h"
-#include "include/customer/CustomerTable.h"
+#include "include/fleet/CustomerTable.h"
 
 #include <cstdint>
 #include <map>
--- a/src/limit/TokenBucket.cpp
+++ b/src/base/TokenBucket.cpp
@@ -1,4 +1,4 @@
-#include "include/limit/TokenBucket.h"
+#include "include/base/TokenBucket.h"
 
 #include <algorithm>
 
--- a/src/customer/CustomerTable.cpp
+++ b/src/fleet/CustomerTable.cpp
@@ -1,4 +1,4 @@
-#include "include/customer/CustomerTable.h"
+#include "include/fleet/CustomerTable.h"
 
 #include <algorithm>
 #include <cstring>
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -150,11 +150,17 @@
     client.set_open_handshake_timeout(openTimeoutMs);
     client.set_close_handshake_timeout(closeTimeoutMs);
     client.set_max_message_size(maxMessageBytes);
+    // The socket hook of websocketpp runs before the socket is open, where setting the option fails. This one runs when
+    // the connection is established. With Nagle's algorithm, small messages wait for the peer's delayed ACK of 40 ms.
     const auto noDelay = [](auto &endpoint) {
-        endpoint.set_tcp_pre_init_handler({});
-        endpoint.set_socket_init_handler([](const connection_hdl &, boost::asio::ip::tcp::socket &socket) {
-            boost::system::error_code ignored;
-            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        endpoint.set_tcp_pre_init_handler([&endpoint](const connection_hdl &handle) {
+            websocketpp::lib::error_code gone;
+            const auto connection = endpoint.get_con_from_hdl(handle, gone);
+            if (gone) {
+                return;
+            }
+            boost::system::error_code closed;
+            connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), closed);
         });
     };
     noDelay(server);
--- a/src/node/ClaimService.h
+++ b/src/node/ClaimService.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "include/base/TokenBucket.h"
 #include "include/claim/ClaimTable.h"
-#include "include/limit/TokenBucket.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/link/PeerHub.h"
 #include "src/node/RunControl.h"
--- a/src/node/DispatchService.h
+++ b/src/node/DispatchService.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "include/base/TokenBucket.h"
 #include "include/limit/RetryBudget.h"
-#include "include/limit/TokenBucket.h"
 #include "include/route/HomeChooser.h"
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
--- a/tests/support/QuotaFleetModel.h
+++ b/tests/support/QuotaFleetModel.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "include/base/TokenBucket.h"
 #include "include/customer/CounterElection.h"
 #include "include/customer/QuotaLedger.h"
-#include "include/limit/TokenBucket.h"
 #include "tests/support/EventSchedule.h"
 
 #include <boost/random/mersenne_twister.hpp>
--- a/tests/unit/DecisionsTest.cpp
+++ b/tests/unit/DecisionsTest.cpp
@@ -1,6 +1,6 @@
+#include "include/base/TokenBucket.h"
 #include "include/limit/FairQueue.h"
 #include "include/limit/RetryBudget.h"
-#include "include/limit/TokenBucket.h"
 #include "include/member/RecordTable.h"
 #include "include/member/Ring.h"
 #include "include/poison/PoisonRegistry.h"
