--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/base/TokenBucket.h"
+#include "include/customer/LevelHistory.h"
 #include "include/fleet/CustomerTable.h"
 
 #include <cstdint>
@@ -34,6 +35,13 @@
     std::size_t reachable = 1;
 };
 
+/** Tokens of requests that have ended without having run. */
+struct QuotaReturn {
+    /** Time since the tokens were taken. */
+    Millis age{0};
+    std::uint32_t count = 0;
+};
+
 /** What a new counter knows of the window before it. */
 enum class CounterStart {
     /** No node has counted for the customer within the window, so the bucket is full. */
@@ -63,11 +71,17 @@
     /** Changes the limit; tokens above the new burst are lost. */
     void setLimit(QuotaLimit limit, SteadyTime now);
     /**
-     * Takes the tokens of requests that @p node has admitted (negative: gives back). @p seen: requests that came to it
-     * since its last report, admitted or not. @p nodes: those of the region now.
+     * Takes the tokens of requests that @p node has admitted. Negative: a node of an earlier build, which does not
+     * state the ages, gives back; this counts only while no other counter can have granted them. @p seen: requests
+     * that came to the node since its last report, admitted or not. @p nodes: those of the region now.
      */
     void record(const std::string &node, std::int64_t used, std::uint32_t seen, const RegionNodes &nodes,
                 SteadyTime now);
+    /**
+     * Gives back tokens. Those count that the bucket would hold now if they had never been taken; the others would have
+     * overflowed it meanwhile, or were taken before this counter began. Returns how many count.
+     */
+    double giveBack(const QuotaReturn &tokens, SteadyTime now);
     /** Grants up to @p wanted requests and takes their tokens. */
     std::uint32_t grant(std::uint32_t wanted, SteadyTime now);
     /** Returns true if the bucket is so low that tokens of other regions' counters are needed. */
@@ -93,6 +107,8 @@
 
     /** Advances the time and returns the tokens that there are. */
     double level(SteadyTime now);
+    /** Returns how many requests above rate and burst a window may have. */
+    double tolerance() const;
     /** Returns the level above which requests are granted; negative. */
     double grantFloor() const;
     std::size_t reportersWithin(Duration time) const;
@@ -104,6 +120,7 @@
     QuotaLimit limit_;
     QuotaTuning tuning_;
     TokenBucket bucket_;
+    LevelHistory levels_;
     /** Time of the last call. */
     SteadyTime now_;
     SteadyTime lastUsed_;
--- a/include/customer/QuotaLedger.h
+++ b/include/customer/QuotaLedger.h
@@ -15,12 +15,19 @@
     std::string customer;
     /** The customer's whole limit, as the reporting node's configuration has it. */
     QuotaLimit limit;
-    /** Admitted since the last report; negative if more were given back. */
+    /** Admitted since the last report, less all that were given back; may be negative. */
     std::int64_t used = 0;
     /** Waiting for a grant. */
     std::uint32_t wanted = 0;
     /** All that came since the last report, admitted or not. */
     std::uint32_t seen = 0;
+    /** What was given back, by age. Nodes of an earlier build don't state it. */
+    std::vector<QuotaReturn> returned;
+    /** When the reporting node made this report; not part of the message. */
+    SteadyTime madeAt;
+
+    /** Returns how many were admitted, whether given back since or not. */
+    std::int64_t taken() const;
 };
 
 enum class QuotaDecision {
@@ -47,8 +54,11 @@
     QuotaDecision decide(const std::string &customer, const QuotaLimit &limit, SteadyTime now);
     /** Admits a request whose counter does not reply if the share of one of @p nodes nodes allows it. */
     bool admitAlone(const std::string &customer, std::size_t nodes, SteadyTime now);
-    /** Gives back a request that was admitted but has not run. */
-    void giveBack(const std::string &customer);
+    /**
+     * Gives back a request that was admitted at @p admittedAt but has not run. Returns false if that is so long ago
+     * that it makes no difference.
+     */
+    bool giveBack(const std::string &customer, SteadyTime admittedAt, SteadyTime now);
     /** Records a reply of the counter: its mode, and until when it denies requests. */
     void noteReply(const std::string &customer, QuotaMode mode, SteadyTime deniedUntil, SteadyTime now);
     /** Sets the mode without an acknowledgement: the counter tells all nodes that a customer is near its limit. */
@@ -59,7 +69,7 @@
     std::vector<QuotaUse> takeUnreported(SteadyTime now);
     /** The same for one customer. */
     QuotaUse takeUnreported(const std::string &customer, SteadyTime now);
-    /** Adds requests of a report that was not acknowledged to the next one. */
+    /** Adds requests of a report that was not acknowledged to the next one. What was given back keeps its age. */
     void restore(const QuotaUse &use);
     /** Returns true if there is something to report. */
     bool hasUnreported() const;
@@ -70,8 +80,13 @@
 private:
     struct Account {
         QuotaMode mode = QuotaMode::Open;
+        /** Admitted and not yet reported. */
         std::int64_t unreported = 0;
+        /** When the first of them was admitted. */
+        SteadyTime unreportedSince;
         std::uint32_t seen = 0;
+        /** Given back and not yet reported, by the time of admission in steps. */
+        std::map<SteadyTime, std::uint32_t> returned;
         /** This node's share, while its counter does not reply. */
         std::optional<TokenBucket> share;
         SteadyTime repliedAt;
@@ -82,6 +97,8 @@
         SteadyTime lastUsed;
     };
 
+    static bool hasUnreported(const Account &account);
+    static void countAdmitted(Account &account, std::int64_t count, SteadyTime since);
     QuotaUse takeFrom(const std::string &customer, Account &account, SteadyTime now);
 
     QuotaTuning tuning_;
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -9,6 +9,11 @@
 
 /** Part of the tolerance that grants may use. The rest is for requests that are admitted before they are counted. */
 constexpr double grantedTolerance = 0.15;
+/**
+ * Part of the tolerance by which tokens that are given back late may exceed the burst. Without it customers below their
+ * limit whose callers repeat requests are refused more often (figures in docs/design/customers.md).
+ */
+constexpr double returnedTolerance = 0.4;
 /** Levels, as fractions of the burst, at which metered mode begins and ends. */
 constexpr double meterBelow = 0.2;
 constexpr double openAbove = 0.4;
@@ -30,6 +35,8 @@
 /** Of a denial's length that the number of waiting nodes calls for, and the longest denial. */
 constexpr double denialFactor = 0.7;
 constexpr Millis maxDenial{700};
+/** How long before a counter's first report the oldest request in it may have come. */
+constexpr Millis reportDelay{100};
 
 } // namespace
 
@@ -37,6 +44,8 @@
     : limit_(limit)
     , tuning_(tuning)
     , bucket_(limit.ratePerSecond, limit.burst, now)
+    // What a node before this one has granted was not taken from this bucket.
+    , levels_(tuning.window, start == CounterStart::Fresh ? now - reportDelay : now)
     , now_(now)
     , lastUsed_(now)
     , createdAt_(now)
@@ -105,7 +114,9 @@
         arrivals_.pop_front();
     }
     bucket_.setRate(limit_.ratePerSecond * reachableShare(), limit_.burst);
-    return bucket_.level(now);
+    const double tokens = bucket_.level(now);
+    levels_.note(tokens, now);
+    return tokens;
 }
 
 void QuotaCounter::record(const std::string &node, std::int64_t used, std::uint32_t seen, const RegionNodes &nodes,
@@ -116,14 +127,29 @@
     level(now);
     reporters_[node] = now;
     arrivals_.push_back(Arrivals{now, seen});
-    bucket_.take(static_cast<double>(used), now);
+    const std::int64_t taken = start_ == CounterStart::Fresh ? used : std::max<std::int64_t>(0, used);
+    bucket_.take(static_cast<double>(taken), now);
     lastUsed_ = now;
 }
 
-double QuotaCounter::grantFloor() const
+double QuotaCounter::giveBack(const QuotaReturn &tokens, SteadyTime now)
+{
+    const double missing = std::max(0.0, limit_.burst - level(now));
+    const double capacity = limit_.burst + returnedTolerance * tolerance();
+    const double counted = std::min(missing, levels_.putBack(tokens.count, now - tokens.age, capacity));
+    bucket_.take(-counted, now);
+    return counted;
+}
+
+double QuotaCounter::tolerance() const
 {
     const double window = secondsOf(tuning_.window);
-    return -grantedTolerance * (tuning_.over * (limit_.ratePerSecond * window + limit_.burst) + tuning_.slack);
+    return tuning_.over * (limit_.ratePerSecond * window + limit_.burst) + tuning_.slack;
+}
+
+double QuotaCounter::grantFloor() const
+{
+    return -grantedTolerance * tolerance();
 }
 
 std::uint32_t QuotaCounter::grant(std::uint32_t wanted, SteadyTime now)
--- a/src/customer/QuotaLedger.cpp
+++ b/src/customer/QuotaLedger.cpp
@@ -1,6 +1,7 @@
 #include "include/customer/QuotaLedger.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace waxwing {
 
@@ -14,9 +15,25 @@
 constexpr double shareFactor = 0.5;
 /** A counter in the region replies within some milliseconds; a VM that has used up its CPU quota needs 100 ms more. */
 constexpr Millis acknowledgeTime{150};
+/** Requests that were admitted within one such step are given back together, which bounds the size of a report. */
+constexpr Millis returnStep{50};
+/** Windows after which a token that is given back would have overflowed every bucket, or is of no use to a new window.
+ */
+constexpr int returnWindows = 2;
+
+SteadyTime stepOf(SteadyTime time)
+{
+    return SteadyTime(time.time_since_epoch() / returnStep * returnStep);
+}
 
 } // namespace
 
+std::int64_t QuotaUse::taken() const
+{
+    return std::accumulate(returned.begin(), returned.end(), used,
+                           [](std::int64_t sum, const QuotaReturn &one) { return sum + one.count; });
+}
+
 QuotaLedger::QuotaLedger(const QuotaTuning &tuning)
     : tuning_(tuning)
 { }
@@ -33,7 +50,7 @@
     if (account.mode == QuotaMode::Metered) {
         return now < account.deniedUntil ? QuotaDecision::Deny : QuotaDecision::Ask;
     }
-    ++account.unreported;
+    countAdmitted(account, 1, now);
     return QuotaDecision::Admit;
 }
 
@@ -53,17 +70,31 @@
     if (!account.share->tryTake(1.0, now)) {
         return false;
     }
-    ++account.unreported;
+    countAdmitted(account, 1, now);
     return true;
 }
 
-void QuotaLedger::giveBack(const std::string &customer)
+void QuotaLedger::countAdmitted(Account &account, std::int64_t count, SteadyTime since)
+{
+    account.unreportedSince = account.unreported > 0 ? std::min(account.unreportedSince, since) : since;
+    account.unreported += count;
+}
+
+bool QuotaLedger::giveBack(const std::string &customer, SteadyTime admittedAt, SteadyTime now)
 {
     // A customer that was forgotten has not used its quota for longer than a window, so nothing is lost.
     const auto found = accounts_.find(customer);
-    if (found != accounts_.end()) {
-        --found->second.unreported;
+    if (found == accounts_.end() || now - admittedAt > returnWindows * tuning_.window) {
+        return false;
     }
+    Account &account = found->second;
+    if (account.unreported > 0 && admittedAt >= account.unreportedSince) {
+        // The counter has not taken a token for it yet.
+        --account.unreported;
+    } else {
+        ++account.returned[stepOf(admittedAt)];
+    }
+    return true;
 }
 
 void QuotaLedger::noteReply(const std::string &customer, QuotaMode mode, SteadyTime deniedUntil, SteadyTime now)
@@ -92,7 +123,20 @@
 
 QuotaUse QuotaLedger::takeFrom(const std::string &customer, Account &account, SteadyTime now)
 {
-    QuotaUse use{customer, account.limit, account.unreported, 0, account.seen};
+    QuotaUse use;
+    use.customer = customer;
+    use.limit = account.limit;
+    use.used = account.unreported;
+    use.seen = account.seen;
+    use.madeAt = now;
+    for (const auto &[admittedAt, count] : account.returned) {
+        if (now - admittedAt > returnWindows * tuning_.window) {
+            continue;
+        }
+        use.used -= count;
+        use.returned.push_back(QuotaReturn{millisOf(now - admittedAt), count});
+    }
+    account.returned.clear();
     account.unreported = 0;
     account.seen = 0;
     account.reportedAt = account.reportedAt.value_or(now);
@@ -103,7 +147,7 @@
 {
     std::vector<QuotaUse> uses;
     for (auto &[customer, account] : accounts_) {
-        if (account.unreported != 0) {
+        if (hasUnreported(account)) {
             uses.push_back(takeFrom(customer, account, now));
         }
     }
@@ -119,19 +163,29 @@
 {
     Account &account = accounts_[use.customer];
     account.limit = account.limit.isUnlimited() ? use.limit : account.limit;
-    account.unreported += use.used;
+    if (use.taken() > 0) {
+        countAdmitted(account, use.taken(), use.madeAt);
+    }
     account.seen += use.seen;
+    for (const QuotaReturn &one : use.returned) {
+        account.returned[stepOf(use.madeAt - one.age)] += one.count;
+    }
+}
+
+bool QuotaLedger::hasUnreported(const Account &account)
+{
+    return account.unreported != 0 || !account.returned.empty();
 }
 
 bool QuotaLedger::hasUnreported() const
 {
-    return std::any_of(accounts_.begin(), accounts_.end(), [](const auto &one) { return one.second.unreported != 0; });
+    return std::any_of(accounts_.begin(), accounts_.end(), [](const auto &one) { return hasUnreported(one.second); });
 }
 
 void QuotaLedger::evictIdle(SteadyTime now)
 {
     for (auto it = accounts_.begin(); it != accounts_.end();) {
-        const bool idle = it->second.unreported == 0 && now - it->second.lastUsed > idleWindows * tuning_.window;
+        const bool idle = !hasUnreported(it->second) && now - it->second.lastUsed > idleWindows * tuning_.window;
         it = idle ? accounts_.erase(it) : std::next(it);
     }
 }
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -174,6 +174,7 @@
         return Refusal{tooManyRequests,  job.requestId, "quota", retryAfter, std::string(customer.name),
                        verdict.decidedBy};
     }
+    job.countedAt = verdict.countedAt;
     platform::addCustomer(job.request, customer.name);
     job.customer = customer.name;
     setCustomer(job, customer, credential);
@@ -183,7 +184,6 @@
 void CallerHandler::setCustomer(ForwardJob &job, const Customer &customer, const Credential &credential)
 {
     job.priority = customer.priority.value_or(job.route->priority);
-    job.hasQuota = !customer.quota.isUnlimited();
     job.recheckKey = [this, credential, route = job.route, name = job.customer] {
         const std::shared_ptr<const FleetConfig> current = core_.service<ConfigSync>("config").current();
         const Admission again = admit(*current, *route, credential);
@@ -234,9 +234,7 @@
     std::optional<Refusal> refusal = judge(*job, *decoded);
     refusal = refusal ? refusal : reserveBytes(*job, caller);
     if (refusal) {
-        if (!job->customer.empty()) {
-            core_.service<QuotaService>("quotas").giveBack(job->customer);
-        }
+        giveBackQuota(*job);
         return refuse(*refusal);
     }
     const Route &route = *job->route;
@@ -249,12 +247,19 @@
     return answer(*job, core_.service<Forwarder>("forwarder").run(job), caller);
 }
 
+void CallerHandler::giveBackQuota(const ForwardJob &job)
+{
+    if (job.countedAt) {
+        core_.service<QuotaService>("quotas").giveBack(job.customer, *job.countedAt);
+    }
+}
+
 HttpReply CallerHandler::answer(const ForwardJob &job, ForwardResult result, const CallerWatchPtr &caller)
 {
     const Duration took = core_.clock.now() - job.arrived;
     const Route &route = *job.route;
-    if (result.outcome == Outcome::NotRun && !job.customer.empty()) {
-        core_.service<QuotaService>("quotas").giveBack(job.customer);
+    if (result.outcome == Outcome::NotRun) {
+        giveBackQuota(job);
     }
     core_.service<BurnRecorder>("burn").record(job.service, route.name, burnResultOf(result, took, route));
     core_.metrics.count(std::string("outcome_") + outcomeName(result.outcome));
--- a/src/sidecar/CallerHandler.h
+++ b/src/sidecar/CallerHandler.h
@@ -67,6 +67,8 @@
     std::optional<Refusal> reserveBytes(const ForwardJob &job, const CallerWatchPtr &caller);
     /** Releases a reservation: the response is an error whose size does not matter. */
     void releaseBytes(const CallerWatchPtr &caller);
+    /** Gives back the token of a request that has not run. */
+    void giveBackQuota(const ForwardJob &job);
     HttpReply answer(const ForwardJob &job, ForwardResult result, const CallerWatchPtr &caller);
 
     NodeCore &core_;
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -218,7 +218,7 @@
     attempt->reply.reason = "no-sound-home";
     // A hedge is useful only where a slot is free now. A request that counts against a quota would run later than it
     // was counted, and too many of them within one window of the quota.
-    bool canReserve = kind != AttemptKind::Hedge && !job.hasQuota && slots_.mayWait(*job.route);
+    bool canReserve = kind != AttemptKind::Hedge && !job.countedAt && slots_.mayWait(*job.route);
     while (!attempt->control->cancelled && !run->finished && run->search.canContinue()) {
         const SteadyTime now = core_.clock.now();
         if (const std::string problem = keyProblem(*run); !problem.empty()) {
@@ -297,7 +297,7 @@
 
 bool Forwarder::isHedgeUseless(const Run &run, const HomeChoice &choice) const
 {
-    return !run.job.hasQuota && slots_.mayWait(*run.job.route) && slots_.offersSlots(choice.node)
+    return !run.job.countedAt && slots_.mayWait(*run.job.route) && slots_.offersSlots(choice.node)
            && slots_.shouldReserve(choice);
 }
 
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,8 +39,8 @@
     std::string requestId;
     /** The customer that sent the request; empty if none is known. */
     std::string customer;
-    /** The customer's requests are limited: the request was counted when it was admitted. */
-    bool hasQuota = false;
+    /** When the request was counted against its customer's quota; nothing if it has none. */
+    std::optional<SteadyTime> countedAt;
     /** Rank of the request among those of callers; 0 is the most urgent. */
     int priority = 0;
     /** Checks the key again before each send. Not set if the request needs no key. */
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -85,29 +85,33 @@
 QuotaVerdict QuotaService::admit(const Customer &customer)
 {
     if (customer.quota.isUnlimited()) {
-        return QuotaVerdict{true, Millis(0), "no-limit"};
+        return QuotaVerdict{true, Millis(0), "no-limit", std::nullopt};
     }
     const std::string name(customer.name);
     const SteadyTime now = core_.clock.now();
     switch (ledger_.decide(name, customer.quota, now)) {
     case QuotaDecision::Admit:
-        return QuotaVerdict{true, Millis(0), "open"};
+        return QuotaVerdict{true, Millis(0), "open", now};
     case QuotaDecision::Deny:
-        return QuotaVerdict{false, std::chrono::ceil<Millis>(ledger_.deniedUntil(name) - now), "denied-before"};
+        return QuotaVerdict{false, std::chrono::ceil<Millis>(ledger_.deniedUntil(name) - now), "denied-before",
+                            std::nullopt};
     case QuotaDecision::Ask:
         return ask(name);
     case QuotaDecision::NoCounter:
         if (ledger_.admitAlone(name, nodeCount_, now)) {
-            return QuotaVerdict{true, Millis(0), "own-share"};
+            return QuotaVerdict{true, Millis(0), "own-share", now};
         }
         return ask(name);
     }
     return QuotaVerdict{};
 }
 
-void QuotaService::giveBack(const std::string &customer)
+void QuotaService::giveBack(const std::string &customer, SteadyTime countedAt)
 {
-    ledger_.giveBack(customer);
+    core_.metrics.count("quota_tokens_returned");
+    if (!ledger_.giveBack(customer, countedAt, core_.clock.now())) {
+        core_.metrics.count("quota_tokens_returned_late");
+    }
 }
 
 QuotaVerdict QuotaService::ask(const std::string &customer)
@@ -118,18 +122,21 @@
         if (counter.empty()) {
             break;
         }
-        QuotaUse use = ledger_.takeUnreported(customer, core_.clock.now());
+        const SteadyTime askedAt = core_.clock.now();
+        QuotaUse use = ledger_.takeUnreported(customer, askedAt);
         use.wanted = 1;
         const std::optional<QuotaReply> reply = askAt(counter, use);
         if (reply && !reply->grants.empty()) {
-            return verdictOf(customer, reply->grants.front());
+            return verdictOf(customer, reply->grants.front(), askedAt);
         }
         ledger_.restore(use);
         ownElection().noteUnreachable(counter, core_.clock.now());
         core_.metrics.count("quota_counter_silent");
     }
-    const bool admitted = ledger_.admitAlone(customer, nodeCount_, core_.clock.now());
-    return QuotaVerdict{admitted, admitted ? Millis(0) : aloneRetryAfter, "own-share"};
+    const SteadyTime now = core_.clock.now();
+    const bool admitted = ledger_.admitAlone(customer, nodeCount_, now);
+    return QuotaVerdict{admitted, admitted ? Millis(0) : aloneRetryAfter, "own-share",
+                        admitted ? std::optional<SteadyTime>(now) : std::nullopt};
 }
 
 std::optional<QuotaReply> QuotaService::askAt(const std::string &counter, const QuotaUse &use)
@@ -152,13 +159,14 @@
     return pending->reply;
 }
 
-QuotaVerdict QuotaService::verdictOf(const std::string &customer, const QuotaGrant &grant)
+QuotaVerdict QuotaService::verdictOf(const std::string &customer, const QuotaGrant &grant, SteadyTime askedAt)
 {
     const SteadyTime now = core_.clock.now();
     const bool granted = grant.granted > 0;
     ledger_.noteReply(customer, grant.mode, granted ? now : now + grant.retryAfter, now);
     core_.metrics.count(granted ? "quota_granted" : "quota_denied");
-    return QuotaVerdict{granted, granted ? Millis(0) : grant.retryAfter, "counter"};
+    return QuotaVerdict{granted, granted ? Millis(0) : grant.retryAfter, "counter",
+                        granted ? std::optional<SteadyTime>(askedAt) : std::nullopt};
 }
 
 std::optional<LinkId> QuotaService::linkTo(const std::string &node, Duration timeout)
@@ -318,6 +326,17 @@
     return counters_.emplace(customer, Counter{counter, 0, mode, SteadyTime(), SteadyTime()}).first->second;
 }
 
+void QuotaService::countReturned(QuotaCounter &counter, const QuotaUse &use)
+{
+    double late = 0.0;
+    for (const QuotaReturn &tokens : use.returned) {
+        late += tokens.count - counter.giveBack(tokens, core_.clock.now());
+    }
+    if (late >= 1.0) {
+        core_.metrics.count("quota_tokens_returned_late", static_cast<std::uint64_t>(late));
+    }
+}
+
 QuotaGrant QuotaService::countOne(const std::string &from, std::uint64_t configVersion, const QuotaUse &use)
 {
     const SteadyTime now = core_.clock.now();
@@ -326,7 +345,8 @@
         entry.configVersion = configVersion;
         entry.counter.setLimit(regionPart(use.limit), now);
     }
-    entry.counter.record(from, use.used, use.seen, regionNodes(), now);
+    entry.counter.record(from, use.taken(), use.seen, regionNodes(), now);
+    countReturned(entry.counter, use);
     QuotaGrant grant;
     grant.customer = use.customer;
     grant.granted = entry.counter.grant(use.wanted, now);
--- a/src/sidecar/QuotaService.h
+++ b/src/sidecar/QuotaService.h
@@ -24,6 +24,8 @@
     Millis retryAfter{0};
     /** What decided: a stable code for logs. */
     const char *decidedBy = "";
+    /** When the request was counted; nothing if the customer has no limit or the request was not admitted. */
+    std::optional<SteadyTime> countedAt;
 };
 
 /**
@@ -42,8 +44,8 @@
 
     /** Decides on a request of @p customer and counts it if admitted. @pre called from a fiber. */
     QuotaVerdict admit(const Customer &customer);
-    /** Gives back a request that was admitted but has not run. */
-    void giveBack(const std::string &customer);
+    /** Gives back a request that was admitted and counted at @p countedAt, but has not run. */
+    void giveBack(const std::string &customer, SteadyTime countedAt);
 
     void handle(LinkId link, const NodeRef &from, const QuotaReport &report);
     void handleReply(const QuotaReply &reply);
@@ -80,12 +82,15 @@
     /** Asks the counter for one request, and the next one if it does not reply. */
     QuotaVerdict ask(const std::string &customer);
     std::optional<QuotaReply> askAt(const std::string &counter, const QuotaUse &use);
-    QuotaVerdict verdictOf(const std::string &customer, const QuotaGrant &grant);
+    /** @p askedAt: when the grant was asked for. */
+    QuotaVerdict verdictOf(const std::string &customer, const QuotaGrant &grant, SteadyTime askedAt);
     /** Sends a report over the open link to @p node. Returns false if there is none. @p id: of its reply. */
     bool send(const std::string &node, std::uint64_t id, const std::vector<QuotaUse> &uses);
     std::optional<LinkId> linkTo(const std::string &node, Duration timeout);
 
     QuotaReply count(const std::string &from, const QuotaReport &report);
+    /** Gives back what @p use states, and counts it in the metrics. */
+    void countReturned(QuotaCounter &counter, const QuotaUse &use);
     QuotaGrant countOne(const std::string &from, std::uint64_t configVersion, const QuotaUse &use);
     Counter &counterFor(const std::string &customer, const QuotaLimit &limit);
     CounterStart startOf(const std::string &customer) const;
--- a/src/wire/FieldCodec.cpp
+++ b/src/wire/FieldCodec.cpp
@@ -1,5 +1,7 @@
 #include "src/wire/FieldCodec.h"
 
+#include <algorithm>
+
 namespace waxwing::wire {
 
 using nlohmann::json;
@@ -11,6 +13,10 @@
 constexpr double slowdownSteps = 100.0;
 /** Ages are encoded in these steps, so that each takes one or two bytes. */
 constexpr Millis configAgeStep{100};
+/** Older tokens don't count anyway. */
+constexpr std::uint64_t maxReturnAgeMs = 3600000;
+/** A node states the tokens of two windows in steps of 50 ms. */
+constexpr std::size_t maxReturns = 10000;
 constexpr std::uint64_t maxConfigAgeSteps = KnownVersions::maxConfigAge / configAgeStep;
 
 json headersOf(const HeaderList &headers)
@@ -145,6 +151,28 @@
     return QuotaLimit{value.at(0).get<double>(), value.at(1).get<double>()};
 }
 
+json quotaReturnsOf(const std::vector<QuotaReturn> &returned)
+{
+    json out = json::array();
+    for (const QuotaReturn &one : returned) {
+        out.push_back(json::array({one.age.count(), one.count}));
+    }
+    return out;
+}
+
+std::vector<QuotaReturn> quotaReturnsFrom(const json &value)
+{
+    if (!value.is_array() || value.size() > maxReturns) {
+        throw json::other_error::create(501, "malformed list of returned tokens", &value);
+    }
+    std::vector<QuotaReturn> returned;
+    for (const json &one : value) {
+        const auto age = std::min<std::uint64_t>(one.at(0).get<std::uint64_t>(), maxReturnAgeMs);
+        returned.push_back(QuotaReturn{Millis(static_cast<std::int64_t>(age)), one.at(1).get<std::uint32_t>()});
+    }
+    return returned;
+}
+
 json loadOf(const HomeLoad &load)
 {
     return json::array({load.freeSlots, load.queued, load.wait.count(),
--- a/src/wire/FieldCodec.h
+++ b/src/wire/FieldCodec.h
@@ -27,6 +27,8 @@
 KnownVersions versionsFrom(const nlohmann::json &value);
 nlohmann::json quotaLimitOf(const QuotaLimit &limit);
 QuotaLimit quotaLimitFrom(const nlohmann::json &value);
+nlohmann::json quotaReturnsOf(const std::vector<QuotaReturn> &returned);
+std::vector<QuotaReturn> quotaReturnsFrom(const nlohmann::json &value);
 nlohmann::json loadOf(const HomeLoad &load);
 HomeLoad loadFrom(const nlohmann::json &value);
 nlohmann::json workReplyOf(const WorkReply &m);
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -47,6 +47,10 @@
 
 /** Position of the first field of a message's contents. Positions 0 and 1 hold the protocol version and the type. */
 constexpr std::size_t firstField = 2;
+/** Place of the tokens given back in the report on a customer. Earlier builds neither send nor read it. */
+constexpr std::size_t quotaUseReturns = 5;
+/** Keeps sums with the tokens given back within range. */
+constexpr std::int64_t maxQuotaUse = std::int64_t{1} << 53;
 
 json startMessage(Type type)
 {
@@ -191,8 +195,11 @@
     {
         json uses = json::array();
         for (const QuotaUse &use : m.uses) {
-            uses.push_back(
-                json::array({bytesOf(use.customer), quotaLimitOf(use.limit), use.used, use.wanted, use.seen}));
+            json one = json::array({bytesOf(use.customer), quotaLimitOf(use.limit), use.used, use.wanted, use.seen});
+            if (!use.returned.empty()) {
+                one.push_back(quotaReturnsOf(use.returned));
+            }
+            uses.push_back(std::move(one));
         }
         return makeMessage(Type::QuotaReport, m.id, m.configVersion, std::move(uses));
     }
@@ -295,8 +302,16 @@
     m.id = in.at(firstField).get<std::uint64_t>();
     m.configVersion = in.at(firstField + 1).get<std::uint64_t>();
     for (const json &use : in.at(firstField + 2)) {
-        m.uses.push_back(QuotaUse{textOf(use.at(0)), quotaLimitFrom(use.at(1)), use.at(2).get<std::int64_t>(),
-                                  use.at(3).get<std::uint32_t>(), use.at(4).get<std::uint32_t>()});
+        QuotaUse one;
+        one.customer = textOf(use.at(0));
+        one.limit = quotaLimitFrom(use.at(1));
+        one.used = std::clamp(use.at(2).get<std::int64_t>(), -maxQuotaUse, maxQuotaUse);
+        one.wanted = use.at(3).get<std::uint32_t>();
+        one.seen = use.at(4).get<std::uint32_t>();
+        if (use.size() > quotaUseReturns) {
+            one.returned = quotaReturnsFrom(use.at(quotaUseReturns));
+        }
+        m.uses.push_back(std::move(one));
     }
     return m;
 }
--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/random/exponential_distribution.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
 
 #include <algorithm>
 #include <memory>
@@ -21,6 +22,7 @@
 /** Nodes have run for this long before the customer's first request. */
 constexpr Millis settledFor{10000};
 constexpr int maxAsks = 2;
+constexpr Millis repeatAfter{1000};
 /** How long after a cut the first and the last failed path is known. */
 constexpr Millis firstPathFailed{600};
 constexpr Millis lastPathFailed{1500};
@@ -81,7 +83,7 @@
         const double rate = load_.requestsPerSecond * (isHot ? load_.hotFactor : 1.0);
         const std::chrono::duration<double> gap(boost::random::exponential_distribution<double>(rate)(random_));
         at += std::chrono::duration_cast<Duration>(gap);
-        events_.add(at, [this, to = node(random_)] { arrive(to); });
+        events_.add(at, [this, to = node(random_)] { arrive(to, load_.repeats); });
     }
 }
 
@@ -96,6 +98,17 @@
         const auto phase = Millis(static_cast<std::int64_t>(i) % flushInterval.count());
         events_.add(start_ + phase, [this, i] { flush(i); });
     }
+    if (load_.scarceSlotsPerSecond > 0.0) {
+        const auto gap = Millis(static_cast<std::int64_t>(1000.0 / load_.scarceSlotsPerSecond));
+        for (Millis at = load_.scarceFrom + gap; at < load_.scarceUntil; at += gap) {
+            events_.add(start_ + at, [this] { startOldest(); });
+        }
+    }
+    events_.add(start_ + load_.scarceUntil, [this] {
+        while (!waiting_.empty()) {
+            startOldest();
+        }
+    });
     for (const Millis at : load_.counterKills) {
         events_.add(start_ + at, [this] {
             const std::size_t victim = firstCounterOf(0);
@@ -111,6 +124,9 @@
     nodes_[node].startedAt = events_.now();
     nodes_[node].ledger.emplace(tuning_);
     nodes_[node].counter.reset();
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        it = it->second.node == node ? waiting_.erase(it) : std::next(it);
+    }
 }
 
 std::size_t QuotaFleetModel::firstCounterOf(int region)
@@ -142,14 +158,52 @@
     return found == indexes_.end() ? std::nullopt : std::optional<std::size_t>(found->second);
 }
 
-void QuotaFleetModel::admit(SteadyTime arrivedAt)
+void QuotaFleetModel::admit(std::size_t node, SteadyTime arrivedAt, int repeats)
 {
+    const SteadyTime now = events_.now();
     ++outcome_.admitted;
-    admittedAt_.push_back(events_.now());
-    delays_.push_back(millisOf(events_.now() - arrivedAt));
+    admittedAt_.push_back(now);
+    delays_.push_back(millisOf(now - arrivedAt));
+    if (now < start_ + load_.scarceFrom || now >= start_ + load_.scarceUntil) {
+        runs_.push_back(Run{arrivedAt, now});
+        return;
+    }
+    const std::uint64_t id = nextWaiting_++;
+    waiting_[id] = Waiting{node, arrivedAt, now, repeats};
+    boost::random::uniform_real_distribution<double> wait(secondsOf(load_.minWait), secondsOf(load_.maxWait));
+    const std::chrono::duration<double> waits(wait(random_));
+    events_.add(now + std::chrono::duration_cast<Duration>(waits), [this, id] { refuseForSlot(id); });
 }
 
-void QuotaFleetModel::arrive(std::size_t node)
+void QuotaFleetModel::refuseForQuota()
+{
+    ++outcome_.refusedForQuota;
+}
+
+void QuotaFleetModel::startOldest()
+{
+    const auto oldest = waiting_.begin();
+    if (oldest != waiting_.end()) {
+        runs_.push_back(Run{oldest->second.sentAt, events_.now()});
+        waiting_.erase(oldest);
+    }
+}
+
+void QuotaFleetModel::refuseForSlot(std::uint64_t id)
+{
+    const auto found = waiting_.find(id);
+    if (found == waiting_.end()) {
+        return;
+    }
+    const Waiting one = found->second;
+    waiting_.erase(found);
+    nodes_[one.node].ledger->giveBack(customer, one.admittedAt, events_.now());
+    if (one.repeats > 0) {
+        events_.add(events_.now() + repeatAfter, [this, one] { arrive(one.node, one.repeats - 1); });
+    }
+}
+
+void QuotaFleetModel::arrive(std::size_t node, int repeats)
 {
     if (nodes_[node].isDead) {
         return;
@@ -163,24 +217,29 @@
     const QuotaDecision decision = ledger.decide(customer, currentLimit(), events_.now());
     if (policy_ == QuotaPolicy::EqualShares) {
         if (nodes_[node].share->tryTake(1.0, events_.now())) {
-            admit(events_.now());
+            admit(node, events_.now(), repeats);
         }
     } else if (policy_ == QuotaPolicy::CentralGrants || decision == QuotaDecision::Ask) {
-        ask(node, events_.now(), 0);
+        ask(node, events_.now(), repeats, 0);
     } else if (decision == QuotaDecision::Admit) {
-        admit(events_.now());
+        admit(node, events_.now(), repeats);
     } else if (decision == QuotaDecision::NoCounter) {
-        ledger.admitAlone(customer, count, events_.now()) ? admit(events_.now()) : ask(node, events_.now(), 0);
+        ledger.admitAlone(customer, count, events_.now()) ? admit(node, events_.now(), repeats)
+                                                          : ask(node, events_.now(), repeats, 0);
+    } else {
+        refuseForQuota();
     }
 }
 
-void QuotaFleetModel::ask(std::size_t node, SteadyTime arrivedAt, int attempt)
+void QuotaFleetModel::ask(std::size_t node, SteadyTime arrivedAt, int repeats, int attempt)
 {
     QuotaLedger &ledger = *nodes_[node].ledger;
     const std::optional<std::size_t> counter = counterOf(node);
     if (!counter || attempt == maxAsks) {
         if (ledger.admitAlone(customer, static_cast<std::size_t>(load_.nodes), events_.now())) {
-            admit(arrivedAt);
+            admit(node, arrivedAt, repeats);
+        } else {
+            refuseForQuota();
         }
         return;
     }
@@ -189,7 +248,7 @@
     use.used = policy_ == QuotaPolicy::CentralGrants ? 0 : use.used;
     use.wanted = 1;
     const auto done = std::make_shared<bool>(false);
-    const auto onReply = [this, node, arrivedAt, done](const Reply &reply) {
+    const auto onReply = [this, node, arrivedAt, repeats, done](const Reply &reply) {
         if (*done || nodes_[node].isDead) {
             return;
         }
@@ -197,7 +256,9 @@
         const SteadyTime deniedUntil = reply.granted > 0 ? events_.now() : events_.now() + reply.retryAfter;
         nodes_[node].ledger->noteReply(customer, reply.mode, deniedUntil, events_.now());
         if (reply.granted > 0) {
-            admit(arrivedAt);
+            admit(node, arrivedAt, repeats);
+        } else {
+            refuseForQuota();
         }
     };
     if (*counter == node) {
@@ -208,12 +269,12 @@
         const Reply reply = count(counter, node, use);
         send(counter, node, [onReply, reply] { onReply(reply); });
     });
-    events_.add(events_.now() + askTimeout, [this, node, counter = *counter, use, arrivedAt, attempt, done] {
+    events_.add(events_.now() + askTimeout, [this, node, counter = *counter, use, arrivedAt, repeats, attempt, done] {
         if (!*done && !nodes_[node].isDead) {
             *done = true;
             nodes_[node].ledger->restore(use);
             nodes_[node].election.noteUnreachable(nodes_[counter].name, events_.now());
-            ask(node, arrivedAt, attempt + 1);
+            ask(node, arrivedAt, repeats, attempt + 1);
         }
     });
 }
@@ -281,7 +342,10 @@
 {
     Node &node = nodes_[counter];
     counterAt(counter).setLimit(counterLimit(), events_.now());
-    node.counter->record(nodes_[from].name, use.used, use.seen, regionNodes(counter), events_.now());
+    node.counter->record(nodes_[from].name, use.taken(), use.seen, regionNodes(counter), events_.now());
+    for (const QuotaReturn &tokens : use.returned) {
+        node.counter->giveBack(tokens, events_.now());
+    }
     Reply reply;
     reply.granted = node.counter->grant(use.wanted, events_.now());
     reply.retryAfter = node.counter->retryAfter(events_.now());
@@ -345,12 +409,26 @@
     return worst;
 }
 
+int QuotaFleetModel::worstWindow()
+{
+    std::sort(runs_.begin(), runs_.end(), [](const Run &a, const Run &b) { return a.sentAt < b.sentAt; });
+    std::ptrdiff_t worst = 0;
+    for (auto first = runs_.begin(); first != runs_.end(); ++first) {
+        const SteadyTime until = first->sentAt + tuning_.window;
+        const auto last = std::find_if(first, runs_.end(), [&](const Run &run) { return run.sentAt > until; });
+        worst = std::max(worst, std::count_if(first, last, [&](const Run &run) { return run.ranAt <= until; }));
+    }
+    return static_cast<int>(worst);
+}
+
 QuotaFleetOutcome QuotaFleetModel::run()
 {
     scheduleArrivals();
     scheduleTroubles();
     events_.run(start_ + load_.length);
     outcome_.worstOverrun = worstOverrun();
+    outcome_.worstWindow = worstWindow();
+    outcome_.ran = static_cast<int>(runs_.size());
     std::sort(delays_.begin(), delays_.end());
     if (!delays_.empty()) {
         outcome_.medianDelay = delays_[delays_.size() / 2];
--- a/tests/support/QuotaFleetModel.h
+++ b/tests/support/QuotaFleetModel.h
@@ -47,6 +47,17 @@
     /** A new limit from a time on. */
     std::optional<QuotaLimit> laterLimit;
     Millis laterLimitFrom{0};
+    /**
+     * Admitted requests wait for a slot in this time. At its end all slots are free at once. A request that gets none
+     * is refused as not run after a wait between @c minWait and @c maxWait, and its token is given back.
+     */
+    Millis scarceFrom{0};
+    Millis scarceUntil{0};
+    double scarceSlotsPerSecond = 0.0;
+    Millis minWait{200};
+    Millis maxWait{10000};
+    /** How often a caller repeats a request that got no slot, 1 s later each time. */
+    int repeats = 0;
     Millis length{12000};
 };
 
@@ -55,8 +66,14 @@
     int admitted = 0;
     /** Requests that a token bucket at a single place would have admitted. */
     int owed = 0;
+    /** Requests refused because of the quota. */
+    int refusedForQuota = 0;
+    /** Requests that ran. */
+    int ran = 0;
     /** By how many requests the worst window exceeds (rate x window + burst) x (1 + over) + slack; negative: below. */
     double worstOverrun = 0.0;
+    /** The most requests that were both sent and run within one window. */
+    int worstWindow = 0;
     /** Delay of admitted requests by questions to a counter. */
     Millis medianDelay{0};
     Millis p99Delay{0};
@@ -93,6 +110,17 @@
         SteadyTime announcedAt;
         SteadyTime borrowedAt;
     };
+    /** An admitted request that waits for a slot. */
+    struct Waiting {
+        std::size_t node = 0;
+        SteadyTime sentAt;
+        SteadyTime admittedAt;
+        int repeats = 0;
+    };
+    struct Run {
+        SteadyTime sentAt;
+        SteadyTime ranAt;
+    };
     struct Reply {
         std::uint32_t granted = 0;
         QuotaMode mode = QuotaMode::Open;
@@ -104,9 +132,14 @@
     void scheduleArrivals();
     void scheduleTroubles();
     void startNode(std::size_t node);
-    void arrive(std::size_t node);
-    void ask(std::size_t node, SteadyTime arrivedAt, int attempt);
-    void admit(SteadyTime arrivedAt);
+    /** @p repeats: how often its caller may still repeat the request. */
+    void arrive(std::size_t node, int repeats);
+    void ask(std::size_t node, SteadyTime arrivedAt, int repeats, int attempt);
+    void admit(std::size_t node, SteadyTime arrivedAt, int repeats);
+    void refuseForQuota();
+    /** Gives a free slot to the request that has waited longest. */
+    void startOldest();
+    void refuseForSlot(std::uint64_t id);
     void flush(std::size_t node);
     Reply count(std::size_t counter, std::size_t from, const QuotaUse &use);
     QuotaCounter &counterAt(std::size_t node);
@@ -119,6 +152,7 @@
     std::optional<std::size_t> counterOf(std::size_t node);
     std::size_t firstCounterOf(int region);
     double worstOverrun() const;
+    int worstWindow();
 
     QuotaFleetLoad load_;
     QuotaPolicy policy_;
@@ -132,6 +166,9 @@
     std::unordered_map<std::string, std::size_t> indexes_;
     std::vector<SteadyTime> admittedAt_;
     std::vector<Millis> delays_;
+    std::map<std::uint64_t, Waiting> waiting_;
+    std::uint64_t nextWaiting_ = 0;
+    std::vector<Run> runs_;
     QuotaFleetOutcome outcome_;
 };
 
--- a/tests/unit/QuotaTest.cpp
+++ b/tests/unit/QuotaTest.cpp
@@ -61,6 +61,34 @@
     return load;
 }
 
+/** A hot customer while slots are scarce for 6 s. Its requests wait for them, and all that wait run at the end. */
+QuotaFleetLoad hotLoadWithWaits(double hotFactor)
+{
+    QuotaFleetLoad load;
+    load.hotFactor = hotFactor;
+    load.hotFrom = Millis(2000);
+    load.hotUntil = Millis(13000);
+    load.scarceFrom = Millis(3000);
+    load.scarceUntil = Millis(9000);
+    load.scarceSlotsPerSecond = 10.0;
+    load.length = Millis(16000);
+    return load;
+}
+
+/** Checks the rule itself: requests both sent and run within one window. */
+void checkRunsWithinBound(const QuotaFleetLoad &load, QuotaLimit limit)
+{
+    const QuotaTuning tuning;
+    const double seconds = secondsOf(tuning.window);
+    const double bound = (limit.ratePerSecond * seconds + limit.burst) * (1.0 + tuning.over) + tuning.slack;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        const QuotaFleetOutcome outcome = play(load, seed);
+        INFO("seed " << seed << ": requests " << outcome.requests << ", admitted " << outcome.admitted
+                     << ", refused for quota " << outcome.refusedForQuota << ", ran " << outcome.ran);
+        CHECK(outcome.worstWindow <= bound);
+    }
+}
+
 void checkWithinBound(const QuotaFleetLoad &load)
 {
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
@@ -257,7 +285,7 @@
     ledger_.takeUnreported(clock_.now());
     clock_.advance(std::chrono::seconds(11));
     ledger_.evictIdle(clock_.now());
-    ledger_.giveBack("c");
+    CHECK_FALSE(ledger_.giveBack("c", clock_.now(), clock_.now()));
     for (const QuotaUse &use : ledger_.takeUnreported(clock_.now())) {
         CHECK(use.limit == limit_);
     }
@@ -414,3 +442,30 @@
     load.requestsPerSecond = 10.0;
     checkWithinBound(load);
 }
+
+// Guards against tokens that are returned late, and granted again while the requests that took their place also wait.
+TEST_CASE("quota of a fleet, hot customer whose requests wait for slots, stays within the bound when all run at once")
+{
+    for (const double hotFactor : {4.0, 5.5, 7.0}) {
+        QuotaFleetLoad load = hotLoadWithWaits(hotFactor);
+        checkRunsWithinBound(load, load.limit);
+        load.maxWait = Millis(3000);
+        checkRunsWithinBound(load, load.limit);
+        load.minWait = Millis(1900);
+        load.maxWait = Millis(2100);
+        checkRunsWithinBound(load, load.limit);
+    }
+}
+
+// The same for a customer whose limit is small, and with the callers that repeat what was refused.
+TEST_CASE("quota of a fleet, small hot customer whose callers repeat requests without a slot, stays within the bound")
+{
+    QuotaFleetLoad load = hotLoadWithWaits(7.0);
+    load.limit = QuotaLimit{16.0, 16.0};
+    load.requestsPerSecond = 10.0;
+    load.scarceSlotsPerSecond = 1.0;
+    load.repeats = 3;
+    checkRunsWithinBound(load, load.limit);
+    load.maxWait = Millis(3000);
+    checkRunsWithinBound(load, load.limit);
+}
