--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -13,7 +13,7 @@
  * Part of the tolerance by which tokens that are given back late may exceed the burst. Without it customers below their
  * limit whose callers repeat requests are refused more often (figures in docs/design/customers.md).
  */
-constexpr double returnedTolerance = 0.4;
+constexpr double returnedTolerance = 0.3;
 /** Levels, as fractions of the burst, at which metered mode begins and ends. */
 constexpr double meterBelow = 0.2;
 constexpr double openAbove = 0.4;
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -216,9 +216,8 @@
     const ForwardJob &job = run->job;
     attempt->reply.outcome = Outcome::NotRun;
     attempt->reply.reason = "no-sound-home";
-    // A hedge is useful only where a slot is free now. A request that counts against a quota would run later than it
-    // was counted, and too many of them within one window of the quota.
-    bool canReserve = kind != AttemptKind::Hedge && !job.countedAt && slots_.mayWait(*job.route);
+    // A hedge is useful only where a slot is free now.
+    bool canReserve = kind != AttemptKind::Hedge && slots_.mayWait(*job.route);
     while (!attempt->control->cancelled && !run->finished && run->search.canContinue()) {
         const SteadyTime now = core_.clock.now();
         if (const std::string problem = keyProblem(*run); !problem.empty()) {
@@ -297,8 +296,7 @@
 
 bool Forwarder::isHedgeUseless(const Run &run, const HomeChoice &choice) const
 {
-    return !run.job.countedAt && slots_.mayWait(*run.job.route) && slots_.offersSlots(choice.node)
-           && slots_.shouldReserve(choice);
+    return slots_.mayWait(*run.job.route) && slots_.offersSlots(choice.node) && slots_.shouldReserve(choice);
 }
 
 std::vector<ReservationCandidate> Forwarder::reservationCandidates(const Run &run) const
--- a/src/wire/FieldCodec.cpp
+++ b/src/wire/FieldCodec.cpp
@@ -167,6 +167,9 @@
     }
     std::vector<QuotaReturn> returned;
     for (const json &one : value) {
+        if (!one.at(0).is_number_unsigned() || !one.at(1).is_number_unsigned()) {
+            throw json::other_error::create(501, "malformed list of returned tokens", &value);
+        }
         const auto age = std::min<std::uint64_t>(one.at(0).get<std::uint64_t>(), maxReturnAgeMs);
         returned.push_back(QuotaReturn{Millis(static_cast<std::int64_t>(age)), one.at(1).get<std::uint32_t>()});
     }
--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -138,6 +138,23 @@
     { }
 };
 
+/** One server with one slot beside node 1, and a customer with a quota. */
+class QuotaAtScarceServer : public Customers
+{
+protected:
+    QuotaAtScarceServer()
+        : Customers([] {
+            MeshOptions options = customerOptions();
+            options.services = {"other", "desk"};
+            options.slots = 1;
+            options.workMs = 400;
+            options.objectiveMs = 7000;
+            options.timeoutMs = 9000;
+            return options;
+        }())
+    { }
+};
+
 } // namespace
 
 // Guards against requests without a valid key that run, against servers that see a key, and against callers that name
@@ -384,6 +401,37 @@
                        [](const auto &one) { return one.first.find("no-server") == 0; }));
 }
 
+// Guards against requests that count against a quota and go from one busy home to the next instead of waiting for an
+// offer, and against a quota that is exceeded because they run later than they were counted.
+TEST_CASE_FIXTURE(QuotaAtScarceServer, "customers, requests within a quota at a scarce server, wait for its slots")
+{
+    // A counter that has just started does not know what was used within the last window.
+    pause(std::chrono::seconds(5));
+    std::vector<std::function<void()>> tasks;
+    std::vector<unsigned> statuses(30);
+    tasks.reserve(statuses.size());
+    for (std::size_t i = 0; i < statuses.size(); ++i) {
+        tasks.emplace_back([&, i] {
+            pause(Millis(static_cast<std::int64_t>(i) * 100));
+            const auto response = mesh_.sendWithKey(0, "quota-" + std::to_string(i), "/dates/1", "key-of-small",
+                                                    std::chrono::seconds(10));
+            statuses[i] = statusOf(response);
+        });
+    }
+    runConcurrently(tasks);
+    const auto served = std::count(statuses.begin(), statuses.end(), 200U);
+    const auto refused = std::count(statuses.begin(), statuses.end(), 429U);
+    MESSAGE("served " << served << ", refused for quota " << refused << ", waited "
+                      << mesh_.countLogLines(0, {"event=slot_bound", "request=quota-"}));
+    CHECK(mesh_.countLogLines(0, {"event=slot_reserved", "request=quota-"}) > 0);
+    CHECK(mesh_.countLogLines(0, {"event=slot_bound", "request=quota-"}) > 0);
+    // (4 x 5 + 4) x 1.1 + 2; all are sent within 3 s.
+    CHECK(served <= 28);
+    CHECK(served >= 10);
+    // The others are told that they have not run.
+    CHECK(served + refused + std::count(statuses.begin(), statuses.end(), 503U) == 30);
+}
+
 // Guards against a request that waits for the grant of its quota while a new configuration comes into force, and is
 // then sent by the route of the old one.
 TEST_CASE_FIXTURE(LimitedCustomers,
