--- a/include/customer/CounterElection.h
+++ b/include/customer/CounterElection.h
@@ -20,8 +20,12 @@
     void setNodes(std::vector<std::string> nodes, SteadyTime now);
     /** Passes over @p node for a while. */
     void noteUnreachable(const std::string &node, SteadyTime now);
+    /** Ends the time for which @p node is passed over: it has replied in time, or a link to it has opened. */
+    void noteReachable(const std::string &node);
     /** Returns the highest-ranked node that is not passed over; empty if there is none. */
     const std::string &counterOf(const std::string &customer, SteadyTime now);
+    /** Returns the highest-ranked node, also if it is passed over; empty if there is none. */
+    const std::string &firstOf(const std::string &customer);
     /** Returns true if @p node is the highest-ranked one for @p customer. */
     bool isFirst(const std::string &node, const std::string &customer) const;
     /** Returns when the nodes last changed. */
@@ -33,6 +37,7 @@
     static constexpr std::size_t remembered = 3;
 
     std::vector<std::string> rank(const std::string &customer) const;
+    const std::vector<std::string> &ranked(const std::string &customer);
 
     std::vector<std::string> nodes_;
     SteadyTime changedAt_;
--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -68,6 +68,11 @@
      */
     void record(const std::string &node, std::int64_t used, std::uint32_t seen, const RegionNodes &nodes,
                 SteadyTime now);
+    /**
+     * Takes the tokens of requests that another node has counted in place of this one. A bucket that began empty after
+     * a loss covers those of the first such report.
+     */
+    void recordStandIn(std::int64_t used, SteadyTime now);
     /** Grants up to @p wanted requests and takes their tokens. */
     std::uint32_t grant(std::uint32_t wanted, SteadyTime now);
     /** Returns true if the bucket is so low that tokens of other regions' counters are needed. */
@@ -109,6 +114,8 @@
     SteadyTime lastUsed_;
     SteadyTime createdAt_;
     CounterStart start_ = CounterStart::Fresh;
+    /** A node that has counted in place of this one has reported. */
+    bool heardOfStandIn_ = false;
     QuotaMode mode_ = QuotaMode::Open;
     RegionNodes nodes_;
     /** Requests of the customer that were reported here. */
--- a/include/customer/QuotaLedger.h
+++ b/include/customer/QuotaLedger.h
@@ -21,6 +21,9 @@
     std::uint32_t wanted = 0;
     /** All that came since the last report, admitted or not. */
     std::uint32_t seen = 0;
+
+    /** Returns true if the sender has counted these requests in place of the receiver (StandInUse). */
+    bool isFromStandIn() const;
 };
 
 enum class QuotaDecision {
--- /dev/null
+++ b/include/customer/StandInUse.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "include/customer/QuotaLedger.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+/**
+ * What one node has counted as a counter in place of the first-ranked one, and has not yet reported to it. The first
+ * one may be counting for other nodes at the same time, or return with a bucket that was refilled meanwhile: without
+ * these reports both would grant the whole rate. Not thread safe.
+ */
+class StandInUse
+{
+public:
+    /**
+     * Adds the requests that @p use reported, and @p granted ones. @p burst: of the counter's limit; what was granted
+     * beyond it has been refilled at the first counter as well. Ignores the report of another stand-in, so that nodes
+     * with different registries don't pass the same use back and forth.
+     */
+    void add(const QuotaUse &use, std::uint32_t granted, double burst);
+    /** Returns what is not reported yet, and counts it as reported. */
+    std::vector<QuotaUse> take();
+    /** Adds a report again that was not acknowledged. */
+    void restore(const QuotaUse &use);
+    bool isEmpty() const;
+
+private:
+    struct Pending {
+        QuotaLimit limit;
+        std::int64_t used = 0;
+        std::int64_t most = 0;
+    };
+
+    std::map<std::string, Pending> pending_;
+};
+
+} // namespace waxwing
--- a/src/customer/CounterElection.cpp
+++ b/src/customer/CounterElection.cpp
@@ -32,6 +32,11 @@
     passedOverUntil_[node] = now + passOverTime;
 }
 
+void CounterElection::noteReachable(const std::string &node)
+{
+    passedOverUntil_.erase(node);
+}
+
 std::vector<std::string> CounterElection::rank(const std::string &customer) const
 {
     const std::uint64_t seed = stableHash(customer);
@@ -49,7 +54,7 @@
     return ranked;
 }
 
-const std::string &CounterElection::counterOf(const std::string &customer, SteadyTime now)
+const std::vector<std::string> &CounterElection::ranked(const std::string &customer)
 {
     auto found = ranked_.find(customer);
     if (found == ranked_.end()) {
@@ -58,7 +63,18 @@
         }
         found = ranked_.emplace(customer, rank(customer)).first;
     }
-    for (const std::string &node : found->second) {
+    return found->second;
+}
+
+const std::string &CounterElection::firstOf(const std::string &customer)
+{
+    const std::vector<std::string> &nodes = ranked(customer);
+    return nodes.empty() ? none_ : nodes.front();
+}
+
+const std::string &CounterElection::counterOf(const std::string &customer, SteadyTime now)
+{
+    for (const std::string &node : ranked(customer)) {
         const auto passedOver = passedOverUntil_.find(node);
         if (passedOver == passedOverUntil_.end() || now >= passedOver->second) {
             return node;
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -120,6 +120,15 @@
     lastUsed_ = now;
 }
 
+void QuotaCounter::recordStandIn(std::int64_t used, SteadyTime now)
+{
+    const double tokens = level(now);
+    const bool isCovered = start_ == CounterStart::AfterLoss && !heardOfStandIn_;
+    heardOfStandIn_ = true;
+    bucket_.take(isCovered ? std::max(0.0, tokens) : static_cast<double>(used), now);
+    lastUsed_ = now;
+}
+
 double QuotaCounter::grantFloor() const
 {
     const double window = secondsOf(tuning_.window);
--- a/src/customer/QuotaLedger.cpp
+++ b/src/customer/QuotaLedger.cpp
@@ -17,6 +17,12 @@
 
 } // namespace
 
+bool QuotaUse::isFromStandIn() const
+{
+    // An ingress that has admitted requests has seen them.
+    return used > 0 && seen == 0 && wanted == 0;
+}
+
 QuotaLedger::QuotaLedger(const QuotaTuning &tuning)
     : tuning_(tuning)
 { }
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -27,6 +27,8 @@
 constexpr Millis loanTimeout{300};
 /** Interval between the loans of one customer. */
 constexpr Millis loanInterval{400};
+/** Bounds the announcements of a counter that some nodes cannot reach. */
+constexpr Millis standInAnnounceInterval{1000};
 constexpr Millis evictInterval{1000};
 /** Retry-After of a node that no counter replies to. */
 constexpr Millis aloneRetryAfter{1000};
@@ -63,6 +65,11 @@
     }
 }
 
+void QuotaService::linkOpened(const std::string &node)
+{
+    ownElection().noteReachable(node);
+}
+
 CounterElection &QuotaService::ownElection()
 {
     return elections_[core_.settings.region];
@@ -188,6 +195,9 @@
         if (ledger_.hasUnreported()) {
             sendReports();
         }
+        if (!standInUse_.isEmpty()) {
+            sendStandInReports();
+        }
         const SteadyTime now = core_.clock.now();
         if (now - evictedAt >= evictInterval) {
             evictedAt = now;
@@ -215,18 +225,52 @@
             }
             continue;
         }
-        const std::uint64_t id = nextId_++;
-        const auto pending = std::make_shared<PendingReport>();
-        pending->counter = counter;
-        pending->uses = uses;
-        pending->sentAt = now;
-        pendingReports_[id] = pending;
-        spawnFiber([this, counter = counter, id, pending] {
-            // The report is repeated when its time is over.
-            if (!send(counter, id, pending->uses)) {
-                core_.metrics.count("quota_reports_not_sent");
+        sendReport(counter, uses, false);
+    }
+}
+
+void QuotaService::sendReport(const std::string &counter, const std::vector<QuotaUse> &uses, bool isStandIn)
+{
+    const std::uint64_t id = nextId_++;
+    const auto pending = std::make_shared<PendingReport>();
+    pending->counter = counter;
+    pending->uses = uses;
+    pending->sentAt = core_.clock.now();
+    pending->isStandIn = isStandIn;
+    pendingReports_[id] = pending;
+    spawnFiber([this, counter, id, pending] {
+        // The report is repeated when its time is over.
+        if (!send(counter, id, pending->uses)) {
+            core_.metrics.count("quota_reports_not_sent");
+        }
+    });
+}
+
+bool QuotaService::isStandInReportPending(const std::string &counter) const
+{
+    return std::any_of(pendingReports_.begin(), pendingReports_.end(),
+                       [&counter](const auto &one) { return one.second->isStandIn && one.second->counter == counter; });
+}
+
+void QuotaService::sendStandInReports()
+{
+    std::map<std::string, std::vector<QuotaUse>> byCounter;
+    for (const QuotaUse &use : standInUse_.take()) {
+        byCounter[ownElection().firstOf(use.customer)].push_back(use);
+    }
+    for (const auto &[counter, uses] : byCounter) {
+        if (counter == core_.self.id || counter.empty()) {
+            continue;
+        }
+        // A counter that does not reply is tried once in each reportTimeout.
+        if (isStandInReportPending(counter)) {
+            for (const QuotaUse &use : uses) {
+                standInUse_.restore(use);
             }
-        });
+            continue;
+        }
+        core_.metrics.count("quota_stand_in_reports");
+        sendReport(counter, uses, true);
     }
 }
 
@@ -244,16 +288,17 @@
             core_.metrics.count("quota_counter_silent");
         }
         for (const QuotaUse &use : pending->uses) {
-            ledger_.restore(use);
+            pending->isStandIn ? standInUse_.restore(use) : ledger_.restore(use);
         }
         it = pendingReports_.erase(it);
     }
 }
 
-void QuotaService::handleReply(const QuotaReply &reply)
+void QuotaService::handleReply(const NodeRef &from, const QuotaReply &reply)
 {
     const SteadyTime now = core_.clock.now();
     if (reply.id == 0) {
+        ownElection().noteReachable(from.id);
         for (const QuotaGrant &grant : reply.grants) {
             ledger_.setMode(grant.customer, grant.mode, now);
         }
@@ -270,6 +315,12 @@
         return;
     }
     pendingReports_.erase(found);
+    if (now - pending->sentAt <= askTimeout) {
+        ownElection().noteReachable(pending->counter);
+    }
+    if (pending->isStandIn) {
+        return;
+    }
     for (const QuotaGrant &grant : reply.grants) {
         ledger_.noteReply(grant.customer, grant.mode, now, now);
     }
@@ -326,15 +377,24 @@
         entry.configVersion = configVersion;
         entry.counter.setLimit(regionPart(use.limit), now);
     }
-    entry.counter.record(from, use.used, use.seen, regionNodes(), now);
+    if (use.isFromStandIn()) {
+        entry.counter.recordStandIn(use.used, now);
+    } else {
+        entry.counter.record(from, use.used, use.seen, regionNodes(), now);
+    }
     QuotaGrant grant;
     grant.customer = use.customer;
     grant.granted = entry.counter.grant(use.wanted, now);
+    if (ownElection().firstOf(use.customer) != core_.self.id) {
+        standInUse_.add(use, grant.granted, regionPart(use.limit).burst);
+    }
     grant.retryAfter = grant.granted < use.wanted ? entry.counter.retryAfter(now) : Millis(0);
     grant.mode = entry.counter.mode(now);
     const bool isNew = grant.mode != entry.mode || now - entry.announcedAt >= tuning_.window;
     entry.mode = grant.mode;
-    if (grant.mode == QuotaMode::Metered && isNew) {
+    // The announcement also tells the nodes that pass this one over that it counts again.
+    const bool isPassedOver = use.isFromStandIn() && now - entry.announcedAt >= standInAnnounceInterval;
+    if (isPassedOver || (grant.mode == QuotaMode::Metered && isNew)) {
         entry.announcedAt = now;
         announceMetered(use.customer);
     }
--- a/src/sidecar/QuotaService.h
+++ b/src/sidecar/QuotaService.h
@@ -2,6 +2,7 @@
 
 #include "include/customer/CounterElection.h"
 #include "include/customer/QuotaLedger.h"
+#include "include/customer/StandInUse.h"
 #include "include/wire/Messages.h"
 #include "src/link/PeerHub.h"
 
@@ -39,6 +40,8 @@
     void start();
     /** Takes the nodes of the registry into account. */
     void registryChanged();
+    /** A link to or from @p node is usable: if the node counts for customers, it is asked again. */
+    void linkOpened(const std::string &node);
 
     /** Decides on a request of @p customer and counts it if admitted. @pre called from a fiber. */
     QuotaVerdict admit(const Customer &customer);
@@ -46,7 +49,7 @@
     void giveBack(const std::string &customer);
 
     void handle(LinkId link, const NodeRef &from, const QuotaReport &report);
-    void handleReply(const QuotaReply &reply);
+    void handleReply(const NodeRef &from, const QuotaReply &reply);
     void handle(LinkId link, const QuotaLoanRequest &request);
     void handleReply(const QuotaLoanReply &reply);
 
@@ -64,6 +67,8 @@
         std::string counter;
         std::vector<QuotaUse> uses;
         SteadyTime sentAt;
+        /** What this node has counted in place of the receiver, not its own requests. */
+        bool isStandIn = false;
         /** Set if a fiber waits for the grant. */
         std::shared_ptr<FiberNotifier> waiter;
         std::optional<QuotaReply> reply;
@@ -76,6 +81,10 @@
 
     void run();
     void sendReports();
+    /** Reports to the first-ranked counters what this node has counted in their place. */
+    void sendStandInReports();
+    void sendReport(const std::string &counter, const std::vector<QuotaUse> &uses, bool isStandIn);
+    bool isStandInReportPending(const std::string &counter) const;
     void expireReports();
     /** Asks the counter for one request, and the next one if it does not reply. */
     QuotaVerdict ask(const std::string &customer);
@@ -102,6 +111,7 @@
     const PathMonitor &paths_;
     QuotaTuning tuning_;
     QuotaLedger ledger_;
+    StandInUse standInUse_;
     SteadyTime startedAt_;
     std::map<std::string, CounterElection> elections_;
     std::size_t nodeCount_ = 1;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -158,6 +158,7 @@
     };
     hooks.onLinkOpen = [this](LinkId link, bool outgoing) {
         updates.linkOpened(link);
+        quotas.linkOpened(peers->peerOn(link).value_or(NodeRef{}).id);
         if (outgoing) {
             outgoingLinks[link] = peers->peerOn(link).value_or(NodeRef{}).id;
         }
@@ -285,7 +286,7 @@
     } else if (const auto *quotaReport = std::get_if<QuotaReport>(&message)) {
         quotas.handle(link, from, *quotaReport);
     } else if (const auto *quotaReply = std::get_if<QuotaReply>(&message)) {
-        quotas.handleReply(*quotaReply);
+        quotas.handleReply(from, *quotaReply);
     } else if (const auto *loanRequest = std::get_if<QuotaLoanRequest>(&message)) {
         quotas.handle(link, *loanRequest);
     } else if (const auto *loanReply = std::get_if<QuotaLoanReply>(&message)) {
--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace waxwing::testing {
 
@@ -17,10 +18,12 @@
 constexpr Millis askTimeout{250};
 constexpr Millis reportTimeout{400};
 constexpr Millis loanInterval{400};
-constexpr Millis downTime{2000};
 /** Nodes have run for this long before the customer's first request. */
 constexpr Millis settledFor{10000};
+constexpr Millis standInAnnounceInterval{1000};
 constexpr int maxAsks = 2;
+/** How long after its start a node has links to the others. */
+constexpr Millis linksOpenTime{50};
 /** How long after a cut the first and the last failed path is known. */
 constexpr Millis firstPathFailed{600};
 constexpr Millis lastPathFailed{1500};
@@ -35,6 +38,7 @@
 QuotaFleetModel::QuotaFleetModel(QuotaFleetLoad load, QuotaPolicy policy, std::uint32_t seed)
     : load_(std::move(load))
     , policy_(policy)
+    , tuning_(load_.tuning)
     , random_(seed)
     , ideal_(load_.limit.ratePerSecond, load_.limit.burst, start_)
     , nodes_(static_cast<std::size_t>(load_.nodes))
@@ -65,7 +69,12 @@
     (isLocal ? outcome_.messagesInRegion : outcome_.messagesBetweenRegions) += 1;
     events_.add(events_.now() + (isLocal ? regionDelay : farDelay), [this, from, to, onArrival = std::move(onArrival)] {
         const bool crossesCut = nodes_[from].isCut != nodes_[to].isCut;
-        if (!crossesCut && !nodes_[from].isDead && !nodes_[to].isDead) {
+        if (crossesCut || nodes_[from].isDead || nodes_[to].isDead) {
+            return;
+        }
+        if (nodes_[to].isPaused) {
+            nodes_[to].held.push_back(onArrival);
+        } else {
             onArrival();
         }
     });
@@ -100,7 +109,28 @@
         events_.add(start_ + at, [this] {
             const std::size_t victim = firstCounterOf(0);
             nodes_[victim].isDead = true;
-            events_.add(events_.now() + downTime, [this, victim] { startNode(victim); });
+            events_.add(events_.now() + load_.downTime, [this, victim] { startNode(victim); });
+        });
+    }
+}
+
+void QuotaFleetModel::schedulePauses()
+{
+    for (const Millis at : load_.counterPauses) {
+        events_.add(start_ + at, [this] {
+            for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                if (nodes_[i].region != 0 || !nodes_[i].election.isFirst(nodes_[i].name, customer)) {
+                    continue;
+                }
+                nodes_[i].isPaused = true;
+                events_.add(events_.now() + load_.pauseLength, [this, i] {
+                    nodes_[i].isPaused = false;
+                    const auto held = std::exchange(nodes_[i].held, {});
+                    for (const auto &onArrival : held) {
+                        onArrival();
+                    }
+                });
+            }
         });
     }
 }
@@ -111,6 +141,15 @@
     nodes_[node].startedAt = events_.now();
     nodes_[node].ledger.emplace(tuning_);
     nodes_[node].counter.reset();
+    nodes_[node].standInUse = StandInUse();
+    nodes_[node].isStandInReportPending = false;
+    events_.add(events_.now() + linksOpenTime, [this, node] {
+        for (Node &other : nodes_) {
+            if (other.isCut == nodes_[node].isCut) {
+                other.election.noteReachable(nodes_[node].name);
+            }
+        }
+    });
 }
 
 std::size_t QuotaFleetModel::firstCounterOf(int region)
@@ -154,6 +193,10 @@
     if (nodes_[node].isDead) {
         return;
     }
+    if (nodes_[node].isPaused) {
+        nodes_[node].held.push_back([this, node] { arrive(node); });
+        return;
+    }
     ++outcome_.requests;
     const QuotaLimit limit = currentLimit();
     ideal_.setRate(limit.ratePerSecond, limit.burst);
@@ -221,15 +264,19 @@
 void QuotaFleetModel::flush(std::size_t node)
 {
     events_.add(events_.now() + flushInterval, [this, node] { flush(node); });
+    flushStandIn(node);
     const std::optional<std::size_t> counter = counterOf(node);
-    if (policy_ != QuotaPolicy::RegionCounters || nodes_[node].isDead || !counter
+    if (policy_ != QuotaPolicy::RegionCounters || nodes_[node].isDead || nodes_[node].isPaused || !counter
         || !nodes_[node].ledger->hasUnreported()) {
         return;
     }
     const QuotaUse use = nodes_[node].ledger->takeUnreported(customer, events_.now());
     const auto done = std::make_shared<bool>(false);
-    const auto onReply = [this, node, done](const Reply &reply) {
+    const auto onReply = [this, node, done, counter = *counter, sentAt = events_.now()](const Reply &reply) {
         *done = true;
+        if (events_.now() - sentAt <= askTimeout) {
+            nodes_[node].election.noteReachable(nodes_[counter].name);
+        }
         nodes_[node].ledger->noteReply(customer, reply.mode, events_.now(), events_.now());
     };
     if (*counter == node) {
@@ -248,6 +295,38 @@
     });
 }
 
+void QuotaFleetModel::flushStandIn(std::size_t node)
+{
+    Node &own = nodes_[node];
+    if (own.standInUse.isEmpty() || own.isStandInReportPending || own.isDead || own.isPaused) {
+        return;
+    }
+    const std::size_t first = indexes_[own.election.firstOf(customer)];
+    const QuotaUse use = own.standInUse.take().front();
+    const auto done = std::make_shared<bool>(false);
+    own.isStandInReportPending = true;
+    send(node, first, [this, node, first, use, done, sentAt = events_.now()] {
+        count(first, node, use);
+        send(first, node, [this, node, first, done, sentAt] {
+            if (!*done) {
+                *done = true;
+                nodes_[node].isStandInReportPending = false;
+                if (events_.now() - sentAt <= askTimeout) {
+                    nodes_[node].election.noteReachable(nodes_[first].name);
+                }
+            }
+        });
+    });
+    events_.add(events_.now() + reportTimeout, [this, node, first, use, done] {
+        if (!*done && !nodes_[node].isDead) {
+            *done = true;
+            nodes_[node].isStandInReportPending = false;
+            nodes_[node].standInUse.restore(use);
+            nodes_[node].election.noteUnreachable(nodes_[first].name, events_.now());
+        }
+    });
+}
+
 QuotaCounter &QuotaFleetModel::counterAt(std::size_t index)
 {
     Node &node = nodes_[index];
@@ -281,17 +360,28 @@
 {
     Node &node = nodes_[counter];
     counterAt(counter).setLimit(counterLimit(), events_.now());
-    node.counter->record(nodes_[from].name, use.used, use.seen, regionNodes(counter), events_.now());
+    if (use.isFromStandIn()) {
+        node.counter->recordStandIn(use.used, events_.now());
+    } else {
+        node.counter->record(nodes_[from].name, use.used, use.seen, regionNodes(counter), events_.now());
+    }
     Reply reply;
     reply.granted = node.counter->grant(use.wanted, events_.now());
+    if (policy_ == QuotaPolicy::RegionCounters && node.election.firstOf(customer) != node.name) {
+        node.standInUse.add(use, reply.granted, counterLimit().burst);
+    }
     reply.retryAfter = node.counter->retryAfter(events_.now());
     reply.mode = node.counter->mode(events_.now());
     const bool isDue = node.announced != reply.mode || events_.now() - node.announcedAt >= tuning_.window;
-    if (policy_ == QuotaPolicy::RegionCounters && reply.mode == QuotaMode::Metered && isDue) {
+    const bool isPassedOver = use.isFromStandIn() && events_.now() - node.announcedAt >= standInAnnounceInterval;
+    if (policy_ == QuotaPolicy::RegionCounters && (isPassedOver || (reply.mode == QuotaMode::Metered && isDue))) {
         node.announcedAt = events_.now();
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             if (nodes_[i].region == node.region && i != counter) {
-                send(counter, i, [this, i] { nodes_[i].ledger->setMode(customer, QuotaMode::Metered, events_.now()); });
+                send(counter, i, [this, i, counter] {
+                    nodes_[i].ledger->setMode(customer, QuotaMode::Metered, events_.now());
+                    nodes_[i].election.noteReachable(nodes_[counter].name);
+                });
             }
         }
     }
@@ -349,6 +439,7 @@
 {
     scheduleArrivals();
     scheduleTroubles();
+    schedulePauses();
     events_.run(start_ + load_.length);
     outcome_.worstOverrun = worstOverrun();
     std::sort(delays_.begin(), delays_.end());
--- a/tests/support/QuotaFleetModel.h
+++ b/tests/support/QuotaFleetModel.h
@@ -3,6 +3,7 @@
 #include "include/base/TokenBucket.h"
 #include "include/customer/CounterElection.h"
 #include "include/customer/QuotaLedger.h"
+#include "include/customer/StandInUse.h"
 #include "tests/support/EventSchedule.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -31,6 +32,7 @@
     int nodes = 102;
     int regions = 3;
     QuotaLimit limit{136.0, 136.0};
+    QuotaTuning tuning;
     double requestsPerSecond = 85.0;
     /** The request rate is multiplied by @c hotFactor from @c hotFrom to @c hotUntil. */
     double hotFactor = 1.0;
@@ -42,8 +44,13 @@
     double cutShare = 0.0;
     Millis cutFrom{0};
     Millis cutUntil{0};
-    /** When the node that counts in the first region is killed; it is back 2 s later with nothing. */
+    /** When the node that counts in the first region is killed; it is back after @c downTime with nothing. */
     std::vector<Millis> counterKills;
+    Millis downTime{2000};
+    /** When the customer's first counter of the first region is paused for @c pauseLength; it goes on with its state.
+     */
+    std::vector<Millis> counterPauses;
+    Millis pauseLength{750};
     /** A new limit from a time on. */
     std::optional<QuotaLimit> laterLimit;
     Millis laterLimitFrom{0};
@@ -83,10 +90,15 @@
         int region = 0;
         bool isCut = false;
         bool isDead = false;
+        bool isPaused = false;
+        /** What arrived during the pause. */
+        std::vector<std::function<void()>> held;
         SteadyTime startedAt;
         std::optional<QuotaLedger> ledger;
         CounterElection election;
         std::optional<QuotaCounter> counter;
+        StandInUse standInUse;
+        bool isStandInReportPending = false;
         /** For equal shares. Its limit does not change during the run. */
         std::optional<TokenBucket> share;
         QuotaMode announced = QuotaMode::Open;
@@ -103,11 +115,13 @@
     void send(std::size_t from, std::size_t to, std::function<void()> onArrival);
     void scheduleArrivals();
     void scheduleTroubles();
+    void schedulePauses();
     void startNode(std::size_t node);
     void arrive(std::size_t node);
     void ask(std::size_t node, SteadyTime arrivedAt, int attempt);
     void admit(SteadyTime arrivedAt);
     void flush(std::size_t node);
+    void flushStandIn(std::size_t node);
     Reply count(std::size_t counter, std::size_t from, const QuotaUse &use);
     QuotaCounter &counterAt(std::size_t node);
     /** Returns the nodes of its region, without those to which it knows a failed path. */
--- a/tests/unit/QuotaTest.cpp
+++ b/tests/unit/QuotaTest.cpp
@@ -1,5 +1,6 @@
 #include "include/customer/CounterElection.h"
 #include "include/customer/QuotaLedger.h"
+#include "include/customer/StandInUse.h"
 #include "tests/support/ManualClock.h"
 #include "tests/support/QuotaFleetModel.h"
 
@@ -51,6 +52,19 @@
 
 constexpr std::uint32_t seeds = 5;
 
+/** A small fleet of one region and a customer that sends ten times its rate, as in the soak test. */
+QuotaFleetLoad smallFleetLoad()
+{
+    QuotaFleetLoad load;
+    load.nodes = 4;
+    load.regions = 1;
+    load.limit = QuotaLimit{4.0, 4.0};
+    load.tuning.slack = 2.0;
+    load.requestsPerSecond = 40.0;
+    load.length = Millis(15000);
+    return load;
+}
+
 /** The share of the nodes can't reach the others from 2 s on. */
 QuotaFleetLoad hotLoadWithCut(double share, Millis until)
 {
@@ -315,6 +329,63 @@
     CHECK(election.counterOf("customer", SteadyTime() + std::chrono::seconds(4)) == first);
 }
 
+// Guards against a node that is passed over for seconds after it replies again, while another one counts as well.
+TEST_CASE("counter election, silent node replies again, is chosen at once")
+{
+    CounterElection election;
+    election.setNodes({"a", "b", "c", "d"}, SteadyTime());
+    const std::string first = election.counterOf("customer", SteadyTime());
+    election.noteUnreachable(first, SteadyTime());
+    CHECK(election.firstOf("customer") == first);
+    election.noteReachable(first);
+    CHECK(election.counterOf("customer", SteadyTime()) == first);
+}
+
+TEST_CASE_FIXTURE(Ledger, "stand-in use, requests counted in place of another node, are reported once up to the burst")
+{
+    StandInUse standIn;
+    CHECK(standIn.isEmpty());
+    standIn.add(QuotaUse{"c", limit_, 3, 1, 4}, 1, 10.0);
+    auto uses = standIn.take();
+    REQUIRE(uses.size() == 1);
+    CHECK(uses[0].used == 4);
+    CHECK(uses[0].limit == limit_);
+    CHECK(uses[0].isFromStandIn());
+    CHECK(standIn.isEmpty());
+    standIn.restore(uses[0]);
+    standIn.add(QuotaUse{"c", limit_, 30, 0, 30}, 0, 10.0);
+    uses = standIn.take();
+    REQUIRE(uses.size() == 1);
+    CHECK(uses[0].used == 10);
+}
+
+// Guards against nodes with different registries that report the same requests back and forth for ever.
+TEST_CASE_FIXTURE(Ledger, "stand-in use, report of another stand-in, is not passed on")
+{
+    StandInUse standIn;
+    standIn.add(QuotaUse{"c", limit_, 5, 0, 0}, 0, 10.0);
+    CHECK(standIn.isEmpty());
+}
+
+// Guards against a counter that grants its whole bucket although another node has granted the same tokens meanwhile.
+TEST_CASE_FIXTURE(Counter, "quota counter, another node has counted in its place, grants that much less")
+{
+    QuotaCounter counter = make();
+    counter.recordStandIn(60, clock_.now());
+    CHECK(counter.loanWanted(clock_.now()) == doctest::Approx(60.0));
+}
+
+// Guards against customers that pay twice after a restart: by the empty bucket, and by the report of the stand-in.
+TEST_CASE_FIXTURE(Counter, "quota counter, node has restarted and a stand-in reports, begins empty at that time")
+{
+    QuotaCounter counter = make(CounterStart::AfterLoss);
+    clock_.advance(Millis(200));
+    counter.recordStandIn(100, clock_.now());
+    CHECK(counter.loanWanted(clock_.now()) == doctest::Approx(100.0));
+    counter.recordStandIn(10, clock_.now());
+    CHECK(counter.loanWanted(clock_.now()) == doctest::Approx(110.0));
+}
+
 TEST_CASE("quota of a fleet, usual load at all nodes, refuses nothing and stays below the limit")
 {
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
@@ -414,3 +485,22 @@
     load.requestsPerSecond = 10.0;
     checkWithinBound(load);
 }
+
+// Guards against two counters that grant the whole rate at once: the node that counts is back, while other nodes still
+// pass it over.
+TEST_CASE("quota of a fleet, counter of a small fleet is killed and returns, stays within the bound")
+{
+    QuotaFleetLoad load = smallFleetLoad();
+    load.counterKills = {Millis(5000)};
+    load.downTime = Millis(1000);
+    checkWithinBound(load);
+}
+
+// The same twice within a window: the paused counter has kept its bucket, and so has the one that stands in.
+TEST_CASE("quota of a fleet, counter of a small fleet is killed, returns and is paused, stays within the bound")
+{
+    QuotaFleetLoad load = smallFleetLoad();
+    load.counterKills = {Millis(5000)};
+    load.counterPauses = {Millis(9500)};
+    checkWithinBound(load);
+}
