--- a/include/customer/QuotaLedger.h
+++ b/include/customer/QuotaLedger.h
@@ -28,6 +28,8 @@
 
     /** Returns how many were admitted, whether given back since or not. */
     std::int64_t taken() const;
+    /** Returns true if the sender has counted these requests in place of the receiver (StandInUse). */
+    bool isFromStandIn() const;
 };
 
 enum class QuotaDecision {
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -147,6 +147,15 @@
     return tuning_.over * (limit_.ratePerSecond * window + limit_.burst) + tuning_.slack;
 }
 
+void QuotaCounter::recordStandIn(std::int64_t used, SteadyTime now)
+{
+    const double tokens = level(now);
+    const bool isCovered = start_ == CounterStart::AfterLoss && !heardOfStandIn_;
+    heardOfStandIn_ = true;
+    bucket_.take(isCovered ? std::max(0.0, tokens) : static_cast<double>(used), now);
+    lastUsed_ = now;
+}
+
 double QuotaCounter::grantFloor() const
 {
     return -grantedTolerance * tolerance();
--- a/src/customer/QuotaLedger.cpp
+++ b/src/customer/QuotaLedger.cpp
@@ -34,6 +34,12 @@
                            [](std::int64_t sum, const QuotaReturn &one) { return sum + one.count; });
 }
 
+bool QuotaUse::isFromStandIn() const
+{
+    // An ingress that has admitted requests has seen them.
+    return used > 0 && seen == 0 && wanted == 0;
+}
+
 QuotaLedger::QuotaLedger(const QuotaTuning &tuning)
     : tuning_(tuning)
 { }
