--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/ConfigSync.cpp
@@ -23,6 +23,8 @@
 /** Ages of the proof, as fractions of the age up to which keys are accepted, from which on a node looks for another. */
 constexpr double askForProofAt = 0.5;
 constexpr double callStoreForProofAt = 0.7;
+/** Up to this fraction, a proof from a peer that reaches the store suffices for the usual interval of requests. */
+constexpr double usableProofUntil = 0.75;
 
 } // namespace
 
@@ -107,6 +109,7 @@
     const std::string before = std::to_string(version());
     current_ = std::make_shared<const FleetConfig>(std::move(decoded));
     hasRefusedNewer_ = false;
+    confirmLaterProof();
     core_.events.write(Severity::Info, "config_in_force",
                        {{"version", std::to_string(version())},
                         {"before", before},
@@ -144,9 +147,22 @@
     return hasRefusedNewer_ ? std::nullopt : watch_->proof().age(core_.clock.now());
 }
 
-void ConfigSync::confirmProof(SteadyTime provenAt)
+void ConfigSync::confirmProof(std::uint64_t version, SteadyTime provenAt)
 {
-    watch_->proof().confirm(provenAt);
+    // A version is never replaced by a lower one, so a higher one in force holds all that was known at that time.
+    if (version <= this->version()) {
+        watch_->proof().confirm(provenAt);
+    } else if (!laterProof_ || version >= laterProof_->version) {
+        laterProof_ = VersionProof{version, provenAt};
+    }
+}
+
+void ConfigSync::confirmLaterProof()
+{
+    if (laterProof_ && laterProof_->version <= version()) {
+        watch_->proof().confirm(laterProof_->provenAt);
+        laterProof_.reset();
+    }
 }
 
 bool ConfigSync::hasProofOlderThan(double fraction) const
@@ -163,6 +179,11 @@
     return hasProofOlderThan(askForProofAt);
 }
 
+bool ConfigSync::hasUsableProof(bool fromReachable) const
+{
+    return !hasProofOlderThan(fromReachable ? usableProofUntil : askForProofAt);
+}
+
 std::optional<Duration> ConfigSync::ageForRole() const
 {
     return hasProofOlderThan(callStoreForProofAt) ? std::nullopt : watch_->freshness().age(core_.clock.now());
--- a/src/sidecar/ConfigSync.h
+++ b/src/sidecar/ConfigSync.h
@@ -52,16 +52,29 @@
     Freshness &freshness();
     /** Returns the time since the version in force was proven to be the newest; nothing if it may not be. */
     std::optional<Duration> provenAge() const;
-    /** Records that the version in force was the newest at @p provenAt. */
-    void confirmProof(SteadyTime provenAt);
+    /**
+     * Records that nothing newer than @p version existed at @p provenAt. If @p version is above the one in force, this
+     * counts once it or a later one is in force.
+     */
+    void confirmProof(std::uint64_t version, SteadyTime provenAt);
     /** Returns true if the proof is so old that this node must look for a newer one by every path. */
     bool needsProof() const;
+    /**
+     * Returns true if the proof is recent enough to wait for the usual time before another one is requested.
+     * @p fromReachable: it came from a peer that reaches the store and will soon have a newer one.
+     */
+    bool hasUsableProof(bool fromReachable) const;
     /** Polls the store at once instead of waiting for the watch, because a newer version is known to exist. */
     void requestPoll();
     /** Returns whether the store responded to the last call. */
     bool isStoreReachable() const;
 
 private:
+    struct VersionProof {
+        std::uint64_t version = 0;
+        SteadyTime provenAt;
+    };
+
     /** Applies a document that the store returned, by the hook if it takes it. Returns false if it is invalid. */
     bool applyStoreDocument(const std::string &document, const std::string &source);
     void handleChanges(const ObjectChanges &changes);
@@ -69,12 +82,15 @@
     /** Returns the age by which this node's role is chosen. */
     std::optional<Duration> ageForRole() const;
     bool hasProofOlderThan(double fraction) const;
+    void confirmLaterProof();
 
     NodeCore &core_;
     KeyAdmissionTuning keyAdmission_;
     /** A newer document was refused: the version in force is known not to be the newest. */
     bool hasRefusedNewer_ = false;
     std::shared_ptr<const FleetConfig> current_;
+    /** A proof of a version above the one in force. */
+    std::optional<VersionProof> laterProof_;
     std::vector<ChangeHook> hooks_;
     DocumentHook storeDocumentHook_;
     std::unique_ptr<StoreWatch> watch_;
--- a/src/sidecar/RegionWatch.cpp
+++ b/src/sidecar/RegionWatch.cpp
@@ -37,12 +37,6 @@
         }
     }
     election_.setReachable(reachable, now);
-    watcherEndpoints_.clear();
-    for (const std::string &watcher : election_.otherWatchers()) {
-        if (const RegistryEntryPtr entry = registry.find(watcher)) {
-            watcherEndpoints_.push_back(entry->links);
-        }
-    }
     rankDelivery(std::move(reachable));
 }
 
@@ -111,13 +105,9 @@
     return role_;
 }
 
-std::optional<LinkId> RegionWatch::linkToWatcher()
+const std::vector<std::string> &RegionWatch::otherWatchers() const
 {
-    if (watcherEndpoints_.empty()) {
-        return std::nullopt;
-    }
-    const Endpoint &links = watcherEndpoints_[core_.random() % watcherEndpoints_.size()];
-    return core_.service<PeerHub>("peers").openLinkAt(links);
+    return election_.otherWatchers();
 }
 
 std::vector<LinkId> RegionWatch::regionLinks() const
--- a/src/sidecar/RegionWatch.h
+++ b/src/sidecar/RegionWatch.h
@@ -36,8 +36,8 @@
     void noteStoreReachable(const std::string &node, bool reachable);
     /** Returns the role of the last update. */
     WatchRole role() const;
-    /** Picks one of this region's other watchers at random. Returns its open link; nothing if there is none. */
-    std::optional<LinkId> linkToWatcher();
+    /** Returns this region's other watchers, as of the last election. */
+    const std::vector<std::string> &otherWatchers() const;
     /** Returns the open links to all other nodes of this region. */
     std::vector<LinkId> regionLinks() const;
 
@@ -51,8 +51,6 @@
     SteadyTime refreshedAt_;
     std::function<bool()> deliveryCheck_;
     DeliveryPlace deliveryPlace_;
-    /** Link endpoints of this region's other watchers. */
-    std::vector<Endpoint> watcherEndpoints_;
 };
 
 } // namespace waxwing
--- a/src/sidecar/StateUpdateService.cpp
+++ b/src/sidecar/StateUpdateService.cpp
@@ -22,13 +22,23 @@
 constexpr Millis versionRequestAge{1200};
 /** A follower checks earlier, so that a reply arrives before it has to call the store itself as a stand-in. */
 constexpr Millis followerVersionRequestAge{900};
-constexpr Millis versionRequestInterval{400};
+/** Minimum interval between two requests for the registry. */
+constexpr Millis registryRequestInterval{400};
+/** A watcher's own confirmation is at most about 1.1 s old. A peer with an older one probably has no better source. */
+constexpr Millis usableConfigAge{2000};
+/** Timeouts of opening a link for a request, which takes three round trips. */
+constexpr Millis openTimeoutSameRegion{200};
+constexpr Millis openTimeoutOtherRegion{450};
+/** Requests remembered on one link whose replies have not arrived. */
+constexpr std::size_t maxPendingRequests = 8;
+constexpr Millis minSleep{10};
 
 } // namespace
 
 StateUpdateService::StateUpdateService(NodeCore &core)
     : core_(core)
     , distribution_(core, [this](LinkId link) { return sendRequest(link, true, isStoreUnreachable()); })
+    , source_([&core] { return core.random(); })
 { }
 
 void StateUpdateService::start()
@@ -115,7 +125,8 @@
 {
     const SteadyTime now = core_.clock.now();
     const bool newerRegistry = peerVersions.registry > core_.service<RegistrySync>("registry").registry().revision();
-    if (newerRegistry && isStoreUnreachable() && now - lastRequestAt_ >= versionRequestInterval) {
+    if (newerRegistry && isStoreUnreachable() && now - registryRequestedAt_ >= registryRequestInterval) {
+        registryRequestedAt_ = now;
         sendRequest(link, false, true);
     }
 }
@@ -125,7 +136,10 @@
     while (!core_.stopping) {
         sendRequestIfNeeded();
         const SteadyTime next = distribution_.update();
-        sleepFor(core_.ioContext, next - core_.clock.now());
+        const SteadyTime now = core_.clock.now();
+        const bool waitsForPeer = source_.nextAt() > now && isStale();
+        const SteadyTime until = waitsForPeer ? std::min(next, std::max(source_.nextAt(), now + minSleep)) : next;
+        sleepFor(core_.ioContext, until - now);
     }
 }
 
@@ -140,20 +154,110 @@
         sendRequest(*source, true, isStoreUnreachable());
         return;
     }
-    const bool stale = config.freshness().isOlderThan(isFollower() ? followerVersionRequestAge : versionRequestAge, now)
-                       || config.needsProof();
-    if (config.version() == 0 || !stale || now - lastRequestAt_ < versionRequestInterval) {
+    if (config.version() == 0 || !isStale() || now < source_.nextAt()) {
         return;
     }
-    if (const std::optional<LinkId> other = versionRequestLink()) {
-        sendRequest(*other, false, false);
+    if (const std::optional<ConfirmationRequest> request = source_.next(confirmationCandidates(), now)) {
+        requestConfirmation(*request);
     }
 }
 
-std::optional<LinkId> StateUpdateService::versionRequestLink()
+bool StateUpdateService::isStale()
 {
-    const std::optional<LinkId> watcher = core_.service<RegionWatch>("region-watch").linkToWatcher();
-    return watcher && pendingRequests_.count(*watcher) == 0 ? watcher : randomLink();
+    ConfigSync &config = core_.service<ConfigSync>("config");
+    const Millis limit = isFollower() ? followerVersionRequestAge : versionRequestAge;
+    return config.freshness().isOlderThan(limit, core_.clock.now()) || config.needsProof();
+}
+
+ConfirmationCandidates StateUpdateService::confirmationCandidates() const
+{
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    RegionWatch &region = core_.service<RegionWatch>("region-watch");
+    ConfirmationCandidates out;
+    std::set<std::string> linked;
+    for (const LinkId link : links_) {
+        const std::optional<NodeRef> peer = peers.peerOn(link);
+        if (peer && linked.insert(peer->id).second) {
+            (region.isInRegion(peer->id) ? out.region : out.elsewhereLinked).push_back(peer->id);
+        }
+    }
+    for (const std::string &watcher : region.otherWatchers()) {
+        if (linked.count(watcher) > 0) {
+            out.watchers.push_back(watcher);
+        }
+    }
+    for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
+        if (entry->region != core_.settings.region) {
+            out.elsewhere.push_back(entry->id);
+        }
+    }
+    return out;
+}
+
+std::optional<LinkId> StateUpdateService::openLinkTo(const std::string &peer) const
+{
+    PeerHub &peers = core_.service<PeerHub>("peers");
+    const RegistryEntryPtr entry = core_.service<RegistrySync>("registry").registry().find(peer);
+    if (const std::optional<LinkId> own = entry ? peers.openLinkAt(entry->links) : std::nullopt) {
+        return own;
+    }
+    const auto found = std::find_if(links_.begin(), links_.end(), [&](LinkId link) {
+        const std::optional<NodeRef> node = peers.peerOn(link);
+        return node && node->id == peer;
+    });
+    return found == links_.end() ? std::nullopt : std::optional<LinkId>(*found);
+}
+
+void StateUpdateService::requestConfirmation(const ConfirmationRequest &request)
+{
+    core_.metrics.count(request.otherRegion ? "confirmations_requested_elsewhere" : "confirmations_requested_region");
+    if (request.attempt > 0) {
+        const std::optional<Duration> age = core_.service<ConfigSync>("config").provenAge();
+        core_.events.writeRequest(Severity::Info, "confirmation_requested",
+                                  {{"from", request.peer},
+                                   {"otherRegion", request.otherRegion ? "yes" : "no"},
+                                   {"attempt", std::to_string(request.attempt)},
+                                   {"provenAgeMs", age ? std::to_string(millisOf(*age).count()) : ""}});
+    }
+    if (const std::optional<LinkId> link = openLinkTo(request.peer)) {
+        sendRequest(*link, false, false);
+        return;
+    }
+    const RegistryEntryPtr entry = core_.service<RegistrySync>("registry").registry().find(request.peer);
+    if (!entry) {
+        noteNotConfirmed(request.peer);
+        return;
+    }
+    spawnFiber([this, peer = request.peer, links = entry->links, otherRegion = request.otherRegion] {
+        const Millis timeout = otherRegion ? openTimeoutOtherRegion : openTimeoutSameRegion;
+        const Expected<LinkId> link = core_.service<PeerHub>("peers").linkAt(links, timeout);
+        if (link) {
+            sendRequest(*link, false, false);
+        } else {
+            noteNotConfirmed(peer);
+        }
+    });
+}
+
+void StateUpdateService::noteNotConfirmed(const std::string &peer)
+{
+    core_.metrics.count("confirmations_failed");
+    source_.noteFailed(peer, core_.clock.now());
+}
+
+void StateUpdateService::noteReply(const std::string &peer, const StateUpdate &update)
+{
+    ConfigSync &config = core_.service<ConfigSync>("config");
+    const SteadyTime now = core_.clock.now();
+    // A newer version is obtained first. Until it is in force, no peer can confirm the one held.
+    const bool isNewer = update.versions.config > config.version();
+    const bool isConfirmed = config.hasUsableProof(update.versions.isStoreReachable)
+                             && !config.freshness().isOlderThan(usableConfigAge, now);
+    if (isNewer || isConfirmed) {
+        source_.noteConfirmed(peer, now);
+    } else {
+        noteNotConfirmed(peer);
+    }
 }
 
 std::optional<LinkId> StateUpdateService::firstConfigRequestLink()
@@ -180,9 +284,12 @@
 
 std::uint64_t StateUpdateService::sendRequest(LinkId link, bool wantsConfig, bool wantsRegistry)
 {
-    lastRequestAt_ = core_.clock.now();
     const std::uint64_t id = nextRequestId_++;
-    pendingRequests_.emplace(link, PendingRequest{id, lastRequestAt_});
+    std::deque<PendingRequest> &pending = pendingRequests_[link];
+    if (pending.size() >= maxPendingRequests) {
+        pending.pop_front();
+    }
+    pending.push_back(PendingRequest{id, core_.clock.now()});
     core_.service<PeerHub>("peers").reply(link,
                                           StateUpdateRequest{id, versions(), wantsConfig, wantsRegistry, wantsConfig});
     return id;
@@ -217,17 +324,33 @@
     }
     distribution_.handleUpdate(link, from, update);
     core_.service<RegistrySync>("registry").applyPeerList(update.registry, update.versions.registry);
-    const auto pending = pendingRequests_.find(link);
-    // A reply to a later request confirms at least as much as one to the oldest request.
-    if (pending != pendingRequests_.end() && update.id >= pending->second.id) {
-        confirmFreshness(update.versions, pending->second.sentAt);
-        if (update.provenAge && update.versions.config == config.version()) {
-            config.confirmProof(pending->second.sentAt - *update.provenAge);
+    if (const std::optional<SteadyTime> sentAt = takePendingRequest(link, update.id)) {
+        confirmFreshness(update.versions, *sentAt);
+        if (update.provenAge) {
+            config.confirmProof(update.versions.config, *sentAt - *update.provenAge);
         }
-        pendingRequests_.erase(pending);
+        noteReply(from.id, update);
     }
     core_.service<RegionWatch>("region-watch").noteStoreReachable(from.id, update.versions.isStoreReachable);
     noteNewerRegistry(link, update.versions);
 }
 
+std::optional<SteadyTime> StateUpdateService::takePendingRequest(LinkId link, std::uint64_t id)
+{
+    const auto found = pendingRequests_.find(link);
+    if (found == pendingRequests_.end()) {
+        return std::nullopt;
+    }
+    std::deque<PendingRequest> &pending = found->second;
+    while (!pending.empty() && pending.front().id < id) {
+        pending.pop_front();
+    }
+    if (pending.empty() || pending.front().id != id) {
+        return std::nullopt;
+    }
+    const SteadyTime sentAt = pending.front().sentAt;
+    pending.pop_front();
+    return sentAt;
+}
+
 } // namespace waxwing
--- a/src/sidecar/StateUpdateService.h
+++ b/src/sidecar/StateUpdateService.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "include/base/Clock.h"
+#include "include/fleet/ConfirmationSource.h"
 #include "include/wire/Messages.h"
 #include "src/link/PeerHub.h"
 #include "src/sidecar/ConfigDistribution.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,10 +23,10 @@
  * not respond. A node that cannot reach the store, or whose watch receives
  * nothing, is therefore as current as the nodes with which it exchanges work.
  *
- * A node whose configuration was not confirmed for a while requests the versions of a watcher of its region, or of
- * another node if it can't use a watcher's link. A reply confirms the configuration as of the time at which the request
- * was sent. Messages about work, which may have been delayed in transit, confirm nothing to a follower. Not thread
- * safe.
+ * A node whose configuration was not confirmed for a while requests the versions of peers, as ConfirmationSource
+ * chooses them: of its region first, then of other regions, to which it opens a link if it has none. A reply confirms
+ * the configuration as of the time at which the request was sent. Messages about work, which may have been delayed in
+ * transit, confirm nothing to a follower. Not thread safe.
  */
 class StateUpdateService
 {
@@ -56,11 +58,17 @@
     /** Returns the link on which a node without a configuration requests one; nothing if the store can deliver it. */
     std::optional<LinkId> firstConfigRequestLink();
     std::optional<LinkId> randomLink();
-    /**
-     * Returns the link on which to request versions: to a watcher, or to a random node if the watcher has left a
-     * request unanswered or has no open link.
-     */
-    std::optional<LinkId> versionRequestLink();
+    /** Returns true if the configuration was not confirmed for so long that this node asks a peer. */
+    bool isStale();
+    ConfirmationCandidates confirmationCandidates() const;
+    std::optional<LinkId> openLinkTo(const std::string &peer) const;
+    /** Requests the versions of a peer; opens a link to it if there is none. */
+    void requestConfirmation(const ConfirmationRequest &request);
+    void noteNotConfirmed(const std::string &peer);
+    /** Uses a reply to choose the next peer to ask. @pre its confirmation has been recorded. */
+    void noteReply(const std::string &peer, const StateUpdate &update);
+    /** Returns when the request was sent and forgets it and the earlier ones on the link. */
+    std::optional<SteadyTime> takePendingRequest(LinkId link, std::uint64_t id);
     bool isFollower() const;
     /** Returns the id of the request. */
     std::uint64_t sendRequest(LinkId link, bool wantsConfig, bool wantsRegistry);
@@ -75,10 +83,11 @@
     /** A request for the configuration is pending until the deadline, and no second one is sent. */
     std::optional<LinkId> configRequestedOn_;
     SteadyTime configRequestDeadline_;
-    /** The oldest unanswered request on each link. */
-    std::map<LinkId, PendingRequest> pendingRequests_;
+    ConfirmationSource source_;
+    /** The latest unanswered requests on each link. */
+    std::map<LinkId, std::deque<PendingRequest>> pendingRequests_;
     std::uint64_t nextRequestId_ = 1;
-    SteadyTime lastRequestAt_;
+    SteadyTime registryRequestedAt_;
 };
 
 } // namespace waxwing
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -149,7 +149,7 @@
     }
     json settings = {{"node", "n" + std::to_string(index)},
                      {"zone", "z" + std::to_string(index)},
-                     {"region", "r"},
+                     {"region", options_.regions.empty() ? "r" : options_.regions.at(static_cast<std::size_t>(index))},
                      {"listen",
                       {{"callers", member.callers.text()},
                        {"peers", member.links.text()},
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -9,10 +9,12 @@
 
 namespace waxwing::testing {
 
-/** Configuration of a Mesh: nodes of one region with one backend server each. */
+/** Configuration of a Mesh: nodes with one backend server each. */
 struct MeshOptions {
     /** The service of each node's server. */
     std::vector<std::string> services = {"desk", "desk", "desk"};
+    /** The region of each node; empty: all nodes are in one. */
+    std::vector<std::string> regions;
     /** Each node's links are reached through a fault proxy. */
     bool proxies = false;
     int workMs = 20;
