--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -14,6 +14,8 @@
 
 namespace waxwing {
 
+class CallAdmission;
+
 /** Load and health of a home's server, as reported to the nodes that send it work. */
 struct HomeLoad {
     /** Slots of the server, free or in use. */
@@ -71,6 +73,8 @@
     LikelyGray,
     /** The deadline has passed. */
     TooLate,
+    /** Its nested calls will likely fail, and it can't start in time behind the requests whose calls don't. */
+    CallsUnserved,
 };
 
 const char *refusalReasonName(RefusalReason reason);
@@ -195,6 +199,11 @@
      * Sets a check for routes whose work may be waiting for a nested call now: its age says nothing about the server.
      */
     void setCallCheck(std::function<bool(const std::string &route)> mayWaitForCall);
+    /**
+     * Orders requests whose nested calls will likely fail behind others of their priority, and refuses those that can't
+     * start in time there. @p admission must outlive this object.
+     */
+    void setCallAdmission(CallAdmission &admission);
     /**
      * Records work that has run for longer than nearly all work of its route as a failure, once each: a server that
      * hangs sends no response that could show it. Younger work counts by its age for as long as it runs.
@@ -211,10 +220,13 @@
     struct PollResult {
         std::vector<std::uint64_t> start;
         std::vector<std::uint64_t> expired;
+        /** Removed for RefusalReason::CallsUnserved. */
+        std::vector<std::uint64_t> callsUnserved;
     };
     /**
      * Starts waiting requests in free slots, most urgent first. Removes those whose queue timeout has passed or that
-     * will not start before it, and those that the server may no longer get because it is likely gray.
+     * will not start before it, and those that the server may no longer get because it is likely gray or their nested
+     * calls will likely fail.
      */
     PollResult poll(SteadyTime now);
     /** Returns when poll() is due if nothing else happens before; SteadyTime::max() if nothing waits. */
@@ -240,6 +252,8 @@
         /** A response is expected after the objective: behind all priorities. */
         bool late = false;
         int priority = 0;
+        /** The nested calls will likely fail: behind the other requests of the priority. */
+        bool callsFail = false;
         /** The customer sends far more than usual: behind the other customers of the priority. */
         bool aboveUsual = false;
 
@@ -297,6 +311,10 @@
      * requests leave no slot for it before its queue timeout. Its caller is refused at once instead of at the timeout.
      */
     bool willTimeOut(const Waiting &one, SteadyTime now) const;
+    /** Returns true if the nested calls of the request will likely fail, and it is not due as a probe. */
+    bool isDeferred(const SlotRequest &request, SteadyTime now) const;
+    /** Returns true if a deferred request has no chance left to start in time for a response by its deadline. */
+    bool isUnserved(const SlotRequest &request, SteadyTime expiresAt, SteadyTime now) const;
     /** Returns the recent share of the slots that ranks more urgent than @p rank used. */
     double occupancyAbove(const Rank &rank, SteadyTime now) const;
     Duration meanWorkTime() const;
@@ -324,6 +342,8 @@
     std::map<Rank, Occupancy> occupancy_;
     CustomerUse customerUse_;
     std::function<bool(const std::string &route)> mayWaitForCall_;
+    /** Null if requests are ordered without regard to their nested calls. */
+    CallAdmission *callAdmission_ = nullptr;
 };
 
 } // namespace waxwing
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -66,6 +66,12 @@
     std::uint32_t maxRequests = 512;
 };
 
+/** Which requests whose nested calls will likely fail are deferred or refused. */
+struct NestedCallSettings {
+    /** Orders such requests behind others of their priority, and refuses those that can't start in time there. */
+    bool admission = false;
+};
+
 /** Limits on what a node buffers for callers and servers that read slowly. */
 struct FlowSettings {
     std::uint64_t connectionBytes = 1024UL * 1024;
@@ -111,6 +117,7 @@
     NodeTimes times;
     WaitingSettings waiting;
     FlowSettings flow;
+    NestedCallSettings nestedCalls;
     /** Parts of the platform's contract that are in force; names that this build does not know are kept. */
     std::set<std::string> contracts;
 };
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -1,5 +1,7 @@
 #include "include/home/SlotQueue.h"
 
+#include "include/overload/CallAdmission.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -28,6 +30,8 @@
         return "likely-gray";
     case RefusalReason::TooLate:
         return "too-late";
+    case RefusalReason::CallsUnserved:
+        return "calls-unserved";
     }
     return "none";
 }
@@ -41,12 +45,14 @@
 
 bool SlotQueue::Rank::operator<(const Rank &other) const
 {
-    return std::tie(late, priority, aboveUsual) < std::tie(other.late, other.priority, other.aboveUsual);
+    return std::tie(late, priority, callsFail, aboveUsual)
+           < std::tie(other.late, other.priority, other.callsFail, other.aboveUsual);
 }
 
 bool SlotQueue::Rank::operator==(const Rank &other) const
 {
-    return std::tie(late, priority, aboveUsual) == std::tie(other.late, other.priority, other.aboveUsual);
+    return std::tie(late, priority, callsFail, aboveUsual)
+           == std::tie(other.late, other.priority, other.callsFail, other.aboveUsual);
 }
 
 void SlotQueue::setServer(std::uint32_t slots, bool newProcess, SteadyTime now)
@@ -105,7 +111,7 @@
     // Requests that will be late anyway are served after those that can still meet their objective: more waiting
     // costs them little.
     const bool late = now + expectedWorkTime(request.route) > request.objective;
-    return Rank{late, request.priority, isFarAboveUsual(request, now)};
+    return Rank{late, request.priority, isDeferred(request, now), isFarAboveUsual(request, now)};
 }
 
 bool SlotQueue::isFarAboveUsual(const SlotRequest &request, SteadyTime now) const
@@ -152,6 +158,9 @@
     }
     Running &run = running_[request.id];
     run = Running{probe, rankOf(request, now), now, request.route, request.customer, request.isReservation, false};
+    if (callAdmission_ != nullptr) {
+        callAdmission_->noteStarted(request.route, now);
+    }
     if (!run.held) {
         addCustomerUse(run, now);
     }
@@ -235,10 +244,14 @@
         start(request, probability, now);
         return SlotDecision{SlotAction::Start, RefusalReason::None};
     }
+    const SteadyTime expiresAt = std::min(request.deadline, now + request.queueTimeout);
+    if (isUnserved(request, expiresAt, now)) {
+        return refuse(RefusalReason::CallsUnserved);
+    }
     if (wait > request.queueTimeout || waiting_.size() >= tuning_.maxWaiting) {
         return refuse(RefusalReason::Busy);
     }
-    waiting_.push_back(Waiting{request, std::min(request.deadline, now + request.queueTimeout)});
+    waiting_.push_back(Waiting{request, expiresAt});
     return SlotDecision{SlotAction::Queue, RefusalReason::None};
 }
 
@@ -306,6 +319,11 @@
     mayWaitForCall_ = std::move(mayWaitForCall);
 }
 
+void SlotQueue::setCallAdmission(CallAdmission &admission)
+{
+    callAdmission_ = &admission;
+}
+
 double SlotQueue::survivalOf(const Running &run, SteadyTime now) const
 {
     const auto workTime = workTimes_.find(run.route);
@@ -388,8 +406,9 @@
         // The server became likely gray while the request waited. Another home may be healthy, and there is still time
         // to use it.
         const bool likelyGray = grayRefusal(it->request, probability, now) != RefusalReason::None;
-        if (likelyGray || willTimeOut(*it, now)) {
-            result.expired.push_back(it->request.id);
+        const bool unserved = !likelyGray && isUnserved(it->request, it->expiresAt, now);
+        if (likelyGray || unserved || willTimeOut(*it, now)) {
+            (unserved ? result.callsUnserved : result.expired).push_back(it->request.id);
             it = waiting_.erase(it);
         } else {
             ++it;
@@ -408,6 +427,28 @@
     return now + waitBehind(ahead, rank, now) > one.expiresAt;
 }
 
+bool SlotQueue::isDeferred(const SlotRequest &request, SteadyTime now) const
+{
+    return callAdmission_ != nullptr && callAdmission_->shouldDefer(request.route, now);
+}
+
+bool SlotQueue::isUnserved(const SlotRequest &request, SteadyTime expiresAt, SteadyTime now) const
+{
+    if (!isDeferred(request, now)) {
+        return false;
+    }
+    const Rank rank = rankOf(request, now);
+    const double ahead = countWaiting([&](const SlotRequest &other) { return isMoreUrgent(other, request, now); });
+    const double slots = std::max<std::uint32_t>(1, slots_);
+    // A request that can still meet its objective waits unless those ahead of it alone take too long: refused by the
+    // work that might arrive, 1 in 100 requests more were not served, because the load ended sooner.
+    const Duration wait =
+        rank.late ? waitBehind(ahead, rank, now) : durationOf(secondsOf(meanWorkTime()) * ahead / slots);
+    // A reservation expires at the latest start of its request.
+    const SteadyTime latest = request.isReservation ? expiresAt : request.deadline - expectedWorkTime(request.route);
+    return now + wait > latest;
+}
+
 SteadyTime SlotQueue::nextPollTime(SteadyTime now) const
 {
     SteadyTime next = SteadyTime::max();
@@ -436,7 +477,7 @@
     load.slots = static_cast<std::int32_t>(slots_);
     load.freeSlots = std::max(0, static_cast<std::int32_t>(slots_) - inUse);
     load.queued = static_cast<std::int32_t>(waiting_.size());
-    const Rank rank{false, priority, false};
+    const Rank rank{false, priority, false, false};
     const double ahead = countWaiting([&](const SlotRequest &one) { return !(rank < rankOf(one, now)); });
     if (slots_ > 0 && (load.freeSlots == 0 || ahead > 0.0)) {
         load.wait = millisOf(waitBehind(ahead, rank, now));
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -149,6 +149,16 @@
     }
 }
 
+void readNestedCalls(const nlohmann::json &value, NestedCallSettings &nestedCalls, Findings &findings)
+{
+    if (value.is_null()) {
+        return;
+    }
+    JsonReader reader(value, "/nestedCalls", findings);
+    nestedCalls.admission = reader.boolean("admission", nestedCalls.admission);
+    reader.rejectUnknown();
+}
+
 void readContracts(const nlohmann::json &value, std::set<std::string> &contracts, Findings &findings)
 {
     if (!value.is_null() && !value.is_array()) {
@@ -239,6 +249,7 @@
     readTimes(reader.child("times"), settings.times, findings);
     readWaiting(reader.child("waiting"), settings.waiting, findings);
     readFlow(reader.child("flow"), settings.flow, findings);
+    readNestedCalls(reader.child("nestedCalls"), settings.nestedCalls, findings);
     readContracts(reader.child("contracts"), settings.contracts, findings);
     reader.rejectUnknown();
     return settings;
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -13,6 +13,7 @@
 #include "src/sidecar/ingress/SlotRequester.h"
 
 #include <algorithm>
+#include <random>
 
 namespace waxwing {
 
@@ -21,6 +22,12 @@
 /** A request is refused without being sent only if the load report is at most a round trip between regions old. */
 constexpr Millis maxFreshLoadAge{100};
 constexpr Millis minRetryAfter{300};
+/**
+ * Shortest Retry-After of a request whose nested calls are expected to fail: by then the homes' evidence has expired or
+ * was renewed. It is multiplied by a random factor up to the given one, so that callers don't return together.
+ */
+constexpr Millis callsUnservedRetryAfter{2000};
+constexpr double callsUnservedSpread = 2.0;
 constexpr Millis minTimeLeft{5};
 /** A stopping node starts a request only if this many times its expected work time is left, within the bounds below. */
 constexpr double stopWorkFactor = 2.0;
@@ -66,6 +73,8 @@
     bool queuedCancelled = false;
     /** Attempts that wait for a slot; a hedge would find none either. */
     int waitingForSlot = 0;
+    /** Refusals by homes that expect its nested calls to fail. */
+    int callsUnserved = 0;
     bool finished = false;
 };
 
@@ -260,7 +269,7 @@
         const bool loadIsFresh = choice.loadAge >= Millis(0) && choice.loadAge <= maxFreshLoadAge;
         if (reservation == 0 && choice.missesDeadline && loadIsFresh) {
             // Every home would queue the request beyond its deadline. Refusing it now lets the caller retry sooner.
-            attempt->reply.reason = "no-room";
+            attempt->reply.reason = refusalReason(*run, "no-room");
             attempt->reply.load.wait = choice.wait;
             return;
         }
@@ -331,21 +340,28 @@
     want.need.tried = run->triedHomes;
     want.need.made = run->reservationsMade;
     want.until = latestStart(*run);
+    want.callsUnserved = run->callsUnserved;
     want.candidates = [this, run] { return reservationCandidates(*run); };
     want.control = attempt->control;
     ++run->waitingForSlot;
     SlotWaitResult result = slots_.wait(want);
     --run->waitingForSlot;
     run->reservationsMade += result.made;
+    run->callsUnserved = std::max(run->callsUnserved, result.callsUnserved);
     run->notifier.notify();
     if (result.end == SlotWaitEnd::NoOffer) {
         attempt->reply.outcome = Outcome::NotRun;
-        attempt->reply.reason = "no-slot";
+        attempt->reply.reason = refusalReason(*run, "no-slot");
         attempt->reply.load.wait = result.retryAfter;
     }
     return result;
 }
 
+std::string Forwarder::refusalReason(const Run &run, const char *otherwise)
+{
+    return run.callsUnserved > 0 ? refusalReasonName(RefusalReason::CallsUnserved) : otherwise;
+}
+
 HomeChoice Forwarder::choiceOf(const Run &run, const SlotWaitResult &slot, HomeChoice choice) const
 {
     if (slot.home == choice.node) {
@@ -427,6 +443,7 @@
     if (likelyGray) {
         ranking_.noteLikelyGray(RankedHome{choice.node, choice.distance}, after);
     }
+    run->callsUnserved += reply.reason == refusalReasonName(RefusalReason::CallsUnserved) ? 1 : 0;
     stats_.add(job.route->name, reply);
     if (reply.nestedCall) {
         home_.noteNestedCall(job.route->name);
@@ -458,7 +475,7 @@
             // The home may be tried again: with the load that its refusal reported it may still be the best one.
             run->search.noteRefused(choice.node);
         }
-        return attempt->control->cancelled || reply.reason == poisonReason;
+        return attempt->control->cancelled || reply.reason == poisonReason || run->callsUnserved >= maxCallsUnserved;
     }
     if (reply.outcome == Outcome::NotRun && !attempt->control->cancelled) {
         // The server received the request but did not run it, so the next send counts as a retry.
@@ -481,15 +498,31 @@
     if (run->nestedCall && failed) {
         home_.noteFailedCall(run->job.route->name, run->job.service);
     }
+    if (run->nestedCall && isCallEvidence(*run)) {
+        home_.noteCallResult(run->job.service, !failed);
+    }
     result.outcome = reply.outcome;
     result.reason = reply.reason;
     result.response = reply.response;
     if (reply.outcome == Outcome::NotRun && reply.reason != poisonReason) {
         result.retryAfter = std::max(minRetryAfter, reply.load.wait);
+        if (reply.reason == refusalReasonName(RefusalReason::CallsUnserved)) {
+            std::uniform_real_distribution<double> factor(1.0, callsUnservedSpread);
+            const Millis base = std::max(callsUnservedRetryAfter, result.retryAfter);
+            result.retryAfter = std::chrono::duration_cast<Millis>(base * factor(core_.random));
+        }
     }
     return result;
 }
 
+bool Forwarder::isCallEvidence(const Run &run) const
+{
+    // A server drops its call early when its own caller has gone. Later, the called service was too slow for it.
+    const bool dropped =
+        run.job.control->cancelled && core_.clock.now() < run.job.arrived + run.job.route->responseTime;
+    return !dropped && !aborting_;
+}
+
 ForwardResult Forwarder::finishTimedOut(const RunPtr &run, bool immediately)
 {
     for (const AttemptPtr &attempt : run->attempts) {
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -134,6 +134,11 @@
     bool isHedgeUseless(const Run &run, const HomeChoice &choice) const;
     /** Reserves at several homes and waits for an offer. Without one, sets the reply of @p attempt. */
     SlotWaitResult awaitSlot(const RunPtr &run, const AttemptPtr &attempt);
+    /**
+     * Returns the reason under which a request is refused that no home has room for: @p otherwise, unless a home
+     * refused it because its nested calls would fail.
+     */
+    static std::string refusalReason(const Run &run, const char *otherwise);
     /** Returns the choice of the home that offers @p slot. @p choice: the home that was the best before the wait. */
     HomeChoice choiceOf(const Run &run, const SlotWaitResult &slot, HomeChoice choice) const;
     std::vector<ReservationCandidate> reservationCandidates(const Run &run) const;
@@ -155,6 +160,8 @@
     /** Takes the tokens for one more attempt from the retry budget. Returns false if the attempt must not be made. */
     bool reserveRetry(Run &run, RetryReason reason, const char *why);
     ForwardResult finish(const RunPtr &run, const WorkReply &reply);
+    /** Returns true if the end of the nested call @p run says something about the called service. */
+    bool isCallEvidence(const Run &run) const;
     /**
      * Cancels all attempts and returns how the request ended. Unless @p immediately, waits for up to a round trip until
      * the homes confirm that queued requests have not run.
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -77,6 +77,13 @@
     maxResponseBytes_ = flow.nodeBytes;
 }
 
+void LocalHome::enableCallAdmission()
+{
+    callAdmission_ = std::make_unique<CallAdmission>(
+        [this](const std::string &route) -> const CallRates & { return nestedCalls_.rates(route); });
+    queue_.setCallAdmission(*callAdmission_);
+}
+
 std::uint64_t LocalHome::requestBytes() const
 {
     return requestBytes_;
@@ -161,6 +168,50 @@
             }
         }
         releaseQueued(result.expired, timedOutReason);
+        for (const std::uint64_t id : result.callsUnserved) {
+            core_.metrics.count("refused_calls_unserved");
+            const auto found = queuedJobs_.find(id);
+            if (found != queuedJobs_.end()) {
+                found->second.callsUnserved = true;
+            }
+        }
+        releaseQueued(result.callsUnserved, refusalReasonName(RefusalReason::CallsUnserved));
+    }
+}
+
+SlotDecision LocalHome::submit(const SlotRequest &request, SteadyTime now)
+{
+    noteOverdueWork();
+    if (callAdmission_ && callAdmission_->expectsFailure(request.route, now)) {
+        core_.metrics.count("calls_expected_to_fail");
+    }
+    const SlotDecision decision = queue_.submit(request, now);
+    if (decision.reason == RefusalReason::CallsUnserved) {
+        core_.metrics.count("refused_calls_unserved");
+    }
+    return decision;
+}
+
+void LocalHome::noteCallResult(const std::string &service, bool succeeded)
+{
+    if (callAdmission_) {
+        callAdmission_->addResult(service, succeeded, core_.clock.now());
+        reportCalledServices();
+    }
+}
+
+void LocalHome::reportCalledServices()
+{
+    for (const CallServiceStatus &status : callAdmission_->update(core_.clock.now())) {
+        core_.metrics.set("call_success_share_" + status.service, status.successShare);
+        if (status.change != CallServiceStatus::Change::None) {
+            const bool degraded = status.change == CallServiceStatus::Change::Degraded;
+            core_.events.write(degraded ? Severity::Warning : Severity::Info,
+                               degraded ? "call_service_degraded" : "call_service_recovered",
+                               {{"service", status.service},
+                                {"successShare", std::to_string(status.successShare)},
+                                {"results", std::to_string(status.results)}});
+        }
     }
 }
 
@@ -177,6 +228,9 @@
         if (queue_.waiting() > 0) {
             pollQueue();
         }
+        if (callAdmission_) {
+            reportCalledServices();
+        }
         works_.evictOld();
     }
 }
@@ -252,8 +306,7 @@
 
 SlotDecision LocalHome::submitReservation(const SlotRequest &request)
 {
-    noteOverdueWork();
-    const SlotDecision decision = queue_.submit(request, core_.clock.now());
+    const SlotDecision decision = submit(request, core_.clock.now());
     if (decision.action == SlotAction::Queue) {
         expiry_.notify();
     }
@@ -306,8 +359,7 @@
     request.deadline = job.deadline;
     request.queueTimeout = std::max(Millis(0), job.work.queueTimeout - millisOf(job.queuedAt - job.arrived));
     request.acceptsGray = job.work.acceptsGray;
-    noteOverdueWork();
-    const SlotDecision decision = queue_.submit(request, job.queuedAt);
+    const SlotDecision decision = submit(request, job.queuedAt);
     if (decision.action == SlotAction::Refuse) {
         job.reply = refusal(job, refusalReasonName(decision.reason));
         return false;
@@ -319,7 +371,7 @@
         return true;
     }
     const auto latch = std::make_shared<FiberLatch>();
-    queuedJobs_[job.id] = QueuedJob{latch, false};
+    queuedJobs_[job.id] = QueuedJob{latch};
     expiry_.notify();
     const auto cancelWait = [this, latch, id = job.id] {
         queue_.cancel(id);
@@ -330,11 +382,12 @@
     latch->wait();
     job.control->interrupt = {};
     job.control->onCancelQueued = {};
-    const bool started = queuedJobs_[job.id].started;
+    const QueuedJob waited = queuedJobs_[job.id];
     queuedJobs_.erase(job.id);
-    if (!started || job.control->cancelled) {
+    if (!waited.started || job.control->cancelled) {
         queue_.release(job.id, core_.clock.now());
-        job.reply = refusal(job, job.control->cancelled ? "cancelled" : timedOutReason);
+        const char *reason = waited.callsUnserved ? refusalReasonName(RefusalReason::CallsUnserved) : timedOutReason;
+        job.reply = refusal(job, job.control->cancelled ? "cancelled" : reason);
         return false;
     }
     return true;
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -4,6 +4,7 @@
 #include "include/home/SlotQueue.h"
 #include "include/limit/NestedCallTracker.h"
 #include "include/limit/RouteOrigins.h"
+#include "include/overload/CallAdmission.h"
 #include "include/wire/Messages.h"
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/RunControl.h"
@@ -57,6 +58,8 @@
      * refused while @p holdsTooMuch returns true.
      */
     void setFlow(const FlowSettings &flow, std::function<bool()> holdsTooMuch);
+    /** Judges requests by whether their nested calls are expected to fail. @pre called once, before start(). */
+    void enableCallAdmission();
     /** Returns the bytes of the requests queued or running here. */
     std::uint64_t requestBytes() const;
     /** @pre called once, before start(). */
@@ -112,6 +115,8 @@
     void noteCallEnded();
     /** Records a failed nested call: the work that made it may fail for that reason, without a fault of the server. */
     void noteFailedCall(const std::string &route, const std::string &service);
+    /** Records how a nested call of the server here ended, as evidence about the calls of later requests. */
+    void noteCallResult(const std::string &service, bool succeeded);
     /** Returns true if the server has announced itself but accepts no work, as when it drains or has deregistered. */
     bool serverLeft() const;
 
@@ -120,6 +125,8 @@
         std::shared_ptr<FiberLatch> latch;
         /** Whether the latch was released because the job may start. */
         bool started = false;
+        /** Whether it was released because its nested calls will likely fail. */
+        bool callsUnserved = false;
     };
     struct Job;
 
@@ -131,6 +138,10 @@
     void releaseQueued(const std::vector<std::uint64_t> &ids, const std::string &reason);
     void pollQueue();
     void expiryLoop();
+    /** Submits a request or a reservation to the queue. */
+    SlotDecision submit(const SlotRequest &request, SteadyTime now);
+    /** Reports the called services that became degraded or recovered, and the share of successful calls. */
+    void reportCalledServices();
     /** Lets work that has run for too long count against the server. */
     void noteOverdueWork();
     /** Waits until the server's memory has room for the request, and then for a slot. */
@@ -156,6 +167,8 @@
     FiberNotifier expiry_;
     std::uint64_t nextJob_ = 1;
     NestedCallTracker nestedCalls_;
+    /** Null if requests are served without regard to their nested calls. */
+    std::unique_ptr<CallAdmission> callAdmission_;
     RouteOrigins origins_;
     ReservationHooks reservations_;
     int callsInProgress_ = 0;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -489,6 +489,9 @@
     if (tuning.flow) {
         impl->enableFlow(*tuning.flow);
     }
+    if (tuning.callAdmission) {
+        impl->home.enableCallAdmission();
+    }
     impl->slots.start();
     impl->home.start();
     impl->config.start();
--- a/src/sidecar/SidecarTuning.cpp
+++ b/src/sidecar/SidecarTuning.cpp
@@ -27,6 +27,7 @@
     }
     tuning.reservations.minObjective = settings.waiting.minObjective;
     tuning.maxWaitingRequests = settings.waiting.maxRequests;
+    tuning.callAdmission = settings.nestedCalls.admission;
     if (settings.bounds.empty()) {
         return tuning;
     }
--- a/src/sidecar/SidecarTuning.h
+++ b/src/sidecar/SidecarTuning.h
@@ -24,6 +24,8 @@
     ReservationTuning reservations;
     /** Requests that may wait for an offer at the same time. */
     std::size_t maxWaitingRequests = 512;
+    /** The home judges requests by whether their nested calls are expected to fail. */
+    bool callAdmission = false;
 };
 
 /**
--- a/src/sidecar/ingress/SlotRequester.cpp
+++ b/src/sidecar/ingress/SlotRequester.cpp
@@ -14,8 +14,10 @@
 /** Steps of the random factor on the Retry-After. */
 constexpr std::uint64_t spreadSteps = 1000;
 
+constexpr const char *callsUnservedReason = "calls-unserved";
 /** Refusals of homes whose slots are all needed for other requests. */
-constexpr std::array<const char *, 3> busyReasons = {"busy", "queue-timeout", "too-many-reservations"};
+constexpr std::array<const char *, 4> busyReasons = {"busy", "queue-timeout", "too-many-reservations",
+                                                     callsUnservedReason};
 
 bool isBusy(const std::string &reason)
 {
@@ -38,6 +40,7 @@
         : want(wantIn)
         , since(now)
         , latest(latestIn)
+        , callsUnserved(wantIn.callsUnserved)
     { }
 
     SlotWait want;
@@ -53,6 +56,7 @@
     bool mustReplace = false;
     /** A home was full: without an offer, the request is refused instead of sent from home to home. */
     bool wasBusy = false;
+    int callsUnserved = 0;
     /** Shortest wait that a home reported. */
     std::optional<Millis> reportedWait;
 };
@@ -191,8 +195,8 @@
 {
     const RunControl &control = *waiter->want.control;
     const auto mayReserve = [&] {
-        return !waiter->set.isBound() && !control.cancelled && !control.queuedCancelled
-               && clock_.now() < waiter->latest;
+        return !waiter->set.isBound() && !control.cancelled && !control.queuedCancelled && clock_.now() < waiter->latest
+               && waiter->callsUnserved < maxCallsUnserved;
     };
     bool hasUnreached = true;
     for (int plans = 0; hasUnreached && plans < tuning_.maxPlans && mayReserve(); ++plans) {
@@ -255,6 +259,7 @@
         }
     } else {
         waiter->wasBusy = waiter->wasBusy || isBusy(offer.reason);
+        waiter->callsUnserved += offer.reason == callsUnservedReason ? 1 : 0;
         waiter->reportedWait = std::min(waiter->reportedWait.value_or(offer.load.wait), offer.load.wait);
         lose(offer.id, !isBusy(offer.reason));
     }
@@ -342,6 +347,7 @@
     dropReservations(waiter, cancelled);
     SlotWaitResult result;
     result.made = waiter->made;
+    result.callsUnserved = waiter->callsUnserved;
     if (cancelled) {
         result.end = SlotWaitEnd::Cancelled;
     } else if (waiter->set.isBound()) {
--- a/src/sidecar/ingress/SlotRequester.h
+++ b/src/sidecar/ingress/SlotRequester.h
@@ -22,6 +22,12 @@
 class FiberNotifier;
 class Metrics;
 
+/**
+ * A request that homes refused this often, because they expect its nested calls to fail, is sent to no further home.
+ * Each home judges by its own evidence, so one refusal could be by chance.
+ */
+constexpr int maxCallsUnserved = 2;
+
 struct SlotRequesterTuning {
     /** Requests that may wait for an offer at the same time; a further one is sent as if there were no reservations. */
     std::size_t maxWaiting = 512;
@@ -51,6 +57,8 @@
     SlotNeed need;
     /** The wait ends at this time even if a later start is useful, as when this node stops. */
     SteadyTime until = SteadyTime::max();
+    /** Refusals by homes that expect its nested calls to fail, before this wait. */
+    int callsUnserved = 0;
     /** Returns the homes at which the request may reserve, with their current status. */
     std::function<std::vector<ReservationCandidate>()> candidates;
     RunControlPtr control;
@@ -75,6 +83,8 @@
     Millis retryAfter{0};
     /** Number of reservations made. */
     std::size_t made = 0;
+    /** SlotWait::callsUnserved and the further ones. */
+    int callsUnserved = 0;
 };
 
 /**
--- a/tests/support/FleetLoad.cpp
+++ b/tests/support/FleetLoad.cpp
@@ -2,16 +2,24 @@
 
 namespace waxwing::testing {
 
+PriorityCounts &PriorityCounts::operator+=(const PriorityCounts &other)
+{
+    requests += other.requests;
+    inTime += other.inTime;
+    late += other.late;
+    refused += other.refused;
+    callsFailed += other.callsFailed;
+    callsUnserved += other.callsUnserved;
+    waited += other.waited;
+    longestWait = std::max(longestWait, other.longestWait);
+    return *this;
+}
+
 PriorityCounts FleetCounts::all() const
 {
     PriorityCounts sum;
     for (const auto &[priority, one] : byPriority) {
-        sum.requests += one.requests;
-        sum.inTime += one.inTime;
-        sum.late += one.late;
-        sum.refused += one.refused;
-        sum.waited += one.waited;
-        sum.longestWait = std::max(sum.longestWait, one.longestWait);
+        sum += one;
     }
     return sum;
 }
--- a/tests/support/FleetLoad.h
+++ b/tests/support/FleetLoad.h
@@ -35,6 +35,20 @@
     Route route;
     double requestsPerSecond = 0.0;
     Millis work{250};
+    /** Sequential nested calls after the work, and the share of the requests that make them. */
+    int calls = 0;
+    double callShare = 0.7;
+};
+
+/** The service that nested calls go to. Its own load is not simulated. */
+struct CalledService {
+    /** Share of the calls that fail from the start of the burst on, for @c failFor. */
+    double failedShare = 0.0;
+    Millis failFor{0};
+    /** Times of a call: to shed load takes little time, while a service without room lets a call wait for its deadline.
+     */
+    Millis succeeds{68};
+    Millis fails{5};
 };
 
 /** A service and the requests for it. Zones are numbered; homes and nodes are dealt to them in turn. */
@@ -64,6 +78,9 @@
     double waveAmplitude = 0.0;
     Millis wavePeriod{4000};
     ReservationTuning reservations;
+    CalledService called;
+    /** Homes judge requests by whether their calls are expected to fail. */
+    bool callAdmission = false;
 };
 
 /** What became of the requests of one priority that arrived during the burst. */
@@ -74,10 +91,14 @@
     /** Answered after it. */
     int late = 0;
     int refused = 0;
+    /** Those of @c refused that ran and whose calls failed, and those that homes refused because they would fail. */
+    int callsFailed = 0;
+    int callsUnserved = 0;
     /** Sum and maximum of the time from the arrival to the start of the work, of those that ran. */
     Duration waited{0};
     Duration longestWait{0};
 
+    PriorityCounts &operator+=(const PriorityCounts &other);
     double refusedShare() const
     {
         return static_cast<double>(refused) / std::max(1, requests);
@@ -99,6 +120,7 @@
 /** Measurements of one run. */
 struct FleetCounts {
     std::map<int, PriorityCounts> byPriority;
+    std::map<std::string, PriorityCounts> byRoute;
     /** Of the customer at several times its usual rate, and of all others. */
     PriorityCounts hotCustomer;
     PriorityCounts otherCustomers;
@@ -140,6 +162,11 @@
     Millis work{0};
     bool counted = false;
     bool done = false;
+    /** Nested calls, and whether one of them has failed. */
+    int calls = 0;
+    bool callFailed = false;
+    /** Homes that refused the request because its calls are expected to fail. */
+    int callsUnserved = 0;
     HomeSearch search;
     /** Home that has the Work, and the latest time there. */
     int home = -1;
--- a/tests/support/HomeFleetModel.cpp
+++ b/tests/support/HomeFleetModel.cpp
@@ -42,6 +42,9 @@
     : model_(model)
 { }
 
+void SlotPolicy::callEnded(int, bool)
+{ }
+
 HomeFleetModel::HomeFleetModel(HomeFleetLoad load, HomePolicy policy, std::uint32_t seed)
     : load_(std::move(load))
     , arrivals_(seed)
@@ -173,6 +176,7 @@
 {
     if (request.counted) {
         change(counts_.byPriority[request.route->route.priority]);
+        change(counts_.byRoute[request.route->route.name]);
         change(request.customer == hotCustomer ? counts_.hotCustomer : counts_.otherCustomers);
     }
 }
@@ -198,19 +202,39 @@
     }
     const bool isSlow = home >= load_.homes - load_.slowHomes;
     const Duration took = durationOf(secondsOf(request->work) * (isSlow ? load_.slowFactor : 1.0));
-    after(took, [this, home, request, took] { policy_->workEnded(home, request, took); });
+    after(took, [this, home, request, took] { makeCalls(home, request, took, request->calls); });
+}
+
+void HomeFleetModel::makeCalls(int home, const FleetRequestPtr &request, Duration took, int calls)
+{
+    if (calls == 0 || request->callFailed) {
+        policy_->workEnded(home, request, took);
+        return;
+    }
+    const CalledService &called = load_.called;
+    const bool isFailing = now() >= burstFrom_ && now() < burstFrom_ + called.failFor;
+    const bool fails = isFailing && boost::random::uniform_01<double>()(random_) < called.failedShare;
+    const Millis duration = fails ? called.fails : called.succeeds;
+    after(duration, [this, home, request, took, calls, fails, duration] {
+        policy_->callEnded(home, !fails);
+        request->callFailed = fails;
+        makeCalls(home, request, took + duration, calls - 1);
+    });
 }
 
 void HomeFleetModel::finish(const FleetRequestPtr &request, bool served)
 {
     request->done = true;
     // A response after the deadline reaches no caller.
-    const bool inTime = served && now() <= request->objective;
-    const bool late = served && !inTime && now() <= request->deadline;
+    const bool succeeded = served && !request->callFailed;
+    const bool inTime = succeeded && now() <= request->objective;
+    const bool late = succeeded && !inTime && now() <= request->deadline;
     count(*request, [&](PriorityCounts &counts) {
         counts.inTime += inTime ? 1 : 0;
         counts.late += late ? 1 : 0;
         counts.refused += inTime || late ? 0 : 1;
+        counts.callsFailed += request->callFailed ? 1 : 0;
+        counts.callsUnserved += !served && request->callsUnserved > 0 ? 1 : 0;
     });
     if (request->counted) {
         counts_.longestAfterDeadline = std::max(counts_.longestAfterDeadline, now() - request->deadline);
@@ -304,6 +328,10 @@
     request->deadline = now() + request->route->route.timeout;
     const double factor = boost::random::uniform_real_distribution<double>(shortestWork, longestWork)(arrivals_);
     request->work = Millis(static_cast<std::int64_t>(factor * static_cast<double>(request->route->work.count())));
+    // Drawn only for routes with calls, so that the requests of other loads stay the same.
+    if (request->route->calls > 0 && uniform() < request->route->callShare) {
+        request->calls = request->route->calls;
+    }
     request->counted = isBurst();
     count(*request, [](PriorityCounts &counts) { ++counts.requests; });
     policy_->arrive(request);
--- a/tests/support/HomeFleetModel.h
+++ b/tests/support/HomeFleetModel.h
@@ -29,6 +29,8 @@
     virtual void arrive(const FleetRequestPtr &request) = 0;
     /** Called at the home when the work ends. @p took: how long the server worked on it. */
     virtual void workEnded(int home, const FleetRequestPtr &request, Duration took) = 0;
+    /** Called at the home when a nested call of its server ends. */
+    virtual void callEnded(int home, bool succeeded);
     /** Called when the server of @p home accepts no more work. Running work goes on. */
     virtual void serverLeft(int home) = 0;
 
@@ -83,6 +85,8 @@
 
     void scheduleArrival();
     void arrive();
+    /** Makes the nested calls of work that ran for @p took until now, one after the other, and ends it. */
+    void makeCalls(int home, const FleetRequestPtr &request, Duration took, int calls);
     bool isBurst() const;
     double uniform();
     double rateOf(const FleetRoute &route) const;
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -165,6 +165,9 @@
     if (!options_.flow.is_null()) {
         settings["flow"] = options_.flow;
     }
+    if (options_.callAdmission) {
+        settings["nestedCalls"] = {{"admission", true}};
+    }
     std::string path = directory_ + "/n" + std::to_string(index) + ".json";
     std::ofstream(path) << settings.dump(2);
     return path;
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -45,6 +45,8 @@
     std::vector<std::string> contracts;
     /** Settings for slow readers; null: defaults. */
     nlohmann::json flow;
+    /** Nodes judge requests by whether their nested calls are expected to fail. */
+    bool callAdmission = false;
     std::uint64_t maxBodyBytes = 100000;
     /** The first process of each node runs the build that WAXWING_OTHER_BUILD names. */
     bool upgrade = false;
--- a/tests/support/PollingPolicy.cpp
+++ b/tests/support/PollingPolicy.cpp
@@ -7,6 +7,9 @@
 constexpr Millis pollInterval{10};
 /** A report of this age counts as fresh when a request is refused because of it, as in production. */
 constexpr Millis maxFreshLoadAge{300};
+const std::string calledService = "called";
+/** As in Forwarder. */
+constexpr int maxUnservedHomes = 2;
 
 } // namespace
 
@@ -15,7 +18,15 @@
     , policy_(policy)
     , homes_(static_cast<std::size_t>(model.load().homes))
 {
+    for (const FleetRoute &route : model.load().routes) {
+        callRates_[route.route.name][calledService] = route.callShare * route.calls;
+    }
     for (Home &home : homes_) {
+        if (model.load().callAdmission) {
+            home.calls = std::make_unique<CallAdmission>(
+                [this](const std::string &route) -> const CallRates & { return callRates_.at(route); });
+            home.queue.setCallAdmission(*home.calls);
+        }
         home.queue.setServer(model.load().slots, true, model.now());
         home.freeAt.assign(model.load().slots, model.now());
     }
@@ -82,6 +93,9 @@
 
 void PollingPolicy::dispatch(const FleetRequestPtr &request)
 {
+    if (endIfUnserved(request)) {
+        return;
+    }
     if (!request->search.canContinue() || model_.now() >= request->deadline) {
         model_.finish(request, false);
         return;
@@ -137,6 +151,7 @@
     Home &target = homeAt(home);
     const SlotDecision decision = target.queue.submit(slotRequestOf(*request), model_.now());
     if (decision.action == SlotAction::Refuse) {
+        request->callsUnserved += decision.reason == RefusalReason::CallsUnserved ? 1 : 0;
         refuse(home, request);
         return;
     }
@@ -151,7 +166,9 @@
 void PollingPolicy::workEnded(int home, const FleetRequestPtr &request, Duration took)
 {
     Home &target = homeAt(home);
-    target.queue.addResult(request->route->route.name, false, took, model_.now());
+    if (!request->callFailed) {
+        target.queue.addResult(request->route->route.name, false, took, model_.now());
+    }
     target.queue.release(request->slotId, model_.now());
     target.entries.erase(request->slotId);
     poll(home, model_.now());
@@ -163,6 +180,13 @@
     });
 }
 
+void PollingPolicy::callEnded(int home, bool succeeded)
+{
+    if (CallAdmission *calls = homeAt(home).calls.get()) {
+        calls->addResult(calledService, succeeded, model_.now());
+    }
+}
+
 void PollingPolicy::serverLeft(int home)
 {
     for (const std::uint64_t id : homeAt(home).queue.clearServer()) {
@@ -192,6 +216,10 @@
     for (const std::uint64_t id : result.expired) {
         onExpired(home, id);
     }
+    for (const std::uint64_t id : result.callsUnserved) {
+        ++homeAt(home).entries.at(id).request->callsUnserved;
+        onExpired(home, id);
+    }
     schedulePoll(home);
 }
 
@@ -219,6 +247,15 @@
     });
 }
 
+bool PollingPolicy::endIfUnserved(const FleetRequestPtr &request)
+{
+    if (request->callsUnserved < maxUnservedHomes) {
+        return false;
+    }
+    model_.finish(request, false);
+    return true;
+}
+
 void PollingPolicy::onRefused(const FleetRequestPtr &request)
 {
     dispatch(request);
--- a/tests/support/ReservationPolicy.cpp
+++ b/tests/support/ReservationPolicy.cpp
@@ -25,6 +25,9 @@
 
 void ReservationPolicy::dispatch(const FleetRequestPtr &request)
 {
+    if (endIfUnserved(request)) {
+        return;
+    }
     if (!planner_.mayWait(request->route->route)) {
         PollingPolicy::dispatch(request);
         return;
@@ -118,6 +121,7 @@
     slotRequest.isReservation = true;
     slotRequest.queueTimeout = millisOf(request->latestStart - model_.now());
     const SlotDecision decision = target.queue.submit(slotRequest, model_.now());
+    request->callsUnserved += decision.reason == RefusalReason::CallsUnserved ? 1 : 0;
     target.entries[id] = Entry{request, true};
     if (decision.action == SlotAction::Queue) {
         schedulePoll(home);
@@ -194,7 +198,7 @@
             --reservedAt(*request, home);
             request->tried.insert(name);
             // A replacement would cost two more messages, and the other reservation mostly gets an offer.
-            if (request->reservations.count() == 0) {
+            if (request->reservations.count() == 0 && !endIfUnserved(request)) {
                 reserve(request);
             }
         }
--- a/tests/support/SlotPolicies.h
+++ b/tests/support/SlotPolicies.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/overload/CallAdmission.h"
 #include "include/schedule/OfferedSlots.h"
 #include "include/schedule/ReservationPlanner.h"
 #include "tests/support/HomeFleetModel.h"
@@ -14,6 +15,7 @@
     PollingPolicy(HomeFleetModel &model, HomePolicy policy);
     void arrive(const FleetRequestPtr &request) override;
     void workEnded(int home, const FleetRequestPtr &request, Duration took) override;
+    void callEnded(int home, bool succeeded) override;
     void serverLeft(int home) override;
 
 protected:
@@ -24,6 +26,7 @@
     };
     struct Home {
         SlotQueue queue;
+        std::unique_ptr<CallAdmission> calls;
         std::map<std::uint64_t, Entry> entries;
         /** For HomePolicy::Oracle: when each slot becomes free, by the work assigned to it. */
         std::vector<SteadyTime> freeAt;
@@ -42,6 +45,8 @@
     void poll(int home, SteadyTime idleSince);
     void schedulePoll(int home);
     void refuse(int home, const FleetRequestPtr &request);
+    /** Ends the request if as many homes as production asks have refused it because its calls would fail. */
+    bool endIfUnserved(const FleetRequestPtr &request);
 
     virtual void dispatch(const FleetRequestPtr &request);
     /** Called when the Work was refused or left the home's queue. */
@@ -55,6 +60,8 @@
     HomePolicy policy_;
     std::vector<Home> homes_;
     std::vector<HomeRanking> rankings_;
+    /** By route, as the homes would learn them. */
+    std::map<std::string, CallRates> callRates_;
 };
 
 /** Late binding by reservations: sends to a home that is expected to be free, otherwise reserves. */
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -150,6 +150,17 @@
     CHECK(settings.advertisedPeers.port == 2);
 }
 
+// Guards against a setting that is on although nobody switched it on, or that can't be switched on.
+TEST_CASE("settings, admission of requests with nested calls, is off unless set")
+{
+    Findings findings;
+    CHECK_FALSE(parseNodeSettings(settingsText, "s.json", findings).nestedCalls.admission);
+    std::string text = settingsText;
+    text.insert(text.find('{') + 1, R"("nestedCalls": {"admission": true},)");
+    CHECK(parseNodeSettings(text, "s.json", findings).nestedCalls.admission);
+    CHECK(findings.text().empty());
+}
+
 TEST_CASE("settings, many faults, are all reported with their locations")
 {
     const std::string text =
@@ -172,10 +183,10 @@
         settingsFindings(R"({"node": "n", "zone": "z", "region": "r", "objectApi": "127.0.0.1:7000",
         "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
         "waiting": {"minObjective": "-1s", "maxRequests": -1}, "contracts": ["pressure", 3],
-        "flow": {"connectionBytes": 2097152, "nodeBytes": 1048576}})")
+        "flow": {"connectionBytes": 2097152, "nodeBytes": 1048576}, "nestedCalls": {"admission": "yes", "x": 1}})")
             .text();
-    for (const char *place :
-         {"/waiting/minObjective:", "/waiting/maxRequests:", "/flow/connectionBytes:", "/contracts/1:"}) {
+    for (const char *place : {"/waiting/minObjective:", "/waiting/maxRequests:", "/flow/connectionBytes:",
+                              "/contracts/1:", "/nestedCalls/admission:", "/nestedCalls/x:"}) {
         INFO(place << " in\n" << text);
         CHECK(text.find(place) != std::string::npos);
     }
--- a/tests/unit/SlotRequesterTest.cpp
+++ b/tests/unit/SlotRequesterTest.cpp
@@ -329,6 +329,30 @@
     CHECK(reserved_.size() == 3);
 }
 
+// Guards against a request that goes from home to home although two have refused it because its nested calls would
+// fail.
+TEST_CASE_FIXTURE(WaitingIngress, "wait, two homes expect the nested calls to fail, ends at once")
+{
+    const SteadyTime before = clock_.now();
+    for (std::size_t i = 0; i < 2; ++i) {
+        after(Millis(10), [this, i] { answer(i, Millis(0), "calls-unserved"); });
+    }
+    const SlotWaitResult result = requester_.wait(want());
+    CHECK(result.end == SlotWaitEnd::NoOffer);
+    CHECK(result.callsUnserved == maxCallsUnserved);
+    CHECK(clock_.now() - before <= Millis(10));
+    CHECK(reserved_.size() == 2);
+}
+
+// Guards against a request that is given up because of the evidence of a single home.
+TEST_CASE_FIXTURE(WaitingIngress, "wait, one of two homes expects the nested calls to fail, waits for the other one")
+{
+    after(Millis(10), [this] { answer(0, Millis(0), "calls-unserved"); });
+    after(Millis(50), [this] { answer(1, Millis(50)); });
+    CHECK(requester_.wait(want()).end == SlotWaitEnd::Offered);
+    CHECK(reserved_.size() == 2);
+}
+
 // Guards against messages for a replacement that is not needed.
 TEST_CASE_FIXTURE(WaitingIngress, "wait, one of two homes is busy, is not replaced")
 {
