--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -15,6 +15,12 @@
 constexpr std::size_t relayCount = 2;
 /** A relay's timeout for opening a link to the target of a fence, and for its reply. */
 constexpr Millis forwardTimeout{800};
+/**
+ * Time for the relays to reply after the home's endpoint refused a new link, so that a request whose home has died is
+ * sent elsewhere soon. A relay in the home's region needs a round trip; in another one it may have to open a link.
+ */
+constexpr Millis relayGraceSameRegion{100};
+constexpr Millis relayGraceOtherRegion{300};
 /** Timeout for fetching a large reply over one path. */
 constexpr Millis fetchTimeout{4000};
 /** Larger bodies are sent only on request: a query over three paths would transfer the reply three times. */
@@ -32,6 +38,7 @@
     fence.id = nextId_++;
     const auto pending = std::make_shared<Pending>();
     pending->notifier = std::make_shared<FiberNotifier>();
+    pending->link = link;
     pending_[fence.id] = pending;
     if (core_.service<PeerHub>("peers").reply(link, fence)) {
         pending->notifier->wait(core_.ioContext, timeout);
@@ -93,6 +100,7 @@
     struct Race {
         FiberNotifier notifier;
         std::size_t running = 0;
+        bool homeRefused = false;
         FenceReply best;
         std::optional<LinkId> link;
     };
@@ -109,6 +117,7 @@
                 reply = queryOver(*link, work, queryOnly, left);
             }
             --race->running;
+            race->homeRefused = race->homeRefused || (newLink && !link && link.error().code == ErrorCode::Unavailable);
             if (reply.state != FenceState::NotKnown) {
                 race->best = reply;
                 race->link = *link;
@@ -120,8 +129,15 @@
     for (const RegistryEntry &relay : chooseRelays(work.home)) {
         start(relay, false);
     }
-    while (race->best.state == FenceState::NotKnown && race->running > 0 && core_.clock.now() < until) {
-        race->notifier.wait(core_.ioContext, until - core_.clock.now());
+    const bool otherRegion = work.home.region != core_.settings.region;
+    const Millis relayGrace = otherRegion ? relayGraceOtherRegion : relayGraceSameRegion;
+    SteadyTime waitUntil = until;
+    while (race->best.state == FenceState::NotKnown && race->running > 0 && core_.clock.now() < waitUntil) {
+        race->notifier.wait(core_.ioContext, waitUntil - core_.clock.now());
+        if (race->homeRefused) {
+            race->homeRefused = false;
+            waitUntil = std::min<SteadyTime>(until, core_.clock.now() + relayGrace);
+        }
     }
     path.link = race->link;
     return race->best;
@@ -167,6 +183,15 @@
     peers.reply(replyLink, reply);
 }
 
+void FenceService::linkClosed(LinkId link)
+{
+    for (const auto &[id, pending] : pending_) {
+        if (pending->link == link) {
+            pending->notifier->notify();
+        }
+    }
+}
+
 void FenceService::handleReply(const FenceReply &reply)
 {
     const auto found = pending_.find(reply.id);
--- a/src/sidecar/FenceService.h
+++ b/src/sidecar/FenceService.h
@@ -30,7 +30,8 @@
 /**
  * Finds out the outcome of a Work for which no reply arrives: queries its home over a new link and through relays, all
  * in parallel. A link that no longer delivers, a path that fails in one direction and a lost reply look the same to the
- * sender. Only the home has the outcome, and at least one path to it nearly always works. Not thread safe.
+ * sender. Only the home has the outcome, and at least one path to it nearly always works. If the home's endpoint
+ * refuses the new link, its process has probably ended, and the relays get only a short time. Not thread safe.
  */
 class FenceService
 {
@@ -52,10 +53,13 @@
     /** Replies to a Fence from another node, or forwards it to its target. */
     void handle(LinkId link, const NodeRef &from, const Fence &fence);
     void handleReply(const FenceReply &reply);
+    /** Ends the queries that wait for a reply on @p link. */
+    void linkClosed(LinkId link);
 
 private:
     struct Pending {
         std::shared_ptr<FiberNotifier> notifier;
+        LinkId link = 0;
         bool answered = false;
         FenceReply reply;
     };
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -165,6 +165,7 @@
     hooks.onLinkClosed = [this](LinkId link) {
         linkDelays.erase(link);
         sender.linkClosed(link);
+        fences.linkClosed(link);
         slots.linkClosed(link);
         updates.linkClosed(link);
         const auto lost = outgoingLinks.find(link);
