--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -107,6 +107,15 @@
      */
     double uninformedSenderFactor = 2.0;
     Millis maxUninformedProbeInterval{1800};
+    /**
+     * A likely gray server that has started nothing for this long and runs nothing admits one request with
+     * @c acceptsGray: a retryable one, or later any. It may have recovered, and the floor requires a request in every
+     * two seconds. With 700 ms instead of 1000 ms for any request, gray servers failed half as many requests more.
+     */
+    Millis idleProbeInterval{600};
+    Millis idleAnyInterval{1000};
+    /** Requests of the own node prefer a server that has started nothing for this long, if few homes are usable. */
+    Millis idleInterval{400};
     /**
      * Likelihood ratio (gray server to healthy server) of a fast failure, and of one after the usual work time. A
      * healthy server mostly fails a request after working on it, a gray server mostly before.
@@ -220,6 +229,12 @@
     /** Returns when poll() is due if nothing else happens before; SteadyTime::max() if nothing waits. */
     SteadyTime nextPollTime(SteadyTime now) const;
 
+    /**
+     * Returns true if the server has had no request for @c idleInterval and would now admit one. @p retryable: only
+     * such a request is a probe of a server that is likely gray.
+     */
+    bool needsRequest(bool retryable, SteadyTime now) const;
+
     /** Returns the load as it applies to a request of @p priority. */
     HomeLoad load(int priority, SteadyTime now) const;
     std::size_t running() const;
@@ -270,6 +285,8 @@
 
     bool isMoreUrgent(const SlotRequest &a, const SlotRequest &b, SteadyTime now) const;
     bool hasFreeSlot() const;
+    /** Returns true if the server runs nothing and has started nothing for @p interval. */
+    bool isIdleFor(Duration interval, SteadyTime now) const;
     /** Returns whether the server may get @p request, if it is gray with @p probability. */
     RefusalReason grayRefusal(const SlotRequest &request, double probability, SteadyTime now) const;
     /** Returns the interval between the last probe and @p request as the next one. */
@@ -316,6 +333,8 @@
     double shedShare_ = 0.0;
     SteadyTime shedAt_;
     SteadyTime lastProbe_;
+    /** Of any request, or when the server became usable. */
+    SteadyTime lastStart_;
     Duration probeInterval_;
     /**
      * By rank. Accounts for more urgent requests that arrive later and start first, which the queue length does not
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -35,6 +35,8 @@
     double responseKilobytes = 0.0;
     /** The request has been sent often enough: it waits at the home chosen now unless it would be late there. */
     bool mustQueue = false;
+    /** The server beside this node has had no request for long and would admit this one (SlotQueue::needsRequest()). */
+    bool ownHomeIdle = false;
 };
 
 /** The chosen home, and how long waiting there is better than trying the next one. */
@@ -48,7 +50,10 @@
     bool missesDeadline = false;
     /** Expected wait there, for the reply to a refused caller. */
     Millis wait{0};
-    /** The server is likely gray, and there is no better home. */
+    /**
+     * There is no better home: the server is likely gray and the others are worse, or most homes are avoided and this
+     * node has not heard from another usable one.
+     */
     bool acceptsGray = false;
     /** Age of the load report that was used; negative if there was none. */
     Millis loadAge{-1};
@@ -146,8 +151,9 @@
     /** A home that refused for lack of a server is avoided for this long. */
     Millis noServerBackoff{700};
     /**
-     * Requests explore homes that count as gray while at least this share of the homes heard of in this time, and at
-     * least this many, are avoided. Gray servers alone are about one in eight at any time.
+     * A service is short of homes while at least this share of the homes heard of in this time, and at least this many,
+     * are avoided. Requests then explore homes that count as gray, and paths are checked before requests use them. Gray
+     * servers alone are about one in eight at any time.
      */
     double exploreAvoidedShare = 0.35;
     int exploreMinAvoided = 2;
@@ -159,6 +165,13 @@
      * do: with 50 instead of 200, servers that had recovered were left out a third more often in a fleet of 70 nodes.
      */
     double exploresPerSecond = 200.0;
+    /**
+     * While a service is short of homes, paths to homes not heard from for the first time are checked: at most so many
+     * at once, each at this interval. Otherwise a sender loses one request on each path that has failed.
+     */
+    Millis pathKnownFor{2000};
+    std::size_t maxPathChecks = 16;
+    Millis pathCheckInterval{4000};
 };
 
 /**
@@ -180,12 +193,17 @@
 
     /**
      * Returns the home of least expected loss in @p homes, without those in @p tried and those avoided because their
-     * server is likely gray. Its node is empty if there is none. While many homes are avoided, the first send of a
-     * retryable request may explore one that counts as gray here: a server that has recovered would otherwise get
-     * nothing until the reports about it have lost their weight.
+     * server is likely gray. Its node is empty if there is none. While the service is short of homes, a request goes to
+     * the own home if that is idle, and a retryable request may explore a home that counts as gray here: a server that
+     * has recovered would otherwise get nothing until the reports about it have lost their weight.
      */
     HomeChoice choose(const std::vector<RankedHome> &homes, const std::set<std::string> &tried, const HomeQuery &query,
                       SteadyTime now);
+    /**
+     * Returns the homes whose paths are to be checked now, the nearest first, and records that they are. Empty unless
+     * the service is short of homes.
+     */
+    std::vector<std::string> takePathsToCheck(const std::vector<RankedHome> &homes, SteadyTime now);
     /** Returns what is known about each of @p homes, in their order. */
     std::vector<HomeStatus> statusOf(const std::vector<RankedHome> &homes, const HomeQuery &query,
                                      SteadyTime now) const;
@@ -233,6 +251,7 @@
         /** The last reply, or the last time at which the home could have been explored. */
         SteadyTime consideredAt;
         bool pathFailed = false;
+        SteadyTime pathCheckedAt;
     };
 
     /** Values for a home without a recent report, from the reports of all homes of the service. */
@@ -245,14 +264,22 @@
     Defaults defaultsFor(const std::vector<RankedHome> &homes, const HomeQuery &query, SteadyTime now) const;
     /** Returns true if the home may be tried for this request. */
     bool isCandidate(const RankedHome &home, const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
+    /** @p isShort: the result of isShortOfHomes(). */
     HomeChoice leastLoss(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
-                         const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
+                         const HomeQuery &query, const Defaults &defaults, bool isShort, SteadyTime now) const;
     /** Returns true if the server is likely gray by what this node knows. */
     bool countsAsGray(const RankedHome &home, const Defaults &defaults, SteadyTime now) const;
-    /** Returns true if so many homes are avoided, for whatever reason, that the others may not suffice. */
-    bool manyAvoided(const std::vector<RankedHome> &homes, const Defaults &defaults, SteadyTime now) const;
+    /**
+     * Returns true if so many homes are avoided, for whatever reason, that the others may not suffice. Always false
+     * before the first call of keepOnly().
+     */
+    bool isShortOfHomes(const std::vector<RankedHome> &homes, const Defaults &defaults, SteadyTime now) const;
+    /** Returns true if this node has heard recently from a usable home that is neither @p except nor in @p tried. */
+    bool knowsOtherHome(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
+                        const std::string &except, const Defaults &defaults, SteadyTime now) const;
     /** Returns the home that a request explores, the one least likely to be gray; null if none. */
-    const RankedHome *homeToExplore(const std::vector<RankedHome> &homes, const Defaults &defaults, SteadyTime now);
+    const RankedHome *homeToExplore(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
+                                    const Defaults &defaults, SteadyTime now);
     /** Returns true with @p probability. */
     bool happens(double probability) const;
     /** Returns true if there is no recent report, and no older one by which the server is still likely gray. */
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -55,6 +55,7 @@
     if (newProcess) {
         gray_.reset(now);
         probeInterval_ = tuning_.initialProbeInterval;
+        lastStart_ = now;
     }
 }
 
@@ -84,6 +85,16 @@
     return running_.size() < slots_;
 }
 
+bool SlotQueue::isIdleFor(Duration interval, SteadyTime now) const
+{
+    return slots_ > 0 && running_.empty() && now - lastStart_ >= interval;
+}
+
+bool SlotQueue::needsRequest(bool retryable, SteadyTime now) const
+{
+    return isIdleFor(tuning_.idleInterval, now) && (retryable || grayProbability(now) < tuning_.grayThreshold);
+}
+
 Duration SlotQueue::expectedWorkTime(const std::string &route) const
 {
     const auto found = workTimes_.find(route);
@@ -126,6 +137,10 @@
     if (probability < (request.acceptsGray ? tuning_.certainGrayThreshold : tuning_.grayThreshold)) {
         return RefusalReason::None;
     }
+    const Duration idleInterval = request.retryable ? tuning_.idleProbeInterval : tuning_.idleAnyInterval;
+    if (request.acceptsGray && isIdleFor(idleInterval, now)) {
+        return RefusalReason::None;
+    }
     if (!request.retryable) {
         return RefusalReason::LikelyGray;
     }
@@ -150,6 +165,7 @@
     if (probe) {
         lastProbe_ = now;
     }
+    lastStart_ = now;
     Running &run = running_[request.id];
     run = Running{probe, rankOf(request, now), now, request.route, request.customer, request.isReservation, false};
     if (!run.held) {
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -224,8 +224,11 @@
                || currentGrayProbability(candidate, defaults, now) >= tuning_.acceptGrayThreshold);
 }
 
-bool HomeRanking::manyAvoided(const std::vector<RankedHome> &homes, const Defaults &defaults, SteadyTime now) const
+bool HomeRanking::isShortOfHomes(const std::vector<RankedHome> &homes, const Defaults &defaults, SteadyTime now) const
 {
+    if (knownNodes_ == 0) {
+        return false;
+    }
     int heardOf = 0;
     int avoided = 0;
     for (const RankedHome &candidate : homes) {
@@ -242,17 +245,50 @@
     return avoided >= tuning_.exploreMinAvoided && avoided >= tuning_.exploreAvoidedShare * heardOf;
 }
 
-const RankedHome *HomeRanking::homeToExplore(const std::vector<RankedHome> &homes, const Defaults &defaults,
-                                             SteadyTime now)
+bool HomeRanking::knowsOtherHome(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
+                                 const std::string &except, const Defaults &defaults, SteadyTime now) const
+{
+    return std::any_of(homes.begin(), homes.end(), [&](const RankedHome &candidate) {
+        const auto found = homes_.find(candidate.node);
+        if (candidate.node == except || tried.count(candidate.node) != 0 || found == homes_.end()) {
+            return false;
+        }
+        const Home &home = found->second;
+        const bool recent = home.heardAt && now - *home.heardAt < tuning_.heardWithin;
+        return recent && !home.pathFailed && !home.lacksServer && !countsAsGray(candidate, defaults, now);
+    });
+}
+
+std::vector<std::string> HomeRanking::takePathsToCheck(const std::vector<RankedHome> &homes, SteadyTime now)
 {
-    if (knownNodes_ == 0 || !manyAvoided(homes, defaults, now)) {
-        return nullptr;
+    std::vector<std::string> nodes;
+    if (!isShortOfHomes(homes, defaultsFor(homes, HomeQuery{}, now), now)) {
+        return nodes;
     }
+    for (const Distance distance : {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
+        for (const RankedHome &candidate : homes) {
+            if (candidate.distance != distance || nodes.size() >= tuning_.maxPathChecks) {
+                continue;
+            }
+            Home &home = homes_[candidate.node];
+            const bool known = home.pathFailed || (home.heardAt && now - *home.heardAt < tuning_.pathKnownFor);
+            if (!known && now - home.pathCheckedAt >= tuning_.pathCheckInterval) {
+                home.pathCheckedAt = now;
+                nodes.push_back(candidate.node);
+            }
+        }
+    }
+    return nodes;
+}
+
+const RankedHome *HomeRanking::homeToExplore(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
+                                             const Defaults &defaults, SteadyTime now)
+{
     const double perSecond = tuning_.exploresPerSecond / static_cast<double>(knownNodes_);
     const RankedHome *best = nullptr;
     double bestProbability = 1.0;
     for (const RankedHome &candidate : homes) {
-        if (!countsAsGray(candidate, defaults, now)) {
+        if (tried.count(candidate.node) != 0 || !countsAsGray(candidate, defaults, now)) {
             continue;
         }
         Home &home = homes_[candidate.node];
@@ -275,21 +311,31 @@
                                const HomeQuery &query, SteadyTime now)
 {
     const Defaults defaults = defaultsFor(homes, query, now);
-    const bool mayExplore = query.retryable && tried.empty();
-    const RankedHome *explored = mayExplore ? homeToExplore(homes, defaults, now) : nullptr;
-    if (explored == nullptr) {
-        return leastLoss(homes, tried, query, defaults, now);
+    const bool isShort = isShortOfHomes(homes, defaults, now);
+    const RankedHome *chosen = nullptr;
+    if (isShort && query.ownHomeIdle) {
+        const auto own = std::find_if(homes.begin(), homes.end(), [&](const RankedHome &home) {
+            return home.distance == Distance::SameNode && tried.count(home.node) == 0;
+        });
+        chosen = own != homes.end() ? &*own : nullptr;
+    }
+    if (chosen == nullptr && isShort && query.retryable) {
+        chosen = homeToExplore(homes, tried, defaults, now);
+    }
+    if (chosen == nullptr) {
+        return leastLoss(homes, tried, query, defaults, isShort, now);
     }
     // The request does not wait there, and is refused unless the home admits it as healthy or as a probe.
     HomeChoice choice;
-    choice.node = explored->node;
-    choice.distance = explored->distance;
-    choice.loss = lossWithoutWait(*explored, query, defaults, now);
+    choice.node = chosen->node;
+    choice.distance = chosen->distance;
+    choice.loss = lossWithoutWait(*chosen, query, defaults, now);
+    choice.acceptsGray = true;
     return choice;
 }
 
 HomeChoice HomeRanking::leastLoss(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
-                                  const HomeQuery &query, const Defaults &defaults, SteadyTime now) const
+                                  const HomeQuery &query, const Defaults &defaults, bool isShort, SteadyTime now) const
 {
     HomeChoice choice;
     const RankedHome *best = nullptr;
@@ -321,7 +367,8 @@
     choice.wait = Millis(static_cast<std::int64_t>(wait));
     choice.missesDeadline =
         wait > 0.0 && delayLoss(wait, roundTripMs(best->distance), slowdownOf(*best, now), query) >= tuning_.missedLoss;
-    choice.acceptsGray = currentGrayProbability(*best, defaults, now) >= tuning_.acceptGrayThreshold;
+    choice.acceptsGray = currentGrayProbability(*best, defaults, now) >= tuning_.acceptGrayThreshold
+                         || (isShort && !knowsOtherHome(homes, tried, best->node, defaults, now));
     const double baseLoss = lossWithoutWait(*best, query, defaults, now);
     double maxLoss = nextLoss + tuning_.moveLoss;
     if (nextLoss < 0.0) {
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -136,6 +136,7 @@
     query.workTime = millisOf(stats_.expectedWorkTime(*run.job.route));
     query.mustQueue = run.search.mustQueue();
     query.responseKilobytes = stats_.responseKilobytes(run.job.route->name);
+    query.ownHomeIdle = home_.needsRequest(run.job.service, query.retryable);
     return query;
 }
 
@@ -229,7 +230,11 @@
             attempt->reply.reason = "stopping";
             return;
         }
-        HomeChoice choice = ranking_.choose(homesOf(job.service), run->search.excluded(), homeQueryOf(*run), now);
+        const std::vector<RankedHome> homes = homesOf(job.service);
+        for (const std::string &node : ranking_.takePathsToCheck(homes, now)) {
+            paths_.check(node);
+        }
+        HomeChoice choice = ranking_.choose(homes, run->search.excluded(), homeQueryOf(*run), now);
         if (now + minTimeLeft >= job.deadline) {
             return;
         }
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -588,6 +588,11 @@
     }
 }
 
+bool LocalHome::needsRequest(const std::string &service, bool retryable) const
+{
+    return closedReason(service).empty() && queue_.needsRequest(retryable, core_.clock.now());
+}
+
 HomeLoad LocalHome::load(int priority) const
 {
     return queue_.load(priority, core_.clock.now());
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -89,6 +89,8 @@
     void stopAccepting();
     /** Returns the load that a request of @p priority meets here. */
     HomeLoad load(int priority) const;
+    /** Returns true if the server has had no request of @p service for long and would admit one now. */
+    bool needsRequest(const std::string &service, bool retryable) const;
     /** Returns an id that no other work or reservation of this home has. */
     std::uint64_t nextSlotId();
     /** Submits a reservation to the queue. @pre its id is from nextSlotId(). */
--- a/src/sidecar/PathMonitor.cpp
+++ b/src/sidecar/PathMonitor.cpp
@@ -14,6 +14,9 @@
 constexpr Millis initialProbeInterval{500};
 constexpr Millis maxProbeInterval{4000};
 constexpr Millis probeTimeout{500};
+/** Time in which a link must open when a path is checked that no request has tried yet, as for a request. */
+constexpr Millis openTimeoutSameRegion{200};
+constexpr Millis openTimeoutOtherRegion{450};
 /**
  * Time allowed for a response on any path: a round trip, about 3 ms within a region and 60 ms between regions, and the
  * delay at a node whose share of a core is used up for a tenth of a second.
@@ -110,24 +113,47 @@
     }
 }
 
-void PathMonitor::handle(const PathSuspicion &suspicion)
+RegistryEntryPtr PathMonitor::beginCheck(const std::string &node)
 {
-    const std::string node = suspicion.node;
     const SteadyTime now = core_.clock.now();
     const auto lastCheck = lastCheckedAt_.find(node);
     const bool recentlyChecked = lastCheck != lastCheckedAt_.end() && now - lastCheck->second < suspicionCheckInterval;
     if (node == core_.self.id || probing_.count(node) != 0 || recentlyChecked) {
-        return;
+        return nullptr;
     }
-    const RegistryEntryPtr found = core_.service<RegistrySync>("registry").registry().find(node);
+    RegistryEntryPtr found = core_.service<RegistrySync>("registry").registry().find(node);
+    if (found != nullptr) {
+        lastCheckedAt_[node] = now;
+    }
+    return found;
+}
+
+void PathMonitor::handle(const PathSuspicion &suspicion)
+{
+    const RegistryEntryPtr found = beginCheck(suspicion.node);
     if (found == nullptr) {
         return;
     }
-    lastCheckedAt_[node] = now;
-    spawnFiber([this, node, entry = *found] {
+    spawnFiber([this, entry = *found] {
         const bool hasLink = core_.service<PeerHub>("peers").openLinkAt(entry.links).has_value();
         if (hasLink && !repliesOnLink(entry)) {
-            noteFailure(node);
+            noteFailure(entry.id);
+        }
+    });
+}
+
+void PathMonitor::check(const std::string &node)
+{
+    const RegistryEntryPtr found = beginCheck(node);
+    if (found == nullptr) {
+        return;
+    }
+    core_.metrics.count("paths_checked");
+    spawnFiber([this, entry = *found] {
+        const Millis timeout = entry.region == core_.settings.region ? openTimeoutSameRegion : openTimeoutOtherRegion;
+        const bool hasLink = core_.service<PeerHub>("peers").linkAt(entry.links, timeout).has_value();
+        if (!hasLink || !repliesOnLink(entry)) {
+            noteFailure(entry.id);
         }
     });
 }
--- a/src/sidecar/PathMonitor.h
+++ b/src/sidecar/PathMonitor.h
@@ -43,10 +43,20 @@
      * link, and nodes that are being probed or were checked recently.
      */
     void handle(const PathSuspicion &suspicion);
+    /**
+     * Checks the path to @p node, with a new link if none is open. Used for paths that no request has tried yet.
+     * Ignores this node, nodes without registry entry, and nodes that are being probed or were checked recently.
+     */
+    void check(const std::string &node);
     /** Returns the number of nodes of @p region to which the path has failed, as a check has confirmed. */
     std::size_t failedCount(const std::string &region) const;
 
 private:
+    /**
+     * Returns the entry of a node whose path is to be checked now, and records the time; null if it is not. @pre called
+     * by handle() or check().
+     */
+    RegistryEntryPtr beginCheck(const std::string &node);
     void notifyRegion(const std::string &node);
     /** Probes until the path recovers or the registry no longer contains the node. @pre called from a fiber. */
     void probeUntilRecovered(const std::string &node);
--- a/tests/support/FewHomesModel.cpp
+++ b/tests/support/FewHomesModel.cpp
@@ -18,6 +18,9 @@
 constexpr Millis deadline{5000};
 /** A sender notices after this time that nothing comes back. */
 constexpr Millis pathTimeout{500};
+/** Longest time in which PathMonitor::check() finds a failed path: opening a link, then a round trip on it. */
+constexpr Millis pathCheckTimeout{350};
+constexpr Millis pathCheckTimeoutFar{710};
 /** A gray server fails its requests much sooner than a healthy one completes them. */
 constexpr Millis grayWork{15};
 constexpr int priority = 1;
@@ -182,6 +185,9 @@
     query.untilDeadline = millisOf(request->deadline - events_.now());
     query.workTime = load_.meanWork;
     query.mustQueue = request->search.mustQueue();
+    query.ownHomeIdle =
+        request->sender < homes_.size() && homes_[request->sender].queue.needsRequest(query.retryable, events_.now());
+    checkPaths(request->sender);
     const bool mayContinue = request->search.canContinue() && events_.now() < request->deadline;
     request->choice = mayContinue
                           ? sender.ranking.choose(sender.known, request->search.excluded(), query, events_.now())
@@ -200,6 +206,19 @@
     }
 }
 
+void FewHomesModel::checkPaths(std::size_t sender)
+{
+    Sender &from = senders_[sender];
+    for (const std::string &node : from.ranking.takePathsToCheck(from.known, events_.now())) {
+        const std::size_t home = indexOf(node);
+        const bool isFar = distanceBetween(sender, home) == Distance::OtherRegion;
+        if (from.unreachable.count(home) != 0) {
+            events_.add(events_.now() + (isFar ? pathCheckTimeoutFar : pathCheckTimeout),
+                        [this, sender, node] { senders_[sender].ranking.notePathFailure(node); });
+        }
+    }
+}
+
 Duration FewHomesModel::linkDelay(const Request &request) const
 {
     return request.choice.distance == Distance::OtherRegion ? regionDelay : zoneDelay;
--- a/tests/support/FewHomesModel.h
+++ b/tests/support/FewHomesModel.h
@@ -101,6 +101,8 @@
     void scheduleArrival();
     void arrive();
     void dispatch(const RequestPtr &request);
+    /** Checks the paths that the sender's ranking names. Only a check that fails has an effect. */
+    void checkPaths(std::size_t sender);
     void submit(std::size_t home, const RequestPtr &request);
     void begin(std::size_t home, const RequestPtr &request);
     void poll(std::size_t home);
--- a/tests/unit/FewHomesTest.cpp
+++ b/tests/unit/FewHomesTest.cpp
@@ -63,3 +63,21 @@
         CHECK(notServedShare(with) < notServedShare(without) + maxMoreNotServed);
     }
 }
+
+// Guards against decisions for few homes that act where no home is avoided.
+TEST_CASE("few homes left, all homes healthy instead, decisions for few homes change nothing")
+{
+    FewHomesLoad load;
+    load.healthy = load.homes;
+    load.recovering = 0;
+    load.reachableShare = 1.0;
+    for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+        load.explores = false;
+        const FewHomesResult without = FewHomesModel(load, seed).run();
+        load.explores = true;
+        const FewHomesResult with = FewHomesModel(load, seed).run();
+        CHECK(with.requests == without.requests);
+        CHECK(with.notServed == without.notServed);
+        CHECK(with.longestGaps == without.longestGaps);
+    }
+}
--- a/tests/unit/HomeRankingTest.cpp
+++ b/tests/unit/HomeRankingTest.cpp
@@ -272,3 +272,51 @@
     CHECK(choose().node[0] == 'a');
     CHECK_FALSE(choose().missesDeadline);
 }
+
+// Guards against senders that lose one request on each failed path, and against checks in a fleet that has enough
+// homes.
+TEST_CASE_FIXTURE(FourHomes, "home ranking, most homes avoided, has paths to the others checked once per interval")
+{
+    ranking.keepOnly({"a1", "a2", "b1", "far"});
+    load("a1", 3, Millis(0), 0.02);
+    ranking.notePathFailure("b1");
+    CHECK(ranking.takePathsToCheck(homes, now).empty());
+    load("a1", 3, Millis(0), 0.99);
+    CHECK(ranking.takePathsToCheck(homes, now) == std::vector<std::string>{"a2", "far"});
+    CHECK(ranking.takePathsToCheck(homes, now).empty());
+    now += std::chrono::seconds(4);
+    CHECK(ranking.takePathsToCheck(homes, now) == std::vector<std::string>{"a1", "a2", "far"});
+}
+
+// Guards against a server that has recovered and gets nothing while most others are lost: its own node can always reach
+// it and knows that it is idle.
+TEST_CASE_FIXTURE(FourHomes, "home ranking, most homes avoided, sends to the own home if it is idle")
+{
+    homes[1].distance = Distance::SameNode;
+    HomeQuery query;
+    query.ownHomeIdle = true;
+    load("a1", 3, Millis(0), 0.02);
+    load("a2", 3, Millis(0), 0.99);
+    ranking.keepOnly({"a1", "a2", "b1", "far"});
+    CHECK(ranking.choose(homes, {}, query, now).node == "a1");
+    ranking.notePathFailure("b1");
+    const HomeChoice choice = ranking.choose(homes, {}, query, now);
+    CHECK(choice.node == "a2");
+    CHECK(choice.acceptsGray);
+    CHECK(ranking.choose(homes, {"a2"}, query, now).node != "a2");
+}
+
+// Guards against work that can't be retried and is used as a probe while this node knows a usable home.
+TEST_CASE_FIXTURE(FourHomes, "home ranking, most homes avoided, accepts a gray server only without another usable home")
+{
+    ranking.keepOnly({"a1", "a2", "b1", "far"});
+    ranking.notePathFailure("b1");
+    ranking.notePathFailure("far");
+    load("a1", 3, Millis(0), 0.02);
+    const HomeChoice unknown = choose(false, {"a1"});
+    CHECK(unknown.node == "a2");
+    CHECK(unknown.acceptsGray);
+    load("a2", 3, Millis(0), 0.02);
+    CHECK_FALSE(choose(false).acceptsGray);
+    CHECK(choose(false, {"a1"}).acceptsGray);
+}
--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -344,3 +344,51 @@
     queue.setServer(3, true, now);
     CHECK(submit(request("book", false)).action == SlotAction::Start);
 }
+
+// Guards against a server that has recovered and gets nothing for two seconds because its last probes failed.
+TEST_CASE_FIXTURE(OneServer,
+                  "slot queue, idle server likely gray, admits one request of a sender without a better home")
+{
+    constexpr int failures = 8;
+    for (int i = 0; i < failures; ++i) {
+        failAtOnce();
+    }
+    const SlotRequest last = request("read", true);
+    REQUIRE(submit(last).action == SlotAction::Start);
+    failAtOnce();
+    queue.release(last.id, now);
+    now += Millis(700);
+    CHECK(submit(request("read", true)).reason == RefusalReason::LikelyGray);
+    SlotRequest booking = request("book", false);
+    booking.acceptsGray = true;
+    CHECK(submit(booking).reason == RefusalReason::LikelyGray);
+    SlotRequest probe = request("read", true);
+    probe.acceptsGray = true;
+    REQUIRE(submit(probe).action == SlotAction::Start);
+    failAtOnce();
+    queue.release(probe.id, now);
+    now += Millis(1050);
+    REQUIRE(queue.grayProbability(now) > 0.8);
+    booking = request("book", false);
+    CHECK(submit(booking).reason == RefusalReason::LikelyGray);
+    booking = request("book", false);
+    booking.acceptsGray = true;
+    CHECK(submit(booking).action == SlotAction::Start);
+    booking = request("book", false);
+    booking.acceptsGray = true;
+    CHECK(submit(booking).reason == RefusalReason::LikelyGray);
+}
+
+// Guards against an own node that uses work which can't be retried as a probe of its server.
+TEST_CASE_FIXTURE(OneServer, "slot queue, server without a request for long, needs one that it would admit")
+{
+    CHECK_FALSE(queue.needsRequest(true, now));
+    now += Millis(500);
+    CHECK(queue.needsRequest(false, now));
+    failAtOnce();
+    CHECK_FALSE(queue.needsRequest(false, now));
+    CHECK(queue.needsRequest(true, now));
+    REQUIRE(submit(request("read", true)).action == SlotAction::Start);
+    now += Millis(500);
+    CHECK_FALSE(queue.needsRequest(true, now));
+}
