--- a/include/health/GrayFilter.h
+++ b/include/health/GrayFilter.h
@@ -64,6 +64,8 @@
      * @p startedAt <= @p now.
      */
     void addFailure(double ratio, SteadyTime startedAt, SteadyTime now);
+    /** Takes a failure back, unless it is older than the ordering window. */
+    void withdrawFailure(double ratio, SteadyTime startedAt);
     /**
      * Returns the probability that the server is gray, 0 to 1. @p unfinished: the runs whose age is evidence, in the
      * order of their starts.
--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -200,6 +200,11 @@
      * hangs sends no response that could show it. Younger work counts by its age for as long as it runs.
      */
     void noteOverdueWork(SteadyTime now);
+    /**
+     * Takes back what noteOverdueWork() has recorded of a run: it has succeeded, so it did not hang. Works of one
+     * server that are slow at the same time would otherwise each count as a failure. @pre before release().
+     */
+    void withdrawOverdue(std::uint64_t id);
     /** Returns true if the run was counted by noteOverdueWork(). */
     bool isOverdue(std::uint64_t id) const;
     /**
@@ -256,6 +261,8 @@
         bool held = false;
         /** Counted as evidence against the server. */
         bool overdue = false;
+        /** The likelihood ratio that it was counted with. */
+        double overdueRatio = 1.0;
     };
     /** Slot time used by one rank, in seconds, with exponential decay. */
     struct Occupancy {
--- a/src/health/GrayFilter.cpp
+++ b/src/health/GrayFilter.cpp
@@ -57,6 +57,19 @@
     phase_->failures += 1.0;
 }
 
+void GrayFilter::withdrawFailure(double ratio, SteadyTime startedAt)
+{
+    const auto found = std::find_if(recent_.begin(), recent_.end(),
+                                    [&](const Evidence &one) { return one.at == startedAt && one.ratio == ratio; });
+    if (found == recent_.end()) {
+        return;
+    }
+    recent_.erase(found);
+    if (phase_) {
+        phase_->failures = std::max(0.0, phase_->failures - 1.0);
+    }
+}
+
 double GrayFilter::currentFailureRate() const
 {
     const double failures = phase_ ? phase_->failures : 0.0;
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -329,7 +329,16 @@
             continue;
         }
         run.overdue = true;
-        noteFailure(ratioOfSilence(std::max(survival, tuning_.overdueSurvival / 2)), run.since, now);
+        run.overdueRatio = ratioOfSilence(std::max(survival, tuning_.overdueSurvival / 2));
+        noteFailure(run.overdueRatio, run.since, now);
+    }
+}
+
+void SlotQueue::withdrawOverdue(std::uint64_t id)
+{
+    const auto found = running_.find(id);
+    if (found != running_.end() && found->second.overdue) {
+        gray_.withdrawFailure(found->second.overdueRatio, found->second.since);
     }
 }
 
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -457,6 +457,7 @@
     }
     switch (platform::classifyResponse(*response)) {
     case platform::ServerResponse::Answer:
+        queue_.withdrawOverdue(job.id);
         queue_.addResult(job.work.route, false, processingTime, now);
         reply.outcome = Outcome::Ran;
         reply.response = *response;
--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -46,6 +46,17 @@
         }
     }
 
+    /** Starts eight requests at a server with as many slots, and waits until all of them are overdue. */
+    void startEightAndWait()
+    {
+        queue.setServer(8, false, now);
+        for (int i = 0; i < 8; ++i) {
+            REQUIRE(submit(request("read", true)).action == SlotAction::Start);
+        }
+        now += Millis(500);
+        queue.noteOverdueWork(now);
+    }
+
     /** Fails a request at once, as gray servers do. */
     void failAtOnce()
     {
@@ -307,6 +318,32 @@
     CHECK(countProbes(true) >= 7);
 }
 
+// Guards against a home that refuses all requests for seconds after its server was slow for a moment, for want of
+// processor time: each work that ran for long counted as a failure of its own, also after it had succeeded.
+TEST_CASE_FIXTURE(OneServer, "slot queue, all work overdue at once and then successful, server is not held gray")
+{
+    startEightAndWait();
+    CHECK(queue.isOverdue(1));
+    CHECK(queue.grayProbability(now) > 0.9);
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        queue.withdrawOverdue(id);
+        queue.addResult("read", false, Millis(500), now);
+        queue.release(id, now);
+    }
+    CHECK(queue.grayProbability(now) < 0.1);
+    CHECK(submit(request("read", false)).action == SlotAction::Start);
+}
+
+// Guards against a hanging server that is held healthy because one work has succeeded.
+TEST_CASE_FIXTURE(OneServer, "slot queue, one of eight overdue works succeeds, server is still likely gray")
+{
+    startEightAndWait();
+    queue.withdrawOverdue(1);
+    queue.addResult("read", false, Millis(500), now);
+    queue.release(1, now);
+    CHECK(queue.grayProbability(now) > 0.5);
+}
+
 TEST_CASE_FIXTURE(OneServer, "slot queue, last attempt of an idempotent request, is not used as a probe")
 {
     // A request that failed at a gray server goes to a second server, and there is no third attempt. If the second
