--- a/include/overload/CallAdmission.h
+++ b/include/overload/CallAdmission.h
@@ -97,12 +97,17 @@
         const Service *worst = nullptr;
     };
 
-    Forecast forecast(const std::string &route, SteadyTime now) const;
+    /** Returns the forecast for @p route, which is kept for further requests of the same time. */
+    const Forecast &forecast(const std::string &route, SteadyTime now) const;
+    Forecast makeForecast(const std::string &route, SteadyTime now) const;
     std::optional<double> shareOf(const Service &service, SteadyTime now) const;
 
     RatesOf ratesOf_;
     CallAdmissionTuning tuning_;
     std::map<std::string, Service> services_;
+    /** By route, as of one time. A queue that orders its requests needs them once for each pair of requests. */
+    mutable std::map<std::string, Forecast> forecasts_;
+    mutable SteadyTime forecastAt_;
 };
 
 } // namespace waxwing
--- a/src/overload/CallAdmission.cpp
+++ b/src/overload/CallAdmission.cpp
@@ -22,6 +22,7 @@
     if (services_.count(service) == 0 && services_.size() >= tuning_.maxServices) {
         return;
     }
+    forecasts_.clear();
     std::deque<Result> &results = services_[service].results;
     results.push_back(Result{now, succeeded});
     if (results.size() > tuning_.maxResults) {
@@ -52,12 +53,23 @@
     return found == services_.end() ? std::nullopt : shareOf(found->second, now);
 }
 
-CallAdmission::Forecast CallAdmission::forecast(const std::string &route, SteadyTime now) const
+const CallAdmission::Forecast &CallAdmission::forecast(const std::string &route, SteadyTime now) const
 {
-    Forecast out;
+    static const Forecast none;
     if (services_.empty()) {
-        return out;
+        return none;
+    }
+    if (now != forecastAt_) {
+        forecasts_.clear();
+        forecastAt_ = now;
     }
+    const auto found = forecasts_.find(route);
+    return found != forecasts_.end() ? found->second : forecasts_[route] = makeForecast(route, now);
+}
+
+CallAdmission::Forecast CallAdmission::makeForecast(const std::string &route, SteadyTime now) const
+{
+    Forecast out;
     double worstShare = 1.0;
     for (const auto &[name, rate] : ratesOf_(route)) {
         const auto found = rate >= tuning_.minCallRate ? services_.find(name) : services_.end();
@@ -82,7 +94,7 @@
 
 bool CallAdmission::shouldDefer(const std::string &route, SteadyTime now) const
 {
-    const Forecast expected = forecast(route, now);
+    const Forecast &expected = forecast(route, now);
     return expected.success < tuning_.minSuccess && now < expected.worst->lastRun + tuning_.probeInterval;
 }
 
@@ -102,6 +114,7 @@
 std::vector<CallServiceStatus> CallAdmission::update(SteadyTime now)
 {
     std::vector<CallServiceStatus> out;
+    forecasts_.clear();
     for (auto it = services_.begin(); it != services_.end();) {
         Service &service = it->second;
         while (!service.results.empty() && now - service.results.front().at > tuning_.maxEvidenceAge) {
