--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -327,6 +327,9 @@
     CHECK(queue.grayProbability(now) > 0.9);
     for (std::uint64_t id = 1; id <= 8; ++id) {
         queue.withdrawOverdue(id);
+    }
+    CHECK(queue.grayProbability(now) < 0.1);
+    for (std::uint64_t id = 1; id <= 8; ++id) {
         queue.addResult("read", false, Millis(500), now);
         queue.release(id, now);
     }
