--- a/include/fleet/ConfirmationSource.h
+++ b/include/fleet/ConfirmationSource.h
@@ -40,7 +40,7 @@
     std::vector<std::string> region;
     /** Nodes of other regions to which a link is open. */
     std::vector<std::string> elsewhereLinked;
-    /** All nodes of other regions. A link to one of them is opened only for want of an open one. */
+    /** Nodes of other regions. A link to one of them is opened only for want of an open one. */
     std::vector<std::string> elsewhere;
 };
 
--- a/src/sidecar/StateUpdateService.cpp
+++ b/src/sidecar/StateUpdateService.cpp
@@ -35,6 +35,8 @@
 /** Requests remembered on one link whose replies have not arrived. */
 constexpr std::size_t maxPendingRequests = 8;
 constexpr Millis minSleep{10};
+/** With so many linked nodes of other regions, the registry is not searched for more: it has thousands of entries. */
+constexpr std::size_t enoughLinkedElsewhere = 8;
 
 } // namespace
 
@@ -189,6 +191,9 @@
             out.watchers.push_back(watcher);
         }
     }
+    if (out.elsewhereLinked.size() >= enoughLinkedElsewhere) {
+        return out;
+    }
     for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
         if (entry->region != core_.settings.region) {
             out.elsewhere.push_back(entry->id);
