--- /dev/null
+++ b/src/wire/QuotaCodec.cpp
@@ -0,0 +1,90 @@
+#include "src/wire/QuotaCodec.h"
+
+#include "src/wire/FieldCodec.h"
+#include "src/wire/MessageFrame.h"
+
+#include <algorithm>
+
+namespace waxwing::wire {
+
+using nlohmann::json;
+
+namespace {
+
+/** Place of the tokens given back in the report on a customer. Earlier builds neither send nor read it. */
+constexpr std::size_t quotaUseReturns = 5;
+/** Keeps sums with the tokens given back within range. */
+constexpr std::int64_t maxQuotaUse = std::int64_t{1} << 53;
+
+} // namespace
+
+json quotaReportOf(const QuotaReport &m)
+{
+    json uses = json::array();
+    for (const QuotaUse &use : m.uses) {
+        json one = json::array({bytesOf(use.customer), quotaLimitOf(use.limit), use.used, use.wanted, use.seen});
+        if (!use.returned.empty()) {
+            one.push_back(quotaReturnsOf(use.returned));
+        }
+        uses.push_back(std::move(one));
+    }
+    return makeMessage(MessageType::QuotaReport, m.id, m.configVersion, std::move(uses));
+}
+
+QuotaReport quotaReportFrom(const json &in)
+{
+    QuotaReport m;
+    m.id = in.at(firstField).get<std::uint64_t>();
+    m.configVersion = in.at(firstField + 1).get<std::uint64_t>();
+    for (const json &use : in.at(firstField + 2)) {
+        QuotaUse one;
+        one.customer = textOf(use.at(0));
+        one.limit = quotaLimitFrom(use.at(1));
+        one.used = std::clamp(use.at(2).get<std::int64_t>(), -maxQuotaUse, maxQuotaUse);
+        one.wanted = use.at(3).get<std::uint32_t>();
+        one.seen = use.at(4).get<std::uint32_t>();
+        if (use.size() > quotaUseReturns) {
+            one.returned = quotaReturnsFrom(use.at(quotaUseReturns));
+        }
+        m.uses.push_back(std::move(one));
+    }
+    return m;
+}
+
+json quotaReplyOf(const QuotaReply &m)
+{
+    json grants = json::array();
+    for (const QuotaGrant &grant : m.grants) {
+        grants.push_back(json::array(
+            {bytesOf(grant.customer), grant.granted, static_cast<int>(grant.mode), grant.retryAfter.count()}));
+    }
+    return makeMessage(MessageType::QuotaReply, m.id, std::move(grants));
+}
+
+QuotaReply quotaReplyFrom(const json &in)
+{
+    QuotaReply m;
+    m.id = in.at(firstField).get<std::uint64_t>();
+    for (const json &grant : in.at(firstField + 1)) {
+        const int mode = grant.at(2).get<int>();
+        if (mode != static_cast<int>(QuotaMode::Open) && mode != static_cast<int>(QuotaMode::Metered)) {
+            throw json::other_error::create(501, "unknown quota mode", &in);
+        }
+        m.grants.push_back(QuotaGrant{textOf(grant.at(0)), grant.at(1).get<std::uint32_t>(),
+                                      static_cast<QuotaMode>(mode), Millis(grant.at(3).get<std::int64_t>())});
+    }
+    return m;
+}
+
+json quotaLoanRequestOf(const QuotaLoanRequest &m)
+{
+    return makeMessage(MessageType::QuotaLoanRequest, m.id, bytesOf(m.customer), quotaLimitOf(m.limit), m.tokens);
+}
+
+QuotaLoanRequest quotaLoanRequestFrom(const json &in)
+{
+    return QuotaLoanRequest{in.at(firstField).get<std::uint64_t>(), textOf(in.at(firstField + 1)),
+                            quotaLimitFrom(in.at(firstField + 2)), in.at(firstField + 3).get<double>()};
+}
+
+} // namespace waxwing::wire
