--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -1,56 +1,40 @@
 #pragma once
 
-#include "include/home/LocalServerState.h"
 #include "include/home/SlotQueue.h"
-#include "include/limit/NestedCallTracker.h"
-#include "include/limit/RouteOrigins.h"
-#include "include/overload/CallAdmission.h"
 #include "include/wire/Messages.h"
-#include "src/fiber/FiberNotifier.h"
 #include "src/node/RunControl.h"
 #include "src/sidecar/WorkTable.h"
+#include "src/sidecar/home/NestedCalls.h"
+#include "src/sidecar/home/ServerExchange.h"
 #include "src/sidecar/home/ServerMemoryGate.h"
+#include "src/sidecar/home/ServerPresence.h"
+#include "src/sidecar/home/SlotScheduler.h"
+#include "src/sidecar/home/WorkAdmission.h"
+#include "src/sidecar/home/WorkOrigins.h"
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace waxwing {
 
 struct NodeCore;
-class FiberLatch;
-
-/** Reason for a refusal: this node buffers too many bytes. */
-constexpr const char *nodeBytesReason = "node-bytes";
 
 /** Reason for a final refusal: servers crashed while they ran this request, so it is sent to no other server. */
 constexpr const char *poisonReason = "request-ends-servers";
 
 /**
  * The home of the one server beside this node: handles its heartbeats, admits and queues Works, dispatches them to the
- * server, and keeps the outcome of each Work for senders that have not received the reply. SlotQueue and
- * LocalServerState make the decisions. Not thread safe.
+ * server, and keeps the outcome of each Work for senders that have not received the reply. The stages are in
+ * src/sidecar/home; this class connects them and is all that other services see. Not thread safe.
  */
 class LocalHome
 {
 public:
-    /**
-     * Connects ids of SlotQueue with the reservations they stand for. None of them may start or free a slot before it
-     * returns, except onClosed.
-     */
-    struct ReservationHooks {
-        /** The id has started. Returns true if a slot is held for its reservation, false if the slot is not used. */
-        std::function<bool(std::uint64_t slotId)> onStarted;
-        /** The id was removed from the queue without a start. */
-        std::function<void(std::uint64_t slotId, const std::string &reason)> onRemoved;
-        /** Returns the slot held for the Work's reservation and takes it out; nullopt if there is none. */
-        std::function<std::optional<std::uint64_t>(const NodeRef &sender, std::uint64_t reservation)> claim;
-        /** This home accepts no more work: its server has left, or the node stops. */
-        std::function<void(const std::string &reason)> onClosed;
-    };
+    using ReservationHooks = SlotScheduler::ReservationHooks;
 
-    /** @pre "poison" is in the kernel before the first request. */
+    /** @pre "poison", "registry" and "config" are in the kernel before the first request. */
     explicit LocalHome(NodeCore &core);
     void start();
     /**
@@ -123,62 +107,24 @@
     bool serverLeft() const;
 
 private:
-    struct QueuedJob {
-        std::shared_ptr<FiberLatch> latch;
-        /** Whether the latch was released because the job may start. */
-        bool started = false;
-        /** Whether it was released because its nested calls will likely fail. */
-        bool callsUnserved = false;
-    };
-    struct Job;
-
-    /** Returns the share of the VMs of @p zone whose server belongs to one of @p services; 1 if no VM is registered. */
-    double zoneShare(const std::string &zone, const std::set<std::string> &services) const;
-    void noteOrigin(const WorkKey &key, const std::string &route);
-    void serverChanged(ServerChange change, const std::string &cause);
-    /** Ends the wait of works that were removed from the queue. @p reason: for reservations. */
-    void releaseQueued(const std::vector<std::uint64_t> &ids, const std::string &reason);
-    void pollQueue();
     void expiryLoop();
-    /** Submits a request or a reservation to the queue. */
-    SlotDecision submit(const SlotRequest &request, SteadyTime now);
-    /** Reports the called services that became degraded or recovered, and the share of successful calls. */
-    void reportCalledServices();
-    /** Lets work that has run for too long count against the server. */
-    void noteOverdueWork();
-    /** Waits until the server's memory has room for the request, and then for a slot. */
-    bool awaitAdmission(Job &job, const std::function<void()> &onAdmitted);
-    bool awaitMemory(Job &job, const std::function<void()> &onAdmitted);
-    /** Lets the job take over the slot held for its reservation. Returns false if there is none. */
-    bool claimSlot(Job &job);
-    bool awaitSlot(Job &job, const std::function<void()> &onAdmitted);
-    void dispatch(Job &job);
-    void handleResponse(Job &job, const tl::expected<HttpResponse, ExchangeError> &response, Duration processingTime);
-    void handleFailure(Job &job, const ExchangeError &error, Duration processingTime);
-    /** Returns true, and records a crash by this request, if the server's process ended while it ran the request. */
-    bool detectCrash(const Job &job);
+    /** Returns the reason to refuse a Work that this home must not run; empty if it may be admitted. */
+    std::string refusalReason(const Work &work) const;
     /** Returns false if customers need keys and the sender's build has not checked the key of @p work. */
     bool isKeyChecked(const Work &work) const;
-    WorkReply refusal(const Job &job, const std::string &reason) const;
 
     NodeCore &core_;
-    LocalServerState server_;
     SlotQueue queue_;
     WorkTable works_;
-    std::map<std::uint64_t, QueuedJob> queuedJobs_;
-    FiberNotifier expiry_;
-    std::uint64_t nextJob_ = 1;
-    NestedCallTracker nestedCalls_;
-    /** Null if requests are served without regard to their nested calls. */
-    std::unique_ptr<CallAdmission> callAdmission_;
-    RouteOrigins origins_;
-    ReservationHooks reservations_;
-    int callsInProgress_ = 0;
+    NestedCalls nestedCalls_;
+    SlotScheduler scheduler_;
+    ServerPresence server_;
+    WorkAdmission admission_;
+    ServerExchange exchange_;
+    WorkOrigins origins_;
     bool stopped_ = false;
     /** Null if callers and servers don't read slowly. */
     std::unique_ptr<ServerMemoryGate> memory_;
-    std::uint64_t maxResponseBytes_ = 0;
-    std::function<bool()> holdsTooMuch_;
     std::uint64_t requestBytes_ = 0;
 };
 
--- /dev/null
+++ b/src/sidecar/home/ResponseEvaluator.cpp
@@ -0,0 +1,150 @@
+#include "src/sidecar/home/ResponseEvaluator.h"
+
+#include "include/base/Ids.h"
+#include "include/home/SlotQueue.h"
+#include "platform/ServerDialect.h"
+#include "src/node/NodeCore.h"
+#include "src/node/PoisonService.h"
+#include "src/sidecar/home/ServerMemoryGate.h"
+#include "src/sidecar/home/ServerPresence.h"
+
+namespace waxwing {
+
+namespace {
+
+/** How much more likely a gray server is than a healthy one to send no response by the deadline. */
+constexpr double timeoutLikelihoodRatio = 8.0;
+/** A timeout counts against the server only after this many times the route's expected work time. */
+constexpr int timeoutWorkFactor = 4;
+
+} // namespace
+
+ResponseEvaluator::ResponseEvaluator(NodeCore &core, SlotQueue &queue, ServerPresence &server)
+    : core_(core)
+    , queue_(queue)
+    , server_(server)
+{ }
+
+void ResponseEvaluator::setMemory(ServerMemoryGate &memory)
+{
+    memory_ = &memory;
+}
+
+void ResponseEvaluator::evaluate(HomeJob &job, const tl::expected<HttpResponse, ExchangeError> &response,
+                                 Duration processingTime)
+{
+    if (response) {
+        handleResponse(job, *response, processingTime);
+    } else {
+        handleFailure(job, response.error(), processingTime);
+    }
+}
+
+void ResponseEvaluator::handleResponse(HomeJob &job, const HttpResponse &response, Duration processingTime)
+{
+    const SteadyTime now = core_.clock.now();
+    WorkReply &reply = job.reply;
+    if (memory_ != nullptr) {
+        memory_->noteCompleted();
+    }
+    switch (platform::classifyResponse(response)) {
+    case platform::ServerResponse::Answer:
+        queue_.withdrawOverdue(job.id);
+        queue_.addResult(job.work.route, false, processingTime, now);
+        reply.outcome = Outcome::Ran;
+        reply.response = response;
+        break;
+    case platform::ServerResponse::Failure:
+        if (!job.callFailed) {
+            queue_.addResult(job.work.route, true, processingTime, now);
+        }
+        reply.outcome = Outcome::Ran;
+        reply.serverFault = true;
+        reply.response = response;
+        break;
+    case platform::ServerResponse::NotRun:
+        queue_.noteShed(now);
+        reply.outcome = Outcome::NotRun;
+        reply.reason = "server-shed";
+        break;
+    case platform::ServerResponse::OtherServer:
+        reply.outcome = Outcome::NotRun;
+        reply.reason = "other-server";
+        server_.noteReplaced("another server answers at its address");
+        break;
+    case platform::ServerResponse::Unusable:
+        queue_.addResult(job.work.route, true, processingTime, now);
+        reply.outcome = Outcome::Unknown;
+        reply.serverFault = true;
+        reply.reason = "unusable-answer";
+        break;
+    }
+}
+
+void ResponseEvaluator::handleFailure(HomeJob &job, const ExchangeError &error, Duration processingTime)
+{
+    const SteadyTime now = core_.clock.now();
+    WorkReply &reply = job.reply;
+    reply.reason = std::string("server-") + exchangeFailureName(error.failure);
+    if (!error.mayHaveSentBytes) {
+        reply.outcome = Outcome::NotRun;
+        reply.reachedServer = false;
+        if (error.failure == ExchangeFailure::Connect) {
+            // The port is closed, so the process has ended. A new process registers with a new heartbeat.
+            server_.noteReplaced("connection refused");
+        } else if (!job.control->cancelled) {
+            queue_.addEvidence(timeoutLikelihoodRatio, processingTime, now);
+        }
+        return;
+    }
+    reply.outcome = Outcome::Unknown;
+    reply.serverFault = true;
+    // A hedge that succeeds elsewhere cancels the work that hangs here, which may be the only sign of the hang.
+    queue_.noteOverdueWork(core_.clock.now());
+    if (job.control->cancelled) {
+        reply.reason = "cancelled";
+        return;
+    }
+    if (error.failure == ExchangeFailure::Timeout) {
+        // Until a request of the route has completed here, a timeout is no evidence against the server.
+        const bool isNew = queue_.hasWorkTime(job.work.route) && !queue_.isOverdue(job.id);
+        if (isNew && processingTime > timeoutWorkFactor * queue_.expectedWorkTime(job.work.route)) {
+            queue_.addEvidence(timeoutLikelihoodRatio, processingTime, now);
+        }
+        return;
+    }
+    if (memory_ != nullptr && error.failure == ExchangeFailure::Reset) {
+        memory_->noteReset();
+    }
+    if (error.failure == ExchangeFailure::Reset && detectCrash(job)) {
+        return;
+    }
+    if (!error.onReusedConnection || error.failure != ExchangeFailure::Reset) {
+        queue_.addResult(job.work.route, true, processingTime, now);
+    }
+}
+
+bool ResponseEvaluator::detectCrash(const HomeJob &job)
+{
+    // A poison request crashes every server that runs it, and its caller retries it. A crash differs from a broken
+    // connection in that no process listens at the server's address any more.
+    const Announcement *latest = server_.latest();
+    if (latest == nullptr) {
+        return false;
+    }
+    const std::string server = latest->server + "@" + hexText(latest->incarnation);
+    const Endpoint address = core_.settings.server->address;
+    if (!core_.client.hasStoppedListening(address)) {
+        return false;
+    }
+    core_.service<PoisonService>("poison").noteDeath(requestDigest(job.work.service, job.work.request), server);
+    if (memory_ != nullptr) {
+        memory_->noteCrash(server);
+    }
+    if (server_.serving() != nullptr) {
+        server_.noteReplaced("its process ended");
+    }
+    return true;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/home/ServerPresence.cpp
@@ -0,0 +1,75 @@
+#include "src/sidecar/home/ServerPresence.h"
+
+#include "platform/ServerDialect.h"
+#include "src/node/NodeCore.h"
+#include "src/sidecar/home/SlotScheduler.h"
+
+namespace waxwing {
+
+ServerPresence::ServerPresence(NodeCore &core, SlotScheduler &scheduler)
+    : core_(core)
+    , scheduler_(scheduler)
+{ }
+
+std::optional<HttpResponse> ServerPresence::handleCall(const HttpRequest &request)
+{
+    const std::optional<Expected<platform::ServerCall>> call = platform::decodeServerCall(request);
+    if (!call) {
+        return std::nullopt;
+    }
+    if (!*call) {
+        core_.metrics.count("heartbeats_unreadable");
+        core_.events.write(Severity::Warning, "heartbeat_unreadable", {{"reason", call->error().message}});
+        return platform::serverCallReply(false, call->error().message);
+    }
+    ServerChange change = ServerChange::None;
+    std::string cause;
+    if (const auto &heartbeat = (*call)->heartbeat) {
+        change = state_.update(*heartbeat, *core_.settings.server);
+        cause = std::string("heartbeat ") + serverStateName(heartbeat->state) + " sequence "
+                + std::to_string(heartbeat->sequence) + " of " + heartbeat->server;
+    } else if (const auto &deregistration = (*call)->deregistration) {
+        change = state_.deregister(deregistration->serverId, deregistration->incarnation);
+        cause = "deregistration of " + deregistration->serverId;
+    }
+    if (change == ServerChange::Ignored) {
+        core_.metrics.count("heartbeats_ignored");
+        core_.events.write(Severity::Warning, "heartbeat_ignored", {{"cause", cause}});
+        return platform::serverCallReply(false, "not the server beside this node, or older than what is known");
+    }
+    applyChange(change, cause);
+    return platform::serverCallReply(true, {});
+}
+
+void ServerPresence::noteReplaced(const std::string &cause)
+{
+    state_.noteReplaced();
+    applyChange(ServerChange::Stopped, cause);
+}
+
+const Announcement *ServerPresence::serving() const
+{
+    return state_.serving();
+}
+
+const Announcement *ServerPresence::latest() const
+{
+    return state_.latest();
+}
+
+void ServerPresence::applyChange(ServerChange change, const std::string &cause)
+{
+    if (const Announcement *serving = state_.serving()) {
+        scheduler_.setServer(serving->slots, change == ServerChange::Started);
+    } else {
+        scheduler_.clearServer();
+    }
+    if (change != ServerChange::None) {
+        const Announcement *latest = state_.latest();
+        core_.events.write(Severity::Info, change == ServerChange::Started ? "server_serves" : "server_leaves",
+                           {{"server", latest == nullptr ? "" : latest->server}, {"cause", cause}});
+    }
+    scheduler_.poll();
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/sidecar/home/ServerPresence.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "include/home/LocalServerState.h"
+#include "src/http/HttpClient.h"
+
+#include <optional>
+#include <string>
+
+namespace waxwing {
+
+struct NodeCore;
+class SlotScheduler;
+
+/**
+ * The arrival and leaving of the server beside this node: handles its heartbeats and deregistrations, and opens and
+ * closes the slot queue accordingly. LocalServerState makes the decisions. Not thread safe.
+ */
+class ServerPresence
+{
+public:
+    /** @pre the references outlive this object. */
+    ServerPresence(NodeCore &core, SlotScheduler &scheduler);
+
+    /** Handles a call of the server beside this node. Returns nullopt if @p request is not such a call. */
+    std::optional<HttpResponse> handleCall(const HttpRequest &request);
+    /**
+     * Records that another process, or none, responds at the server's address, and returns queued work to its senders.
+     * @p cause: for the log.
+     */
+    void noteReplaced(const std::string &cause);
+    /** Returns the process that accepts work, or null. The pointer is valid until the next heartbeat. */
+    const Announcement *serving() const;
+    /** Returns the newest process known, in whatever state, or null. The pointer is valid until the next heartbeat. */
+    const Announcement *latest() const;
+
+private:
+    void applyChange(ServerChange change, const std::string &cause);
+
+    NodeCore &core_;
+    SlotScheduler &scheduler_;
+    LocalServerState state_;
+};
+
+} // namespace waxwing
