--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -1,20 +1,18 @@
 #pragma once
 
-#include "include/customer/KeyAdmission.h"
-#include "include/fleet/FleetConfig.h"
-#include "include/route/HomeRanking.h"
-#include "include/route/HomeSearch.h"
 #include "include/route/RouteStats.h"
-#include "include/schedule/ReservationPlanner.h"
-#include "include/wire/Messages.h"
-#include "src/node/RunControl.h"
+#include "src/sidecar/ingress/AttemptRunner.h"
+#include "src/sidecar/ingress/ForwardJob.h"
+#include "src/sidecar/ingress/ForwardedRequest.h"
+#include "src/sidecar/ingress/HomeSelector.h"
+#include "src/sidecar/ingress/HomeSender.h"
+#include "src/sidecar/ingress/ReplyEvaluator.h"
+#include "src/sidecar/ingress/RetryGate.h"
+#include "src/sidecar/ingress/StartLimit.h"
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
-#include <string>
-#include <vector>
 
 namespace waxwing {
 
@@ -23,45 +21,12 @@
 class PathMonitor;
 class RetryBudgetService;
 class SlotRequester;
-struct SlotWaitResult;
 class WorkSender;
-enum class RetryReason;
-
-/** Reason of a request that was not sent because its key was taken away meanwhile. */
-constexpr const char *keyRevokedReason = "key-revoked";
-
-/** A caller's request on its way to a server. */
-struct ForwardJob {
-    /** Owns @c route, so that the route stays valid when a newer configuration is applied. */
-    std::shared_ptr<const FleetConfig> config;
-    const Route *route = nullptr;
-    std::string service;
-    std::string requestId;
-    /** The customer that sent the request; empty if none is known. */
-    std::string customer;
-    /** When the request was counted against its customer's quota; nothing if it has none. */
-    std::optional<SteadyTime> countedAt;
-    /** Rank of the request among those of callers; 0 is the most urgent. */
-    int priority = 0;
-    /** Checks the key again before each send. Not set if the request needs no key. */
-    std::function<AdmissionResult()> recheckKey;
-    HttpRequest request;
-    SteadyTime arrived;
-    SteadyTime deadline;
-    RunControlPtr control;
-};
-
-/** How a forwarded request ended. */
-struct ForwardResult {
-    Outcome outcome = Outcome::NotRun;
-    std::string reason;
-    Millis retryAfter{0};
-    HttpResponse response;
-};
 
 /**
  * Forwards callers' requests to servers: chooses a home and tries another one when a home refuses. Within the fleet's
  * retry budget, it retries requests that a server has received but not run, and retries or hedges idempotent requests.
+ * The stages of an attempt are in src/sidecar/ingress; this class starts the attempts and decides how a request ends.
  * Not thread safe.
  */
 class Forwarder
@@ -92,94 +57,57 @@
     void abortAll();
 
 private:
-    /** A request that is being forwarded. */
-    struct Run;
-    using RunPtr = std::shared_ptr<Run>;
-    /** One attempt to run the request. It moves from home to home until one accepts the request. */
-    struct Attempt {
-        RunControlPtr control;
-        bool ended = false;
-        /** No node could report the outcome when it was queried. Queries continue until the attempt ends. */
-        bool outcomeUnknown = false;
-        WorkReply reply;
-        std::string home;
-        /** A server has received the request, or may have. */
-        bool reachedServer = false;
-    };
-    using AttemptPtr = std::shared_ptr<Attempt>;
-    /** Why an attempt is made. */
-    enum class AttemptKind {
-        First,
-        /** The previous attempt failed, or its outcome is unknown. */
-        Retry,
-        /** The previous attempt is slow. */
-        Hedge,
-    };
+    class ActiveGuard;
 
-    void startAttempt(const RunPtr &run, AttemptKind kind);
-    void runAttempt(const RunPtr &run, const AttemptPtr &attempt, AttemptKind kind);
-    /**
-     * Returns true if the attempt has ended, false if another home is to be tried. @p reservation: id of the
-     * reservation for which the home holds a slot; 0: none.
-     */
-    bool sendToHome(const RunPtr &run, const AttemptPtr &attempt, const HomeChoice &choice, std::uint64_t reservation);
-    /**
-     * Returns true if no home has room now, so that the request reserves the next free slot of several homes. If the
-     * best home has none, but another one, sets @p choice to it.
-     */
-    bool shouldReserve(const Run &run, HomeChoice &choice);
-    /**
-     * Returns true if a hedge would be refused, since it doesn't queue: no home has a free slot, and those who wait for
-     * one are offered it.
-     */
-    bool isHedgeUseless(const Run &run, const HomeChoice &choice) const;
-    /** Reserves at several homes and waits for an offer. Without one, sets the reply of @p attempt. */
-    SlotWaitResult awaitSlot(const RunPtr &run, const AttemptPtr &attempt);
+    /** Records the arrival and sets the rank and the objective of the request. */
+    void noteArrival(ForwardedRequest &request);
+    void startAttempt(const ForwardedRequestPtr &request, AttemptKind kind);
+    /** Waits for the attempts, and starts further ones, until the request ends; returns how it ended. */
+    ForwardResult awaitEnd(const ForwardedRequestPtr &request);
+    /** Returns when the request is worth a hedge; max() if no hedge may be made. */
+    SteadyTime hedgeTime(const ForwardedRequest &request) const;
+    /** Returns when the queued attempts are to be cancelled, because this node stops; max() if they are already. */
+    SteadyTime cancelQueuedTime(const ForwardedRequest &request) const;
+    /** Returns true if the request must end now, whatever its attempts do. */
+    bool mustEnd(const ForwardedRequest &request, SteadyTime now) const;
+    /** Returns true if the caller no longer waits, or this node aborts its requests. */
+    bool isAborted(const ForwardedRequest &request) const;
     /**
-     * Returns the reason under which a request is refused that no home has room for: @p otherwise, unless a home
-     * refused it because its nested calls would fail.
+     * Evaluates the attempts that have ended since the last call and starts a retry if all have failed. Returns the
+     * reply with which the request ends, or nothing if it goes on.
      */
-    static std::string refusalReason(const Run &run, const char *otherwise);
-    /** Returns the choice of the home that offers @p slot. @p choice: the home that was the best before the wait. */
-    HomeChoice choiceOf(const Run &run, const SlotWaitResult &slot, HomeChoice choice) const;
-    std::vector<ReservationCandidate> reservationCandidates(const Run &run) const;
-    void noteOffer(const std::string &home, const SlotOffer &offer, int priority);
-    std::vector<RankedHome> homesOf(const std::string &service) const;
-    HomeQuery homeQueryOf(const Run &run) const;
-    static int priorityOf(const Run &run);
-    /** Returns why the request must not be sent any more; empty if it may be. */
-    static std::string keyProblem(const Run &run);
-    /** Returns the retry budget tokens that one more attempt costs, by service, nested calls included. */
-    CallRates retryCostOf(const Run &run) const;
-    /** Returns the reason under which a retry after a failure is accounted. */
-    RetryReason retryReasonOf(const Run &run) const;
-    /** Returns true if the request can be retried when the next attempt fails. */
-    bool canRetry(const Run &run) const;
-    /** Returns the time after which the request is sent to no further home; max() unless this node is stopping. */
-    SteadyTime latestStart(const Run &run) const;
-    void cancelQueued(Run &run);
-    /** Takes the tokens for one more attempt from the retry budget. Returns false if the attempt must not be made. */
-    bool reserveRetry(Run &run, RetryReason reason, const char *why);
-    ForwardResult finish(const RunPtr &run, const WorkReply &reply);
-    /** Returns true if the end of the nested call @p run says something about the called service. */
-    bool isCallEvidence(const Run &run) const;
+    std::optional<WorkReply> evaluateEnded(const ForwardedRequestPtr &request);
+    /** Retries the request if none of its attempts can still report an outcome soon. */
+    void retryLost(const ForwardedRequestPtr &request);
+    void hedge(const ForwardedRequestPtr &request);
+    /** Cancels the attempts that have not ended and returns the result for @p reply. */
+    ForwardResult finish(ForwardedRequest &request, const WorkReply &reply);
+    /** Records the end of a nested call. */
+    void noteCallEnd(const ForwardedRequest &request, bool failed);
+    /** Returns true if the end of the nested call @p request says something about the called service. */
+    bool isCallEvidence(const ForwardedRequest &request) const;
+    /** Returns when the caller of a request that has not run may retry it. */
+    Millis retryAfter(const WorkReply &reply);
     /**
      * Cancels all attempts and returns how the request ended. Unless @p immediately, waits for up to a round trip until
      * the homes confirm that queued requests have not run.
      */
-    ForwardResult finishTimedOut(const RunPtr &run, bool immediately);
+    ForwardResult finishTimedOut(ForwardedRequest &request, bool immediately);
+    /** Wakes the fibers of all active requests. */
+    void notifyAll();
 
     NodeCore &core_;
     LocalHome &home_;
-    WorkSender &sender_;
     RetryBudgetService &retryBudgets_;
-    PathMonitor &paths_;
-    SlotRequester &slots_;
-    HomeRanking ranking_;
+    // Each of the following members may refer to those before it.
     RouteStats stats_;
-    std::uint64_t nextLocalWork_ = 1;
-    std::set<RunPtr> active_;
-    SteadyTime stopDeadline_ = SteadyTime::max();
+    StartLimit startLimit_;
+    RetryGate retries_;
+    HomeSelector homes_;
+    HomeSender sender_;
+    ReplyEvaluator replies_;
+    AttemptRunner attemptRunner_;
+    std::set<ForwardedRequestPtr> active_;
     bool aborting_ = false;
 };
 
--- /dev/null
+++ b/src/sidecar/ingress/HomeSelector.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "include/route/HomeRanking.h"
+#include "include/schedule/ReservationPlanner.h"
+#include "src/sidecar/ingress/ForwardedRequest.h"
+
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+struct NodeCore;
+class LocalHome;
+class PathMonitor;
+class RetryGate;
+class RouteStats;
+class SlotRequester;
+class StartLimit;
+struct SlotOffer;
+struct SlotWaitResult;
+
+/**
+ * Chooses the next home of a request from the ranking of the homes, and whether it waits for a slot there first. Keeps
+ * the ranking up to date with slot offers and the state of paths. Sends no request. Not thread safe.
+ */
+class HomeSelector
+{
+public:
+    /** Sets the offer listener of @p slots and the hooks of @p paths. The arguments must outlive this object. */
+    HomeSelector(NodeCore &core, LocalHome &home, PathMonitor &paths, SlotRequester &slots, const RouteStats &stats,
+                 const StartLimit &startLimit, const RetryGate &retries);
+    HomeSelector(const HomeSelector &) = delete;
+    HomeSelector &operator=(const HomeSelector &) = delete;
+
+    /** Returns the best home, whose node is empty if there is none. Starts the checks of paths that are due. */
+    HomeChoice choose(const ForwardedRequest &request, SteadyTime now);
+    /**
+     * Returns true if no home has room now, so that the request reserves the next free slot of several homes. If the
+     * best home has none, but another one, sets @p choice to it.
+     */
+    bool shouldReserve(const ForwardedRequest &request, HomeChoice &choice);
+    /**
+     * Returns true if a hedge would be refused, since it doesn't queue: no home has a free slot, and those who wait for
+     * one are offered it.
+     */
+    bool isHedgeUseless(const ForwardedRequest &request, const HomeChoice &choice) const;
+    /**
+     * Reserves at several homes and waits for an offer. Without one, sets the reply of @p attempt. @pre called from a
+     * fiber.
+     */
+    SlotWaitResult awaitSlot(const ForwardedRequestPtr &request, const AttemptPtr &attempt);
+    /** Returns the choice of the home that offers @p slot. @p choice: the home that was the best before the wait. */
+    HomeChoice choiceOf(const ForwardedRequest &request, const SlotWaitResult &slot, HomeChoice choice) const;
+
+    /** The ranking, to which the results of sends are reported. */
+    HomeRanking &ranking();
+    /** Drops the state of nodes that are no longer in the registry. */
+    void registryChanged();
+
+private:
+    void noteOffer(const std::string &home, const SlotOffer &offer, int priority);
+    /** Returns the homes of @p service in the registry, and this node if its server provides the service. */
+    std::vector<RankedHome> homesOf(const std::string &service) const;
+    HomeQuery queryOf(const ForwardedRequest &request) const;
+    std::vector<ReservationCandidate> reservationCandidates(const ForwardedRequest &request) const;
+
+    NodeCore &core_;
+    LocalHome &home_;
+    PathMonitor &paths_;
+    SlotRequester &slots_;
+    const RouteStats &stats_;
+    const StartLimit &startLimit_;
+    const RetryGate &retries_;
+    HomeRanking ranking_;
+};
+
+} // namespace waxwing
