--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -171,6 +171,8 @@
      */
     Millis pathKnownFor{2000};
     std::size_t maxPathChecks = 16;
+    /** Of these, to other regions: opening a link there costs bytes on the slow paths between regions. */
+    std::size_t maxFarPathChecks = 2;
     Millis pathCheckInterval{4000};
 };
 
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -64,6 +64,8 @@
     /** A request may wait only if its route's response time objective is at least this long; zero: none waits. */
     Millis minObjective = std::chrono::seconds(2);
     std::uint32_t maxRequests = 512;
+    /** Requests that count against a customer's quota wait, too. */
+    bool limitedCustomers = false;
 };
 
 /** Which requests whose nested calls will likely fail are deferred or refused. */
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -265,9 +265,12 @@
     if (!isShortOfHomes(homes, defaultsFor(homes, HomeQuery{}, now), now)) {
         return nodes;
     }
+    std::size_t far = 0;
     for (const Distance distance : {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
+        const bool isFar = distance == Distance::OtherRegion;
         for (const RankedHome &candidate : homes) {
-            if (candidate.distance != distance || nodes.size() >= tuning_.maxPathChecks) {
+            const bool isFull = nodes.size() >= tuning_.maxPathChecks || (isFar && far >= tuning_.maxFarPathChecks);
+            if (candidate.distance != distance || isFull) {
                 continue;
             }
             Home &home = homes_[candidate.node];
@@ -275,6 +278,7 @@
             if (!known && now - home.pathCheckedAt >= tuning_.pathCheckInterval) {
                 home.pathCheckedAt = now;
                 nodes.push_back(candidate.node);
+                far += isFar ? 1 : 0;
             }
         }
     }
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -126,6 +126,7 @@
     waiting.minObjective = reader.duration("minObjective", waiting.minObjective, Millis(0), maxDuration);
     waiting.maxRequests =
         static_cast<std::uint32_t>(reader.integer("maxRequests", waiting.maxRequests, 0, maxRequests));
+    waiting.limitedCustomers = reader.boolean("limitedCustomers", waiting.limitedCustomers);
     reader.rejectUnknown();
 }
 
--- a/src/sidecar/ingress/AttemptRunner.cpp
+++ b/src/sidecar/ingress/AttemptRunner.cpp
@@ -31,7 +31,7 @@
     attempt->reply.outcome = Outcome::NotRun;
     attempt->reply.reason = "no-sound-home";
     // A hedge is useful only where a slot is free now.
-    bool canReserve = kind != AttemptKind::Hedge && slots_.mayWait(*request->job.route);
+    bool canReserve = kind != AttemptKind::Hedge && homes_.mayWaitForSlot(*request);
     while (!attempt->control->cancelled && !request->finished && request->search.canContinue()) {
         const SteadyTime now = core_.clock.now();
         if (!maySend(*request, *attempt, now)) {
--- a/src/sidecar/ingress/HomeSelector.cpp
+++ b/src/sidecar/ingress/HomeSelector.cpp
@@ -102,9 +102,15 @@
     return false;
 }
 
+bool HomeSelector::mayWaitForSlot(const ForwardedRequest &request) const
+{
+    const bool mayCustomerWait = !request.job.countedAt || core_.settings.waiting.limitedCustomers;
+    return mayCustomerWait && slots_.mayWait(*request.job.route);
+}
+
 bool HomeSelector::isHedgeUseless(const ForwardedRequest &request, const HomeChoice &choice) const
 {
-    return slots_.mayWait(*request.job.route) && slots_.offersSlots(choice.node) && slots_.shouldReserve(choice);
+    return mayWaitForSlot(request) && slots_.offersSlots(choice.node) && slots_.shouldReserve(choice);
 }
 
 std::vector<ReservationCandidate> HomeSelector::reservationCandidates(const ForwardedRequest &request) const
--- a/src/sidecar/ingress/HomeSelector.h
+++ b/src/sidecar/ingress/HomeSelector.h
@@ -34,6 +34,8 @@
 
     /** Returns the best home, whose node is empty if there is none. Starts the checks of paths that are due. */
     HomeChoice choose(const ForwardedRequest &request, SteadyTime now);
+    /** Returns true if the request may wait for a slot at all, by its route, its customer and the settings. */
+    bool mayWaitForSlot(const ForwardedRequest &request) const;
     /**
      * Returns true if no home has room now, so that the request reserves the next free slot of several homes. If the
      * best home has none, but another one, sets @p choice to it.
--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -146,6 +146,7 @@
         : Customers([] {
             MeshOptions options = customerOptions();
             options.services = {"other", "desk"};
+            options.limitedCustomersWait = true;
             options.slots = 1;
             options.workMs = 400;
             options.objectiveMs = 7000;
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -47,6 +47,8 @@
     std::vector<std::string> contracts;
     /** Settings for slow readers; null: defaults. */
     nlohmann::json flow;
+    /** Requests that count against a quota may wait for slots. */
+    bool limitedCustomersWait = false;
     /** Nodes judge requests by whether their nested calls are expected to fail. */
     bool callAdmission = false;
     std::uint64_t maxBodyBytes = 100000;
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -182,11 +182,12 @@
     const std::string text =
         settingsFindings(R"({"node": "n", "zone": "z", "region": "r", "objectApi": "127.0.0.1:7000",
         "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
-        "waiting": {"minObjective": "-1s", "maxRequests": -1}, "contracts": ["pressure", 3],
+        "waiting": {"minObjective": "-1s", "maxRequests": -1, "limitedCustomers": 1}, "contracts": ["pressure", 3],
         "flow": {"connectionBytes": 2097152, "nodeBytes": 1048576}, "nestedCalls": {"admission": "yes", "x": 1}})")
             .text();
-    for (const char *place : {"/waiting/minObjective:", "/waiting/maxRequests:", "/flow/connectionBytes:",
-                              "/contracts/1:", "/nestedCalls/admission:", "/nestedCalls/x:"}) {
+    for (const char *place :
+         {"/waiting/minObjective:", "/waiting/maxRequests:", "/waiting/limitedCustomers:", "/flow/connectionBytes:",
+          "/contracts/1:", "/nestedCalls/admission:", "/nestedCalls/x:"}) {
         INFO(place << " in\n" << text);
         CHECK(text.find(place) != std::string::npos);
     }
