--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -16,7 +16,7 @@
 
 /** Delay of a report, so that requests that come together are reported together. */
 constexpr Millis reportInterval{50};
-/** A counter that has not replied within this time is passed over. */
+/** A counter that has not replied within this time is excluded. */
 constexpr Millis reportTimeout{400};
 constexpr Millis askTimeout{250};
 /** How many counters one request asks, one after the other. */
@@ -412,9 +412,9 @@
     grant.mode = entry.counter.mode(now);
     const bool isNew = grant.mode != entry.mode || now - entry.announcedAt >= tuning_.window;
     entry.mode = grant.mode;
-    // The announcement also tells the nodes that pass this one over that it counts again.
-    const bool isPassedOver = use.isFromStandIn() && now - entry.announcedAt >= standInAnnounceInterval;
-    if (isPassedOver || (grant.mode == QuotaMode::Metered && isNew)) {
+    // The announcement also tells the nodes that exclude this one that it counts again.
+    const bool isExcluded = use.isFromStandIn() && now - entry.announcedAt >= standInAnnounceInterval;
+    if (isExcluded || (grant.mode == QuotaMode::Metered && isNew)) {
         entry.announcedAt = now;
         announceMetered(use.customer);
     }
--- a/tests/integration/CustomerTest.cpp
+++ b/tests/integration/CustomerTest.cpp
@@ -429,7 +429,7 @@
     // (4 x 5 + 4) x 1.1 + 2; all are sent within 3 s.
     CHECK(served <= 28);
     CHECK(served >= 10);
-    // The others are told that they have not run.
+    // The others are refused as not run.
     CHECK(served + refused + std::count(statuses.begin(), statuses.end(), 503U) == 30);
 }
 
--- a/tests/integration/LinkOptionsTest.cpp
+++ b/tests/integration/LinkOptionsTest.cpp
@@ -43,9 +43,9 @@
 
 } // namespace
 
-// Guards against small messages that wait 40 ms for a delayed ACK, because the option was set before the socket was
-// open.
-TEST_CASE("link, open, has no send delay at either end")
+// Guards against TCP_NODELAY that is set before the socket is open and has no effect: small messages wait 40 ms for an
+// ACK.
+TEST_CASE("link, open, has TCP_NODELAY at both ends")
 {
     SystemClock clock;
     PeerHub listening(loopContext(), clock, NodeRef{"n1", 1}, PeerHub::Hooks{});
--- a/tests/integration/MassFailureTest.cpp
+++ b/tests/integration/MassFailureTest.cpp
@@ -220,8 +220,7 @@
 
 } // namespace
 
-// Guards against a lookup whose home has died and that is retried only when a query through a silent relay has timed
-// out, 500 ms later.
+// Guards against lookups that are retried only after the 500 ms timeout of a query through a silent relay.
 TEST_CASE_FIXTURE(HomeLossBesideSilentRelay, "mass failure, home killed and a relay silent, lookups are retried soon")
 {
     constexpr Millis killAfter{150};
@@ -251,7 +250,7 @@
 
 // Guards against requests that are lost with their homes although another home could have served them, against
 // bookings that run twice in the attempt to save them, and against nodes that need seconds to serve after a restart.
-TEST_CASE_FIXTURE(MassFailure, "mass failure, 12 of 24 nodes killed at once, recoverable requests are served")
+TEST_CASE_FIXTURE(MassFailure, "mass failure, 12 of 24 nodes killed at once, over 0.95 of the recoverable are served")
 {
     runLoad();
     const Losses losses = classify();
@@ -292,7 +291,7 @@
 // Guards against bookings that are reported as possibly run although they only waited for a slot at a killed home, and
 // against bookings that run twice.
 TEST_CASE_FIXTURE(MassFailureAtScarceSlots,
-                  "mass failure, nodes killed while requests wait for slots, all are resolved")
+                  "mass failure, nodes killed while requests wait for slots, fewer than 1 in 20 are lost")
 {
     runLoad();
     const Losses losses = classify();
--- a/tests/integration/RefusedStoreTest.cpp
+++ b/tests/integration/RefusedStoreTest.cpp
@@ -146,7 +146,8 @@
 } // namespace
 
 // Guards against refused nodes that ask each other, or a watcher that the store refuses as well, for too long.
-TEST_CASE_FIXTURE(RefusedNodesOfOneRegion, "store refuses some nodes, both watchers and a follower, all serve keys")
+TEST_CASE_FIXTURE(RefusedNodesOfOneRegion,
+                  "store refuses some nodes, both watchers and a follower, configuration stays confirmed")
 {
     std::vector<int> refused = withRole("watcher");
     refused.push_back(withRole("follower").front());
@@ -155,7 +156,7 @@
 }
 
 // Guards against a configuration whose confirmation is lost while its document is delivered and decoded.
-TEST_CASE_FIXTURE(RefusedNodesWithLargeConfiguration, "store refuses some nodes, large configuration, all serve keys")
+TEST_CASE_FIXTURE(RefusedNodesWithLargeConfiguration, "store refuses some nodes, large configuration, stays confirmed")
 {
     std::vector<int> refused = withRole("watcher");
     refused.push_back(withRole("follower").front());
@@ -164,7 +165,7 @@
 }
 
 // Guards against a region whose nodes ask only each other: links to other regions are open only where work goes there.
-TEST_CASE_FIXTURE(RefusedRegion, "store refuses some nodes, all of one region, all serve keys")
+TEST_CASE_FIXTURE(RefusedRegion, "store refuses some nodes, all of one region, configuration stays confirmed")
 {
     refuse({0, 3, 6});
     CHECK(refusedWhileKeysAreRevoked({0, 3, 6}, std::chrono::seconds(12)) == 0);
--- a/tests/support/FewHomesModel.h
+++ b/tests/support/FewHomesModel.h
@@ -32,7 +32,8 @@
     bool healthyInOneRegion = false;
     /** Of the healthy servers, this many were gray until the others were lost. */
     int recovering = 3;
-    /** Senders know the number of nodes and so explore homes that count as gray. */
+    /** Senders know the number of nodes, without which HomeRanking neither explores nor finds a service short of homes.
+     */
     bool explores = true;
     /** Time before the loss, and how long the loss lasts. */
     Millis before{4000};
--- a/tests/support/FleetLoad.h
+++ b/tests/support/FleetLoad.h
@@ -45,8 +45,7 @@
     /** Share of the calls that fail from the start of the burst on, for @c failFor. */
     double failedShare = 0.0;
     Millis failFor{0};
-    /** Times of a call: to shed load takes little time, while a service without room lets a call wait for its deadline.
-     */
+    /** Duration of a call by its result. A shed call fails soon; one that waits for room fails at its deadline. */
     Millis succeeds{68};
     Millis fails{5};
 };
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -392,7 +392,7 @@
         const bool isSettings = file.path().extension() == ".json";
         if (file.is_regular_file() && !isSettings && name != "store.log") {
             text << std::ifstream(file.path()).rdbuf();
-            // The stream's operator fails on an empty file, and a failed stream takes nothing more.
+            // Inserting an empty file sets failbit, and the later files would be dropped.
             text.clear();
         }
     }
--- a/tests/unit/CallAdmissionTest.cpp
+++ b/tests/unit/CallAdmissionTest.cpp
@@ -169,7 +169,7 @@
     Comparison out{runSeeds(load, false), runSeeds(load, true)};
     MESSAGE(name << ", without admission: " << textOf(out.off));
     MESSAGE(name << ", with admission: " << textOf(out.on));
-    // With other results of calls, as another order of the runs has, the share served differs by about as much.
+    // Runs that differ only in the random results of their calls differ in the share served by about this much.
     constexpr double noise = 0.015;
     constexpr double maxInversion = 0.05;
     CHECK(sumOf(out.on, "").servedShare() >= sumOf(out.off, "").servedShare() - noise);
@@ -187,6 +187,7 @@
 
 } // namespace
 
+// Guards against requests that are deferred because of a single failed call.
 TEST_CASE_FIXTURE(OneHome, "call admission, one failed call, is no evidence yet")
 {
     addCalls(1);
@@ -204,6 +205,7 @@
     CHECK_FALSE(admission.expectsFailure("file", now));
 }
 
+// Guards against forecasts that ignore how many calls a run makes.
 TEST_CASE_FIXTURE(OneHome, "call admission, two of five calls fail, only runs of two calls are expected to fail")
 {
     addCalls(8, 12);
@@ -225,6 +227,7 @@
     CHECK_FALSE(admission.successShare("catalog", now));
 }
 
+// Guards against a log line for each check, and against a service that is never reported as recovered.
 TEST_CASE_FIXTURE(OneHome, "call admission, calls fail and succeed again, is reported once each")
 {
     using Change = CallServiceStatus::Change;
@@ -278,6 +281,7 @@
     CHECK(startedAfter(first) == lessUrgent);
 }
 
+// Guards against requests that wait although a slot is free; some of their runs make no call.
 TEST_CASE_FIXTURE(OneHome, "slot queue, calls of a request will likely fail and a slot is free, starts it")
 {
     addCalls(4);
--- a/tests/unit/ConfirmationSourceTest.cpp
+++ b/tests/unit/ConfirmationSourceTest.cpp
@@ -155,7 +155,7 @@
     CHECK(lastSecond >= 1);
 }
 
-// Guards against a node that has no peers at all.
+// Guards against an access to an empty list when a node has no peers.
 TEST_CASE_FIXTURE(Source, "confirmation source, no candidates, returns no request")
 {
     candidates_ = {};
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -150,7 +150,7 @@
     CHECK(settings.advertisedPeers.port == 2);
 }
 
-// Guards against a setting that is on although nobody switched it on, or that can't be switched on.
+// Guards against a default that enables the admission, and against a setting that has no effect.
 TEST_CASE("settings, admission of requests with nested calls, is off unless set")
 {
     Findings findings;
--- a/tests/unit/FewHomesTest.cpp
+++ b/tests/unit/FewHomesTest.cpp
@@ -64,7 +64,7 @@
     }
 }
 
-// Guards against decisions for few homes that act where no home is avoided.
+// Guards against decisions for a service short of homes that act where all homes are healthy.
 TEST_CASE("few homes left, all homes healthy instead, decisions for few homes change nothing")
 {
     FewHomesLoad load;
--- a/tests/unit/HomeRankingTest.cpp
+++ b/tests/unit/HomeRankingTest.cpp
@@ -288,8 +288,7 @@
     CHECK(ranking.takePathsToCheck(homes, now) == std::vector<std::string>{"a1", "a2", "far"});
 }
 
-// Guards against a server that has recovered and gets nothing while most others are lost: its own node can always reach
-// it and knows that it is idle.
+// Guards against a recovered server that gets no request from its own node, which can always reach it.
 TEST_CASE_FIXTURE(FourHomes, "home ranking, most homes avoided, sends to the own home if it is idle")
 {
     homes[1].distance = Distance::SameNode;
--- a/tests/unit/QuotaReturnTest.cpp
+++ b/tests/unit/QuotaReturnTest.cpp
@@ -135,7 +135,7 @@
     CHECK(counter.grant(1000, clock_.now()) == 20);
 }
 
-// Guards against a lost take: requests that were refused at once, and reported only afterwards.
+// Guards against returns that are lost because their requests were refused before the counter heard of them.
 TEST_CASE_FIXTURE(Returns, "quota return, whole burst refused at once, can be granted again")
 {
     QuotaCounter counter = make();
@@ -186,6 +186,7 @@
     }
 }
 
+// Guards against a return that is sent to a counter which never counted its request.
 TEST_CASE_FIXTURE(Returns, "quota return, request not reported yet, is cancelled at its ingress")
 {
     ledger_.decide("c", limit_, clock_.now());
@@ -234,6 +235,7 @@
     CHECK_FALSE(ledger_.giveBack("c", clock_.now() - std::chrono::seconds(11), clock_.now()));
 }
 
+// Guards against ages that are lost in the message, and against bytes spent on an empty list of returns.
 TEST_CASE("quota report, tokens given back, are kept on the way and left out where there are none")
 {
     const QuotaUse use = decodedUse(json::from_cbor(encodeMessage(sampleReport())));
@@ -261,6 +263,7 @@
     CHECK(decoded.returned.empty());
 }
 
+// Guards against a malformed list of a peer that is decoded as valid returns.
 TEST_CASE("quota report, malformed tokens given back, is refused")
 {
     for (const json &malformed : {json("text"), json::array({json::array({-5, 1})}), json::array({json::array({1})}),
@@ -273,7 +276,8 @@
     }
 }
 
-// Load: a hot customer whose requests wait for slots while its counter is killed twice, or the fleet is cut.
+// Guards against late returns that fill the bucket of a new counter, or of several counters, while a hot customer waits
+// for slots.
 TEST_CASE("quota return, counter lost or fleet cut while requests wait, the fleet stays within the bound")
 {
     for (const double rate : {136.0, 16.0}) {
@@ -309,9 +313,8 @@
     }
 }
 
-// Guards against customers below their limit that are refused because the requests before were refused for want of a
-// slot. Fewer than 1 in 1,000 are.
-TEST_CASE("quota return, usual load while slots are scarce, refuses nothing for quota")
+// Guards against customers below their limit that are refused for quota because earlier requests got no slot.
+TEST_CASE("quota return, usual load while slots are scarce, at most 1 in 1,000 is refused for quota")
 {
     for (const double rate : {136.0, 16.0}) {
         for (const int repeats : {0, 1}) {
--- a/tests/unit/QuotaTest.cpp
+++ b/tests/unit/QuotaTest.cpp
@@ -356,7 +356,7 @@
     }
 }
 
-TEST_CASE("counter election, silent node, is passed over for a while")
+TEST_CASE("counter election, silent node, is excluded for a while")
 {
     CounterElection election;
     election.setNodes({"a", "b", "c", "d"}, SteadyTime());
@@ -368,7 +368,7 @@
     CHECK(election.counterOf("customer", SteadyTime() + std::chrono::seconds(4)) == first);
 }
 
-// Guards against a node that is passed over for seconds after it replies again, while another one counts as well.
+// Guards against a node that is excluded for seconds after it replies again, while another one counts as well.
 TEST_CASE("counter election, silent node replies again, is chosen at once")
 {
     CounterElection election;
@@ -380,6 +380,7 @@
     CHECK(election.counterOf("customer", SteadyTime()) == first);
 }
 
+// Guards against a first counter that is charged twice, or for tokens that its bucket has regained since.
 TEST_CASE_FIXTURE(Ledger, "stand-in use, requests counted in place of another node, are reported once up to the burst")
 {
     StandInUse standIn;
@@ -398,7 +399,7 @@
     CHECK(uses[0].used == 10);
 }
 
-// Guards against nodes with different registries that report the same requests back and forth for ever.
+// Guards against nodes with different registries that report the same requests to each other without end.
 TEST_CASE_FIXTURE(Ledger, "stand-in use, report of another stand-in, is not passed on")
 {
     StandInUse standIn;
@@ -539,7 +540,7 @@
     }
 }
 
-// The same for a customer whose limit is small, and with the callers that repeat what was refused.
+// Guards against late returns that exceed the bound of a small limit, where callers repeat what was refused.
 TEST_CASE("quota of a fleet, small hot customer whose callers repeat requests without a slot, stays within the bound")
 {
     QuotaFleetLoad load = hotLoadWithWaits(7.0);
@@ -552,8 +553,8 @@
     checkRunsWithinBound(load, load.limit);
 }
 
-// Guards against two counters that grant the whole rate at once: the node that counts is back, while other nodes still
-// pass it over.
+// Guards against two counters that grant the whole rate at once: the first one is back, while other nodes still exclude
+// it.
 TEST_CASE("quota of a fleet, counter of a small fleet is killed and returns, stays within the bound")
 {
     QuotaFleetLoad load = smallFleetLoad();
@@ -562,7 +563,7 @@
     checkWithinBound(load);
 }
 
-// The same twice within a window: the paused counter has kept its bucket, and so has the one that stands in.
+// Guards against two counters that grant the whole rate after a pause, when both have kept their buckets.
 TEST_CASE("quota of a fleet, counter of a small fleet is killed, returns and is paused, stays within the bound")
 {
     QuotaFleetLoad load = smallFleetLoad();
--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -318,8 +318,8 @@
     CHECK(countProbes(true) >= 7);
 }
 
-// Guards against a home that refuses all requests for seconds after its server was slow for a moment, for want of
-// processor time: each work that ran for long counted as a failure of its own, also after it had succeeded.
+// Guards against a home that refuses all requests for seconds because overdue work still counts as failed after it has
+// succeeded.
 TEST_CASE_FIXTURE(OneServer, "slot queue, all work overdue at once and then successful, server is not held gray")
 {
     startEightAndWait();
@@ -419,7 +419,7 @@
     CHECK(submit(booking).reason == RefusalReason::LikelyGray);
 }
 
-// Guards against an own node that uses work which can't be retried as a probe of its server.
+// Guards against work that can't be retried and is sent to the likely gray server of the same node as a probe.
 TEST_CASE_FIXTURE(OneServer, "slot queue, server without a request for long, needs one that it would admit")
 {
     CHECK_FALSE(queue.needsRequest(true, now));
