--- a/include/customer/CounterElection.h
+++ b/include/customer/CounterElection.h
@@ -11,20 +11,20 @@
 
 /**
  * Chooses the node that counts a customer's requests by rendezvous hashing over the nodes of the registry. A node that
- * does not reply is passed over for a while, by this node only. Not thread safe.
+ * does not reply is excluded for a while, by this node only. Not thread safe.
  */
 class CounterElection
 {
 public:
     /** Replaces the nodes, this one included. */
     void setNodes(std::vector<std::string> nodes, SteadyTime now);
-    /** Passes over @p node for a while. */
+    /** Excludes @p node for a while, because it did not reply. */
     void noteUnreachable(const std::string &node, SteadyTime now);
-    /** Ends the time for which @p node is passed over: it has replied in time, or a link to it has opened. */
+    /** Ends the exclusion of @p node, because it has replied in time or a link to it has opened. */
     void noteReachable(const std::string &node);
-    /** Returns the highest-ranked node that is not passed over; empty if there is none. */
+    /** Returns the highest-ranked node that is not excluded; empty if there is none. */
     const std::string &counterOf(const std::string &customer, SteadyTime now);
-    /** Returns the highest-ranked node, also if it is passed over; empty if there is none. */
+    /** Returns the highest-ranked node, excluded or not; empty if there is none. */
     const std::string &firstOf(const std::string &customer);
     /** Returns true if @p node is the highest-ranked one for @p customer. */
     bool isFirst(const std::string &node, const std::string &customer) const;
@@ -41,7 +41,7 @@
 
     std::vector<std::string> nodes_;
     SteadyTime changedAt_;
-    std::map<std::string, SteadyTime> passedOverUntil_;
+    std::map<std::string, SteadyTime> excludedUntil_;
     std::unordered_map<std::string, std::vector<std::string>> ranked_;
     std::string none_;
 };
--- a/include/customer/LevelHistory.h
+++ b/include/customer/LevelHistory.h
@@ -9,22 +9,22 @@
 namespace waxwing {
 
 /**
- * Recent highest levels of a token bucket, one for each slot of time. Tells how many tokens that were taken a while ago
- * the bucket would still hold if they had never been taken: those that would have overflowed a full bucket since then
- * are lost. A bucket that tokens are put back into only by this measure has granted, less the tokens put back, no more
- * in any span than the bucket's rate and burst allow. Bounded state; not thread safe.
+ * Recent highest levels of a token bucket, one for each interval of time (slot). Computes how many tokens that were
+ * taken a while ago the bucket would still hold if they had never been taken: those that would have overflowed the full
+ * bucket since then are lost. If only the others are put back, the tokens taken in any span, less those put back, stay
+ * within the bucket's rate and burst. Uses a fixed amount of memory. Not thread safe.
  */
 class LevelHistory
 {
 public:
-    /** Tokens that were taken before @p since are lost. @p window: the span in which requests are limited. */
+    /** Tokens that were taken before @p since are lost. @p window: the span over which the quota is enforced. */
     LevelHistory(Millis window, SteadyTime since);
 
-    /** Records the level. @pre no earlier call has a later time. */
+    /** Records the bucket's level at @p now, in tokens. @pre no earlier call has a later time. */
     void note(double level, SteadyTime now);
     /**
-     * Returns how many of @p tokens, taken at @p takenAt, a bucket of @p capacity would still hold, and counts them in
-     * the levels since then. @pre note() was called for the present.
+     * Returns how many of @p tokens, taken at @p takenAt, a bucket of @p capacity tokens would still hold, and adds
+     * them to the levels recorded since then. @pre note() was called with the current time.
      */
     double putBack(double tokens, SteadyTime takenAt, double capacity);
 
--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -49,8 +49,8 @@
     /** This node has counted, or another one that has stopped. What was granted is unknown: the bucket is empty. */
     AfterLoss,
     /**
-     * Another node ranks before this one and may still be counting for the nodes that it reaches. The bucket begins in
-     * debt, and for half a minute all nodes of the region count as nodes of the customer.
+     * Another node ranks before this one and may still be counting for the nodes that it reaches. The bucket begins
+     * with a negative level, and for half a minute all nodes of the region are expected to report.
      */
     InPlaceOfOther,
 };
@@ -110,7 +110,7 @@
         std::uint32_t count = 0;
     };
 
-    /** Advances the time and returns the tokens that there are. */
+    /** Advances the time, refills the bucket and returns its level in tokens. */
     double level(SteadyTime now);
     /** Returns how many requests above rate and burst a window may have. */
     double tolerance() const;
@@ -132,13 +132,13 @@
     SteadyTime createdAt_;
     CounterStart start_ = CounterStart::Fresh;
     /** A node that has counted in place of this one has reported. */
-    bool heardOfStandIn_ = false;
+    bool hasStandInReport_ = false;
     QuotaMode mode_ = QuotaMode::Open;
     RegionNodes nodes_;
-    /** Requests of the customer that were reported here. */
-    double met_ = 0.0;
+    /** Requests of the customer that were reported here since the start. */
+    double reportedRequests_ = 0.0;
     std::map<std::string, SteadyTime> reporters_;
-    /** The requests that came lately, as reported. */
+    /** The reported requests of the last few seconds, oldest first. */
     std::deque<Arrivals> arrivals_;
 };
 
--- a/include/customer/QuotaLedger.h
+++ b/include/customer/QuotaLedger.h
@@ -75,7 +75,7 @@
     void restore(const QuotaUse &use);
     /** Returns true if there is something to report. */
     bool hasUnreported() const;
-    /** Forgets customers without requests for some windows. */
+    /** Removes customers without requests for some windows (QuotaTuning::window). */
     void evictIdle(SteadyTime now);
     std::size_t size() const;
 
@@ -87,7 +87,7 @@
         /** When the first of them was admitted. */
         SteadyTime unreportedSince;
         std::uint32_t seen = 0;
-        /** Given back and not yet reported, by the time of admission in steps. */
+        /** Number of requests given back and not yet reported, by time of admission, rounded down. */
         std::map<SteadyTime, std::uint32_t> returned;
         /** This node's share, while its counter does not reply. */
         std::optional<TokenBucket> share;
--- a/include/customer/StandInUse.h
+++ b/include/customer/StandInUse.h
@@ -10,9 +10,9 @@
 namespace waxwing {
 
 /**
- * What one node has counted as a counter in place of the first-ranked one, and has not yet reported to it. The first
- * one may be counting for other nodes at the same time, or return with a bucket that was refilled meanwhile: without
- * these reports both would grant the whole rate. Not thread safe.
+ * The requests that this node has counted as a stand-in for the first-ranked counters of customers, and has not yet
+ * reported to them. A first-ranked counter may be counting for other nodes at the same time, or return with a bucket
+ * that was refilled meanwhile: without these reports both would grant the whole rate. Not thread safe.
  */
 class StandInUse
 {
@@ -23,9 +23,9 @@
      * with different registries don't pass the same use back and forth.
      */
     void add(const QuotaUse &use, std::uint32_t granted, double burst);
-    /** Returns what is not reported yet, and counts it as reported. */
+    /** Returns the unreported requests of each customer and removes them. */
     std::vector<QuotaUse> take();
-    /** Adds a report again that was not acknowledged. */
+    /** Adds the requests of a report that was not acknowledged. */
     void restore(const QuotaUse &use);
     bool isEmpty() const;
 
@@ -33,7 +33,8 @@
     struct Pending {
         QuotaLimit limit;
         std::int64_t used = 0;
-        std::int64_t most = 0;
+        /** Upper bound of @c used: the burst of the limit; the restored number until add() is called. */
+        std::int64_t maxUsed = 0;
     };
 
     std::map<std::string, Pending> pending_;
--- a/include/fleet/ConfirmationSource.h
+++ b/include/fleet/ConfirmationSource.h
@@ -13,7 +13,9 @@
 namespace waxwing {
 
 struct ConfirmationSourceTuning {
-    /** Time without a reply after which another peer is asked. The checks come up to 20 ms later; the bound is 300 ms.
+    /**
+     * Time without a reply after which another peer is asked. It must be asked within 300 ms, and the check for it may
+     * run 20 ms late.
      */
     Millis replyTimeout{250};
     /** Minimum interval between two requests while peers reply without confirming. */
--- a/include/health/GrayFilter.h
+++ b/include/health/GrayFilter.h
@@ -64,7 +64,10 @@
      * @p startedAt <= @p now.
      */
     void addFailure(double ratio, SteadyTime startedAt, SteadyTime now);
-    /** Takes a failure back, unless it is older than the ordering window. */
+    /**
+     * Removes a failure that proved to be none; does nothing once it is older than the ordering window. @p ratio and
+     * @p startedAt: the same values as in addFailure().
+     */
     void withdrawFailure(double ratio, SteadyTime startedAt);
     /**
      * Returns the probability that the server is gray, 0 to 1. @p unfinished: the runs whose age is evidence, in the
--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -219,8 +219,9 @@
      */
     void noteOverdueWork(SteadyTime now);
     /**
-     * Takes back what noteOverdueWork() has recorded of a run: it has succeeded, so it did not hang. Works of one
-     * server that are slow at the same time would otherwise each count as a failure. @pre before release().
+     * Withdraws the failure that noteOverdueWork() recorded for a run, which has succeeded and so did not hang. Works
+     * of one server that are slow at the same time would otherwise each count as a failure. Does nothing for a run that
+     * was not counted. @pre release() has not been called for @p id.
      */
     void withdrawOverdue(std::uint64_t id);
     /** Returns true if the run was counted by noteOverdueWork(). */
@@ -318,7 +319,7 @@
     /** Returns the probability that work of a healthy server still runs at this age; 1 if that is not known. */
     double survivalOf(const Running &run, SteadyTime now) const;
     /** Returns the likelihood ratio (gray server to healthy server) of work that still runs. */
-    double ratioOfSilence(double survival) const;
+    double unfinishedRatio(double survival) const;
     /** Returns the running work whose age is evidence, in the order of its starts. */
     std::vector<UnfinishedRun> unfinishedRuns(SteadyTime now) const;
     Duration expectedWait(const SlotRequest &request, SteadyTime now) const;
--- a/include/overload/CallAdmission.h
+++ b/include/overload/CallAdmission.h
@@ -26,7 +26,7 @@
     Millis maxEvidenceAge{2000};
     /** Fewest results that are evidence. */
     std::size_t minResults = 2;
-    /** While calls fail, one run in this interval starts regardless, by called service. */
+    /** While the calls to a service fail, one run that calls it starts in each such interval, to detect recovery. */
     Millis probeInterval{500};
     /** Results kept by called service, and number of called services; calls of further services are not judged. */
     std::size_t maxResults = 32;
@@ -68,13 +68,16 @@
     std::optional<double> successShare(const std::string &service, SteadyTime now) const;
     /** Returns true if the calls of a run of @p route that starts now will likely fail. */
     bool expectsFailure(const std::string &route, SteadyTime now) const;
-    /** The same, but returns false while no run has tried the called service within the probe interval. */
+    /**
+     * The same, but returns false if no run that calls the worst of the services has started within the probe interval,
+     * so that this run is the probe.
+     */
     bool shouldDefer(const std::string &route, SteadyTime now) const;
-    /** Records that a run of @p route starts, which shows the state of the services that it calls. */
+    /** Records that a run of @p route starts, which is a probe of the services that it calls. */
     void noteStarted(const std::string &route, SteadyTime now);
     /**
-     * Drops old results. Returns the status of all called services, including, once, those whose results have all
-     * become too old.
+     * Removes old results. Returns the status of all called services. A service whose results have all become too old
+     * is included a last time.
      */
     std::vector<CallServiceStatus> update(SteadyTime now);
 
@@ -97,7 +100,7 @@
         const Service *worst = nullptr;
     };
 
-    /** Returns the forecast for @p route, which is kept for further requests of the same time. */
+    /** Returns the forecast for @p route, cached for further calls with the same @p now. */
     const Forecast &forecast(const std::string &route, SteadyTime now) const;
     Forecast makeForecast(const std::string &route, SteadyTime now) const;
     std::optional<double> shareOf(const Service &service, SteadyTime now) const;
@@ -105,7 +108,10 @@
     RatesOf ratesOf_;
     CallAdmissionTuning tuning_;
     std::map<std::string, Service> services_;
-    /** By route, as of one time. A queue that orders its requests needs them once for each pair of requests. */
+    /**
+     * Cache by route, valid at @c forecastAt_. SlotQueue needs a forecast for each comparison of two requests when it
+     * orders them.
+     */
     mutable std::map<std::string, Forecast> forecasts_;
     mutable SteadyTime forecastAt_;
 };
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -151,28 +151,31 @@
     /** A home that refused for lack of a server is avoided for this long. */
     Millis noServerBackoff{700};
     /**
-     * A service is short of homes while at least this share of the homes heard of in this time, and at least this many,
-     * are avoided. Requests then explore homes that count as gray, and paths are checked before requests use them. Gray
-     * servers alone are about one in eight at any time.
+     * A service is short of homes while at least this share of the homes that replied in this time or whose path
+     * failed, and at least this many, are avoided. Requests then explore homes that count as gray, and paths are
+     * checked before requests use them. Gray servers alone are about one in eight at any time.
      */
     double exploreAvoidedShare = 0.35;
     int exploreMinAvoided = 2;
     Millis heardWithin{5000};
-    /** A home is explored only if this node has not heard from it for this long, nor could have explored it. */
+    /** Minimum time from the last reply of a home, or the last chance to explore it, to the next chance. */
     Millis exploreAfter{500};
     /**
-     * How often the whole fleet would explore one home if all nodes reached it and always had idempotent requests. Few
-     * do: with 50 instead of 200, servers that had recovered were left out a third more often in a fleet of 70 nodes.
+     * Rate at which the whole fleet would explore one home if all nodes reached it and always had idempotent requests.
+     * Few do: with 50 instead of 200, servers that had recovered were left out a third more often in a fleet of 70
+     * nodes.
      */
     double exploresPerSecond = 200.0;
     /**
-     * While a service is short of homes, paths to homes not heard from for the first time are checked: at most so many
-     * at once, each at this interval. Otherwise a sender loses one request on each path that has failed.
+     * While a service is short of homes, the paths to homes from which no reply came within @c pathKnownFor are
+     * checked. Otherwise a sender loses one request on each path that has failed.
      */
     Millis pathKnownFor{2000};
+    /** Paths checked at once. */
     std::size_t maxPathChecks = 16;
     /** Of these, to other regions: opening a link there costs bytes on the slow paths between regions. */
     std::size_t maxFarPathChecks = 2;
+    /** Minimum interval between two checks of one path. */
     Millis pathCheckInterval{4000};
 };
 
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -64,11 +64,14 @@
     /** A request may wait only if its route's response time objective is at least this long; zero: none waits. */
     Millis minObjective = std::chrono::seconds(2);
     std::uint32_t maxRequests = 512;
-    /** Requests that count against a customer's quota wait, too. */
+    /**
+     * Requests that count against a customer's quota wait, too. Off by default, because measurements showed no increase
+     * in served requests.
+     */
     bool limitedCustomers = false;
 };
 
-/** Which requests whose nested calls will likely fail are deferred or refused. */
+/** How homes treat requests whose nested calls will likely fail (CallAdmission). */
 struct NestedCallSettings {
     /** Orders such requests behind others of their priority, and refuses those that can't start in time there. */
     bool admission = false;
--- a/src/customer/CounterElection.cpp
+++ b/src/customer/CounterElection.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/** A killed process is back within some seconds. */
-constexpr Millis passOverTime{3000};
+/** How long a node that did not reply is excluded: a killed process is back within some seconds. */
+constexpr Millis exclusionTime{3000};
 /** Bounds the memory for customers that were met once; the ranks are worked out again when they are needed. */
 constexpr std::size_t maxRanked = 20000;
 
@@ -29,12 +29,12 @@
 
 void CounterElection::noteUnreachable(const std::string &node, SteadyTime now)
 {
-    passedOverUntil_[node] = now + passOverTime;
+    excludedUntil_[node] = now + exclusionTime;
 }
 
 void CounterElection::noteReachable(const std::string &node)
 {
-    passedOverUntil_.erase(node);
+    excludedUntil_.erase(node);
 }
 
 std::vector<std::string> CounterElection::rank(const std::string &customer) const
@@ -75,8 +75,8 @@
 const std::string &CounterElection::counterOf(const std::string &customer, SteadyTime now)
 {
     for (const std::string &node : ranked(customer)) {
-        const auto passedOver = passedOverUntil_.find(node);
-        if (passedOver == passedOverUntil_.end() || now >= passedOver->second) {
+        const auto excluded = excludedUntil_.find(node);
+        if (excluded == excludedUntil_.end() || now >= excluded->second) {
             return node;
         }
     }
--- a/src/customer/LevelHistory.cpp
+++ b/src/customer/LevelHistory.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-/** At least the interval of the nodes' reports, since a token may be taken that much later than its request came. */
+/** At least the nodes' report interval, since a token may be taken that much later than its request arrived. */
 constexpr Millis minSlotLength{50};
 /**
- * The slot in which a token was taken, and the next one, do not count as levels after it: the level before a take that
- * was reported late stands there. A token is so treated as taken up to two slots later than it was.
+ * The levels of the slot in which a token was taken, and of the next one, are ignored: a request that was reported late
+ * has not yet lowered them. A token counts as taken up to two slots later than it was.
  */
 constexpr std::int64_t reportSlots = 2;
 
--- a/src/customer/QuotaCounter.cpp
+++ b/src/customer/QuotaCounter.cpp
@@ -17,6 +17,7 @@
 /** Levels, as fractions of the burst, at which metered mode begins and ends. */
 constexpr double meterBelow = 0.2;
 constexpr double openAbove = 0.4;
+/** Levels, as fractions of the burst, below which tokens are borrowed, and above which they are lent. */
 constexpr double borrowBelow = 0.4;
 constexpr double lendAbove = 0.5;
 /** Nodes that reported within this time wait for tokens. */
@@ -25,17 +26,17 @@
 constexpr Millis minObservedTime{1000};
 constexpr Millis maxObservedTime{4000};
 constexpr double requestsPerNode = 4.0;
-/** A node that reported within this time and is not heard of any more may be cut off. */
+/** A node that reported within this time and no longer does may be cut off. */
 constexpr Millis knownTime{30000};
 /**
  * Debt in seconds of the rate: a counter that is only cut off goes on granting at the full rate until it misses the
  * nodes that report here.
  */
 constexpr double initialDebtSeconds = 0.5;
-/** Of a denial's length that the number of waiting nodes calls for, and the longest denial. */
+/** Factor on the time in which the rate refills one token for each recently reporting node; longest denial. */
 constexpr double denialFactor = 0.7;
 constexpr Millis maxDenial{700};
-/** How long before a counter's first report the oldest request in it may have come. */
+/** Longest time between a request and the first report, with which its counter starts. */
 constexpr Millis reportDelay{100};
 
 } // namespace
@@ -44,7 +45,7 @@
     : limit_(limit)
     , tuning_(tuning)
     , bucket_(limit.ratePerSecond, limit.burst, now)
-    // What a node before this one has granted was not taken from this bucket.
+    // Tokens that an earlier counter granted were not taken from this bucket and can't be put back into it.
     , levels_(tuning.window, start == CounterStart::Fresh ? now - reportDelay : now)
     , now_(now)
     , lastUsed_(now)
@@ -97,8 +98,9 @@
 {
     // A customer that has sent few requests may come to any node, and reports don't show which of them are missing.
     const double share = reportingShare();
-    const bool isMet = met_ >= requestsPerNode * static_cast<double>(nodes_.all);
-    return isMet ? share : std::min(share, static_cast<double>(nodes_.reachable) / static_cast<double>(nodes_.all));
+    const bool hasEnoughReports = reportedRequests_ >= requestsPerNode * static_cast<double>(nodes_.all);
+    return hasEnoughReports ? share
+                            : std::min(share, static_cast<double>(nodes_.reachable) / static_cast<double>(nodes_.all));
 }
 
 double QuotaCounter::level(SteadyTime now)
@@ -123,7 +125,7 @@
                           SteadyTime now)
 {
     nodes_ = nodes;
-    met_ += seen;
+    reportedRequests_ += seen;
     level(now);
     reporters_[node] = now;
     arrivals_.push_back(Arrivals{now, seen});
@@ -150,8 +152,8 @@
 void QuotaCounter::recordStandIn(std::int64_t used, SteadyTime now)
 {
     const double tokens = level(now);
-    const bool isCovered = start_ == CounterStart::AfterLoss && !heardOfStandIn_;
-    heardOfStandIn_ = true;
+    const bool isCovered = start_ == CounterStart::AfterLoss && !hasStandInReport_;
+    hasStandInReport_ = true;
     bucket_.take(isCovered ? std::max(0.0, tokens) : static_cast<double>(used), now);
     lastUsed_ = now;
 }
--- a/src/customer/QuotaLedger.cpp
+++ b/src/customer/QuotaLedger.cpp
@@ -11,13 +11,15 @@
 constexpr int idleWindows = 2;
 /** Tokens that a node's share holds at least when it is full: one request, however small the share is. */
 constexpr double minShareBurst = 1.0;
-/** The rest covers requests that a node admits before it notices that its counter is silent. */
+/** The rest covers requests that a node admits before it notices that its counter does not reply. */
 constexpr double shareFactor = 0.5;
 /** A counter in the region replies within some milliseconds; a VM that has used up its CPU quota needs 100 ms more. */
 constexpr Millis acknowledgeTime{150};
 /** Requests that were admitted within one such step are given back together, which bounds the size of a report. */
 constexpr Millis returnStep{50};
-/** Windows after which a token that is given back would have overflowed every bucket, or is of no use to a new window.
+/**
+ * Number of windows after which a request is no longer given back. LevelHistory covers the same span: no older request
+ * lies in a window with a new one.
  */
 constexpr int returnWindows = 2;
 
@@ -88,7 +90,7 @@
 
 bool QuotaLedger::giveBack(const std::string &customer, SteadyTime admittedAt, SteadyTime now)
 {
-    // A customer that was forgotten has not used its quota for longer than a window, so nothing is lost.
+    // A customer that was evicted has not used its quota for longer than a window, so nothing is lost.
     const auto found = accounts_.find(customer);
     if (found == accounts_.end() || now - admittedAt > returnWindows * tuning_.window) {
         return false;
--- a/src/customer/StandInUse.cpp
+++ b/src/customer/StandInUse.cpp
@@ -13,8 +13,8 @@
     }
     Pending &pending = pending_[use.customer];
     pending.limit = use.limit;
-    pending.most = std::max<std::int64_t>(1, std::llround(burst));
-    pending.used = std::min(pending.most, pending.used + counted);
+    pending.maxUsed = std::max<std::int64_t>(1, std::llround(burst));
+    pending.used = std::min(pending.maxUsed, pending.used + counted);
 }
 
 std::vector<QuotaUse> StandInUse::take()
@@ -36,7 +36,7 @@
 {
     const auto [found, isNew] = pending_.emplace(use.customer, Pending{use.limit, use.used, use.used});
     if (!isNew) {
-        found->second.used = std::min(found->second.most, found->second.used + use.used);
+        found->second.used = std::min(found->second.maxUsed, found->second.used + use.used);
     }
 }
 
--- a/src/fleet/ConfirmationSource.cpp
+++ b/src/fleet/ConfirmationSource.cpp
@@ -65,7 +65,8 @@
         return std::nullopt;
     }
     if (!pending_.empty()) {
-        // No reply in time. A late one still counts.
+        // No reply in time; a late confirmation is still accepted. A copy is passed because noteFailed() clears
+        // pending_.
         noteFailed(std::string(pending_), now);
         if (now < nextAt_) {
             return std::nullopt;
--- a/src/home/SlotQueue.cpp
+++ b/src/home/SlotQueue.cpp
@@ -347,7 +347,7 @@
     return isUnknown ? 1.0 : workTime->second.model.survival(now - run.since);
 }
 
-double SlotQueue::ratioOfSilence(double survival) const
+double SlotQueue::unfinishedRatio(double survival) const
 {
     return (tuning_.hangShare + (1.0 - tuning_.hangShare) * survival) / survival;
 }
@@ -363,7 +363,7 @@
             continue;
         }
         run.overdue = true;
-        run.overdueRatio = ratioOfSilence(std::max(survival, tuning_.overdueSurvival / 2));
+        run.overdueRatio = unfinishedRatio(std::max(survival, tuning_.overdueSurvival / 2));
         noteFailure(run.overdueRatio, run.since, now);
     }
 }
@@ -465,8 +465,8 @@
     const Rank rank = rankOf(request, now);
     const double ahead = countWaiting([&](const SlotRequest &other) { return isMoreUrgent(other, request, now); });
     const double slots = std::max<std::uint32_t>(1, slots_);
-    // A request that can still meet its objective waits unless those ahead of it alone take too long: refused by the
-    // work that might arrive, 1 in 100 requests more were not served, because the load ended sooner.
+    // For a request that can still meet its objective only the requests now ahead of it count. With those that might
+    // arrive later included, 1 in 100 requests more were not served: they were refused although the load soon ended.
     const Duration wait =
         rank.late ? waitBehind(ahead, rank, now) : durationOf(secondsOf(meanWorkTime()) * ahead / slots);
     // A reservation expires at the latest start of its request.
@@ -529,7 +529,7 @@
     for (const auto &[id, run] : running_) {
         const double survival = run.overdue || run.held ? 1.0 : survivalOf(run, now);
         if (survival < 1.0) {
-            runs.push_back(UnfinishedRun{run.since, ratioOfSilence(std::max(survival, tuning_.overdueSurvival))});
+            runs.push_back(UnfinishedRun{run.since, unfinishedRatio(std::max(survival, tuning_.overdueSurvival))});
         }
     }
     std::sort(runs.begin(), runs.end(),
--- a/src/link/PeerHubLinks.cpp
+++ b/src/link/PeerHubLinks.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+/** Timeouts of the WebSocket handshakes. */
 constexpr long openTimeoutMs = 1000;
 constexpr long closeTimeoutMs = 500;
 constexpr std::size_t maxMessageBytes = 8UL * 1024 * 1024;
--- a/src/link/PeerHubState.h
+++ b/src/link/PeerHubState.h
@@ -70,6 +70,7 @@
     };
     using LinkPtr = std::shared_ptr<Link>;
 
+    /** A call that waits for its reply. */
     struct Pending {
         LinkPtr link;
         std::shared_ptr<FiberLatch> latch;
@@ -85,12 +86,28 @@
         , hooks(std::move(hooksIn))
     { }
 
+    /** Configures the WebSocket server and client. @pre called once, before any other function. */
     void setUp();
     LinkPtr addLink(bool outgoing, connection_hdl handle);
+    /** Returns the outgoing link that is being opened to @p endpoint, or a new one; null if none can be created. */
     LinkPtr connectTo(const Endpoint &endpoint);
+    /**
+     * Returns an open link to @p endpoint, or opens one and waits for its Hello. Errors: Unavailable if the link can't
+     * be opened, Timeout if no Hello arrives in time. @p forceNew: an open link is not reused. @pre called from a
+     * fiber.
+     */
     Expected<LinkId> linkAt(const Endpoint &endpoint, Duration timeout, bool forceNew);
+    /**
+     * The same for the node @p to, within helloTimeout. Error NotFound: another node listens at @p endpoint. @pre
+     * called from a fiber.
+     */
     Expected<LinkPtr> linkTo(const NodeRef &to, const Endpoint &endpoint);
+    /** Waits for the Hello of the listening side. Errors as for linkAt(). @pre called from a fiber. */
     Expected<void> awaitHello(const LinkPtr &link, Duration timeout = helloTimeout);
+    /**
+     * Sends the message that @p messageOf makes for a new call id, calls @p onSent and waits for the reply. An error
+     * states whether the message may have been sent. @pre called from a fiber.
+     */
     tl::expected<ExecReply, CallError> sendAndWait(const NodeRef &to, const Endpoint &endpoint,
                                                    const std::function<Message(std::uint64_t)> &messageOf,
                                                    Duration timeout, const std::function<void(std::uint64_t)> &onSent);
@@ -100,11 +117,13 @@
     bool canSend(const LinkPtr &link);
     /** Updates queuedBytes after the queue of @p link has changed. */
     void noteQueued(const LinkPtr &link);
+    /** Returns false if the frame was not written. */
     bool writeFrame(const LinkPtr &link, const std::string &frame);
     bool sendOn(const LinkPtr &link, Message message);
     void onFrame(const LinkPtr &link, const std::string &payload);
     void onMessage(const LinkPtr &link, Message message);
     void onClosed(const LinkPtr &link);
+    /** Closes the connection and calls onClosed(). Does nothing if the link has closed. */
     void closeLink(const LinkPtr &link, websocketpp::close::status::value code);
     static void releaseWaiters(Link &link);
     void finishPending(std::uint64_t id, const LinkPtr &link, ExecReply reply);
--- a/src/sidecar/ConfigSync.h
+++ b/src/sidecar/ConfigSync.h
@@ -60,7 +60,7 @@
     /** Returns true if the proof is so old that this node must look for a newer one by every path. */
     bool needsProof() const;
     /**
-     * Returns true if the proof is recent enough to wait for the usual time before another one is requested.
+     * Returns true if the proof is recent enough that the next one can be requested at the usual interval.
      * @p fromReachable: it came from a peer that reaches the store and will soon have a newer one.
      */
     bool hasUsableProof(bool fromReachable) const;
@@ -89,7 +89,7 @@
     /** A newer document was refused: the version in force is known not to be the newest. */
     bool hasRefusedNewer_ = false;
     std::shared_ptr<const FleetConfig> current_;
-    /** A proof of a version above the one in force. */
+    /** A proof of a version above the one in force. It is used once that version is in force. */
     std::optional<VersionProof> laterProof_;
     std::vector<ChangeHook> hooks_;
     DocumentHook storeDocumentHook_;
--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -16,7 +16,7 @@
 /** A relay's timeout for opening a link to the target of a fence, and for its reply. */
 constexpr Millis forwardTimeout{800};
 /**
- * Time for the relays to reply after the home's endpoint refused a new link, so that a request whose home has died is
+ * Time for the relays to reply after the home's endpoint refused a new link, so that a request whose home has ended is
  * sent elsewhere soon. A relay in the home's region needs a round trip; in another one it may have to open a link.
  */
 constexpr Millis relayGraceSameRegion{100};
--- a/src/sidecar/PathMonitor.cpp
+++ b/src/sidecar/PathMonitor.cpp
@@ -2,6 +2,7 @@
 
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
+#include "src/sidecar/LinkOpenTimeout.h"
 #include "src/sidecar/RegistrySync.h"
 
 #include <algorithm>
@@ -14,9 +15,6 @@
 constexpr Millis initialProbeInterval{500};
 constexpr Millis maxProbeInterval{4000};
 constexpr Millis probeTimeout{500};
-/** Time in which a link must open when a path is checked that no request has tried yet, as for a request. */
-constexpr Millis openTimeoutSameRegion{200};
-constexpr Millis openTimeoutOtherRegion{450};
 /**
  * Time allowed for a response on any path: a round trip, about 3 ms within a region and 60 ms between regions, and the
  * delay at a node whose share of a core is used up for a tenth of a second.
@@ -24,8 +22,8 @@
 constexpr Millis minTimeoutSameRegion{150};
 constexpr Millis minTimeoutOtherRegion{260};
 /**
- * Minimum interval between checks of one node after notifications, so that a node that wrongly suspects others does not
- * make all nodes check them continuously.
+ * Minimum interval between two checks of one node that handle() or check() begins, so that a node that wrongly suspects
+ * others does not make all nodes check them continuously.
  */
 constexpr Millis suspicionCheckInterval{2000};
 /**
@@ -150,7 +148,7 @@
     }
     core_.metrics.count("paths_checked");
     spawnFiber([this, entry = *found] {
-        const Millis timeout = entry.region == core_.settings.region ? openTimeoutSameRegion : openTimeoutOtherRegion;
+        const Millis timeout = linkOpenTimeout(entry.region != core_.settings.region);
         const bool hasLink = core_.service<PeerHub>("peers").linkAt(entry.links, timeout).has_value();
         if (!hasLink || !repliesOnLink(entry)) {
             noteFailure(entry.id);
--- a/src/sidecar/PathMonitor.h
+++ b/src/sidecar/PathMonitor.h
@@ -71,7 +71,7 @@
     std::set<std::string> probing_;
     /** Of these, the nodes that did not reply to the check. */
     std::set<std::string> failed_;
-    /** Time of the last check after a notification, by node. */
+    /** Time of the last check that handle() or check() began, by node. */
     std::map<std::string, SteadyTime> lastCheckedAt_;
 };
 
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -16,18 +16,18 @@
 
 /** Delay of a report, so that requests that come together are reported together. */
 constexpr Millis reportInterval{50};
-/** A counter that has not replied within this time is passed over. */
+/** A counter that has not replied within this time is excluded for a while. */
 constexpr Millis reportTimeout{400};
 constexpr Millis askTimeout{250};
 /** How many counters one request asks, one after the other. */
 constexpr int maxAsks = 2;
-/** Opening a link within the region, and to another region. */
+/** Timeouts for opening a link within the region, and to another region. */
 constexpr Millis linkTimeout{100};
 constexpr Millis farLinkTimeout{450};
 constexpr Millis loanTimeout{300};
-/** Interval between the loans of one customer. */
+/** Minimum interval between two loan requests for one customer. */
 constexpr Millis loanInterval{400};
-/** Bounds the announcements of a counter that some nodes cannot reach. */
+/** Minimum interval between two announcements of a counter that some nodes cannot reach. */
 constexpr Millis standInAnnounceInterval{1000};
 constexpr Millis evictInterval{1000};
 /** Retry-After of a node that no counter replies to. */
@@ -268,6 +268,7 @@
     }
     for (const auto &[counter, uses] : byCounter) {
         if (counter == core_.self.id || counter.empty()) {
+            // This node ranks first now, and its own bucket has counted these requests; or there is no other node.
             continue;
         }
         // A counter that does not reply is tried once in each reportTimeout.
@@ -412,9 +413,9 @@
     grant.mode = entry.counter.mode(now);
     const bool isNew = grant.mode != entry.mode || now - entry.announcedAt >= tuning_.window;
     entry.mode = grant.mode;
-    // The announcement also tells the nodes that pass this one over that it counts again.
-    const bool isPassedOver = use.isFromStandIn() && now - entry.announcedAt >= standInAnnounceInterval;
-    if (isPassedOver || (grant.mode == QuotaMode::Metered && isNew)) {
+    // The announcement also informs the nodes that exclude this one that it counts again.
+    const bool isExcluded = use.isFromStandIn() && now - entry.announcedAt >= standInAnnounceInterval;
+    if (isExcluded || (grant.mode == QuotaMode::Metered && isNew)) {
         entry.announcedAt = now;
         announceMetered(use.customer);
     }
--- a/src/sidecar/QuotaService.h
+++ b/src/sidecar/QuotaService.h
@@ -42,7 +42,7 @@
     void start();
     /** Takes the nodes of the registry into account. */
     void registryChanged();
-    /** A link to or from @p node is usable: if the node counts for customers, it is asked again. */
+    /** Ends the exclusion of @p node as a counter, because a link to or from it has opened. */
     void linkOpened(const std::string &node);
 
     /** Decides on a request of @p customer and counts it if admitted. @pre called from a fiber. */
@@ -61,7 +61,7 @@
         std::uint64_t configVersion = 0;
         QuotaMode mode = QuotaMode::Open;
         SteadyTime borrowedAt;
-        /** When the nodes of the region were last told that the customer is near its limit. */
+        /** When announceMetered() was last called. */
         SteadyTime announcedAt;
     };
     /** A report that waits for its reply. */
@@ -98,12 +98,15 @@
     std::optional<LinkId> linkTo(const std::string &node, Duration timeout);
 
     QuotaReply count(const std::string &from, const QuotaReport &report);
-    /** Gives back what @p use states, and counts it in the metrics. */
+    /** Gives back the tokens that @p use returns, and counts in the metrics those that came too late. */
     void countReturned(QuotaCounter &counter, const QuotaUse &use);
     QuotaGrant countOne(const std::string &from, std::uint64_t configVersion, const QuotaUse &use);
     Counter &counterFor(const std::string &customer, const QuotaLimit &limit);
     CounterStart startOf(const std::string &customer) const;
-    /** Tells all nodes of the region: most nodes of a large one have not met the customer lately. */
+    /**
+     * Notifies all nodes of the region that the customer is near its limit. Most nodes of a large region have had no
+     * recent request of the customer and so get no reply of the counter.
+     */
     void announceMetered(const std::string &customer);
     void borrowTokens(const std::string &customer, const QuotaLimit &limit);
     double requestLoan(const std::string &region, const std::string &customer, const QuotaLimit &limit, double tokens);
--- a/src/sidecar/StateUpdateService.cpp
+++ b/src/sidecar/StateUpdateService.cpp
@@ -4,6 +4,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/ConfigSync.h"
+#include "src/sidecar/LinkOpenTimeout.h"
 #include "src/sidecar/RegionWatch.h"
 #include "src/sidecar/RegistrySync.h"
 
@@ -29,11 +30,9 @@
 constexpr Millis registryRequestInterval{400};
 /** A watcher's own confirmation is at most about 1.1 s old. A peer with an older one probably has no better source. */
 constexpr Millis usableConfigAge{2000};
-/** Timeouts of opening a link for a request, which takes three round trips. */
-constexpr Millis openTimeoutSameRegion{200};
-constexpr Millis openTimeoutOtherRegion{450};
 /** Requests remembered on one link whose replies have not arrived. */
 constexpr std::size_t maxPendingRequests = 8;
+/** Shortest pause between two checks whether a request is due. */
 constexpr Millis minSleep{10};
 /** With so many linked nodes of other regions, the registry is not searched for more: it has thousands of entries. */
 constexpr std::size_t enoughLinkedElsewhere = 8;
@@ -237,8 +236,7 @@
         return;
     }
     spawnFiber([this, peer = request.peer, links = entry->links, otherRegion = request.otherRegion] {
-        const Millis timeout = otherRegion ? openTimeoutOtherRegion : openTimeoutSameRegion;
-        const Expected<LinkId> link = core_.service<PeerHub>("peers").linkAt(links, timeout);
+        const Expected<LinkId> link = core_.service<PeerHub>("peers").linkAt(links, linkOpenTimeout(otherRegion));
         if (link) {
             sendRequest(*link, false, false);
         } else {
--- a/src/sidecar/StateUpdateService.h
+++ b/src/sidecar/StateUpdateService.h
@@ -20,8 +20,8 @@
  * message about work carries the versions that its sender holds and the time since its configuration was known to be
  * the newest. If the receiver holds the same configuration, the message confirms it. If the receiver's version is
  * lower, it obtains the newer one as ConfigDistribution describes. The registry is requested only while the store does
- * not respond. A node that cannot reach the store, or whose watch receives
- * nothing, is therefore as current as the nodes with which it exchanges work.
+ * not respond. A node that cannot reach the store, or whose watch receives nothing, is therefore as current as the
+ * nodes with which it exchanges work.
  *
  * A node whose configuration was not confirmed for a while requests the versions of peers, as ConfirmationSource
  * chooses them: of its region first, then of other regions, to which it opens a link if it has none. A reply confirms
@@ -67,7 +67,10 @@
     void noteNotConfirmed(const std::string &peer);
     /** Uses a reply to choose the next peer to ask. @pre its confirmation has been recorded. */
     void noteReply(const std::string &peer, const StateUpdate &update);
-    /** Returns when the request was sent and forgets it and the earlier ones on the link. */
+    /**
+     * Removes the request @p id and the earlier ones on @p link. Returns when it was sent; nullopt if it is not
+     * pending.
+     */
     std::optional<SteadyTime> takePendingRequest(LinkId link, std::uint64_t id);
     bool isFollower() const;
     /** Returns the id of the request. */
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -3,6 +3,7 @@
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/FenceService.h"
+#include "src/sidecar/LinkOpenTimeout.h"
 #include "src/sidecar/PathMonitor.h"
 
 #include <algorithm>
@@ -11,12 +12,6 @@
 
 namespace {
 
-/**
- * Opening a link takes three round trips: about 3 ms each within a region, 60 ms between regions. The rest is margin
- * for nodes that are descheduled for 100 ms when they have used up their CPU quota.
- */
-constexpr Millis openTimeoutSameRegion{200};
-constexpr Millis openTimeoutOtherRegion{450};
 /** A timer that fires this late shows that the node was busy. Received messages may have been unread as long. */
 constexpr Millis minTimerLag{20};
 /** Longest extension of a timeout for a late timer. */
@@ -69,8 +64,7 @@
     PeerHub &peers = core_.service<PeerHub>("peers");
     const std::uint64_t id = nextId_++;
     const SteadyTime opened = core_.clock.now();
-    const Expected<LinkId> link =
-        peers.linkAt(home.links, otherRegion ? openTimeoutOtherRegion : openTimeoutSameRegion);
+    const Expected<LinkId> link = peers.linkAt(home.links, linkOpenTimeout(otherRegion));
     if (!link) {
         return pathFailure(id, "link-not-opened");
     }
--- a/src/sidecar/home/NestedCalls.h
+++ b/src/sidecar/home/NestedCalls.h
@@ -24,14 +24,17 @@
     NestedCalls(const NestedCalls &) = delete;
     NestedCalls &operator=(const NestedCalls &) = delete;
 
-    /** Judges requests by whether their nested calls are expected to fail. @pre called once, before the first request.
+    /**
+     * Lets the queue defer or refuse requests whose nested calls are expected to fail. @pre called once, before the
+     * first request.
      */
     void enableAdmission();
 
     NestedCallTracker &tracker();
     const NestedCallTracker &tracker() const;
-    /** Record the begin and end of a nested call. @pre each noteEnded() follows its noteStarted(). */
+    /** Records the begin of a nested call. */
     void noteStarted();
+    /** Records the end of a nested call. @pre noteStarted() was called for it. */
     void noteEnded();
     /** Records how a call of @p service ended. Does nothing unless admission is enabled. */
     void noteResult(const std::string &service, bool succeeded);
--- a/src/sidecar/home/ResponseEvaluator.h
+++ b/src/sidecar/home/ResponseEvaluator.h
@@ -14,7 +14,7 @@
 
 /**
  * Evaluates how the exchange with the server ended: sets the outcome of the Work, and records what it shows about the
- * health, the memory and the presence of the server, and about a request that crashes servers. Not thread safe.
+ * health, the memory and the presence of the server, and whether the request crashed it. Not thread safe.
  */
 class ResponseEvaluator
 {
--- a/src/sidecar/home/SlotScheduler.h
+++ b/src/sidecar/home/SlotScheduler.h
@@ -23,8 +23,8 @@
 constexpr const char *queueTimeoutReason = "queue-timeout";
 
 /**
- * Submits works and reservations to SlotQueue, polls it and carries out what it decides: ends the waits of works, and
- * tells the reservations. Not thread safe.
+ * Submits works and reservations to SlotQueue, polls it and carries out its decisions: resumes the fibers of works, and
+ * calls the hooks of reservations. Not thread safe.
  */
 class SlotScheduler
 {
--- a/src/sidecar/ingress/AttemptRunner.cpp
+++ b/src/sidecar/ingress/AttemptRunner.cpp
@@ -85,7 +85,7 @@
     if (slot.end == SlotWaitEnd::Cancelled) {
         return Step::ChooseAgain;
     }
-    // The key may have been taken away, or its configuration grown old, during the wait.
+    // During the wait the key may have been revoked, or the configuration become too old to accept keys.
     if (const std::string problem = request->keyProblem(); !problem.empty()) {
         slots_.release(slot);
         attempt->reply.reason = problem;
--- a/src/sidecar/ingress/AttemptRunner.h
+++ b/src/sidecar/ingress/AttemptRunner.h
@@ -47,7 +47,9 @@
     bool maySend(const ForwardedRequest &request, ForwardAttempt &attempt, SteadyTime now) const;
     /** Waits for an offer if no home has room, and sets @p target to the home that makes it. */
     Step reserve(const ForwardedRequestPtr &request, const AttemptPtr &attempt, Target &target);
-    /** Returns true if a send to @p target is pointless. Sets the reply if the request would miss its deadline there.
+    /**
+     * Returns true if the request must not be sent to @p target: there is no home, a hedge would be refused, or the
+     * request would miss its deadline there. The last case sets the reply.
      */
     bool isUseless(const ForwardedRequest &request, ForwardAttempt &attempt, AttemptKind kind,
                    const Target &target) const;
--- a/src/sidecar/ingress/ForwardedRequest.h
+++ b/src/sidecar/ingress/ForwardedRequest.h
@@ -97,8 +97,9 @@
     HomeSearch search;
     /** Homes whose server has run the request, or may have; their number is limited by the route's maxAttempts. */
     std::set<std::string> reachedHomes;
-    /** Homes to which the request was sent, and the number of reservations made for it. */
+    /** Homes to which the request was sent. */
     std::set<std::string> triedHomes;
+    /** Number of slot reservations made for the request. */
     std::size_t reservationsMade = 0;
     /** The outcome of an attempt could not be queried, and no retry has been considered since. */
     bool hasLostAttempt = false;
@@ -108,7 +109,7 @@
     bool queuedCancelled = false;
     /** Attempts that wait for a slot; a hedge would find none either. */
     int waitingForSlot = 0;
-    /** Refusals by homes that expect its nested calls to fail. */
+    /** Number of refusals by homes that expect the request's nested calls to fail. */
     int callsUnserved = 0;
     /** A hedge or a retry was made, or a hedge was denied: no further hedge is made. */
     bool hedged = false;
--- a/src/sidecar/ingress/HomeSelector.h
+++ b/src/sidecar/ingress/HomeSelector.h
@@ -20,8 +20,8 @@
 struct SlotWaitResult;
 
 /**
- * Chooses the next home of a request from the ranking of the homes, and whether it waits for a slot there first. Keeps
- * the ranking up to date with slot offers and the state of paths. Sends no request. Not thread safe.
+ * Chooses the next home of a request by HomeRanking, and decides whether the request first waits for a slot offer.
+ * Updates the ranking with slot offers and the state of paths. Sends no request. Not thread safe.
  */
 class HomeSelector
 {
--- a/src/sidecar/ingress/RetryGate.h
+++ b/src/sidecar/ingress/RetryGate.h
@@ -27,7 +27,7 @@
     bool reserveRetry(const ForwardedRequest &request, const char *why);
     /** The same for a hedge of a slow attempt. @pre called from a fiber. */
     bool reserveHedge(const ForwardedRequest &request);
-    /** Returns the tokens of an attempt that reached no server. */
+    /** Puts the tokens of an attempt that reached no server back into the retry budget. */
     void refund(const ForwardedRequest &request);
 
 private:
--- a/src/sidecar/ingress/SlotRequester.h
+++ b/src/sidecar/ingress/SlotRequester.h
@@ -57,7 +57,7 @@
     SlotNeed need;
     /** The wait ends at this time even if a later start is useful, as when this node stops. */
     SteadyTime until = SteadyTime::max();
-    /** Refusals by homes that expect its nested calls to fail, before this wait. */
+    /** Number of refusals by homes that expect the request's nested calls to fail, before this wait. */
     int callsUnserved = 0;
     /** Returns the homes at which the request may reserve, with their current status. */
     std::function<std::vector<ReservationCandidate>()> candidates;
@@ -83,7 +83,7 @@
     Millis retryAfter{0};
     /** Number of reservations made. */
     std::size_t made = 0;
-    /** SlotWait::callsUnserved and the further ones. */
+    /** SlotWait::callsUnserved and the refusals during this wait. */
     int callsUnserved = 0;
 };
 
--- a/src/wire/ExecCodec.h
+++ b/src/wire/ExecCodec.h
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 /**
- * Encodes and decodes whole messages about requests with tickets and their claims. The decoders throw
+ * Encodes (xOf) and decodes (xFrom) the messages about requests with tickets and their claims. The decoders throw
  * nlohmann::json::exception for a message of another form. All are thread safe.
  */
 namespace waxwing::wire {
--- a/src/wire/FieldCodec.cpp
+++ b/src/wire/FieldCodec.cpp
@@ -13,9 +13,9 @@
 constexpr double slowdownSteps = 100.0;
 /** Ages are encoded in these steps, so that each takes one or two bytes. */
 constexpr Millis configAgeStep{100};
-/** Older tokens don't count anyway. */
+/** A greater age is decoded as this one: QuotaCounter gives back no tokens as old as that. */
 constexpr std::uint64_t maxReturnAgeMs = 3600000;
-/** A node states the tokens of two windows in steps of 50 ms. */
+/** Upper bound on the entries of one list. QuotaLedger states two windows in steps of 50 ms, which takes far fewer. */
 constexpr std::size_t maxReturns = 10000;
 constexpr std::uint64_t maxConfigAgeSteps = KnownVersions::maxConfigAge / configAgeStep;
 
--- a/src/wire/FieldCodec.h
+++ b/src/wire/FieldCodec.h
@@ -5,8 +5,8 @@
 #include <nlohmann/json.hpp>
 
 /**
- * Encodes and decodes the values that messages consist of. The decoders throw nlohmann::json::exception for a value of
- * another form. All are thread safe.
+ * Encodes (xOf) and decodes (xFrom) the values that messages consist of. The decoders throw nlohmann::json::exception
+ * for a value of another form. All are thread safe.
  */
 namespace waxwing::wire {
 
--- a/src/wire/QuotaCodec.cpp
+++ b/src/wire/QuotaCodec.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-/** Place of the tokens given back in the report on a customer. Earlier builds neither send nor read it. */
+/** Index of QuotaUse::returned in the array for a customer. Earlier builds neither send nor read it. */
 constexpr std::size_t quotaUseReturns = 5;
-/** Keeps sums with the tokens given back within range. */
+/** QuotaUse::used is decoded within this bound on both sides, so that sums with the tokens given back don't overflow.
+ */
 constexpr std::int64_t maxQuotaUse = std::int64_t{1} << 53;
 
 } // namespace
--- a/src/wire/WorkCodec.h
+++ b/src/wire/WorkCodec.h
@@ -5,8 +5,8 @@
 #include <nlohmann/json.hpp>
 
 /**
- * Encodes and decodes whole messages about work at homes and its fences. The decoders throw nlohmann::json::exception
- * for a message of another form. All are thread safe.
+ * Encodes (xOf) and decodes (xFrom) the messages about work at homes and its fences. The decoders throw
+ * nlohmann::json::exception for a message of another form. All are thread safe.
  */
 namespace waxwing::wire {
 
--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -437,8 +437,8 @@
     reply.retryAfter = node.counter->retryAfter(events_.now());
     reply.mode = node.counter->mode(events_.now());
     const bool isDue = node.announced != reply.mode || events_.now() - node.announcedAt >= tuning_.window;
-    const bool isPassedOver = use.isFromStandIn() && events_.now() - node.announcedAt >= standInAnnounceInterval;
-    if (policy_ == QuotaPolicy::RegionCounters && (isPassedOver || (reply.mode == QuotaMode::Metered && isDue))) {
+    const bool isExcluded = use.isFromStandIn() && events_.now() - node.announcedAt >= standInAnnounceInterval;
+    if (policy_ == QuotaPolicy::RegionCounters && (isExcluded || (reply.mode == QuotaMode::Metered && isDue))) {
         node.announcedAt = events_.now();
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             if (nodes_[i].region == node.region && i != counter) {
