--- a/include/customer/CounterElection.h
+++ b/include/customer/CounterElection.h
@@ -18,13 +18,13 @@
 public:
     /** Replaces the nodes, this one included. */
     void setNodes(std::vector<std::string> nodes, SteadyTime now);
-    /** Excludes @p node for a while. */
+    /** Excludes @p node for a while, because it did not reply. */
     void noteUnreachable(const std::string &node, SteadyTime now);
-    /** Ends the time for which @p node is excluded: it has replied in time, or a link to it has opened. */
+    /** Ends the exclusion of @p node, because it has replied in time or a link to it has opened. */
     void noteReachable(const std::string &node);
     /** Returns the highest-ranked node that is not excluded; empty if there is none. */
     const std::string &counterOf(const std::string &customer, SteadyTime now);
-    /** Returns the highest-ranked node, also if it is excluded; empty if there is none. */
+    /** Returns the highest-ranked node, excluded or not; empty if there is none. */
     const std::string &firstOf(const std::string &customer);
     /** Returns true if @p node is the highest-ranked one for @p customer. */
     bool isFirst(const std::string &node, const std::string &customer) const;
--- a/src/customer/CounterElection.cpp
+++ b/src/customer/CounterElection.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** A killed process is back within some seconds. */
+/** How long a node that did not reply is excluded: a killed process is back within some seconds. */
 constexpr Millis exclusionTime{3000};
 /** Bounds the memory for customers that were met once; the ranks are worked out again when they are needed. */
 constexpr std::size_t maxRanked = 20000;
