--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -320,7 +320,9 @@
         });
         chosen = own != homes.end() ? &*own : nullptr;
     }
-    if (chosen == nullptr && isShort && query.retryable) {
+    // Beside a home that can serve the request, a gray one costs it a second try, and the server a slot while it hangs.
+    const bool hasBetter = isShort && knowsOtherHome(homes, tried, {}, defaults, now);
+    if (chosen == nullptr && isShort && query.retryable && (tried.empty() || !hasBetter)) {
         chosen = homeToExplore(homes, tried, defaults, now);
     }
     if (chosen == nullptr) {
@@ -331,7 +333,7 @@
     choice.node = chosen->node;
     choice.distance = chosen->distance;
     choice.loss = lossWithoutWait(*chosen, query, defaults, now);
-    choice.acceptsGray = true;
+    choice.acceptsGray = chosen->distance == Distance::SameNode || !hasBetter;
     return choice;
 }
 
