--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -198,7 +198,8 @@
      * Returns the home of least expected loss in @p homes, without those in @p tried and those avoided because their
      * server is likely gray. Its node is empty if there is none. While the service is short of homes, a request goes to
      * the own home if that is idle, and a retryable request may explore a home that counts as gray here: a server that
-     * has recovered would otherwise get nothing until the reports about it have lost their weight.
+     * has recovered would otherwise get nothing until the reports about it have lost their weight. Beside a known
+     * usable home only its first send does, and the gray home may refuse it.
      */
     HomeChoice choose(const std::vector<RankedHome> &homes, const std::set<std::string> &tried, const HomeQuery &query,
                       SteadyTime now);
