--- a/src/sidecar/home/SlotScheduler.cpp
+++ b/src/sidecar/home/SlotScheduler.cpp
@@ -66,7 +66,7 @@
     latch->wait();
     control->interrupt = {};
     control->onCancelQueued = {};
-    const WaitResult result = queuedJobs_[id].result;
+    WaitResult result = std::move(queuedJobs_[id].result);
     queuedJobs_.erase(id);
     return result;
 }
@@ -126,6 +126,7 @@
     for (const std::uint64_t id : ids) {
         const auto found = queuedJobs_.find(id);
         if (found != queuedJobs_.end()) {
+            found->second.result.reason = reason;
             found->second.latch->release();
         } else if (reservations_.onRemoved) {
             reservations_.onRemoved(id, reason);
@@ -150,12 +151,8 @@
             }
         }
         releaseQueued(result.expired, queueTimeoutReason);
-        for (const std::uint64_t id : result.callsUnserved) {
-            core_.metrics.count("refused_calls_unserved");
-            const auto found = queuedJobs_.find(id);
-            if (found != queuedJobs_.end()) {
-                found->second.result.callsUnserved = true;
-            }
+        if (!result.callsUnserved.empty()) {
+            core_.metrics.count("refused_calls_unserved", result.callsUnserved.size());
         }
         releaseQueued(result.callsUnserved, refusalReasonName(RefusalReason::CallsUnserved));
     }
--- a/src/sidecar/home/SlotScheduler.h
+++ b/src/sidecar/home/SlotScheduler.h
@@ -47,8 +47,8 @@
     struct WaitResult {
         /** The work may start. */
         bool started = false;
-        /** It was removed because its nested calls will likely fail. */
-        bool callsUnserved = false;
+        /** Why it left the queue, if it did not start; the reason of its refusal. */
+        std::string reason = queueTimeoutReason;
     };
 
     /** @pre the references outlive this object. */
@@ -96,7 +96,7 @@
         WaitResult result;
     };
 
-    /** Ends the wait of works that were removed from the queue. @p reason: for reservations. */
+    /** Ends the wait of works and refuses the reservations that were removed from the queue for @p reason. */
     void releaseQueued(const std::vector<std::uint64_t> &ids, const std::string &reason);
     void closeReservations(const std::string &reason);
 
--- a/src/sidecar/home/WorkAdmission.cpp
+++ b/src/sidecar/home/WorkAdmission.cpp
@@ -88,9 +88,7 @@
     const SlotScheduler::WaitResult waited = scheduler_.awaitStart(job.id, job.control);
     if (!waited.started || job.control->cancelled) {
         queue_.release(job.id, core_.clock.now());
-        const char *reason =
-            waited.callsUnserved ? refusalReasonName(RefusalReason::CallsUnserved) : queueTimeoutReason;
-        job.refuse(job.control->cancelled ? "cancelled" : reason);
+        job.refuse(job.control->cancelled ? "cancelled" : waited.reason);
         return false;
     }
     return true;
