--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -24,7 +24,7 @@
     , nestedCalls_(core, queue_)
     , scheduler_(core, queue_, nestedCalls_)
     , server_(core, scheduler_)
-    , admission_(core, queue_, scheduler_)
+    , admission_(core, scheduler_)
     , exchange_(core, queue_, server_, works_, nestedCalls_.tracker())
     , origins_(core)
 { }
--- a/src/sidecar/home/WorkAdmission.cpp
+++ b/src/sidecar/home/WorkAdmission.cpp
@@ -10,9 +10,8 @@
 
 namespace waxwing {
 
-WorkAdmission::WorkAdmission(NodeCore &core, SlotQueue &queue, SlotScheduler &scheduler)
+WorkAdmission::WorkAdmission(NodeCore &core, SlotScheduler &scheduler)
     : core_(core)
-    , queue_(queue)
     , scheduler_(scheduler)
 { }
 
@@ -86,12 +85,15 @@
         return true;
     }
     const SlotScheduler::WaitResult waited = scheduler_.awaitStart(job.id, job.control);
-    if (!waited.started || job.control->cancelled) {
-        queue_.release(job.id, core_.clock.now());
-        job.refuse(job.control->cancelled ? "cancelled" : waited.reason);
-        return false;
+    if (waited.started && !job.control->cancelled && !job.control->queuedCancelled) {
+        return true;
     }
-    return true;
+    if (waited.started) {
+        // It was cancelled after its start and before this fiber resumed. The slot is free for the next request.
+        scheduler_.release(job.id);
+    }
+    job.refuse(job.control->cancelled ? "cancelled" : waited.reason);
+    return false;
 }
 
 } // namespace waxwing
--- a/src/sidecar/home/WorkAdmission.h
+++ b/src/sidecar/home/WorkAdmission.h
@@ -8,7 +8,6 @@
 
 struct NodeCore;
 class ServerMemoryGate;
-class SlotQueue;
 class SlotScheduler;
 
 /** Lets works wait for the server's memory and then for a slot, or refuses them. Not thread safe. */
@@ -16,7 +15,7 @@
 {
 public:
     /** @pre the references outlive this object. */
-    WorkAdmission(NodeCore &core, SlotQueue &queue, SlotScheduler &scheduler);
+    WorkAdmission(NodeCore &core, SlotScheduler &scheduler);
 
     /** Bounds the bytes of requests in progress at the server. @pre @p memory outlives this object. */
     void setMemory(ServerMemoryGate &memory);
@@ -32,7 +31,6 @@
     bool awaitSlot(HomeJob &job, const std::function<void()> &onAdmitted);
 
     NodeCore &core_;
-    SlotQueue &queue_;
     SlotScheduler &scheduler_;
     /** Null if callers and servers don't read slowly. */
     ServerMemoryGate *memory_ = nullptr;
--- a/tests/unit/WorkAdmissionTest.cpp
+++ b/tests/unit/WorkAdmissionTest.cpp
@@ -76,7 +76,7 @@
     SlotQueue queue_;
     NestedCalls nestedCalls_{core_, queue_};
     SlotScheduler scheduler_{core_, queue_, nestedCalls_};
-    WorkAdmission admission_{core_, queue_, scheduler_};
+    WorkAdmission admission_{core_, scheduler_};
     /** A deque, because the fibers refer to its elements. */
     std::deque<Waiter> waiters_;
 };
@@ -117,3 +117,35 @@
     CHECK(waiting.ended);
     CHECK(waiting.reason == "queue-timeout");
 }
+
+// Guards against a free slot that no waiting request gets before the next periodic poll.
+TEST_CASE_FIXTURE(OneSlotHome, "work admission, work cancelled between its start and its resume, next one starts")
+{
+    Waiter &cancelled = submit();
+    Waiter &next = submit();
+    scheduler_.release(first().slotId);
+    cancelled.control->cancel();
+    runFibers();
+    CHECK(cancelled.ended);
+    CHECK_FALSE(cancelled.admitted);
+    CHECK(cancelled.reason == "cancelled");
+    CHECK(next.admitted);
+    scheduler_.clearServer();
+    runFibers();
+}
+
+// Guards against a work that runs although its sender has cancelled it while it was queued.
+TEST_CASE_FIXTURE(OneSlotHome, "work admission, queued work cancelled between its start and its resume, does not run")
+{
+    Waiter &cancelled = submit();
+    Waiter &next = submit();
+    scheduler_.release(first().slotId);
+    cancelled.control->cancelQueued();
+    runFibers();
+    CHECK(cancelled.ended);
+    CHECK_FALSE(cancelled.admitted);
+    CHECK(cancelled.reason == "queue-timeout");
+    CHECK(next.admitted);
+    scheduler_.clearServer();
+    runFibers();
+}
