--- a/include/health/GrayFilter.h
+++ b/include/health/GrayFilter.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -65,8 +66,9 @@
      */
     void addFailure(double ratio, SteadyTime startedAt, SteadyTime now);
     /**
-     * Removes a failure that proved to be none; does nothing once it is older than the ordering window. @p ratio and
-     * @p startedAt: the same values as in addFailure().
+     * Removes a failure that proved to be none, as if it had never been added. Does nothing if it was added before the
+     * ordering window or before the latest @c maxOrdered results. @p ratio and @p startedAt: the same values as in
+     * addFailure().
      */
     void withdrawFailure(double ratio, SteadyTime startedAt);
     /**
@@ -95,22 +97,45 @@
         double probability = 0.0;
         SteadyTime at;
     };
+    struct State {
+        /** After all evidence before @c recent. */
+        Estimate base;
+        /** In the order of time. */
+        std::vector<Evidence> recent;
+        std::optional<Phase> phase;
+    };
+    /** A success or a failure as it was added. */
+    struct Result {
+        bool failed = false;
+        /** Of a failure. */
+        double ratio = 1.0;
+        SteadyTime startedAt;
+        SteadyTime addedAt;
+    };
 
-    void add(const Evidence &evidence, SteadyTime now);
+    void add(const Result &result);
+    void apply(State &state, const Result &result) const;
+    void applySuccess(State &state, const Result &success) const;
+    void applyFailure(State &state, const Result &failure) const;
+    void addEvidence(State &state, const Evidence &evidence, SteadyTime now) const;
     /** Returns @p estimate without evidence until @p now. */
-    Estimate decayed(const Estimate &estimate, SteadyTime now) const;
-    Estimate updated(const Estimate &estimate, const Evidence &evidence) const;
+    Estimate decayed(const State &state, const Estimate &estimate, SteadyTime now) const;
+    Estimate updated(const State &state, const Estimate &estimate, const Evidence &evidence) const;
+    double probabilityOf(const State &state, SteadyTime now, const std::vector<UnfinishedRun> &unfinished = {}) const;
     /** Returns the estimated share of requests that fail in the current phase. */
-    double currentFailureRate() const;
+    double currentFailureRate(const State &state) const;
     /** Returns for how long the current phase is expected to continue. */
-    Duration expectedGrayDuration() const;
+    Duration expectedGrayDuration(const State &state) const;
 
     GrayTuning tuning_;
-    /** After all evidence before @c recent_. */
-    Estimate base_;
-    /** In the order of time. */
-    std::vector<Evidence> recent_;
-    std::optional<Phase> phase_;
+    State state_;
+    /**
+     * State before @c latest_, from which it is computed anew without a withdrawn failure. The weights of successes and
+     * the phases depend on the failures before them, so no single correction undoes a failure.
+     */
+    State settled_;
+    /** The results added within the ordering window, at most @c maxOrdered, in the order in which they were added. */
+    std::deque<Result> latest_;
 };
 
 } // namespace waxwing
