--- a/src/sidecar/home/ResponseEvaluator.cpp
+++ b/src/sidecar/home/ResponseEvaluator.cpp
@@ -56,7 +56,7 @@
         break;
     case platform::ServerResponse::Failure:
         if (!job.callFailed) {
-            queue_.addResult(job.work.route, true, processingTime, now);
+            addFailure(job, processingTime);
         }
         reply.outcome = Outcome::Ran;
         reply.serverFault = true;
@@ -73,7 +73,7 @@
         server_.noteReplaced("another server answers at its address");
         break;
     case platform::ServerResponse::Unusable:
-        queue_.addResult(job.work.route, true, processingTime, now);
+        addFailure(job, processingTime);
         reply.outcome = Outcome::Unknown;
         reply.serverFault = true;
         reply.reason = "unusable-answer";
@@ -92,7 +92,7 @@
         if (error.failure == ExchangeFailure::Connect) {
             // The port is closed, so the process has ended. A new process registers with a new heartbeat.
             server_.noteReplaced("connection refused");
-        } else if (!job.control->cancelled) {
+        } else if (!job.control->cancelled && !queue_.isOverdue(job.id)) {
             queue_.addEvidence(timeoutLikelihoodRatio, processingTime, now);
         }
         return;
@@ -120,7 +120,15 @@
         return;
     }
     if (!error.onReusedConnection || error.failure != ExchangeFailure::Reset) {
-        queue_.addResult(job.work.route, true, processingTime, now);
+        addFailure(job, processingTime);
+    }
+}
+
+void ResponseEvaluator::addFailure(const HomeJob &job, Duration processingTime)
+{
+    // The silence of an overdue run is stronger evidence than the failure after it.
+    if (!queue_.isOverdue(job.id)) {
+        queue_.addResult(job.work.route, true, processingTime, core_.clock.now());
     }
 }
 
--- a/src/sidecar/home/ResponseEvaluator.h
+++ b/src/sidecar/home/ResponseEvaluator.h
@@ -33,6 +33,8 @@
 private:
     void handleResponse(HomeJob &job, const HttpResponse &response, Duration processingTime);
     void handleFailure(HomeJob &job, const ExchangeError &error, Duration processingTime);
+    /** Records the failure of the run, unless it was already counted as overdue. */
+    void addFailure(const HomeJob &job, Duration processingTime);
     /** Returns true, and records a crash by this request, if the server's process ended while it ran the request. */
     bool detectCrash(const HomeJob &job);
 
--- /dev/null
+++ b/tests/unit/ResponseEvaluatorTest.cpp
@@ -0,0 +1,174 @@
+#include "src/sidecar/home/ResponseEvaluator.h"
+#include "platform/Names.h"
+#include "src/fiber/FiberLoop.h"
+#include "src/node/NodeCore.h"
+#include "src/node/PoisonService.h"
+#include "src/sidecar/home/NestedCalls.h"
+#include "src/sidecar/home/ServerExchange.h"
+#include "src/sidecar/home/ServerMemoryGate.h"
+#include "src/sidecar/home/ServerPresence.h"
+#include "src/sidecar/home/SlotScheduler.h"
+#include "tests/support/ManualClock.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/fiber/operations.hpp>
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace waxwing;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t firstProcess = 100;
+constexpr std::uint64_t secondProcess = 200;
+constexpr unsigned serverError = 500;
+constexpr unsigned unavailable = 503;
+constexpr unsigned misdirected = 421;
+const Millis usualWork(200);
+
+HttpResponse response(unsigned status, const std::string &header)
+{
+    return HttpResponse{status, {{header, "1"}}, "x"};
+}
+
+/** A home with a registered server, which listens but reads nothing. */
+class EvaluatingHome
+{
+protected:
+    EvaluatingHome()
+    {
+        REQUIRE(core_.kernel.provide("poison", poison_));
+        evaluator_.setMemory(memory_);
+        registerServer(firstProcess);
+        for (int i = 0; i < 20; ++i) {
+            queue_.addResult("read", false, usualWork, clock_.now());
+        }
+        work_.service = "desk";
+        work_.route = "read";
+    }
+
+    NodeSettings settings() const
+    {
+        NodeSettings out;
+        out.server = LocalServer{"desk", Endpoint{"127.0.0.1", listener_.local_endpoint().port()}};
+        return out;
+    }
+
+    void registerServer(std::uint64_t incarnation)
+    {
+        const std::string port = std::to_string(core_.settings.server->address.port);
+        const std::string body = R"({"service":"desk","address":"127.0.0.1:)" + port
+                                 + R"(","zone":"z","version":"v1","slots":3,"state":"ready","sequence":1,"born":)"
+                                 + std::to_string(incarnation) + "}";
+        const auto reply = server_.handleCall(HttpRequest{
+            "POST", std::string(platform::names::serverCalls) + "i-1/" + platform::names::heartbeatCall, {}, body});
+        REQUIRE(reply);
+        REQUIRE(reply->status == 200);
+    }
+
+    /** Starts a work, which holds a slot afterwards. */
+    HomeJob &start()
+    {
+        const SteadyTime now = clock_.now();
+        HomeJob &job = jobs_.emplace_back(HomeJob{
+            key_, work_, std::make_shared<RunControl>(), scheduler_.nextId(), now + Millis(5000), now, {}, now});
+        SlotRequest request;
+        request.id = job.id;
+        request.route = work_.route;
+        request.retryable = true;
+        request.objective = job.deadline;
+        request.deadline = job.deadline;
+        REQUIRE(scheduler_.submit(request, now).action == SlotAction::Start);
+        return job;
+    }
+
+    /** Runs the handlers and the fibers until @p isDone, for five seconds at most. */
+    bool runUntil(const std::function<bool()> &isDone)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!isDone() && std::chrono::steady_clock::now() < end) {
+            ioContext_.restart();
+            ioContext_.run_for(Millis(1));
+            boost::this_fiber::yield();
+        }
+        return isDone();
+    }
+
+    /** Returns true if the crash of a server that has four uploads in progress bounds the bytes for the next one. */
+    bool learnsBoundAfter(const tl::expected<HttpResponse, ExchangeError> &result)
+    {
+        constexpr std::uint64_t uploadBytes = 100UL * 1024;
+        for (std::uint64_t id = 1; id <= 4; ++id) {
+            const ServerMemoryGate::Request upload{id, uploadBytes, clock_.now(), std::make_shared<RunControl>()};
+            REQUIRE(memory_.admit(upload, [] {}) == ServerMemoryGate::Result::Admitted);
+        }
+        evaluator_.evaluate(start(), result, usualWork);
+        memory_.noteReset();
+        memory_.noteCrash("i-1@1");
+        return core_.metrics.counter("server_memory_learned") == 1;
+    }
+
+    /** Returns how much the result of an overdue run raises the probability that the server is gray. */
+    double riseAfterOverdue(const tl::expected<HttpResponse, ExchangeError> &result)
+    {
+        HomeJob &job = start();
+        clock_.advance(10 * usualWork);
+        queue_.noteOverdueWork(clock_.now());
+        REQUIRE(queue_.isOverdue(job.id));
+        const double before = queue_.grayProbability(clock_.now());
+        evaluator_.evaluate(job, result, 10 * usualWork);
+        return queue_.grayProbability(clock_.now()) - before;
+    }
+
+    boost::asio::io_context ioContext_;
+    tcp::acceptor listener_{ioContext_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
+    waxwing::testing::ManualClock clock_;
+    NodeCore core_{ioContext_, clock_, settings(), 1, 1};
+    PoisonService poison_{core_, [](const Record &) {}};
+    SlotQueue queue_;
+    WorkTable works_{clock_};
+    NestedCalls nestedCalls_{core_, queue_};
+    SlotScheduler scheduler_{core_, queue_, nestedCalls_};
+    ServerPresence server_{core_, scheduler_};
+    ServerMemoryGate memory_{core_};
+    ResponseEvaluator evaluator_{core_, queue_, server_};
+    ServerExchange exchange_{core_, queue_, server_, works_, nestedCalls_.tracker()};
+    WorkKey key_{{"sender", 1}, 1};
+    Work work_;
+    std::deque<HomeJob> jobs_;
+};
+
+} // namespace
+
+// Guards against a run that hung and then failed and that counts as two failures of its server.
+TEST_CASE_FIXTURE(EvaluatingHome, "response evaluator, overdue run fails, counts once")
+{
+    SUBCASE("failure response")
+    {
+        CHECK(riseAfterOverdue(response(serverError, platform::names::signature)) == doctest::Approx(0.0));
+    }
+    SUBCASE("response without a signature")
+    {
+        CHECK(riseAfterOverdue(response(serverError, "X-Other")) == doctest::Approx(0.0));
+    }
+    SUBCASE("connection broken within the response")
+    {
+        CHECK(riseAfterOverdue(tl::unexpected(ExchangeError{ExchangeFailure::Truncated, true, false}))
+              == doctest::Approx(0.0));
+    }
+    SUBCASE("connection not usable in time")
+    {
+        CHECK(riseAfterOverdue(tl::unexpected(ExchangeError{ExchangeFailure::Timeout, false, false}))
+              == doctest::Approx(0.0));
+    }
+}
+
+// Guards against failures that no longer count, once those of overdue runs don't.
+TEST_CASE_FIXTURE(EvaluatingHome, "response evaluator, run fails in its usual time, counts against the server")
+{
+    const double before = queue_.grayProbability(clock_.now());
+    evaluator_.evaluate(start(), response(serverError, platform::names::signature), usualWork);
+    CHECK(queue_.grayProbability(clock_.now()) > before);
+}
