--- a/src/sidecar/home/ResponseEvaluator.cpp
+++ b/src/sidecar/home/ResponseEvaluator.cpp
@@ -44,10 +44,12 @@
 {
     const SteadyTime now = core_.clock.now();
     WorkReply &reply = job.reply;
-    if (memory_ != nullptr) {
+    const platform::ServerResponse kind = platform::classifyResponse(response);
+    const bool notRun = kind == platform::ServerResponse::NotRun || kind == platform::ServerResponse::OtherServer;
+    if (memory_ != nullptr && !notRun) {
         memory_->noteCompleted();
     }
-    switch (platform::classifyResponse(response)) {
+    switch (kind) {
     case platform::ServerResponse::Answer:
         queue_.withdrawOverdue(job.id);
         queue_.addResult(job.work.route, false, processingTime, now);
--- a/tests/unit/ResponseEvaluatorTest.cpp
+++ b/tests/unit/ResponseEvaluatorTest.cpp
@@ -172,3 +172,22 @@
     evaluator_.evaluate(start(), response(serverError, platform::names::signature), usualWork);
     CHECK(queue_.grayProbability(clock_.now()) > before);
 }
+
+// Guards against a memory bound that is never learned because the server shed a request with many bytes in progress.
+TEST_CASE_FIXTURE(EvaluatingHome, "response evaluator, server did not run the request, shows nothing about its memory")
+{
+    SUBCASE("server shed the request")
+    {
+        CHECK(learnsBoundAfter(response(unavailable, platform::names::notRun)));
+    }
+    SUBCASE("another server answers")
+    {
+        CHECK(learnsBoundAfter(response(misdirected, "X-Other")));
+    }
+}
+
+// Guards against a memory bound learned from a level that the server has proven to survive.
+TEST_CASE_FIXTURE(EvaluatingHome, "response evaluator, server ran the request, shows that its memory suffices")
+{
+    CHECK_FALSE(learnsBoundAfter(response(200, platform::names::signature)));
+}
