--- a/include/home/LocalServerState.h
+++ b/include/home/LocalServerState.h
@@ -36,10 +36,10 @@
     /** Deregisters the server. @p incarnation: its incarnation, if the request names one. */
     ServerChange deregister(const std::string &server, std::optional<std::uint64_t> incarnation);
     /**
-     * Records that another process, or none, responds at the server's address. No server accepts work until a newer
-     * announcement arrives.
+     * Records that another process, or none, responds at the address of the process @p incarnation. If that is the
+     * current process, no server accepts work until a newer announcement arrives.
      */
-    void noteReplaced();
+    ServerChange noteReplaced(std::uint64_t incarnation);
 
     /** Returns the process that accepts work, or null. */
     const Announcement *serving() const;
--- a/src/home/LocalServerState.cpp
+++ b/src/home/LocalServerState.cpp
@@ -70,9 +70,13 @@
     return ServerChange::Stopped;
 }
 
-void LocalServerState::noteReplaced()
+ServerChange LocalServerState::noteReplaced(std::uint64_t incarnation)
 {
+    if (!current_ || current_->incarnation != incarnation || stopped_) {
+        return ServerChange::None;
+    }
     stopped_ = true;
+    return ServerChange::Stopped;
 }
 
 const Announcement *LocalServerState::serving() const
--- a/src/sidecar/home/ResponseEvaluator.cpp
+++ b/src/sidecar/home/ResponseEvaluator.cpp
@@ -72,7 +72,7 @@
     case platform::ServerResponse::OtherServer:
         reply.outcome = Outcome::NotRun;
         reply.reason = "other-server";
-        server_.noteReplaced("another server answers at its address");
+        server_.noteReplaced(job.incarnation, "another server answers at its address");
         break;
     case platform::ServerResponse::Unusable:
         addFailure(job, processingTime);
@@ -93,7 +93,7 @@
         reply.reachedServer = false;
         if (error.failure == ExchangeFailure::Connect) {
             // The port is closed, so the process has ended. A new process registers with a new heartbeat.
-            server_.noteReplaced("connection refused");
+            server_.noteReplaced(job.incarnation, "connection refused");
         } else if (!job.control->cancelled && !queue_.isOverdue(job.id)) {
             queue_.addEvidence(timeoutLikelihoodRatio, processingTime, now);
         }
@@ -138,22 +138,15 @@
 {
     // A poison request crashes every server that runs it, and its caller retries it. A crash differs from a broken
     // connection in that no process listens at the server's address any more.
-    const Announcement *latest = server_.latest();
-    if (latest == nullptr) {
-        return false;
-    }
-    const std::string server = latest->server + "@" + hexText(latest->incarnation);
-    const Endpoint address = core_.settings.server->address;
-    if (!core_.client.hasStoppedListening(address)) {
+    if (!core_.client.hasStoppedListening(core_.settings.server->address)) {
         return false;
     }
+    const std::string server = job.reply.server + "@" + hexText(job.incarnation);
     core_.service<PoisonService>("poison").noteDeath(requestDigest(job.work.service, job.work.request), server);
     if (memory_ != nullptr) {
         memory_->noteCrash(server);
     }
-    if (server_.serving() != nullptr) {
-        server_.noteReplaced("its process ended");
-    }
+    server_.noteReplaced(job.incarnation, "its process ended");
     return true;
 }
 
--- a/src/sidecar/home/ServerExchange.cpp
+++ b/src/sidecar/home/ServerExchange.cpp
@@ -50,6 +50,7 @@
     }
     works_.noteRunning(job.key);
     job.reply.server = serving->server;
+    job.incarnation = serving->incarnation;
     job.reply.reachedServer = true;
     ExchangeCancel cancel;
     ExchangeOptions options;
--- a/src/sidecar/home/ServerPresence.cpp
+++ b/src/sidecar/home/ServerPresence.cpp
@@ -41,10 +41,12 @@
     return platform::serverCallReply(true, {});
 }
 
-void ServerPresence::noteReplaced(const std::string &cause)
+void ServerPresence::noteReplaced(std::uint64_t incarnation, const std::string &cause)
 {
-    state_.noteReplaced();
-    applyChange(ServerChange::Stopped, cause);
+    const ServerChange change = state_.noteReplaced(incarnation);
+    if (change != ServerChange::None) {
+        applyChange(change, cause);
+    }
 }
 
 const Announcement *ServerPresence::serving() const
--- a/src/sidecar/home/ServerPresence.h
+++ b/src/sidecar/home/ServerPresence.h
@@ -3,6 +3,7 @@
 #include "include/home/LocalServerState.h"
 #include "src/http/HttpClient.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -24,10 +25,11 @@
     /** Handles a call of the server beside this node. Returns nullopt if @p request is not such a call. */
     std::optional<HttpResponse> handleCall(const HttpRequest &request);
     /**
-     * Records that another process, or none, responds at the server's address, and returns queued work to its senders.
-     * @p cause: for the log.
+     * Records that another process, or none, responds at the address of the process @p incarnation, and returns queued
+     * work to its senders. Does nothing if a later process has registered meanwhile, or if the process already accepts
+     * no work. @p cause: for the log.
      */
-    void noteReplaced(const std::string &cause);
+    void noteReplaced(std::uint64_t incarnation, const std::string &cause);
     /** Returns the process that accepts work, or null. The pointer is valid until the next heartbeat. */
     const Announcement *serving() const;
     /** Returns the newest process known, in whatever state, or null. The pointer is valid until the next heartbeat. */
--- a/tests/unit/LocalServerTest.cpp
+++ b/tests/unit/LocalServerTest.cpp
@@ -96,7 +96,17 @@
                   "local server, another process at its address, is unknown until it announces itself")
 {
     state.update(announcement("i1", 100, 1), expected);
-    state.noteReplaced();
+    CHECK(state.noteReplaced(100) == ServerChange::Stopped);
     CHECK(state.serving() == nullptr);
     CHECK(state.update(announcement("i2", 200, 1), expected) == ServerChange::Started);
 }
+
+// Guards against a new process that gets no work because a request to its predecessor fails later.
+TEST_CASE_FIXTURE(LocalServerFixture, "local server, earlier process found replaced, later one continues to serve")
+{
+    state.update(announcement("i1", 100, 1), expected);
+    state.update(announcement("i1", 200, 1), expected);
+    CHECK(state.noteReplaced(100) == ServerChange::None);
+    REQUIRE(state.serving() != nullptr);
+    CHECK(state.serving()->incarnation == 200);
+}
--- a/tests/unit/ResponseEvaluatorTest.cpp
+++ b/tests/unit/ResponseEvaluatorTest.cpp
@@ -191,3 +191,36 @@
 {
     CHECK_FALSE(learnsBoundAfter(response(200, platform::names::signature)));
 }
+
+// Guards against a restarted server that gets no work because the crash of its predecessor is detected late.
+TEST_CASE_FIXTURE(EvaluatingHome, "response evaluator, server restarts while its crash is detected, serves")
+{
+    HomeJob &job = start();
+    bool ended = false;
+    spawnFiber([&] {
+        exchange_.run(job);
+        ended = true;
+    });
+    std::deque<tcp::socket> accepted;
+    const std::function<void()> accept = [&] {
+        listener_.async_accept([&](boost::system::error_code error, tcp::socket socket) {
+            if (!error) {
+                accepted.push_back(std::move(socket));
+                accept();
+            }
+        });
+    };
+    accept();
+    REQUIRE(runUntil([&] { return accepted.size() == 1; }));
+    accepted.front().close();
+    // The second connection is the first of the two checks whether a process listens.
+    REQUIRE(runUntil([&] { return accepted.size() == 2; }));
+    registerServer(secondProcess);
+    listener_.close();
+    REQUIRE(runUntil([&] { return ended; }));
+    CHECK(job.reply.reason == "server-reset");
+    CHECK(poison_.deaths(requestDigest(work_.service, work_.request)) == 1);
+    REQUIRE(server_.serving() != nullptr);
+    CHECK(server_.serving()->incarnation == secondProcess);
+    CHECK(queue_.hasServer());
+}
