--- a/src/sidecar/home/ResponseEvaluator.cpp
+++ b/src/sidecar/home/ResponseEvaluator.cpp
@@ -44,10 +44,12 @@
 {
     const SteadyTime now = core_.clock.now();
     WorkReply &reply = job.reply;
-    if (memory_ != nullptr) {
+    const platform::ServerResponse kind = platform::classifyResponse(response);
+    const bool notRun = kind == platform::ServerResponse::NotRun || kind == platform::ServerResponse::OtherServer;
+    if (memory_ != nullptr && !notRun) {
         memory_->noteCompleted();
     }
-    switch (platform::classifyResponse(response)) {
+    switch (kind) {
     case platform::ServerResponse::Answer:
         queue_.withdrawOverdue(job.id);
         queue_.addResult(job.work.route, false, processingTime, now);
@@ -56,7 +58,7 @@
         break;
     case platform::ServerResponse::Failure:
         if (!job.callFailed) {
-            queue_.addResult(job.work.route, true, processingTime, now);
+            addFailure(job, processingTime);
         }
         reply.outcome = Outcome::Ran;
         reply.serverFault = true;
@@ -70,10 +72,10 @@
     case platform::ServerResponse::OtherServer:
         reply.outcome = Outcome::NotRun;
         reply.reason = "other-server";
-        server_.noteReplaced("another server answers at its address");
+        server_.noteReplaced(job.incarnation, "another server answers at its address");
         break;
     case platform::ServerResponse::Unusable:
-        queue_.addResult(job.work.route, true, processingTime, now);
+        addFailure(job, processingTime);
         reply.outcome = Outcome::Unknown;
         reply.serverFault = true;
         reply.reason = "unusable-answer";
@@ -91,8 +93,8 @@
         reply.reachedServer = false;
         if (error.failure == ExchangeFailure::Connect) {
             // The port is closed, so the process has ended. A new process registers with a new heartbeat.
-            server_.noteReplaced("connection refused");
-        } else if (!job.control->cancelled) {
+            server_.noteReplaced(job.incarnation, "connection refused");
+        } else if (!job.control->cancelled && !queue_.isOverdue(job.id)) {
             queue_.addEvidence(timeoutLikelihoodRatio, processingTime, now);
         }
         return;
@@ -120,7 +122,15 @@
         return;
     }
     if (!error.onReusedConnection || error.failure != ExchangeFailure::Reset) {
-        queue_.addResult(job.work.route, true, processingTime, now);
+        addFailure(job, processingTime);
+    }
+}
+
+void ResponseEvaluator::addFailure(const HomeJob &job, Duration processingTime)
+{
+    // The silence of an overdue run is stronger evidence than the failure after it.
+    if (!queue_.isOverdue(job.id)) {
+        queue_.addResult(job.work.route, true, processingTime, core_.clock.now());
     }
 }
 
@@ -128,22 +138,15 @@
 {
     // A poison request crashes every server that runs it, and its caller retries it. A crash differs from a broken
     // connection in that no process listens at the server's address any more.
-    const Announcement *latest = server_.latest();
-    if (latest == nullptr) {
-        return false;
-    }
-    const std::string server = latest->server + "@" + hexText(latest->incarnation);
-    const Endpoint address = core_.settings.server->address;
-    if (!core_.client.hasStoppedListening(address)) {
+    if (!core_.client.hasStoppedListening(core_.settings.server->address)) {
         return false;
     }
+    const std::string server = job.reply.server + "@" + hexText(job.incarnation);
     core_.service<PoisonService>("poison").noteDeath(requestDigest(job.work.service, job.work.request), server);
     if (memory_ != nullptr) {
         memory_->noteCrash(server);
     }
-    if (server_.serving() != nullptr) {
-        server_.noteReplaced("its process ended");
-    }
+    server_.noteReplaced(job.incarnation, "its process ended");
     return true;
 }
 
