--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/ConfigSync.cpp
@@ -109,7 +109,7 @@
     const std::string before = std::to_string(version());
     current_ = std::make_shared<const FleetConfig>(std::move(decoded));
     hasRefusedNewer_ = false;
-    confirmLaterProof();
+    confirmPendingProof();
     core_.events.write(Severity::Info, "config_in_force",
                        {{"version", std::to_string(version())},
                         {"before", before},
@@ -152,16 +152,15 @@
     // A version is never replaced by a lower one, so a higher one in force holds all that was known at that time.
     if (version <= this->version()) {
         watch_->proof().confirm(provenAt);
-    } else if (!laterProof_ || version >= laterProof_->version) {
-        laterProof_ = VersionProof{version, provenAt};
+    } else {
+        pendingProof_.add(version, provenAt);
     }
 }
 
-void ConfigSync::confirmLaterProof()
+void ConfigSync::confirmPendingProof()
 {
-    if (laterProof_ && laterProof_->version <= version()) {
-        watch_->proof().confirm(laterProof_->provenAt);
-        laterProof_.reset();
+    if (const std::optional<SteadyTime> provenAt = pendingProof_.take(version())) {
+        watch_->proof().confirm(*provenAt);
     }
 }
 
--- a/src/sidecar/ConfigSync.h
+++ b/src/sidecar/ConfigSync.h
@@ -2,6 +2,7 @@
 
 #include "include/customer/KeyAdmission.h"
 #include "include/fleet/FleetConfig.h"
+#include "include/fleet/PendingProof.h"
 #include "platform/ObjectApi.h"
 
 #include <functional>
@@ -70,11 +71,6 @@
     bool isStoreReachable() const;
 
 private:
-    struct VersionProof {
-        std::uint64_t version = 0;
-        SteadyTime provenAt;
-    };
-
     /** Applies a document that the store returned, by the hook if it takes it. Returns false if it is invalid. */
     bool applyStoreDocument(const std::string &document, const std::string &source);
     void handleChanges(const ObjectChanges &changes);
@@ -82,15 +78,15 @@
     /** Returns the age by which this node's role is chosen. */
     std::optional<Duration> ageForRole() const;
     bool hasProofOlderThan(double fraction) const;
-    void confirmLaterProof();
+    void confirmPendingProof();
 
     NodeCore &core_;
     KeyAdmissionTuning keyAdmission_;
     /** A newer document was refused: the version in force is known not to be the newest. */
     bool hasRefusedNewer_ = false;
     std::shared_ptr<const FleetConfig> current_;
-    /** A proof of a version above the one in force. It is used once that version is in force. */
-    std::optional<VersionProof> laterProof_;
+    /** The proof of a version above the one in force. */
+    PendingProof pendingProof_;
     std::vector<ChangeHook> hooks_;
     DocumentHook storeDocumentHook_;
     std::unique_ptr<StoreWatch> watch_;
