--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -151,13 +151,18 @@
     /** A home that refused for lack of a server is avoided for this long. */
     Millis noServerBackoff{700};
     /**
-     * A service is short of homes while at least this share of the homes that replied in this time or whose path
-     * failed, and at least this many, are avoided. Requests then explore homes that count as gray, and paths are
+     * A service is short of homes while at least this share of the homes that replied or whose path failed, each within
+     * its time, and at least this many, are avoided. Requests then explore homes that count as gray, and paths are
      * checked before requests use them. Gray servers alone are about one in eight at any time.
      */
     double exploreAvoidedShare = 0.35;
     int exploreMinAvoided = 2;
     Millis heardWithin{5000};
+    /**
+     * A failed path counts for this long after the last request or probe that failed on it. PathMonitor probes it at
+     * least every 4.5 s, so that one probe may be missing.
+     */
+    Millis pathFailureValidFor{10000};
     /** Minimum time from the last reply of a home, or the last chance to explore it, to the next chance. */
     Millis exploreAfter{500};
     /**
@@ -220,16 +225,18 @@
     /** Records that the home refused because its server is likely gray. */
     void noteLikelyGray(const RankedHome &home, SteadyTime now);
     /**
-     * Records that no response came over the path. The path counts as failed until notePathRecovered(), and the caller
-     * of this function probes it. When it counted as failed only for a fixed time, every sender lost one more request
-     * each time to find out that a VM was still down.
+     * Records that no response came over the path. The home is ranked last until notePathRecovered(), and the caller of
+     * this function probes the path. When the home was ranked last only for a fixed time, every sender lost one more
+     * request each time to find out that a VM was still down.
      */
-    void notePathFailure(const std::string &node);
+    void notePathFailure(const std::string &node, SteadyTime now);
+    /** Records that a probe of a failed path has failed. Does nothing if the path does not count as failed. */
+    void notePathStillFailed(const std::string &node, SteadyTime now);
     void notePathRecovered(const std::string &node);
     bool isPathFailed(const std::string &node) const;
     /**
-     * Removes nodes that are not in @p known and have no request in flight. @p known: all nodes of the fleet, which
-     * share the exploration of homes. Before the first call no home is explored.
+     * Removes what is known about nodes that are not in @p known, except their requests in flight. @p known: all nodes
+     * of the fleet, which share the exploration of homes. Before the first call no home is explored.
      */
     void keepOnly(const std::set<std::string> &known);
 
@@ -254,7 +261,8 @@
         bool lacksServer = false;
         /** The last reply, or the last time at which the home could have been explored. */
         SteadyTime consideredAt;
-        bool pathFailed = false;
+        /** When a request or a probe last failed on the path; nothing if the path has not failed or has recovered. */
+        std::optional<SteadyTime> pathFailedAt;
         SteadyTime pathCheckedAt;
     };
 
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -181,7 +181,7 @@
     }
     const Home &home = found->second;
     loss += now < home.noServerUntil ? noServerLoss : 0.0;
-    loss += home.pathFailed ? failedPathLoss : 0.0;
+    loss += home.pathFailedAt ? failedPathLoss : 0.0;
     if (!home.hasLoad) {
         return loss + home.inFlight * tuning_.fullServerLoss / defaultSlots;
     }
@@ -239,8 +239,9 @@
         const Home &home = found->second;
         const bool recent = home.heardAt && now - *home.heardAt < tuning_.heardWithin;
         const bool lacksHealthyServer = recent && (home.lacksServer || countsAsGray(candidate, defaults, now));
-        heardOf += recent || home.pathFailed ? 1 : 0;
-        avoided += lacksHealthyServer || home.pathFailed ? 1 : 0;
+        const bool pathFailed = home.pathFailedAt && now - *home.pathFailedAt < tuning_.pathFailureValidFor;
+        heardOf += recent || pathFailed ? 1 : 0;
+        avoided += lacksHealthyServer || pathFailed ? 1 : 0;
     }
     return avoided >= tuning_.exploreMinAvoided && avoided >= tuning_.exploreAvoidedShare * heardOf;
 }
@@ -255,7 +256,7 @@
         }
         const Home &home = found->second;
         const bool recent = home.heardAt && now - *home.heardAt < tuning_.heardWithin;
-        return recent && !home.pathFailed && !home.lacksServer && !countsAsGray(candidate, defaults, now);
+        return recent && !home.pathFailedAt && !home.lacksServer && !countsAsGray(candidate, defaults, now);
     });
 }
 
@@ -272,7 +273,7 @@
                 continue;
             }
             Home &home = homes_[candidate.node];
-            const bool known = home.pathFailed || (home.heardAt && now - *home.heardAt < tuning_.pathKnownFor);
+            const bool known = home.pathFailedAt || (home.heardAt && now - *home.heardAt < tuning_.pathKnownFor);
             if (!known && now - home.pathCheckedAt >= tuning_.pathCheckInterval) {
                 home.pathCheckedAt = now;
                 nodes.push_back(candidate.node);
@@ -294,7 +295,7 @@
         }
         Home &home = homes_[candidate.node];
         const Duration since = now - home.consideredAt;
-        if (home.pathFailed || since < tuning_.exploreAfter) {
+        if (home.pathFailedAt || since < tuning_.exploreAfter) {
             continue;
         }
         // The chance grows with the time, so that the rate does not depend on the number of this node's requests.
@@ -411,7 +412,7 @@
     }
     const Home &known = found->second;
     status.hasServer = now >= known.noServerUntil;
-    status.pathFailed = known.pathFailed;
+    status.pathFailed = known.pathFailedAt.has_value();
     status.sentSince = std::max(0, known.inFlight - known.inFlightAtLoad);
     status.likelyGray =
         now < known.grayBackoffUntil || currentGrayProbability(home, defaults, now) >= tuning_.acceptGrayThreshold;
@@ -472,31 +473,49 @@
     homes_[home.node].lacksServer = true;
 }
 
-void HomeRanking::notePathFailure(const std::string &node)
+void HomeRanking::notePathFailure(const std::string &node, SteadyTime now)
 {
-    homes_[node].pathFailed = true;
+    homes_[node].pathFailedAt = now;
+}
+
+void HomeRanking::notePathStillFailed(const std::string &node, SteadyTime now)
+{
+    const auto found = homes_.find(node);
+    if (found != homes_.end() && found->second.pathFailedAt) {
+        found->second.pathFailedAt = now;
+    }
 }
 
 void HomeRanking::notePathRecovered(const std::string &node)
 {
     const auto found = homes_.find(node);
     if (found != homes_.end()) {
-        found->second.pathFailed = false;
+        found->second.pathFailedAt.reset();
     }
 }
 
 bool HomeRanking::isPathFailed(const std::string &node) const
 {
     const auto found = homes_.find(node);
-    return found != homes_.end() && found->second.pathFailed;
+    return found != homes_.end() && found->second.pathFailedAt;
 }
 
 void HomeRanking::keepOnly(const std::set<std::string> &known)
 {
     knownNodes_ = known.size();
     for (auto it = homes_.begin(); it != homes_.end();) {
-        const bool obsolete = known.count(it->first) == 0 && it->second.inFlight == 0;
-        it = obsolete ? homes_.erase(it) : std::next(it);
+        Home &home = it->second;
+        if (known.count(it->first) != 0) {
+            ++it;
+        } else if (home.inFlight == 0) {
+            it = homes_.erase(it);
+        } else {
+            // The node may return while the request is in flight, as another process and perhaps by a sound path.
+            const std::int32_t inFlight = home.inFlight;
+            home = Home{};
+            home.inFlight = inFlight;
+            ++it;
+        }
     }
 }
 
--- a/src/sidecar/PathMonitor.cpp
+++ b/src/sidecar/PathMonitor.cpp
@@ -198,6 +198,7 @@
             notePathRecovered(node, false);
             return;
         }
+        hooks_.onProbeFailed(node);
         pause = std::min(maxProbeInterval, pause * 2);
     }
 }
--- a/src/sidecar/PathMonitor.h
+++ b/src/sidecar/PathMonitor.h
@@ -24,6 +24,8 @@
 public:
     struct Hooks {
         std::function<void(const std::string &node)> onPathFailed;
+        /** A probe of a path that had failed before got no response. */
+        std::function<void(const std::string &node)> onProbeFailed;
         std::function<void(const std::string &node)> onPathRecovered;
     };
 
--- a/src/sidecar/ingress/HomeSelector.cpp
+++ b/src/sidecar/ingress/HomeSelector.cpp
@@ -27,11 +27,14 @@
 {
     slots_.setOfferListener(
         [this](const std::string &node, const SlotOffer &offer, int priority) { noteOffer(node, offer, priority); });
-    paths_.setHooks(PathMonitor::Hooks{[this](const std::string &node) {
-                                           ranking_.notePathFailure(node);
-                                           slots_.homeLost(node);
-                                       },
-                                       [this](const std::string &node) { ranking_.notePathRecovered(node); }});
+    PathMonitor::Hooks hooks;
+    hooks.onPathFailed = [this](const std::string &node) {
+        ranking_.notePathFailure(node, core_.clock.now());
+        slots_.homeLost(node);
+    };
+    hooks.onProbeFailed = [this](const std::string &node) { ranking_.notePathStillFailed(node, core_.clock.now()); };
+    hooks.onPathRecovered = [this](const std::string &node) { ranking_.notePathRecovered(node); };
+    paths_.setHooks(std::move(hooks));
 }
 
 std::vector<RankedHome> HomeSelector::homesOf(const std::string &service) const
--- a/tests/support/FewHomesModel.cpp
+++ b/tests/support/FewHomesModel.cpp
@@ -21,6 +21,8 @@
 /** Longest time in which PathMonitor::check() finds a failed path: opening a link, then a round trip on it. */
 constexpr Millis pathCheckTimeout{350};
 constexpr Millis pathCheckTimeoutFar{710};
+/** Longest time between the ends of two probes of a failed path by PathMonitor: the pause and the timeout. */
+constexpr Millis probeInterval{4500};
 /** A gray server fails its requests much sooner than a healthy one completes them. */
 constexpr Millis grayWork{15};
 constexpr int priority = 1;
@@ -91,7 +93,7 @@
         if (load.explores) {
             ranking.keepOnly(nodes);
         }
-        senders_.push_back(Sender{std::move(ranking), std::move(known), {}});
+        senders_.push_back(Sender{std::move(ranking), std::move(known), {}, {}});
     }
 }
 
@@ -214,11 +216,31 @@
         const bool isFar = distanceBetween(sender, home) == Distance::OtherRegion;
         if (from.unreachable.count(home) != 0) {
             events_.add(events_.now() + (isFar ? pathCheckTimeoutFar : pathCheckTimeout),
-                        [this, sender, node] { senders_[sender].ranking.notePathFailure(node); });
+                        [this, sender, home] { failPath(sender, home); });
         }
     }
 }
 
+void FewHomesModel::failPath(std::size_t sender, std::size_t home)
+{
+    senders_[sender].ranking.notePathFailure(nodeName(home), events_.now());
+    if (senders_[sender].probed.insert(home).second) {
+        scheduleProbe(sender, home);
+    }
+}
+
+void FewHomesModel::scheduleProbe(std::size_t sender, std::size_t home)
+{
+    const SteadyTime next = events_.now() + probeInterval;
+    if (next >= end_) {
+        return;
+    }
+    events_.add(next, [this, sender, home] {
+        senders_[sender].ranking.notePathStillFailed(nodeName(home), events_.now());
+        scheduleProbe(sender, home);
+    });
+}
+
 Duration FewHomesModel::linkDelay(const Request &request) const
 {
     return request.choice.distance == Distance::OtherRegion ? regionDelay : zoneDelay;
@@ -331,9 +353,8 @@
 
 void FewHomesModel::losePath(std::size_t home, const RequestPtr &request)
 {
-    HomeRanking &ranking = senders_[request->sender].ranking;
-    ranking.noteDone(nodeName(home));
-    ranking.notePathFailure(nodeName(home));
+    senders_[request->sender].ranking.noteDone(nodeName(home));
+    failPath(request->sender, home);
     // The outcome is unknown, so only retryable work is sent again.
     if (request->retryable && --request->attemptsLeft > 0) {
         dispatch(request);
--- a/tests/support/FewHomesModel.h
+++ b/tests/support/FewHomesModel.h
@@ -94,6 +94,8 @@
         HomeRanking ranking;
         std::vector<RankedHome> known;
         std::set<std::size_t> unreachable;
+        /** Homes whose paths have failed and are probed. */
+        std::set<std::size_t> probed;
     };
 
     /** Draws the homes that stay healthy, which come first. */
@@ -104,6 +106,10 @@
     void dispatch(const RequestPtr &request);
     /** Checks the paths that the sender's ranking names. Only a check that fails has an effect. */
     void checkPaths(std::size_t sender);
+    /** Tells the sender that the path has failed. From then on it is probed, as by PathMonitor. */
+    void failPath(std::size_t sender, std::size_t home);
+    /** Probes a path, which fails, as no path recovers in the model, and schedules the next probe. */
+    void scheduleProbe(std::size_t sender, std::size_t home);
     void submit(std::size_t home, const RequestPtr &request);
     void begin(std::size_t home, const RequestPtr &request);
     void poll(std::size_t home);
--- a/tests/unit/HomeRankingTest.cpp
+++ b/tests/unit/HomeRankingTest.cpp
@@ -152,7 +152,7 @@
 {
     // Guards against a failed path that shortens the queue timeout at the only home: a link stopped delivering, and
     // three of six requests that were retried over a new link found no free slot and were refused.
-    ranking.notePathFailure("a1");
+    ranking.notePathFailure("a1", now);
     CHECK(choose(false, {"a2", "b1", "far"}).queueTimeout >= Millis(2000));
 }
 
@@ -211,7 +211,7 @@
 
 TEST_CASE_FIXTURE(FourHomes, "home ranking, failed path, is last until it has recovered")
 {
-    ranking.notePathFailure("a1");
+    ranking.notePathFailure("a1", now);
     CHECK(choose().node == "a2");
     CHECK(choose(true, {"a2", "b1", "far"}).node == "a1");
     ranking.notePathRecovered("a1");
@@ -223,7 +223,7 @@
     // Guards against requests that are sent again and again to a VM that is lost permanently: every sender lost a
     // request there, waited a second, and lost the next one, since the outcome of a request is unknown once its home is
     // lost. Only a probe may find out whether the VM is back.
-    ranking.notePathFailure("a1");
+    ranking.notePathFailure("a1", now);
     now += std::chrono::seconds(20);
     CHECK(choose(false, {"a2"}).node == "b1");
     ranking.notePathRecovered("a1");
@@ -279,7 +279,7 @@
 {
     ranking.keepOnly({"a1", "a2", "b1", "far"});
     load("a1", 3, Millis(0), 0.02);
-    ranking.notePathFailure("b1");
+    ranking.notePathFailure("b1", now);
     CHECK(ranking.takePathsToCheck(homes, now).empty());
     load("a1", 3, Millis(0), 0.99);
     CHECK(ranking.takePathsToCheck(homes, now) == std::vector<std::string>{"a2"});
@@ -288,6 +288,63 @@
     CHECK(ranking.takePathsToCheck(homes, now) == std::vector<std::string>{"a1", "a2"});
 }
 
+// Guards against a service that counts as short of homes for ever, because of paths that nobody tries any more.
+TEST_CASE_FIXTURE(FourHomes, "home ranking, failed paths neither used nor probed for 10 s, no longer count as avoided")
+{
+    ranking.keepOnly({"a1", "a2", "b1", "far"});
+    ranking.notePathFailure("b1", now);
+    ranking.notePathFailure("far", now);
+    bool isProbed = false;
+    SUBCASE("not probed")
+    { }
+    SUBCASE("probes fail")
+    {
+        isProbed = true;
+    }
+    for (int probe = 0; probe < 3; ++probe) {
+        now += Millis(4500);
+        if (isProbed) {
+            ranking.notePathStillFailed("b1", now);
+            ranking.notePathStillFailed("far", now);
+        }
+    }
+    load("a1", 3, Millis(0), 0.02);
+    CHECK(ranking.takePathsToCheck(homes, now).empty() == !isProbed);
+    // Their rank does not depend on it: only a probe that succeeds or a response may change that.
+    CHECK(ranking.isPathFailed("b1"));
+    CHECK(choose(false, {"a1", "a2"}).node == "b1");
+}
+
+// Guards against a probe on a new link that fails although responses come on the open one.
+TEST_CASE_FIXTURE(FourHomes, "home ranking, probe fails after a response came, the path stays usable")
+{
+    ranking.notePathFailure("a1", now);
+    ranking.notePathRecovered("a1");
+    ranking.notePathStillFailed("a1", now);
+    CHECK_FALSE(ranking.isPathFailed("a1"));
+}
+
+// Guards against homes that left while a request to them was in flight and that return with their old failures.
+TEST_CASE_FIXTURE(FourHomes, "home ranking, homes behind failed paths left the registry, do not count as avoided")
+{
+    ranking.keepOnly({"a1", "a2", "b1", "far"});
+    for (const char *node : {"b1", "far"}) {
+        ranking.noteSent(node);
+        ranking.notePathFailure(node, now);
+    }
+    load("a1", 3, Millis(0), 0.02);
+    REQUIRE_FALSE(ranking.takePathsToCheck(homes, now).empty());
+    now += std::chrono::seconds(4);
+    load("a1", 3, Millis(0), 0.02);
+    ranking.keepOnly({"a1", "a2"});
+    CHECK(ranking.takePathsToCheck(homes, now).empty());
+    CHECK_FALSE(ranking.isPathFailed("b1"));
+    // The request in flight still counts.
+    CHECK(ranking.statusOf(homes, HomeQuery{}, now)[2].sentSince == 1);
+    ranking.noteDone("b1");
+    CHECK(ranking.statusOf(homes, HomeQuery{}, now)[2].sentSince == 0);
+}
+
 // Guards against a recovered server that gets no request from its own node, which can always reach it.
 TEST_CASE_FIXTURE(FourHomes, "home ranking, most homes avoided, sends to the own home if it is idle")
 {
@@ -298,7 +355,7 @@
     load("a2", 3, Millis(0), 0.99);
     ranking.keepOnly({"a1", "a2", "b1", "far"});
     CHECK(ranking.choose(homes, {}, query, now).node == "a1");
-    ranking.notePathFailure("b1");
+    ranking.notePathFailure("b1", now);
     const HomeChoice choice = ranking.choose(homes, {}, query, now);
     CHECK(choice.node == "a2");
     CHECK(choice.acceptsGray);
@@ -309,8 +366,8 @@
 TEST_CASE_FIXTURE(FourHomes, "home ranking, most homes avoided, accepts a gray server only without another usable home")
 {
     ranking.keepOnly({"a1", "a2", "b1", "far"});
-    ranking.notePathFailure("b1");
-    ranking.notePathFailure("far");
+    ranking.notePathFailure("b1", now);
+    ranking.notePathFailure("far", now);
     load("a1", 3, Millis(0), 0.02);
     const HomeChoice unknown = choose(false, {"a1"});
     CHECK(unknown.node == "a2");
--- a/tests/unit/ReservationTest.cpp
+++ b/tests/unit/ReservationTest.cpp
@@ -430,7 +430,7 @@
     CHECK(status[0].wait == Millis(800));
     CHECK(status[1].wait > Millis(50));
     CHECK_FALSE(status[1].load);
-    ranking.notePathFailure("b");
+    ranking.notePathFailure("b", start);
     ranking.noteNoServer("c", start);
     ranking.noteLikelyGray(homes[0], start);
     ranking.noteSent("a");
