--- a/src/sidecar/ingress/RetryGate.cpp
+++ b/src/sidecar/ingress/RetryGate.cpp
@@ -3,11 +3,10 @@
 #include "include/route/RouteStats.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/RetryBudgetService.h"
+#include "src/sidecar/ingress/AttemptReservation.h"
 #include "src/sidecar/ingress/ForwardedRequest.h"
 #include "src/sidecar/ingress/StartLimit.h"
 
-#include <algorithm>
-
 namespace waxwing {
 
 RetryGate::RetryGate(NodeCore &core, RetryBudgetService &budgets, const RouteStats &stats, const StartLimit &startLimit)
@@ -51,35 +50,26 @@
     budgets_.refund(costOf(request));
 }
 
-bool RetryGate::canStillRun(const ForwardedRequest &request) const
-{
-    const SteadyTime end = std::min(request.job.deadline, startLimit_.latestStart(*request.job.route));
-    const bool hasTimeLeft = core_.clock.now() + minTimeLeft < end;
-    return hasTimeLeft && !request.finished && !request.job.control->cancelled;
-}
-
 bool RetryGate::reserve(const ForwardedRequest &request, RetryReason reason, const char *why)
 {
-    const bool hasAttemptsLeft = static_cast<int>(request.reachedHomes.size()) < request.job.route->maxAttempts;
     const CallRates cost = costOf(request);
-    const bool reserved = hasAttemptsLeft && canStillRun(request) && budgets_.spend(cost, reason);
-    // A token transfer takes some round trips. If the caller has disconnected by then, the request must not be sent.
-    const bool allowed = reserved && canStillRun(request);
-    if (reserved && !allowed) {
-        budgets_.refund(cost);
-    }
-    if (!reserved && hasAttemptsLeft && canStillRun(request) && reason != RetryReason::Hedge) {
+    AttemptAccount account;
+    account.check = [this, &request] {
+        return denialOf(request, startLimit_.latestStart(*request.job.route), core_.clock.now());
+    };
+    account.spend = [this, &cost, reason] { return budgets_.spend(cost, reason); };
+    account.refund = [this, &cost] { budgets_.refund(cost); };
+    const AttemptDenial denial = reserveAttempt(account);
+    const bool allowed = denial == AttemptDenial::None;
+    if (denial == AttemptDenial::NoBudget && reason != RetryReason::Hedge) {
         budgets_.noteDenied(request.job.service, request.budgetRank);
     }
-    core_.events.writeRequest(
-        allowed ? Severity::Info : Severity::Warning, "retry_requested",
-        {{"request", request.job.requestId},
-         {"service", request.job.service},
-         {"why", why},
-         {"servers", std::to_string(request.reachedHomes.size())},
-         {"allowed",
-          allowed ? "yes"
-                  : (!hasAttemptsLeft ? "no-servers-used" : (!canStillRun(request) ? "no-time" : "no-budget"))}});
+    core_.events.writeRequest(allowed ? Severity::Info : Severity::Warning, "retry_requested",
+                              {{"request", request.job.requestId},
+                               {"service", request.job.service},
+                               {"why", why},
+                               {"servers", std::to_string(request.reachedHomes.size())},
+                               {"allowed", attemptDenialName(denial)}});
     core_.metrics.count(allowed ? "retries_allowed" : "retries_denied");
     return allowed;
 }
--- a/src/sidecar/ingress/RetryGate.h
+++ b/src/sidecar/ingress/RetryGate.h
@@ -32,8 +32,6 @@
 
 private:
     bool reserve(const ForwardedRequest &request, RetryReason reason, const char *why);
-    /** Returns true if the request has enough time left for a further attempt and its caller still waits for it. */
-    bool canStillRun(const ForwardedRequest &request) const;
     /** Returns the retry budget tokens that one more attempt costs, by service, nested calls included. */
     CallRates costOf(const ForwardedRequest &request) const;
     /** Returns the reason under which a retry after a failure is accounted. */
