--- a/src/sidecar/ingress/HomeSelector.cpp
+++ b/src/sidecar/ingress/HomeSelector.cpp
@@ -5,6 +5,7 @@
 #include "src/sidecar/LocalHome.h"
 #include "src/sidecar/PathMonitor.h"
 #include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/ingress/NoServerReason.h"
 #include "src/sidecar/ingress/RetryGate.h"
 #include "src/sidecar/ingress/SlotRequester.h"
 #include "src/sidecar/ingress/StartLimit.h"
@@ -180,8 +181,7 @@
 {
     const SteadyTime now = core_.clock.now();
     ranking_.noteLoad(home, offer.load, priority, now);
-    if (offer.reason == refusalReasonName(RefusalReason::NoServer) || offer.reason == "stopping"
-        || offer.reason == "other-service") {
+    if (isNoServerReason(offer.reason)) {
         ranking_.noteNoServer(home, now);
     }
 }
--- a/src/sidecar/ingress/ReplyEvaluator.cpp
+++ b/src/sidecar/ingress/ReplyEvaluator.cpp
@@ -6,6 +6,7 @@
 #include "src/sidecar/LocalHome.h"
 #include "src/sidecar/PathMonitor.h"
 #include "src/sidecar/ingress/HomeSender.h"
+#include "src/sidecar/ingress/NoServerReason.h"
 #include "src/sidecar/ingress/RetryGate.h"
 #include "src/sidecar/ingress/SlotRequester.h"
 
@@ -13,12 +14,6 @@
 
 namespace {
 
-bool hasNoServer(const WorkReply &reply)
-{
-    return reply.reason == refusalReasonName(RefusalReason::NoServer) || reply.reason == "stopping"
-           || reply.reason == "other-service" || reply.reason == "other-server";
-}
-
 bool isLikelyGray(const WorkReply &reply)
 {
     return reply.reason == refusalReasonName(RefusalReason::LikelyGray);
@@ -65,7 +60,7 @@
         ranking_.notePathRecovered(choice.node);
         ranking_.noteLoad(choice.node, reply.load, request.priority(), send.ended);
     }
-    if (hasNoServer(reply)) {
+    if (isNoServerReason(reply.reason)) {
         ranking_.noteNoServer(choice.node, send.ended);
     }
     if (isLikelyGray(reply)) {
@@ -112,7 +107,7 @@
     request.reachedHomes.erase(choice.node);
     // A fenced Work never runs, and the new link that carried the fence reply may carry the next Work.
     const bool reachable = !send.result.pathFailed || reply.reason == fencedReason;
-    if (reachable && !hasNoServer(reply) && !isLikelyGray(reply)) {
+    if (reachable && !isNoServerReason(reply.reason) && !isLikelyGray(reply)) {
         // The home may be tried again: with the load that its refusal reported it may still be the best one.
         request.search.noteRefused(choice.node);
     }
