--- a/src/sidecar/ingress/HomeSelector.cpp
+++ b/src/sidecar/ingress/HomeSelector.cpp
@@ -5,6 +5,7 @@
 #include "src/sidecar/LocalHome.h"
 #include "src/sidecar/PathMonitor.h"
 #include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/ingress/NoServerReason.h"
 #include "src/sidecar/ingress/RetryGate.h"
 #include "src/sidecar/ingress/SlotRequester.h"
 #include "src/sidecar/ingress/StartLimit.h"
@@ -27,11 +28,14 @@
 {
     slots_.setOfferListener(
         [this](const std::string &node, const SlotOffer &offer, int priority) { noteOffer(node, offer, priority); });
-    paths_.setHooks(PathMonitor::Hooks{[this](const std::string &node) {
-                                           ranking_.notePathFailure(node);
-                                           slots_.homeLost(node);
-                                       },
-                                       [this](const std::string &node) { ranking_.notePathRecovered(node); }});
+    PathMonitor::Hooks hooks;
+    hooks.onPathFailed = [this](const std::string &node) {
+        ranking_.notePathFailure(node, core_.clock.now());
+        slots_.homeLost(node);
+    };
+    hooks.onProbeFailed = [this](const std::string &node) { ranking_.notePathStillFailed(node, core_.clock.now()); };
+    hooks.onPathRecovered = [this](const std::string &node) { ranking_.notePathRecovered(node); };
+    paths_.setHooks(std::move(hooks));
 }
 
 std::vector<RankedHome> HomeSelector::homesOf(const std::string &service) const
@@ -177,8 +181,7 @@
 {
     const SteadyTime now = core_.clock.now();
     ranking_.noteLoad(home, offer.load, priority, now);
-    if (offer.reason == refusalReasonName(RefusalReason::NoServer) || offer.reason == "stopping"
-        || offer.reason == "other-service") {
+    if (isNoServerReason(offer.reason)) {
         ranking_.noteNoServer(home, now);
     }
 }
