--- a/include/base/JsonReader.h
+++ b/include/base/JsonReader.h
@@ -30,6 +30,7 @@
     std::string requiredText(const std::string &key);
     bool boolean(const std::string &key, bool fallback);
     std::int64_t integer(const std::string &key, std::int64_t fallback, std::int64_t min, std::int64_t max);
+    double number(const std::string &key, double fallback, double min, double max);
     Millis duration(const std::string &key, Millis fallback, Millis min, Millis max);
     /** Reads a percentage such as "99.9%" as a fraction of 1. */
     double percentage(const std::string &key, double fallback);
--- a/include/limit/FleetRetryBudget.h
+++ b/include/limit/FleetRetryBudget.h
@@ -16,10 +16,12 @@
     double slack = 50.0;
     Millis window = std::chrono::seconds(10);
     /**
-     * Fraction of the limit that nodes use. The rest covers nodes that lost their counts in a restart, and nested calls
-     * that a retried run repeats: only their mean number per run is known, and not before the first run.
+     * Fractions of the two terms of the limit that nodes use: of the share of requests, and of the slack. The rest
+     * covers what no node can count: restarted nodes forget what they spent, nodes that know fewer nodes use more
+     * of the slack, and a retried run repeats nested calls, whose number isn't known before the first run.
      */
-    double usableFraction = 0.75;
+    double usableShare = 0.75;
+    double usableSlack = 0.75;
     /**
      * Tokens transferred from another node expire after this time, so that both nodes count them in the same window.
      */
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -77,6 +77,17 @@
     bool admission = false;
 };
 
+/**
+ * Fractions of this node's part of the fleet's retry limit that it uses, from 0 to 1. docs/OPERATIONS.md describes how
+ * to choose them.
+ */
+struct RetrySettings {
+    /** Of the retries that the requests for a service allow. */
+    double usableShare = 0.75;
+    /** Of the additional retries that the limit allows per window, regardless of the requests. */
+    double usableSlack = 0.75;
+};
+
 /** Limits on what a node buffers for callers and servers that read slowly. */
 struct FlowSettings {
     std::uint64_t connectionBytes = 1024UL * 1024;
@@ -123,6 +134,7 @@
     WaitingSettings waiting;
     FlowSettings flow;
     NestedCallSettings nestedCalls;
+    RetrySettings retries;
     /** Parts of the platform's contract that are in force; names that this build does not know are kept. */
     std::set<std::string> contracts;
 };
--- a/src/base/JsonReader.cpp
+++ b/src/base/JsonReader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <sstream>
 
 namespace waxwing {
 
@@ -95,6 +96,22 @@
     return found->get<std::int64_t>();
 }
 
+double JsonReader::number(const std::string &key, double fallback, double min, double max)
+{
+    const nlohmann::json *found = field(key);
+    if (found == nullptr) {
+        return fallback;
+    }
+    const double value = found->is_number() ? found->get<double>() : min - 1.0;
+    if (value < min || value > max) {
+        std::ostringstream range;
+        range << "must be a number from " << min << " to " << max;
+        findings_.add(placeOf(key), range.str());
+        return fallback;
+    }
+    return value;
+}
+
 Millis JsonReader::duration(const std::string &key, Millis fallback, Millis min, Millis max)
 {
     const nlohmann::json *found = field(key);
--- a/src/limit/FleetRetryBudget.cpp
+++ b/src/limit/FleetRetryBudget.cpp
@@ -43,7 +43,7 @@
         }
     }
     const double slack = tuning_.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
-    const double limit = tuning_.usableFraction * (tuning_.share * requests + slack);
+    const double limit = tuning_.usableShare * tuning_.share * requests + tuning_.usableSlack * slack;
     return limit * (1.0 - reserveOf(reason, limit > 0.0 ? afterFailures / limit : 1.0)) - retries;
 }
 
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -160,6 +160,17 @@
     reader.rejectUnknown();
 }
 
+void readRetries(const nlohmann::json &value, RetrySettings &retries, Findings &findings)
+{
+    if (value.is_null()) {
+        return;
+    }
+    JsonReader reader(value, "/retries", findings);
+    retries.usableShare = reader.number("usableShare", retries.usableShare, 0.0, 1.0);
+    retries.usableSlack = reader.number("usableSlack", retries.usableSlack, 0.0, 1.0);
+    reader.rejectUnknown();
+}
+
 void readContracts(const nlohmann::json &value, std::set<std::string> &contracts, Findings &findings)
 {
     if (!value.is_null() && !value.is_array()) {
@@ -251,6 +262,7 @@
     readWaiting(reader.child("waiting"), settings.waiting, findings);
     readFlow(reader.child("flow"), settings.flow, findings);
     readNestedCalls(reader.child("nestedCalls"), settings.nestedCalls, findings);
+    readRetries(reader.child("retries"), settings.retries, findings);
     readContracts(reader.child("contracts"), settings.contracts, findings);
     reader.rejectUnknown();
     return settings;
--- a/src/sidecar/SidecarTuning.cpp
+++ b/src/sidecar/SidecarTuning.cpp
@@ -28,6 +28,8 @@
     tuning.reservations.minObjective = settings.waiting.minObjective;
     tuning.maxWaitingRequests = settings.waiting.maxRequests;
     tuning.callAdmission = settings.nestedCalls.admission;
+    tuning.retry.usableShare = settings.retries.usableShare;
+    tuning.retry.usableSlack = settings.retries.usableSlack;
     if (settings.bounds.empty()) {
         return tuning;
     }
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -161,6 +161,38 @@
     CHECK(findings.text().empty());
 }
 
+// Guards against a default that changes how much of the retry limit deployments use, and against ignored settings.
+TEST_CASE("settings, usable fractions of the retry limit, are 0.75 unless set, and set one by one")
+{
+    Findings findings;
+    const RetrySettings defaults = parseNodeSettings(settingsText, "s.json", findings).retries;
+    CHECK(defaults.usableShare == 0.75);
+    CHECK(defaults.usableSlack == 0.75);
+    std::string text = settingsText;
+    text.insert(text.find('{') + 1, R"("retries": {"usableSlack": 0.5},)");
+    const RetrySettings changed = parseNodeSettings(text, "s.json", findings).retries;
+    CHECK(changed.usableShare == 0.75);
+    CHECK(changed.usableSlack == 0.5);
+    CHECK(findings.text().empty());
+}
+
+// Guards against a fraction above 1, with which the fleet exceeds its limit, and against a mistyped name.
+TEST_CASE("settings, usable fractions of the retry limit out of range, are findings with their locations")
+{
+    const auto findingsWith = [](const std::string &retries) {
+        std::string text = settingsText;
+        text.insert(text.find('{') + 1, "\"retries\": " + retries + ",");
+        return settingsFindings(text).text();
+    };
+    const std::string text = findingsWith(R"({"usableShare": 1.01, "usableSlack": -0.1, "x": 1})");
+    CHECK(text.find("/retries/usableShare: must be a number from 0 to 1") != std::string::npos);
+    CHECK(text.find("/retries/usableSlack:") != std::string::npos);
+    CHECK(text.find("/retries/x:") != std::string::npos);
+    CHECK(findingsWith(R"({"usableShare": "0.5"})").find("/retries/usableShare:") != std::string::npos);
+    CHECK(findingsWith("0.5").find("/retries:") != std::string::npos);
+    CHECK(findingsWith(R"({"usableShare": 0, "usableSlack": 1})").empty());
+}
+
 TEST_CASE("settings, many faults, are all reported with their locations")
 {
     const std::string text =
--- a/tests/unit/FleetRetryBudgetTest.cpp
+++ b/tests/unit/FleetRetryBudgetTest.cpp
@@ -16,7 +16,8 @@
     FleetRetryTuning out;
     out.share = 0.2;
     out.slack = 50.0;
-    out.usableFraction = 1.0;
+    out.usableShare = 1.0;
+    out.usableSlack = 1.0;
     out.reservedFraction = 0.5;
     return out;
 }
@@ -77,6 +78,25 @@
     CHECK(taken >= 0.2 * nodes * requestsEach);
 }
 
+// Guards against a fraction that is applied to the other term of the limit, or to both.
+TEST_CASE("fleet retry budget, fractions of the share and of the slack, each limit their own term")
+{
+    const auto takenWith = [](double usableShare, double usableSlack) {
+        FleetRetryTuning one = tuning();
+        one.usableShare = usableShare;
+        one.usableSlack = usableSlack;
+        FleetRetryBudget budget(one);
+        for (int i = 0; i < 500; ++i) {
+            budget.noteRequest(start);
+        }
+        return takeAll(budget, 2, RetryReason::Failure, start);
+    };
+    CHECK(takenWith(1.0, 1.0) == 125);
+    CHECK(takenWith(0.5, 1.0) == 75);
+    CHECK(takenWith(1.0, 0.2) == 105);
+    CHECK(takenWith(0.0, 0.2) == 5);
+}
+
 TEST_CASE("fleet retry budget, any interval as long as the window, stays within the bound")
 {
     FleetRetryBudget budget(tuning());
@@ -125,7 +145,7 @@
     // nested calls of lookups took all tokens, and lodgings, which are worth twice as much and had not run, were
     // refused.
     FleetRetryTuning tuning;
-    tuning.slack = 50.0 / tuning.usableFraction;
+    tuning.slack = 50.0 / tuning.usableSlack;
     FleetRetryBudget budget(tuning);
     CHECK(takeAll(budget, 1, RetryReason::LowPriorityFailure, start) == 25);
     CHECK(budget.transferOut(5.0, RetryReason::LowPriorityFailure, 1, start) == 0.0);
--- a/tests/unit/PlatformDialectTest.cpp
+++ b/tests/unit/PlatformDialectTest.cpp
@@ -258,6 +258,23 @@
     CHECK_FALSE(findings.empty());
 }
 
+// Guards against a retry budget that ignores the settings, with or without bounds of the platform.
+TEST_CASE("retry tuning, fractions in the settings, are used with and without bounds")
+{
+    NodeSettings settings;
+    Findings findings;
+    CHECK(makeSidecarTuning(settings, findings).retry.usableShare == FleetRetryTuning().usableShare);
+    CHECK(makeSidecarTuning(settings, findings).retry.usableSlack == FleetRetryTuning().usableSlack);
+    settings.retries = RetrySettings{0.5, 0.3};
+    for (const char *bounds : {"", R"(["budget_slack=62"])"}) {
+        settings.bounds = bounds;
+        const FleetRetryTuning retry = makeSidecarTuning(settings, findings).retry;
+        CHECK(retry.usableShare == 0.5);
+        CHECK(retry.usableSlack == 0.3);
+    }
+    CHECK(findings.empty());
+}
+
 TEST_CASE("flow control, part of the contract not in force, is off whatever the settings say")
 {
     NodeSettings settings;
--- a/tests/unit/RetryBudgetFleetTest.cpp
+++ b/tests/unit/RetryBudgetFleetTest.cpp
@@ -14,11 +14,19 @@
     std::vector<std::uint32_t> seeds;
 };
 
+/** The settings of all nodes. */
+struct UsableFractions {
+    double share = FleetRetryTuning().usableShare;
+    double slack = FleetRetryTuning().usableSlack;
+};
+
+constexpr UsableFractions wholeLimit{1.0, 1.0};
+
 /** With the first the slack is most of the limit, with the last the share of requests; many requests vary little. */
 const std::vector<Load> loads = {{8.0, {1, 2}}, {60.0, {1, 2}}, {1500.0, {1}}};
 
 /** Returns the largest use over all loads and both values of the slack. */
-double largestUse(std::size_t nodes, const BudgetFleetFaults &faults, double usableFraction)
+double largestUse(std::size_t nodes, const BudgetFleetFaults &faults, const UsableFractions &usable)
 {
     double largest = 0.0;
     for (const Load &load : loads) {
@@ -26,7 +34,8 @@
             for (const std::uint32_t seed : load.seeds) {
                 BudgetFleetCase fleet{nodes, load.requestsPerSecond, {}, faults, seed};
                 fleet.tuning.slack = slack;
-                fleet.tuning.usableFraction = usableFraction;
+                fleet.tuning.usableShare = usable.share;
+                fleet.tuning.usableSlack = usable.slack;
                 largest = std::max(largest, largestBudgetUse(fleet));
             }
         }
@@ -37,12 +46,28 @@
 void checkDefaults(const BudgetFleetFaults &faults)
 {
     for (const std::size_t nodes : {24, 102, 300}) {
-        const double use = largestUse(nodes, faults, FleetRetryTuning().usableFraction);
-        MESSAGE(nodes << " nodes: " << use << " of the limit, " << largestUse(nodes, faults, 1.0) << " at 1.0");
+        const double use = largestUse(nodes, faults, UsableFractions());
+        MESSAGE(nodes << " nodes: " << use << " of the limit, " << largestUse(nodes, faults, wholeLimit) << " at 1.0");
         CHECK(use <= 1.0);
     }
 }
 
+/** The conditions, one after another, under which docs/design/overload.md calls @p usable safe. */
+void checkSafe(const UsableFractions &usable, const std::vector<bool BudgetFleetFaults::*> &conditions)
+{
+    constexpr double safeUse = 0.95;
+    for (const std::size_t nodes : {24, 102, 300}) {
+        CHECK(largestUse(nodes, {}, usable) <= safeUse);
+        for (std::size_t i = 0; i < conditions.size(); ++i) {
+            BudgetFleetFaults faults;
+            faults.*conditions[i] = true;
+            faults.partition = faults.partition || faults.fewerNodesSeen;
+            INFO(nodes << " nodes, condition " << i);
+            CHECK(largestUse(nodes, faults, usable) <= safeUse);
+        }
+    }
+}
+
 } // namespace
 
 // Each case guards against more retries than the rule allows the whole fleet in a window of 10 s.
@@ -114,3 +139,23 @@
     faults.restart = faults.nestedCalls = faults.staleNodeCount = true;
     checkDefaults(faults);
 }
+
+// The following cases guard against fractions that the documents call safe and with which the fleet exceeds its limit.
+TEST_CASE("retry budget fleet, fractions for steady fleets, are safe in partitions and with uneven demand")
+{
+    checkSafe({0.85, 0.85}, {&BudgetFleetFaults::unevenDemand, &BudgetFleetFaults::partition});
+}
+
+TEST_CASE("retry budget fleet, fractions for restarts, are safe with stale node counts too")
+{
+    checkSafe({0.65, 0.65}, {&BudgetFleetFaults::unevenDemand, &BudgetFleetFaults::partition,
+                             &BudgetFleetFaults::restart, &BudgetFleetFaults::staleNodeCount});
+}
+
+TEST_CASE("retry budget fleet, fractions for nested calls, are safe in each condition but falling demand")
+{
+    checkSafe({0.5, 0.3},
+              {&BudgetFleetFaults::unevenDemand, &BudgetFleetFaults::movingDemand, &BudgetFleetFaults::partition,
+               &BudgetFleetFaults::fewerNodesSeen, &BudgetFleetFaults::restart, &BudgetFleetFaults::nestedCalls,
+               &BudgetFleetFaults::staleNodeCount});
+}
