--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -71,7 +71,7 @@
     (isLocal ? outcome_.messagesInRegion : outcome_.messagesBetweenRegions) += 1;
     events_.add(events_.now() + (isLocal ? regionDelay : farDelay), [this, from, to, onArrival = std::move(onArrival)] {
         const bool crossesCut = nodes_[from].isCut != nodes_[to].isCut;
-        if (crossesCut || nodes_[from].isDead || nodes_[to].isDead) {
+        if (crossesCut || isLinkCut(from, to) || nodes_[from].isDead || nodes_[to].isDead) {
             return;
         }
         if (nodes_[to].isPaused) {
@@ -82,6 +82,35 @@
     });
 }
 
+void QuotaFleetModel::sendReply(std::size_t from, std::size_t to, const std::function<void()> &onArrival)
+{
+    boost::random::uniform_real_distribution<double> share(0.0, 1.0);
+    if (hasFaults() && load_.lostReplies > 0.0 && share(random_) < load_.lostReplies) {
+        return;
+    }
+    if (hasFaults() && load_.lateReplies > 0.0 && share(random_) < load_.lateReplies) {
+        events_.add(events_.now() + load_.lateBy, [this, from, to, onArrival] { send(from, to, onArrival); });
+        return;
+    }
+    send(from, to, onArrival);
+}
+
+bool QuotaFleetModel::hasFaults() const
+{
+    return events_.now() >= start_ + load_.faultsFrom && events_.now() < start_ + load_.faultsUntil;
+}
+
+bool QuotaFleetModel::isLinkCut(std::size_t one, std::size_t other) const
+{
+    if (load_.cutIngresses == 0 || !hasFaults() || nodes_[one].region != 0 || nodes_[other].region != 0) {
+        return false;
+    }
+    const auto isFirst = [&](std::size_t i) { return nodes_[i].election.isFirst(nodes_[i].name, customer); };
+    const std::size_t ingress = isFirst(one) ? other : one;
+    const bool isCutIngress = static_cast<int>(ingress) < load_.cutIngresses * load_.regions;
+    return isCutIngress && (isFirst(one) || isFirst(other));
+}
+
 void QuotaFleetModel::scheduleArrivals()
 {
     const int used = load_.usedNodes > 0 ? load_.usedNodes : load_.nodes;
@@ -310,7 +339,7 @@
     }
     send(node, *counter, [this, node, counter = *counter, use, onReply] {
         const Reply reply = count(counter, node, use);
-        send(counter, node, [onReply, reply] { onReply(reply); });
+        sendReply(counter, node, [onReply, reply] { onReply(reply); });
     });
     events_.add(events_.now() + askTimeout, [this, node, counter = *counter, use, arrivedAt, repeats, attempt, done] {
         if (!*done && !nodes_[node].isDead) {
@@ -334,6 +363,9 @@
     const QuotaUse use = nodes_[node].ledger->takeUnreported(customer, events_.now());
     const auto done = std::make_shared<bool>(false);
     const auto onReply = [this, node, done, counter = *counter, sentAt = events_.now()](const Reply &reply) {
+        if (*done) {
+            return;
+        }
         *done = true;
         if (events_.now() - sentAt <= askTimeout) {
             nodes_[node].election.noteReachable(nodes_[counter].name);
@@ -346,10 +378,11 @@
     }
     send(node, *counter, [this, node, counter = *counter, use, onReply] {
         const Reply reply = count(counter, node, use);
-        send(counter, node, [onReply, reply] { onReply(reply); });
+        sendReply(counter, node, [onReply, reply] { onReply(reply); });
     });
     events_.add(events_.now() + reportTimeout, [this, node, counter = *counter, use, done] {
         if (!*done && !nodes_[node].isDead) {
+            *done = true;
             nodes_[node].ledger->restore(use);
             nodes_[node].election.noteUnreachable(nodes_[counter].name, events_.now());
         }
@@ -368,7 +401,7 @@
     own.isStandInReportPending = true;
     send(node, first, [this, node, first, use, done, sentAt = events_.now()] {
         count(first, node, use);
-        send(first, node, [this, node, first, done, sentAt] {
+        sendReply(first, node, [this, node, first, done, sentAt] {
             if (!*done) {
                 *done = true;
                 nodes_[node].isStandInReportPending = false;
@@ -431,7 +464,8 @@
     }
     Reply reply;
     reply.granted = node.counter->grant(use.wanted, events_.now());
-    if (policy_ == QuotaPolicy::RegionCounters && node.election.firstOf(customer) != node.name) {
+    if (load_.standInReports && policy_ == QuotaPolicy::RegionCounters
+        && node.election.firstOf(customer) != node.name) {
         node.standInUse.add(use, reply.granted, counterLimit().burst);
     }
     reply.retryAfter = node.counter->retryAfter(events_.now());
--- a/tests/support/QuotaFleetModel.h
+++ b/tests/support/QuotaFleetModel.h
@@ -51,6 +51,18 @@
      */
     std::vector<Millis> counterPauses;
     Millis pauseLength{750};
+    /** These faults of links within a region hold from @c faultsFrom to @c faultsUntil; all nodes are alive. */
+    Millis faultsFrom{0};
+    Millis faultsUntil{0};
+    /** This share of the replies to reports is lost. */
+    double lostReplies = 0.0;
+    /** This share of the replies to reports arrives later by @c lateBy. */
+    double lateReplies = 0.0;
+    Millis lateBy{300};
+    /** So many ingresses of the first region can't exchange messages with the customer's first counter. */
+    int cutIngresses = 0;
+    /** Stand-ins report to the first counter. */
+    bool standInReports = true;
     /** A new limit from a time on. */
     std::optional<QuotaLimit> laterLimit;
     Millis laterLimitFrom{0};
@@ -141,6 +153,10 @@
 
     /** Delivers a message unless it crosses a cut or an end of it is down. */
     void send(std::size_t from, std::size_t to, std::function<void()> onArrival);
+    /** The same for the reply to a report, which may be lost or late. */
+    void sendReply(std::size_t from, std::size_t to, const std::function<void()> &onArrival);
+    bool hasFaults() const;
+    bool isLinkCut(std::size_t one, std::size_t other) const;
     void scheduleArrivals();
     void scheduleTroubles();
     void schedulePauses();
--- /dev/null
+++ b/tests/unit/QuotaFaultTest.cpp
@@ -0,0 +1,169 @@
+#include "tests/support/QuotaFleetModel.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace waxwing;
+using namespace waxwing::testing;
+
+namespace {
+
+constexpr std::uint32_t seeds = 10;
+
+struct NamedLoad {
+    std::string name;
+    QuotaFleetLoad load;
+};
+
+/** What the runs of all seeds add up to. */
+struct Sums {
+    int requests = 0;
+    int admitted = 0;
+    int owed = 0;
+    int refused = 0;
+    double worstOverrun = -1e9;
+};
+
+QuotaFleetLoad loadOf(int nodes, int regions, double rate, double requestsPerSecond)
+{
+    QuotaFleetLoad load;
+    load.nodes = nodes;
+    load.regions = regions;
+    load.limit = QuotaLimit{rate, rate};
+    load.requestsPerSecond = requestsPerSecond;
+    load.faultsFrom = Millis(2000);
+    load.faultsUntil = Millis(12000);
+    load.length = Millis(16000);
+    return load;
+}
+
+QuotaFleetLoad smallFleet(double requestsPerSecond)
+{
+    QuotaFleetLoad load = loadOf(4, 1, 4.0, requestsPerSecond);
+    load.tuning.slack = 2.0;
+    return load;
+}
+
+QuotaFleetLoad hot(QuotaFleetLoad load)
+{
+    load.hotFactor = 7.5;
+    load.hotFrom = Millis(3000);
+    load.hotUntil = Millis(9500);
+    return load;
+}
+
+/** Customers at 1/1.6 of their limits. */
+std::vector<NamedLoad> usualLoads()
+{
+    return {{"136/s at 102 nodes", loadOf(102, 3, 136.0, 85.0)},
+            {"16/s at 102 nodes", loadOf(102, 3, 16.0, 10.0)},
+            {"40/s at 24 nodes", loadOf(24, 1, 40.0, 25.0)},
+            {"4/s at 4 nodes", smallFleet(2.5)}};
+}
+
+/** Customers far above their limits. */
+std::vector<NamedLoad> hotLoads()
+{
+    return {{"136/s at 102 nodes", hot(loadOf(102, 3, 136.0, 85.0))},
+            {"16/s at 102 nodes", hot(loadOf(102, 3, 16.0, 10.0))},
+            {"40/s at 24 nodes", hot(loadOf(24, 1, 40.0, 25.0))},
+            {"4/s at 4 nodes", smallFleet(40.0)}};
+}
+
+Sums play(const QuotaFleetLoad &load)
+{
+    Sums sums;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        const auto outcome = QuotaFleetModel(load, QuotaPolicy::RegionCounters, seed).run();
+        sums.requests += outcome.requests;
+        sums.admitted += outcome.admitted;
+        sums.owed += outcome.owed;
+        sums.refused += outcome.refusedForQuota;
+        sums.worstOverrun = std::max(sums.worstOverrun, outcome.worstOverrun);
+    }
+    return sums;
+}
+
+/**
+ * Checks that reports of stand-ins cause no refusals of a customer within its quota, or at most this share of its
+ * requests.
+ */
+void checkRefusedNoMoreThanWithoutReports(const NamedLoad &named, double share = 0.0)
+{
+    QuotaFleetLoad without = named.load;
+    without.standInReports = false;
+    const Sums with = play(named.load);
+    INFO(named.name << ": owed " << with.owed << ", admitted " << with.admitted);
+    CHECK(with.refused <= play(without).refused + share * with.requests);
+    CHECK(with.worstOverrun <= 0.0);
+}
+
+/** Checks that a customer above its quota gets most of it, and no more than the bound. */
+void checkGetsQuota(const NamedLoad &named, double share)
+{
+    const Sums sums = play(named.load);
+    INFO(named.name << ": owed " << sums.owed << ", admitted " << sums.admitted);
+    CHECK(sums.admitted >= share * sums.owed);
+    CHECK(sums.worstOverrun <= 0.0);
+}
+
+} // namespace
+
+// Guards against customers within their quota that are refused because the stand-in's reports count requests twice.
+TEST_CASE("quota of a fleet, replies of live counters lost, refuses no more than without stand-in reports")
+{
+    for (NamedLoad named : usualLoads()) {
+        for (const double share : {0.05, 0.2}) {
+            named.load.lostReplies = share;
+            checkRefusedNoMoreThanWithoutReports(named);
+        }
+    }
+}
+
+// The same for replies that arrive after the ingress has excluded the counter.
+TEST_CASE("quota of a fleet, replies of live counters late, refuses no more than without stand-in reports")
+{
+    for (NamedLoad named : usualLoads()) {
+        named.load.lateReplies = 0.2;
+        checkRefusedNoMoreThanWithoutReports(named);
+    }
+}
+
+// Guards against a first counter that is charged late for requests which its full bucket has regained.
+TEST_CASE("quota of a fleet, links of an ingress to the counter cut, refuses no more than without stand-in reports")
+{
+    for (NamedLoad named : usualLoads()) {
+        for (const int ingresses : {1, 3}) {
+            named.load.cutIngresses = ingresses;
+            // Without the reports a second bucket grants bursts that are above a quota as small as 4/s.
+            checkRefusedNoMoreThanWithoutReports(named, named.load.nodes == 4 ? 0.01 : 0.0);
+        }
+    }
+}
+
+// Guards against a hot customer that gets three quarters of its quota because requests are counted twice.
+TEST_CASE(
+    "quota of a fleet, hot customer while replies are lost or late, gets nine tenths of its quota within the bound")
+{
+    for (NamedLoad named : hotLoads()) {
+        named.load.lostReplies = 0.2;
+        checkGetsQuota(named, 0.9);
+        named.load.lostReplies = 0.0;
+        named.load.lateReplies = 0.2;
+        checkGetsQuota(named, 0.9);
+    }
+}
+
+// The same while ingresses can't reach the counter.
+TEST_CASE("quota of a fleet, hot customer while links to the counter are cut, gets nine tenths of its quota")
+{
+    for (NamedLoad named : hotLoads()) {
+        for (const int ingresses : {1, 3}) {
+            named.load.cutIngresses = ingresses;
+            checkGetsQuota(named, 0.9);
+        }
+    }
+}
