--- a/tests/support/QuotaFleetModel.h
+++ b/tests/support/QuotaFleetModel.h
@@ -190,6 +190,8 @@
     double worstOverrun() const;
     int worstWindow();
 
+    static const std::string customer;
+
     QuotaFleetLoad load_;
     QuotaPolicy policy_;
     QuotaTuning tuning_;
