--- a/tests/support/QuotaFleetModel.cpp
+++ b/tests/support/QuotaFleetModel.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/QuotaFleetModel.h"
 
+#include "include/base/Ids.h"
+
 #include <boost/random/exponential_distribution.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
@@ -12,30 +14,21 @@
 
 namespace {
 
-const std::string customer = "customer";
 constexpr Millis regionDelay{1};
 constexpr Millis farDelay{31};
 constexpr Millis flushInterval{50};
 constexpr Millis askTimeout{250};
 constexpr Millis reportTimeout{400};
-constexpr Millis loanInterval{400};
 /** Nodes have run for this long before the customer's first request. */
 constexpr Millis settledFor{10000};
-constexpr Millis standInAnnounceInterval{1000};
 constexpr int maxAsks = 2;
 constexpr Millis repeatAfter{1000};
 /** How long after its start a node has links to the others. */
 constexpr Millis linksOpenTime{50};
-/** How long after a cut the first and the last failed path is known. */
-constexpr Millis firstPathFailed{600};
-constexpr Millis lastPathFailed{1500};
 
 } // namespace
 
-double QuotaFleetOutcome::refusedOwedShare() const
-{
-    return owed == 0 ? 0.0 : std::max(0.0, static_cast<double>(owed - admitted) / owed);
-}
+const std::string QuotaFleetModel::customer = "customer";
 
 QuotaFleetModel::QuotaFleetModel(QuotaFleetLoad load, QuotaPolicy policy, std::uint32_t seed)
     : load_(std::move(load))
@@ -58,20 +51,29 @@
             }
         }
         node.election.setNodes(names, start_ - settledFor);
-        node.ledger.emplace(tuning_);
+        node.startedAt = start_ - settledFor;
+        node.ledger.emplace(tuning_, firstReportOf(node));
         node.share.emplace(load_.limit.ratePerSecond / load_.nodes, std::max(1.0, load_.limit.burst / load_.nodes),
                            start_);
-        node.startedAt = start_ - settledFor;
     }
 }
 
+ReportId QuotaFleetModel::firstReportOf(const Node &node) const
+{
+    if (!load_.identifiedReports) {
+        return {};
+    }
+    const auto started = static_cast<std::uint64_t>(node.startedAt.time_since_epoch().count());
+    return ReportId{stableHash(node.name), started + 1};
+}
+
 void QuotaFleetModel::send(std::size_t from, std::size_t to, std::function<void()> onArrival)
 {
     const bool isLocal = static_cast<int>(from) % load_.regions == static_cast<int>(to) % load_.regions;
     (isLocal ? outcome_.messagesInRegion : outcome_.messagesBetweenRegions) += 1;
     events_.add(events_.now() + (isLocal ? regionDelay : farDelay), [this, from, to, onArrival = std::move(onArrival)] {
         const bool crossesCut = nodes_[from].isCut != nodes_[to].isCut;
-        if (crossesCut || nodes_[from].isDead || nodes_[to].isDead) {
+        if (crossesCut || isLinkCut(from, to) || nodes_[from].isDead || nodes_[to].isDead) {
             return;
         }
         if (nodes_[to].isPaused) {
@@ -82,6 +84,35 @@
     });
 }
 
+void QuotaFleetModel::sendReply(std::size_t from, std::size_t to, const std::function<void()> &onArrival)
+{
+    boost::random::uniform_real_distribution<double> share(0.0, 1.0);
+    if (hasFaults() && load_.lostReplies > 0.0 && share(random_) < load_.lostReplies) {
+        return;
+    }
+    if (hasFaults() && load_.lateReplies > 0.0 && share(random_) < load_.lateReplies) {
+        events_.add(events_.now() + load_.lateBy, [this, from, to, onArrival] { send(from, to, onArrival); });
+        return;
+    }
+    send(from, to, onArrival);
+}
+
+bool QuotaFleetModel::hasFaults() const
+{
+    return events_.now() >= start_ + load_.faultsFrom && events_.now() < start_ + load_.faultsUntil;
+}
+
+bool QuotaFleetModel::isLinkCut(std::size_t one, std::size_t other) const
+{
+    if (load_.cutIngresses == 0 || !hasFaults() || nodes_[one].region != 0 || nodes_[other].region != 0) {
+        return false;
+    }
+    const auto isFirst = [&](std::size_t i) { return nodes_[i].election.isFirst(nodes_[i].name, customer); };
+    const std::size_t ingress = isFirst(one) ? other : one;
+    const bool isCutIngress = static_cast<int>(ingress) < load_.cutIngresses * load_.regions;
+    return isCutIngress && (isFirst(one) || isFirst(other));
+}
+
 void QuotaFleetModel::scheduleArrivals()
 {
     const int used = load_.usedNodes > 0 ? load_.usedNodes : load_.nodes;
@@ -152,7 +183,7 @@
 {
     nodes_[node].isDead = false;
     nodes_[node].startedAt = events_.now();
-    nodes_[node].ledger.emplace(tuning_);
+    nodes_[node].ledger.emplace(tuning_, firstReportOf(nodes_[node]));
     nodes_[node].counter.reset();
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         it = it->second.node == node ? waiting_.erase(it) : std::next(it);
@@ -263,33 +294,38 @@
             admit(node, events_.now(), repeats);
         }
     } else if (policy_ == QuotaPolicy::CentralGrants || decision == QuotaDecision::Ask) {
-        ask(node, events_.now(), repeats, 0);
+        ask(node, events_.now(), repeats);
     } else if (decision == QuotaDecision::Admit) {
         admit(node, events_.now(), repeats);
     } else if (decision == QuotaDecision::NoCounter) {
         ledger.admitAlone(customer, count, events_.now()) ? admit(node, events_.now(), repeats)
-                                                          : ask(node, events_.now(), repeats, 0);
+                                                          : ask(node, events_.now(), repeats);
     } else {
         refuseForQuota();
     }
 }
 
-void QuotaFleetModel::ask(std::size_t node, SteadyTime arrivedAt, int repeats, int attempt)
+void QuotaFleetModel::ask(std::size_t node, SteadyTime arrivedAt, int repeats)
+{
+    QuotaUse use = nodes_[node].ledger->takeUnreported(customer, events_.now());
+    // With grants for every request nothing is admitted before it is counted.
+    use.used = policy_ == QuotaPolicy::CentralGrants ? 0 : use.used;
+    use.wanted = 1;
+    askNext(node, use, arrivedAt, repeats, 0);
+}
+
+void QuotaFleetModel::askNext(std::size_t node, const QuotaUse &use, SteadyTime arrivedAt, int repeats, int attempt)
 {
-    QuotaLedger &ledger = *nodes_[node].ledger;
     const std::optional<std::size_t> counter = counterOf(node);
     if (!counter || attempt == maxAsks) {
-        if (ledger.admitAlone(customer, static_cast<std::size_t>(load_.nodes), events_.now())) {
+        const auto count = static_cast<std::size_t>(load_.nodes);
+        if (nodes_[node].ledger->admitUnanswered(use, count, events_.now())) {
             admit(node, arrivedAt, repeats);
         } else {
             refuseForQuota();
         }
         return;
     }
-    QuotaUse use = ledger.takeUnreported(customer, events_.now());
-    // With grants for every request nothing is admitted before it is counted.
-    use.used = policy_ == QuotaPolicy::CentralGrants ? 0 : use.used;
-    use.wanted = 1;
     const auto done = std::make_shared<bool>(false);
     const auto onReply = [this, node, arrivedAt, repeats, done](const Reply &reply) {
         if (*done || nodes_[node].isDead) {
@@ -310,14 +346,13 @@
     }
     send(node, *counter, [this, node, counter = *counter, use, onReply] {
         const Reply reply = count(counter, node, use);
-        send(counter, node, [onReply, reply] { onReply(reply); });
+        sendReply(counter, node, [onReply, reply] { onReply(reply); });
     });
     events_.add(events_.now() + askTimeout, [this, node, counter = *counter, use, arrivedAt, repeats, attempt, done] {
         if (!*done && !nodes_[node].isDead) {
             *done = true;
-            nodes_[node].ledger->restore(use);
             nodes_[node].election.noteUnreachable(nodes_[counter].name, events_.now());
-            ask(node, arrivedAt, repeats, attempt + 1);
+            askNext(node, use, arrivedAt, repeats, attempt + 1);
         }
     });
 }
@@ -331,9 +366,12 @@
         || !nodes_[node].ledger->hasUnreported()) {
         return;
     }
-    const QuotaUse use = nodes_[node].ledger->takeUnreported(customer, events_.now());
+    const std::vector<QuotaUse> uses = nodes_[node].ledger->takeUnreported(events_.now());
     const auto done = std::make_shared<bool>(false);
     const auto onReply = [this, node, done, counter = *counter, sentAt = events_.now()](const Reply &reply) {
+        if (*done) {
+            return;
+        }
         *done = true;
         if (events_.now() - sentAt <= askTimeout) {
             nodes_[node].election.noteReachable(nodes_[counter].name);
@@ -341,16 +379,19 @@
         nodes_[node].ledger->noteReply(customer, reply.mode, events_.now(), events_.now());
     };
     if (*counter == node) {
-        onReply(count(node, node, use));
+        onReply(countAll(node, node, uses));
         return;
     }
-    send(node, *counter, [this, node, counter = *counter, use, onReply] {
-        const Reply reply = count(counter, node, use);
-        send(counter, node, [onReply, reply] { onReply(reply); });
+    send(node, *counter, [this, node, counter = *counter, uses, onReply] {
+        const Reply reply = countAll(counter, node, uses);
+        sendReply(counter, node, [onReply, reply] { onReply(reply); });
     });
-    events_.add(events_.now() + reportTimeout, [this, node, counter = *counter, use, done] {
+    events_.add(events_.now() + reportTimeout, [this, node, counter = *counter, uses, done] {
         if (!*done && !nodes_[node].isDead) {
-            nodes_[node].ledger->restore(use);
+            *done = true;
+            for (const QuotaUse &use : uses) {
+                nodes_[node].ledger->restore(use, events_.now());
+            }
             nodes_[node].election.noteUnreachable(nodes_[counter].name, events_.now());
         }
     });
@@ -363,12 +404,12 @@
         return;
     }
     const std::size_t first = indexes_[own.election.firstOf(customer)];
-    const QuotaUse use = own.standInUse.take().front();
+    const QuotaUse use = own.standInUse.take(events_.now()).front();
     const auto done = std::make_shared<bool>(false);
     own.isStandInReportPending = true;
     send(node, first, [this, node, first, use, done, sentAt = events_.now()] {
         count(first, node, use);
-        send(first, node, [this, node, first, done, sentAt] {
+        sendReply(first, node, [this, node, first, done, sentAt] {
             if (!*done) {
                 *done = true;
                 nodes_[node].isStandInReportPending = false;
@@ -388,129 +429,6 @@
     });
 }
 
-QuotaCounter &QuotaFleetModel::counterAt(std::size_t index)
-{
-    Node &node = nodes_[index];
-    if (!node.counter) {
-        const bool isFirst = node.election.isFirst(node.name, customer);
-        const bool isNew = node.startedAt > events_.now() - tuning_.window;
-        const CounterStart ownStart = isNew ? CounterStart::AfterLoss : CounterStart::Fresh;
-        QuotaTuning tuning = tuning_;
-        tuning.slack /= policy_ == QuotaPolicy::RegionCounters ? load_.regions : 1;
-        node.counter.emplace(counterLimit(), tuning, isFirst ? ownStart : CounterStart::InPlaceOfOther, events_.now());
-    }
-    return *node.counter;
-}
-
-RegionNodes QuotaFleetModel::regionNodes(std::size_t index) const
-{
-    RegionNodes nodes{0, 0};
-    double cutOff = 0.0;
-    for (const Node &other : nodes_) {
-        const bool isInRegion = other.region == nodes_[index].region;
-        nodes.all += isInRegion ? 1 : 0;
-        cutOff += isInRegion && other.isCut != nodes_[index].isCut ? 1.0 : 0.0;
-    }
-    const double sinceCut = secondsOf(events_.now() - start_ - load_.cutFrom - firstPathFailed);
-    const double known = std::clamp(sinceCut / secondsOf(lastPathFailed - firstPathFailed), 0.0, 1.0);
-    nodes.reachable = nodes.all - static_cast<std::size_t>(known * cutOff);
-    return nodes;
-}
-
-QuotaFleetModel::Reply QuotaFleetModel::count(std::size_t counter, std::size_t from, const QuotaUse &use)
-{
-    Node &node = nodes_[counter];
-    counterAt(counter).setLimit(counterLimit(), events_.now());
-    if (use.isFromStandIn()) {
-        node.counter->recordStandIn(use.used, events_.now());
-    } else {
-        node.counter->record(nodes_[from].name, use.taken(), use.seen, regionNodes(counter), events_.now());
-        for (const QuotaReturn &tokens : use.returned) {
-            node.counter->giveBack(tokens, events_.now());
-        }
-    }
-    Reply reply;
-    reply.granted = node.counter->grant(use.wanted, events_.now());
-    if (policy_ == QuotaPolicy::RegionCounters && node.election.firstOf(customer) != node.name) {
-        node.standInUse.add(use, reply.granted, counterLimit().burst);
-    }
-    reply.retryAfter = node.counter->retryAfter(events_.now());
-    reply.mode = node.counter->mode(events_.now());
-    const bool isDue = node.announced != reply.mode || events_.now() - node.announcedAt >= tuning_.window;
-    const bool isExcluded = use.isFromStandIn() && events_.now() - node.announcedAt >= standInAnnounceInterval;
-    if (policy_ == QuotaPolicy::RegionCounters && (isExcluded || (reply.mode == QuotaMode::Metered && isDue))) {
-        node.announcedAt = events_.now();
-        for (std::size_t i = 0; i < nodes_.size(); ++i) {
-            if (nodes_[i].region == node.region && i != counter) {
-                send(counter, i, [this, i, counter] {
-                    nodes_[i].ledger->setMode(customer, QuotaMode::Metered, events_.now());
-                    nodes_[i].election.noteReachable(nodes_[counter].name);
-                });
-            }
-        }
-    }
-    node.announced = reply.mode;
-    if (policy_ == QuotaPolicy::RegionCounters && node.counter->needsLoan(events_.now())
-        && events_.now() - node.borrowedAt >= loanInterval) {
-        node.borrowedAt = events_.now();
-        borrow(counter);
-    }
-    return reply;
-}
-
-void QuotaFleetModel::borrow(std::size_t counter)
-{
-    // The first nodes by number are one of each region, so their elections name the counters of all regions.
-    for (int region = 0; region < load_.regions; ++region) {
-        const std::optional<std::size_t> lender = counterOf(static_cast<std::size_t>(region));
-        if (region == nodes_[counter].region || !lender) {
-            continue;
-        }
-        const std::size_t i = *lender;
-        const double wanted = nodes_[counter].counter->loanWanted(events_.now());
-        send(counter, i, [this, i, counter, wanted] {
-            const double lent = counterAt(i).lend(wanted, events_.now());
-            send(i, counter, [this, counter, lent] {
-                if (nodes_[counter].counter) {
-                    nodes_[counter].counter->borrow(lent, events_.now());
-                }
-            });
-        });
-    }
-}
-
-double QuotaFleetModel::worstOverrun() const
-{
-    // A lower limit binds one window after it is in force.
-    const SteadyTime laterFrom = start_ + load_.laterLimitFrom + tuning_.window;
-    const double seconds = secondsOf(tuning_.window);
-    double worst = -1e9;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < admittedAt_.size(); ++last) {
-        while (admittedAt_[first] <= admittedAt_[last] - tuning_.window) {
-            ++first;
-        }
-        const bool isHigher = load_.laterLimit && load_.laterLimit->ratePerSecond > load_.limit.ratePerSecond;
-        const bool usesLater = isHigher || (load_.laterLimit && admittedAt_[last] >= laterFrom);
-        const QuotaLimit limit = usesLater ? *load_.laterLimit : load_.limit;
-        const double bound = (limit.ratePerSecond * seconds + limit.burst) * (1.0 + tuning_.over) + tuning_.slack;
-        worst = std::max(worst, static_cast<double>(last - first + 1) - bound);
-    }
-    return worst;
-}
-
-int QuotaFleetModel::worstWindow()
-{
-    std::sort(runs_.begin(), runs_.end(), [](const Run &a, const Run &b) { return a.sentAt < b.sentAt; });
-    std::ptrdiff_t worst = 0;
-    for (auto first = runs_.begin(); first != runs_.end(); ++first) {
-        const SteadyTime until = first->sentAt + tuning_.window;
-        const auto last = std::find_if(first, runs_.end(), [&](const Run &run) { return run.sentAt > until; });
-        worst = std::max(worst, std::count_if(first, last, [&](const Run &run) { return run.ranAt <= until; }));
-    }
-    return static_cast<int>(worst);
-}
-
 QuotaFleetOutcome QuotaFleetModel::run()
 {
     scheduleArrivals();
