--- a/tests/support/RetryBudgetFleetModel.h
+++ b/tests/support/RetryBudgetFleetModel.h
@@ -40,6 +40,8 @@
 /**
  * Simulates the retry budgets of @p fleet before and while nearly all servers shed load. Transfers are requested in the
  * way of RetryBudgetService. Returns the largest use of the fleet's limit in any window, as a fraction of the limit.
+ * The limit of a window counts the requests of that window, of the one half a window before or of the one before,
+ * whichever has most.
  */
 double largestBudgetUse(const BudgetFleetCase &fleet);
 
