--- a/include/base/JsonReader.h
+++ b/include/base/JsonReader.h
@@ -24,7 +24,8 @@
     bool has(const std::string &key) const;
     /**
      * Each of these returns @p fallback if the field is missing or invalid, and adds a finding if it is invalid.
-     * requiredText() returns an empty text instead, and also adds a finding if the field is missing.
+     * requiredText() returns an empty text instead, and also adds a finding if the field is missing. @p min and @p max
+     * are valid values.
      */
     std::string text(const std::string &key, const std::string &fallback);
     std::string requiredText(const std::string &key);
--- a/include/customer/CountedReports.h
+++ b/include/customer/CountedReports.h
@@ -17,9 +17,10 @@
 class CountedReports
 {
 public:
+    /** Bounds the memory; docs/CAPACITY.md states the bytes. */
     static constexpr std::size_t maxReports = 1024;
 
-    /** @p window: the span over which the quota is enforced. */
+    /** @p window: the span over which the quota is enforced; a report is kept for as long after its first add(). */
     explicit CountedReports(Millis window);
 
     /**
@@ -27,7 +28,10 @@
      * an identifier are always counted in full. @pre no earlier call has a later time.
      */
     std::int64_t add(const ReportId &id, std::int64_t count, SteadyTime now);
-    /** Returns how many requests of the report @p id are counted; 0 if it is not known. */
+    /**
+     * Returns how many requests of the report @p id are counted; 0 if it is not known. Expired reports are removed only
+     * by add().
+     */
     std::int64_t countOf(const ReportId &id) const;
     bool contains(const ReportId &id) const;
     std::size_t size() const;
@@ -40,7 +44,7 @@
 
     Millis window_;
     std::map<ReportId, std::int64_t> counts_;
-    /** In order of time. */
+    /** The reports in @c counts_, oldest first. */
     std::deque<Expiry> expiries_;
 };
 
--- a/include/customer/QuotaCounter.h
+++ b/include/customer/QuotaCounter.h
@@ -40,14 +40,15 @@
 
 /** How a counter has dealt with one report. */
 struct CountedUse {
+    /** Requests granted, including those that were granted before with a reply that was lost. */
     std::uint32_t granted = 0;
-    /** Requests that were not counted before, granted ones included. */
+    /** Requests that were not counted before, including those granted now. */
     std::int64_t added = 0;
-    /** All requests that are counted for the report. */
+    /** All requests that are counted for the report of an ingress; the same as @c added for that of a stand-in. */
     std::int64_t total = 0;
     /** Returned tokens that came too late to count. */
     double lateReturns = 0.0;
-    /** Reports that were counted before. */
+    /** Reports, or parts of a stand-in's report, that were counted before. */
     std::uint32_t repeated = 0;
 };
 
@@ -81,7 +82,8 @@
     void setLimit(QuotaLimit limit, SteadyTime now);
     /**
      * Counts a report, and grants what it wants. A report that was counted before, or a part of a stand-in's report
-     * that was, is not counted again. @p node: the sender. @p nodes: those of the region now.
+     * that was, is not counted again. @p node: the sender. @p nodes: those of the region now; not used for the report
+     * of a stand-in.
      */
     CountedUse count(const std::string &node, const QuotaUse &use, const RegionNodes &nodes, SteadyTime now);
     /**
@@ -98,7 +100,7 @@
     double giveBack(const QuotaReturn &tokens, SteadyTime now);
     /**
      * Takes the tokens of requests that another node has counted in place of this one. A bucket that began empty after
-     * a loss covers those of the first such report.
+     * a loss covers those of the first such report. @p used: without the tokens that the bucket has regained since.
      */
     void recordStandIn(double used, SteadyTime now);
     /** Grants up to @p wanted requests and takes their tokens. */
@@ -159,7 +161,7 @@
     /** Requests of the customer that were reported here since the start. */
     double reportedRequests_ = 0.0;
     CountedReports reports_;
-    /** When each node last reported, here or to a stand-in, by the hash of its name. */
+    /** When each node last reported, here or through a stand-in, by the hash of its name. */
     std::map<std::uint64_t, SteadyTime> reporters_;
     /** The reported requests of the last few seconds, oldest first. */
     std::deque<Arrivals> arrivals_;
--- a/include/customer/QuotaLedger.h
+++ b/include/customer/QuotaLedger.h
@@ -28,7 +28,7 @@
 class QuotaLedger
 {
 public:
-    /** @p id: of this node's first report. Without it reports carry no identifiers, as in earlier builds. */
+    /** @p id: identifies this node's first report. Without it reports carry no identifiers, as in earlier builds. */
     explicit QuotaLedger(const QuotaTuning &tuning, ReportId id = {});
 
     /** Decides on one request of a customer with that limit. Admitted requests are counted for the next report. */
@@ -36,8 +36,9 @@
     /** Admits a request whose counter does not reply if the share of one of @p nodes nodes allows it. */
     bool admitAlone(const std::string &customer, std::size_t nodes, SteadyTime now);
     /**
-     * The same for a request for which no counter has replied to @p ask, which is restored. The request is counted with
-     * it, so that a counter that has granted it, with a reply that was lost, does not count it again.
+     * The same for a request for which @p ask was reported and no counter has replied. Restores @p ask, and counts the
+     * request in it if admitted, so that a counter that has granted it with a lost reply does not count it again. @pre
+     * @p ask was returned by takeUnreported().
      */
     bool admitUnanswered(QuotaUse ask, std::size_t nodes, SteadyTime now);
     /**
@@ -60,7 +61,8 @@
     QuotaUse takeUnreported(const std::string &customer, SteadyTime now);
     /**
      * Keeps a report that was not acknowledged, to be sent again with its identifier. A report without an identifier,
-     * one older than a window, and one too many are added to the next report. What was given back keeps its age.
+     * one older than a window, and one beyond the number that is kept are added to the next report, which has another
+     * identifier. What was given back keeps its age.
      */
     void restore(const QuotaUse &use, SteadyTime now);
     /** Returns true if there is something to report. */
@@ -93,15 +95,16 @@
 
     static bool hasUnreported(const Account &account);
     static void countAdmitted(Account &account, std::int64_t count, SteadyTime since);
+    /** Adds the requests of @p use to the next report. */
     static void addToNext(Account &account, const QuotaUse &use);
-    /** Takes a token of this node's share. */
+    /** Takes a token of this node's share. Returns false if it has none. */
     bool tryTakeShare(Account &account, std::size_t nodes, SteadyTime now) const;
-    /** Returns a restored report with the ages of now. */
+    /** Returns a restored report, with its ages as of @p now. */
     QuotaUse repeated(const QuotaUse &use, SteadyTime now) const;
     QuotaUse takeFrom(const std::string &customer, Account &account, SteadyTime now);
 
     QuotaTuning tuning_;
-    /** Of the next report. */
+    /** Identifies the next report. */
     ReportId nextId_;
     std::map<std::string, Account> accounts_;
 };
--- a/include/customer/QuotaUse.h
+++ b/include/customer/QuotaUse.h
@@ -18,11 +18,12 @@
 
 /** Identifies one ingress's report for one customer. A report that is repeated keeps its identifier. */
 struct ReportId {
-    /** Hash of the ingress's name; equal for all its processes. */
+    /** Hash of the ingress's name; the same for all processes that run under this name. */
     std::uint64_t origin = 0;
     /** Unique for the origin; 0: an ingress of an earlier build, which sends no identifiers. */
     std::uint64_t sequence = 0;
 
+    /** Returns true if there is an identifier. */
     bool isKnown() const;
     bool operator<(const ReportId &other) const;
 };
--- a/include/health/GrayFilter.h
+++ b/include/health/GrayFilter.h
@@ -107,7 +107,7 @@
     /** A success or a failure as it was added. */
     struct Result {
         bool failed = false;
-        /** Of a failure. */
+        /** Likelihood ratio of a failure; not used for a success. */
         double ratio = 1.0;
         SteadyTime startedAt;
         SteadyTime addedAt;
--- a/include/home/LocalServerState.h
+++ b/include/home/LocalServerState.h
@@ -37,7 +37,8 @@
     ServerChange deregister(const std::string &server, std::optional<std::uint64_t> incarnation);
     /**
      * Records that another process, or none, responds at the address of the process @p incarnation. If that is the
-     * current process, no server accepts work until a newer announcement arrives.
+     * current process and it accepts work, returns ServerChange::Stopped, and no server accepts work until a newer
+     * announcement arrives. Otherwise returns ServerChange::None.
      */
     ServerChange noteReplaced(std::uint64_t incarnation);
 
--- a/include/limit/FleetRetryBudget.h
+++ b/include/limit/FleetRetryBudget.h
@@ -16,9 +16,10 @@
     double slack = 50.0;
     Millis window = std::chrono::seconds(10);
     /**
-     * Fractions of the two terms of the limit that nodes use: of the share of requests, and of the slack. The rest
-     * covers what no node can count: restarted nodes forget what they spent, nodes that know fewer nodes use more
-     * of the slack, and a retried run repeats nested calls, whose number isn't known before the first run.
+     * Fractions of the two terms of the limit that nodes use, each from 0 to 1: of the share of requests, and of the
+     * slack. The rest covers what no node can count: restarted nodes forget what they spent, nodes that know fewer
+     * nodes use more of the slack, and a retried run repeats nested calls, whose number isn't known before the first
+     * run. docs/design/overload.md has the measured uses.
      */
     double usableShare = 0.75;
     double usableSlack = 0.75;
--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -151,16 +151,17 @@
     /** A home that refused for lack of a server is avoided for this long. */
     Millis noServerBackoff{700};
     /**
-     * A service is short of homes while at least this share of the homes that replied or whose path failed, each within
-     * its time, and at least this many, are avoided. Requests then explore homes that count as gray, and paths are
-     * checked before requests use them. Gray servers alone are about one in eight at any time.
+     * A service is short of homes while at least this share of the homes that replied within @c heardWithin or whose
+     * path failed within @c pathFailureValidFor, and at least this many, are avoided. Requests then explore homes that
+     * count as gray, and paths are checked before requests use them. Gray servers alone are about one in eight at any
+     * time.
      */
     double exploreAvoidedShare = 0.35;
     int exploreMinAvoided = 2;
     Millis heardWithin{5000};
     /**
-     * A failed path counts for this long after the last request or probe that failed on it. PathMonitor probes it at
-     * least every 4.5 s, so that one probe may be missing.
+     * A failed path counts as avoided for this long after the last request or probe that failed on it. PathMonitor
+     * probes it at least every 4.5 s, so that one probe may be missing.
      */
     Millis pathFailureValidFor{10000};
     /** Minimum time from the last reply of a home, or the last chance to explore it, to the next chance. */
--- a/src/base/JsonReader.cpp
+++ b/src/base/JsonReader.cpp
@@ -102,6 +102,7 @@
     if (found == nullptr) {
         return fallback;
     }
+    // A value of another type counts as out of range.
     const double value = found->is_number() ? found->get<double>() : min - 1.0;
     if (value < min || value > max) {
         std::ostringstream range;
--- a/src/customer/QuotaLedger.cpp
+++ b/src/customer/QuotaLedger.cpp
@@ -22,7 +22,10 @@
  * lies in a window with a new one.
  */
 constexpr int returnWindows = 2;
-/** Restored reports kept for a customer: those of one exclusion, at one report each 50 ms until it begins. */
+/**
+ * Restored reports kept for a customer. One report is made each 50 ms until the counter without replies is excluded;
+ * further ones are added to the next report.
+ */
 constexpr std::size_t maxRestored = 16;
 
 SteadyTime stepOf(SteadyTime time)
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/QuotaService.cpp
@@ -26,10 +26,13 @@
 /** Retry-After of a node that no counter replies to. */
 constexpr Millis aloneRetryAfter{1000};
 
-/** Returns the identifier of the first report of @p self. Those of an earlier process with its name are unlike it. */
+/**
+ * Returns the identifier of the first report of @p self. Its sequence number depends on the incarnation, so that the
+ * reports of an earlier process of the node have other identifiers.
+ */
 ReportId firstReportOf(const NodeRef &self)
 {
-    // Half of the range is left for the reports to come; 0 would mean that there is no identifier.
+    // Half of the range is left for further reports, so the number does not overflow. 0 would mean no identifier.
     return ReportId{stableHash(self.id), (stableHash(self.text()) >> 1U) + 1};
 }
 
--- a/src/sidecar/QuotaService.h
+++ b/src/sidecar/QuotaService.h
@@ -98,6 +98,7 @@
     std::optional<LinkId> linkTo(const std::string &node, Duration timeout);
 
     QuotaReply count(const std::string &from, const QuotaReport &report);
+    /** Counts late returns and repeated reports in the metrics. */
     void countMetrics(const CountedUse &counted);
     QuotaGrant countOne(const std::string &from, std::uint64_t configVersion, const QuotaUse &use);
     Counter &counterFor(const std::string &customer, const QuotaLimit &limit);
--- a/src/sidecar/QuotaServiceCounter.cpp
+++ b/src/sidecar/QuotaServiceCounter.cpp
@@ -18,7 +18,7 @@
 constexpr Millis loanTimeout{300};
 /** Minimum interval between two loan requests for one customer. */
 constexpr Millis loanInterval{400};
-/** Minimum interval between two announcements of a counter that some nodes cannot reach. */
+/** Minimum interval between two announcements of a counter that some nodes exclude. */
 constexpr Millis standInAnnounceInterval{1000};
 
 } // namespace
--- a/src/sidecar/SidecarNodeImpl.h
+++ b/src/sidecar/SidecarNodeImpl.h
@@ -33,9 +33,12 @@
 
 namespace waxwing {
 
-/** Services of the node and the connections between them. Several files define its functions. */
+/**
+ * Services of the node and the connections between them. SidecarNode.cpp, SidecarMessages.cpp (messages of peers) and
+ * SidecarLinks.cpp (links to peers) define its functions. Not thread safe.
+ */
 struct SidecarNode::Impl {
-    /** Events kept in memory. The log has them all, and memory is paid for. */
+    /** Events kept in memory. Few are enough, because the log has all of them. */
     static constexpr std::size_t maxKeptEvents = 128;
 
     Impl(boost::asio::io_context &ioContext, const Clock &clock, const NodeSettings &settings,
@@ -74,10 +77,12 @@
     void enableFlow(const FlowSettings &settings);
     /** Returns true if this node buffers too much to accept work that arrived on @p link. */
     bool holdsTooMuch(LinkId link) const;
+    /** The same for work that is about to start here, regardless of its link. */
     bool holdsTooMuch() const;
     /** Stores @p link if the sender of work in progress sent @p fence: the WorkReply goes to the last such link. */
     void noteReplyLink(LinkId link, const NodeRef &from, const Fence &fence);
     void applyConfig(const FleetConfig &changed);
+    /** Opens the links to all nodes of this region, so that no request waits for one. */
     void warmLinks();
     /** Sends the record to every node of the registry, for updates that can't wait for a watch. */
     void broadcast(const Record &record);
@@ -106,9 +111,11 @@
     /** Null if callers and servers don't read slowly. */
     std::shared_ptr<ResponseFlow> flow;
     std::map<LinkId, LinkDelayEstimator> linkDelays;
+    /** Link of the last Fence for work in progress (noteReplyLink()). */
     std::map<WorkKey, LinkId> replyLinks;
     /** Links that this node opened, with the node at the other end. */
     std::map<LinkId, std::string> outgoingLinks;
+    /** Nodes to which reconnect() is opening a link. */
     std::set<std::string> reconnecting;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> controlServer;
--- a/src/sidecar/home/HomeJob.h
+++ b/src/sidecar/home/HomeJob.h
@@ -23,7 +23,7 @@
     SteadyTime queuedAt;
     /** The request has waited for the server's memory, and its sender knows that it was accepted. */
     bool accepted = false;
-    /** Incarnation of the server's process that the request was sent to. */
+    /** Incarnation of the server's process that the request was sent to; 0 before it is sent. */
     std::uint64_t incarnation = 0;
     /** A nested call that the server may have made for this work failed. */
     bool callFailed = false;
--- a/src/sidecar/home/ServerMemoryGate.h
+++ b/src/sidecar/home/ServerMemoryGate.h
@@ -48,7 +48,10 @@
     Result admit(const Request &request, const std::function<void()> &onWait);
     /** Ends a request. */
     void release(std::uint64_t id);
-    /** Records that the server has completed a request, which it held together with the others in progress. */
+    /**
+     * Records that the server has completed a request, which it held together with the others in progress. @pre the
+     * server did not refuse the request.
+     */
     void noteCompleted();
     /** Records that the server has reset a connection. */
     void noteReset();
--- a/src/sidecar/home/WorkAdmission.cpp
+++ b/src/sidecar/home/WorkAdmission.cpp
@@ -89,7 +89,8 @@
         return true;
     }
     if (waited.started) {
-        // It was cancelled after its start and before this fiber resumed. The slot is free for the next request.
+        // It was cancelled after its start and before this fiber resumed. The slot is free for the next request. Work
+        // that was cancelled as queued is refused with the default reason, queue-timeout.
         scheduler_.release(job.id);
     }
     job.refuse(job.control->cancelled ? "cancelled" : waited.reason);
--- a/src/sidecar/ingress/AttemptReservation.h
+++ b/src/sidecar/ingress/AttemptReservation.h
@@ -42,7 +42,8 @@
 /**
  * Takes the tokens for one more attempt. Checks the request again afterwards, since the caller may disconnect, and
  * other attempts may reach further homes, while tokens are transferred from other nodes. The tokens are put back if the
- * attempt may not be made then. @pre all functions of @p account are set.
+ * attempt may not be made then. Returns AttemptDenial::None if it may be made. @pre all functions of @p account are
+ * set; called from a fiber if @c spend suspends it.
  */
 AttemptDenial reserveAttempt(const AttemptAccount &account);
 
--- a/src/wire/QuotaCodec.cpp
+++ b/src/wire/QuotaCodec.cpp
@@ -13,7 +13,7 @@
 
 /**
  * Indexes of QuotaUse::returned, of the sequence number of QuotaUse::id and of QuotaUse::forwarded in the array for a
- * customer. Earlier builds neither send nor read them. The origin of the identifier is the sender.
+ * customer. Earlier builds lack the last two or all three. The origin of the identifier is not sent: it is the sender.
  */
 constexpr std::size_t quotaUseReturns = 5;
 constexpr std::size_t quotaUseSequence = 6;
@@ -22,9 +22,9 @@
  */
 constexpr std::int64_t maxQuotaUse = std::int64_t{1} << 53;
 
-/** Upper bound on the forwarded reports for one customer; a stand-in sends at most 256. */
+/** A list with more forwarded reports for one customer is malformed; a stand-in sends at most 256. */
 constexpr std::size_t maxForwarded = 1024;
-/** A greater age is decoded as this one; the counter knows two windows. */
+/** A greater age is decoded as this one. Ages above the quota's window (5 s by default) are all treated alike. */
 constexpr std::uint64_t maxForwardedAgeMs = 60000;
 
 std::uint64_t unsignedFrom(const json &value)
--- a/tests/integration/SlowReaderTest.cpp
+++ b/tests/integration/SlowReaderTest.cpp
@@ -34,8 +34,9 @@
 }
 
 /**
- * Has the processes that a test starts return freed memory to the allocator at once. AddressSanitizer otherwise keeps
- * up to 256 MB of it, which counts as their peak memory. No effect without the sanitizer.
+ * Limits the freed memory that AddressSanitizer keeps in each process started during the lifetime of this object to
+ * 1 MB. By default it keeps up to 256 MB, which count in the peak memory. No effect without the sanitizer. Changes the
+ * environment of this process, so no other thread may use it meanwhile.
  */
 class NoFreedMemoryKept
 {
--- a/tests/support/RetryBudgetFleetModel.cpp
+++ b/tests/support/RetryBudgetFleetModel.cpp
@@ -17,15 +17,18 @@
 /** Two windows, so that the limit of every window with failures has all the requests that it counts. */
 constexpr Millis warmUp{21000};
 constexpr Millis failurePhase{12000};
+/** Times since the servers began to fail. */
 constexpr Millis demandFallsAt{2000};
 constexpr Millis killedAt{3000};
 constexpr Millis restartedAt{4000};
+/** How long the same nodes get most of the requests. */
 constexpr Millis hotNodesPeriod{3000};
 constexpr double hotShare = 0.8;
 constexpr double shedShare = 0.9;
 constexpr double failedRunShare = 0.5;
 constexpr double lostTransferShare = 0.1;
 constexpr int maxAttempts = 8;
+/** Each run makes 0 to this many calls. */
 constexpr int maxCalls = 4;
 constexpr double meanCalls = maxCalls / 2.0;
 /** As in RetryBudgetService: the pause after a transfer that brought too few tokens. */
@@ -164,7 +167,7 @@
         }
     }
 
-    /** Returns whether @p tokens are available, if necessary by transfers. */
+    /** Returns true if @p tokens are available, if necessary by transfers. */
     bool obtain(std::size_t node, ServiceBudget Node::*service, double tokens)
     {
         ServiceBudget &own = nodes_[node].*service;
--- a/tests/support/RetryBudgetFleetModel.h
+++ b/tests/support/RetryBudgetFleetModel.h
@@ -10,17 +10,19 @@
 struct BudgetFleetFaults {
     /** A tenth of the nodes gets four fifths of the requests. */
     bool unevenDemand = false;
-    /** Additionally, another tenth every three seconds. */
+    /** A tenth of the nodes gets four fifths of the requests, and another tenth every three seconds. */
     bool movingDemand = false;
     /** The demand falls to a tenth two seconds after the servers began to fail. */
     bool fallingDemand = false;
     /** Two halves of the fleet can't reach each other; each node still counts all nodes of the registry. */
     bool partition = false;
-    /** Additionally, each node counts only the nodes of its half. */
+    /** Together with @c partition: each node counts only the nodes of its half. */
     bool fewerNodesSeen = false;
     /** Half of the nodes are killed and start again, without their counts. */
     bool restart = false;
-    /** Requests of another service, half of which fail after their run, make calls whose number isn't known at first.
+    /**
+     * Requests of another service make calls whose number isn't known at first. Half of these requests fail after their
+     * run.
      */
     bool nestedCalls = false;
     /** Half of the nodes count only half of the nodes, as after the fleet has doubled. */
--- a/tests/unit/QuotaFaultTest.cpp
+++ b/tests/unit/QuotaFaultTest.cpp
@@ -88,8 +88,8 @@
 }
 
 /**
- * Checks that reports of stand-ins cause no refusals of a customer within its quota, or at most this share of its
- * requests.
+ * Checks that a customer within its quota is refused no more often than without the reports of stand-ins, and that the
+ * bound holds. @p share: of its requests, how many more may be refused.
  */
 void checkRefusedNoMoreThanWithoutReports(const NamedLoad &named, double share = 0.0)
 {
@@ -101,7 +101,7 @@
     CHECK(with.worstOverrun <= 0.0);
 }
 
-/** Checks that a customer above its quota gets most of it, and no more than the bound. */
+/** Checks that a customer above its quota gets at least @p share of what it is owed, and no more than the bound. */
 void checkGetsQuota(const NamedLoad &named, double share)
 {
     const Sums sums = play(named.load);
@@ -123,7 +123,7 @@
     }
 }
 
-// The same for replies that arrive after the ingress has excluded the counter.
+// Guards against refusals within the quota because replies arrive after the ingress has excluded the counter.
 TEST_CASE("quota of a fleet, replies of live counters late, refuses no more than without stand-in reports")
 {
     for (NamedLoad named : usualLoads()) {
@@ -157,7 +157,7 @@
     }
 }
 
-// The same while ingresses can't reach the counter.
+// Guards against a hot customer that gets less than its quota because some ingresses can't reach the counter.
 TEST_CASE("quota of a fleet, hot customer while links to the counter are cut, gets nine tenths of its quota")
 {
     for (NamedLoad named : hotLoads()) {
--- a/tests/unit/QuotaFleetTest.cpp
+++ b/tests/unit/QuotaFleetTest.cpp
@@ -83,6 +83,7 @@
 
 } // namespace
 
+// Guards against refusals and delays of a customer that stays within its quota.
 TEST_CASE("quota of a fleet, usual load at all nodes, refuses nothing and stays below the limit")
 {
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
@@ -93,7 +94,8 @@
     }
 }
 
-// Load: one customer sends 7.5 times its usual to all nodes at once.
+// Guards against nodes that together admit more than the bound, for a customer that sends 7.5 times its usual to all of
+// them at once.
 TEST_CASE("quota of a fleet, hot customer at all nodes, stays within the bound")
 {
     checkWithinBound(hotLoad());
@@ -103,7 +105,7 @@
     checkWithinBound(small);
 }
 
-// Load: a customer that sends twice its limit all the time.
+// Guards against a bound that holds only for short bursts: the customer sends twice its limit all the time.
 TEST_CASE("quota of a fleet, customer steadily over its limit, stays within the bound")
 {
     for (const double rate : {16.0, 60.0, 136.0}) {
@@ -114,7 +116,7 @@
     }
 }
 
-// Load: a customer that uses one node only, whose region has a third of the quota.
+// Guards against refusals of a customer that uses one node only, whose region has a third of the quota.
 TEST_CASE("quota of a fleet, all requests at one node, are served from the loans of other regions")
 {
     QuotaFleetLoad load;
@@ -126,14 +128,16 @@
     }
 }
 
-// Load: a hot customer while a sixth of the nodes is cut off from the others and from their counters.
+// Guards against nodes that admit more than the bound while a sixth of them is cut off from the others and the
+// counters.
 TEST_CASE("quota of a fleet, hot customer while nodes are cut off, stays within the bound")
 {
     QuotaFleetLoad load = hotLoadWithCut(0.17, Millis(7500));
     checkWithinBound(load);
 }
 
-// Load: a hot customer whose counter is killed, and its successor within the same window.
+// Guards against new counters that grant what the killed ones have granted: a counter is killed, and its successor
+// within the same window.
 TEST_CASE("quota of a fleet, counter killed twice within a window, stays within the bound")
 {
     QuotaFleetLoad load = hotLoad();
@@ -141,6 +145,7 @@
     checkWithinBound(load);
 }
 
+// Guards against a lower limit that is ignored, or that binds later than one window after the change.
 TEST_CASE("quota of a fleet, limit halved during a burst, binds one window later")
 {
     QuotaFleetLoad load = hotLoad();
@@ -149,6 +154,7 @@
     checkWithinBound(load);
 }
 
+// Guards against a higher limit that existing counters ignore.
 TEST_CASE("quota of a fleet, limit raised during a burst, grants more")
 {
     QuotaFleetLoad load = hotLoad();
@@ -158,14 +164,14 @@
     CHECK(play(load, 1).admitted > before + 500);
 }
 
-// Load: a hot customer while one half of the nodes is cut off from the other.
+// Guards against two halves of the fleet that each grant a hot customer more than their part of the quota.
 TEST_CASE("quota of a fleet, hot customer while the fleet is split in halves, stays within the bound")
 {
     QuotaFleetLoad load = hotLoadWithCut(0.5, Millis(7500));
     checkWithinBound(load);
 }
 
-// The same for longer than any window: neither side may forget the nodes that it does not hear of.
+// Guards against halves that forget the nodes of the other one when the split lasts longer than any window.
 TEST_CASE("quota of a fleet, hot customer while the fleet is split for 12 s, stays within the bound")
 {
     QuotaFleetLoad load = hotLoadWithCut(0.5, Millis(14000));
@@ -174,7 +180,8 @@
     checkWithinBound(load);
 }
 
-// The same with a customer of few requests, whose counter has not met the nodes that it loses.
+// Guards against halves that grant too much to a customer of few requests, whose counter has received no report of the
+// nodes that it loses.
 TEST_CASE("quota of a fleet, small hot customer while the fleet is split in halves, stays within the bound")
 {
     QuotaFleetLoad load = hotLoadWithCut(0.5, Millis(7500));
--- a/tests/unit/QuotaReportTest.cpp
+++ b/tests/unit/QuotaReportTest.cpp
@@ -47,6 +47,7 @@
         return ledger_.takeUnreported(clock_.now());
     }
 
+    /** Returns the report by which the ingress asks for a grant for one request. */
     QuotaUse askForOne()
     {
         ledger_.setMode("c", QuotaMode::Metered, clock_.now());
@@ -75,6 +76,7 @@
         first_.count("stand-in", use, RegionNodes{}, clock_.now());
     }
 
+    /** Returns how many tokens the first counter's bucket lacks. */
     double takenAtFirst()
     {
         return first_.loanWanted(clock_.now());
@@ -82,7 +84,7 @@
 
     ManualClock clock_;
     QuotaTuning tuning_;
-    /** Its bucket regains little during a test. */
+    /** With this rate a bucket regains little during a test. */
     QuotaLimit limit_{0.001, 100.0};
     QuotaLedger ledger_{tuning_, ReportId{stableHash("ingress"), 1}};
     QuotaCounter first_ = make();
@@ -151,7 +153,7 @@
     CHECK(takenAtFirst() == doctest::Approx(7.0).epsilon(0.01));
 }
 
-// Guards against the same where the delayed report of the ingress arrives after that of the stand-in.
+// Guards against requests counted twice where the delayed report of the ingress arrives after that of the stand-in.
 TEST_CASE_FIXTURE(Reports, "quota report, arrives after the stand-in has forwarded it, is counted once")
 {
     admit(5);
@@ -192,7 +194,7 @@
     CHECK(takenAtFirst() == doctest::Approx(1.0).epsilon(0.01));
 }
 
-// Guards against the same where the ingress asks the same counter again.
+// Guards against a request that costs two tokens because the ingress asks the same counter again.
 TEST_CASE_FIXTURE(Reports, "quota report, grant lost and asked for again at the same counter, costs one token")
 {
     const QuotaUse ask = askForOne();
@@ -201,7 +203,8 @@
     CHECK(takenAtFirst() == doctest::Approx(1.0).epsilon(0.01));
 }
 
-// Guards against the same where no counter replies and the ingress admits the request within its own share.
+// Guards against a request that costs two tokens because a counter has granted it with a lost reply, and the ingress
+// admits it within its own share.
 TEST_CASE_FIXTURE(Reports, "quota report, grant lost and request admitted alone, is counted once")
 {
     limit_ = QuotaLimit{10.0, 100.0};
--- a/tests/unit/ResponseEvaluatorTest.cpp
+++ b/tests/unit/ResponseEvaluatorTest.cpp
@@ -165,7 +165,7 @@
     }
 }
 
-// Guards against failures that no longer count, once those of overdue runs don't.
+// Guards against ordinary failures that are ignored like those of overdue runs.
 TEST_CASE_FIXTURE(EvaluatingHome, "response evaluator, run fails in its usual time, counts against the server")
 {
     const double before = queue_.grayProbability(clock_.now());
--- a/tests/unit/RetryBudgetFleetTest.cpp
+++ b/tests/unit/RetryBudgetFleetTest.cpp
@@ -70,12 +70,14 @@
 
 } // namespace
 
-// Each case guards against more retries than the rule allows the whole fleet in a window of 10 s.
+// The following cases guard against more retries than the rule allows the whole fleet in a window of 10 s; this one
+// against nodes whose own parts add up to more than the limit.
 TEST_CASE("retry budget fleet, all servers shed load, use stays within the limit")
 {
     checkDefaults({});
 }
 
+// Guards against transfers between idle and busy nodes that create tokens.
 TEST_CASE("retry budget fleet, uneven demand, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -83,6 +85,7 @@
     checkDefaults(faults);
 }
 
+// Guards against tokens that other nodes earn anew for the requests of nodes that have spent theirs.
 TEST_CASE("retry budget fleet, demand moves between nodes, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -90,6 +93,7 @@
     checkDefaults(faults);
 }
 
+// Guards against tokens of many requests that are spent when few requests come.
 TEST_CASE("retry budget fleet, demand falls, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -97,6 +101,7 @@
     checkDefaults(faults);
 }
 
+// Guards against halves of the fleet that together exceed the limit, although each node counts all nodes.
 TEST_CASE("retry budget fleet, partition with the registry's node count, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -104,6 +109,7 @@
     checkDefaults(faults);
 }
 
+// Guards against halves that each use the whole slack.
 TEST_CASE("retry budget fleet, partition in which each node counts its half, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -111,6 +117,7 @@
     checkDefaults(faults);
 }
 
+// Guards against restarted nodes that spend again what they have spent before.
 TEST_CASE("retry budget fleet, half of the nodes killed and restarted, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -118,6 +125,7 @@
     checkDefaults(faults);
 }
 
+// Guards against retried runs whose nested calls cost more than was spent for them.
 TEST_CASE("retry budget fleet, nested calls of unknown number, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -125,6 +133,7 @@
     checkDefaults(faults);
 }
 
+// Guards against nodes that divide the slack by too small a number of nodes.
 TEST_CASE("retry budget fleet, node counts out of date, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -132,6 +141,7 @@
     checkDefaults(faults);
 }
 
+// Guards against conditions that exceed the limit only together.
 TEST_CASE("retry budget fleet, all conditions of the specification together, use stays within the limit")
 {
     BudgetFleetFaults faults;
@@ -147,12 +157,14 @@
               {&BudgetFleetFaults::unevenDemand, &BudgetFleetFaults::fallingDemand, &BudgetFleetFaults::partition});
 }
 
+// Guards against fractions that are safe only as long as no node restarts and all node counts are current.
 TEST_CASE("retry budget fleet, fractions for restarts, are safe with stale node counts too")
 {
     checkSafe({0.65, 0.65}, {&BudgetFleetFaults::unevenDemand, &BudgetFleetFaults::partition,
                              &BudgetFleetFaults::restart, &BudgetFleetFaults::staleNodeCount});
 }
 
+// Guards against fractions that are not safe with nested calls or moving demand.
 TEST_CASE("retry budget fleet, fractions for nested calls, are safe in each condition")
 {
     checkSafe({0.5, 0.3},
--- a/tests/unit/WorkAdmissionTest.cpp
+++ b/tests/unit/WorkAdmissionTest.cpp
@@ -107,7 +107,7 @@
     CHECK(waiting.reason == "stopping");
 }
 
-// Guards against a refusal that names another reason once removals carry theirs.
+// Guards against a queue timeout that is refused with the reason of another removal.
 TEST_CASE_FIXTURE(OneSlotHome, "work admission, no slot before the queue timeout, refusal names the timeout")
 {
     Waiter &waiting = submit();
