--- a/include/customer/CountedReports.h
+++ b/include/customer/CountedReports.h
@@ -42,6 +42,8 @@
         SteadyTime at;
     };
 
+    void removeOldest();
+
     Millis window_;
     std::map<ReportId, std::int64_t> counts_;
     /** The reports in @c counts_, oldest first. */
--- a/src/customer/CountedReports.cpp
+++ b/src/customer/CountedReports.cpp
@@ -13,18 +13,28 @@
     if (!id.isKnown()) {
         return count;
     }
-    while (!expiries_.empty() && (expiries_.front().at <= now || expiries_.size() >= maxReports)) {
-        counts_.erase(expiries_.front().id);
-        expiries_.pop_front();
+    while (!expiries_.empty() && expiries_.front().at <= now) {
+        removeOldest();
     }
-    const auto [found, isNew] = counts_.emplace(id, count);
-    if (isNew) {
-        expiries_.push_back(Expiry{id, now + window_});
-        return count;
+    const auto found = counts_.find(id);
+    if (found != counts_.end()) {
+        const std::int64_t added = std::max<std::int64_t>(0, count - found->second);
+        found->second += added;
+        return added;
+    }
+    // Only for a new report, so that a repeated one does not remove itself and is counted again.
+    if (expiries_.size() >= maxReports) {
+        removeOldest();
     }
-    const std::int64_t added = std::max<std::int64_t>(0, count - found->second);
-    found->second += added;
-    return added;
+    counts_.emplace(id, count);
+    expiries_.push_back(Expiry{id, now + window_});
+    return count;
+}
+
+void CountedReports::removeOldest()
+{
+    counts_.erase(expiries_.front().id);
+    expiries_.pop_front();
 }
 
 std::int64_t CountedReports::countOf(const ReportId &id) const
--- a/src/health/GrayFilter.cpp
+++ b/src/health/GrayFilter.cpp
@@ -121,15 +121,15 @@
     std::vector<Evidence> &recent = state.recent;
     const auto after = [](const Evidence &a, const Evidence &b) { return a.at < b.at; };
     recent.insert(std::upper_bound(recent.begin(), recent.end(), evidence, after), evidence);
-    auto settled = std::find_if(recent.begin(), recent.end(),
-                                [&](const Evidence &one) { return one.at + tuning_.orderingWindow >= now; });
+    auto firstKept = std::find_if(recent.begin(), recent.end(),
+                                  [&](const Evidence &one) { return one.at + tuning_.orderingWindow >= now; });
     if (recent.size() > tuning_.maxOrdered) {
-        settled = std::max(settled, recent.end() - static_cast<std::ptrdiff_t>(tuning_.maxOrdered));
+        firstKept = std::max(firstKept, recent.end() - static_cast<std::ptrdiff_t>(tuning_.maxOrdered));
     }
-    for (auto it = recent.begin(); it != settled; ++it) {
+    for (auto it = recent.begin(); it != firstKept; ++it) {
         state.base = updated(state, state.base, *it);
     }
-    recent.erase(recent.begin(), settled);
+    recent.erase(recent.begin(), firstKept);
 }
 
 GrayFilter::Estimate GrayFilter::decayed(const State &state, const Estimate &estimate, SteadyTime now) const
--- a/tests/integration/SlowReaderTest.cpp
+++ b/tests/integration/SlowReaderTest.cpp
@@ -38,20 +38,20 @@
  * 1 MB. By default it keeps up to 256 MB, which count in the peak memory. No effect without the sanitizer. Changes the
  * environment of this process, so no other thread may use it meanwhile.
  */
-class NoFreedMemoryKept
+class SmallAsanQuarantine
 {
 public:
-    NoFreedMemoryKept()
+    SmallAsanQuarantine()
         : before_(std::getenv(variable) != nullptr ? std::getenv(variable) : "")
     {
         set(before_ + ":quarantine_size_mb=1");
     }
-    ~NoFreedMemoryKept()
+    ~SmallAsanQuarantine()
     {
         set(before_);
     }
-    NoFreedMemoryKept(const NoFreedMemoryKept &) = delete;
-    NoFreedMemoryKept &operator=(const NoFreedMemoryKept &) = delete;
+    SmallAsanQuarantine(const SmallAsanQuarantine &) = delete;
+    SmallAsanQuarantine &operator=(const SmallAsanQuarantine &) = delete;
 
 private:
     static constexpr const char *variable = "ASAN_OPTIONS";
@@ -96,7 +96,7 @@
 {
     // Guards against a node that is killed at its memory limit because each slow reader's response is held in memory,
     // and against small responses that wait for large ones.
-    const NoFreedMemoryKept options;
+    const SmallAsanQuarantine options;
     Mesh mesh(twoNodes());
     downloadOnce(mesh);
     const std::size_t before = mesh.node(0).memoryKilobytes("VmHWM");
--- a/tests/unit/QuotaReportTest.cpp
+++ b/tests/unit/QuotaReportTest.cpp
@@ -392,6 +392,18 @@
     CHECK(reports.size() == 1);
 }
 
+// Guards against a repeated report that is counted twice because it takes its own place in a full list.
+TEST_CASE("counted reports, list is full and its oldest is repeated, is counted once")
+{
+    const SteadyTime start = SteadyTime(std::chrono::hours(1000));
+    CountedReports reports(Millis(5000));
+    for (std::uint64_t i = 1; i <= CountedReports::maxReports; ++i) {
+        CHECK(reports.add(ReportId{i, 1}, 4, start) == 4);
+    }
+    CHECK(reports.add(ReportId{1, 1}, 4, start + Millis(1)) == 0);
+    CHECK(reports.add(ReportId{2, 1}, 6, start + Millis(1)) == 2);
+}
+
 // Guards against reports of an ingress that pile up while no counter replies, and against requests lost with them.
 TEST_CASE_FIXTURE(Reports, "quota ledger, no counter replies for a minute, keeps few reports and all requests")
 {
