--- a/tests/unit/RetryBudgetFleetTest.cpp
+++ b/tests/unit/RetryBudgetFleetTest.cpp
@@ -43,6 +43,15 @@
     return largest;
 }
 
+BudgetFleetFaults faultsOf(const std::vector<bool BudgetFleetFaults::*> &conditions)
+{
+    BudgetFleetFaults faults;
+    for (const auto condition : conditions) {
+        faults.*condition = true;
+    }
+    return faults;
+}
+
 void checkDefaults(const BudgetFleetFaults &faults)
 {
     for (const std::size_t nodes : {24, 102, 300}) {
@@ -80,74 +89,57 @@
 // Guards against transfers between idle and busy nodes that create tokens.
 TEST_CASE("retry budget fleet, uneven demand, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.unevenDemand = true;
-    checkDefaults(faults);
+    checkDefaults(faultsOf({&BudgetFleetFaults::unevenDemand}));
 }
 
 // Guards against tokens that other nodes earn anew for the requests of nodes that have spent theirs.
 TEST_CASE("retry budget fleet, demand moves between nodes, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.movingDemand = true;
-    checkDefaults(faults);
+    checkDefaults(faultsOf({&BudgetFleetFaults::movingDemand}));
 }
 
 // Guards against tokens of many requests that are spent when few requests come.
 TEST_CASE("retry budget fleet, demand falls, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.fallingDemand = true;
-    checkDefaults(faults);
+    checkDefaults(faultsOf({&BudgetFleetFaults::fallingDemand}));
 }
 
 // Guards against halves of the fleet that together exceed the limit, although each node counts all nodes.
 TEST_CASE("retry budget fleet, partition with the registry's node count, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.partition = true;
-    checkDefaults(faults);
+    checkDefaults(faultsOf({&BudgetFleetFaults::partition}));
 }
 
 // Guards against halves that each use the whole slack.
 TEST_CASE("retry budget fleet, partition in which each node counts its half, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.partition = faults.fewerNodesSeen = true;
-    checkDefaults(faults);
+    checkDefaults(faultsOf({&BudgetFleetFaults::partition, &BudgetFleetFaults::fewerNodesSeen}));
 }
 
 // Guards against restarted nodes that spend again what they have spent before.
 TEST_CASE("retry budget fleet, half of the nodes killed and restarted, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.restart = true;
-    checkDefaults(faults);
+    checkDefaults(faultsOf({&BudgetFleetFaults::restart}));
 }
 
 // Guards against retried runs whose nested calls cost more than was spent for them.
 TEST_CASE("retry budget fleet, nested calls of unknown number, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.nestedCalls = true;
-    checkDefaults(faults);
+    checkDefaults(faultsOf({&BudgetFleetFaults::nestedCalls}));
 }
 
 // Guards against nodes that divide the slack by too small a number of nodes.
 TEST_CASE("retry budget fleet, node counts out of date, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.staleNodeCount = true;
-    checkDefaults(faults);
+    checkDefaults(faultsOf({&BudgetFleetFaults::staleNodeCount}));
 }
 
 // Guards against conditions that exceed the limit only together.
 TEST_CASE("retry budget fleet, all conditions of the specification together, use stays within the limit")
 {
-    BudgetFleetFaults faults;
-    faults.unevenDemand = faults.partition = faults.fewerNodesSeen = true;
-    faults.restart = faults.nestedCalls = faults.staleNodeCount = true;
-    checkDefaults(faults);
+    checkDefaults(
+        faultsOf({&BudgetFleetFaults::unevenDemand, &BudgetFleetFaults::partition, &BudgetFleetFaults::fewerNodesSeen,
+                  &BudgetFleetFaults::restart, &BudgetFleetFaults::nestedCalls, &BudgetFleetFaults::staleNodeCount}));
 }
 
 // The following cases guard against fractions that the documents call safe and with which the fleet exceeds its limit.
