Don't count a stall of the node as the silence of its server

Cause: work is overdue once it has run for longer than nearly all work of its route.

Change: StallHistory records when the thread of the node did not run, by a tick of 50 ms while the server works; the time is subtracted from the age of work. A stall that has just ended counts before its tick, since events of sockets may be handled first.

Result: the new case of SlotQueueTest has a gray probability below the threshold, and runs that stay silent after the stall still count as overdue.

--- a/include/home/SlotQueue.h
+++ b/include/home/SlotQueue.h
@@ -208,6 +208,12 @@
      * Sets a check for routes whose work may be waiting for a nested call now: its age says nothing about the server.
      */
     void setCallCheck(std::function<bool(const std::string &route)> mayWaitForCall);
+    /**
+     * Sets a function that returns for how long this node was stalled between two times. Work ages only while the node
+     * can read a response. Without this, a stall of 200 ms made all work that ran count as overdue, and the server as
+     * gray.
+     */
+    void setStallCheck(std::function<Duration(SteadyTime since, SteadyTime now)> stalledBetween);
     /**
      * Orders requests whose nested calls will likely fail behind others of their priority, and refuses those that can't
      * start in time there. @p admission must outlive this object.
@@ -369,6 +375,7 @@
     std::map<Rank, Occupancy> occupancy_;
     CustomerUse customerUse_;
     std::function<bool(const std::string &route)> mayWaitForCall_;
+    std::function<Duration(SteadyTime since, SteadyTime now)> stalledBetween_;
     /** Null if requests are ordered without regard to their nested calls. */
     CallAdmission *callAdmission_ = nullptr;
 };
--- a/src/home/SlotQueueEvidence.cpp
+++ b/src/home/SlotQueueEvidence.cpp
@@ -81,11 +81,20 @@
     mayWaitForCall_ = std::move(mayWaitForCall);
 }
 
+void SlotQueue::setStallCheck(std::function<Duration(SteadyTime since, SteadyTime now)> stalledBetween)
+{
+    stalledBetween_ = std::move(stalledBetween);
+}
+
 double SlotQueue::survivalOf(const Running &run, SteadyTime now) const
 {
     const auto workTime = workTimes_.find(run.route);
     const bool isUnknown = workTime == workTimes_.end() || (mayWaitForCall_ && mayWaitForCall_(run.route));
-    return isUnknown ? 1.0 : workTime->second.model.survival(now - run.since);
+    if (isUnknown) {
+        return 1.0;
+    }
+    const Duration stalled = stalledBetween_ ? stalledBetween_(run.since, now) : Duration(0);
+    return workTime->second.model.survival(now - run.since - stalled);
 }
 
 double SlotQueue::unfinishedRatio(double survival) const
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -27,7 +27,9 @@
     , admission_(core, scheduler_)
     , exchange_(core, queue_, server_, works_, nestedCalls_.tracker())
     , origins_(core)
-{ }
+{
+    queue_.setStallCheck([this](SteadyTime since, SteadyTime now) { return stalls_.stalledBetween(since, now); });
+}
 
 void LocalHome::start()
 {
@@ -70,6 +72,23 @@
     }
 }
 
+void LocalHome::observeStalls()
+{
+    if (observesStalls_) {
+        return;
+    }
+    observesStalls_ = true;
+    spawnFiber([this] {
+        stalls_.start(core_.clock.now());
+        while (queue_.running() > 0) {
+            sleepFor(core_.ioContext, stalls_.tickInterval());
+            stalls_.tick(core_.clock.now());
+        }
+        stalls_.stop();
+        observesStalls_ = false;
+    });
+}
+
 std::string LocalHome::closedReason(const std::string &service) const
 {
     if (stopped_) {
@@ -116,6 +135,7 @@
     // A Work that takes over the slot of its reservation gets that slot's id.
     const std::uint64_t memoryId = job.id;
     if (admission_.await(job, onAdmitted)) {
+        observeStalls();
         exchange_.run(job);
         scheduler_.release(job.id);
     }
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/health/StallHistory.h"
 #include "include/home/SlotQueue.h"
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
@@ -108,12 +109,16 @@
 
 private:
     void expiryLoop();
+    /** Observes the stalls of this node while the server works, unless that is done already. */
+    void observeStalls();
     /** Returns the reason to refuse a Work that this home must not run; empty if it may be admitted. */
     std::string refusalReason(const Work &work) const;
     /** Returns false if customers need keys and the sender's build has not checked the key of @p work. */
     bool isKeyChecked(const Work &work) const;
 
     NodeCore &core_;
+    StallHistory stalls_;
+    bool observesStalls_ = false;
     SlotQueue queue_;
     WorkTable works_;
     NestedCalls nestedCalls_;
--- a/tests/unit/SlotQueueTest.cpp
+++ b/tests/unit/SlotQueueTest.cpp
@@ -77,6 +77,23 @@
 
 } // namespace
 
+// Guards against a home that counts as gray, and so is lost to a request without another one, because its own node was
+// stalled while responses lay unread.
+TEST_CASE_FIXTURE(OneServer, "slot queue, node stalled while eight requests run, server stays usable for all work")
+{
+    const SteadyTime stalledFrom = now;
+    queue.setStallCheck([&](SteadyTime, SteadyTime at) { return std::min<Duration>(Millis(400), at - stalledFrom); });
+    startEightAndWait();
+    CHECK(queue.grayProbability(now) < SlotTuning{}.grayThreshold);
+    CHECK_FALSE(queue.isOverdue(1));
+    SUBCASE("and silent for as long again, counts as overdue")
+    {
+        now += Millis(500);
+        queue.noteOverdueWork(now);
+        CHECK(queue.isOverdue(1));
+    }
+}
+
 TEST_CASE_FIXTURE(OneServer, "slot queue, all slots taken, never starts one more")
 {
     fill();
