Index the registry by service, zone and region, and tell random nodes of a lost VM

Cause: each send, reservation, fence and transfer walked over all nodes of the fleet and copied many of them. A node that noticed a lost VM told the first 64 nodes by name, each of which told the same 64: in a region of 327 the others never heard of it. Reconnects came in step, and every change of the registry started a fiber for each node of the region.

Change: NodeRegistry keeps the groups with each change; relays, donors and suspicions are drawn at random (sampleEntries). A confirmed failure is told to eight random nodes of the region. Reconnects have jitter.

--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -58,20 +58,21 @@
     return exchange(link, makeFence(work, queryOnly, false), timeout);
 }
 
-std::vector<RegistryEntry> FenceService::chooseRelays(const RegistryEntry &home)
+RegistryEntries FenceService::chooseRelays(const RegistryEntry &home)
 {
-    std::vector<RegistryEntry> sameRegion;
-    std::vector<RegistryEntry> otherRegions;
-    for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
-        if (entry->id != core_.self.id && entry->id != home.id) {
-            (entry->region == core_.settings.region ? sameRegion : otherRegions).push_back(*entry);
-        }
+    const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    const auto random = [this] { return core_.random(); };
+    const auto isOther = [&](const RegistryEntry &entry) { return entry.id != core_.self.id && entry.id != home.id; };
+    RegistryEntries chosen = sampleEntries(registry.inRegion(core_.settings.region), relayCount, random, isOther);
+    if (chosen.size() < relayCount) {
+        const auto isElsewhere = [&](const RegistryEntry &entry) {
+            return isOther(entry) && entry.region != core_.settings.region;
+        };
+        const RegistryEntries elsewhere =
+            sampleEntries(registry.all(), relayCount - chosen.size(), random, isElsewhere);
+        chosen.insert(chosen.end(), elsewhere.begin(), elsewhere.end());
     }
-    std::shuffle(sameRegion.begin(), sameRegion.end(), core_.random);
-    std::shuffle(otherRegions.begin(), otherRegions.end(), core_.random);
-    sameRegion.insert(sameRegion.end(), otherRegions.begin(), otherRegions.end());
-    sameRegion.resize(std::min(sameRegion.size(), relayCount));
-    return sameRegion;
+    return chosen;
 }
 
 FenceReply FenceService::fetch(LinkId link, const SentWork &work, Duration left)
@@ -126,8 +127,8 @@
         });
     };
     start(work.home, true);
-    for (const RegistryEntry &relay : chooseRelays(work.home)) {
-        start(relay, false);
+    for (const RegistryEntryPtr &relay : chooseRelays(work.home)) {
+        start(*relay, false);
     }
     const bool otherRegion = work.home.region != core_.settings.region;
     const Millis relayGrace = otherRegion ? relayGraceOtherRegion : relayGraceSameRegion;
--- a/src/sidecar/FenceService.h
+++ b/src/sidecar/FenceService.h
@@ -70,7 +70,7 @@
     FenceReply fetch(LinkId link, const SentWork &work, Duration left);
     /** Forwards @p fence to its target and sends the reply on @p replyLink. */
     void forwardFence(LinkId replyLink, const Fence &fence);
-    std::vector<RegistryEntry> chooseRelays(const RegistryEntry &home);
+    RegistryEntries chooseRelays(const RegistryEntry &home);
 
     NodeCore &core_;
     FenceHandler fenceLocally_;
--- a/src/sidecar/PathMonitor.cpp
+++ b/src/sidecar/PathMonitor.cpp
@@ -27,10 +27,11 @@
  */
 constexpr Millis suspicionCheckInterval{2000};
 /**
- * Limits the messages per failure in a region of hundreds of nodes. Nodes that confirm the failure send as many; each
- * notifies the first nodes by id to which it has a link.
+ * Nodes of the region that each node notifies that has confirmed a failure. They are chosen at random, so the news
+ * reaches a region of any size in a number of steps that grows with its logarithm, at a fixed number of messages a
+ * node.
  */
-constexpr std::size_t maxNotifiedNodes = 64;
+constexpr std::size_t notifiedNodes = 8;
 
 } // namespace
 
@@ -101,12 +102,15 @@
 void PathMonitor::notifyRegion(const std::string &node)
 {
     PeerHub &peers = core_.service<PeerHub>("peers");
-    std::size_t notified = 0;
-    for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
-        const bool inRegion = entry->region == core_.settings.region && entry->id != core_.self.id && entry->id != node;
-        const std::optional<LinkId> link = inRegion ? peers.openLinkAt(entry->links) : std::nullopt;
-        if (link && notified < maxNotifiedNodes && peers.reply(*link, PathSuspicion{node})) {
-            ++notified;
+    const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    const RegistryEntries notified = sampleEntries(
+        registry.inRegion(core_.settings.region), notifiedNodes, [this] { return core_.random(); },
+        [&](const RegistryEntry &entry) {
+            return entry.id != core_.self.id && entry.id != node && peers.openLinkAt(entry.links);
+        });
+    for (const RegistryEntryPtr &entry : notified) {
+        if (const std::optional<LinkId> link = peers.openLinkAt(entry->links)) {
+            peers.reply(*link, PathSuspicion{node});
         }
     }
 }
--- a/src/sidecar/RetryBudgetService.cpp
+++ b/src/sidecar/RetryBudgetService.cpp
@@ -108,21 +108,12 @@
     }
 }
 
-std::vector<RegistryEntry> RetryBudgetService::transferCandidates() const
+RegistryEntries RetryBudgetService::transferCandidates() const
 {
-    std::vector<RegistryEntry> candidates;
-    for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
-        if (entry->region == core_.settings.region && entry->id != core_.self.id) {
-            candidates.push_back(*entry);
-        }
-    }
-    if (candidates.empty()) {
-        return candidates;
-    }
-    std::rotate(candidates.begin(),
-                candidates.begin() + static_cast<std::ptrdiff_t>(core_.random() % candidates.size()), candidates.end());
-    candidates.resize(std::min(candidates.size(), transferTuning.maxDonors));
-    return candidates;
+    const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    return sampleEntries(
+        registry.inRegion(core_.settings.region), transferTuning.maxDonors, [this] { return core_.random(); },
+        [this](const RegistryEntry &entry) { return entry.id != core_.self.id; });
 }
 
 void RetryBudgetService::requestTransfers(const std::string &service, double tokens, RetryReason reason)
@@ -132,8 +123,8 @@
         return;
     }
     double received = 0.0;
-    for (const RegistryEntry &donor : transferCandidates()) {
-        const double granted = requestTransfer(donor, service, tokens + transferTuning.extraTokens - received, reason);
+    for (const RegistryEntryPtr &donor : transferCandidates()) {
+        const double granted = requestTransfer(*donor, service, tokens + transferTuning.extraTokens - received, reason);
         budgetOf(service).transferIn(granted, core_.clock.now());
         received += granted;
         if (has({{service, tokens}}, reason)) {
--- a/src/sidecar/RetryBudgetService.h
+++ b/src/sidecar/RetryBudgetService.h
@@ -68,7 +68,7 @@
     void requestTransfers(const std::string &service, double tokens, RetryReason reason);
     /** Returns the number of tokens that @p donor transferred; 0 if no reply arrived before the timeout. */
     double requestTransfer(const RegistryEntry &donor, const std::string &service, double tokens, RetryReason reason);
-    std::vector<RegistryEntry> transferCandidates() const;
+    RegistryEntries transferCandidates() const;
     FleetRetryBudget &budgetOf(const std::string &service);
     std::size_t nodeCount() const;
 
--- a/src/sidecar/SidecarLinks.cpp
+++ b/src/sidecar/SidecarLinks.cpp
@@ -16,9 +16,8 @@
 
 void SidecarNode::Impl::warmLinks()
 {
-    for (const RegistryEntryPtr &entry : registry.registry().all()) {
-        const bool inRegion = entry->region == core.settings.region && entry->id != core.self.id;
-        if (inRegion) {
+    for (const RegistryEntryPtr &entry : registry.registry().inRegion(core.settings.region)) {
+        if (entry->id != core.self.id && !peers->openLinkAt(entry->links)) {
             spawnFiber([this, links = entry->links] {
                 const Expected<LinkId> opened = peers->linkAt(links, warmTimeout);
                 core.metrics.count(opened ? "links_warmed" : "links_not_warmed");
@@ -53,7 +52,10 @@
     spawnFiber([this, peer] {
         Millis pause = initialReconnectDelay;
         while (!core.stopping) {
-            sleepFor(core.ioContext, pause);
+            // Jitter: all nodes of a region reconnect to a VM that is back, and to many of them at once after an
+            // outage.
+            const auto jitter = static_cast<std::int64_t>(core.random() % static_cast<std::uint64_t>(pause.count()));
+            sleepFor(core.ioContext, pause / 2 + Millis(jitter) / 2);
             const RegistryEntryPtr entry = registry.registry().find(peer);
             if (entry == nullptr) {
                 break;
--- a/src/sidecar/home/WorkOrigins.cpp
+++ b/src/sidecar/home/WorkOrigins.cpp
@@ -27,15 +27,13 @@
 
 double WorkOrigins::zoneShare(const std::string &zone, const std::set<std::string> &services) const
 {
-    double all = 0.0;
-    double matching = 0.0;
-    for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
-        if (entry->zone == zone) {
-            all += 1.0;
-            matching += services.count(entry->service) != 0 ? 1.0 : 0.0;
-        }
+    const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    const std::size_t all = registry.inZone(zone).size();
+    std::size_t matching = 0;
+    for (const std::string &service : services) {
+        matching += registry.countOf(zone, service);
     }
-    return all > 0.0 ? matching / all : 1.0;
+    return all > 0 ? static_cast<double>(matching) / static_cast<double>(all) : 1.0;
 }
 
 } // namespace waxwing
