Let the nodes of a zone share reports of their homes, and choose among few homes

Cause: a node knew homes only by replies to its own requests. At one request a second and 547 homes it heard of a home every nine minutes: each sender found each gray server by itself, and sent work that can't be repeated to the few homes that it knew, the same ones at many senders.

Change: homes report their load and gray probability to random nodes of their zone, which pass the reports on (HomeReportTable, HomeReportService), at a fixed number of messages a node. A sender chooses from a bounded subset, and takes the better of two random homes of nearly equal loss, since all senders of a zone have the same reports. A reported gray probability alone excludes no home. Builds without reports get none.

--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -129,6 +129,18 @@
     double missedFraction = 1.0;
     /** Cost of one more send. A request leaves a home only if another one is better by more than this. */
     double moveLoss = 30.0;
+    /**
+     * Homes whose loss exceeds the least one by at most @c equalLoss count as equal: a request goes to the best of
+     * @c choices of them, chosen at random. Nodes of a zone share their reports, so all of them would otherwise choose
+     * the same home until the next reports. No home gets more than @c choices times the mean because of its report.
+     */
+    std::size_t choices = 2;
+    double equalLoss = 15.0;
+    /**
+     * Upper bound on the gray probability that is taken from reports of other nodes. It stays below
+     * @c certainGrayThreshold, so that wrong reports change the order of homes but exclude none.
+     */
+    double maxReportedGrayProbability = 0.7;
     /** From this probability on, a request is sent with @c acceptsGray. Without it, homes refuse most requests. */
     double acceptGrayThreshold = 0.4;
     /** From this probability on, work that can't be retried is not sent at all, because homes refuse it. */
@@ -221,6 +233,13 @@
     void noteDone(const std::string &node);
     /** Records a load report. @p load: as it applies to a request of @p priority. */
     void noteLoad(const std::string &node, const HomeLoad &load, int priority, SteadyTime now);
+    /**
+     * Records the load of a home at @p madeAt, as other nodes reported it. Ignored if a later load is known. It says
+     * nothing about the path to the home.
+     */
+    void noteReport(const std::string &node, const HomeLoad &load, SteadyTime madeAt);
+    /** Returns the expected loss at a home of which nothing is known, without the wait for a slot. */
+    double unknownHomeLoss(Distance distance, const HomeQuery &query) const;
     /** Records that the home has no server. */
     void noteNoServer(const std::string &node, SteadyTime now);
     /** Records that the home refused because its server is likely gray. */
@@ -277,6 +296,10 @@
     Defaults defaultsFor(const std::vector<RankedHome> &homes, const HomeQuery &query, SteadyTime now) const;
     /** Returns true if the home may be tried for this request. */
     bool isCandidate(const RankedHome &home, const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
+    /** Returns the best of a few random homes among those of nearly least loss; null if no home can be tried. */
+    const RankedHome *pickHome(const std::vector<RankedHome> &homes, const std::vector<double> &losses) const;
+    /** Returns the expected loss, delays included. */
+    double totalLoss(const RankedHome &home, const HomeQuery &query, const Defaults &defaults, SteadyTime now) const;
     /** @p isShort: the result of isShortOfHomes(). */
     HomeChoice leastLoss(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
                          const HomeQuery &query, const Defaults &defaults, bool isShort, SteadyTime now) const;
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -9,6 +9,7 @@
 #include "include/home/SlotQueue.h"
 #include "include/limit/NestedCallTracker.h"
 #include "include/member/RecordTable.h"
+#include "include/route/HomeReportTable.h"
 
 #include <cstdint>
 #include <optional>
@@ -42,12 +43,14 @@
     CustomerKeys = 1,
     /** SlotReserve, SlotOffer and SlotRelease; a Work states the reservation that it belongs to. */
     SlotReservations = 2,
+    /** HomeReports. */
+    HomeReports = 3,
 };
 
 /** The first message that each side sends on a link; identifies the sender. */
 struct Hello {
     NodeRef from;
-    WireRevision revision = WireRevision::SlotReservations;
+    WireRevision revision = WireRevision::HomeReports;
 };
 
 /** What the receiver of an Exec does with its request. */
@@ -229,6 +232,11 @@
     std::uint64_t id = 0;
 };
 
+/** Load and health of homes that the sender has news of. */
+struct HomeReports {
+    std::vector<HomeReport> reports;
+};
+
 /** Acknowledges a Work: the home has queued or started it. */
 struct WorkAck {
     std::uint64_t id = 0;
@@ -335,11 +343,14 @@
     std::uint64_t id = 0;
     KnownVersions versions;
     std::string config;
+    /** The whole registry; empty if it was not requested. */
     std::vector<RegistryEntry> registry;
     /** Time since the sender's configuration was proven to be the newest; nothing if it never was. */
     std::optional<Millis> provenAge;
     /** The configuration as of deflateDocument(), instead of @c config; only if the request accepts it. */
     std::string deflatedConfig;
+    /** What has changed in the registry since the revision in the request. An older build neither sends nor uses it. */
+    std::optional<RegistryChanges> registryChanges;
 };
 
 /** Reports requests of customers to the node that counts them in this region, and asks for grants. */
@@ -380,10 +391,11 @@
     std::vector<QuotaGrant> grants;
 };
 
-using Message = std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, RecordNames, DigestOffer, BucketNames, Ping,
-                             Pong, ClaimHandover, Work, WorkAck, WorkReply, Fence, FenceReply, StateUpdateRequest,
-                             StateUpdate, BudgetTransferRequest, BudgetTransferReply, PathSuspicion, QuotaReport,
-                             QuotaReply, QuotaLoanRequest, QuotaLoanReply, SlotReserve, SlotOffer, SlotRelease>;
+using Message =
+    std::variant<Hello, Exec, ExecReply, Cancel, RecordsPush, RecordNames, DigestOffer, BucketNames, Ping, Pong,
+                 ClaimHandover, Work, WorkAck, WorkReply, Fence, FenceReply, StateUpdateRequest, StateUpdate,
+                 BudgetTransferRequest, BudgetTransferReply, PathSuspicion, QuotaReport, QuotaReply, QuotaLoanRequest,
+                 QuotaLoanReply, SlotReserve, SlotOffer, SlotRelease, HomeReports>;
 
 /** Returns the body of the HTTP request or response in @p message, or null if it has none. Thread safe. */
 std::string *bodyOf(Message &message);
--- a/src/link/PeerHub.cpp
+++ b/src/link/PeerHub.cpp
@@ -84,6 +84,12 @@
     return found != state_->links.end() && found->second->peerRevision >= WireRevision::SlotReservations;
 }
 
+bool PeerHub::peerKnowsHomeReports(LinkId link) const
+{
+    const auto found = state_->links.find(link);
+    return found != state_->links.end() && found->second->peerRevision >= WireRevision::HomeReports;
+}
+
 std::optional<Duration> PeerHub::helloAge(LinkId link) const
 {
     const auto found = state_->links.find(link);
--- a/src/link/PeerHub.h
+++ b/src/link/PeerHub.h
@@ -74,6 +74,8 @@
     bool peerKnowsKeys(LinkId link) const;
     /** Returns true if the peer's build understands messages about slot reservations. */
     bool peerKnowsReservations(LinkId link) const;
+    /** Returns true if the peer's build understands reports of homes. */
+    bool peerKnowsHomeReports(LinkId link) const;
     /**
      * Returns the time since the listening side's Hello was sent (on that side) or received (on the other side). If the
      * side that opened the link puts its age into a message, the receiver's own age minus that one is the sum of the
--- a/src/route/HomeRanking.cpp
+++ b/src/route/HomeRanking.cpp
@@ -1,9 +1,16 @@
 #include "include/route/HomeRanking.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace waxwing {
 
+namespace {
+/** Stands for a home that a request must not be sent to. */
+constexpr double excludedLoss = std::numeric_limits<double>::infinity();
+constexpr int mostUrgentPriority = 0;
+} // namespace
+
 HomeRanking::HomeRanking(Random random, RankingTuning tuning)
     : random_(std::move(random))
     , tuning_(tuning)
@@ -50,33 +57,59 @@
     return choice;
 }
 
+double HomeRanking::totalLoss(const RankedHome &home, const HomeQuery &query, const Defaults &defaults,
+                              SteadyTime now) const
+{
+    const double delay =
+        delayLoss(expectedWait(home, query, defaults, now), roundTripMs(home.distance), slowdownOf(home, now), query);
+    return lossWithoutWait(home, query, defaults, now) + delay;
+}
+
+const RankedHome *HomeRanking::pickHome(const std::vector<RankedHome> &homes, const std::vector<double> &losses) const
+{
+    double least = excludedLoss;
+    for (const double loss : losses) {
+        least = std::min(least, loss);
+    }
+    if (least == excludedLoss) {
+        return nullptr;
+    }
+    std::vector<std::size_t> equal;
+    for (std::size_t i = 0; i < losses.size(); ++i) {
+        if (losses[i] <= least + tuning_.equalLoss) {
+            equal.push_back(i);
+        }
+    }
+    std::size_t best = 0;
+    for (std::size_t picked = 0; picked < std::min(tuning_.choices, equal.size()); ++picked) {
+        std::swap(equal[picked], equal[picked + random_() % (equal.size() - picked)]);
+        best = picked == 0 || losses[equal[picked]] < losses[best] ? equal[picked] : best;
+    }
+    return &homes[best];
+}
+
 HomeChoice HomeRanking::leastLoss(const std::vector<RankedHome> &homes, const std::set<std::string> &tried,
                                   const HomeQuery &query, const Defaults &defaults, bool isShort, SteadyTime now) const
 {
     HomeChoice choice;
-    const RankedHome *best = nullptr;
-    double nextLoss = -1.0;
-    // Starting at a random index spreads requests over homes of equal loss.
-    const std::size_t start = homes.empty() ? 0 : random_() % homes.size();
-    for (std::size_t i = 0; i < homes.size(); ++i) {
-        const RankedHome &home = homes[(start + i) % homes.size()];
-        if (tried.count(home.node) != 0 || !isCandidate(home, query, defaults, now)) {
-            continue;
-        }
-        const double loss = lossWithoutWait(home, query, defaults, now)
-                            + delayLoss(expectedWait(home, query, defaults, now), roundTripMs(home.distance),
-                                        slowdownOf(home, now), query);
-        if (best == nullptr || loss < choice.loss) {
-            nextLoss = best != nullptr ? choice.loss : nextLoss;
-            best = &home;
-            choice.loss = loss;
-        } else if (nextLoss < 0.0 || loss < nextLoss) {
-            nextLoss = loss;
-        }
+    std::vector<double> losses;
+    losses.reserve(homes.size());
+    for (const RankedHome &home : homes) {
+        const bool canTry = tried.count(home.node) == 0 && isCandidate(home, query, defaults, now);
+        losses.push_back(canTry ? totalLoss(home, query, defaults, now) : excludedLoss);
     }
+    const RankedHome *best = pickHome(homes, losses);
     if (best == nullptr) {
         return choice;
     }
+    double nextLoss = excludedLoss;
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        if (&homes[i] == best) {
+            choice.loss = losses[i];
+        } else {
+            nextLoss = std::min(nextLoss, losses[i]);
+        }
+    }
     choice.node = best->node;
     choice.distance = best->distance;
     const double wait = expectedWait(*best, query, defaults, now);
@@ -87,7 +120,7 @@
                          || (isShort && !knowsOtherHome(homes, tried, best->node, defaults, now));
     const double baseLoss = lossWithoutWait(*best, query, defaults, now);
     double maxLoss = nextLoss + tuning_.moveLoss;
-    if (nextLoss < 0.0) {
+    if (nextLoss == excludedLoss) {
         // Without another home the request may wait until its deadline, whatever the other losses at this home are.
         maxLoss = baseLoss + tuning_.missedLoss;
     } else if (query.mustQueue) {
@@ -164,6 +197,30 @@
     }
 }
 
+void HomeRanking::noteReport(const std::string &node, const HomeLoad &load, SteadyTime madeAt)
+{
+    Home &home = homes_[node];
+    if (home.hasLoad && home.loadAt >= madeAt) {
+        return;
+    }
+    if (load.slots == 0) {
+        home.noServerUntil = std::max(home.noServerUntil, madeAt + tuning_.noServerBackoff);
+        return;
+    }
+    home.load = load;
+    home.load.grayProbability = std::min(load.grayProbability, tuning_.maxReportedGrayProbability);
+    home.hasLoad = true;
+    home.loadAt = madeAt;
+    // A free slot serves requests of any priority.
+    if (load.freeSlots > 0) {
+        home.waits.clear();
+    }
+    home.waits[mostUrgentPriority] = ReportedWait{static_cast<double>(load.wait.count()), madeAt};
+    if (load.grayProbability < tuning_.acceptGrayThreshold) {
+        home.grayBackoffUntil = {};
+    }
+}
+
 void HomeRanking::noteNoServer(const std::string &node, SteadyTime now)
 {
     Home &home = homes_[node];
--- a/src/route/HomeRankingLoss.cpp
+++ b/src/route/HomeRankingLoss.cpp
@@ -176,6 +176,14 @@
     return loss + (sentSince + busy) / std::max(1, home.load.slots) * tuning_.fullServerLoss;
 }
 
+double HomeRanking::unknownHomeLoss(Distance distance, const HomeQuery &query) const
+{
+    const double gray =
+        tuning_.priorGrayProbability * (query.retryable ? tuning_.grayLossRetryable : tuning_.grayLossNotRetryable);
+    return distanceLoss(tuning_, distance, query.responseKilobytes) + gray
+           + delayLoss(0.0, roundTripMs(distance), 1.0, query);
+}
+
 Millis HomeRanking::queueTimeoutFor(const RankedHome &home, const HomeQuery &query, const Defaults &defaults,
                                     double loss, SteadyTime now) const
 {
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -252,6 +252,11 @@
     return finish(request, reply);
 }
 
+void Forwarder::noteHomeReport(const std::string &node, const HomeLoad &load, SteadyTime madeAt)
+{
+    homes_.ranking().noteReport(node, load, madeAt);
+}
+
 void Forwarder::registryChanged()
 {
     homes_.registryChanged();
--- a/src/sidecar/Forwarder.h
+++ b/src/sidecar/Forwarder.h
@@ -42,6 +42,8 @@
     ForwardResult run(const std::shared_ptr<const ForwardJob> &job);
     /** Drops the state of nodes that are no longer in the registry. */
     void registryChanged();
+    /** Records the load of a home at @p madeAt, as other nodes reported it. */
+    void noteHomeReport(const std::string &node, const HomeLoad &load, SteadyTime madeAt);
     /** Returns queued requests whose key the new configuration does not have. */
     void configChanged();
     /**
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -148,6 +148,7 @@
     job.reply.load = load(work.priority);
     job.reply.nestedCall = origins_.isNestedCall(work.route);
     works_.finish(key, job.reply);
+    ++resultCount_;
     core_.events.writeRequest(job.reply.serverFault ? Severity::Warning : Severity::Info, "home_done",
                               {{"request", work.requestId},
                                {"from", key.origin.id},
@@ -215,6 +216,11 @@
     return queue_.load(priority, core_.clock.now());
 }
 
+std::uint64_t LocalHome::resultCount() const
+{
+    return resultCount_;
+}
+
 std::size_t LocalHome::inProgressCount() const
 {
     return queue_.running() + queue_.waiting();
--- a/src/sidecar/SidecarMessages.cpp
+++ b/src/sidecar/SidecarMessages.cpp
@@ -52,6 +52,8 @@
         slots.handle(from, *offer);
     } else if (const auto *release = std::get_if<SlotRelease>(&message)) {
         slots.handle(from, *release);
+    } else if (const auto *homeReport = std::get_if<HomeReports>(&message)) {
+        homeReports.handle(*homeReport);
     } else if (const auto *suspicion = std::get_if<PathSuspicion>(&message)) {
         paths.handle(*suspicion);
     } else if (const auto *request = std::get_if<StateUpdateRequest>(&message)) {
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -76,6 +76,7 @@
     });
     registry.onChange([this] {
         forwarder.registryChanged();
+        homeReports.registryChanged();
         quotas.registryChanged();
         warmLinks();
     });
@@ -207,6 +208,7 @@
     impl->registry.start();
     impl->updates.start();
     impl->quotas.start();
+    impl->homeReports.start();
     impl->core.events.write(Severity::Info, "node_started",
                             {{"node", impl->core.self.text()},
                              {"service", settings.server->service},
--- a/src/sidecar/SidecarNodeImpl.h
+++ b/src/sidecar/SidecarNodeImpl.h
@@ -25,6 +25,7 @@
 #include "src/sidecar/SlotMessenger.h"
 #include "src/sidecar/StateUpdateService.h"
 #include "src/sidecar/WorkSender.h"
+#include "src/sidecar/loadreports/HomeReportService.h"
 
 #include <map>
 #include <memory>
@@ -61,6 +62,10 @@
         , retryBudgets(core, tuning.retry)
         , slots(core, home, tuning.reservations, tuning.maxWaitingRequests)
         , forwarder(core, home, sender, retryBudgets, paths, slots.requester())
+        , homeReports(core, home,
+                      [this](const std::string &node, const HomeLoad &load, SteadyTime madeAt) {
+                          forwarder.noteHomeReport(node, load, madeAt);
+                      })
         , quotas(core, paths, tuning.quota)
         , callerHandler(core, tuning.keyAdmission)
     { }
@@ -105,6 +110,7 @@
     RetryBudgetService retryBudgets;
     SlotMessenger slots;
     Forwarder forwarder;
+    HomeReportService homeReports;
     QuotaService quotas;
     CallerHandler callerHandler;
     std::unique_ptr<PeerHub> peers;
--- a/src/sidecar/ingress/HomeSelector.cpp
+++ b/src/sidecar/ingress/HomeSelector.cpp
@@ -38,11 +38,17 @@
     paths_.setHooks(std::move(hooks));
 }
 
-std::vector<RankedHome> HomeSelector::homesOf(const std::string &service) const
+const HomeSelector::ServiceHomes &HomeSelector::homesOf(const std::string &service)
 {
-    std::vector<RankedHome> homes;
+    const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    ServiceHomes &homes = homes_[service];
+    if (homes.generation == registry.generation() && !homes.all.empty()) {
+        return homes;
+    }
+    homes.generation = registry.generation();
+    homes.all.clear();
     bool listed = false;
-    for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().homesOf(service)) {
+    for (const RegistryEntryPtr &entry : registry.homesOf(service)) {
         Distance distance = Distance::OtherRegion;
         if (entry->id == core_.self.id) {
             distance = Distance::SameNode;
@@ -52,12 +58,13 @@
         } else if (entry->region == core_.settings.region) {
             distance = Distance::SameRegion;
         }
-        homes.push_back(RankedHome{entry->id, distance});
+        homes.all.push_back(RankedHome{entry->id, distance});
     }
     // The server beside this node is usable without a registry entry.
     if (!listed && core_.settings.server->service == service) {
-        homes.push_back(RankedHome{core_.self.id, Distance::SameNode});
+        homes.all.push_back(RankedHome{core_.self.id, Distance::SameNode});
     }
+    homes.subset = homeSubset(homes.all, core_.self.id, registry.inZone(core_.settings.zone).size());
     return homes;
 }
 
@@ -78,11 +85,23 @@
 
 HomeChoice HomeSelector::choose(const ForwardedRequest &request, SteadyTime now)
 {
-    const std::vector<RankedHome> homes = homesOf(request.job.service);
-    for (const std::string &node : ranking_.takePathsToCheck(homes, now)) {
+    for (const std::string &node : ranking_.takePathsToCheck(homesOf(request.job.service).subset, now)) {
         paths_.check(node);
     }
-    return ranking_.choose(homes, request.search.excluded(), queryOf(request), now);
+    return chooseExcept(request, request.search.excluded(), now);
+}
+
+HomeChoice HomeSelector::chooseExcept(const ForwardedRequest &request, const std::set<std::string> &excluded,
+                                      SteadyTime now)
+{
+    const ServiceHomes &homes = homesOf(request.job.service);
+    const HomeQuery query = queryOf(request);
+    const HomeChoice choice = ranking_.choose(homes.subset, excluded, query, now);
+    const bool isWorseThanUnknown =
+        choice.node.empty() || choice.loss > ranking_.unknownHomeLoss(Distance::OtherRegion, query);
+    return isWorseThanUnknown && homes.all.size() > homes.subset.size()
+               ? ranking_.choose(homes.all, excluded, query, now)
+               : choice;
 }
 
 bool HomeSelector::shouldReserve(const ForwardedRequest &request, HomeChoice &choice)
@@ -97,8 +116,7 @@
     std::set<std::string> excluded = slots_.homesWithoutRoom(candidates);
     excluded.insert(request.search.excluded().begin(), request.search.excluded().end());
     excluded.insert(request.triedHomes.begin(), request.triedHomes.end());
-    const HomeChoice other =
-        ranking_.choose(homesOf(request.job.service), excluded, queryOf(request), core_.clock.now());
+    const HomeChoice other = chooseExcept(request, excluded, core_.clock.now());
     if (other.node.empty() || !slots_.mayBeSent(request.triedHomes.size())) {
         return true;
     }
@@ -117,9 +135,9 @@
     return mayWaitForSlot(request) && slots_.offersSlots(choice.node) && slots_.shouldReserve(choice);
 }
 
-std::vector<ReservationCandidate> HomeSelector::reservationCandidates(const ForwardedRequest &request) const
+std::vector<ReservationCandidate> HomeSelector::reservationCandidates(const ForwardedRequest &request)
 {
-    const std::vector<RankedHome> homes = homesOf(request.job.service);
+    const std::vector<RankedHome> &homes = homesOf(request.job.service).subset;
     const std::vector<HomeStatus> statuses = ranking_.statusOf(homes, queryOf(request), core_.clock.now());
     std::vector<ReservationCandidate> candidates;
     for (std::size_t i = 0; i < homes.size(); ++i) {
@@ -164,14 +182,14 @@
     return result;
 }
 
-HomeChoice HomeSelector::choiceOf(const ForwardedRequest &request, const SlotWaitResult &slot, HomeChoice choice) const
+HomeChoice HomeSelector::choiceOf(const ForwardedRequest &request, const SlotWaitResult &slot, HomeChoice choice)
 {
     if (slot.home == choice.node) {
         return choice;
     }
     choice.node = slot.home;
     choice.acceptsGray = false;
-    for (const RankedHome &home : homesOf(request.job.service)) {
+    for (const RankedHome &home : homesOf(request.job.service).all) {
         choice.distance = home.node == slot.home ? home.distance : choice.distance;
     }
     return choice;
@@ -193,6 +211,7 @@
         nodes.insert(entry->id);
     }
     ranking_.keepOnly(nodes);
+    homes_.clear();
 }
 
 HomeRanking &HomeSelector::ranking()
--- a/src/sidecar/ingress/HomeSelector.h
+++ b/src/sidecar/ingress/HomeSelector.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "include/route/HomeRanking.h"
+#include "include/route/HomeSubset.h"
 #include "include/schedule/ReservationPlanner.h"
 #include "src/sidecar/ingress/ForwardedRequest.h"
 
+#include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,7 +56,7 @@
      */
     SlotWaitResult awaitSlot(const ForwardedRequestPtr &request, const AttemptPtr &attempt);
     /** Returns the choice of the home that offers @p slot. @p choice: the home that was the best before the wait. */
-    HomeChoice choiceOf(const ForwardedRequest &request, const SlotWaitResult &slot, HomeChoice choice) const;
+    HomeChoice choiceOf(const ForwardedRequest &request, const SlotWaitResult &slot, HomeChoice choice);
 
     /** The ranking, to which the results of sends are reported. */
     HomeRanking &ranking();
@@ -61,10 +65,19 @@
 
 private:
     void noteOffer(const std::string &home, const SlotOffer &offer, int priority);
+    /** The homes of a service, as of one generation of the registry. */
+    struct ServiceHomes {
+        std::uint64_t generation = 0;
+        std::vector<RankedHome> all;
+        /** Those that requests are sent to unless an unknown home would be better than all of them. */
+        std::vector<RankedHome> subset;
+    };
+
     /** Returns the homes of @p service in the registry, and this node if its server provides the service. */
-    std::vector<RankedHome> homesOf(const std::string &service) const;
+    const ServiceHomes &homesOf(const std::string &service);
+    HomeChoice chooseExcept(const ForwardedRequest &request, const std::set<std::string> &excluded, SteadyTime now);
     HomeQuery queryOf(const ForwardedRequest &request) const;
-    std::vector<ReservationCandidate> reservationCandidates(const ForwardedRequest &request) const;
+    std::vector<ReservationCandidate> reservationCandidates(const ForwardedRequest &request);
 
     NodeCore &core_;
     LocalHome &home_;
@@ -74,6 +87,8 @@
     const StartLimit &startLimit_;
     const RetryGate &retries_;
     HomeRanking ranking_;
+    /** By service, as far as requests were sent to it since the last change of the registry. */
+    std::map<std::string, ServiceHomes> homes_;
 };
 
 } // namespace waxwing
--- a/src/wire/FieldCodec.cpp
+++ b/src/wire/FieldCodec.cpp
@@ -243,4 +243,32 @@
         value.at(5).get<std::string>(), value.at(6).get<std::uint64_t>()};
 }
 
+json registryChangesOf(const RegistryChanges &changes)
+{
+    json entries = json::array();
+    for (const RegistryEntry &entry : changes.entries) {
+        entries.push_back(registryEntryOf(entry));
+    }
+    json removals = json::array();
+    for (const RegistryRemoval &removal : changes.removals) {
+        removals.push_back(json::array({removal.id, removal.revision}));
+    }
+    return json::array({changes.since, changes.revision, std::move(entries), std::move(removals)});
+}
+
+RegistryChanges registryChangesFrom(const json &value)
+{
+    RegistryChanges changes;
+    changes.since = value.at(0).get<std::uint64_t>();
+    changes.revision = value.at(1).get<std::uint64_t>();
+    for (const json &entry : value.at(2)) {
+        changes.entries.push_back(registryEntryFrom(entry));
+    }
+    for (const json &removal : value.at(3)) {
+        changes.removals.push_back(
+            RegistryRemoval{removal.at(0).get<std::string>(), removal.at(1).get<std::uint64_t>()});
+    }
+    return changes;
+}
+
 } // namespace waxwing::wire
--- a/src/wire/FieldCodec.h
+++ b/src/wire/FieldCodec.h
@@ -35,5 +35,7 @@
 WorkReply workReplyFrom(const nlohmann::json &in);
 nlohmann::json registryEntryOf(const RegistryEntry &entry);
 RegistryEntry registryEntryFrom(const nlohmann::json &value);
+nlohmann::json registryChangesOf(const RegistryChanges &changes);
+RegistryChanges registryChangesFrom(const nlohmann::json &value);
 
 } // namespace waxwing::wire
--- a/src/wire/MessageFrame.h
+++ b/src/wire/MessageFrame.h
@@ -40,6 +40,7 @@
     SlotReserve,
     SlotOffer,
     SlotRelease,
+    HomeReports,
 };
 
 /** Position of the first field of a message's contents. Positions 0 and 1 hold the protocol version and the type. */
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -97,7 +97,8 @@
         }
         return makeMessage(MessageType::StateUpdate, m.id, versionsOf(m.versions), bytesOf(m.config),
                            std::move(registry), m.provenAge ? json(m.provenAge->count()) : json(),
-                           bytesOf(m.deflatedConfig));
+                           bytesOf(m.deflatedConfig),
+                           m.registryChanges ? registryChangesOf(*m.registryChanges) : json());
     }
     json operator()(const BudgetTransferRequest &m) const
     {
@@ -135,6 +136,10 @@
     {
         return makeMessage(MessageType::SlotRelease, m.id);
     }
+    json operator()(const HomeReports &m) const
+    {
+        return homeReportsOf(m);
+    }
     json operator()(const QuotaReply &m) const
     {
         return quotaReplyOf(m);
@@ -156,6 +161,9 @@
     if (const json &deflated = optionalField(in, 5); deflated.is_binary()) {
         m.deflatedConfig = textOf(deflated);
     }
+    if (const json &changes = optionalField(in, 6); changes.is_array()) {
+        m.registryChanges = registryChangesFrom(changes);
+    }
     return m;
 }
 
@@ -165,7 +173,7 @@
     m.from = NodeRef{in.at(firstField).get<std::string>(), in.at(firstField + 1).get<std::uint64_t>()};
     // A later build may state a revision that this one does not know; it includes all that this one knows.
     const json &revision = optionalField(in, 2);
-    const auto newest = static_cast<std::uint64_t>(WireRevision::SlotReservations);
+    const auto newest = static_cast<std::uint64_t>(WireRevision::HomeReports);
     const std::uint64_t stated = revision.is_number_unsigned() ? revision.get<std::uint64_t>() : 0;
     m.revision = static_cast<WireRevision>(std::min(stated, newest));
     return m;
@@ -233,6 +241,8 @@
         return slotOfferFrom(in.at(firstField));
     case MessageType::SlotRelease:
         return SlotRelease{in.at(firstField).get<std::uint64_t>()};
+    case MessageType::HomeReports:
+        return homeReportsFrom(in);
     }
     throw json::other_error::create(501, "unknown message type", &in);
 }
--- a/src/wire/SlotCodec.h
+++ b/src/wire/SlotCodec.h
@@ -14,5 +14,7 @@
 SlotReserve slotReserveFrom(const nlohmann::json &in);
 nlohmann::json slotOfferOf(const SlotOffer &m);
 SlotOffer slotOfferFrom(const nlohmann::json &in);
+nlohmann::json homeReportsOf(const HomeReports &m);
+HomeReports homeReportsFrom(const nlohmann::json &in);
 
 } // namespace waxwing::wire
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -41,6 +41,15 @@
     return text;
 }
 
+StateUpdate updateWithChanges()
+{
+    StateUpdate update;
+    update.id = 6;
+    update.registryChanges =
+        RegistryChanges{3, 9, {RegistryEntry{"n1", Endpoint{"127.0.0.1", 7}, "z", "r", "course-desk", 8}}, {{"n2", 9}}};
+    return update;
+}
+
 std::vector<Message> sampleMessages()
 {
     Exec exec;
@@ -76,7 +85,9 @@
             SlotReserve{3, "course-desk", "booking", "c\xff", 1, true, Millis(900), Millis(-5), Millis(40)},
             SlotOffer{3, Millis(50), "", {}},
             SlotOffer{4, Millis(0), "busy", {}},
-            SlotRelease{3}};
+            SlotRelease{3},
+            HomeReports{{{"n1", 9, Millis(40), {}}, {"n2", 7, Millis(0), {}}}},
+            updateWithChanges()};
 }
 
 const std::string settingsText = R"({ // comment
--- a/tests/unit/SlotMessagesTest.cpp
+++ b/tests/unit/SlotMessagesTest.cpp
@@ -87,13 +87,15 @@
         REQUIRE(message);
         return std::get<Hello>(*message).revision;
     };
+    CHECK(revisionOf(hello) == WireRevision::HomeReports);
+    hello[helloRevision] = 2;
     CHECK(revisionOf(hello) == WireRevision::SlotReservations);
     hello[helloRevision] = 1;
     CHECK(revisionOf(hello) == WireRevision::CustomerKeys);
     hello[helloRevision] = 0;
     CHECK(revisionOf(hello) == WireRevision::First);
     hello[helloRevision] = 9;
-    CHECK(revisionOf(hello) == WireRevision::SlotReservations);
+    CHECK(revisionOf(hello) == WireRevision::HomeReports);
     hello.erase(helloRevision);
     CHECK(revisionOf(hello) == WireRevision::First);
 }
