Let followers get the registry from peers, and elect watchers before links are open

Change: a node that starts counts the registered nodes as reachable until its links had time to open. The first two of a region by rank read the configuration at once, the others spread over two seconds unless a peer was faster. Followers get changes of the registry with the confirmations of the configuration; one that lacks changes for 6 to 8 s watches the store until it has caught up.

--- a/include/fleet/WatchElection.h
+++ b/include/fleet/WatchElection.h
@@ -36,6 +36,11 @@
     Millis standInGrowth{150};
     /** Minimum time as a stand-in, so that slow responses do not make a node switch roles all the time. */
     Millis standInFor{3000};
+    /**
+     * A node without any state reads the store after this time, plus standInGrowth for each doubling of its rank,
+     * unless a peer has sent it the state before. The first nodes by rank read at once.
+     */
+    Millis firstReadAfter{250};
     /** A watcher that the store does not respond to is excluded until the store responds, or for this long. */
     Millis excludedFor = std::chrono::seconds(20);
 };
@@ -46,6 +51,12 @@
  */
 Millis standInDelay(const WatchElectionTuning &tuning, std::size_t rank);
 
+/**
+ * Returns the time from its start after which a node without any state reads the store. @p rank: number of nodes of its
+ * region that are ranked before it. Thread safe.
+ */
+Millis firstReadDelay(const WatchElectionTuning &tuning, std::size_t rank);
+
 /**
  * Decides which nodes of a region watch the store, so that the number of calls to the store does not grow with the
  * region. No messages are exchanged: each node ranks the nodes that it can reach by a hash of their names, and the
--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -32,6 +32,18 @@
     return delay;
 }
 
+Millis firstReadDelay(const WatchElectionTuning &tuning, std::size_t rank)
+{
+    if (rank < tuning.watchers) {
+        return Millis(0);
+    }
+    Millis delay = tuning.firstReadAfter;
+    for (std::size_t groups = rank / std::max<std::size_t>(1, tuning.watchers); groups > 1; groups /= 2) {
+        delay += tuning.standInGrowth;
+    }
+    return delay;
+}
+
 WatchElection::WatchElection(std::string self, WatchElectionTuning tuning)
     : self_(std::move(self))
     , tuning_(tuning)
--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/ConfigSync.cpp
@@ -5,6 +5,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/RegionWatch.h"
+#include "src/sidecar/RegistrySync.h"
 #include "src/sidecar/StoreWatch.h"
 
 namespace waxwing {
@@ -37,7 +38,8 @@
     tuning.pollAfter = pollAge;
     tuning.minWait = minConfigWait;
     tuning.maxWait = maxConfigWait;
-    tuning.role = [this] { return core_.service<RegionWatch>("region-watch").updateRole(ageForRole()); };
+    tuning.role = [this] { return role(); };
+    tuning.followsFromStart = true;
     watch_ = std::make_unique<StoreWatch>(core_, platform::names::configKind, tuning,
                                           [this](const ObjectChanges &changes) { handleChanges(changes); });
 }
@@ -183,6 +185,12 @@
     return !hasProofOlderThan(fromReachable ? usableProofUntil : askForProofAt);
 }
 
+WatchRole ConfigSync::role() const
+{
+    RegionWatch &region = core_.service<RegionWatch>("region-watch");
+    return current_ ? region.updateRole(ageForRole()) : region.firstRole();
+}
+
 std::optional<Duration> ConfigSync::ageForRole() const
 {
     return hasProofOlderThan(callStoreForProofAt) ? std::nullopt : watch_->freshness().age(core_.clock.now());
@@ -195,7 +203,13 @@
 
 bool ConfigSync::isStoreReachable() const
 {
-    return watch_->isHealthy();
+    // A follower that has never called for the configuration is judged by its calls for the registry.
+    return watch_->hasCalled() ? watch_->isHealthy() : core_.service<RegistrySync>("registry").isStoreReachable();
+}
+
+bool ConfigSync::hasCalledStore() const
+{
+    return watch_->hasCalled();
 }
 
 } // namespace waxwing
--- a/src/sidecar/ConfigSync.h
+++ b/src/sidecar/ConfigSync.h
@@ -3,6 +3,7 @@
 #include "include/customer/KeyAdmission.h"
 #include "include/fleet/FleetConfig.h"
 #include "include/fleet/PendingProof.h"
+#include "include/fleet/WatchElection.h"
 #include "platform/ObjectApi.h"
 
 #include <functional>
@@ -69,12 +70,15 @@
     void requestPoll();
     /** Returns whether the store responded to the last call. */
     bool isStoreReachable() const;
+    /** Returns true if a call for the configuration has ended. */
+    bool hasCalledStore() const;
 
 private:
     /** Applies a document that the store returned, by the hook if it takes it. Returns false if it is invalid. */
     bool applyStoreDocument(const std::string &document, const std::string &source);
     void handleChanges(const ObjectChanges &changes);
 
+    WatchRole role() const;
     /** Returns the age by which this node's role is chosen. */
     std::optional<Duration> ageForRole() const;
     bool hasProofOlderThan(double fraction) const;
--- a/src/sidecar/RegionWatch.cpp
+++ b/src/sidecar/RegionWatch.cpp
@@ -17,7 +17,9 @@
 
 RegionWatch::RegionWatch(NodeCore &core, WatchElectionTuning tuning)
     : core_(core)
+    , tuning_(tuning)
     , election_(core.settings.node, tuning)
+    , startedAt_(core.clock.now())
 { }
 
 void RegionWatch::refresh()
@@ -27,17 +29,42 @@
         return;
     }
     refreshedAt_ = now;
+    std::vector<std::string> reachable = reachableNodes();
+    election_.setReachable(reachable, now);
+    rankDelivery(std::move(reachable));
+}
+
+std::vector<std::string> RegionWatch::reachableNodes() const
+{
     PeerHub &peers = core_.service<PeerHub>("peers");
     const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    // A node that has just started has no links yet. If it counted only linked nodes, each node of a fleet that starts
+    // would elect itself.
+    const bool isStarting = core_.clock.now() - startedAt_ < tuning_.standInAfter;
     std::vector<std::string> reachable;
-    for (const RegistryEntryPtr &entry : registry.all()) {
-        const bool inRegion = entry->region == core_.settings.region && entry->id != core_.self.id;
-        if (inRegion && peers.openLinkAt(entry->links)) {
+    for (const RegistryEntryPtr &entry : registry.inRegion(core_.settings.region)) {
+        if (entry->id != core_.self.id && (isStarting || peers.openLinkAt(entry->links))) {
             reachable.push_back(entry->id);
         }
     }
-    election_.setReachable(reachable, now);
-    rankDelivery(std::move(reachable));
+    return reachable;
+}
+
+std::size_t RegionWatch::registeredRank() const
+{
+    const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    const RegistryEntries &nodes = registry.inRegion(core_.settings.region);
+    const std::uint64_t own = stableHash(core_.self.id);
+    return static_cast<std::size_t>(std::count_if(
+        nodes.begin(), nodes.end(), [own](const RegistryEntryPtr &entry) { return stableHash(entry->id) < own; }));
+}
+
+WatchRole RegionWatch::firstRole() const
+{
+    const Duration sinceStart = core_.clock.now() - startedAt_;
+    const bool hasList = core_.service<RegistrySync>("registry").hasList();
+    const Millis delay = hasList ? firstReadDelay(tuning_, registeredRank()) : tuning_.firstReadAfter;
+    return sinceStart >= delay ? WatchRole::Watcher : WatchRole::Follower;
 }
 
 void RegionWatch::rankDelivery(std::vector<std::string> nodes)
@@ -114,9 +141,10 @@
 {
     PeerHub &peers = core_.service<PeerHub>("peers");
     std::vector<LinkId> links;
-    for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
-        const bool inRegion = entry->region == core_.settings.region && entry->id != core_.self.id;
-        const std::optional<LinkId> link = inRegion ? peers.openLinkAt(entry->links) : std::nullopt;
+    const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    for (const RegistryEntryPtr &entry : registry.inRegion(core_.settings.region)) {
+        const bool isOther = entry->id != core_.self.id;
+        const std::optional<LinkId> link = isOther ? peers.openLinkAt(entry->links) : std::nullopt;
         if (link) {
             links.push_back(*link);
         }
--- a/src/sidecar/RegionWatch.h
+++ b/src/sidecar/RegionWatch.h
@@ -23,6 +23,11 @@
     RegionWatch(NodeCore &core, WatchElectionTuning tuning);
     /** Updates the role. @p age: that of the configuration held. @pre "peers" and "registry" are in the kernel. */
     WatchRole updateRole(std::optional<Duration> age);
+    /**
+     * Returns the role of a node that holds no configuration yet: a follower until it is its turn to read the store.
+     * @pre "registry" is in the kernel.
+     */
+    WatchRole firstRole() const;
     /**
      * Sets a check whether a newer configuration is expected from peers in time. While it returns true, a follower
      * whose state is not confirmed does not become a stand-in, which would read the same document from the store.
@@ -43,10 +48,16 @@
 
 private:
     void refresh();
+    /** Returns the nodes of this region that this node counts as reachable, without itself. */
+    std::vector<std::string> reachableNodes() const;
+    /** Returns the number of registered nodes of this region that are ranked before this one. */
+    std::size_t registeredRank() const;
     void rankDelivery(std::vector<std::string> nodes);
 
     NodeCore &core_;
+    WatchElectionTuning tuning_;
     WatchElection election_;
+    SteadyTime startedAt_;
     WatchRole role_ = WatchRole::Watcher;
     SteadyTime refreshedAt_;
     std::function<bool()> deliveryCheck_;
--- a/src/sidecar/RegistrySync.cpp
+++ b/src/sidecar/RegistrySync.cpp
@@ -3,6 +3,7 @@
 #include "platform/ConfigDecoder.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
+#include "src/sidecar/RegionWatch.h"
 #include "src/sidecar/StoreWatch.h"
 
 #include <algorithm>
@@ -19,6 +20,15 @@
  */
 constexpr Millis minRegistryWait{2000};
 constexpr Millis maxRegistryWait{4000};
+/** Time without a change in the store after which a started node follows: in a starting fleet many nodes join. */
+constexpr Millis settleTime{1500};
+constexpr Millis followerCheckInterval{500};
+/**
+ * A node that lacks changes for this time plus a random part of the jitter reads them from the store. A watcher learns
+ * of a revision without changes at the end of its wait, and its peers with their next confirmation, a second later.
+ */
+constexpr Millis catchUpAfter = maxRegistryWait + Millis(2000);
+constexpr Millis catchUpJitter{2000};
 constexpr Millis publishInterval{500};
 constexpr Millis maxPublishBackoff{4000};
 
@@ -32,12 +42,17 @@
 
 RegistrySync::RegistrySync(NodeCore &core)
     : core_(core)
+    , catchUpDelay_(
+          catchUpAfter
+          + Millis(static_cast<std::int64_t>(core.random() % static_cast<std::uint64_t>(catchUpJitter.count()))))
 {
     StoreWatchTuning tuning;
     tuning.mode = ReadMode::AllowStale;
     tuning.batchDelay = changeBatchDelay;
     tuning.minWait = minRegistryWait;
     tuning.maxWait = maxRegistryWait;
+    tuning.role = [this] { return role(); };
+    tuning.roleCheckInterval = followerCheckInterval;
     watch_ = std::make_unique<StoreWatch>(core_, platform::registryKind, tuning,
                                           [this](const ObjectChanges &changes) { handleChanges(changes); });
 }
@@ -78,28 +93,69 @@
     }
     registry_.advance(changes.revision);
     hasList_ = true;
+    noteRevision(changes.revision);
     if (changed) {
-        core_.events.write(Severity::Info, "registry_changed",
-                           {{"nodes", std::to_string(registry_.size())},
-                            {"revision", std::to_string(registry_.revision())},
-                            {"source", "store"}});
+        lastStoreChange_ = core_.clock.now();
+        reportChange("store");
     }
-    if (changed && onChange_) {
+}
+
+void RegistrySync::reportChange(const char *source)
+{
+    core_.events.write(Severity::Info, "registry_changed",
+                       {{"nodes", std::to_string(registry_.size())},
+                        {"revision", std::to_string(registry_.revision())},
+                        {"source", source}});
+    if (onChange_) {
         onChange_();
     }
 }
 
+WatchRole RegistrySync::role() const
+{
+    const SteadyTime now = core_.clock.now();
+    const bool isSettled = now - lastStoreChange_ >= settleTime;
+    const bool lacksChanges = lack_ && now - lack_->since >= catchUpDelay_;
+    return isSettled && !lacksChanges ? core_.service<RegionWatch>("region-watch").role() : WatchRole::Watcher;
+}
+
+void RegistrySync::noteRevision(std::uint64_t revision)
+{
+    highestKnown_ = std::max(highestKnown_, revision);
+    // Revisions of the store also grow by changes of other objects, so a node that makes progress lacks nothing for
+    // long.
+    if (lack_ && registry_.revision() >= lack_->revision) {
+        lack_.reset();
+    }
+    if (!lack_ && registry_.revision() < highestKnown_) {
+        lack_ = Lack{highestKnown_, core_.clock.now()};
+    }
+}
+
+void RegistrySync::applyPeerChanges(const RegistryChanges &changes)
+{
+    bool changed = false;
+    if (!registry_.apply(changes, changed)) {
+        return;
+    }
+    noteRevision(changes.revision);
+    if (changed) {
+        reportChange("node");
+    }
+}
+
+bool RegistrySync::hasList() const
+{
+    return hasList_;
+}
+
 void RegistrySync::applyPeerList(const std::vector<RegistryEntry> &entries, std::uint64_t revision)
 {
     if (isStoreReachable() || entries.empty() || !registry_.replace(entries, revision)) {
         return;
     }
-    core_.events.write(
-        Severity::Info, "registry_changed",
-        {{"nodes", std::to_string(registry_.size())}, {"revision", std::to_string(revision)}, {"source", "node"}});
-    if (onChange_) {
-        onChange_();
-    }
+    noteRevision(revision);
+    reportChange("node");
 }
 
 bool RegistrySync::isOwnEntryCurrent() const
--- a/src/sidecar/RegistrySync.h
+++ b/src/sidecar/RegistrySync.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "include/base/Clock.h"
 #include "include/fleet/NodeRegistry.h"
+#include "include/fleet/WatchElection.h"
 #include "platform/ObjectApi.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace waxwing {
 
@@ -13,9 +17,12 @@
 class StoreWatch;
 
 /**
- * Keeps the list of the fleet's nodes: writes this node's own entry once and watches the entries of the others. An
- * entry holds nothing that a restart of the node changes, so a restarted node has nothing to write and is found while
- * the store is down. Not thread safe.
+ * Keeps the list of the fleet's nodes: writes this node's own entry once and learns those of the others. A node that
+ * has just started watches the store until the list stays the same for a while. After that only the watchers of its
+ * region do (RegionWatch), and their peers get the changes with the confirmations of the configuration, so that the
+ * calls to the store do not grow with the fleet. A node that lacks changes for long watches the store again. An entry
+ * holds nothing that a restart of the node changes, so a restarted node has nothing to write and is found while the
+ * store is down. Not thread safe.
  */
 class RegistrySync
 {
@@ -32,11 +39,26 @@
     void removeOwnEntry();
     /** Applies another node's list, unless it is empty or older or the store responds to this node. */
     void applyPeerList(const std::vector<RegistryEntry> &entries, std::uint64_t revision);
+    /** Applies the changes that another node has sent, unless this node lacks changes before them. */
+    void applyPeerChanges(const RegistryChanges &changes);
+    /** Records that another node knows the registry as of @p revision. */
+    void noteRevision(std::uint64_t revision);
+    /** Returns true if the list has been read from the store. */
+    bool hasList() const;
     const NodeRegistry &registry() const;
     bool isStoreReachable() const;
 
 private:
+    /** A revision that this node does not hold yet. */
+    struct Lack {
+        std::uint64_t revision = 0;
+        SteadyTime since;
+    };
+
     void handleChanges(const ObjectChanges &changes);
+    WatchRole role() const;
+    /** Writes the event of a change and calls the hook. */
+    void reportChange(const char *source);
     void publishLoop();
     bool isOwnEntryCurrent() const;
 
@@ -45,6 +67,12 @@
     std::unique_ptr<StoreWatch> watch_;
     std::function<void()> onChange_;
     bool hasList_ = false;
+    /** When the last change was read from the store. */
+    SteadyTime lastStoreChange_;
+    /** The highest revision that another node is known to hold. */
+    std::uint64_t highestKnown_ = 0;
+    std::optional<Lack> lack_;
+    Millis catchUpDelay_;
     bool ownEntryRemoved_ = false;
 };
 
--- a/src/sidecar/StateUpdateService.cpp
+++ b/src/sidecar/StateUpdateService.cpp
@@ -32,10 +32,15 @@
 constexpr Millis usableConfigAge{2000};
 /** Requests remembered on one link whose replies have not arrived. */
 constexpr std::size_t maxPendingRequests = 8;
+/**
+ * Changes of the registry in one reply. A node that lacks more reads the store, whose stale reads are cheaper than the
+ * time that a small node needs to encode them for each of its peers.
+ */
+constexpr std::size_t maxRegistryChanges = 64;
 /** Shortest pause between two checks whether a request is due. */
 constexpr Millis minSleep{10};
-/** With so many linked nodes of other regions, the registry is not searched for more: it has thousands of entries. */
-constexpr std::size_t enoughLinkedElsewhere = 8;
+/** With so many linked nodes of other regions, no others are looked for; nor more than these, if there are fewer. */
+constexpr std::size_t enoughElsewhere = 8;
 
 } // namespace
 
@@ -128,7 +133,9 @@
 void StateUpdateService::noteNewerRegistry(LinkId link, const KnownVersions &peerVersions)
 {
     const SteadyTime now = core_.clock.now();
-    const bool newerRegistry = peerVersions.registry > core_.service<RegistrySync>("registry").registry().revision();
+    RegistrySync &registry = core_.service<RegistrySync>("registry");
+    const bool newerRegistry = peerVersions.registry > registry.registry().revision();
+    registry.noteRevision(peerVersions.registry);
     if (newerRegistry && isStoreUnreachable() && now - registryRequestedAt_ >= registryRequestInterval) {
         registryRequestedAt_ = now;
         sendRequest(link, false, true);
@@ -190,13 +197,14 @@
             out.watchers.push_back(watcher);
         }
     }
-    if (out.elsewhereLinked.size() >= enoughLinkedElsewhere) {
+    if (out.elsewhereLinked.size() >= enoughElsewhere) {
         return out;
     }
-    for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
-        if (entry->region != core_.settings.region) {
-            out.elsewhere.push_back(entry->id);
-        }
+    const RegistryEntries elsewhere = sampleEntries(
+        core_.service<RegistrySync>("registry").registry().all(), enoughElsewhere, [this] { return core_.random(); },
+        [this](const RegistryEntry &entry) { return entry.region != core_.settings.region; });
+    for (const RegistryEntryPtr &entry : elsewhere) {
+        out.elsewhere.push_back(entry->id);
     }
     return out;
 }
@@ -273,10 +281,11 @@
         return std::nullopt;
     }
     const bool storeFailed = config.freshness().hasFailedSince(startedAt_);
+    const bool mayStoreDeliver = config.hasCalledStore() && config.isStoreReachable();
     if (configHolder_) {
-        return storeFailed || !config.isStoreReachable() ? configHolder_ : std::nullopt;
+        return storeFailed || !mayStoreDeliver ? configHolder_ : std::nullopt;
     }
-    const bool storeIsLate = !config.isStoreReachable() && core_.clock.now() - startedAt_ >= storeStartTimeout;
+    const bool storeIsLate = !mayStoreDeliver && core_.clock.now() - startedAt_ >= storeStartTimeout;
     return storeIsLate || storeFailed ? randomLink() : std::nullopt;
 }
 
@@ -314,12 +323,26 @@
     if (request.wantsConfig && peer) {
         distribution_.addDocument(*peer, request, update);
     }
-    if (request.wantsRegistry && update.versions.registry > request.versions.registry) {
-        for (const RegistryEntryPtr &entry : core_.service<RegistrySync>("registry").registry().all()) {
-            update.registry.push_back(*entry);
+    addRegistry(request, update);
+    core_.service<PeerHub>("peers").reply(link, update);
+}
+
+void StateUpdateService::addRegistry(const StateUpdateRequest &request, StateUpdate &reply) const
+{
+    const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
+    if (registry.revision() <= request.versions.registry) {
+        return;
+    }
+    if (request.wantsRegistry) {
+        for (const RegistryEntryPtr &entry : registry.all()) {
+            reply.registry.push_back(*entry);
+        }
+    } else if (registry.knowsChangesSince(request.versions.registry)) {
+        RegistryChanges changes = registry.changesSince(request.versions.registry);
+        if (changes.size() <= maxRegistryChanges) {
+            reply.registryChanges = std::move(changes);
         }
     }
-    core_.service<PeerHub>("peers").reply(link, update);
 }
 
 void StateUpdateService::handleUpdate(LinkId link, const NodeRef &from, const StateUpdate &update)
@@ -329,7 +352,11 @@
         configRequestedOn_.reset();
     }
     distribution_.handleUpdate(link, from, update);
-    core_.service<RegistrySync>("registry").applyPeerList(update.registry, update.versions.registry);
+    RegistrySync &registry = core_.service<RegistrySync>("registry");
+    registry.applyPeerList(update.registry, update.versions.registry);
+    if (update.registryChanges) {
+        registry.applyPeerChanges(*update.registryChanges);
+    }
     if (const std::optional<SteadyTime> sentAt = takePendingRequest(link, update.id)) {
         confirmFreshness(update.versions, *sentAt);
         if (update.provenAge) {
--- a/src/sidecar/StateUpdateService.h
+++ b/src/sidecar/StateUpdateService.h
@@ -19,9 +19,9 @@
  * Lets nodes obtain the configuration and the registry from each other if the store has not delivered them. Every
  * message about work carries the versions that its sender holds and the time since its configuration was known to be
  * the newest. If the receiver holds the same configuration, the message confirms it. If the receiver's version is
- * lower, it obtains the newer one as ConfigDistribution describes. The registry is requested only while the store does
- * not respond. A node that cannot reach the store, or whose watch receives nothing, is therefore as current as the
- * nodes with which it exchanges work.
+ * lower, it obtains the newer one as ConfigDistribution describes. The whole registry is requested only while the store
+ * does not respond; changes of it are part of each reply to a node that lacks them. A node that cannot reach the store,
+ * or whose watch receives nothing, is therefore as current as the nodes with which it exchanges work.
  *
  * A node whose configuration was not confirmed for a while requests the versions of peers, as ConfirmationSource
  * chooses them: of its region first, then of other regions, to which it opens a link if it has none. A reply confirms
@@ -73,6 +73,8 @@
      */
     std::optional<SteadyTime> takePendingRequest(LinkId link, std::uint64_t id);
     bool isFollower() const;
+    /** Adds what the sender of @p request lacks of the registry: all of it if requested, otherwise a few changes. */
+    void addRegistry(const StateUpdateRequest &request, StateUpdate &reply) const;
     /** Returns the id of the request. */
     std::uint64_t sendRequest(LinkId link, bool wantsConfig, bool wantsRegistry);
     bool isStoreUnreachable() const;
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/StoreWatch.cpp
@@ -10,8 +10,6 @@
 namespace {
 /** How often to check whether a poll of the store is due. */
 constexpr Millis pollCheckInterval{250};
-/** How soon a follower starts to watch when its role changes. */
-constexpr Millis roleCheckInterval{200};
 /** While the store drops its history, watches may report no changes for this long. */
 constexpr Millis maxWatchLag{1000};
 /**
@@ -53,7 +51,7 @@
         isFollower_ = currentRole == WatchRole::Follower;
         isStandIn_ = currentRole == WatchRole::StandIn;
         if (isFollower_) {
-            sleepFor(core_.ioContext, roleCheckInterval);
+            sleepFor(core_.ioContext, tuning_.roleCheckInterval);
             continue;
         }
         const WatchCall call = nextCall(currentRole, firstInRole);
@@ -79,8 +77,8 @@
 
 WatchRole StoreWatch::role() const
 {
-    // Others can confirm only a version that this node holds, so a node without one calls the store itself.
-    const bool mayFollow = tuning_.role && revision_ > 0;
+    // Others can confirm only a version that this node holds, so a node without one usually calls the store itself.
+    const bool mayFollow = tuning_.role && (revision_ > 0 || tuning_.followsFromStart);
     return mayFollow ? tuning_.role() : WatchRole::Watcher;
 }
 
@@ -130,7 +128,9 @@
 bool StoreWatch::isPollDue(Duration jitter) const
 {
     // A stand-in's own calls are as frequent as polls would be.
-    const bool stale = !isStandIn_ && freshness_.isOlderThan(*tuning_.pollAfter + jitter, core_.clock.now());
+    const SteadyTime now = core_.clock.now();
+    const bool holdsState = revision_ > 0 || freshness_.age(now).has_value();
+    const bool stale = !isStandIn_ && holdsState && freshness_.isOlderThan(*tuning_.pollAfter + jitter, now);
     return (isWaiting_ || isFollower_) && (pollRequested_ || stale);
 }
 
@@ -227,6 +227,11 @@
     return healthy_;
 }
 
+bool StoreWatch::hasCalled() const
+{
+    return hasCalled_;
+}
+
 Freshness &StoreWatch::freshness()
 {
     return freshness_;
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/StoreWatch.h
@@ -36,6 +36,10 @@
     Millis maxBackoff{1500};
     /** Called before each call of the watch. A follower only polls. Without this hook the node always watches. */
     std::function<WatchRole()> role;
+    /** The role also counts before the first list: a follower may get its first state from another node. */
+    bool followsFromStart = false;
+    /** How soon a follower starts to watch when its role changes. */
+    Millis roleCheckInterval{200};
     /** Waits and backoff of a stand-in. They limit the calls in an outage, when all nodes of a region are stand-ins. */
     Millis minStandInWait{1500};
     Millis maxStandInWait{2500};
@@ -59,6 +63,8 @@
     void run();
     /** Returns whether the store responded to the last call. */
     bool isHealthy() const;
+    /** Returns true if a call to the store has ended, with or without a response. */
+    bool hasCalled() const;
     /** Returns the freshness of the state held. Other nodes that hold the same version may confirm it. */
     Freshness &freshness();
     const Freshness &freshness() const;
--- a/tests/unit/WatchElectionTest.cpp
+++ b/tests/unit/WatchElectionTest.cpp
@@ -216,3 +216,23 @@
     CHECK(standInsAt(later + tuning.standInGrowth + Millis(1)) == 4 * tuning.firstStandIns);
     CHECK(standInsAt(later + 2 * tuning.standInGrowth + Millis(1)) == nodes_.size() - watchers);
 }
+
+// Guards against a fleet that starts with one call to the store for each node at the same moment.
+TEST_CASE("first read, region of any size, few nodes read at once and all within two seconds")
+{
+    const WatchElectionTuning tuning;
+    for (const std::size_t nodes : {2UL, 30UL, 327UL, 5589UL}) {
+        std::size_t atOnce = 0;
+        std::size_t earlyReads = 0;
+        Millis last{0};
+        for (std::size_t rank = 0; rank < nodes; ++rank) {
+            const Millis delay = firstReadDelay(tuning, rank);
+            atOnce += delay == Millis(0) ? 1 : 0;
+            earlyReads += delay <= Millis(500) ? 1 : 0;
+            last = std::max(last, delay);
+        }
+        CHECK(atOnce == tuning.watchers);
+        CHECK(earlyReads <= 4 * tuning.watchers);
+        CHECK(last <= Millis(2000));
+    }
+}
