Sort src/sidecar by job, and read the configuration at once unless the fleet starts for the first time

Moved without change: the registry, watches and paths to membership/, the distribution of the configuration to config/, retry budgets and quotas to limits/.

Change: a node reads at once, as before. With the setting bootstrap, which the platform sets when the whole system starts for the first time, it waits for a pause in the changes of the registry, 3 s at most, and then by rank.

--- a/include/fleet/WatchElection.h
+++ b/include/fleet/WatchElection.h
@@ -37,9 +37,14 @@
     /** Minimum time as a stand-in, so that slow responses do not make a node switch roles all the time. */
     Millis standInFor{3000};
     /**
-     * A node without any state reads the store after this time, plus standInGrowth for each doubling of its rank,
-     * unless a peer has sent it the state before. The first nodes by rank read at once.
+     * A node without any state reads the store at once, since callers wait for it. Only in a fleet that starts for the
+     * first time it waits until the others are registered, and ranks mean something: for a pause of formingPause in the
+     * changes of the registry, but until formingFor after its start at the latest; then for firstReadAfter, plus
+     * standInGrowth for each doubling of its rank, unless a peer has sent it the state before. The first nodes by rank
+     * don't wait for that time.
      */
+    Millis formingPause{700};
+    Millis formingFor{3000};
     Millis firstReadAfter{250};
     /** A watcher that the store does not respond to is excluded until the store responds, or for this long. */
     Millis excludedFor = std::chrono::seconds(20);
@@ -51,11 +56,22 @@
  */
 Millis standInDelay(const WatchElectionTuning &tuning, std::size_t rank);
 
+/** What a node that holds no state yet knows of its region. */
+struct FirstReadState {
+    Duration sinceStart{0};
+    /** The whole fleet starts for the first time. */
+    bool isBootstrap = false;
+    /** Time since an entry of the registry last changed; since the start, if it could not be read yet. */
+    Duration sinceChange{0};
+    /** Number of nodes of the region that are ranked before this one. */
+    std::size_t rank = 0;
+};
+
 /**
- * Returns the time from its start after which a node without any state reads the store. @p rank: number of nodes of its
- * region that are ranked before it. Thread safe.
+ * Returns true if it is time for a node that holds no state yet to read the store, unless a peer has sent it the state
+ * before. Thread safe.
  */
-Millis firstReadDelay(const WatchElectionTuning &tuning, std::size_t rank);
+bool mayReadFirst(const WatchElectionTuning &tuning, const FirstReadState &state);
 
 /**
  * Decides which nodes of a region watch the store, so that the number of calls to the store does not grow with the
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -135,6 +135,11 @@
     FlowSettings flow;
     NestedCallSettings nestedCalls;
     RetrySettings retries;
+    /**
+     * The whole fleet starts for the first time: the node waits a little for the others to register before it reads the
+     * store. False after any restart.
+     */
+    bool bootstrap = false;
     /** Parts of the platform's contract that are in force; names that this build does not know are kept. */
     std::set<std::string> contracts;
 };
--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -32,16 +32,21 @@
     return delay;
 }
 
-Millis firstReadDelay(const WatchElectionTuning &tuning, std::size_t rank)
+bool mayReadFirst(const WatchElectionTuning &tuning, const FirstReadState &state)
 {
-    if (rank < tuning.watchers) {
-        return Millis(0);
+    if (!state.isBootstrap) {
+        return true;
     }
-    Millis delay = tuning.firstReadAfter;
-    for (std::size_t groups = rank / std::max<std::size_t>(1, tuning.watchers); groups > 1; groups /= 2) {
-        delay += tuning.standInGrowth;
+    const Duration counted =
+        std::max<Duration>(state.sinceChange - tuning.formingPause, state.sinceStart - tuning.formingFor);
+    Millis delay{0};
+    if (state.rank >= tuning.watchers) {
+        delay = tuning.firstReadAfter;
+        for (std::size_t groups = state.rank / std::max<std::size_t>(1, tuning.watchers); groups > 1; groups /= 2) {
+            delay += tuning.standInGrowth;
+        }
     }
-    return delay;
+    return counted >= delay;
 }
 
 WatchElection::WatchElection(std::string self, WatchElectionTuning tuning)
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -263,6 +263,7 @@
     readFlow(reader.child("flow"), settings.flow, findings);
     readNestedCalls(reader.child("nestedCalls"), settings.nestedCalls, findings);
     readRetries(reader.child("retries"), settings.retries, findings);
+    settings.bootstrap = reader.boolean("bootstrap", settings.bootstrap);
     readContracts(reader.child("contracts"), settings.contracts, findings);
     reader.rejectUnknown();
     return settings;
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -5,10 +5,10 @@
 #include "platform/CallerDialect.h"
 #include "src/http/ResponseFlow.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/ConfigSync.h"
 #include "src/sidecar/Forwarder.h"
 #include "src/sidecar/LocalHome.h"
-#include "src/sidecar/QuotaService.h"
+#include "src/sidecar/config/ConfigSync.h"
+#include "src/sidecar/limits/QuotaService.h"
 
 #include <algorithm>
 
--- a/src/sidecar/FenceService.cpp
+++ b/src/sidecar/FenceService.cpp
@@ -3,7 +3,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <algorithm>
 
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -3,7 +3,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/LocalHome.h"
-#include "src/sidecar/RetryBudgetService.h"
+#include "src/sidecar/limits/RetryBudgetService.h"
 
 #include <algorithm>
 #include <random>
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -3,7 +3,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/node/PoisonService.h"
-#include "src/sidecar/ConfigSync.h"
+#include "src/sidecar/config/ConfigSync.h"
 
 namespace waxwing {
 
--- a/src/sidecar/WorkSender.cpp
+++ b/src/sidecar/WorkSender.cpp
@@ -3,8 +3,8 @@
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/FenceService.h"
-#include "src/sidecar/LinkOpenTimeout.h"
-#include "src/sidecar/PathMonitor.h"
+#include "src/sidecar/membership/LinkOpenTimeout.h"
+#include "src/sidecar/membership/PathMonitor.h"
 
 #include <algorithm>
 
--- a/src/sidecar/ConfigDistribution.cpp
+++ b/src/sidecar/config/ConfigDistribution.cpp
@@ -1,13 +1,13 @@
-#include "src/sidecar/ConfigDistribution.h"
+#include "src/sidecar/config/ConfigDistribution.h"
 
 #include "include/fleet/Freshness.h"
 #include "platform/ConfigVersion.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/link/DocumentDeflate.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/ConfigSync.h"
-#include "src/sidecar/RegionWatch.h"
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/config/ConfigSync.h"
+#include "src/sidecar/membership/RegionWatch.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <algorithm>
 
--- a/src/sidecar/ConfigSync.cpp
+++ b/src/sidecar/config/ConfigSync.cpp
@@ -1,12 +1,12 @@
-#include "src/sidecar/ConfigSync.h"
+#include "src/sidecar/config/ConfigSync.h"
 
 #include "platform/ConfigDecoder.h"
 #include "platform/Names.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/RegionWatch.h"
-#include "src/sidecar/RegistrySync.h"
-#include "src/sidecar/StoreWatch.h"
+#include "src/sidecar/membership/RegionWatch.h"
+#include "src/sidecar/membership/RegistrySync.h"
+#include "src/sidecar/membership/StoreWatch.h"
 
 namespace waxwing {
 
--- a/src/sidecar/StateUpdateService.cpp
+++ b/src/sidecar/config/StateUpdateService.cpp
@@ -1,12 +1,12 @@
-#include "src/sidecar/StateUpdateService.h"
+#include "src/sidecar/config/StateUpdateService.h"
 
 #include "include/fleet/Freshness.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/ConfigSync.h"
-#include "src/sidecar/LinkOpenTimeout.h"
-#include "src/sidecar/RegionWatch.h"
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/config/ConfigSync.h"
+#include "src/sidecar/membership/LinkOpenTimeout.h"
+#include "src/sidecar/membership/RegionWatch.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/sidecar/StateUpdateService.h
+++ b/src/sidecar/config/StateUpdateService.h
@@ -4,7 +4,7 @@
 #include "include/fleet/ConfirmationSource.h"
 #include "include/wire/Messages.h"
 #include "src/link/PeerHub.h"
-#include "src/sidecar/ConfigDistribution.h"
+#include "src/sidecar/config/ConfigDistribution.h"
 
 #include <deque>
 #include <map>
--- a/src/sidecar/home/WorkOrigins.cpp
+++ b/src/sidecar/home/WorkOrigins.cpp
@@ -1,7 +1,7 @@
 #include "src/sidecar/home/WorkOrigins.h"
 
 #include "src/node/NodeCore.h"
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 namespace waxwing {
 
--- a/src/sidecar/ingress/HomeSelector.cpp
+++ b/src/sidecar/ingress/HomeSelector.cpp
@@ -3,12 +3,12 @@
 #include "include/route/RouteStats.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/LocalHome.h"
-#include "src/sidecar/PathMonitor.h"
-#include "src/sidecar/RegistrySync.h"
 #include "src/sidecar/ingress/NoServerReason.h"
 #include "src/sidecar/ingress/RetryGate.h"
 #include "src/sidecar/ingress/SlotRequester.h"
 #include "src/sidecar/ingress/StartLimit.h"
+#include "src/sidecar/membership/PathMonitor.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <algorithm>
 #include <set>
--- a/src/sidecar/ingress/HomeSender.cpp
+++ b/src/sidecar/ingress/HomeSender.cpp
@@ -3,9 +3,9 @@
 #include "include/route/HomeRanking.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/LocalHome.h"
-#include "src/sidecar/RegistrySync.h"
-#include "src/sidecar/StateUpdateService.h"
+#include "src/sidecar/config/StateUpdateService.h"
 #include "src/sidecar/ingress/RetryGate.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 namespace waxwing {
 
--- a/src/sidecar/ingress/ReplyEvaluator.cpp
+++ b/src/sidecar/ingress/ReplyEvaluator.cpp
@@ -4,11 +4,11 @@
 #include "include/route/RouteStats.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/LocalHome.h"
-#include "src/sidecar/PathMonitor.h"
 #include "src/sidecar/ingress/HomeSender.h"
 #include "src/sidecar/ingress/NoServerReason.h"
 #include "src/sidecar/ingress/RetryGate.h"
 #include "src/sidecar/ingress/SlotRequester.h"
+#include "src/sidecar/membership/PathMonitor.h"
 
 namespace waxwing {
 
--- a/src/sidecar/ingress/RetryGate.cpp
+++ b/src/sidecar/ingress/RetryGate.cpp
@@ -2,10 +2,10 @@
 
 #include "include/route/RouteStats.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/RetryBudgetService.h"
 #include "src/sidecar/ingress/AttemptReservation.h"
 #include "src/sidecar/ingress/ForwardedRequest.h"
 #include "src/sidecar/ingress/StartLimit.h"
+#include "src/sidecar/limits/RetryBudgetService.h"
 
 namespace waxwing {
 
--- a/src/sidecar/QuotaService.cpp
+++ b/src/sidecar/limits/QuotaService.cpp
@@ -1,11 +1,11 @@
-#include "src/sidecar/QuotaService.h"
+#include "src/sidecar/limits/QuotaService.h"
 
 #include "include/base/Ids.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/ConfigSync.h"
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/config/ConfigSync.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <algorithm>
 
--- a/src/sidecar/QuotaServiceCounter.cpp
+++ b/src/sidecar/limits/QuotaServiceCounter.cpp
@@ -1,11 +1,11 @@
-#include "src/sidecar/QuotaService.h"
+#include "src/sidecar/limits/QuotaService.h"
 
 #include "include/base/Ids.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/PathMonitor.h"
-#include "src/sidecar/RegionWatch.h"
+#include "src/sidecar/membership/PathMonitor.h"
+#include "src/sidecar/membership/RegionWatch.h"
 
 #include <algorithm>
 
--- a/src/sidecar/RetryBudgetService.cpp
+++ b/src/sidecar/limits/RetryBudgetService.cpp
@@ -1,8 +1,8 @@
-#include "src/sidecar/RetryBudgetService.h"
+#include "src/sidecar/limits/RetryBudgetService.h"
 
 #include "src/fiber/FiberNotifier.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <algorithm>
 
--- a/src/sidecar/PathMonitor.cpp
+++ b/src/sidecar/membership/PathMonitor.cpp
@@ -1,9 +1,9 @@
-#include "src/sidecar/PathMonitor.h"
+#include "src/sidecar/membership/PathMonitor.h"
 
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/LinkOpenTimeout.h"
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/membership/LinkOpenTimeout.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <algorithm>
 
--- a/src/sidecar/RegionWatch.cpp
+++ b/src/sidecar/membership/RegionWatch.cpp
@@ -1,8 +1,8 @@
-#include "src/sidecar/RegionWatch.h"
+#include "src/sidecar/membership/RegionWatch.h"
 
 #include "include/base/Ids.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <algorithm>
 #include <set>
@@ -61,10 +61,14 @@
 
 WatchRole RegionWatch::firstRole() const
 {
-    const Duration sinceStart = core_.clock.now() - startedAt_;
-    const bool hasList = core_.service<RegistrySync>("registry").hasList();
-    const Millis delay = hasList ? firstReadDelay(tuning_, registeredRank()) : tuning_.firstReadAfter;
-    return sinceStart >= delay ? WatchRole::Watcher : WatchRole::Follower;
+    const SteadyTime now = core_.clock.now();
+    const RegistrySync &registry = core_.service<RegistrySync>("registry");
+    FirstReadState state;
+    state.sinceStart = now - startedAt_;
+    state.isBootstrap = core_.settings.bootstrap;
+    state.sinceChange = std::min(state.sinceStart, registry.sinceStoreChange());
+    state.rank = registeredRank();
+    return mayReadFirst(tuning_, state) ? WatchRole::Watcher : WatchRole::Follower;
 }
 
 void RegionWatch::rankDelivery(std::vector<std::string> nodes)
--- a/src/sidecar/RegistrySync.cpp
+++ b/src/sidecar/membership/RegistrySync.cpp
@@ -1,10 +1,10 @@
-#include "src/sidecar/RegistrySync.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include "platform/ConfigDecoder.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
-#include "src/sidecar/RegionWatch.h"
-#include "src/sidecar/StoreWatch.h"
+#include "src/sidecar/membership/RegionWatch.h"
+#include "src/sidecar/membership/StoreWatch.h"
 
 #include <algorithm>
 
@@ -144,9 +144,9 @@
     }
 }
 
-bool RegistrySync::hasList() const
+Duration RegistrySync::sinceStoreChange() const
 {
-    return hasList_;
+    return core_.clock.now() - lastStoreChange_;
 }
 
 void RegistrySync::applyPeerList(const std::vector<RegistryEntry> &entries, std::uint64_t revision)
--- a/src/sidecar/RegistrySync.h
+++ b/src/sidecar/membership/RegistrySync.h
@@ -43,8 +43,8 @@
     void applyPeerChanges(const RegistryChanges &changes);
     /** Records that another node knows the registry as of @p revision. */
     void noteRevision(std::uint64_t revision);
-    /** Returns true if the list has been read from the store. */
-    bool hasList() const;
+    /** Returns the time since a change was last read from the store. */
+    Duration sinceStoreChange() const;
     const NodeRegistry &registry() const;
     bool isStoreReachable() const;
 
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/membership/StoreWatch.cpp
@@ -1,4 +1,4 @@
-#include "src/sidecar/StoreWatch.h"
+#include "src/sidecar/membership/StoreWatch.h"
 
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
@@ -10,6 +10,8 @@
 namespace {
 /** How often to check whether a poll of the store is due. */
 constexpr Millis pollCheckInterval{250};
+/** How soon a node without any state calls the store when its role changes: it can't serve callers before. */
+constexpr Millis firstRoleCheckInterval{20};
 /** While the store drops its history, watches may report no changes for this long. */
 constexpr Millis maxWatchLag{1000};
 /**
@@ -51,7 +53,7 @@
         isFollower_ = currentRole == WatchRole::Follower;
         isStandIn_ = currentRole == WatchRole::StandIn;
         if (isFollower_) {
-            sleepFor(core_.ioContext, tuning_.roleCheckInterval);
+            sleepFor(core_.ioContext, holdsState() ? tuning_.roleCheckInterval : firstRoleCheckInterval);
             continue;
         }
         const WatchCall call = nextCall(currentRole, firstInRole);
@@ -125,12 +127,16 @@
     }
 }
 
+bool StoreWatch::holdsState() const
+{
+    return revision_ > 0 || freshness_.age(core_.clock.now()).has_value();
+}
+
 bool StoreWatch::isPollDue(Duration jitter) const
 {
     // A stand-in's own calls are as frequent as polls would be.
     const SteadyTime now = core_.clock.now();
-    const bool holdsState = revision_ > 0 || freshness_.age(now).has_value();
-    const bool stale = !isStandIn_ && holdsState && freshness_.isOlderThan(*tuning_.pollAfter + jitter, now);
+    const bool stale = !isStandIn_ && holdsState() && freshness_.isOlderThan(*tuning_.pollAfter + jitter, now);
     return (isWaiting_ || isFollower_) && (pollRequested_ || stale);
 }
 
--- a/src/sidecar/StoreWatch.h
+++ b/src/sidecar/membership/StoreWatch.h
@@ -90,6 +90,8 @@
     WatchCall nextCall(WatchRole role, bool firstInRole);
     Millis nextBackoff(WatchRole role, Millis previous) const;
     void pollLoop();
+    /** Returns true if this node has got any state, from the store or from another node. */
+    bool holdsState() const;
     bool isPollDue(Duration jitter) const;
     /** Checks the store once, on a new connection. Cancels the waiting call if there are changes. */
     void poll();
