--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -32,6 +32,23 @@
     return delay;
 }
 
+bool mayReadFirst(const WatchElectionTuning &tuning, const FirstReadState &state)
+{
+    if (!state.isBootstrap) {
+        return true;
+    }
+    const Duration counted =
+        std::max<Duration>(state.sinceChange - tuning.formingPause, state.sinceStart - tuning.formingFor);
+    Millis delay{0};
+    if (state.rank >= tuning.watchers) {
+        delay = tuning.firstReadAfter;
+        for (std::size_t groups = state.rank / std::max<std::size_t>(1, tuning.watchers); groups > 1; groups /= 2) {
+            delay += tuning.standInGrowth;
+        }
+    }
+    return counted >= delay;
+}
+
 WatchElection::WatchElection(std::string self, WatchElectionTuning tuning)
     : self_(std::move(self))
     , tuning_(tuning)
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -3,7 +3,7 @@
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/node/PoisonService.h"
-#include "src/sidecar/ConfigSync.h"
+#include "src/sidecar/config/ConfigSync.h"
 
 namespace waxwing {
 
@@ -27,7 +27,9 @@
     , admission_(core, scheduler_)
     , exchange_(core, queue_, server_, works_, nestedCalls_.tracker())
     , origins_(core)
-{ }
+{
+    queue_.setStallCheck([this](SteadyTime since, SteadyTime now) { return stalls_.stalledBetween(since, now); });
+}
 
 void LocalHome::start()
 {
@@ -70,6 +72,23 @@
     }
 }
 
+void LocalHome::observeStalls()
+{
+    if (observesStalls_) {
+        return;
+    }
+    observesStalls_ = true;
+    spawnFiber([this] {
+        stalls_.start(core_.clock.now());
+        while (queue_.running() > 0) {
+            sleepFor(core_.ioContext, stalls_.tickInterval());
+            stalls_.tick(core_.clock.now());
+        }
+        stalls_.stop();
+        observesStalls_ = false;
+    });
+}
+
 std::string LocalHome::closedReason(const std::string &service) const
 {
     if (stopped_) {
@@ -116,6 +135,7 @@
     // A Work that takes over the slot of its reservation gets that slot's id.
     const std::uint64_t memoryId = job.id;
     if (admission_.await(job, onAdmitted)) {
+        observeStalls();
         exchange_.run(job);
         scheduler_.release(job.id);
     }
@@ -128,6 +148,7 @@
     job.reply.load = load(work.priority);
     job.reply.nestedCall = origins_.isNestedCall(work.route);
     works_.finish(key, job.reply);
+    ++resultCount_;
     core_.events.writeRequest(job.reply.serverFault ? Severity::Warning : Severity::Info, "home_done",
                               {{"request", work.requestId},
                                {"from", key.origin.id},
@@ -195,6 +216,11 @@
     return queue_.load(priority, core_.clock.now());
 }
 
+std::uint64_t LocalHome::resultCount() const
+{
+    return resultCount_;
+}
+
 std::size_t LocalHome::inProgressCount() const
 {
     return queue_.running() + queue_.waiting();
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/health/StallHistory.h"
 #include "include/home/SlotQueue.h"
 #include "include/wire/Messages.h"
 #include "src/node/RunControl.h"
@@ -76,6 +77,8 @@
     void stopAccepting();
     /** Returns the load that a request of @p priority meets here. */
     HomeLoad load(int priority) const;
+    /** Returns the number of works that ran here or were refused since the start. */
+    std::uint64_t resultCount() const;
     /** Returns true if the server has had no request of @p service for long and would admit one now. */
     bool needsRequest(const std::string &service, bool retryable) const;
     /** Returns an id that no other work or reservation of this home has. */
@@ -108,12 +111,16 @@
 
 private:
     void expiryLoop();
+    /** Observes the stalls of this node while the server works, unless that is done already. */
+    void observeStalls();
     /** Returns the reason to refuse a Work that this home must not run; empty if it may be admitted. */
     std::string refusalReason(const Work &work) const;
     /** Returns false if customers need keys and the sender's build has not checked the key of @p work. */
     bool isKeyChecked(const Work &work) const;
 
     NodeCore &core_;
+    StallHistory stalls_;
+    bool observesStalls_ = false;
     SlotQueue queue_;
     WorkTable works_;
     NestedCalls nestedCalls_;
@@ -126,6 +133,7 @@
     /** Null if callers and servers don't read slowly. */
     std::unique_ptr<ServerMemoryGate> memory_;
     std::uint64_t requestBytes_ = 0;
+    std::uint64_t resultCount_ = 0;
 };
 
 } // namespace waxwing
--- a/src/sidecar/SidecarNodeImpl.h
+++ b/src/sidecar/SidecarNodeImpl.h
@@ -12,19 +12,20 @@
 #include "src/node/NodeCore.h"
 #include "src/node/PoisonService.h"
 #include "src/sidecar/CallerHandler.h"
-#include "src/sidecar/ConfigSync.h"
 #include "src/sidecar/FenceService.h"
 #include "src/sidecar/Forwarder.h"
 #include "src/sidecar/LocalHome.h"
-#include "src/sidecar/PathMonitor.h"
-#include "src/sidecar/QuotaService.h"
-#include "src/sidecar/RegionWatch.h"
-#include "src/sidecar/RegistrySync.h"
-#include "src/sidecar/RetryBudgetService.h"
 #include "src/sidecar/SidecarTuning.h"
 #include "src/sidecar/SlotMessenger.h"
-#include "src/sidecar/StateUpdateService.h"
 #include "src/sidecar/WorkSender.h"
+#include "src/sidecar/config/ConfigSync.h"
+#include "src/sidecar/config/StateUpdateService.h"
+#include "src/sidecar/limits/QuotaService.h"
+#include "src/sidecar/limits/RetryBudgetService.h"
+#include "src/sidecar/loadreports/HomeReportService.h"
+#include "src/sidecar/membership/PathMonitor.h"
+#include "src/sidecar/membership/RegionWatch.h"
+#include "src/sidecar/membership/RegistrySync.h"
 
 #include <map>
 #include <memory>
@@ -61,6 +62,10 @@
         , retryBudgets(core, tuning.retry)
         , slots(core, home, tuning.reservations, tuning.maxWaitingRequests)
         , forwarder(core, home, sender, retryBudgets, paths, slots.requester())
+        , homeReports(core, home,
+                      [this](const std::string &node, const HomeLoad &load, SteadyTime madeAt) {
+                          forwarder.noteHomeReport(node, load, madeAt);
+                      })
         , quotas(core, paths, tuning.quota)
         , callerHandler(core, tuning.keyAdmission)
     { }
@@ -105,6 +110,7 @@
     RetryBudgetService retryBudgets;
     SlotMessenger slots;
     Forwarder forwarder;
+    HomeReportService homeReports;
     QuotaService quotas;
     CallerHandler callerHandler;
     std::unique_ptr<PeerHub> peers;
--- a/src/sidecar/StoreWatch.cpp
+++ b/src/sidecar/membership/StoreWatch.cpp
@@ -1,4 +1,4 @@
-#include "src/sidecar/StoreWatch.h"
+#include "src/sidecar/membership/StoreWatch.h"
 
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
@@ -10,8 +10,8 @@
 namespace {
 /** How often to check whether a poll of the store is due. */
 constexpr Millis pollCheckInterval{250};
-/** How soon a follower starts to watch when its role changes. */
-constexpr Millis roleCheckInterval{200};
+/** How soon a node without any state calls the store when its role changes: it can't serve callers before. */
+constexpr Millis firstRoleCheckInterval{20};
 /** While the store drops its history, watches may report no changes for this long. */
 constexpr Millis maxWatchLag{1000};
 /**
@@ -53,7 +53,7 @@
         isFollower_ = currentRole == WatchRole::Follower;
         isStandIn_ = currentRole == WatchRole::StandIn;
         if (isFollower_) {
-            sleepFor(core_.ioContext, roleCheckInterval);
+            sleepFor(core_.ioContext, holdsState() ? tuning_.roleCheckInterval : firstRoleCheckInterval);
             continue;
         }
         const WatchCall call = nextCall(currentRole, firstInRole);
@@ -79,8 +79,8 @@
 
 WatchRole StoreWatch::role() const
 {
-    // Others can confirm only a version that this node holds, so a node without one calls the store itself.
-    const bool mayFollow = tuning_.role && revision_ > 0;
+    // Others can confirm only a version that this node holds, so a node without one usually calls the store itself.
+    const bool mayFollow = tuning_.role && (revision_ > 0 || tuning_.followsFromStart);
     return mayFollow ? tuning_.role() : WatchRole::Watcher;
 }
 
@@ -127,10 +127,16 @@
     }
 }
 
+bool StoreWatch::holdsState() const
+{
+    return revision_ > 0 || freshness_.age(core_.clock.now()).has_value();
+}
+
 bool StoreWatch::isPollDue(Duration jitter) const
 {
     // A stand-in's own calls are as frequent as polls would be.
-    const bool stale = !isStandIn_ && freshness_.isOlderThan(*tuning_.pollAfter + jitter, core_.clock.now());
+    const SteadyTime now = core_.clock.now();
+    const bool stale = !isStandIn_ && holdsState() && freshness_.isOlderThan(*tuning_.pollAfter + jitter, now);
     return (isWaiting_ || isFollower_) && (pollRequested_ || stale);
 }
 
@@ -227,6 +233,11 @@
     return healthy_;
 }
 
+bool StoreWatch::hasCalled() const
+{
+    return hasCalled_;
+}
+
 Freshness &StoreWatch::freshness()
 {
     return freshness_;
--- a/tests/unit/WatchElectionTest.cpp
+++ b/tests/unit/WatchElectionTest.cpp
@@ -216,3 +216,48 @@
     CHECK(standInsAt(later + tuning.standInGrowth + Millis(1)) == 4 * tuning.firstStandIns);
     CHECK(standInsAt(later + 2 * tuning.standInGrowth + Millis(1)) == nodes_.size() - watchers);
 }
+
+// Guards against a fleet that starts with one call to the store for each node at the same moment.
+TEST_CASE("first read, new region of any size that has formed, few nodes read at once and all within two seconds")
+{
+    const WatchElectionTuning tuning;
+    for (const std::size_t nodes : {2UL, 30UL, 327UL, 5589UL}) {
+        const auto readersAfter = [&](Millis time) {
+            const Millis sinceChange = tuning.formingPause + time;
+            std::size_t readers = 0;
+            for (std::size_t rank = 0; rank < nodes; ++rank) {
+                readers += mayReadFirst(tuning, FirstReadState{sinceChange, true, sinceChange, rank}) ? 1 : 0;
+            }
+            return readers;
+        };
+        CHECK(readersAfter(Millis(0)) == tuning.watchers);
+        CHECK(readersAfter(Millis(500)) <= 4 * tuning.watchers);
+        CHECK(readersAfter(Millis(2000)) == nodes);
+    }
+}
+
+// Guards against callers who wait for nodes that were killed together and wait for each other's configuration.
+TEST_CASE("first read, fleet did not start for the first time, reads at once")
+{
+    CHECK(mayReadFirst(WatchElectionTuning{}, FirstReadState{Millis(0), false, Millis(0), 300}));
+}
+
+// Guards against a fleet that starts for the first time, in which each node sees few others and counts itself as one of
+// the first.
+TEST_CASE("first read, new node while others are being registered, waits for a pause or three seconds")
+{
+    const WatchElectionTuning tuning;
+    const auto mayRead = [&](Millis sinceStart, Millis sinceChange) {
+        return mayReadFirst(tuning, FirstReadState{sinceStart, true, sinceChange, 0});
+    };
+    CHECK_FALSE(mayRead(Millis(100), Millis(20)));
+    CHECK_FALSE(mayRead(Millis(2900), Millis(300)));
+    CHECK(mayRead(Millis(1500), tuning.formingPause));
+    CHECK(mayRead(tuning.formingFor, Millis(10)));
+}
+
+TEST_CASE("first read, registry can't be read, the configuration is read after a pause all the same")
+{
+    const WatchElectionTuning tuning;
+    CHECK(mayReadFirst(tuning, FirstReadState{tuning.formingPause, true, tuning.formingPause, 0}));
+}
