--- a/include/fleet/WatchElection.h
+++ b/include/fleet/WatchElection.h
@@ -83,7 +83,7 @@
 {
 public:
     explicit WatchElection(std::string self, WatchElectionTuning tuning = {});
-    /** Sets the other nodes of the region to which a link is open. */
+    /** Sets the other nodes of the region that count as reachable. */
     void setReachable(const std::vector<std::string> &nodes, SteadyTime now);
     /** Records whether the store is @p reachable for @p node; if not, that node cannot watch for others. */
     void noteStoreReachable(const std::string &node, bool reachable, SteadyTime now);
--- a/tests/support/ReportingZoneModel.cpp
+++ b/tests/support/ReportingZoneModel.cpp
@@ -153,7 +153,7 @@
     events_.add(events_.now() + took, [this, home, request, fails, took] { finish(home, request, fails, took); });
 }
 
-void ReportingZoneModel::finish(int home, Request request, bool failed, Duration took)
+void ReportingZoneModel::finish(int home, const Request &request, bool failed, Duration took)
 {
     Node &node = nodes_[static_cast<std::size_t>(home)];
     node.queue.addResult(route, failed, took, events_.now());
--- a/tests/support/ReportingZoneModel.h
+++ b/tests/support/ReportingZoneModel.h
@@ -81,7 +81,7 @@
     void scheduleArrival();
     void send(Request request);
     void serve(int home, const Request &request);
-    void finish(int home, Request request, bool failed, Duration took);
+    void finish(int home, const Request &request, bool failed, Duration took);
     void exchangeReports(int node);
 
     ZoneLoad load_;
--- a/tests/unit/NodeRegistryTest.cpp
+++ b/tests/unit/NodeRegistryTest.cpp
@@ -26,8 +26,10 @@
 struct FollowedRegistry {
     FollowedRegistry()
     {
+        constexpr int count = 12;
         std::vector<RegistryEntry> entries;
-        for (int i = 0; i < 12; ++i) {
+        entries.reserve(count);
+        for (int i = 0; i < count; ++i) {
             entries.push_back(entryOf(i, static_cast<std::uint64_t>(i) + 1));
         }
         REQUIRE(watcher.replace(entries, 20));
