--- a/include/route/HomeReportTable.h
+++ b/include/route/HomeReportTable.h
@@ -49,10 +49,10 @@
     HomeReportTable(std::string self, std::uint64_t firstSequence, HomeReportTuning tuning = {});
     /** Makes a new report of the home of this node. */
     void setOwn(const HomeLoad &load, SteadyTime now);
-    /** Adds the report of another home. Returns false if it is not news. */
+    /** Adds the report of another home. Returns false if it is not newer than what is known. */
     bool add(const HomeReport &report, SteadyTime now);
     /** Returns true if there are reports to pass on. */
-    bool hasNews(SteadyTime now) const;
+    bool hasUnsent(SteadyTime now) const;
     /** Returns the reports for one peer, the latest first, and counts them as sent once. */
     std::vector<HomeReport> take(SteadyTime now);
     /** Removes the reports of nodes that are not in @p known. */
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -232,7 +232,7 @@
     std::uint64_t id = 0;
 };
 
-/** Load and health of homes that the sender has news of. */
+/** New reports of homes. */
 struct HomeReports {
     std::vector<HomeReport> reports;
 };
--- a/src/customer/StandInUse.cpp
+++ b/src/customer/StandInUse.cpp
@@ -19,8 +19,8 @@
 void StandInUse::add(const QuotaUse &use, const CountedUse &counted, double burst, SteadyTime now)
 {
     // A report whose requests were all denied shows the first counter that its ingress is not cut off.
-    const bool hasNews = counted.added > 0 || (use.id.isKnown() && use.seen > 0 && counted.repeated == 0);
-    if (use.isFromStandIn() || !hasNews) {
+    const bool hasChange = counted.added > 0 || (use.id.isKnown() && use.seen > 0 && counted.repeated == 0);
+    if (use.isFromStandIn() || !hasChange) {
         return;
     }
     Pending &pending = pending_[use.customer];
--- a/src/route/HomeReportTable.cpp
+++ b/src/route/HomeReportTable.cpp
@@ -36,7 +36,7 @@
     return entry.sendsLeft > 0 && now - entry.madeAt <= tuning_.maxAge;
 }
 
-bool HomeReportTable::hasNews(SteadyTime now) const
+bool HomeReportTable::hasUnsent(SteadyTime now) const
 {
     return std::any_of(entries_.begin(), entries_.end(), [&](const auto &one) { return isDue(one.second, now); });
 }
--- a/src/sidecar/loadreports/HomeReportService.cpp
+++ b/src/sidecar/loadreports/HomeReportService.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-/** Shortest and longest time between two rounds; a round begins early if there is news. */
+/** Mean time between two rounds while there are reports to send, and time after which a round begins without any. */
 constexpr Millis roundInterval{200};
 constexpr Millis idleInterval{1000};
-/** Peers that get the news of a round. */
+/** Peers that get the reports of a round. */
 constexpr std::size_t peersPerRound = 2;
 /** The reports state the load for the most urgent requests: less urgent ones wait for at least as long. */
 constexpr int reportedPriority = 0;
@@ -42,10 +42,10 @@
             static_cast<std::int64_t>(core_.random() % static_cast<std::uint64_t>(roundInterval.count()));
         sleepFor(core_.ioContext, roundInterval / 2 + Millis(jitter));
         reportOwnHome();
-        if (table_.hasNews(core_.clock.now())) {
+        if (table_.hasUnsent(core_.clock.now())) {
             send();
         } else {
-            news_.wait(core_.ioContext, idleInterval);
+            wakeUp_.wait(core_.ioContext, idleInterval);
         }
     }
 }
@@ -87,18 +87,18 @@
 {
     const SteadyTime now = core_.clock.now();
     const NodeRegistry &registry = core_.service<RegistrySync>("registry").registry();
-    std::size_t news = 0;
+    std::size_t added = 0;
     for (const HomeReport &report : message.reports) {
         const RegistryEntryPtr entry = registry.find(report.node);
         if (entry != nullptr && isInGroup(*entry) && table_.add(report, now)) {
-            ++news;
+            ++added;
             onReport_(report.node, report.load, now - report.age);
         }
     }
     core_.metrics.count("home_reports_received", message.reports.size());
-    core_.metrics.count("home_reports_new", news);
-    if (news > 0) {
-        news_.notify();
+    core_.metrics.count("home_reports_new", added);
+    if (added > 0) {
+        wakeUp_.notify();
     }
 }
 
--- a/src/sidecar/loadreports/HomeReportService.h
+++ b/src/sidecar/loadreports/HomeReportService.h
@@ -45,7 +45,8 @@
     const LocalHome &home_;
     ReportHook onReport_;
     HomeReportTable table_;
-    FiberNotifier news_;
+    /** Begins a round when there is something to report. */
+    FiberNotifier wakeUp_;
     std::uint64_t reportedResults_ = 0;
     std::int32_t reportedSlots_ = 0;
     /** The nodes with which this one exchanges reports. */
--- a/tests/support/ReportingZoneModel.cpp
+++ b/tests/support/ReportingZoneModel.cpp
@@ -180,7 +180,7 @@
         node.table.setOwn(node.queue.load(0, events_.now()), events_.now());
     }
     const std::uint64_t group = reportGroup(node.name, nodes_.size());
-    for (std::size_t sent = 0; sent < peersPerRound && node.table.hasNews(events_.now());) {
+    for (std::size_t sent = 0; sent < peersPerRound && node.table.hasUnsent(events_.now());) {
         const std::size_t peer = random_() % nodes_.size();
         if (reportGroup(nodes_[peer].name, nodes_.size()) != group) {
             continue;
--- a/tests/unit/HomeReportTableTest.cpp
+++ b/tests/unit/HomeReportTableTest.cpp
@@ -58,8 +58,8 @@
                 CHECK(reports.size() <= HomeReportTuning{}.maxReports);
                 HomeReportTable &receiver = tables_[random_() % tables_.size()];
                 for (const HomeReport &report : reports) {
-                    const bool isNews = receiver.add(report, now_);
-                    learned += isNews && report.node == node ? 1 : 0;
+                    const bool isNew = receiver.add(report, now_);
+                    learned += isNew && report.node == node ? 1 : 0;
                 }
             }
         }
@@ -73,7 +73,7 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(OneTable, "home report, older one of the same home, is no news")
+TEST_CASE_FIXTURE(OneTable, "home report, older one of the same home, is refused")
 {
     CHECK(table.add(reportOf("a", 5, Millis(10), 0.9), now));
     CHECK_FALSE(table.add(reportOf("a", 4, Millis(0), 0.1), now));
@@ -97,7 +97,7 @@
     CHECK_FALSE(table.add(reportOf("a", 1, tuning.maxAge + Millis(1), 0.1), now));
     CHECK_FALSE(table.add(reportOf("a", 1, Millis(-1), 0.1), now));
     CHECK_FALSE(table.add(reportOf("self", 900, Millis(0), 0.1), now));
-    CHECK_FALSE(table.hasNews(now));
+    CHECK_FALSE(table.hasUnsent(now));
 }
 
 TEST_CASE_FIXTURE(OneTable, "home report, passed on, keeps the time at which it was made")
@@ -113,11 +113,11 @@
     for (int i = 0; i < tuning.sendsPerReport; ++i) {
         CHECK(table.take(now).size() == 1);
     }
-    CHECK_FALSE(table.hasNews(now));
+    CHECK_FALSE(table.hasUnsent(now));
     CHECK(table.take(now).empty());
 }
 
-TEST_CASE_FIXTURE(OneTable, "home report, more news than a message holds, sends the latest first")
+TEST_CASE_FIXTURE(OneTable, "home report, more unsent ones than a message holds, sends the latest first")
 {
     for (std::size_t i = 0; i < 2 * tuning.maxReports; ++i) {
         const auto age = Millis(static_cast<std::int64_t>(i));
