--- a/tests/integration/FollowerTest.cpp
+++ b/tests/integration/FollowerTest.cpp
@@ -1,7 +1,9 @@
+#include "platform/ConfigDecoder.h"
 #include "platform/Names.h"
 #include "tests/support/ConfigPropagationRig.h"
 #include "tests/support/WatchRoles.h"
 
+#include <algorithm>
 #include <csignal>
 #include <doctest/doctest.h>
 
@@ -27,11 +29,11 @@
         return nodesWithRole(mesh_, nodes_, role);
     }
 
-    int storeCalls(const std::vector<int> &nodes) const
+    int storeCalls(const std::vector<int> &nodes, const std::string &kind = names::configKind) const
     {
         int calls = 0;
         for (const int node : nodes) {
-            calls += mesh_.countLogLines(node, {"event=store_call", std::string("kind=") + names::configKind});
+            calls += mesh_.countLogLines(node, {"event=store_call", "kind=" + kind});
         }
         return calls;
     }
@@ -69,6 +71,27 @@
     CHECK(storeCalls(followers) == before);
 }
 
+// Guards against store calls by every node at each change of the node registry, and against followers that send nothing
+// to a new node because they no longer call the store.
+TEST_CASE_FIXTURE(Followers, "followers, node joins, know it within two seconds without a call to the store")
+{
+    constexpr Millis joinBound{2000};
+    // The nodes watch the registry until it has not changed for a while.
+    pause(std::chrono::seconds(6));
+    const std::vector<int> followers = withRole("follower");
+    REQUIRE(followers.size() == 4);
+    const int before = storeCalls(followers, platform::registryKind);
+    mesh_.addRegistryEntry("joined");
+    const auto knowIt = [&] {
+        return std::all_of(followers.begin(), followers.end(), [&](int node) {
+            return mesh_.countLogLines(node, {"event=registry_changed", "nodes=7", "source=node"}) > 0;
+        });
+    };
+    CHECK(eventually(knowIt, joinBound));
+    pause(std::chrono::seconds(3));
+    CHECK(storeCalls(followers, platform::registryKind) == before);
+}
+
 // Guards against a region that receives no more updates because all of its watchers ended at once.
 TEST_CASE_FIXTURE(Followers, "followers, all watchers killed at once, hold the next version when it is due")
 {
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -172,6 +172,17 @@
     CHECK(findings.text().empty());
 }
 
+// Guards against nodes that wait for each other at a restart because the default is that of a first start.
+TEST_CASE("settings, first start of the whole fleet, is off unless set")
+{
+    Findings findings;
+    CHECK_FALSE(parseNodeSettings(settingsText, "s.json", findings).bootstrap);
+    std::string text = settingsText;
+    text.insert(text.find('{') + 1, R"("bootstrap": true,)");
+    CHECK(parseNodeSettings(text, "s.json", findings).bootstrap);
+    CHECK(findings.text().empty());
+}
+
 // Guards against a default that changes how much of the retry limit deployments use, and against ignored settings.
 TEST_CASE("settings, usable fractions of the retry limit, are 0.75 unless set, and set one by one")
 {
