Report the own home as soon as a request has ended there

Cause: found in reading. A node with nothing else to pass on looked at its own results once a second, so in a zone with little traffic the first failure at a gray server was reported up to a second late.

The zone limit of a subset is the size of a group, and the groups of the registry are documented.

--- a/include/fleet/NodeRegistry.h
+++ b/include/fleet/NodeRegistry.h
@@ -46,6 +46,7 @@
     std::vector<RegistryEntry> entries;
     std::vector<RegistryRemoval> removals;
 
+    /** Returns the number of entries and removals. */
     std::size_t size() const;
 };
 
@@ -85,6 +86,7 @@
 
     /** Returns null if there is no such node. */
     RegistryEntryPtr find(const std::string &id) const;
+    /** The groups of the nodes with one value of a field; empty for a value that no node has. */
     const RegistryEntries &homesOf(const std::string &service) const;
     const RegistryEntries &inZone(const std::string &zone) const;
     const RegistryEntries &inRegion(const std::string &region) const;
--- a/include/route/HomeSubset.h
+++ b/include/route/HomeSubset.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/route/HomeRanking.h"
+#include "include/route/HomeReportTable.h"
 
 #include <cstddef>
 #include <string>
@@ -10,7 +11,7 @@
 
 /** How many homes of a service a node chooses from, by their distance. */
 struct HomeSubsetTuning {
-    std::size_t sameZone = 128;
+    std::size_t sameZone = maxReportGroup;
     std::size_t sameRegion = 32;
     std::size_t otherRegions = 32;
 };
--- a/src/route/HomeSubset.cpp
+++ b/src/route/HomeSubset.cpp
@@ -1,7 +1,6 @@
 #include "include/route/HomeSubset.h"
 
 #include "include/base/Ids.h"
-#include "include/route/HomeReportTable.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -58,6 +58,11 @@
     scheduler_.setReservationHooks(std::move(hooks));
 }
 
+void LocalHome::setResultHook(std::function<void()> onResult)
+{
+    onResult_ = std::move(onResult);
+}
+
 std::optional<HttpResponse> LocalHome::handleServerCall(const HttpRequest &request)
 {
     return server_.handleCall(request);
@@ -148,7 +153,9 @@
     job.reply.load = load(work.priority);
     job.reply.nestedCall = origins_.isNestedCall(work.route);
     works_.finish(key, job.reply);
-    ++resultCount_;
+    if (onResult_) {
+        onResult_();
+    }
     core_.events.writeRequest(job.reply.serverFault ? Severity::Warning : Severity::Info, "home_done",
                               {{"request", work.requestId},
                                {"from", key.origin.id},
@@ -216,11 +223,6 @@
     return queue_.load(priority, core_.clock.now());
 }
 
-std::uint64_t LocalHome::resultCount() const
-{
-    return resultCount_;
-}
-
 std::size_t LocalHome::inProgressCount() const
 {
     return queue_.running() + queue_.waiting();
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -49,6 +49,8 @@
     std::uint64_t requestBytes() const;
     /** @pre called once, before start(). */
     void setReservationHooks(ReservationHooks hooks);
+    /** Sets a hook that is called when a work has ended or was refused by the queue. @pre called once. */
+    void setResultHook(std::function<void()> onResult);
 
     /** Handles a call of the server beside this node. Returns nullopt if @p request is not such a call. */
     std::optional<HttpResponse> handleServerCall(const HttpRequest &request);
@@ -77,8 +79,6 @@
     void stopAccepting();
     /** Returns the load that a request of @p priority meets here. */
     HomeLoad load(int priority) const;
-    /** Returns the number of works that ran here or were refused since the start. */
-    std::uint64_t resultCount() const;
     /** Returns true if the server has had no request of @p service for long and would admit one now. */
     bool needsRequest(const std::string &service, bool retryable) const;
     /** Returns an id that no other work or reservation of this home has. */
@@ -133,7 +133,7 @@
     /** Null if callers and servers don't read slowly. */
     std::unique_ptr<ServerMemoryGate> memory_;
     std::uint64_t requestBytes_ = 0;
-    std::uint64_t resultCount_ = 0;
+    std::function<void()> onResult_;
 };
 
 } // namespace waxwing
--- a/src/sidecar/loadreports/HomeReportService.cpp
+++ b/src/sidecar/loadreports/HomeReportService.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-HomeReportService::HomeReportService(NodeCore &core, const LocalHome &home, ReportHook onReport)
+HomeReportService::HomeReportService(NodeCore &core, LocalHome &home, ReportHook onReport)
     : core_(core)
     , home_(home)
     , onReport_(std::move(onReport))
@@ -31,6 +31,11 @@
 
 void HomeReportService::start()
 {
+    // Without waking up, the result of the only request in a zone would be reported up to idleInterval late.
+    home_.setResultHook([this] {
+        hasOwnResult_ = true;
+        wakeUp_.notify();
+    });
     spawnFiber([this] { run(); });
 }
 
@@ -53,11 +58,10 @@
 void HomeReportService::reportOwnHome()
 {
     const HomeLoad load = home_.load(reportedPriority);
-    const std::uint64_t results = home_.resultCount();
-    if (results == reportedResults_ && load.slots == reportedSlots_) {
+    if (!hasOwnResult_ && load.slots == reportedSlots_) {
         return;
     }
-    reportedResults_ = results;
+    hasOwnResult_ = false;
     reportedSlots_ = load.slots;
     table_.setOwn(load, core_.clock.now());
     onReport_(core_.self.id, load, core_.clock.now());
--- a/src/sidecar/loadreports/HomeReportService.h
+++ b/src/sidecar/loadreports/HomeReportService.h
@@ -27,8 +27,10 @@
     using ReportHook = std::function<void(const std::string &node, const HomeLoad &load, SteadyTime madeAt)>;
 
     /** @pre @p core and @p home outlive this object; "peers" and "registry" are in the kernel before start(). */
-    HomeReportService(NodeCore &core, const LocalHome &home, ReportHook onReport);
+    HomeReportService(NodeCore &core, LocalHome &home, ReportHook onReport);
+    /** Sets the result hook of the home and starts the rounds. @pre called once. */
     void start();
+    /** Stores the reports of a peer and passes those of this node's group on. */
     void handle(const HomeReports &message);
     /** Drops the reports of nodes that have left. */
     void registryChanged();
@@ -42,12 +44,13 @@
     bool isInGroup(const RegistryEntry &entry) const;
 
     NodeCore &core_;
-    const LocalHome &home_;
+    LocalHome &home_;
     ReportHook onReport_;
     HomeReportTable table_;
     /** Begins a round when there is something to report. */
     FiberNotifier wakeUp_;
-    std::uint64_t reportedResults_ = 0;
+    /** A request has ended at the own home since its last report. */
+    bool hasOwnResult_ = false;
     std::int32_t reportedSlots_ = 0;
     /** The nodes with which this one exchanges reports. */
     RegistryEntries group_;
