--- a/include/route/HomeRanking.h
+++ b/include/route/HomeRanking.h
@@ -132,7 +132,7 @@
     /**
      * Homes whose loss exceeds the least one by at most @c equalLoss count as equal: a request goes to the best of
      * @c choices of them, chosen at random. Nodes of a zone share their reports, so all of them would otherwise choose
-     * the same home until the next reports. No home gets more than @c choices times the mean because of its report.
+     * the same home until the next reports. Of these homes none gets more than @c choices times their mean.
      */
     std::size_t choices = 2;
     double equalLoss = 15.0;
--- a/src/node/FloorService.cpp
+++ b/src/node/FloorService.cpp
@@ -103,7 +103,7 @@
 {
     Millis pause = pollInterval;
     while (!core_.stopping) {
-        const Millis jitter(static_cast<std::int64_t>(core_.random() % static_cast<std::uint64_t>(pause.count())));
+        const Millis jitter = core_.randomBelow(pause);
         sleepFor(core_.ioContext, pause / 2 + jitter);
         bool reached = true;
         // The capacity of the object API doesn't grow with the fleet, so each node gets an equal share of a fixed rate.
--- a/src/node/IntentService.cpp
+++ b/src/node/IntentService.cpp
@@ -109,7 +109,7 @@
         if (!changes) {
             core_.metrics.count("platform_watch_failures");
             // Jitter keeps the watchers from reconnecting all at once after an outage.
-            const Millis pause(static_cast<std::int64_t>(core_.random() % static_cast<std::uint64_t>(backoff.count())));
+            const Millis pause = core_.randomBelow(backoff);
             sleepFor(core_.ioContext, backoff / 2 + pause);
             backoff = std::min(maxBackoff, backoff * 2);
             continue;
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -10,6 +10,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <random>
@@ -43,6 +45,13 @@
     /** Set when a graceful shutdown ends; the background loops exit, except those of HomeService and LocalHome. */
     bool stopping = false;
 
+    /** Returns a random time of at least zero and below @p limit, for jitter; zero if @p limit is not positive. */
+    Millis randomBelow(Millis limit)
+    {
+        const auto range = static_cast<std::uint64_t>(std::max<std::int64_t>(1, limit.count()));
+        return Millis(static_cast<std::int64_t>(random() % range));
+    }
+
     /** Returns a service of the kernel. Aborts if it is missing, because that is a bug in the setup of the node. */
     template<typename T>
     T &service(const std::string &name)
--- a/src/sidecar/SidecarLinks.cpp
+++ b/src/sidecar/SidecarLinks.cpp
@@ -54,8 +54,7 @@
         while (!core.stopping) {
             // Jitter: all nodes of a region reconnect to a VM that is back, and to many of them at once after an
             // outage.
-            const auto jitter = static_cast<std::int64_t>(core.random() % static_cast<std::uint64_t>(pause.count()));
-            sleepFor(core.ioContext, pause / 2 + Millis(jitter) / 2);
+            sleepFor(core.ioContext, pause / 2 + core.randomBelow(pause / 2));
             const RegistryEntryPtr entry = registry.registry().find(peer);
             if (entry == nullptr) {
                 break;
--- a/src/sidecar/loadreports/HomeReportService.cpp
+++ b/src/sidecar/loadreports/HomeReportService.cpp
@@ -43,9 +43,7 @@
 {
     while (!core_.stopping) {
         // Jitter: nodes that started together must not all send at the same moment.
-        const auto jitter =
-            static_cast<std::int64_t>(core_.random() % static_cast<std::uint64_t>(roundInterval.count()));
-        sleepFor(core_.ioContext, roundInterval / 2 + Millis(jitter));
+        sleepFor(core_.ioContext, roundInterval / 2 + core_.randomBelow(roundInterval));
         reportOwnHome();
         if (table_.hasUnsent(core_.clock.now())) {
             send();
--- a/src/sidecar/membership/RegistrySync.cpp
+++ b/src/sidecar/membership/RegistrySync.cpp
@@ -42,9 +42,7 @@
 
 RegistrySync::RegistrySync(NodeCore &core)
     : core_(core)
-    , catchUpDelay_(
-          catchUpAfter
-          + Millis(static_cast<std::int64_t>(core.random() % static_cast<std::uint64_t>(catchUpJitter.count()))))
+    , catchUpDelay_(catchUpAfter + core.randomBelow(catchUpJitter))
 {
     StoreWatchTuning tuning;
     tuning.mode = ReadMode::AllowStale;
--- a/src/sidecar/membership/StoreWatch.cpp
+++ b/src/sidecar/membership/StoreWatch.cpp
@@ -37,8 +37,7 @@
 
 Millis StoreWatch::randomBetween(Millis lower, Millis upper)
 {
-    const auto range = static_cast<std::uint64_t>(std::max<std::int64_t>(1, (upper - lower).count()));
-    return lower + Millis(static_cast<std::int64_t>(core_.random() % range));
+    return lower + core_.randomBelow(upper - lower);
 }
 
 void StoreWatch::run()
