--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -374,26 +374,42 @@
 Server::~Server()
 {
     stopping_ = true;
-    beating_ = false;
-    shutdown(listener_, SHUT_RDWR);
+    closeListener();
     acceptThread_.join();
-    close(listener_);
-    if (beatThread_.joinable()) {
-        beatThread_.join();
-    }
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        for (const auto &weak : connections_) {
-            if (const auto connection = weak.lock()) {
-                connection->shutDown();
-            }
-        }
-    }
+    stopHeartbeats();
+    closeConnections();
     for (std::thread &thread : threads_) {
         thread.join();
     }
 }
 
+void Server::crash()
+{
+    stopping_ = true;
+    beating_ = false;
+    closeListener();
+    closeConnections();
+}
+
+void Server::closeListener()
+{
+    const int fd = listener_.exchange(-1);
+    if (fd >= 0) {
+        shutdown(fd, SHUT_RDWR);
+        close(fd);
+    }
+}
+
+void Server::closeConnections()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto &weak : connections_) {
+        if (const auto connection = weak.lock()) {
+            connection->shutDown();
+        }
+    }
+}
+
 void Server::acceptLoop()
 {
     int number = 0;
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -169,6 +169,8 @@
     void startHeartbeats();
     /** Sends no more heartbeats. */
     void stopHeartbeats();
+    /** Closes the listener and all connections at once, as a process that crashes. The server never serves again. */
+    void crash();
     /** Text of the next heartbeat with @p state. */
     std::string nextHeartbeat(const std::string &state);
     std::string deregistration() const;
@@ -184,6 +186,8 @@
 private:
     void acceptLoop();
     void serve(int fd, int number);
+    void closeListener();
+    void closeConnections();
 
     Record &record_;
     Machine machine_;
@@ -193,7 +197,7 @@
     std::atomic<std::uint64_t> sequence_{0};
     std::atomic<bool> stopping_{false};
     std::atomic<bool> beating_{false};
-    int listener_ = -1;
+    std::atomic<int> listener_{-1};
     std::mutex mutex_;
     std::vector<std::weak_ptr<Connection>> connections_;
     std::vector<std::thread> threads_;
