--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -152,7 +152,7 @@
     const auto send = [&](const std::string &id) {
         Connection connection(caller, Machine::outboundPort);
         connection.send(clientRequest("POST", "/pufi791/2f", id, deadline, "voucher=17"));
-        const Message answer = connection.read(deadline + Millis(1000));
+        Message answer = connection.read(deadline + Millis(1000));
         record.add("client: " + id + " answered " + std::to_string(answer.status()));
         return answer;
     };
--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -19,6 +19,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -271,7 +272,7 @@
 {
     std::string text = method + " " + target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : headers) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     if (!body.empty() || method == "POST" || method == "PUT") {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -283,7 +284,7 @@
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Answer\r\n";
     for (const auto &[name, value] : headers) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -299,6 +300,8 @@
     const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     pid_ = fork();
     if (pid_ == 0) {
+        // The child ends with the case, also if that is killed.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         execv(argv[0], argv.data());
