--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -156,7 +156,8 @@
         record.add("client: " + id + " answered " + std::to_string(answer.status()));
         return answer;
     };
-    if (!eventually([&] { return send("warm-up").status() == 200; }, Millis(15000))) {
+    int warmUps = 0;
+    if (!eventually([&] { return send("warm-up-" + std::to_string(++warmUps)).status() == 200; }, Millis(15000))) {
         throw CannotRun{"the deployment does not serve"};
     }
     std::map<std::string, int> statuses;
--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,123 +1,112 @@
 #include "review/rig/Rig.h"
 
-#include <algorithm>
 #include <csignal>
 #include <map>
-#include <set>
 
 /**
- * Clients at one machine upload documents within the limits of the configuration, while other clients there read
- * records. With the disruption one server turns slow. The platform kills a process that exceeds its memory.
+ * A server deregisters, its node acknowledges that, and the server serves on for some seconds, as leaving servers do. A
+ * heartbeat that it sent before arrives late. With the disruption the node's process is killed in between and started
+ * again by the platform.
  */
 namespace {
 
 using namespace review;
 
-constexpr Millis faultTime{6500};
-constexpr int slowFactor = 5;
-constexpr Millis bookingWork{260};
-constexpr Millis recordsWork{480};
-constexpr Millis uploadGap{600};
-/** The configuration allows 64 MiB (max_body_bytes). */
-constexpr std::size_t uploadBytes = 24UL * 1024 * 1024;
-/** memory_mb of the machine, read as MiB. */
-constexpr double memoryLimitMb = 260.0 * 1024 * 1024 / 1e6;
-constexpr Millis bookingDeadline{4000};
-constexpr Millis recordsDeadline{6000};
-constexpr int readers = 8;
-/** Connections that may be closed so. */
-constexpr int allowedLosses = 3;
+/** Bounds of the deployment. */
+constexpr Millis drainTime{2500};
+constexpr Millis stabilityWindow{4000};
+/** How long the server serves after it has deregistered: at times many seconds. */
+constexpr Millis servesOn{9500};
+/** How late the last heartbeat arrives. */
+constexpr Millis heartbeatDelay{1700};
+constexpr Millis killAfter{300};
+constexpr Millis restartDelay{500};
+constexpr Millis workTime{300};
+constexpr Millis deadline{4000};
+constexpr int clients = 8;
+
+SteadyTime now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::string secondsText(SteadyTime::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<Millis>(time).count()) + " ms";
+}
 
-/** Ids of the requests that a sound server has begun to run. Thread safe. */
-class Begun
+/** What the leaving server is handed after its node has acknowledged that it leaves. Thread safe. */
+class Leaving
 {
 public:
-    void add(const std::string &id)
+    explicit Leaving(Record &record)
+        : record_(record)
+    { }
+
+    void noteAcknowledged()
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        ids_.insert(id);
+        acknowledgedAt_ = now();
+        isAcknowledged_ = true;
     }
-    bool has(const std::string &id)
+    /** The node that sends work to the server is in touch from @p time on. */
+    void setInTouchSince(SteadyTime time)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        return ids_.count(id) > 0;
+        inTouchSince_ = time;
     }
-
-private:
-    std::mutex mutex_;
-    std::set<std::string> ids_;
-};
-
-/** Enforces the memory limit of the first machine's node, as the platform does. */
-class MemoryWatch
-{
-public:
-    MemoryWatch(Record &record, Deployment &deployment)
-        : thread_([this, &record, &deployment] { run(record, deployment); })
-    { }
-    ~MemoryWatch()
-    {
-        stop();
-    }
-    MemoryWatch(const MemoryWatch &) = delete;
-    MemoryWatch &operator=(const MemoryWatch &) = delete;
-    void stop()
+    void noteArrival(const std::string &id)
     {
-        stopping_ = true;
-        if (thread_.joinable()) {
-            thread_.join();
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!isAcknowledged_ || now() - acknowledgedAt_ <= drainTime) {
+            return;
         }
+        const bool counts = sentInTouch_.count(id) > 0 && now() >= inTouchSince_;
+        late_ += counts ? 1 : 0;
+        record_.add("leaving server: " + id + " reaches it " + secondsText(now() - acknowledgedAt_)
+                    + " after the acknowledgement" + (counts ? "" : " (not counted: a machine was not in touch)"));
     }
-    double peakMb() const
+    void noteSent(const std::string &id)
     {
-        return peakMb_;
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (isAcknowledged_ && now() >= inTouchSince_) {
+            sentInTouch_[id] = true;
+        }
     }
-    bool hasKilled() const
+    int late() const
     {
-        return hasKilled_;
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return late_;
     }
 
 private:
-    void run(Record &record, Deployment &deployment)
-    {
-        while (!stopping_) {
-            const double memory = deployment.node(0).memoryMb();
-            peakMb_ = std::max(peakMb_.load(), memory);
-            if (memory > memoryLimitMb) {
-                deployment.node(0).end(SIGKILL, Millis(2000));
-                record.add("platform: killed the node of " + deployment.machine(0).name + ", which holds "
-                           + std::to_string(static_cast<int>(memory)) + " MB");
-                hasKilled_ = true;
-                return;
-            }
-            pause(Millis(2));
-        }
-    }
-
-    std::atomic<bool> stopping_{false};
-    std::atomic<bool> hasKilled_{false};
-    std::atomic<double> peakMb_{0.0};
-    std::thread thread_;
+    Record &record_;
+    mutable std::mutex mutex_;
+    bool isAcknowledged_ = false;
+    SteadyTime acknowledgedAt_;
+    SteadyTime inTouchSince_;
+    std::map<std::string, bool> sentInTouch_;
+    int late_ = 0;
 };
 
-/** Clients that read records without pause, each on a connection that it keeps open. */
-class Readers
+/** Clients that book without pause, each on a connection that it keeps open. */
+class Load
 {
 public:
-    Readers(Record &record, const Deployment &deployment, Begun &begun)
+    Load(Record &record, const Deployment &deployment, Leaving &leaving)
         : record_(record)
-        , begun_(begun)
     {
-        for (int i = 0; i < readers; ++i) {
-            threads_.emplace_back([this, ip = deployment.machine(0).ip, i] { run(ip, i); });
+        for (int i = 0; i < clients; ++i) {
+            const std::string ip = deployment.machine(static_cast<std::size_t>(1 + i % 2)).ip;
+            threads_.emplace_back([this, ip, i, &leaving] { run(ip, i, leaving); });
         }
     }
-    ~Readers()
+    ~Load()
     {
         stop();
     }
-    Readers(const Readers &) = delete;
-    Readers &operator=(const Readers &) = delete;
+    Load(const Load &) = delete;
+    Load &operator=(const Load &) = delete;
 
     void stop()
     {
@@ -132,120 +121,111 @@
     {
         return served_;
     }
-    int lost() const
+    int failed() const
     {
-        return lost_;
+        return failed_;
     }
 
 private:
-    void run(const std::string &ip, int client)
+    void run(const std::string &ip, int client, Leaving &leaving)
     {
-        Connection connection(ip, Machine::outboundPort);
+        auto connection = std::make_unique<Connection>(ip, Machine::outboundPort);
         for (int i = 0; !stopping_; ++i) {
-            const std::string id = "record-" + std::to_string(client) + "-" + std::to_string(i);
-            if (!connection.send(clientRequest("GET", "/sova221/2f", id, recordsDeadline))) {
-                return;
-            }
-            const Message answer = connection.read(recordsDeadline + Millis(1000));
-            served_ += answer.status() == 200 ? 1 : 0;
-            if (!answer.isComplete()) {
-                const bool counts = i > 0 && begun_.has(id);
-                lost_ += counts ? 1 : 0;
-                record_.add("client: the connection is closed with no answer to " + id
-                            + (counts ? ", at which a sound server works" : ", which no server has begun"));
-                return;
+            const std::string id = "book-" + std::to_string(client) + "-" + std::to_string(i);
+            leaving.noteSent(id);
+            connection->send(clientRequest("POST", "/pufi791/2f", id, deadline, "seat=4"));
+            const Message answer = connection->read(deadline + Millis(1000));
+            if (answer.status() == 200) {
+                ++served_;
+                continue;
             }
+            ++failed_;
+            record_.add("client: " + id + " answered " + std::to_string(answer.status()) + " " + answer.body);
+            connection = std::make_unique<Connection>(ip, Machine::outboundPort);
         }
     }
 
     Record &record_;
-    Begun &begun_;
     std::atomic<bool> stopping_{false};
     std::atomic<int> served_{0};
-    std::atomic<int> lost_{0};
+    std::atomic<int> failed_{0};
     std::vector<std::thread> threads_;
 };
 
 int run(Record &record, bool trouble)
 {
-    Deployment deployment(record, {"course-desk", "course-desk", "records-desk", "records-desk"});
-    RouteText booking;
-    booking.name = "r-booking";
-    booking.kind = "unsafe";
-    booking.prefix = "/pufi791/";
-    booking.service = "course-desk";
-    RouteText history;
-    history.name = "r-history";
-    history.kind = "safe";
-    history.prefix = "/sova221/";
-    history.service = "records-desk";
-    history.aimMs = 1500;
-    history.timeoutMs = 3000;
-    deployment.configure({booking, history});
-    std::atomic<int> factor{1};
-    Begun begun;
-    const Server::Handler book = [&](Server &server, ServerCall &call) {
-        pause(bookingWork * (server.id() == "i-0" ? factor.load() : 1));
+    Deployment deployment(record, {"course-desk", "records-desk", "course-desk"});
+    RouteText route;
+    route.name = "r-booking";
+    route.kind = "unsafe";
+    route.prefix = "/pufi791/";
+    route.service = "course-desk";
+    route.timeoutMs = 3000;
+    deployment.configure({route});
+    for (std::size_t i = 0; i < 3; ++i) {
+        deployment.startNode(i);
+    }
+    Leaving leaving(record);
+    const Server::Handler handler = [&](Server &server, ServerCall &call) {
+        if (server.id() == "i-leaving") {
+            leaving.noteArrival(call.id);
+        }
+        pause(workTime);
         return call.connection.send(server.success(call, "booked " + call.id));
     };
-    const Server::Handler read = [&](Server &server, ServerCall &call) {
-        begun.add(call.id);
-        pause(recordsWork);
-        return call.connection.send(server.success(call, "record " + call.id));
-    };
-    std::vector<std::unique_ptr<Server>> servers;
-    for (std::size_t i = 0; i < 4; ++i) {
-        deployment.startNode(i);
-        servers.push_back(
-            std::make_unique<Server>(record, deployment.machine(i), "i-" + std::to_string(i), i < 2 ? book : read));
-        servers.back()->startHeartbeats();
+    auto desk = std::make_unique<Server>(record, deployment.machine(0), "i-leaving", handler);
+    Server records(record, deployment.machine(1), "i-records", handler);
+    Server other(record, deployment.machine(2), "i-other", handler);
+    for (Server *server : {desk.get(), &records, &other}) {
+        server->startHeartbeats();
     }
-    for (std::size_t i = 0; i < 4; ++i) {
+    for (std::size_t i = 0; i < 3; ++i) {
         deployment.awaitReady(i);
     }
-    Readers reading(record, deployment, begun);
-    if (!eventually([&] { return reading.served() >= 4 * readers; }, Millis(15000))) {
+    Load load(record, deployment, leaving);
+    if (!eventually([&] { return load.served() >= 4 * clients; }, Millis(15000))) {
         throw CannotRun{"the deployment does not serve"};
     }
-    pause(Millis(4000));
-    MemoryWatch memory(record, deployment);
-    factor = trouble ? slowFactor : 1;
-    if (trouble) {
-        record.add("server: the one of " + deployment.machine(0).name + " turns slow, 5 times");
-    }
-    const std::string body(uploadBytes, 'x');
-    std::mutex mutex;
-    std::map<int, int> statuses;
-    std::vector<std::thread> uploads;
-    const SteadyTime until = std::chrono::steady_clock::now() + faultTime;
-    for (int i = 0; std::chrono::steady_clock::now() < until && !memory.hasKilled(); ++i) {
-        uploads.emplace_back([&, i] {
-            Connection connection(deployment.machine(0).ip, Machine::outboundPort);
-            connection.send(clientRequest("POST", "/pufi791/2f", "upload-" + std::to_string(i), bookingDeadline, body));
-            const int status = connection.read(bookingDeadline + Millis(1000)).status();
-            const std::lock_guard<std::mutex> lock(mutex);
-            ++statuses[status];
-        });
-        pause(uploadGap);
-    }
-    for (std::thread &upload : uploads) {
-        upload.join();
+    pause(stabilityWindow);
+    desk->stopHeartbeats();
+    const std::string lateHeartbeat = desk->nextHeartbeat("ready");
+    const SteadyTime sentAt = now();
+    if (desk->callControl(desk->deregistration()) != 200) {
+        throw CannotRun{"the deregistration is not acknowledged"};
     }
-    factor = 1;
-    memory.stop();
-    reading.stop();
-    std::string text = "clients: " + std::to_string(uploads.size()) + " uploads, answered";
-    for (const auto &[status, count] : statuses) {
-        text += " " + (status == 0 ? std::string("not at all") : std::to_string(status)) + ": " + std::to_string(count);
+    const SteadyTime acknowledgedAt = now();
+    leaving.noteAcknowledged();
+    record.add("leaving server: its node acknowledges the deregistration with 200");
+    if (trouble) {
+        pause(killAfter);
+        deployment.node(0).end(SIGKILL, Millis(2000));
+        record.add("platform: killed the node of " + deployment.machine(0).name);
+        pause(restartDelay);
+        deployment.startNode(0);
+        leaving.setInTouchSince(now() + stabilityWindow);
+        deployment.awaitReady(0);
+    }
+    pause(std::chrono::duration_cast<Millis>(sentAt + heartbeatDelay - now()));
+    record.add("leaving server: the heartbeat that it sent before it deregistered arrives, answered "
+               + std::to_string(desk->callControl(lateHeartbeat)));
+    pause(std::chrono::duration_cast<Millis>(acknowledgedAt + servesOn - now()));
+    const int failedBefore = load.failed();
+    desk.reset();
+    record.add("leaving server: exits");
+    pause(Millis(1500));
+    load.stop();
+    record.add("clients: " + std::to_string(load.served()) + " served, " + std::to_string(load.failed())
+               + " not, of these " + std::to_string(load.failed() - failedBefore) + " since the server's exit");
+    for (std::size_t i = 0; i < 3; ++i) {
+        if (!deployment.node(i).isRunning()) {
+            throw CannotRun{"a node has ended"};
+        }
     }
-    record.add(text + "; " + std::to_string(reading.served()) + " records read");
-    record.add("platform: the node of " + deployment.machine(0).name + " held at most "
-               + std::to_string(static_cast<int>(memory.peakMb())) + " MB");
-    if (reading.lost() > allowedLosses) {
-        record.add("RULE BROKEN: " + std::to_string(reading.lost())
-                   + " kept connections were closed with no answer to a request that was passed on");
+    if (leaving.late() > 0) {
+        record.add("RULE BROKEN: " + std::to_string(leaving.late())
+                   + " requests, taken and sent on by machines in touch, reached the server later than drain_ms");
     }
-    return reading.lost() > allowedLosses ? ruleBroken : ruleHeld;
+    return leaving.late() > 0 ? ruleBroken : ruleHeld;
 }
 
 } // namespace
--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -346,20 +346,6 @@
     return status_;
 }
 
-int Child::status() const
-{
-    return status_;
-}
-
-double Child::memoryMb() const
-{
-    std::istringstream text(readFile("/proc/" + std::to_string(pid_) + "/statm"));
-    double pages = 0.0;
-    double resident = 0.0;
-    text >> pages >> resident;
-    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-}
-
 Server::Server(Record &record, Machine machine, std::string id, Handler handler)
     : record_(record)
     , machine_(std::move(machine))
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -114,10 +114,6 @@
     void signal(int number);
     /** Sends @p number and waits for the end, at most @p limit; then kills. Returns the status of waitpid(). */
     int end(int number, Millis limit);
-    /** Resident memory in MB. */
-    double memoryMb() const;
-    /** Status of waitpid() once it has ended. */
-    int status() const;
 
 private:
     pid_t pid_ = -1;
