Carry each request once on a connection to a server

Cause: a response was matched to its request by the request's ID, which all sends of a request share. A server rejected a booking, the node sent it again on the same pooled connection, and the second, late copy of the rejection passed for the answer to the second send. A response without an ID was believed for any request.

Evidence: the record of the case shows the rejection, the copy and the run on one connection for each booking that went wrong.

Change: ConnectionHistory lets a connection carry each request once, and believes a response that names no request only where no other request came before. The client replaces a pooled connection that it may not use, so that the server's limit of connections is not reached sooner. Why it works: any response that came for an earlier send came on another connection, however late it is.

The check that a response without an ID always matches is replaced: it must be told apart from one with the ID. The stand-in's rejections name their request, as the platform's servers do.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -111,8 +111,16 @@
         return error == boost::asio::error::would_block;
     }
 
+    /** Returns true if the connection may be used again at @p now, after it was idle for @p maxIdle at most. */
+    bool isUsable(std::chrono::steady_clock::time_point now, Duration maxIdle)
+    {
+        const Duration idle = now - idleSince;
+        return idle <= maxIdle && idle < keepAliveTimeout && isClean();
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    ConnectionHistory history;
     /** The last response was complete, and the connection allows another request. */
     bool reusable = false;
     std::chrono::steady_clock::time_point idleSince;
@@ -126,18 +134,24 @@
 
 HttpClient::~HttpClient() = default;
 
-HttpClient::ConnectionPtr HttpClient::takeIdle(const Endpoint &endpoint, Duration maxIdle)
+HttpClient::ConnectionPtr HttpClient::takeIdle(const Endpoint &endpoint, const ExchangeOptions &options)
 {
     const auto now = std::chrono::steady_clock::now();
-    const auto pool = idle_.find(endpoint);
-    while (pool != idle_.end() && !pool->second.empty()) {
-        ConnectionPtr connection = std::move(pool->second.back());
-        pool->second.pop_back();
-        const Duration idle = now - connection->idleSince;
-        if (idle <= maxIdle && idle < connection->keepAliveTimeout && connection->isClean()) {
+    auto &pool = idle_[endpoint];
+    for (auto next = pool.end(); next != pool.begin();) {
+        --next;
+        if (!(*next)->isUsable(now, options.maxIdle)) {
+            next = pool.erase(next);
+        } else if ((*next)->history.allows(options.requestId)) {
+            ConnectionPtr connection = std::move(*next);
+            pool.erase(next);
             return connection;
         }
     }
+    if (!pool.empty()) {
+        // None of them may carry this request. The new connection replaces one, since peers limit their number.
+        pool.pop_back();
+    }
     return nullptr;
 }
 
@@ -200,7 +214,8 @@
             }
         }
         response.body = std::move(message.body());
-        const bool matchesRequest = !options.matchesRequest || options.matchesRequest(response);
+        const ResponseMatch match = options.matchResponse ? options.matchResponse(response) : ResponseMatch::Matches;
+        const bool matchesRequest = connection.history.identifies(match);
         // Surplus bytes or a response to another request: later responses may not match their requests either.
         connection.reusable =
             message.keep_alive() && connection.buffer.size() == 0 && mismatched == 0 && matchesRequest;
@@ -211,7 +226,7 @@
         if (matchesRequest) {
             return response;
         }
-        if (!message.keep_alive()) {
+        if (!message.keep_alive() || match == ResponseMatch::Unidentified) {
             break;
         }
     }
@@ -240,7 +255,7 @@
 HttpClient::ExchangeResult HttpClient::exchange(const Endpoint &endpoint, const HttpRequest &request,
                                                 const ExchangeOptions &options)
 {
-    ConnectionPtr connection = options.newConnection ? nullptr : takeIdle(endpoint, options.maxIdle);
+    ConnectionPtr connection = options.newConnection ? nullptr : takeIdle(endpoint, options);
     const bool reused = connection != nullptr;
     if (!reused) {
         connection = std::make_shared<Connection>(ioContext_);
@@ -278,6 +293,7 @@
     };
     const auto writing = std::make_shared<Writing>();
     writing->message = toBeast(endpoint, request);
+    connection->history.add(options.requestId);
     http::async_write(connection->stream, writing->message,
                       [writing, connection](beast::error_code error, std::size_t) { writing->done = !error; });
     ExchangeResult result = readResponse(*connection, request, options);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/base/HttpMessage.h"
 #include "include/settings/NodeSettings.h"
+#include "src/http/ConnectionHistory.h"
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
@@ -67,11 +68,14 @@
     std::uint64_t maxResponseBytes = std::numeric_limits<std::uint32_t>::max();
     /** Opens a new connection for this exchange and closes it after the response. */
     bool newConnection = false;
+    /** ID that all sends of the request share. The exchange uses no connection that has carried it before. */
+    std::string requestId;
     /**
-     * Returns false for a response that belongs to another request. It is dropped, and the next response on the
-     * connection is read. Empty: every response is accepted.
+     * Tells whether a response names the request. One to another request is dropped, and the next response on the
+     * connection is read. One that names no request fails as malformed if the connection has carried another request.
+     * Empty: every response is accepted.
      */
-    std::function<bool(const HttpResponse &)> matchesRequest;
+    std::function<ResponseMatch(const HttpResponse &)> matchResponse;
 };
 
 /**
@@ -111,7 +115,7 @@
     struct Connection;
     using ConnectionPtr = std::shared_ptr<Connection>;
     using ExchangeResult = tl::expected<HttpResponse, ExchangeError>;
-    ConnectionPtr takeIdle(const Endpoint &endpoint, Duration maxIdle);
+    ConnectionPtr takeIdle(const Endpoint &endpoint, const ExchangeOptions &options);
     tl::expected<void, ExchangeError> connect(Connection &connection, const Endpoint &endpoint);
     static ExchangeResult readResponse(Connection &connection, const HttpRequest &request,
                                        const ExchangeOptions &options);
--- a/src/sidecar/home/ServerExchange.cpp
+++ b/src/sidecar/home/ServerExchange.cpp
@@ -58,9 +58,14 @@
     options.cancel = &cancel;
     options.maxResponseBytes = maxResponseBytes_.value_or(options.maxResponseBytes);
     options.maxIdle = job.work.idempotent ? maxIdle : maxIdleNonIdempotent;
-    const std::string requestId = platform::requestIdOf(job.work.request);
-    options.matchesRequest = [&requestId](const HttpResponse &response) {
-        return platform::isResponseTo(response, requestId);
+    options.requestId = platform::requestIdOf(job.work.request);
+    options.matchResponse = [this, &options](const HttpResponse &response) {
+        const ResponseMatch match = platform::matchResponse(response, options.requestId);
+        if (match != ResponseMatch::Matches) {
+            core_.metrics.count(match == ResponseMatch::OtherRequest ? "server_responses_to_other_requests"
+                                                                     : "server_responses_unidentified");
+        }
+        return match;
     };
     const HttpRequest forwarded = platform::addServerHeaders(job.work.request, serving->server, left);
     if (job.work.idempotent) {
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -57,9 +57,9 @@
             return HttpReply{jsonResponse(200, "{}"), AfterResponse::KeepOpen};
         }
         if (headerValue(request.headers, names::expectedServer) != options_.id) {
-            return notRun(421);
+            return notRun(request, 421);
         }
-        return running_ >= options_.slots || isShed() ? notRun(503) : work(request, caller);
+        return running_ >= options_.slots || isShed() ? notRun(request, 503) : work(request, caller);
     }
 
     void heartbeatLoop(std::uint16_t port)
@@ -99,9 +99,11 @@
         return body;
     }
 
-    static HttpReply notRun(unsigned status)
+    static HttpReply notRun(const HttpRequest &request, unsigned status)
     {
         HttpReply reply{jsonResponse(status, "{}"), AfterResponse::KeepOpen};
+        reply.response.headers.emplace_back(names::requestId,
+                                            std::string(headerValue(request.headers, names::requestId)));
         reply.response.headers.emplace_back(names::notRun, "1");
         return reply;
     }
--- a/tests/unit/PlatformDialectTest.cpp
+++ b/tests/unit/PlatformDialectTest.cpp
@@ -155,9 +155,9 @@
 
 TEST_CASE("server dialect, response that names another request, does not match this one")
 {
-    CHECK(isResponseTo(serverResponse(200, {{names::requestId, "a1"}}), "a1"));
-    CHECK_FALSE(isResponseTo(serverResponse(200, {{names::requestId, "a2"}}), "a1"));
-    CHECK(isResponseTo(serverResponse(503, {}), "a1"));
+    CHECK(matchResponse(serverResponse(200, {{names::requestId, "a1"}}), "a1") == ResponseMatch::Matches);
+    CHECK(matchResponse(serverResponse(200, {{names::requestId, "a2"}}), "a1") == ResponseMatch::OtherRequest);
+    CHECK(matchResponse(serverResponse(503, {}), "a1") == ResponseMatch::Unidentified);
 }
 
 TEST_CASE("configuration decoder, operator's document, becomes routes with their settings")
--- a/tests/unit/ResponseEvaluatorTest.cpp
+++ b/tests/unit/ResponseEvaluatorTest.cpp
@@ -9,6 +9,7 @@
 #include "src/sidecar/home/ServerPresence.h"
 #include "src/sidecar/home/SlotScheduler.h"
 #include "tests/support/ManualClock.h"
+#include "tests/support/ScriptedServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
@@ -224,3 +225,40 @@
     CHECK(server_.serving()->incarnation == secondProcess);
     CHECK(queue_.hasServer());
 }
+
+// Guards against an unsafe request that is reported as not run although it runs, and is then sent again.
+TEST_CASE_FIXTURE(EvaluatingHome,
+                  "server exchange, late copy of a rejection, is not taken for the second send's response")
+{
+    const std::string id = "booking-1";
+    const std::string rejection = waxwing::testing::responseText(
+        unavailable, {{platform::names::requestId, id}, {platform::names::notRun, "1"}}, "");
+    const std::string success = waxwing::testing::responseText(
+        200, {{platform::names::requestId, id}, {platform::names::signature, "seal"}}, "booked");
+    int arrivals = 0;
+    const waxwing::testing::ScriptedServer server(
+        listener_, [&](waxwing::testing::ScriptedServer::Connection &connection, const HttpRequest &) {
+            ++arrivals;
+            if (arrivals == 1) {
+                return rejection;
+            }
+            // The copy arrives late on the connection of the first send, while the second send runs.
+            return connection.requests > 1 ? rejection + success : success;
+        });
+    work_.request = HttpRequest{"POST", "/seats/1", {{platform::names::requestId, id}}, "seat=4"};
+    const auto send = [&] {
+        HomeJob &job = start();
+        bool ended = false;
+        spawnFiber([&] {
+            exchange_.run(job);
+            ended = true;
+        });
+        REQUIRE(runUntil([&] { return ended; }));
+        return job.reply;
+    };
+    CHECK(send().outcome == Outcome::NotRun);
+    const WorkReply second = send();
+    CHECK(arrivals == 2);
+    CHECK(second.outcome == Outcome::Ran);
+    CHECK(second.response.body == "booked");
+}
