Store a server's departure before it is acknowledged

Cause: the acknowledged departure was kept in the memory of the node's process. After a kill, the new process took a late heartbeat of the server for a live one: sequence and incarnation order announcements against what is known, and the new process knew nothing. A deregistration without incarnation of a server that the process had not seen was acknowledged without any record.

Evidence: in the record of the case the late heartbeat is answered 200 by the new process and 409 without the kill. With ServerPresence::start() made empty, as the code was, 3 of 3 cases "server departure" failed.

Change: the departure is an object in the platform's store, written before the acknowledgement and read once at a start. Work stops at once; if the store does not answer within 800 ms the call is answered 503 and the write goes on. Until a new process has read the object, it believes only a second announcement of the same server process.

--- a/src/http/ConnectionHistory.h
+++ b/src/http/ConnectionHistory.h
@@ -17,10 +17,10 @@
 };
 
 /**
- * The requests that one connection has carried. A response is told apart from earlier ones by the ID of its request. All
- * sends of a request have the same ID, so that a late copy of the response to an earlier send would pass for the response
- * to the next one, and a request that runs would be reported as rejected. A connection therefore carries each request
- * once. Not thread safe.
+ * The requests that one connection has carried. A response is told apart from earlier ones by the ID of its request.
+ * All sends of a request have the same ID, so that a late copy of the response to an earlier send would pass for the
+ * response to the next one, and a request that runs would be reported as rejected. A connection therefore carries each
+ * request once. Not thread safe.
  */
 class ConnectionHistory
 {
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -33,6 +33,7 @@
 
 void LocalHome::start()
 {
+    server_.start();
     spawnFiber([this] { expiryLoop(); });
 }
 
@@ -268,6 +269,11 @@
     nestedCalls_.noteResult(service, succeeded);
 }
 
+void LocalHome::removeStoredDeparture()
+{
+    server_.removeStoredDeparture();
+}
+
 bool LocalHome::serverLeft() const
 {
     return server_.latest() != nullptr && server_.serving() == nullptr;
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -37,6 +37,7 @@
 
     /** @pre "poison", "registry" and "config" are in the kernel before the first request. */
     explicit LocalHome(NodeCore &core);
+    /** Starts the background work. @pre "platform" is in the kernel; called once, before the first server call. */
     void start();
     /**
      * Bounds the bytes of requests in progress at the server, and the size of its responses. Works that would start are
@@ -108,6 +109,8 @@
     void noteCallResult(const std::string &service, bool succeeded);
     /** Returns true if the server has announced itself but accepts no work, as when it drains or has deregistered. */
     bool serverLeft() const;
+    /** Removes the stored notice of a server that no longer runs. @pre called from a fiber. */
+    void removeStoredDeparture();
 
 private:
     void expiryLoop();
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -255,6 +255,7 @@
     impl_->callerServer->announceClose();
     if (!willReturn) {
         impl_->registry.removeOwnEntry();
+        impl_->home.removeStoredDeparture();
     }
     const auto busy = [&] { return impl_->callerServer->requestsInFlight() > 0 || impl_->home.inProgressCount() > 0; };
     bool listening = true;
--- a/src/sidecar/home/ServerPresence.cpp
+++ b/src/sidecar/home/ServerPresence.cpp
@@ -6,11 +6,27 @@
 
 namespace waxwing {
 
+namespace {
+/** A server counts a call as acknowledged if the response arrives within a second. */
+constexpr Millis acknowledgeTimeout{800};
+} // namespace
+
 ServerPresence::ServerPresence(NodeCore &core, SlotScheduler &scheduler)
     : core_(core)
     , scheduler_(scheduler)
+    , departures_(core)
 { }
 
+void ServerPresence::start()
+{
+    storesDepartures_ = true;
+    state_.awaitRestore();
+    departures_.read([this](const std::optional<ServerDeparture> &stored) {
+        const std::string server = stored ? stored->server : "";
+        applyChange(state_.restore(stored), "stored departure of " + (stored ? server : "no server"));
+    });
+}
+
 std::optional<HttpResponse> ServerPresence::handleCall(const HttpRequest &request)
 {
     const std::optional<Expected<platform::ServerCall>> call = platform::decodeServerCall(request);
@@ -38,6 +54,11 @@
         return platform::serverCallReply(false, "not the server beside this node, or older than what is known");
     }
     applyChange(change, cause);
+    const bool leaves = (*call)->deregistration || (*call)->heartbeat->state == ServerState::Draining;
+    if (leaves && !storeDeparture()) {
+        core_.metrics.count("departures_not_acknowledged");
+        return platform::serverCallNotRecorded();
+    }
     return platform::serverCallReply(true, {});
 }
 
@@ -59,6 +80,19 @@
     return state_.latest();
 }
 
+bool ServerPresence::storeDeparture()
+{
+    const std::optional<ServerDeparture> departure = state_.departure();
+    return !storesDepartures_ || !departure || departures_.save(*departure, acknowledgeTimeout);
+}
+
+void ServerPresence::removeStoredDeparture()
+{
+    if (storesDepartures_ && core_.client.hasStoppedListening(core_.settings.server->address)) {
+        departures_.remove();
+    }
+}
+
 void ServerPresence::applyChange(ServerChange change, const std::string &cause)
 {
     if (const Announcement *serving = state_.serving()) {
--- a/tests/support/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -26,8 +26,8 @@
 }
 
 ScriptedServer::ScriptedServer(boost::asio::io_context &ioContext, Handler handler)
-    : ownListener_(std::make_unique<tcp::acceptor>(ioContext,
-                                                   tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)))
+    : ownListener_(
+        std::make_unique<tcp::acceptor>(ioContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)))
     , state_(std::make_shared<State>())
 {
     state_->listener = ownListener_.get();
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -33,10 +33,9 @@
 {
 protected:
     FaultyServer()
-        : server_(ioContext_,
-                  [this](ScriptedServer::Connection &connection, const HttpRequest &request) {
-                      return respond(connection, std::string(headerValue(request.headers, names::requestId)));
-                  })
+        : server_(ioContext_, [this](ScriptedServer::Connection &connection, const HttpRequest &request) {
+            return respond(connection, std::string(headerValue(request.headers, names::requestId)));
+        })
     { }
 
     /** Sends a request from a fiber and runs the loop until it has ended. */
--- a/tests/unit/PlatformDialectTest.cpp
+++ b/tests/unit/PlatformDialectTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/CallerDialect.h"
 #include "platform/ConfigDecoder.h"
+#include "platform/DepartureRecord.h"
 #include "platform/Names.h"
 #include "platform/ServerDialect.h"
 #include "src/sidecar/SidecarTuning.h"
@@ -232,6 +233,20 @@
     CHECK(config.warnings.all().front().place == "/listeners/0/rules/3/kind");
 }
 
+TEST_CASE("departure record, notice of a server, is read as it was written")
+{
+    for (const ServerDeparture &departure :
+         {ServerDeparture{"i1", 1764800000123ULL, std::nullopt}, ServerDeparture{"i1", 100, 7}}) {
+        const auto read = decodeDeparture(encodeDeparture(departure));
+        REQUIRE(read);
+        CHECK(*read == departure);
+    }
+    for (const char *other : {"17", "{}", R"({"server":"i1"})", R"({"server":1,"born":2})",
+                              R"({"server":"i1","born":2,"sequence":"x"})", "not JSON"}) {
+        CHECK_FALSE(decodeDeparture(other));
+    }
+}
+
 TEST_CASE("registry entry, encoded and decoded, is unchanged and a malformed one is rejected")
 {
     const RegistryEntry entry{"n1", Endpoint{"10.1.0.5", 7380}, "z1", "r1", "desk", 0};
