Bound what responses without end may occupy

What callers would see: a server that sends without end makes the node beside it grow until it ends by its memory, with all requests on it.

Cause: the body of a response was bounded by 4 GiB where the contract has no slow readers, all responses together by nothing, and the size line of a chunk and trailers by nothing, because the parser waits for their end.

Change: 8 MiB a response (a larger one fits into no message between nodes), 24 MiB for all that are being read, 128 KB not yet parsed. Beyond the common bound the largest response is given up, so that small ones are read on. BudgetedBody asks before it grows and does not reserve an announced length. Such an exchange fails as too large after bytes were sent: unknown outcome, 502 or a retry of an idempotent request.

--- /dev/null
+++ b/src/http/BudgetedBody.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/optional.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace waxwing {
+
+/**
+ * Beast body that asks before it grows. Unlike the library's string body it reserves nothing for an announced length,
+ * because a faulty peer may announce any length.
+ */
+struct BudgetedBody {
+    struct value_type {
+        std::string text;
+        /** Called with the number of bytes before each growth; false fails the message with body_limit. */
+        std::function<bool(std::uint64_t)> mayGrow;
+    };
+
+    class reader
+    {
+    public:
+        template<bool isRequest, class Fields>
+        explicit reader(boost::beast::http::header<isRequest, Fields> &, value_type &value)
+            : value_(value)
+        { }
+
+        void init(const boost::optional<std::uint64_t> &, boost::beast::error_code &error)
+        {
+            error = {};
+        }
+
+        template<class Buffers>
+        std::size_t put(const Buffers &buffers, boost::beast::error_code &error)
+        {
+            const std::size_t size = boost::asio::buffer_size(buffers);
+            if (value_.mayGrow && !value_.mayGrow(size)) {
+                error = boost::beast::http::error::body_limit;
+                return 0;
+            }
+            error = {};
+            for (auto part = boost::asio::buffer_sequence_begin(buffers);
+                 part != boost::asio::buffer_sequence_end(buffers); ++part) {
+                value_.text.append(static_cast<const char *>(part->data()), part->size());
+            }
+            return size;
+        }
+
+        void finish(boost::beast::error_code &error)
+        {
+            error = {};
+        }
+
+    private:
+        value_type &value_;
+    };
+};
+
+} // namespace waxwing
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "src/http/HttpClient.h"
 
 #include "src/fiber/FiberLoop.h"
+#include "src/http/BudgetedBody.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -20,6 +21,11 @@
 constexpr std::size_t maxIdleConnections = 64;
 /** Number of interim responses and responses to other requests that are skipped before the exchange fails. */
 constexpr int maxMismatchedResponses = 4;
+/**
+ * Largest number of bytes that were received and not yet parsed. The parser bounds headers, but waits without a bound
+ * for the end of a chunk's size line and of trailers.
+ */
+constexpr std::size_t maxBufferBytes = 128UL * 1024;
 /** A connection is not reused in this last part of the keep-alive time that its peer announced. */
 constexpr Millis keepAliveMargin{1000};
 /** A live process accepts or refuses a connection within this time. */
@@ -44,6 +50,10 @@
     if (error == beast::error::timeout || error == boost::asio::error::operation_aborted) {
         return ExchangeFailure::Timeout;
     }
+    if (error == http::error::body_limit || error == http::error::header_limit
+        || error == http::error::buffer_overflow) {
+        return ExchangeFailure::TooLarge;
+    }
     if (error == http::error::partial_message) {
         return ExchangeFailure::Truncated;
     }
@@ -85,6 +95,8 @@
         return "cut";
     case ExchangeFailure::Malformed:
         return "garbled";
+    case ExchangeFailure::TooLarge:
+        return "too-large";
     }
     return "connect";
 }
@@ -119,8 +131,12 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxBufferBytes};
     ConnectionHistory history;
+    /** Identifies the response that is being read. */
+    ReadBudget::Id readId = 0;
+    /** The response was given up because all responses together were too large. */
+    bool isGivenUp = false;
     /** The last response was complete, and the connection allows another request. */
     bool reusable = false;
     std::chrono::steady_clock::time_point idleSince;
@@ -128,8 +144,31 @@
     Duration keepAliveTimeout = Duration::max();
 };
 
-HttpClient::HttpClient(boost::asio::io_context &ioContext)
+/** Registers the response on a connection with the budget for as long as it is being read. */
+struct HttpClient::ReadGuard {
+    ReadGuard(HttpClient &client, Connection &connection)
+        : client_(client)
+        , id_(client.readBudget_.begin())
+    {
+        connection.readId = id_;
+        client_.reading_[id_] = &connection;
+    }
+    ~ReadGuard()
+    {
+        client_.reading_.erase(id_);
+        client_.readBudget_.end(id_);
+    }
+    ReadGuard(const ReadGuard &) = delete;
+    ReadGuard &operator=(const ReadGuard &) = delete;
+
+private:
+    HttpClient &client_;
+    ReadBudget::Id id_;
+};
+
+HttpClient::HttpClient(boost::asio::io_context &ioContext, std::uint64_t maxReadBytes)
     : ioContext_(ioContext)
+    , readBudget_(maxReadBytes)
 { }
 
 HttpClient::~HttpClient() = default;
@@ -174,12 +213,32 @@
     return {};
 }
 
+bool HttpClient::growResponse(const Connection &connection, std::uint64_t bytes)
+{
+    if (connection.isGivenUp) {
+        // The cancellation came when a read had completed already.
+        return false;
+    }
+    const std::optional<ReadBudget::Id> givenUp = readBudget_.grow(connection.readId, bytes);
+    if (!givenUp) {
+        return true;
+    }
+    Connection &largest = *reading_.at(*givenUp);
+    largest.isGivenUp = true;
+    if (&largest != &connection) {
+        largest.stream.cancel();
+    }
+    return &largest != &connection;
+}
+
 HttpClient::ExchangeResult HttpClient::readResponse(Connection &connection, const HttpRequest &request,
                                                     const ExchangeOptions &options)
 {
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
-        http::response_parser<http::string_body> parser;
+        const ReadGuard guard(*this, connection);
+        http::response_parser<BudgetedBody> parser;
         parser.body_limit(options.maxResponseBytes);
+        parser.get().body().mayGrow = [&](std::uint64_t bytes) { return growResponse(connection, bytes); };
         if (request.method == "HEAD") {
             parser.skip(true);
         }
@@ -196,8 +255,9 @@
             });
         }
         if (read.error) {
-            const ExchangeFailure failure = failureOf(read.error);
-            const bool truncated = parser.is_header_done() && failure != ExchangeFailure::Timeout;
+            const ExchangeFailure failure = connection.isGivenUp ? ExchangeFailure::TooLarge : failureOf(read.error);
+            const bool truncated =
+                parser.is_header_done() && failure != ExchangeFailure::Timeout && failure != ExchangeFailure::TooLarge;
             return tl::unexpected<ExchangeError>(
                 ExchangeError{truncated ? ExchangeFailure::Truncated : failure, true, false});
         }
@@ -213,7 +273,7 @@
                 response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
             }
         }
-        response.body = std::move(message.body());
+        response.body = std::move(message.body().text);
         const ResponseMatch match = options.matchResponse ? options.matchResponse(response) : ResponseMatch::Matches;
         const bool matchesRequest = connection.history.identifies(match);
         // Surplus bytes or a response to another request: later responses may not match their requests either.
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/base/HttpMessage.h"
+#include "include/flow/ReadBudget.h"
 #include "include/settings/NodeSettings.h"
 #include "src/http/ConnectionHistory.h"
 
@@ -10,7 +11,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -29,6 +29,8 @@
     Truncated,
     /** The response was not valid HTTP. */
     Malformed,
+    /** The response is larger than allowed, or it was the largest when all responses together were too large. */
+    TooLarge,
 };
 
 const char *exchangeFailureName(ExchangeFailure failure);
@@ -64,8 +66,8 @@
      * at that moment, it is unknown whether the request ran.
      */
     Duration maxIdle = std::chrono::hours(1);
-    /** A response with a larger body fails as malformed. */
-    std::uint64_t maxResponseBytes = std::numeric_limits<std::uint32_t>::max();
+    /** A response with a larger body fails as too large. A larger one would fit into no message between nodes. */
+    std::uint64_t maxResponseBytes = 8UL * 1024 * 1024;
     /** Opens a new connection for this exchange and closes it after the response. */
     bool newConnection = false;
     /** ID that all sends of the request share. The exchange uses no connection that has carried it before. */
@@ -86,7 +88,11 @@
 class HttpClient
 {
 public:
-    explicit HttpClient(boost::asio::io_context &ioContext);
+    /** Bytes of the responses that are being read, by default. */
+    static constexpr std::uint64_t defaultReadBytes = 24UL * 1024 * 1024;
+
+    /** @p maxReadBytes: bound on all responses that are being read, which holds whatever peers send. */
+    explicit HttpClient(boost::asio::io_context &ioContext, std::uint64_t maxReadBytes = defaultReadBytes);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -113,15 +119,20 @@
 
 private:
     struct Connection;
+    struct ReadGuard;
     using ConnectionPtr = std::shared_ptr<Connection>;
     using ExchangeResult = tl::expected<HttpResponse, ExchangeError>;
     ConnectionPtr takeIdle(const Endpoint &endpoint, const ExchangeOptions &options);
     tl::expected<void, ExchangeError> connect(Connection &connection, const Endpoint &endpoint);
-    static ExchangeResult readResponse(Connection &connection, const HttpRequest &request,
-                                       const ExchangeOptions &options);
+    ExchangeResult readResponse(Connection &connection, const HttpRequest &request, const ExchangeOptions &options);
+    /** Records the growth of the response on @p connection. Returns false if that response is given up. */
+    bool growResponse(const Connection &connection, std::uint64_t bytes);
     void returnToPool(const Endpoint &endpoint, ConnectionPtr connection);
 
     boost::asio::io_context &ioContext_;
+    ReadBudget readBudget_;
+    /** The connections on which responses are being read. */
+    std::map<ReadBudget::Id, Connection *> reading_;
     std::map<Endpoint, std::vector<ConnectionPtr>> idle_;
 };
 
--- a/tests/support/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -69,19 +69,14 @@
                                           [](const ConnectionPtr &one) { return !one->closed; }));
 }
 
-void ScriptedServer::sendEndlessly(const ConnectionPtr &connection, const std::string &bytes)
+void ScriptedServer::sendEndlessly(const ConnectionPtr &connection)
 {
-    sendAgain(connection, std::make_shared<std::string>(bytes));
-}
-
-void ScriptedServer::sendAgain(const ConnectionPtr &connection, const std::shared_ptr<std::string> &bytes)
-{
-    boost::asio::async_write(connection->socket, boost::asio::buffer(*bytes),
-                             [connection, bytes](boost::system::error_code error, std::size_t sent) {
+    boost::asio::async_write(connection->socket, boost::asio::buffer(connection->endless),
+                             [connection](boost::system::error_code error, std::size_t sent) {
                                  connection->sentBytes += sent;
                                  connection->closed = connection->closed || error;
                                  if (!connection->closed) {
-                                     sendAgain(connection, bytes);
+                                     sendEndlessly(connection);
                                  }
                              });
 }
@@ -123,8 +118,10 @@
     boost::asio::async_write(connection->socket, boost::asio::buffer(*bytes),
                              [state, connection, bytes](boost::system::error_code error, std::size_t) {
                                  connection->closed = connection->closed || error;
-                                 if (!error) {
+                                 if (!error && connection->endless.empty()) {
                                      read(state, connection);
+                                 } else if (!error) {
+                                     sendEndlessly(connection);
                                  }
                              });
 }
--- a/tests/support/ScriptedServer.h
+++ b/tests/support/ScriptedServer.h
@@ -37,7 +37,9 @@
         int number;
         /** Number of requests that have arrived on the connection. */
         int requests = 0;
-        /** Bytes that sendEndlessly() has sent. */
+        /** If set, sent again and again after the next response, until the peer closes the connection. */
+        std::string endless;
+        /** Bytes of @c endless that were sent. */
         std::uint64_t sentBytes = 0;
         /** The peer has closed the connection, or this server did. */
         bool closed = false;
@@ -59,15 +61,13 @@
     const std::vector<ConnectionPtr> &connections() const;
     /** Returns the number of connections that are open. */
     int openConnections() const;
-    /** Sends @p bytes again and again until the peer closes the connection. */
-    static void sendEndlessly(const ConnectionPtr &connection, const std::string &bytes);
 
 private:
     struct State;
     static void accept(const std::shared_ptr<State> &state);
     static void read(const std::shared_ptr<State> &state, const ConnectionPtr &connection);
     static void respond(const std::shared_ptr<State> &state, const ConnectionPtr &connection);
-    static void sendAgain(const ConnectionPtr &connection, const std::shared_ptr<std::string> &bytes);
+    static void sendEndlessly(const ConnectionPtr &connection);
 
     std::unique_ptr<boost::asio::ip::tcp::acceptor> ownListener_;
     std::shared_ptr<State> state_;
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -7,8 +7,10 @@
 #include <boost/fiber/operations.hpp>
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 using namespace waxwing;
 using namespace waxwing::testing;
@@ -157,3 +159,172 @@
     CHECK(server_.openConnections() <= 1);
     CHECK(server_.connections().size() <= 22);
 }
+
+namespace {
+
+constexpr std::uint64_t megabyte = 1024 * 1024;
+
+/** A client with a bound of 4 MB, and a server that sends without end where a request asks for it. */
+class EndlessServer
+{
+protected:
+    EndlessServer()
+        : server_(ioContext_, [this](ScriptedServer::Connection &connection, const HttpRequest &request) {
+            return respond(connection, request);
+        })
+    { }
+
+    /** Returns the beginning of the response; what follows it without end is sent afterwards. */
+    std::string respond(ScriptedServer::Connection &connection, const HttpRequest &request)
+    {
+        if (request.target != "/endless") {
+            return responseText(200, {}, "small");
+        }
+        connection.endless = repeated_;
+        return begin_;
+    }
+
+    void start(const std::string &target, std::optional<ExchangeResult> &result)
+    {
+        spawnFiber([this, target, &result] {
+            ExchangeOptions options;
+            options.timeout = std::chrono::seconds(20);
+            options.maxResponseBytes = maxResponseBytes_;
+            result =
+                client_.exchange(Endpoint{"127.0.0.1", server_.port()}, HttpRequest{"GET", target, {}, {}}, options);
+        });
+    }
+
+    void runUntil(const std::function<bool()> &isDone)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!isDone()) {
+            REQUIRE(std::chrono::steady_clock::now() < end);
+            ioContext_.restart();
+            ioContext_.run_for(Millis(1));
+            boost::this_fiber::yield();
+        }
+    }
+
+    /** Returns the failure of a request that gets an endless response, and checks what it took. */
+    ExchangeFailure failureOfEndless()
+    {
+        std::optional<ExchangeResult> result;
+        start("/endless", result);
+        runUntil([&] { return result.has_value(); });
+        REQUIRE_FALSE(*result);
+        CHECK(result->error().mayHaveSentBytes);
+        runUntil([&] { return server_.openConnections() == 0; });
+        CHECK(server_.connections().back()->sentBytes < maxSentBytes);
+        return result->error().failure;
+    }
+
+    static constexpr std::uint64_t readBytes = 4 * megabyte;
+    /** The kernel's buffers at both ends take some megabytes more than the client reads. */
+    static constexpr std::uint64_t maxSentBytes = 16 * megabyte;
+
+    boost::asio::io_context ioContext_;
+    HttpClient client_{ioContext_, readBytes};
+    std::uint64_t maxResponseBytes_ = megabyte;
+    std::string begin_;
+    std::string repeated_;
+    ScriptedServer server_;
+};
+
+} // namespace
+
+// Guards against a node that ends by its memory because a server sends without end.
+TEST_CASE_FIXTURE(EndlessServer, "client, response without end, fails and its connection is closed")
+{
+    SUBCASE("status line")
+    {
+        repeated_ = std::string(1000, 'x');
+        begin_ = "HTTP/1.1 200 ";
+        CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
+    }
+    SUBCASE("headers")
+    {
+        begin_ = "HTTP/1.1 200 X\r\n";
+        repeated_ = "X-Header: value\r\n";
+        CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
+    }
+    SUBCASE("body until the connection closes")
+    {
+        begin_ = "HTTP/1.1 200 X\r\n\r\n";
+        repeated_ = std::string(10000, 'x');
+        CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
+    }
+    SUBCASE("body of a large announced length")
+    {
+        begin_ = "HTTP/1.1 200 X\r\nContent-Length: 4000000000000\r\n\r\n";
+        repeated_ = std::string(10000, 'x');
+        CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
+    }
+    SUBCASE("chunks")
+    {
+        begin_ = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+        repeated_ = "3E8\r\n" + std::string(1000, 'x') + "\r\n";
+        CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
+    }
+    SUBCASE("size of a chunk")
+    {
+        begin_ = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+        repeated_ = std::string(1000, 'x');
+        CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
+    }
+    SUBCASE("trailers")
+    {
+        begin_ = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+        repeated_ = "X-Trailer: value\r\n";
+        CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
+    }
+    SUBCASE("interim responses")
+    {
+        repeated_ = "HTTP/1.1 103 X\r\n\r\n";
+        CHECK(failureOfEndless() == ExchangeFailure::Malformed);
+    }
+}
+
+// Guards against a connection that stays in use although its server sends on after the response.
+TEST_CASE_FIXTURE(EndlessServer,
+                  "client, bytes without end after a response, the response is returned and the rest dropped")
+{
+    begin_ = responseText(200, {}, "whole");
+    repeated_ = std::string(10000, 'x');
+    std::optional<ExchangeResult> result;
+    start("/endless", result);
+    runUntil([&] { return result.has_value(); });
+    REQUIRE(*result);
+    CHECK(result->value().body == "whole");
+    std::optional<ExchangeResult> next;
+    start("/", next);
+    runUntil([&] { return next.has_value(); });
+    REQUIRE(*next);
+    CHECK(next->value().body == "small");
+    runUntil([&] { return server_.connections().front()->closed; });
+}
+
+// Guards against many endless responses that are each within their bound and together take a node's memory.
+TEST_CASE_FIXTURE(EndlessServer, "client, several responses without end, are given up and a small one is read")
+{
+    maxResponseBytes_ = 64 * megabyte;
+    begin_ = "HTTP/1.1 200 X\r\n\r\n";
+    repeated_ = std::string(10000, 'x');
+    std::vector<std::optional<ExchangeResult>> endless(3);
+    for (auto &result : endless) {
+        start("/endless", result);
+    }
+    std::optional<ExchangeResult> small;
+    start("/", small);
+    runUntil([&] { return small.has_value() && endless[0] && endless[1] && endless[2]; });
+    REQUIRE(*small);
+    CHECK(small->value().body == "small");
+    for (const auto &result : endless) {
+        REQUIRE_FALSE(*result);
+        CHECK(result->error().failure == ExchangeFailure::TooLarge);
+    }
+    runUntil([&] { return server_.openConnections() <= 1; });
+    for (const auto &connection : server_.connections()) {
+        CHECK(connection->sentBytes < maxSentBytes);
+    }
+}
