--- a/src/sidecar/home/ServerPresence.cpp
+++ b/src/sidecar/home/ServerPresence.cpp
@@ -22,8 +22,7 @@
     storesDepartures_ = true;
     state_.awaitRestore();
     departures_.read([this](const std::optional<ServerDeparture> &stored) {
-        const std::string server = stored ? stored->server : "";
-        applyChange(state_.restore(stored), "stored departure of " + (stored ? server : "no server"));
+        applyChange(state_.restore(stored), stored ? "stored departure of " + stored->server : "no stored departure");
     });
 }
 
