End all fibers of the departure tests with their fixture

Cause: a fiber that waits for the store when a test ends keeps the thread of the test program from ending: the unit tests passed and then did not end (found with the sanitizer build; the plain build's run had been cut by a timeout of 300 s, which hid it). The fixture ran its loop for 20 ms, less than a retry's pause.

Change: the fixture closes the store and runs the loop until nothing is left to do. No check changed.

--- a/tests/unit/ServerDepartureTest.cpp
+++ b/tests/unit/ServerDepartureTest.cpp
@@ -99,20 +99,29 @@
 /** A node that is killed and started again, the server beside it, and the store. */
 class RestartedNode
 {
+    /** Passes of the loop without work after which no fiber is about to start any. */
+    static constexpr int minIdlePasses = 3;
+
 protected:
     RestartedNode()
-        : server_(ioContext_,
-                  [this](ScriptedServer::Connection &, const HttpRequest &request) { return store_.respond(request); })
+        : server_(std::make_unique<ScriptedServer>(
+            ioContext_,
+            [this](ScriptedServer::Connection &, const HttpRequest &request) { return store_.respond(request); }))
     {
         settings_.node = "n1";
-        settings_.objectApi = Endpoint{"127.0.0.1", server_.port()};
+        settings_.objectApi = Endpoint{"127.0.0.1", server_->port()};
         settings_.server = LocalServer{"desk", Endpoint{"127.0.0.1", 8080}};
     }
     ~RestartedNode()
     {
-        // Fibers that wait at the end of a test keep its thread from ending.
+        // A fiber that still waits at the end of a test would keep its thread from ending.
         kill();
-        runUntil([] { return false; }, Millis(20));
+        server_.reset();
+        int idlePasses = 0;
+        runUntil([&] {
+            idlePasses = ioContext_.stopped() ? idlePasses + 1 : 0;
+            return idlePasses == minIdlePasses;
+        });
     }
 
     void start()
@@ -174,7 +183,7 @@
 
     boost::asio::io_context ioContext_;
     SmallStore store_;
-    ScriptedServer server_;
+    std::unique_ptr<ScriptedServer> server_;
     NodeSettings settings_;
     std::vector<std::unique_ptr<NodeProcess>> processes_;
 };
