--- a/include/flow/ReadBudget.h
+++ b/include/flow/ReadBudget.h
@@ -29,6 +29,7 @@
     std::optional<Id> grow(Id id, std::uint64_t bytes);
     /** Ends a message: it is complete, or was given up. Ignores unknown ids. */
     void end(Id id);
+    /** Returns the bytes of all messages that are being read. */
     std::uint64_t heldBytes() const;
 
 private:
--- a/src/http/ConnectionHistory.cpp
+++ b/src/http/ConnectionHistory.cpp
@@ -3,7 +3,7 @@
 namespace waxwing {
 
 namespace {
-/** Number of request IDs that a connection remembers. After as many requests it is replaced. */
+/** Number of request IDs that a connection remembers. After as many requests it carries no more. */
 constexpr std::size_t maxRequestIds = 1000;
 } // namespace
 
