--- a/review/rig-2/Rig.cpp
+++ b/review/rig-2/Rig.cpp
@@ -32,6 +32,8 @@
 
 constexpr std::size_t readSize = 65536;
 constexpr int slots = 3;
+constexpr int firstPort = 20000;
+constexpr int portCount = 10000;
 constexpr Millis acknowledgeTime{1000};
 constexpr Millis requestTime{5000};
 
@@ -270,13 +272,20 @@
 
 std::uint16_t freePort()
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
-    socklen_t size = sizeof address;
-    require(bind(descriptor, reinterpret_cast<const sockaddr *>(&address), size) == 0, "no free port");
-    require(getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size) == 0, "no free port");
-    close(descriptor);
-    return ntohs(address.sin_port);
+    // Below the ports that the system gives to outgoing connections, so that a node finds its ports free when it starts
+    // again.
+    static std::atomic<int> next{firstPort + getpid() % portCount};
+    for (int tries = 0; tries < portCount; ++tries) {
+        const int port = firstPort + (next++ - firstPort) % portCount;
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(static_cast<std::uint16_t>(port));
+        const bool isFree = bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        close(descriptor);
+        if (isFree) {
+            return static_cast<std::uint16_t>(port);
+        }
+    }
+    throw std::runtime_error("no free port");
 }
 
 void endProgram(int result)
