--- a/review/rig-2/Rig.cpp
+++ b/review/rig-2/Rig.cpp
@@ -555,6 +555,11 @@
     return path;
 }
 
+const std::string &Fleet::directory() const
+{
+    return directory_;
+}
+
 void Fleet::startNode(std::size_t index, bool firstStart)
 {
     const std::string settings = settingsOf(index, firstStart);
--- a/review/rig-2/Rig.h
+++ b/review/rig-2/Rig.h
@@ -205,6 +205,8 @@
     Machine &machine(std::size_t index);
     std::size_t size() const;
     std::uint16_t storePort() const;
+    /** A folder that is removed by stop(). */
+    const std::string &directory() const;
     void startNode(std::size_t index, bool firstStart = true);
     /** Waits until every node serves a request of every idempotent route. Then the readiness checks begin. */
     bool awaitServing(Millis timeout);
