--- a/review/5/Poison.cpp
+++ b/review/6/Poison.cpp
@@ -62,10 +62,10 @@
     SteadyTime at;
 };
 
-class Run5
+class Run6
 {
 public:
-    Run5(Record &record, std::string program)
+    Run6(Record &record, std::string program)
         : record_(record)
         , program_(std::move(program))
         , fleet_(std::vector<std::string>(4, "course-desk"), {{"/dates/", names::retryableKind, "course-desk", 1500}})
@@ -89,7 +89,7 @@
     std::atomic<bool> stopped_{false};
 };
 
-void Run5::superviseServer(std::size_t index)
+void Run6::superviseServer(std::size_t index)
 {
     const Machine &machine = fleet_.machine(index);
     for (int start = 1; !stopped_; ++start) {
@@ -117,7 +117,7 @@
     }
 }
 
-void Run5::send(std::size_t machine, const std::string &path, const std::string &id)
+void Run6::send(std::size_t machine, const std::string &path, const std::string &id)
 {
     ClientRequest request;
     request.path = path;
@@ -129,7 +129,7 @@
                  + (response ? response->start + " " + response->body : "no answer"));
 }
 
-int Run5::run()
+int Run6::run()
 {
     std::vector<std::thread> supervisors;
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
@@ -172,7 +172,7 @@
     return evaluate();
 }
 
-int Run5::evaluate()
+int Run6::evaluate()
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     int retries = 0;
@@ -202,7 +202,7 @@
     Record record(words.at(1) + "/record.txt");
     int result = exitNotRun;
     try {
-        result = (new Run5(record, words.at(0)))->run();
+        result = (new Run6(record, words.at(0)))->run();
     } catch (const std::exception &error) {
         record.line(std::string("not run: ") + error.what());
     }
--- a/review/6/LargeBody.cpp
+++ b/review/7/LargeBody.cpp
@@ -42,10 +42,10 @@
     return 0;
 }
 
-class Run6
+class Run7
 {
 public:
-    explicit Run6(Record &record)
+    explicit Run7(Record &record)
         : record_(record)
         , fleet_({"course-desk", "records-desk", "records-desk"},
                  {{"/dates/", names::retryableKind, "course-desk", 1500},
@@ -73,7 +73,7 @@
     std::atomic<bool> stopped_{false};
 };
 
-void Run6::useConnection(const std::string &path)
+void Run7::useConnection(const std::string &path)
 {
     std::unique_ptr<Socket> socket;
     bool isKept = false;
@@ -107,7 +107,7 @@
     }
 }
 
-void Run6::sendBody()
+void Run7::sendBody()
 {
     ClientRequest request;
     request.method = "POST";
@@ -123,7 +123,7 @@
     record_.line(request.id + ": " + (response ? response->start : "no answer"));
 }
 
-void Run6::watchMemory()
+void Run7::watchMemory()
 {
     while (!stopped_) {
         for (std::size_t i = 0; i < fleet_.size(); ++i) {
@@ -143,7 +143,7 @@
     }
 }
 
-int Run6::run()
+int Run7::run()
 {
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
         fleet_.startNode(i);
@@ -176,7 +176,7 @@
     return evaluate();
 }
 
-int Run6::evaluate()
+int Run7::evaluate()
 {
     std::set<std::string> passedOn;
     for (Server *server : servers_) {
@@ -203,7 +203,7 @@
     Record record(std::string(argv[1]) + "/record.txt");
     int result = exitNotRun;
     try {
-        result = (new Run6(record))->run();
+        result = (new Run7(record))->run();
     } catch (const std::exception &error) {
         record.line(std::string("not run: ") + error.what());
     }
