--- a/review/7/LargeBody.cpp
+++ b/review/7/LargeBody.cpp
@@ -8,8 +8,6 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
-#include <set>
-#include <sstream>
 
 namespace {
 
@@ -56,8 +54,6 @@
     int run();
 
 private:
-    /** Sends one request after the other on one connection, and a new connection where it was closed. */
-    void useConnection(const std::string &path);
     void sendBody();
     void watchMemory();
     int evaluate();
@@ -65,48 +61,11 @@
     Record &record_;
     Fleet fleet_;
     std::vector<Server *> servers_;
-    std::mutex mutex_;
-    /** Requests of kept connections that were closed without an answer. */
-    std::vector<std::string> closed_;
-    int answered_ = 0;
+    KeptClients *clients_ = nullptr;
     int kills_ = 0;
     std::atomic<bool> stopped_{false};
 };
 
-void Run7::useConnection(const std::string &path)
-{
-    std::unique_ptr<Socket> socket;
-    bool isKept = false;
-    while (!stopped_) {
-        if (!fleet_.takesClients(0)) {
-            sleepFor(Millis(20));
-            continue;
-        }
-        if (!socket) {
-            socket = Socket::connectTo(fleet_.machine(0).outbound);
-            isKept = false;
-        }
-        ClientRequest request;
-        request.path = path;
-        request.id = newRequestId();
-        request.timeout = clientDeadline;
-        const bool sent = socket && socket->send(request.text());
-        const std::optional<HttpText> response = sent ? socket->read(now() + clientDeadline) : std::nullopt;
-        const std::lock_guard<std::mutex> lock(mutex_);
-        if (response) {
-            ++answered_;
-            isKept = response->field("Connection") != "close";
-        } else if (isKept && socket->hasEnded()) {
-            closed_.push_back(request.id);
-            record_.line("closed without an answer: " + request.id);
-        }
-        if (!response || !isKept) {
-            socket.reset();
-            sleepFor(Millis(20));
-        }
-    }
-}
-
 void Run7::sendBody()
 {
     ClientRequest request;
@@ -154,20 +113,19 @@
         fleet_.stop();
         return exitNotRun;
     }
-    std::vector<std::thread> threads;
-    threads.emplace_back([this] { watchMemory(); });
+    std::thread watcher([this] { watchMemory(); });
+    clients_ = new KeptClients(fleet_, record_);
     for (int i = 0; i < clientsOfEach; ++i) {
-        threads.emplace_back([this] { useConnection("/certs/1"); });
-        threads.emplace_back([this] { useConnection("/dates/1"); });
+        clients_->add(0, "/certs/1");
+        clients_->add(0, "/dates/1");
     }
     const SteadyTime end = now() + wholeTime;
     sleepFor(calmTime);
     sendBody();
     sleepUntil(end);
+    clients_->stop();
     stopped_ = true;
-    for (std::thread &thread : threads) {
-        thread.join();
-    }
+    watcher.join();
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
         record_.line("node " + std::to_string(i) + " has had up to "
                      + std::to_string(peakKilobytes(fleet_.machine(i).node->id())) + " KiB since its last start");
@@ -178,20 +136,11 @@
 
 int Run7::evaluate()
 {
-    std::set<std::string> passedOn;
-    for (Server *server : servers_) {
-        for (const Run &run : server->runs()) {
-            passedOn.insert(run.id);
-        }
-    }
-    std::size_t lost = 0;
-    for (const std::string &id : closed_) {
-        lost += passedOn.count(id);
-    }
+    const std::size_t lost = clients_->lost(servers_);
     const bool broken = lost > mostLost;
-    record_.line(std::to_string(answered_) + " answered, " + std::to_string(kills_) + " kills, "
-                 + std::to_string(closed_.size()) + " closed without an answer, " + std::to_string(lost)
-                 + " of them passed on to a server: " + (broken ? "broken" : "held"));
+    record_.line(std::to_string(clients_->answered()) + " answered, " + std::to_string(kills_) + " kills, "
+                 + std::to_string(lost)
+                 + " passed on to a server and closed without an answer: " + (broken ? "broken" : "held"));
     std::cout << (broken ? "broken: " : "held: ") << lost << " lost\n";
     return broken ? exitBroken : exitHeld;
 }
--- a/review/rig-2/Rig.cpp
+++ b/review/rig-2/Rig.cpp
@@ -20,6 +20,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -722,4 +723,76 @@
     return keepsOpen;
 }
 
+KeptClients::KeptClients(Fleet &fleet, Record &record)
+    : fleet_(fleet)
+    , record_(record)
+{ }
+
+void KeptClients::add(std::size_t machine, const std::string &path)
+{
+    threads_.emplace_back([this, machine, path] { run(machine, path); });
+}
+
+void KeptClients::stop()
+{
+    stopped_ = true;
+    for (std::thread &thread : threads_) {
+        thread.join();
+    }
+}
+
+int KeptClients::answered() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return answered_;
+}
+
+std::size_t KeptClients::lost(const std::vector<Server *> &servers) const
+{
+    std::set<std::string> passedOn;
+    for (Server *server : servers) {
+        for (const Run &run : server->runs()) {
+            passedOn.insert(run.id);
+        }
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return static_cast<std::size_t>(
+        std::count_if(closed_.begin(), closed_.end(), [&](const std::string &id) { return passedOn.count(id) > 0; }));
+}
+
+void KeptClients::run(std::size_t machine, const std::string &path)
+{
+    const Millis pause{20};
+    std::unique_ptr<Socket> socket;
+    bool isKept = false;
+    while (!stopped_) {
+        if (!fleet_.takesClients(machine)) {
+            sleepFor(pause);
+            continue;
+        }
+        if (!socket) {
+            socket = Socket::connectTo(fleet_.machine(machine).outbound);
+            isKept = false;
+        }
+        ClientRequest request;
+        request.path = path;
+        request.id = newRequestId();
+        const bool sent = socket && socket->send(request.text());
+        const std::optional<HttpText> response = sent ? socket->read(now() + request.timeout) : std::nullopt;
+        if (response) {
+            isKept = response->field("Connection") != "close";
+            const std::lock_guard<std::mutex> lock(mutex_);
+            ++answered_;
+        } else if (isKept && socket->hasEnded()) {
+            record_.line("machine " + std::to_string(machine) + " closed without an answer: " + request.id);
+            const std::lock_guard<std::mutex> lock(mutex_);
+            closed_.push_back(request.id);
+        }
+        if (!response || !isKept) {
+            socket.reset();
+            sleepFor(pause);
+        }
+    }
+}
+
 } // namespace review2
--- a/review/rig-2/Rig.h
+++ b/review/rig-2/Rig.h
@@ -277,4 +277,32 @@
     Listener listener_;
 };
 
+/**
+ * Clients that send one request after the other on connections that they keep, and open a new one where the node has
+ * closed it. They end with the program, so the object is never destroyed. Thread safe.
+ */
+class KeptClients
+{
+public:
+    KeptClients(Fleet &fleet, Record &record);
+    /** Starts one more client of a machine. */
+    void add(std::size_t machine, const std::string &path);
+    /** Waits until all clients have ended. */
+    void stop();
+    int answered() const;
+    /** Returns how many requests a server began to run whose kept connection was closed without an answer. */
+    std::size_t lost(const std::vector<Server *> &servers) const;
+
+private:
+    void run(std::size_t machine, const std::string &path);
+
+    Fleet &fleet_;
+    Record &record_;
+    mutable std::mutex mutex_;
+    std::vector<std::string> closed_;
+    int answered_ = 0;
+    std::vector<std::thread> threads_;
+    std::atomic<bool> stopped_{false};
+};
+
 } // namespace review2
