--- a/review/6/Poison.cpp
+++ b/review/6/Poison.cpp
@@ -108,7 +108,9 @@
         std::string word;
         std::string id;
         std::ifstream(output) >> word >> id;
-        record_.line("server " + name + " has crashed with " + id);
+        std::string line = "server ";
+        line.append(name).append(" has crashed with ").append(id);
+        record_.line(line);
         {
             const std::lock_guard<std::mutex> lock(mutex_);
             crashes_.push_back(Crash{id, now()});
