review: the built drivers lie where git ignores them; ports of runs beside each other

Cause: review/.gitignore names only the folder review/build, and two scripts that are started at the same moment looked for the same free ports and ended.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # the build of the deploy file, whose libraries it uses.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-out=review/rig-2/build
+out=review/build/rig-2
 mkdir -p "$out"
 flags=(-std=c++17 -O1 -Wall -Wextra -I. -DBOOST_ASIO_DISABLE_CONCEPTS -DJSON_USE_IMPLICIT_CONVERSIONS=0)
 libraries=(target/libwaxwing.a target/libwaxwingcore.a -lboost_fiber -lboost_context -lboost_program_options
--- a/review/rig-2/Rig.cpp
+++ b/review/rig-2/Rig.cpp
@@ -35,6 +35,8 @@
 constexpr int slots = 3;
 constexpr int firstPort = 20000;
 constexpr int portCount = 10000;
+/** Programs that are started beside each other, with neighbouring ids, don't look for the same ports. */
+constexpr int portsOfRun = 101;
 constexpr Millis acknowledgeTime{1000};
 constexpr Millis requestTime{5000};
 
@@ -275,7 +277,7 @@
 {
     // Below the ports that the system gives to outgoing connections, so that a node finds its ports free when it starts
     // again.
-    static std::atomic<int> next{firstPort + getpid() % portCount};
+    static std::atomic<int> next{firstPort + getpid() * portsOfRun % portCount};
     for (int tries = 0; tries < portCount; ++tries) {
         const int port = firstPort + (next++ - firstPort) % portCount;
         const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -441,7 +443,7 @@
     require(mkdtemp(pattern.data()) != nullptr, "no temporary directory");
     directory_ = pattern;
     storePort_ = freePort();
-    store_.start({"review/rig-2/build/standin-objectapi", "--port", std::to_string(storePort_)},
+    store_.start({"review/build/rig-2/standin-objectapi", "--port", std::to_string(storePort_)},
                  directory_ + "/store.log");
     for (const std::string &service : services) {
         Machine machine;
