Run fibers after a bounded number of handlers, and end exchanges at their deadline

Callers saw: a server that sends a body without end stops the node beside it for some 8 s.

Cause: FiberLoop called io_context::poll(), which returns only when no handler is ready, and a read whose data is there completes at once and starts the next one. The stream's timer starts anew with each read and is cancelled when the read completes, so the exchange's timeout never expired; a cancellation was lost the same way. Framing around a body counted against no limit.

Change: at most 64 handlers run before the ready fibers. HttpClient reads part by part and checks its deadline and its cancellation between parts. Framing may be as large as the body and 1 MiB (FramingBudget). HttpConnection stops discarding at its limit by itself.

--- a/src/fiber/FiberLoop.cpp
+++ b/src/fiber/FiberLoop.cpp
@@ -16,10 +16,16 @@
 namespace {
 
 constexpr std::size_t stackBytes = 128UL * 1024;
+/** Number of handlers that run in a row before the fibers that they have made ready. */
+constexpr int maxHandlersPerTurn = 64;
 
 /**
  * Round-robin scheduler. With no fiber ready, the thread blocks in the io_context until a handler or a fiber's timer is
  * due. Blocking instead of polling keeps the processor time of an idle node near zero.
+ *
+ * The number of handlers in a turn is bounded because handlers can make each other ready without end: while a peer
+ * sends faster than it is read, each read completes at once and its handler starts the next one. Without the bound no
+ * fiber would run in that time, and the process would answer nobody.
  */
 class AsioScheduler final : public boost::fibers::algo::algorithm
 {
@@ -56,7 +62,7 @@
         } else {
             ioContext_.run_one_until(wakeUp);
         }
-        ioContext_.poll();
+        for (int handlers = 1; handlers < maxHandlersPerTurn && ioContext_.poll_one() > 0; ++handlers) { }
     }
 
     void notify() noexcept override
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "src/http/HttpClient.h"
 
+#include "include/flow/FramingBudget.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/http/BudgetedBody.h"
 
@@ -15,6 +16,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using tcp = boost::asio::ip::tcp;
+using ResponseParser = http::response_parser<BudgetedBody>;
 
 namespace {
 
@@ -26,6 +28,10 @@
  * for the end of a chunk's size line and of trailers.
  */
 constexpr std::size_t maxBufferBytes = 128UL * 1024;
+/** Most bytes that one read takes. */
+constexpr std::size_t maxPartBytes = 64UL * 1024;
+/** Size of the buffer of a body. Each filling of a small buffer costs a turn of the event loop. */
+constexpr std::size_t bodyReadBytes = 16UL * 1024;
 /** A connection is not reused in this last part of the keep-alive time that its peer announced. */
 constexpr Millis keepAliveMargin{1000};
 /** A live process accepts or refuses a connection within this time. */
@@ -130,8 +136,27 @@
         return idle <= maxIdle && idle < keepAliveTimeout && isClean();
     }
 
+    void setTimeout(Duration timeout)
+    {
+        stream.expires_after(timeout);
+        deadline = std::chrono::steady_clock::now() + timeout;
+    }
+
+    /** Reads more bytes into the buffer and sets @p received to their number. */
+    beast::error_code receive(std::size_t &received);
+    /** Parses what is buffered. @p bodyTimeout: new timeout from the end of the headers, unless zero. */
+    beast::error_code parse(ResponseParser &parser, Duration bodyTimeout);
+    /**
+     * Reads one message. Each read is checked here against the deadline and for a cancellation: while the peer sends
+     * without pause, neither the stream's timer, which starts anew with each read, nor a cancellation finds a read that
+     * waits. The library's composed reads don't return either as long as the last line of a buffer is incomplete.
+     */
+    beast::error_code readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout);
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer{maxBufferBytes};
+    std::chrono::steady_clock::time_point deadline;
+    bool isCancelled = false;
     ConnectionHistory history;
     /** Identifies the response that is being read. */
     ReadBudget::Id readId = 0;
@@ -144,6 +169,67 @@
     Duration keepAliveTimeout = Duration::max();
 };
 
+beast::error_code HttpClient::Connection::receive(std::size_t &received)
+{
+    const std::size_t size = beast::read_size(buffer, maxPartBytes);
+    if (size == 0) {
+        return http::error::buffer_overflow;
+    }
+    const IoResult read = await([&](auto handle) { stream.async_read_some(buffer.prepare(size), std::move(handle)); });
+    buffer.commit(read.bytes);
+    received = read.bytes;
+    if (isCancelled) {
+        return boost::asio::error::operation_aborted;
+    }
+    return read.error;
+}
+
+beast::error_code HttpClient::Connection::parse(ResponseParser &parser, Duration bodyTimeout)
+{
+    beast::error_code error;
+    while (buffer.size() > 0 && !parser.is_done() && !error) {
+        const bool hadHeader = parser.is_header_done();
+        buffer.consume(parser.put(buffer.data(), error));
+        if (parser.is_header_done() && !hadHeader) {
+            parser.eager(true);
+            if (bodyTimeout > Duration(0)) {
+                setTimeout(bodyTimeout);
+            }
+            buffer.reserve(bodyReadBytes);
+        }
+    }
+    return error == http::error::need_more ? beast::error_code() : error;
+}
+
+beast::error_code HttpClient::Connection::readMessage(ResponseParser &parser, FramingBudget &framing,
+                                                      Duration bodyTimeout)
+{
+    const std::string &body = parser.get().body().text;
+    beast::error_code error = parse(parser, bodyTimeout);
+    while (!error && !parser.is_done()) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            return beast::error::timeout;
+        }
+        std::size_t received = 0;
+        error = receive(received);
+        if (error == boost::asio::error::eof) {
+            error = {};
+            if (!parser.got_some()) {
+                return http::error::end_of_stream;
+            }
+            parser.put_eof(error);
+            return error;
+        }
+        const std::size_t bodyBefore = body.size();
+        error = error ? error : parse(parser, bodyTimeout);
+        const std::size_t bodyBytes = body.size() - bodyBefore;
+        if (!error && !framing.add(received, bodyBytes)) {
+            error = http::error::body_limit;
+        }
+    }
+    return error;
+}
+
 /** Registers the response on a connection with the budget for as long as it is being read. */
 struct HttpClient::ReadGuard {
     ReadGuard(HttpClient &client, Connection &connection)
@@ -234,28 +320,18 @@
 HttpClient::ExchangeResult HttpClient::readResponse(Connection &connection, const HttpRequest &request,
                                                     const ExchangeOptions &options)
 {
+    FramingBudget framing;
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
         const ReadGuard guard(*this, connection);
-        http::response_parser<BudgetedBody> parser;
+        ResponseParser parser;
         parser.body_limit(options.maxResponseBytes);
         parser.get().body().mayGrow = [&](std::uint64_t bytes) { return growResponse(connection, bytes); };
         if (request.method == "HEAD") {
             parser.skip(true);
         }
-        IoResult read;
-        if (options.bodyTimeout > Duration(0)) {
-            read = await([&](auto handle) {
-                http::async_read_header(connection.stream, connection.buffer, parser, std::move(handle));
-            });
-            connection.stream.expires_after(options.bodyTimeout);
-        }
-        if (!read.error) {
-            read = await([&](auto handle) {
-                http::async_read(connection.stream, connection.buffer, parser, std::move(handle));
-            });
-        }
-        if (read.error) {
-            const ExchangeFailure failure = connection.isGivenUp ? ExchangeFailure::TooLarge : failureOf(read.error);
+        const beast::error_code error = connection.readMessage(parser, framing, options.bodyTimeout);
+        if (error) {
+            const ExchangeFailure failure = connection.isGivenUp ? ExchangeFailure::TooLarge : failureOf(error);
             const bool truncated =
                 parser.is_header_done() && failure != ExchangeFailure::Timeout && failure != ExchangeFailure::TooLarge;
             return tl::unexpected<ExchangeError>(
@@ -298,6 +374,7 @@
     auto &pool = idle_[endpoint];
     if (pool.size() < maxIdleConnections) {
         connection->stream.expires_never();
+        connection->buffer.shrink_to_fit();
         connection->idleSince = std::chrono::steady_clock::now();
         pool.push_back(std::move(connection));
     }
@@ -323,10 +400,10 @@
     const auto failed = [reused](ExchangeFailure failure, bool sent) {
         return tl::unexpected<ExchangeError>(ExchangeError{failure, sent, reused});
     };
-    bool cancelled = false;
+    connection->isCancelled = false;
     if (options.cancel != nullptr) {
-        options.cancel->hook_ = [&cancelled, held = connection] {
-            cancelled = true;
+        options.cancel->hook_ = [held = connection] {
+            held->isCancelled = true;
             held->stream.cancel();
         };
     }
@@ -339,11 +416,11 @@
             }
         }
     } const guard{options.cancel};
-    connection->stream.expires_after(options.timeout);
+    connection->setTimeout(options.timeout);
     if (!reused) {
         const auto connected = connect(*connection, endpoint);
-        if (!connected || cancelled) {
-            return failed(cancelled ? ExchangeFailure::Timeout : connected.error().failure, false);
+        if (!connected || connection->isCancelled) {
+            return failed(connection->isCancelled ? ExchangeFailure::Timeout : connected.error().failure, false);
         }
     }
     // The write runs while this fiber reads and may outlast it, so its handler owns the connection and the message.
@@ -357,7 +434,7 @@
     http::async_write(connection->stream, writing->message,
                       [writing, connection](beast::error_code error, std::size_t) { writing->done = !error; });
     ExchangeResult result = readResponse(*connection, request, options);
-    if (cancelled) {
+    if (connection->isCancelled) {
         return failed(ExchangeFailure::Timeout, true);
     }
     if (!result) {
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -136,7 +136,9 @@
 
 void HttpConnection::readAhead()
 {
-    if (reading_ || inputEnded_ || input_.size() >= maxReadAhead) {
+    // Checked here too, because onInput() starts the next read itself while the fiber that discards waits for its turn.
+    const bool enough = discarding_ ? discarded_ >= lingerBytes : input_.size() >= maxReadAhead;
+    if (reading_ || inputEnded_ || enough) {
         return;
     }
     reading_ = true;
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -168,8 +168,9 @@
 class EndlessServer
 {
 protected:
-    EndlessServer()
-        : server_(ioContext_, [this](ScriptedServer::Connection &connection, const HttpRequest &request) {
+    explicit EndlessServer(std::uint64_t readBytes = 4 * megabyte)
+        : client_(ioContext_, readBytes)
+        , server_(ioContext_, [this](ScriptedServer::Connection &connection, const HttpRequest &request) {
             return respond(connection, request);
         })
     { }
@@ -188,7 +189,8 @@
     {
         spawnFiber([this, target, &result] {
             ExchangeOptions options;
-            options.timeout = std::chrono::seconds(20);
+            options.timeout = timeout_;
+            options.bodyTimeout = bodyTimeout_;
             options.maxResponseBytes = maxResponseBytes_;
             result =
                 client_.exchange(Endpoint{"127.0.0.1", server_.port()}, HttpRequest{"GET", target, {}, {}}, options);
@@ -219,18 +221,32 @@
         return result->error().failure;
     }
 
-    static constexpr std::uint64_t readBytes = 4 * megabyte;
     /** The kernel's buffers at both ends take some megabytes more than the client reads. */
     static constexpr std::uint64_t maxSentBytes = 16 * megabyte;
 
     boost::asio::io_context ioContext_;
-    HttpClient client_{ioContext_, readBytes};
+    HttpClient client_;
+    Millis timeout_ = std::chrono::seconds(20);
+    Millis bodyTimeout_{0};
     std::uint64_t maxResponseBytes_ = megabyte;
     std::string begin_;
     std::string repeated_;
     ScriptedServer server_;
 };
 
+/** The same with bounds that no response reaches before its timeout. */
+class EndlessServerWithinBounds : protected EndlessServer
+{
+protected:
+    EndlessServerWithinBounds()
+        : EndlessServer(maxBytes)
+    {
+        maxResponseBytes_ = maxBytes;
+    }
+
+    static constexpr std::uint64_t maxBytes = 512 * megabyte;
+};
+
 } // namespace
 
 // Guards against a node that ends by its memory because a server sends without end.
@@ -272,6 +288,13 @@
         repeated_ = std::string(1000, 'x');
         CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
     }
+    SUBCASE("chunks whose extensions are longer than their bodies")
+    {
+        maxResponseBytes_ = 64 * megabyte;
+        begin_ = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+        repeated_ = "1;" + std::string(1000, 'e') + "\r\nx\r\n";
+        CHECK(failureOfEndless() == ExchangeFailure::TooLarge);
+    }
     SUBCASE("trailers")
     {
         begin_ = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
@@ -285,6 +308,27 @@
     }
 }
 
+// Guards against an exchange that outlasts its timeout because each read of its response completes at once.
+TEST_CASE_FIXTURE(EndlessServerWithinBounds, "client, bytes without pause, the exchange ends at its timeout")
+{
+    begin_ = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+    repeated_ = "3E8\r\n" + std::string(1000, 'x') + "\r\n";
+    SUBCASE("timeout of the exchange")
+    {
+        timeout_ = Millis(50);
+    }
+    SUBCASE("timeout of the body")
+    {
+        bodyTimeout_ = Millis(50);
+    }
+    std::optional<ExchangeResult> result;
+    start("/endless", result);
+    runUntil([&] { return result.has_value(); });
+    REQUIRE_FALSE(*result);
+    CHECK(result->error().failure == ExchangeFailure::Timeout);
+    runUntil([&] { return server_.openConnections() == 0; });
+}
+
 // Guards against a connection that stays in use although its server sends on after the response.
 TEST_CASE_FIXTURE(EndlessServer,
                   "client, bytes without end after a response, the response is returned and the rest dropped")
