Ask each end of a connection for a crash, and clear requests that complete

Cause: an end of the connection after the head was named Truncated, and only Reset was asked for a crash. A server that was back within 350 ms looked alive as well.

Change: ExchangeError tells whether the peer ended the connection, and each such end is asked. Where the port is open, another process that registers within 10 s confirms the crash (SuspectedCrashes). A server that has given notice does not crash. Since more ends count now, the evidence against one request changed too: one completed run clears it on all nodes, the customer belongs to the request, a refused request is tried again at one node in growing intervals, and the record of an hour expires beside servers too.

The integration tests have not been run on this commit.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -334,8 +334,9 @@
             const ExchangeFailure failure = connection.isGivenUp ? ExchangeFailure::TooLarge : failureOf(error);
             const bool truncated =
                 parser.is_header_done() && failure != ExchangeFailure::Timeout && failure != ExchangeFailure::TooLarge;
+            const bool ended = failure == ExchangeFailure::Reset || failure == ExchangeFailure::Truncated;
             return tl::unexpected<ExchangeError>(
-                ExchangeError{truncated ? ExchangeFailure::Truncated : failure, true, false});
+                ExchangeError{truncated ? ExchangeFailure::Truncated : failure, true, false, ended});
         }
         auto message = parser.release();
         constexpr unsigned firstFinalStatus = 200;
@@ -439,7 +440,8 @@
     }
     if (!result) {
         connection->stream.close();
-        return failed(result.error().failure, true);
+        result.error().onReusedConnection = reused;
+        return result;
     }
     if (connection->reusable && writing->done && !options.newConnection) {
         returnToPool(endpoint, connection);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -41,6 +41,11 @@
     bool mayHaveSentBytes = false;
     /** The connection was kept open from an earlier exchange, and the peer may already have been closing it. */
     bool onReusedConnection = false;
+    /**
+     * The peer ended the connection, before or within the response, as a process does that crashes. Also set if the
+     * failure is Truncated, unlike for a response that is cut short by an invalid byte.
+     */
+    bool connectionEnded = false;
 };
 
 /** Cancels an exchange from another fiber. Not thread safe. */
--- a/src/node/HomeService.cpp
+++ b/src/node/HomeService.cpp
@@ -246,10 +246,9 @@
     }
     run.mayHaveRun = true;
     const bool abandoned = run.control->cancelled || attempt.retriedElsewhere;
-    const bool abrupt = error.failure == ExchangeFailure::Reset || error.failure == ExchangeFailure::Truncated;
     const Announcement *announced = run.home->find(run.server);
     bool died = false;
-    if (abrupt && !abandoned && announced != nullptr) {
+    if (error.connectionEnded && !abandoned && announced != nullptr) {
         died = core_.client.hasStoppedListening(Endpoint{announced->address, announced->port});
         if (died) {
             noteDeath(run, run.server, incarnation);
@@ -281,7 +280,7 @@
     }
     const Endpoint endpoint{announced->address, announced->port};
     const std::uint64_t incarnation = announced->incarnation;
-    if (core_.service<PoisonService>("poison").mustRefuse(run.digest)) {
+    if (!core_.service<PoisonService>("poison").admit(run.digest)) {
         run.home->release(run.id, run.server, Duration(0));
         run.setNotRun("request-ends-servers", Millis(0));
         return false;
@@ -314,6 +313,7 @@
         pollQueue(*run.home);
         return mayRetry(run);
     }
+    core_.service<PoisonService>("poison").noteCompleted(run.digest);
     const bool fault = isServerFault(response->status);
     if (fault) {
         run.home->addEvidence(run.server, Evidence::Failed, now);
@@ -345,7 +345,7 @@
         return run.reply;
     }
     run.home = home->second.get();
-    run.digest = requestDigest(exec.service, exec.request);
+    run.digest = requestDigest(exec.service, exec.request, exec.customer);
     run.deadline = core_.clock.now() + exec.remaining;
     budgets_[exec.service].noteAttempt();
     ++running_;
--- a/src/node/PoisonService.cpp
+++ b/src/node/PoisonService.cpp
@@ -15,12 +15,14 @@
 {
     if (const std::optional<PoisonDeath> death = poisonDeathFrom(record)) {
         registry_.noteDeath(death->digest, death->server);
+    } else if (const std::optional<std::uint64_t> completed = completedDigestFrom(record)) {
+        registry_.noteCompleted(*completed);
     }
 }
 
 void PoisonService::noteDeath(std::uint64_t digest, const std::string &server)
 {
-    if (!registry_.noteDeath(digest, server)) {
+    if (!registry_.noteDeath(digest, server, CrashOrigin::Local)) {
         return;
     }
     core_.events.write(
@@ -31,9 +33,26 @@
     broadcast_(record);
 }
 
-bool PoisonService::mustRefuse(std::uint64_t digest) const
+void PoisonService::noteCompleted(std::uint64_t digest)
 {
-    return registry_.mustRefuse(digest);
+    if (!registry_.noteCompleted(digest)) {
+        return;
+    }
+    core_.events.write(Severity::Info, "suspected_request_completed", {{"digest", hexText(digest)}});
+    broadcast_(completionRecord(digest, core_.clock.wallNow()));
+}
+
+bool PoisonService::admit(std::uint64_t digest)
+{
+    if (!registry_.mustRefuse(digest)) {
+        return true;
+    }
+    if (!registry_.takeTrial(digest)) {
+        return false;
+    }
+    core_.events.write(Severity::Info, "refused_request_tried",
+                       {{"digest", hexText(digest)}, {"deaths", std::to_string(registry_.deaths(digest))}});
+    return true;
 }
 
 std::size_t PoisonService::deaths(std::uint64_t digest) const
--- a/src/node/PoisonService.h
+++ b/src/node/PoisonService.h
@@ -25,7 +25,10 @@
     void applyRecord(const Record &record);
     /** Records that a server died while it ran the request with @p digest. @p server includes its incarnation. */
     void noteDeath(std::uint64_t digest, const std::string &server);
-    bool mustRefuse(std::uint64_t digest) const;
+    /** Records that a server completed the request with @p digest, and tells the other nodes if it was suspected. */
+    void noteCompleted(std::uint64_t digest);
+    /** Returns true if the request may be sent to a server: it is not refused, or its next trial is due here. */
+    bool admit(std::uint64_t digest);
     std::size_t deaths(std::uint64_t digest) const;
     void expire();
 
--- a/src/poison/PoisonRegistry.cpp
+++ b/src/poison/PoisonRegistry.cpp
@@ -2,41 +2,64 @@
 
 #include "include/base/Ids.h"
 
-#include <algorithm>
 #include <charconv>
+#include <string_view>
 
 namespace waxwing {
 
 namespace {
+
 constexpr char separator = '/';
+
+RecordVersion versionAt(WallTime at)
+{
+    return RecordVersion{static_cast<std::uint64_t>(millisOf(at.time_since_epoch()).count()), 0};
 }
 
-std::uint64_t requestDigest(const std::string &service, const HttpRequest &request)
+/** Returns the digest that @p text consists of, or nothing if there is anything else in it. */
+std::optional<std::uint64_t> digestFrom(std::string_view text)
 {
-    const std::uint64_t head = stableHash(service + "\n" + request.method + "\n" + request.target);
-    return stableHash(request.body, head);
+    std::uint64_t digest = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), digest, 16);
+    const bool isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    return isWhole ? std::optional<std::uint64_t>(digest) : std::nullopt;
+}
+
+} // namespace
+
+std::uint64_t requestDigest(const std::string &service, const HttpRequest &request, const std::string &customer)
+{
+    std::string head = service;
+    head.append("\n").append(request.method).append("\n").append(request.target);
+    if (!customer.empty()) {
+        head.append("\n").append(customer);
+    }
+    return stableHash(request.body, stableHash(head));
 }
 
 Record toRecord(const PoisonDeath &death, WallTime at)
 {
-    const auto ms = millisOf(at.time_since_epoch()).count();
-    return Record{RecordKind::Poison,
-                  hexText(death.digest) + separator + death.server,
-                  RecordVersion{static_cast<std::uint64_t>(ms), 0},
-                  {}};
+    return Record{RecordKind::Poison, hexText(death.digest) + separator + death.server, versionAt(at), {}};
 }
 
 std::optional<PoisonDeath> poisonDeathFrom(const Record &record)
 {
     const std::size_t at = record.key.find(separator);
-    PoisonDeath death;
-    const char *end = record.key.data() + std::min(at, record.key.size());
-    const auto parsed = std::from_chars(record.key.data(), end, death.digest, 16);
-    if (record.kind != RecordKind::Poison || at == std::string::npos || parsed.ec != std::errc() || parsed.ptr != end) {
+    if (record.kind != RecordKind::Poison || at == std::string::npos) {
         return std::nullopt;
     }
-    death.server = record.key.substr(at + 1);
-    return death;
+    const std::optional<std::uint64_t> digest = digestFrom(std::string_view(record.key).substr(0, at));
+    return digest ? std::optional<PoisonDeath>(PoisonDeath{*digest, record.key.substr(at + 1)}) : std::nullopt;
+}
+
+Record completionRecord(std::uint64_t digest, WallTime at)
+{
+    return Record{RecordKind::Poison, hexText(digest), versionAt(at), {}};
+}
+
+std::optional<std::uint64_t> completedDigestFrom(const Record &record)
+{
+    return record.kind == RecordKind::Poison ? digestFrom(record.key) : std::nullopt;
 }
 
 PoisonRegistry::PoisonRegistry(const Clock &clock, Millis retention)
@@ -44,13 +67,22 @@
     , retention_(retention)
 { }
 
-bool PoisonRegistry::noteDeath(std::uint64_t digest, const std::string &server)
+bool PoisonRegistry::noteDeath(std::uint64_t digest, const std::string &server, CrashOrigin origin)
 {
     Entry &entry = entries_[digest];
     entry.lastDeath = clock_.now();
+    entry.lastTried = entry.lastDeath;
+    if (origin == CrashOrigin::Local) {
+        entry.localServers.insert(server);
+    }
     return entry.servers.insert(server).second;
 }
 
+bool PoisonRegistry::noteCompleted(std::uint64_t digest)
+{
+    return entries_.erase(digest) > 0;
+}
+
 std::size_t PoisonRegistry::deaths(std::uint64_t digest) const
 {
     const auto found = entries_.find(digest);
@@ -62,6 +94,25 @@
     return deaths(digest) >= deathsToRefuse;
 }
 
+bool PoisonRegistry::takeTrial(std::uint64_t digest)
+{
+    Entry &entry = entries_.at(digest);
+    // All nodes know the same crashes, so at most one of them finds that the first server was beside it.
+    if (entry.localServers.count(*entry.servers.begin()) == 0) {
+        return false;
+    }
+    Duration delay = firstTrialDelay;
+    for (std::size_t death = deathsToRefuse; death < entry.servers.size() && delay < retention_; ++death) {
+        delay *= trialDelayFactor;
+    }
+    const SteadyTime now = clock_.now();
+    if (now - entry.lastTried < delay) {
+        return false;
+    }
+    entry.lastTried = now;
+    return true;
+}
+
 void PoisonRegistry::expire()
 {
     const SteadyTime now = clock_.now();
--- a/src/sidecar/LocalHome.cpp
+++ b/src/sidecar/LocalHome.cpp
@@ -1,5 +1,6 @@
 #include "src/sidecar/LocalHome.h"
 
+#include "platform/ServerDialect.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/node/PoisonService.h"
@@ -75,6 +76,7 @@
         scheduler_.awaitPoll();
         nestedCalls_.reportServices();
         works_.evictOld();
+        core_.service<PoisonService>("poison").expire();
     }
 }
 
@@ -109,7 +111,7 @@
     return work.keyChecked || !config || !config->requiresKeys;
 }
 
-std::string LocalHome::refusalReason(const Work &work) const
+std::string LocalHome::refusalReason(const Work &work)
 {
     if (std::string closed = closedReason(work.service); !closed.empty()) {
         return closed;
@@ -117,8 +119,8 @@
     if (!isKeyChecked(work)) {
         return "key-not-checked";
     }
-    const bool isPoison = core_.service<PoisonService>("poison").mustRefuse(requestDigest(work.service, work.request));
-    return isPoison ? poisonReason : "";
+    const std::uint64_t digest = requestDigest(work.service, work.request, platform::customerOf(work.request));
+    return core_.service<PoisonService>("poison").admit(digest) ? "" : poisonReason;
 }
 
 WorkReply LocalHome::run(const WorkKey &key, const Work &work, const RunControlPtr &control,
--- a/src/sidecar/LocalHome.h
+++ b/src/sidecar/LocalHome.h
@@ -117,7 +117,7 @@
     /** Observes the stalls of this node while the server works, unless that is done already. */
     void observeStalls();
     /** Returns the reason to refuse a Work that this home must not run; empty if it may be admitted. */
-    std::string refusalReason(const Work &work) const;
+    std::string refusalReason(const Work &work);
     /** Returns false if customers need keys and the sender's build has not checked the key of @p work. */
     bool isKeyChecked(const Work &work) const;
 
--- a/src/sidecar/home/ResponseEvaluator.cpp
+++ b/src/sidecar/home/ResponseEvaluator.cpp
@@ -17,13 +17,20 @@
 /** A timeout counts against the server only after this many times the route's expected work time. */
 constexpr int timeoutWorkFactor = 4;
 
+std::uint64_t digestOf(const Work &work)
+{
+    return requestDigest(work.service, work.request, platform::customerOf(work.request));
+}
+
 } // namespace
 
 ResponseEvaluator::ResponseEvaluator(NodeCore &core, SlotQueue &queue, ServerPresence &server)
     : core_(core)
     , queue_(queue)
     , server_(server)
-{ }
+{
+    server_.setStartHook([this](const Announcement &process) { confirmCrashes(process); });
+}
 
 void ResponseEvaluator::setMemory(ServerMemoryGate &memory)
 {
@@ -49,6 +56,9 @@
     if (memory_ != nullptr && !notRun) {
         memory_->noteCompleted();
     }
+    if (kind == platform::ServerResponse::Answer || kind == platform::ServerResponse::Failure) {
+        core_.service<PoisonService>("poison").noteCompleted(digestOf(job.work));
+    }
     switch (kind) {
     case platform::ServerResponse::Answer:
         queue_.withdrawOverdue(job.id);
@@ -115,10 +125,10 @@
         }
         return;
     }
-    if (memory_ != nullptr && error.failure == ExchangeFailure::Reset) {
+    if (memory_ != nullptr && error.connectionEnded) {
         memory_->noteReset();
     }
-    if (error.failure == ExchangeFailure::Reset && detectCrash(job)) {
+    if (error.connectionEnded && detectCrash(job)) {
         return;
     }
     if (!error.onReusedConnection || error.failure != ExchangeFailure::Reset) {
@@ -137,17 +147,34 @@
 bool ResponseEvaluator::detectCrash(const HomeJob &job)
 {
     // A poison request crashes every server that runs it, and its caller retries it. A crash differs from a broken
-    // connection in that no process listens at the server's address any more.
-    if (!core_.client.hasStoppedListening(core_.settings.server->address)) {
+    // connection in that no process listens at the server's address any more, or another one does.
+    const bool stopped = core_.client.hasStoppedListening(core_.settings.server->address);
+    const Announcement *latest = server_.latest();
+    if (!stopped && (latest == nullptr || latest->incarnation <= job.incarnation)) {
+        suspected_.add(SuspectedCrash{job.reply.server, job.incarnation, digestOf(job.work), core_.clock.now()});
         return false;
     }
-    const std::string server = job.reply.server + "@" + hexText(job.incarnation);
-    core_.service<PoisonService>("poison").noteDeath(requestDigest(job.work.service, job.work.request), server);
-    if (memory_ != nullptr) {
-        memory_->noteCrash(server);
-    }
+    noteCrash(job.reply.server, job.incarnation, digestOf(job.work));
     server_.noteReplaced(job.incarnation, "its process ended");
     return true;
 }
 
+void ResponseEvaluator::noteCrash(const std::string &server, std::uint64_t incarnation, std::uint64_t digest)
+{
+    const std::string process = server + "@" + hexText(incarnation);
+    if (!server_.isLeaving(incarnation)) {
+        core_.service<PoisonService>("poison").noteDeath(digest, process);
+    }
+    if (memory_ != nullptr) {
+        memory_->noteCrash(process);
+    }
+}
+
+void ResponseEvaluator::confirmCrashes(const Announcement &process)
+{
+    for (const SuspectedCrash &crash : suspected_.confirm(process.incarnation, core_.clock.now())) {
+        noteCrash(crash.server, crash.incarnation, crash.digest);
+    }
+}
+
 } // namespace waxwing
--- a/src/sidecar/home/ResponseEvaluator.h
+++ b/src/sidecar/home/ResponseEvaluator.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "include/home/Announcement.h"
+#include "include/poison/SuspectedCrashes.h"
 #include "src/http/HttpClient.h"
 #include "src/sidecar/home/HomeJob.h"
 
@@ -37,12 +39,16 @@
     void addFailure(const HomeJob &job, Duration processingTime);
     /** Returns true, and records a crash by this request, if the server's process ended while it ran the request. */
     bool detectCrash(const HomeJob &job);
+    void noteCrash(const std::string &server, std::uint64_t incarnation, std::uint64_t digest);
+    /** Records the crashes that the start of @p process proves. */
+    void confirmCrashes(const Announcement &process);
 
     NodeCore &core_;
     SlotQueue &queue_;
     ServerPresence &server_;
     /** Null if callers and servers don't read slowly. */
     ServerMemoryGate *memory_ = nullptr;
+    SuspectedCrashes suspected_;
 };
 
 } // namespace waxwing
--- a/src/sidecar/home/ServerPresence.cpp
+++ b/src/sidecar/home/ServerPresence.cpp
@@ -69,6 +69,17 @@
     }
 }
 
+void ServerPresence::setStartHook(std::function<void(const Announcement &)> onStart)
+{
+    onStart_ = std::move(onStart);
+}
+
+bool ServerPresence::isLeaving(std::uint64_t incarnation) const
+{
+    const std::optional<ServerDeparture> &departure = state_.departure();
+    return departure && departure->incarnation >= incarnation;
+}
+
 const Announcement *ServerPresence::serving() const
 {
     return state_.serving();
@@ -104,6 +115,9 @@
         core_.events.write(Severity::Info, change == ServerChange::Started ? "server_serves" : "server_leaves",
                            {{"server", latest == nullptr ? "" : latest->server}, {"cause", cause}});
     }
+    if (change == ServerChange::Started && onStart_) {
+        onStart_(*state_.serving());
+    }
     scheduler_.poll();
 }
 
--- a/src/sidecar/home/ServerPresence.h
+++ b/src/sidecar/home/ServerPresence.h
@@ -5,6 +5,7 @@
 #include "src/sidecar/home/DepartureStore.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -41,6 +42,10 @@
      * no work. @p cause: for the log.
      */
     void noteReplaced(std::uint64_t incarnation, const std::string &cause);
+    /** Sets a hook that is called when a process begins to accept work. @pre called once, before the first call. */
+    void setStartHook(std::function<void(const Announcement &)> onStart);
+    /** Returns true if the process @p incarnation has given notice that it leaves, so that its end is no crash. */
+    bool isLeaving(std::uint64_t incarnation) const;
     /** Returns the process that accepts work, or null. The pointer is valid until the next heartbeat. */
     const Announcement *serving() const;
     /** Returns the newest process known, in whatever state, or null. The pointer is valid until the next heartbeat. */
@@ -61,6 +66,7 @@
     LocalServerState state_;
     DepartureStore departures_;
     bool storesDepartures_ = false;
+    std::function<void(const Announcement &)> onStart_;
 };
 
 } // namespace waxwing
--- a/tests/unit/ResponseEvaluatorTest.cpp
+++ b/tests/unit/ResponseEvaluatorTest.cpp
@@ -12,6 +12,8 @@
 #include "tests/support/ScriptedServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <doctest/doctest.h>
 
@@ -226,6 +228,151 @@
     CHECK(queue_.hasServer());
 }
 
+namespace {
+
+/** A server that sends the first bytes of a response and then ends its connection. */
+class CrashingServer : protected EvaluatingHome
+{
+protected:
+    CrashingServer()
+    {
+        accept();
+    }
+
+    void accept()
+    {
+        listener_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (!error) {
+                accepted_.push_back(std::move(socket));
+                accept();
+            }
+        });
+    }
+
+    /** Sends a work, and @c sent in response to it, and ends the connection. Calls @p onEnd before the next event. */
+    HomeJob &runWithResponse(const std::function<void()> &onEnd)
+    {
+        HomeJob &job = start();
+        bool ended = false;
+        spawnFiber([&] {
+            exchange_.run(job);
+            ended = true;
+        });
+        REQUIRE(runUntil([&] { return accepted_.size() == 1 && accepted_.front().available() > 0; }));
+        tcp::socket &connection = accepted_.front();
+        std::string request(connection.available(), ' ');
+        boost::asio::read(connection, boost::asio::buffer(request));
+        boost::asio::write(connection, boost::asio::buffer(sent_));
+        if (resets_) {
+            connection.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        connection.close();
+        onEnd();
+        REQUIRE(runUntil([&] { return ended; }));
+        return job;
+    }
+
+    std::size_t deaths() const
+    {
+        return poison_.deaths(requestDigest(work_.service, work_.request));
+    }
+
+    std::deque<tcp::socket> accepted_;
+    std::string sent_;
+    bool resets_ = false;
+};
+
+} // namespace
+
+// Guards against a request that crashes server after server because each one had begun to respond.
+TEST_CASE_FIXTURE(CrashingServer, "response evaluator, server crashes within its response, counts against the request")
+{
+    SUBCASE("reset before the response")
+    {
+        resets_ = true;
+    }
+    SUBCASE("connection closed before the response")
+    { }
+    SUBCASE("connection closed within the headers")
+    {
+        sent_ = "HTTP/1.1 200 OK\r\nX-Head";
+    }
+    SUBCASE("connection closed within a body of known length")
+    {
+        sent_ = "HTTP/1.1 200 OK\r\nContent-Length: 600\r\n\r\npart";
+    }
+    SUBCASE("connection closed between two chunks")
+    {
+        sent_ = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    }
+    const HomeJob &job = runWithResponse([this] { listener_.close(); });
+    CHECK(job.reply.outcome == Outcome::Unknown);
+    CHECK(deaths() == 1);
+    CHECK(server_.serving() == nullptr);
+}
+
+// Guards against a request that is refused because a server that lives on sends truncated responses.
+TEST_CASE_FIXTURE(CrashingServer, "response evaluator, server truncates its response and lives, is no crash")
+{
+    sent_ = "HTTP/1.1 200 OK\r\nContent-Length: 600\r\n\r\npart";
+    const HomeJob &job = runWithResponse([] {});
+    CHECK(job.reply.reason == "server-cut");
+    CHECK(deaths() == 0);
+    CHECK(server_.serving() != nullptr);
+}
+
+// Guards against a crash that is missed because the server is back before its port is found closed.
+TEST_CASE_FIXTURE(CrashingServer, "response evaluator, server restarts at once, counts against the request")
+{
+    sent_ = "HTTP/1.1 200 OK\r\nContent-Length: 600\r\n\r\npart";
+    SUBCASE("registers during the check")
+    {
+        runWithResponse([this] { registerServer(secondProcess); });
+    }
+    SUBCASE("registers after the check")
+    {
+        runWithResponse([] {});
+        REQUIRE(deaths() == 0);
+        registerServer(secondProcess);
+    }
+    CHECK(deaths() == 1);
+    REQUIRE(server_.serving() != nullptr);
+    CHECK(server_.serving()->incarnation == secondProcess);
+}
+
+// Guards against requests that are refused because servers were replaced while they ran.
+TEST_CASE_FIXTURE(CrashingServer, "response evaluator, server that has given notice ends, is no crash")
+{
+    const HomeJob &job = runWithResponse([this] {
+        const std::string target = std::string(platform::names::serverCalls) + "i-1/" + platform::names::leaveCall;
+        REQUIRE(server_.handleCall(HttpRequest{"POST", target, {}, R"({"born":100})"})->status == 200);
+        listener_.close();
+    });
+    CHECK(job.reply.outcome == Outcome::Unknown);
+    CHECK(deaths() == 0);
+}
+
+// Guards against a suspicion that outlives the proof that the request does not crash servers.
+TEST_CASE_FIXTURE(EvaluatingHome, "response evaluator, suspected request completes, is cleared")
+{
+    poison_.noteDeath(requestDigest(work_.service, work_.request), "i-9@1");
+    SUBCASE("success")
+    {
+        evaluator_.evaluate(start(), response(200, platform::names::signature), usualWork);
+        CHECK(poison_.deaths(requestDigest(work_.service, work_.request)) == 0);
+    }
+    SUBCASE("failure response")
+    {
+        evaluator_.evaluate(start(), response(serverError, platform::names::signature), usualWork);
+        CHECK(poison_.deaths(requestDigest(work_.service, work_.request)) == 0);
+    }
+    SUBCASE("not run")
+    {
+        evaluator_.evaluate(start(), response(unavailable, platform::names::notRun), usualWork);
+        CHECK(poison_.deaths(requestDigest(work_.service, work_.request)) == 1);
+    }
+}
+
 // Guards against an unsafe request that is reported as not run although it runs, and is then sent again.
 TEST_CASE_FIXTURE(EvaluatingHome,
                   "server exchange, late copy of a rejection, is not taken for the second send's response")
