Hold each body once and bound the bodies of a process by its memory

Callers saw: one POST of 64 MiB, as large as the configuration allows, takes the node to 266 MiB on a VM with 260.

Cause: the body was in memory four times (job, work, copy with the server's headers, message to write), and nothing bounded the sum over requests without the contract for slow readers.

Change: Body shares the bytes with all copies, and messages are written from it. MemoryBudget bounds all bodies to 60% of limits.memoryMegabytes, less where the process itself needs more than 30% (MemoryWatch). A body without room is refused with 503 and Retry-After before it is read; an eighth is kept for small bodies. A body above 8 MiB for a server on another VM is refused at once and its link stays open.

--- a/include/base/HttpMessage.h
+++ b/include/base/HttpMessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "include/base/Body.h"
+
 #include <string>
 #include <string_view>
 #include <utility>
@@ -14,14 +16,14 @@
     std::string method = "GET";
     std::string target = "/";
     HeaderList headers;
-    std::string body;
+    Body body;
 };
 
 /** A complete HTTP response, independent of a connection. */
 struct HttpResponse {
     unsigned status = 200;
     HeaderList headers;
-    std::string body;
+    Body body;
 };
 
 /** Returns the first value of @p name (case-insensitive), or an empty view. Thread safe. */
--- a/include/settings/NodeSettings.h
+++ b/include/settings/NodeSettings.h
@@ -26,6 +26,10 @@
 
 /** Limits on memory, traffic and object API calls. A running node reloads them when its settings file changes. */
 struct NodeLimits {
+    static constexpr std::uint32_t minMemoryMegabytes = 32;
+
+    /** Memory of the process; the platform may kill one that exceeds it. */
+    std::uint32_t memoryMegabytes = 256;
     std::uint64_t bodyBytes = 1024UL * 1024;
     std::uint32_t headerBytes = 16 * 1024;
     std::uint32_t callerConnections = 20000;
--- a/include/wire/Messages.h
+++ b/include/wire/Messages.h
@@ -348,7 +348,7 @@
     /** Time since the sender's configuration was proven to be the newest; nothing if it never was. */
     std::optional<Millis> provenAge;
     /** The configuration as of deflateDocument(), instead of @c config; only if the request accepts it. */
-    std::string deflatedConfig;
+    Body deflatedConfig;
     /** What has changed in the registry since the revision in the request. An older build neither sends nor uses it. */
     std::optional<RegistryChanges> registryChanges;
 };
@@ -398,7 +398,7 @@
                  QuotaLoanReply, SlotReserve, SlotOffer, SlotRelease, HomeReports>;
 
 /** Returns the body of the HTTP request or response in @p message, or null if it has none. Thread safe. */
-std::string *bodyOf(Message &message);
+Body *bodyOf(Message &message);
 /** Encodes @p message as CBOR. Thread safe. */
 std::string encodeMessage(const Message &message);
 /** Decodes one message. Errors: Malformed, unless @p bytes are exactly one message of this version. Thread safe. */
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
+#include <charconv>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -22,8 +23,16 @@
 constexpr int exitListen = 4;
 constexpr int exitUncleanStop = 5;
 
-std::optional<NodeSettings> readSettings(const std::string &path)
+/** What the command line states. */
+struct Arguments {
+    std::string path;
+    /** Goes before the settings file, because a platform may know it only where it starts the process. */
+    std::optional<std::uint32_t> memoryMegabytes;
+};
+
+std::optional<NodeSettings> readSettings(const Arguments &arguments)
 {
+    const std::string &path = arguments.path;
     std::ifstream file(path);
     if (!file) {
         std::cerr << path << ": can't be read\n";
@@ -40,9 +49,23 @@
         }
         return std::nullopt;
     }
+    settings.limits.memoryMegabytes = arguments.memoryMegabytes.value_or(settings.limits.memoryMegabytes);
     return settings;
 }
 
+/** Reads the value of --memory-megabytes. Returns false if it is not a memory size that a process can work with. */
+bool readMemory(const std::string &text, Arguments &arguments)
+{
+    if (text.empty()) {
+        return true;
+    }
+    std::uint32_t megabytes = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), megabytes);
+    arguments.memoryMegabytes = megabytes;
+    return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size()
+           && megabytes >= NodeLimits::minMemoryMegabytes;
+}
+
 /**
  * Returns the wall time in microseconds, which grows with each start. A counter would need state that a VM doesn't keep
  * across starts.
@@ -72,11 +95,11 @@
 class SettingsWatch
 {
 public:
-    SettingsWatch(boost::asio::io_context &ioContext, AnyNode &node, std::string path)
+    SettingsWatch(boost::asio::io_context &ioContext, AnyNode &node, Arguments arguments)
         : ioContext_(ioContext)
         , node_(node)
-        , path_(std::move(path))
-        , lastContent_(readFile(path_))
+        , arguments_(std::move(arguments))
+        , lastContent_(readFile(arguments_.path))
     { }
 
     void poll()
@@ -89,12 +112,12 @@
 
     void reloadIfChanged()
     {
-        std::string content = readFile(path_);
+        std::string content = readFile(arguments_.path);
         if (content == lastContent_) {
             return;
         }
         lastContent_ = std::move(content);
-        if (const std::optional<NodeSettings> changed = readSettings(path_)) {
+        if (const std::optional<NodeSettings> changed = readSettings(arguments_)) {
             node_.reload(*changed);
         }
     }
@@ -102,12 +125,12 @@
 private:
     boost::asio::io_context &ioContext_;
     AnyNode &node_;
-    std::string path_;
+    Arguments arguments_;
     std::string lastContent_;
 };
 
 template<typename AnyNode>
-[[noreturn]] void runNode(const std::string &path, const NodeSettings &settings)
+[[noreturn]] void runNode(const Arguments &arguments, const NodeSettings &settings)
 {
     boost::asio::io_context ioContext(1);
     installFiberScheduler(ioContext);
@@ -124,7 +147,7 @@
             (*node)->flushLog();
         }
     });
-    SettingsWatch<AnyNode> watch(ioContext, **node, path);
+    SettingsWatch<AnyNode> watch(ioContext, **node, arguments);
     spawnFiber([&watch] { watch.poll(); });
     boost::asio::signal_set signals(ioContext, SIGTERM, SIGINT, SIGHUP);
     while (true) {
@@ -154,9 +177,14 @@
     po::options_description options("waxwingd: one node of the fleet\n"
                                     "exit: 0 stopped cleanly, 2 usage, 3 settings, 4 can't listen, 5 requests were "
                                     "still running at the end of the stop");
-    options.add_options()("help,h", "print this")("settings,s", po::value<std::string>(),
-                                                  "settings file (JSON with comments)")("check",
-                                                                                        "only check the settings");
+    // clang-format off
+    options.add_options()
+        ("help,h", "print this")
+        ("settings,s", po::value<std::string>(), "settings file (JSON with comments)")
+        ("memory-megabytes", po::value<std::string>(), "memory of the process, in place of limits.memoryMegabytes; "
+                                                       "empty: as in the settings")
+        ("check", "only check the settings");
+    // clang-format on
     po::variables_map values;
     try {
         po::store(po::parse_command_line(argc, argv, options), values);
@@ -172,8 +200,14 @@
         std::cerr << options;
         return exitUsage;
     }
-    const std::string path = values["settings"].as<std::string>();
-    const std::optional<NodeSettings> settings = readSettings(path);
+    Arguments arguments;
+    arguments.path = values["settings"].as<std::string>();
+    if (values.count("memory-megabytes") != 0 && !readMemory(values["memory-megabytes"].as<std::string>(), arguments)) {
+        std::cerr << "--memory-megabytes: must be a whole number of at least " << NodeLimits::minMemoryMegabytes
+                  << "\n";
+        return exitUsage;
+    }
+    const std::optional<NodeSettings> settings = readSettings(arguments);
     if (!settings) {
         return exitSettings;
     }
@@ -183,7 +217,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     setUpLogging();
     if (settings->server) {
-        runNode<SidecarNode>(path, *settings);
+        runNode<SidecarNode>(arguments, *settings);
     }
-    runNode<Node>(path, *settings);
+    runNode<Node>(arguments, *settings);
 }
--- a/src/http/BudgetedBody.h
+++ b/src/http/BudgetedBody.h
@@ -13,7 +13,7 @@
 
 /**
  * Beast body that asks before it grows. Unlike the library's string body it reserves nothing for an announced length,
- * because a faulty peer may announce any length.
+ * because a faulty peer may announce any length, unless the owner states how large the text may become.
  */
 struct BudgetedBody {
     // Beast requires the names of both types.
@@ -21,8 +21,16 @@
         std::string text;
         /** Called with the number of bytes before each growth; false fails the message with body_limit. */
         std::function<bool(std::uint64_t)> mayGrow;
+        /**
+         * Largest size of the text; 0: not known. A large text allocates this at once, because one that doubles its
+         * capacity is in memory twice while it is copied. Pages that are never written take no memory.
+         */
+        std::size_t maxBytes = 0;
     };
 
+    /** A text of at least this size is large. */
+    static constexpr std::size_t largeBytes = 256UL * 1024;
+
     class reader // NOLINT(readability-identifier-naming)
     {
     public:
@@ -45,6 +53,9 @@
                 return 0;
             }
             error = {};
+            if (value_.text.size() + size >= largeBytes && value_.text.capacity() < value_.maxBytes) {
+                value_.text.reserve(value_.maxBytes);
+            }
             for (auto part = boost::asio::buffer_sequence_begin(buffers);
                  part != boost::asio::buffer_sequence_end(buffers); ++part) {
                 value_.text.append(static_cast<const char *>(part->data()), part->size());
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <charconv>
 #include <optional>
@@ -67,9 +68,12 @@
     return parseError && error != http::error::end_of_stream ? ExchangeFailure::Malformed : ExchangeFailure::Reset;
 }
 
-http::request<http::string_body> toBeast(const Endpoint &endpoint, const HttpRequest &request)
+using RequestMessage = http::request<http::span_body<const char>>;
+
+/** Returns a message that refers to the body of @p request, whose bytes must outlive it. */
+RequestMessage toBeast(const Endpoint &endpoint, const HttpRequest &request)
 {
-    http::request<http::string_body> message;
+    RequestMessage message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
@@ -81,7 +85,7 @@
     if (message.find(http::field::host) == message.end()) {
         message.set(http::field::host, endpoint.text());
     }
-    message.body() = request.body;
+    message.body() = {request.body.text().data(), request.body.size()};
     message.prepare_payload();
     return message;
 }
@@ -259,6 +263,11 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::setMemory(MemoryBudgetPtr memory)
+{
+    memory_ = std::move(memory);
+}
+
 HttpClient::ConnectionPtr HttpClient::takeIdle(const Endpoint &endpoint, const ExchangeOptions &options)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -350,7 +359,8 @@
                 response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
             }
         }
-        response.body = std::move(message.body().text);
+        const std::size_t size = message.body().text.size();
+        response.body = Body(std::move(message.body().text), memory_ ? memory_->add(size) : nullptr);
         const ResponseMatch match = options.matchResponse ? options.matchResponse(response) : ResponseMatch::Matches;
         const bool matchesRequest = connection.history.identifies(match);
         // Surplus bytes or a response to another request: later responses may not match their requests either.
@@ -426,11 +436,13 @@
     }
     // The write runs while this fiber reads and may outlast it, so its handler owns the connection and the message.
     struct Writing {
-        http::request<http::string_body> message;
+        RequestMessage message;
+        Body body;
         bool done = false;
     };
     const auto writing = std::make_shared<Writing>();
     writing->message = toBeast(endpoint, request);
+    writing->body = request.body;
     connection->history.add(options.requestId);
     http::async_write(connection->stream, writing->message,
                       [writing, connection](beast::error_code error, std::size_t) { writing->done = !error; });
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "include/base/Clock.h"
 #include "include/base/HttpMessage.h"
+#include "include/flow/MemoryBudget.h"
 #include "include/flow/ReadBudget.h"
 #include "include/settings/NodeSettings.h"
 #include "src/http/ConnectionHistory.h"
@@ -102,6 +103,8 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
+    /** Charges the bodies of responses to @p memory. @pre called before the first exchange. */
+    void setMemory(MemoryBudgetPtr memory);
     /** Sends @p request and returns the complete response. @pre called from a fiber; @p timeout > 0. */
     tl::expected<HttpResponse, ExchangeError> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                                        Duration timeout, ExchangeCancel *cancel = nullptr);
@@ -136,6 +139,8 @@
 
     boost::asio::io_context &ioContext_;
     ReadBudget readBudget_;
+    /** Null if the bytes of bodies are not bounded. */
+    MemoryBudgetPtr memory_;
     /** The connections on which responses are being read. */
     std::map<ReadBudget::Id, Connection *> reading_;
     std::map<Endpoint, std::vector<ConnectionPtr>> idle_;
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -23,14 +23,18 @@
  */
 constexpr std::size_t maxReadAhead = 64UL * 1024;
 /**
- * After the last response, remaining input is read for this long and up to this size: closing a connection with unread
- * bytes resets it, and the reset may overtake the response.
+ * After the last response, remaining input is read for this long and up to this size beyond one body: closing a
+ * connection with unread bytes resets it, and the reset may overtake the response.
  */
 constexpr Millis lingerTime{500};
 constexpr std::size_t lingerBytes = 1024UL * 1024;
 constexpr unsigned badRequest = 400;
 constexpr unsigned tooLarge = 413;
 constexpr unsigned headersTooLarge = 431;
+constexpr unsigned unavailable = 503;
+constexpr const char *noMemoryReason = "no memory for the body";
+/** A body that was accepted is read and run within about this time. */
+constexpr Millis noMemoryRetryAfter{1000};
 /** For waits that end only with a notification; they are in loops and start again after this time. */
 constexpr Duration noTimeout = std::chrono::hours(1);
 
@@ -40,7 +44,7 @@
 }
 
 /** Returns why a message that the parser accepts must not be served; empty if it may be. */
-std::string requestError(const http::request<http::string_body> &message)
+std::string requestError(const http::request<BudgetedBody> &message)
 {
     const auto hosts = message.count(http::field::host);
     if (message.version() >= 11 && hosts != 1) {
@@ -61,7 +65,7 @@
  * Converts the absolute form of a target ("http://host/path") to the origin form, and keeps the origin form and "*".
  * Returns false for any other target.
  */
-bool toOriginForm(http::request<http::string_body> &message)
+bool toOriginForm(http::request<BudgetedBody> &message)
 {
     const std::string target(message.target());
     const std::string scheme = "http://";
@@ -78,7 +82,7 @@
     return true;
 }
 
-HttpRequest fromBeast(http::request<http::string_body> message)
+HttpRequest fromBeast(http::request<BudgetedBody> message, MemoryBudget::ChargePtr charge)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -86,13 +90,14 @@
     for (const auto &field : message) {
         request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
-    request.body = std::move(message.body());
+    request.body = Body(std::move(message.body().text), std::move(charge));
     return request;
 }
 
-http::response<http::string_body> toBeast(HttpReply reply, bool keepAlive)
+/** Returns a message that refers to the body of @p reply, which must outlive it. */
+http::response<http::span_body<const char>> toBeast(const HttpReply &reply, bool keepAlive)
 {
-    http::response<http::string_body> message;
+    http::response<http::span_body<const char>> message;
     message.version(11);
     message.result(reply.response.status);
     for (const auto &[name, value] : reply.response.headers) {
@@ -101,10 +106,11 @@
         }
     }
     message.keep_alive(keepAlive);
-    message.body() = std::move(reply.response.body);
+    const std::string &body = reply.response.body.text();
+    message.body() = {body.data(), body.size()};
     message.prepare_payload();
     if (reply.after == AfterResponse::TruncateBody) {
-        message.body().resize(message.body().size() / 2);
+        message.body() = {body.data(), body.size() / 2};
     }
     return message;
 }
@@ -137,7 +143,7 @@
 void HttpConnection::readAhead()
 {
     // Checked here too, because onInput() starts the next read itself while the fiber that discards waits for its turn.
-    const bool enough = discarding_ ? discarded_ >= lingerBytes : input_.size() >= maxReadAhead;
+    const bool enough = discarding_ ? discarded_ >= maxDiscardedBytes() : input_.size() >= maxReadAhead;
     if (reading_ || inputEnded_ || enough) {
         return;
     }
@@ -148,6 +154,12 @@
                             });
 }
 
+std::size_t HttpConnection::maxDiscardedBytes() const
+{
+    // The caller of a request that was refused by its headers may read the response only after it has sent the body.
+    return lingerBytes + server_->limits.bodyBytes;
+}
+
 void HttpConnection::onInput(boost::system::error_code error, std::size_t bytes)
 {
     reading_ = false;
@@ -232,7 +244,7 @@
     return takesRequests();
 }
 
-void HttpConnection::reject(unsigned status, const std::string &message)
+void HttpConnection::reject(unsigned status, const std::string &message, Millis retryAfter)
 {
     if (server_->onReject) {
         server_->onReject(message);
@@ -240,6 +252,10 @@
     requestsDone_ = true;
     HttpReply reply{jsonResponse(status, "{\"error\":\"" + message + "\"}\n"), AfterResponse::Close};
     reply.response.headers.emplace_back("Waxwing-Outcome", "not-run");
+    if (retryAfter > Millis(0)) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(retryAfter);
+        reply.response.headers.emplace_back("Retry-After", std::to_string(seconds.count()));
+    }
     const auto exchange = std::make_shared<Exchange>();
     exchange->watch = std::make_shared<CallerWatch>();
     exchanges_.push_back(exchange);
@@ -258,9 +274,58 @@
     }
 }
 
+void HttpConnection::rejectParseError(const boost::system::error_code &error)
+{
+    if (error == http::error::body_limit) {
+        reject(tooLarge, error.message());
+    } else {
+        reject(error == http::error::header_limit ? headersTooLarge : badRequest, error.message());
+    }
+}
+
+bool HttpConnection::chargeBody(RequestParser &parser, IncomingBody &body) const
+{
+    if (!server_->memory) {
+        return true;
+    }
+    const std::uint64_t announced = parser.content_length().value_or(0);
+    body.charge = server_->memory->reserve(announced);
+    if (!body.charge) {
+        return false;
+    }
+    parser.get().body().maxBytes = announced;
+    if (parser.chunked()) {
+        // The length of a body in chunks is known only at its end.
+        parser.get().body().maxBytes = server_->limits.bodyBytes;
+        parser.get().body().mayGrow = [&body](std::uint64_t bytes) {
+            body.isRefused = !body.charge->grow(bytes);
+            return !body.isRefused;
+        };
+    }
+    return true;
+}
+
+bool HttpConnection::acceptHeaders(RequestParser &parser, IncomingBody &body)
+{
+    const std::string fault = requestError(parser.get());
+    if (!fault.empty() || !toOriginForm(parser.get())) {
+        reject(badRequest, fault.empty() ? "malformed target" : fault);
+        return false;
+    }
+    if (!chargeBody(parser, body)) {
+        reject(unavailable, noMemoryReason, noMemoryRetryAfter);
+        return false;
+    }
+    if (!parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        confirmContinue();
+    }
+    return true;
+}
+
 std::optional<HttpConnection::ReadRequest> HttpConnection::readRequest()
 {
-    http::request_parser<http::string_body> parser;
+    IncomingBody body;
+    RequestParser parser;
     parser.header_limit(server_->limits.headerBytes);
     parser.body_limit(server_->limits.bodyBytes);
     SteadyTime until = now() + server_->limits.headerTimeout;
@@ -269,21 +334,18 @@
         beast::error_code error;
         input_.consume(parser.put(input_.data(), error));
         if (error && error != http::error::need_more) {
-            const bool tooLong = error == http::error::header_limit;
-            reject(error == http::error::body_limit ? tooLarge : (tooLong ? headersTooLarge : badRequest),
-                   error.message());
+            if (body.isRefused) {
+                reject(unavailable, noMemoryReason, noMemoryRetryAfter);
+            } else {
+                rejectParseError(error);
+            }
             return std::nullopt;
         }
         if (parser.is_header_done() && !headerSeen) {
             headerSeen = true;
-            const std::string fault = requestError(parser.get());
-            if (!fault.empty() || !toOriginForm(parser.get())) {
-                reject(badRequest, fault.empty() ? "malformed target" : fault);
+            if (!acceptHeaders(parser, body)) {
                 return std::nullopt;
             }
-            if (!parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-                confirmContinue();
-            }
             until = now() + server_->limits.messageTimeout;
             parser.eager(true);
             continue;
@@ -294,7 +356,7 @@
     }
     readAhead();
     const bool last = !parser.get().keep_alive();
-    return ReadRequest{fromBeast(parser.release()), last};
+    return ReadRequest{fromBeast(parser.release(), std::move(body.charge)), last};
 }
 
 void HttpConnection::start(HttpRequest request)
@@ -387,14 +449,14 @@
 
 bool HttpConnection::write(const ExchangePtr &exchange, bool keepAlive)
 {
-    HttpReply reply = std::move(exchange->reply);
+    const HttpReply reply = std::move(exchange->reply);
     if (reply.after == AfterResponse::Reset) {
         reset();
         return false;
     }
     const bool truncate = reply.after == AfterResponse::TruncateBody;
-    const auto message = toBeast(std::move(reply), keepAlive);
-    http::response_serializer<http::string_body> serializer(message);
+    const Response message = toBeast(reply, keepAlive);
+    Serializer serializer(message);
     while (!serializer.is_done()) {
         // Most responses fit into the socket buffer at once, and then need neither a timer nor a turn of the event
         // loop.
@@ -480,7 +542,7 @@
     const SteadyTime until = now() + lingerTime;
     // Reads and drops remaining input. Unread input would turn the close into a reset, which may destroy the last
     // response in transit.
-    while (responsesDone_ && !inputEnded_ && discarded_ < lingerBytes && now() < until) {
+    while (responsesDone_ && !inputEnded_ && discarded_ < maxDiscardedBytes() && now() < until) {
         readAhead();
         notifier_.wait(server_->ioContext, until - now());
     }
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "src/fiber/FiberNotifier.h"
+#include "src/http/BudgetedBody.h"
 #include "src/http/HttpServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <array>
 #include <deque>
@@ -23,6 +25,8 @@
     HttpServer::RejectHook onReject;
     /** Null if the bytes held for slow readers are not bounded. */
     std::shared_ptr<ResponseFlow> flow;
+    /** Null if the bytes of bodies are not bounded. */
+    MemoryBudgetPtr memory;
     /** Requests that were read and have no response yet. */
     std::size_t inFlight = 0;
     /** Each connection closes after the responses to the requests that it has read, or after its next request. */
@@ -58,17 +62,28 @@
         /** Bytes of its request or response body held in memory. */
         std::size_t bytes = 0;
     };
+    /** What a body that is being read holds of the memory budget. */
+    struct IncomingBody {
+        MemoryBudget::ChargePtr charge;
+        /** The body has grown beyond the budget. */
+        bool isRefused = false;
+    };
     struct ReadRequest {
         HttpRequest request;
         /** The response to this request is the last one that the caller expects. */
         bool last = false;
     };
     using ExchangePtr = std::shared_ptr<Exchange>;
-    using Serializer = boost::beast::http::response_serializer<boost::beast::http::string_body>;
+    /** A response whose body stays where it is: large ones are not copied. */
+    using Response = boost::beast::http::response<boost::beast::http::span_body<const char>>;
+    using Serializer = boost::beast::http::response_serializer<Response::body_type>;
+    using RequestParser = boost::beast::http::request_parser<BudgetedBody>;
 
     /** Starts a read, unless one is in progress or enough is buffered. */
     void readAhead();
     void onInput(boost::system::error_code error, std::size_t bytes);
+    /** Returns how much input is read and dropped after the last response. */
+    std::size_t maxDiscardedBytes() const;
     /** Notifies the handlers that their responses can't be delivered. */
     void onCallerDisconnected();
     /** Waits for more input. Returns false if none has arrived at @p until, or if no more is expected. */
@@ -80,9 +95,14 @@
     /** Returns true if one more request may run. */
     bool hasRoom() const;
     std::optional<ReadRequest> readRequest();
+    /** Checks the headers that were read and charges @p body. Rejects the request and returns false if it can't run. */
+    bool acceptHeaders(RequestParser &parser, IncomingBody &body);
+    /** Charges a body to the memory budget. Returns false if there is no room for it. */
+    bool chargeBody(RequestParser &parser, IncomingBody &body) const;
+    void rejectParseError(const boost::system::error_code &error);
     void confirmContinue();
-    /** Sends an error as the last response of this connection. */
-    void reject(unsigned status, const std::string &message);
+    /** Sends an error as the last response of this connection. @p retryAfter: for the caller; zero: none. */
+    void reject(unsigned status, const std::string &message, Millis retryAfter = Millis(0));
     void start(HttpRequest request);
     void finish(const ExchangePtr &exchange, HttpReply reply);
     /** Adds the response of @p exchange to the server's flow control, if the exchange has a reservation there. */
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -31,7 +31,7 @@
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
     State(boost::asio::io_context &ioContext, Handler handler, HttpLimits limits, RejectHook onReject)
         : shared(std::make_shared<HttpShared>(
-            HttpShared{ioContext, std::move(handler), limits, std::move(onReject), nullptr}))
+            HttpShared{ioContext, std::move(handler), limits, std::move(onReject), nullptr, nullptr}))
         , acceptor(ioContext)
     { }
 
@@ -136,6 +136,11 @@
     state_->shared->flow = std::move(flow);
 }
 
+void HttpServer::setMemory(MemoryBudgetPtr memory)
+{
+    state_->shared->memory = std::move(memory);
+}
+
 void HttpServer::announceClose()
 {
     state_->shared->closing = true;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -3,6 +3,7 @@
 #include "include/base/Clock.h"
 #include "include/base/Error.h"
 #include "include/base/HttpMessage.h"
+#include "include/flow/MemoryBudget.h"
 #include "include/settings/NodeSettings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -98,6 +99,8 @@
     void setLimits(const HttpLimits &limits);
     /** Bounds the bytes that connections hold for slow readers. @pre called before the first connection. */
     void setFlow(std::shared_ptr<ResponseFlow> flow);
+    /** Refuses requests whose bodies exceed @p memory before they are read. @pre called before the first connection. */
+    void setMemory(MemoryBudgetPtr memory);
     /**
      * From now on each connection closes after the responses to the requests that it has read, or an idle one after its
      * next request. The last response announces this. New connections are still accepted.
--- a/src/link/LinkFramer.cpp
+++ b/src/link/LinkFramer.cpp
@@ -22,9 +22,14 @@
 
 } // namespace
 
+void LinkFramer::setChargeHook(ChargeHook chargeBody)
+{
+    chargeBody_ = std::move(chargeBody);
+}
+
 bool LinkFramer::send(Message message, const Write &write)
 {
-    std::string *body = bodyOf(message);
+    Body *body = bodyOf(message);
     if (body == nullptr || body->size() <= maxInlineBytes) {
         return writeMessage(messageFrame, message, write);
     }
@@ -45,7 +50,7 @@
 {
     while (!queue_.empty() && unackedChunks_ < maxUnackedChunks) {
         ChunkedMessage &chunked = queue_.front();
-        if (!write(chunkFrame + chunked.body.substr(chunked.sent, chunkBytes))) {
+        if (!write(chunkFrame + chunked.body.text().substr(chunked.sent, chunkBytes))) {
             return false;
         }
         ++unackedChunks_;
@@ -89,8 +94,9 @@
 
 Expected<std::optional<Message>> LinkFramer::receiveChunk(const std::string &frame, const Write &write)
 {
-    if (receivedBody_.size() + frame.size() > maxMessageBytes) {
-        return fail(ErrorCode::Malformed, "body larger than " + std::to_string(maxMessageBytes) + " bytes");
+    const std::size_t chunkSize = frame.size() - 1;
+    if (receivedBody_.size() + chunkSize > maxBodyBytes) {
+        return fail(ErrorCode::Malformed, "body larger than " + std::to_string(maxBodyBytes) + " bytes");
     }
     receivedBody_.append(frame, 1, std::string::npos);
     if (!write(std::string(1, chunkAckFrame))) {
@@ -110,11 +116,12 @@
         return tl::unexpected<Error>(message.error());
     }
     if (hasBody) {
-        std::string *body = bodyOf(*message);
+        Body *body = bodyOf(*message);
         if (body == nullptr || receivedBody_.empty()) {
             return fail(ErrorCode::Malformed, "message and preceding body chunks do not match");
         }
-        *body = std::move(receivedBody_);
+        const std::size_t size = receivedBody_.size();
+        *body = Body(std::move(receivedBody_), chargeBody_ ? chargeBody_(size) : nullptr);
         receivedBody_.clear();
     }
     return std::optional<Message>(std::move(*message));
--- a/src/link/LinkFramer.h
+++ b/src/link/LinkFramer.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -25,6 +26,14 @@
 public:
     /** Writes one frame; returns false if the write failed. */
     using Write = std::function<bool(const std::string &frame)>;
+    /** Returns what a received body of a number of bytes holds elsewhere until it is destroyed. */
+    using ChargeHook = std::function<std::shared_ptr<const void>(std::size_t bytes)>;
+
+    /** Largest body of a message. The receiver of a larger one closes the link. */
+    static constexpr std::size_t maxBodyBytes = 8UL * 1024 * 1024 - 1;
+
+    /** Sets a hook for bodies that are received in chunks. */
+    void setChargeHook(ChargeHook chargeBody);
 
     /**
      * Sends @p message. Returns false if a frame could not be written; the link must be closed then, since the peer
@@ -43,7 +52,7 @@
     struct ChunkedMessage {
         /** The message without its body. */
         Message message;
-        std::string body;
+        Body body;
         std::size_t sent = 0;
     };
 
@@ -52,6 +61,7 @@
     Expected<std::optional<Message>> receiveChunk(const std::string &frame, const Write &write);
     Expected<std::optional<Message>> receiveMessage(const std::string &frame, bool hasBody);
 
+    ChargeHook chargeBody_;
     MessageDeflater deflater_;
     MessageInflater inflater_;
     std::deque<ChunkedMessage> queue_;
--- a/src/link/PeerHub.h
+++ b/src/link/PeerHub.h
@@ -4,6 +4,7 @@
 #include "include/base/Error.h"
 #include "include/settings/NodeSettings.h"
 #include "include/wire/Messages.h"
+#include "src/link/LinkFramer.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -38,6 +39,8 @@
     struct Hooks {
         /** Receives each message other than Hello, Ping, Pong and ExecReply. */
         std::function<void(LinkId link, const NodeRef &from, Message message)> onMessage;
+        /** Returns what a received body holds elsewhere, such as of a memory budget. Empty: nothing. */
+        LinkFramer::ChargeHook chargeBody;
         /** Malformed bytes were received; the link is then closed. */
         std::function<void(const std::string &reason)> onMalformed;
         /** The latest outgoing link to @p peer closed. */
--- a/src/link/PeerHubLinks.cpp
+++ b/src/link/PeerHubLinks.cpp
@@ -70,6 +70,7 @@
     link->id = nextLink++;
     link->outgoing = isOutgoing;
     link->handle = std::move(handle);
+    link->framer.setChargeHook(hooks.chargeBody);
     links[link->id] = link;
     return link;
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -12,6 +12,7 @@
 #include "src/node/IngressService.h"
 #include "src/node/IntentService.h"
 #include "src/node/MembershipService.h"
+#include "src/node/MemoryWatch.h"
 #include "src/node/NodeCore.h"
 #include "src/node/OperatorApi.h"
 #include "src/node/PoisonService.h"
@@ -33,6 +34,7 @@
         : core(ioContext, clock, settings, incarnation, incarnation)
         , platform(core.client, settings.objectApi)
         , burn(clock)
+        , memoryWatch(core)
     { }
 
     Expected<void> build();
@@ -43,6 +45,7 @@
     NodeCore core;
     ObjectApi platform;
     BurnRecorder burn;
+    MemoryWatch memoryWatch;
     std::unique_ptr<PeerHub> peers;
     std::unique_ptr<GossipService> gossip;
     std::unique_ptr<MembershipService> members;
@@ -129,6 +132,7 @@
         return tl::unexpected<Error>(callerHttp.error());
     }
     callerServer = std::move(*callerHttp);
+    callerServer->setMemory(core.memory);
     core.settings.callers.port = callerServer->port();
     return {};
 }
@@ -172,6 +176,7 @@
     impl->intents->start();
     impl->homes->start();
     impl->floors->start();
+    impl->memoryWatch.start();
     spawnFiber([raw = impl.get()] { raw->housekeepingLoop(); });
     impl->core.events.write(Severity::Info, "node_started",
                             {{"node", impl->core.self.text()},
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -27,9 +27,12 @@
         , settings(std::move(settingsIn))
         , self{settings.node, incarnation}
         , events(clockIn, eventsKept)
+        , memory(std::make_shared<MemoryBudget>(bodyBytesWithin(settings.limits.memoryMegabytes * 1024UL * 1024, 0)))
         , client(context)
         , random(seed)
-    { }
+    {
+        client.setMemory(memory);
+    }
 
     boost::asio::io_context &ioContext;
     const Clock &clock;
@@ -37,6 +40,8 @@
     NodeRef self;
     EventLog events;
     Metrics metrics;
+    /** The bodies that this process holds. */
+    MemoryBudgetPtr memory;
     HttpClient client;
     std::mt19937_64 random;
     Kernel kernel;
--- a/src/node/OperatorApi.cpp
+++ b/src/node/OperatorApi.cpp
@@ -6,11 +6,11 @@
 #include "src/node/HomeService.h"
 #include "src/node/IngressService.h"
 #include "src/node/IntentService.h"
+#include "src/node/MemoryWatch.h"
 #include "src/node/NodeCore.h"
 
 #include <nlohmann/json.hpp>
 
-#include <fstream>
 #include <sys/resource.h>
 
 namespace waxwing {
@@ -41,17 +41,6 @@
     return list;
 }
 
-/** Returns the resident memory of this process in bytes. */
-std::uint64_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    std::uint64_t total = 0;
-    std::uint64_t resident = 0;
-    file >> total >> resident;
-    constexpr std::uint64_t pageBytes = 4096;
-    return resident * pageBytes;
-}
-
 double processorSeconds()
 {
     rusage usage{};
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -78,6 +78,7 @@
         field =
             static_cast<std::decay_t<decltype(field)>>(reader.integer(key, static_cast<std::int64_t>(field), min, max));
     };
+    read("memoryMegabytes", limits.memoryMegabytes, NodeLimits::minMemoryMegabytes, million);
     read("bodyBytes", limits.bodyBytes, 1024, 64 * million);
     read("headerBytes", limits.headerBytes, 1024, million);
     read("callerConnections", limits.callerConnections, 1, million);
--- a/src/sidecar/CallerHandler.cpp
+++ b/src/sidecar/CallerHandler.cpp
@@ -29,6 +29,8 @@
 /** The same for a node that cannot confirm its configuration. */
 constexpr Millis notConfirmedRetryAfter{1000};
 constexpr Millis minQuotaRetryAfter{50};
+/** Responses that use up the memory for bodies are sent within about this time. */
+constexpr Millis nodeBytesRetryAfter{1000};
 /** Bounds the wait of a request whose configuration changes each time while it waits for a grant. */
 constexpr int maxJudgements = 3;
 
@@ -95,6 +97,9 @@
 
 std::optional<CallerHandler::Refusal> CallerHandler::reserveBytes(const ForwardJob &job, const CallerWatchPtr &caller)
 {
+    if (core_.memory->isExceeded()) {
+        return Refusal{unavailable, job.requestId, nodeBytesReason, nodeBytesRetryAfter, "", ""};
+    }
     if (!flow_) {
         return std::nullopt;
     }
--- a/src/sidecar/Forwarder.cpp
+++ b/src/sidecar/Forwarder.cpp
@@ -201,7 +201,8 @@
     result.outcome = reply.outcome;
     result.reason = reply.reason;
     result.response = reply.response;
-    if (reply.outcome == Outcome::NotRun && reply.reason != poisonReason) {
+    const bool mayHelp = reply.reason != poisonReason && reply.reason != tooLargeForLinkReason;
+    if (reply.outcome == Outcome::NotRun && mayHelp) {
         result.retryAfter = retryAfter(reply);
     }
     return result;
--- a/src/sidecar/SidecarMessages.cpp
+++ b/src/sidecar/SidecarMessages.cpp
@@ -80,7 +80,7 @@
         refuseWork(link, work, "arrived-late");
         return;
     }
-    if (holdsTooMuch(link)) {
+    if (holdsTooMuch(link) || core.memory->isExceeded()) {
         core.metrics.count("work_refused_node_bytes");
         refuseWork(link, work, nodeBytesReason);
         return;
--- a/src/sidecar/SidecarNode.cpp
+++ b/src/sidecar/SidecarNode.cpp
@@ -33,6 +33,7 @@
     hooks.onMessage = [this](LinkId link, const NodeRef &from, Message message) {
         handleMessage(link, from, std::move(message));
     };
+    hooks.chargeBody = [this](std::size_t bytes) { return core.memory->add(bytes); };
     hooks.onMalformed = [this](const std::string &reason) {
         core.metrics.count("link_garbage");
         core.events.write(Severity::Warning, "link_garbage", {{"reason", reason}});
@@ -122,6 +123,8 @@
                         HttpResponse text;
                         text.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
                         slots.requester().updateGauges();
+                        core.metrics.set("body_bytes", static_cast<double>(core.memory->heldBytes()));
+                        core.metrics.set("body_bytes_peak", static_cast<double>(core.memory->peakBytes()));
                         text.body = core.metrics.text();
                         return HttpReply{std::move(text), AfterResponse::KeepOpen};
                     })
@@ -131,6 +134,11 @@
                        return callerHandler.handle(std::move(request), caller);
                    })
             : ok;
+    if (ok) {
+        callerServer->setMemory(core.memory);
+        // Without this, freed bodies stay in the heap as gaps, and the process grows to a multiple of what it holds.
+        mallopt(M_MMAP_THRESHOLD, mmapThreshold);
+    }
     return ok;
 }
 
@@ -167,8 +175,6 @@
     callerServer->setFlow(flow);
     callerHandler.setFlow(flow);
     home.setFlow(settings, [this] { return holdsTooMuch(); });
-    // Without this, freed bodies stay in the heap as gaps, and the process grows to a multiple of what it holds.
-    mallopt(M_MMAP_THRESHOLD, mmapThreshold);
 }
 
 void SidecarNode::Impl::applyConfig(const FleetConfig &changed)
@@ -202,6 +208,7 @@
     if (tuning.callAdmission) {
         impl->home.enableCallAdmission();
     }
+    impl->memoryWatch.start();
     impl->slots.start();
     impl->home.start();
     impl->config.start();
--- a/src/sidecar/SidecarNodeImpl.h
+++ b/src/sidecar/SidecarNodeImpl.h
@@ -9,6 +9,7 @@
 #include "src/http/HttpServer.h"
 #include "src/http/ResponseFlow.h"
 #include "src/link/PeerHub.h"
+#include "src/node/MemoryWatch.h"
 #include "src/node/NodeCore.h"
 #include "src/node/PoisonService.h"
 #include "src/sidecar/CallerHandler.h"
@@ -68,6 +69,7 @@
                       })
         , quotas(core, paths, tuning.quota)
         , callerHandler(core, tuning.keyAdmission)
+        , memoryWatch(core)
     { }
 
     void logBoundsFindings(const Findings &findings);
@@ -113,6 +115,7 @@
     HomeReportService homeReports;
     QuotaService quotas;
     CallerHandler callerHandler;
+    MemoryWatch memoryWatch;
     std::unique_ptr<PeerHub> peers;
     /** Null if callers and servers don't read slowly. */
     std::shared_ptr<ResponseFlow> flow;
--- a/src/sidecar/config/ConfigDistribution.cpp
+++ b/src/sidecar/config/ConfigDistribution.cpp
@@ -117,7 +117,11 @@
         return;
     }
     delivery_.removeWaiting(peer.id);
-    (deflates ? reply.deflatedConfig : reply.config) = *sent;
+    if (deflates) {
+        reply.deflatedConfig = *sent;
+    } else {
+        reply.config = *sent;
+    }
     core_.metrics.count("config_documents_sent");
     core_.metrics.count("config_bytes_sent", sent->size());
     core_.events.writeRequest(
@@ -138,7 +142,8 @@
         return std::nullopt;
     }
     // This node delivers the same bytes.
-    deflated_ = DeflatedDocument{update.versions.config, std::make_shared<const std::string>(update.deflatedConfig)};
+    deflated_ =
+        DeflatedDocument{update.versions.config, std::make_shared<const std::string>(update.deflatedConfig.text())};
     return std::move(*document);
 }
 
--- a/src/sidecar/ingress/AttemptRunner.cpp
+++ b/src/sidecar/ingress/AttemptRunner.cpp
@@ -29,7 +29,7 @@
 void AttemptRunner::run(const ForwardedRequestPtr &request, const AttemptPtr &attempt, AttemptKind kind)
 {
     attempt->reply.outcome = Outcome::NotRun;
-    attempt->reply.reason = "no-sound-home";
+    attempt->reply.reason = homes_.needsOwnHome(*request) ? tooLargeForLinkReason : "no-sound-home";
     // A hedge is useful only where a slot is free now.
     bool canReserve = kind != AttemptKind::Hedge && homes_.mayWaitForSlot(*request);
     while (!attempt->control->cancelled && !request->finished && request->search.canContinue()) {
--- a/src/sidecar/ingress/ForwardJob.h
+++ b/src/sidecar/ingress/ForwardJob.h
@@ -15,6 +15,9 @@
 /** Reason of a request that was not sent because its key was taken away meanwhile. */
 constexpr const char *keyRevokedReason = "key-revoked";
 
+/** Reason of a request that only the home of its ingress could run, which has no server for it. */
+constexpr const char *tooLargeForLinkReason = "body-too-large-for-link";
+
 /** A caller's request on its way to a server. */
 struct ForwardJob {
     /** Owns @c route, so that the route stays valid when a newer configuration is applied. */
--- a/src/sidecar/ingress/HomeSelector.cpp
+++ b/src/sidecar/ingress/HomeSelector.cpp
@@ -1,6 +1,7 @@
 #include "src/sidecar/ingress/HomeSelector.h"
 
 #include "include/route/RouteStats.h"
+#include "src/link/LinkFramer.h"
 #include "src/node/NodeCore.h"
 #include "src/sidecar/LocalHome.h"
 #include "src/sidecar/ingress/NoServerReason.h"
@@ -25,6 +26,7 @@
     , startLimit_(startLimit)
     , retries_(retries)
     , ranking_([&core] { return core.random(); })
+    , ownHome_{0, {{core.self.id, Distance::SameNode}}, {{core.self.id, Distance::SameNode}}}
 {
     slots_.setOfferListener(
         [this](const std::string &node, const SlotOffer &offer, int priority) { noteOffer(node, offer, priority); });
@@ -68,6 +70,20 @@
     return homes;
 }
 
+bool HomeSelector::needsOwnHome(const ForwardedRequest &request)
+{
+    return request.job.request.body.size() > LinkFramer::maxBodyBytes;
+}
+
+const HomeSelector::ServiceHomes &HomeSelector::homesFor(const ForwardedRequest &request)
+{
+    const std::string &service = request.job.service;
+    if (!needsOwnHome(request)) {
+        return homesOf(service);
+    }
+    return core_.settings.server->service == service ? ownHome_ : noHome_;
+}
+
 HomeQuery HomeSelector::queryOf(const ForwardedRequest &request) const
 {
     const SteadyTime now = core_.clock.now();
@@ -85,7 +101,7 @@
 
 HomeChoice HomeSelector::choose(const ForwardedRequest &request, SteadyTime now)
 {
-    for (const std::string &node : ranking_.takePathsToCheck(homesOf(request.job.service).subset, now)) {
+    for (const std::string &node : ranking_.takePathsToCheck(homesFor(request).subset, now)) {
         paths_.check(node);
     }
     return chooseExcept(request, request.search.excluded(), now);
@@ -94,7 +110,7 @@
 HomeChoice HomeSelector::chooseExcept(const ForwardedRequest &request, const std::set<std::string> &excluded,
                                       SteadyTime now)
 {
-    const ServiceHomes &homes = homesOf(request.job.service);
+    const ServiceHomes &homes = homesFor(request);
     const HomeQuery query = queryOf(request);
     const HomeChoice choice = ranking_.choose(homes.subset, excluded, query, now);
     const bool isWorseThanUnknown =
@@ -137,7 +153,7 @@
 
 std::vector<ReservationCandidate> HomeSelector::reservationCandidates(const ForwardedRequest &request)
 {
-    const std::vector<RankedHome> &homes = homesOf(request.job.service).subset;
+    const std::vector<RankedHome> &homes = homesFor(request).subset;
     const std::vector<HomeStatus> statuses = ranking_.statusOf(homes, queryOf(request), core_.clock.now());
     std::vector<ReservationCandidate> candidates;
     for (std::size_t i = 0; i < homes.size(); ++i) {
@@ -189,7 +205,7 @@
     }
     choice.node = slot.home;
     choice.acceptsGray = false;
-    for (const RankedHome &home : homesOf(request.job.service).all) {
+    for (const RankedHome &home : homesFor(request).all) {
         choice.distance = home.node == slot.home ? home.distance : choice.distance;
     }
     return choice;
--- a/src/sidecar/ingress/HomeSelector.h
+++ b/src/sidecar/ingress/HomeSelector.h
@@ -38,6 +38,9 @@
 
     /** Returns the best home, whose node is empty if there is none. Starts the checks of paths that are due. */
     HomeChoice choose(const ForwardedRequest &request, SteadyTime now);
+    /** Returns true if the body of @p request is too large for a link, so that only the home of this node can run it.
+     */
+    static bool needsOwnHome(const ForwardedRequest &request);
     /** Returns true if the request may wait for a slot at all, by its route, its customer and the settings. */
     bool mayWaitForSlot(const ForwardedRequest &request) const;
     /**
@@ -75,6 +78,8 @@
 
     /** Returns the homes of @p service in the registry, and this node if its server provides the service. */
     const ServiceHomes &homesOf(const std::string &service);
+    /** Returns the homes that @p request can be sent to. */
+    const ServiceHomes &homesFor(const ForwardedRequest &request);
     HomeChoice chooseExcept(const ForwardedRequest &request, const std::set<std::string> &excluded, SteadyTime now);
     HomeQuery queryOf(const ForwardedRequest &request) const;
     std::vector<ReservationCandidate> reservationCandidates(const ForwardedRequest &request);
@@ -89,6 +94,9 @@
     HomeRanking ranking_;
     /** By service, as far as requests were sent to it since the last change of the registry. */
     std::map<std::string, ServiceHomes> homes_;
+    /** The home of this node alone, and no home. */
+    const ServiceHomes ownHome_;
+    const ServiceHomes noHome_;
 };
 
 } // namespace waxwing
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -277,7 +277,7 @@
     return "not-known";
 }
 
-std::string *bodyOf(Message &message)
+Body *bodyOf(Message &message)
 {
     if (auto *work = std::get_if<Work>(&message)) {
         return &work->request.body;
--- a/tests/integration/RetryTest.cpp
+++ b/tests/integration/RetryTest.cpp
@@ -94,7 +94,7 @@
             return [&, delay] {
                 pause(delay);
                 const auto response = mesh_.send(0, nextId(), "/seats/1");
-                if (response && response->body.find("calls-unserved") != std::string::npos) {
+                if (response && response->body.text().find("calls-unserved") != std::string::npos) {
                     refusals.push_back(*response);
                 }
             };
--- a/tests/integration/SlowReaderTest.cpp
+++ b/tests/integration/SlowReaderTest.cpp
@@ -75,7 +75,7 @@
         durations.push_back(millisOf(std::chrono::steady_clock::now() - start));
         CHECK(response);
         // The body of a refusal names its reason.
-        INFO("response " << (response ? response->body : "none"));
+        INFO("response " << (response ? response->body.text() : "none"));
         CHECK((response ? response->status : 0) == 200);
     }
     std::sort(durations.begin(), durations.end());
@@ -218,7 +218,7 @@
                                                            pause(Millis(20));
                                                            --running;
                                                            HttpReply reply;
-                                                           reply.response.body.assign(responseBytes, 'x');
+                                                           reply.response.body = std::string(responseBytes, 'x');
                                                            return reply;
                                                        });
         server->setFlow(flow);
--- a/tests/soak/Load.cpp
+++ b/tests/soak/Load.cpp
@@ -74,7 +74,7 @@
         return;
     }
     observation.status = response->response.status;
-    observation.body = response->response.body;
+    observation.body = response->response.body.text();
     observation.respondedId = std::string(headerValue(response->response.headers, names::requestId));
 }
 
--- a/tests/standins/backend.cpp
+++ b/tests/standins/backend.cpp
@@ -174,7 +174,7 @@
         if (running_ >= options_.slots || (isAffected && mode_.name == "shed")) {
             return shed();
         }
-        if (request.body.find(poisonMarker) != std::string::npos
+        if (request.body.text().find(poisonMarker) != std::string::npos
             || request.target.find(poisonMarker) != std::string::npos) {
             recordExecution(request);
             // An exiting process closes its sockets one after the other: here the connection first, then the listener.
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -26,6 +26,7 @@
 /** A path with this marker and a number gets a response body of that many bytes. */
 const std::string sizeMarker = "bytes-";
 constexpr Millis crashDelay{20};
+constexpr std::uint64_t maxBodyBytes = 64UL * 1024 * 1024;
 
 struct Options {
     std::string service;
@@ -227,10 +228,14 @@
                 return 2;
             }
             Server server(ioContext, parsed);
-            auto http = HttpServer::MakeListening(ioContext, "127.0.0.1", values["port"].as<std::uint16_t>(),
-                                                  [&](const HttpRequest &request, const CallerWatchPtr &caller) {
-                                                      return server.handle(request, caller);
-                                                  });
+            HttpLimits limits;
+            limits.bodyBytes = maxBodyBytes;
+            auto http = HttpServer::MakeListening(
+                ioContext, "127.0.0.1", values["port"].as<std::uint16_t>(),
+                [&](const HttpRequest &request, const CallerWatchPtr &caller) {
+                    return server.handle(request, caller);
+                },
+                limits);
             if (!http) {
                 std::cerr << http.error().message << "\n";
                 return 1;
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -213,7 +213,7 @@
     result.status = response->status;
     result.outcome = std::string(headerValue(response->headers, "Waxwing-Outcome"));
     result.reason = std::string(headerValue(response->headers, "Waxwing-Reason"));
-    result.body = response->body;
+    result.body = response->body.text();
     result.headers = response->headers;
     return result;
 }
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -165,6 +165,9 @@
     if (!options_.flow.is_null()) {
         settings["flow"] = options_.flow;
     }
+    if (options_.memoryMegabytes > 0) {
+        settings["limits"] = {{"memoryMegabytes", options_.memoryMegabytes}};
+    }
     if (options_.limitedCustomersWait) {
         settings["waiting"] = {{"limitedCustomers", true}};
     }
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -52,6 +52,8 @@
     /** Nodes judge requests by whether their nested calls are expected to fail. */
     bool callAdmission = false;
     std::uint64_t maxBodyBytes = 100000;
+    /** Memory of each node; 0: the default of the settings. */
+    int memoryMegabytes = 0;
     /** The first process of each node runs the build that WAXWING_OTHER_BUILD names. */
     bool upgrade = false;
 };
--- a/tests/unit/LinkTest.cpp
+++ b/tests/unit/LinkTest.cpp
@@ -51,9 +51,11 @@
         reply.id = id;
         reply.outcome = Outcome::Ran;
         reply.response.status = 206;
+        std::string body;
         for (std::size_t i = 0; i < bytes; ++i) {
-            reply.response.body.push_back(static_cast<char>((i * i * 31 + i / 7 + id) & 0xff));
+            body.push_back(static_cast<char>((i * i * 31 + i / 7 + id) & 0xff));
         }
+        reply.response.body = body;
         return reply;
     }
 
