Pass on responses without a length as they came, and fail those of an ended server

Callers would have seen: a server sends a head without a length, or a part of the body after it, and closes. The caller gets 200 with a Content-Length of what had arrived, as if it were whole.

Cause: such a body ends with its connection, and HttpConnection gave the response a length that its server had never stated.

Change: HttpClient marks the response (isCloseDelimited, also across links), and HttpConnection sends it without a length and closes. If no process listens at the server any more, the exchange fails as truncated and counts as a crash. A listener that closes later is found after 100 ms, without a wait for the caller.

--- a/include/base/HttpMessage.h
+++ b/include/base/HttpMessage.h
@@ -24,6 +24,11 @@
     unsigned status = 200;
     HeaderList headers;
     Body body;
+    /**
+     * The body had no length and ended with its connection, so it can't be known to be complete. It is passed on in the
+     * same form: with a length it would look complete to the next receiver.
+     */
+    bool isCloseDelimited = false;
 };
 
 /** Returns the first value of @p name (case-insensitive), or an empty view. Thread safe. */
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -35,10 +35,6 @@
 constexpr std::size_t bodyReadBytes = 16UL * 1024;
 /** A connection is not reused in this last part of the keep-alive time that its peer announced. */
 constexpr Millis keepAliveMargin{1000};
-/** A live process accepts or refuses a connection within this time. */
-constexpr Millis connectProbeTimeout{250};
-/** An exiting process has closed all its sockets after this time, even on a VM whose CPU share is used up. */
-constexpr Millis exitGrace{100};
 
 /** Returns N of "timeout=N" in a Keep-Alive header; negative if there is none. */
 std::int64_t keepAliveSeconds(std::string_view header)
@@ -347,6 +343,7 @@
             return tl::unexpected<ExchangeError>(
                 ExchangeError{truncated ? ExchangeFailure::Truncated : failure, true, false, ended});
         }
+        const bool isCloseDelimited = parser.need_eof();
         auto message = parser.release();
         constexpr unsigned firstFinalStatus = 200;
         if (message.result_int() < firstFinalStatus) {
@@ -354,6 +351,7 @@
         }
         HttpResponse response;
         response.status = message.result_int();
+        response.isCloseDelimited = isCloseDelimited;
         for (const auto &field : message) {
             if (!isHopByHop(field.name_string())) {
                 response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
@@ -447,6 +445,10 @@
     http::async_write(connection->stream, writing->message,
                       [writing, connection](beast::error_code error, std::size_t) { writing->done = !error; });
     ExchangeResult result = readResponse(*connection, request, options);
+    if (result && result->isCloseDelimited && !acceptsConnections(endpoint, connectProbeTimeout)) {
+        // The process has ended, and its connection with it: nothing tells how much of the body was still to come.
+        result = tl::unexpected<ExchangeError>(ExchangeError{ExchangeFailure::Truncated, true, false, true});
+    }
     if (connection->isCancelled) {
         return failed(ExchangeFailure::Timeout, true);
     }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -110,12 +110,17 @@
                                                        Duration timeout, ExchangeCancel *cancel = nullptr);
     /**
      * As above. Reads the response while the request is still being written, because the peer may respond before it has
-     * read a long body.
+     * read a long body. A response without a length fails as truncated if no process listens at its end any more.
      */
     tl::expected<HttpResponse, ExchangeError> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                                        const ExchangeOptions &options);
     /** Returns true if a connection to @p endpoint can be opened within @p timeout. @pre called from a fiber. */
     bool acceptsConnections(const Endpoint &endpoint, Duration timeout);
+    /** An exiting process has closed all its sockets after this time, even on a VM whose CPU share is used up. */
+    static constexpr Millis exitGrace{100};
+    /** A live process accepts or refuses a connection within this time. */
+    static constexpr Millis connectProbeTimeout{250};
+
     /**
      * Returns true if no process listens at @p endpoint now or shortly after. An exiting process closes its connections
      * and its listener in no fixed order: with a single check, a crash was sometimes missed on a busy VM, and the
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -108,7 +108,9 @@
     message.keep_alive(keepAlive);
     const std::string &body = reply.response.body.text();
     message.body() = {body.data(), body.size()};
-    message.prepare_payload();
+    if (!reply.response.isCloseDelimited) {
+        message.prepare_payload();
+    }
     if (reply.after == AfterResponse::TruncateBody) {
         message.body() = {body.data(), body.size() / 2};
     }
@@ -417,7 +419,8 @@
 bool HttpConnection::isLastResponse(const HttpReply &reply) const
 {
     const bool ending = requestsDone_ || server_->closing || server_->draining;
-    return reply.after != AfterResponse::KeepOpen || (ending && exchanges_.size() == 1);
+    return reply.after != AfterResponse::KeepOpen || reply.response.isCloseDelimited
+           || (ending && exchanges_.size() == 1);
 }
 
 void HttpConnection::writeReady()
--- a/src/sidecar/home/ResponseEvaluator.cpp
+++ b/src/sidecar/home/ResponseEvaluator.cpp
@@ -3,6 +3,7 @@
 #include "include/base/Ids.h"
 #include "include/home/SlotQueue.h"
 #include "platform/ServerDialect.h"
+#include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
 #include "src/node/PoisonService.h"
 #include "src/sidecar/home/ServerMemoryGate.h"
@@ -57,7 +58,7 @@
         memory_->noteCompleted();
     }
     if (kind == platform::ServerResponse::Answer || kind == platform::ServerResponse::Failure) {
-        core_.service<PoisonService>("poison").noteCompleted(digestOf(job.work));
+        noteCompleted(job, response);
     }
     switch (kind) {
     case platform::ServerResponse::Answer:
@@ -170,6 +171,25 @@
     }
 }
 
+void ResponseEvaluator::noteCompleted(const HomeJob &job, const HttpResponse &response)
+{
+    const std::uint64_t digest = digestOf(job.work);
+    if (!response.isCloseDelimited) {
+        core_.service<PoisonService>("poison").noteCompleted(digest);
+        return;
+    }
+    // The response may have ended because the process is ending. Its caller doesn't wait until that is known.
+    spawnFiber([this, digest, server = job.reply.server, incarnation = job.incarnation] {
+        sleepFor(core_.ioContext, HttpClient::exitGrace);
+        if (core_.client.acceptsConnections(core_.settings.server->address, HttpClient::connectProbeTimeout)) {
+            core_.service<PoisonService>("poison").noteCompleted(digest);
+        } else {
+            noteCrash(server, incarnation, digest);
+            server_.noteReplaced(incarnation, "its process ended");
+        }
+    });
+}
+
 void ResponseEvaluator::confirmCrashes(const Announcement &process)
 {
     for (const SuspectedCrash &crash : suspected_.confirm(process.incarnation, core_.clock.now())) {
--- a/src/sidecar/home/ResponseEvaluator.h
+++ b/src/sidecar/home/ResponseEvaluator.h
@@ -40,6 +40,8 @@
     /** Returns true, and records a crash by this request, if the server's process ended while it ran the request. */
     bool detectCrash(const HomeJob &job);
     void noteCrash(const std::string &server, std::uint64_t incarnation, std::uint64_t digest);
+    /** Records that the request has completed, which proves that it does not crash its server. */
+    void noteCompleted(const HomeJob &job, const HttpResponse &response);
     /** Records the crashes that the start of @p process proves. */
     void confirmCrashes(const Announcement &process);
 
--- a/src/wire/FieldCodec.cpp
+++ b/src/wire/FieldCodec.cpp
@@ -76,12 +76,19 @@
 
 json responseOf(const HttpResponse &response)
 {
-    return json::array({response.status, headersOf(response.headers), bytesOf(response.body)});
+    json out = json::array({response.status, headersOf(response.headers), bytesOf(response.body)});
+    if (response.isCloseDelimited) {
+        out.push_back(true);
+    }
+    return out;
 }
 
 HttpResponse responseFrom(const json &value)
 {
-    return HttpResponse{value.at(0).get<unsigned>(), headersFrom(value.at(1)), textOf(value.at(2))};
+    // Builds that don't know the fourth element neither send it nor read it.
+    constexpr std::size_t closeDelimited = 3;
+    return HttpResponse{value.at(0).get<unsigned>(), headersFrom(value.at(1)), textOf(value.at(2)),
+                        value.size() > closeDelimited && value.at(closeDelimited).get<bool>()};
 }
 
 Outcome outcomeFrom(const json &value)
--- a/tests/integration/BodyMemoryTest.cpp
+++ b/tests/integration/BodyMemoryTest.cpp
@@ -49,6 +49,7 @@
     {
         Counts counts;
         std::vector<std::function<void()>> tasks;
+        tasks.reserve(maxTasks);
         for (int i = 0; i < count; ++i) {
             tasks.emplace_back([&, i] {
                 const std::string id = "large-" + std::to_string(i);
--- a/tests/integration/SidecarTest.cpp
+++ b/tests/integration/SidecarTest.cpp
@@ -54,6 +54,24 @@
     }
 }
 
+// Guards against a part of a response that looks complete because a node adds a length to what it has received.
+TEST_CASE("mesh, responses without a length, reach the caller without one and end its connection")
+{
+    MeshOptions options;
+    options.services = {"desk", "other"};
+    Mesh mesh(options);
+    mesh.setServerMode(0, {{"mode", "without-length"}});
+    for (int node = 0; node < 2; ++node) {
+        const std::string request = id("open-ended", node);
+        const std::string response = mesh.sendRaw(node, Mesh::requestText(request, "/seats/1"));
+        CHECK(response.compare(0, 12, "HTTP/1.1 200") == 0);
+        CHECK(response.find("Content-Length") == std::string::npos);
+        CHECK(response.find("Connection: close") != std::string::npos);
+        CHECK(response.find("whole answer to " + request) != std::string::npos);
+        CHECK(mesh.executions()[request] == 1);
+    }
+}
+
 TEST_CASE("mesh, gray server, idempotent requests are served elsewhere and bookings soon avoid it")
 {
     // One server returns 500 at once while its health checks pass. No lookup may fail. At most the first booking may be
--- a/tests/standins/sidecarserver.cpp
+++ b/tests/standins/sidecarserver.cpp
@@ -2,7 +2,8 @@
  * Stand-in for a backend server on the platform: sends heartbeats to the node beside it, runs requests in slots, signs
  * its responses, and records every execution in a ledger. On demand it fails gray, sheds a part of its requests, cuts
  * or resets its responses, leaves out the signature, names another request in them, or ends when the bodies of the
- * requests that it holds exceed its memory. A path that ends in "bytes-N" gets a response of N bytes.
+ * requests that it holds exceed its memory, or sends responses without a length. A path that ends in "bytes-N" gets a
+ * response of N bytes.
  */
 #include "platform/Names.h"
 #include "src/http/HttpClient.h"
@@ -172,6 +173,8 @@
             reply.after = AfterResponse::TruncateBody;
         } else if (mode == "reset") {
             reply.after = AfterResponse::Reset;
+        } else if (mode == "without-length") {
+            reply.response.isCloseDelimited = true;
         } else if (mode == "unsigned") {
             reply.response.headers.erase(reply.response.headers.begin() + 1);
         } else if (mode == "other-id") {
--- a/tests/support/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -53,6 +53,12 @@
     }
 }
 
+void ScriptedServer::stopListening()
+{
+    boost::system::error_code ignored;
+    state_->listener->close(ignored);
+}
+
 std::uint16_t ScriptedServer::port() const
 {
     return state_->listener->local_endpoint().port();
@@ -118,7 +124,10 @@
     boost::asio::async_write(connection->socket, boost::asio::buffer(*bytes),
                              [state, connection, bytes](boost::system::error_code error, std::size_t) {
                                  connection->closed = connection->closed || error;
-                                 if (!error && connection->endless.empty()) {
+                                 if (connection->closes) {
+                                     connection->socket.close();
+                                     connection->closed = true;
+                                 } else if (!error && connection->endless.empty()) {
                                      read(state, connection);
                                  } else if (!error) {
                                      sendEndlessly(connection);
--- a/tests/support/ScriptedServer.h
+++ b/tests/support/ScriptedServer.h
@@ -39,6 +39,8 @@
         int requests = 0;
         /** If set, sent again and again after the next response, until the peer closes the connection. */
         std::string endless;
+        /** Closes the connection after the next response. */
+        bool closes = false;
         /** Bytes of @c endless that were sent. */
         std::uint64_t sentBytes = 0;
         /** The peer has closed the connection, or this server did. */
@@ -56,6 +58,8 @@
     ScriptedServer(const ScriptedServer &) = delete;
     ScriptedServer &operator=(const ScriptedServer &) = delete;
 
+    /** Accepts no more connections, as a process that has ended. */
+    void stopListening();
     std::uint16_t port() const;
     /** Returns all connections accepted so far. */
     const std::vector<ConnectionPtr> &connections() const;
--- a/tests/unit/HttpClientTest.cpp
+++ b/tests/unit/HttpClientTest.cpp
@@ -69,8 +69,12 @@
         boost::this_fiber::yield();
     }
 
-    std::string respond(const ScriptedServer::Connection &connection, const std::string &id)
+    std::string respond(ScriptedServer::Connection &connection, const std::string &id)
     {
+        connection.closes = closes_;
+        if (ends_) {
+            server_.stopListening();
+        }
         std::string out;
         out.swap(late_[connection.number]);
         ++arrivals_[id];
@@ -88,6 +92,9 @@
     /** Bytes sent in place of the copy, and in place of a success; empty: the usual ones. */
     std::string copy_;
     std::string answer_;
+    /** The server closes the connection after its response, or ends. */
+    bool closes_ = false;
+    bool ends_ = false;
     std::map<int, std::string> late_;
     std::map<std::string, int> arrivals_;
     ScriptedServer server_;
@@ -147,6 +154,42 @@
     CHECK(other->status == 200);
 }
 
+// Guards against a part of a response that looks complete because the client adds the length of what has arrived.
+TEST_CASE_FIXTURE(FaultyServer, "client, response without a length, is marked or fails if its server has ended")
+{
+    closes_ = true;
+    answer_ = "HTTP/1.1 200 X\r\n" + std::string(names::requestId) + ": a\r\n\r\n";
+    SUBCASE("with a body, server lives")
+    {
+        answer_ += "part";
+    }
+    SUBCASE("without a body, server lives")
+    { }
+    SUBCASE("server has ended")
+    {
+        answer_ += "part";
+        ends_ = true;
+    }
+    const auto only = send("a");
+    if (!ends_) {
+        REQUIRE(only);
+        CHECK(only->isCloseDelimited);
+        return;
+    }
+    REQUIRE_FALSE(only);
+    CHECK(only.error().failure == ExchangeFailure::Truncated);
+    CHECK(only.error().connectionEnded);
+    CHECK(only.error().mayHaveSentBytes);
+}
+
+// Guards against an ordinary response that costs the caller its connection.
+TEST_CASE_FIXTURE(FaultyServer, "client, response with a length, is not marked")
+{
+    const auto only = send("a");
+    REQUIRE(only);
+    CHECK_FALSE(only->isCloseDelimited);
+}
+
 // Guards against a server that resets connections because each repeated send adds one.
 TEST_CASE_FIXTURE(FaultyServer, "client, request sent many times, does not add connections")
 {
--- a/tests/unit/ResponseEvaluatorTest.cpp
+++ b/tests/unit/ResponseEvaluatorTest.cpp
@@ -311,6 +311,36 @@
     CHECK(server_.serving() == nullptr);
 }
 
+// Guards against a part of a response that its caller takes for the whole one.
+TEST_CASE_FIXTURE(CrashingServer, "response evaluator, response without a length, ends with its server or is passed on")
+{
+    sent_ = std::string("HTTP/1.1 200 OK\r\n") + platform::names::signature + ": seal\r\n\r\npart";
+    SUBCASE("server has ended")
+    {
+        const HomeJob &job = runWithResponse([this] { listener_.close(); });
+        CHECK(job.reply.outcome == Outcome::Unknown);
+        CHECK(deaths() == 1);
+    }
+    SUBCASE("server ends after its connection")
+    {
+        const HomeJob &job = runWithResponse([] {});
+        CHECK(job.reply.outcome == Outcome::Ran);
+        CHECK(job.reply.response.isCloseDelimited);
+        listener_.close();
+        CHECK(runUntil([this] { return deaths() == 1; }));
+        CHECK(server_.serving() == nullptr);
+    }
+    SUBCASE("server lives")
+    {
+        poison_.noteDeath(requestDigest(work_.service, work_.request), "i-9@1");
+        const HomeJob &job = runWithResponse([] {});
+        CHECK(job.reply.outcome == Outcome::Ran);
+        CHECK(job.reply.response.isCloseDelimited);
+        CHECK(deaths() == 1);
+        CHECK(runUntil([this] { return deaths() == 0; }));
+    }
+}
+
 // Guards against a request that is refused because a server that lives on sends truncated responses.
 TEST_CASE_FIXTURE(CrashingServer, "response evaluator, server truncates its response and lives, is no crash")
 {
