Start without a memory limit of the platform, and keep product homes from clearing on open-ended responses

In the product's own homes a response without a length cleared a suspected request although its server may be ending.

Change: waxwingd drops options with an empty value. HomeService clears a request only by a response with a length.

The change in HomeService has no test of its own.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,12 +7,15 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <fstream>
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <string>
+#include <vector>
 
 namespace {
 
@@ -53,12 +56,23 @@
     return settings;
 }
 
+/**
+ * Returns the arguments without options that have an empty value. A platform fills in nothing for a limit that it does
+ * not have, and Program_options takes that for an error.
+ */
+std::vector<std::string> statedArguments(int argc, char **argv)
+{
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    arguments.erase(
+        std::remove_if(arguments.begin(), arguments.end(),
+                       [](const std::string &argument) { return !argument.empty() && argument.back() == '='; }),
+        arguments.end());
+    return arguments;
+}
+
 /** Reads the value of --memory-megabytes. Returns false if it is not a memory size that a process can work with. */
 bool readMemory(const std::string &text, Arguments &arguments)
 {
-    if (text.empty()) {
-        return true;
-    }
     std::uint32_t megabytes = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), megabytes);
     arguments.memoryMegabytes = megabytes;
@@ -181,13 +195,12 @@
     options.add_options()
         ("help,h", "print this")
         ("settings,s", po::value<std::string>(), "settings file (JSON with comments)")
-        ("memory-megabytes", po::value<std::string>(), "memory of the process, in place of limits.memoryMegabytes; "
-                                                       "empty: as in the settings")
+        ("memory-megabytes", po::value<std::string>(), "memory of the process, in place of limits.memoryMegabytes")
         ("check", "only check the settings");
     // clang-format on
     po::variables_map values;
     try {
-        po::store(po::parse_command_line(argc, argv, options), values);
+        po::store(po::command_line_parser(statedArguments(argc, argv)).options(options).run(), values);
     } catch (const po::error &error) {
         std::cerr << error.what() << "\n" << options;
         return exitUsage;
--- a/src/node/HomeService.cpp
+++ b/src/node/HomeService.cpp
@@ -313,7 +313,10 @@
         pollQueue(*run.home);
         return mayRetry(run);
     }
-    core_.service<PoisonService>("poison").noteCompleted(run.digest);
+    if (!response->isCloseDelimited) {
+        // A response without a length may also have ended because its server is ending.
+        core_.service<PoisonService>("poison").noteCompleted(run.digest);
+    }
     const bool fault = isServerFault(response->status);
     if (fault) {
         run.home->addEvidence(run.server, Evidence::Failed, now);
