--- a/tests/integration/BodyMemoryTest.cpp
+++ b/tests/integration/BodyMemoryTest.cpp
@@ -74,7 +74,7 @@
     }
 
     /** Checks the peak of a node's memory. The sanitizers multiply what a process needs. */
-    static void checkPeak(Mesh &mesh, std::size_t maxBytes)
+    static void checkPeak(Mesh &mesh, [[maybe_unused]] std::size_t maxBytes)
     {
         const std::size_t peak = mesh.node(0).memoryKilobytes("VmHWM") * 1024;
         MESSAGE("peak resident ", peak / megabyte, " MiB");
