Keep a tenth of the memory for bodies, however much the process itself uses

What callers would have seen: a node that has grown to its memory, as in a very large fleet, refuses nearly every request from then on, because only 256 KB were left for the bodies of requests and responses together.

Found while the sanitizer build, whose own memory is large, refused large bodies.

Change: bodies keep 10% of limits.memoryMegabytes.

--- a/src/flow/MemoryBudget.cpp
+++ b/src/flow/MemoryBudget.cpp
@@ -11,8 +11,8 @@
 /** Most of the memory that bodies may take, and most that they and the process itself may take together. */
 constexpr std::uint64_t bodyPercent = 60;
 constexpr std::uint64_t usablePercent = 90;
-/** Room for small bodies, however little memory is left. */
-constexpr std::uint64_t minBodyBytes = 4 * MemoryBudget::smallBytes;
+/** Kept for bodies however much the process itself uses: without it, a process that has grown would refuse all. */
+constexpr std::uint64_t minBodyPercent = 10;
 
 } // namespace
 
@@ -20,7 +20,7 @@
 {
     const std::uint64_t usable = memoryBytes / 100 * usablePercent;
     const std::uint64_t left = usable > ownBytes ? usable - ownBytes : 0;
-    return std::max(minBodyBytes, std::min(left, memoryBytes / 100 * bodyPercent));
+    return std::clamp(left, memoryBytes / 100 * minBodyPercent, memoryBytes / 100 * bodyPercent);
 }
 
 MemoryBudget::Charge::Charge(std::shared_ptr<State> state, std::uint64_t bytes)
--- a/tests/unit/MemoryBudgetTest.cpp
+++ b/tests/unit/MemoryBudgetTest.cpp
@@ -27,7 +27,13 @@
     CHECK(bodyBytesWithin(256 * megabyte, 10 * megabyte) < 160 * megabyte);
     CHECK(bodyBytesWithin(256 * megabyte, 121 * megabyte) + 121 * megabyte < 256 * megabyte);
     CHECK(bodyBytesWithin(128 * megabyte, 10 * megabyte) > 64 * megabyte);
-    CHECK(bodyBytesWithin(128 * megabyte, 200 * megabyte) >= MemoryBudget::smallBytes);
+}
+
+// Guards against a process that has outgrown its bound and refuses every request from then on.
+TEST_CASE("memory budget, process that uses all its memory, keeps room for small bodies")
+{
+    CHECK(bodyBytesWithin(128 * megabyte, 200 * megabyte) > 10 * megabyte);
+    CHECK(bodyBytesWithin(128 * megabyte, 128 * megabyte) > 10 * megabyte);
 }
 
 // Guards against a process that ends by its memory because each body alone is within its limit.
