Move the client's connection and its reading into a file of their own

The code is the same; the bound on unparsed bytes became a constant of the struct. unit-tests -tc="client*" passes (aarch64).

--- /dev/null
+++ b/src/http/ClientConnection.cpp
@@ -0,0 +1,105 @@
+#include "src/http/ClientConnection.h"
+
+#include "src/fiber/FiberLoop.h"
+
+namespace waxwing {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/** Most bytes that one read takes. */
+constexpr std::size_t maxPartBytes = 64UL * 1024;
+/** Size of the buffer of a body. Each filling of a small buffer costs a turn of the event loop. */
+constexpr std::size_t bodyReadBytes = 16UL * 1024;
+
+} // namespace
+
+ClientConnection::ClientConnection(boost::asio::io_context &ioContext)
+    : stream(ioContext)
+{ }
+
+bool ClientConnection::isClean()
+{
+    boost::system::error_code error;
+    char byte = 0;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+
+bool ClientConnection::isUsable(SteadyTime now, Duration maxIdle)
+{
+    const Duration idle = now - idleSince;
+    return idle <= maxIdle && idle < keepAliveTimeout && isClean();
+}
+
+void ClientConnection::setTimeout(Duration timeout)
+{
+    stream.expires_after(timeout);
+    deadline = std::chrono::steady_clock::now() + timeout;
+}
+
+beast::error_code ClientConnection::receive(std::size_t &received)
+{
+    const std::size_t size = beast::read_size(buffer, maxPartBytes);
+    if (size == 0) {
+        return http::error::buffer_overflow;
+    }
+    const IoResult read = await([&](auto handle) { stream.async_read_some(buffer.prepare(size), std::move(handle)); });
+    buffer.commit(read.bytes);
+    received = read.bytes;
+    if (isCancelled) {
+        return boost::asio::error::operation_aborted;
+    }
+    return read.error;
+}
+
+beast::error_code ClientConnection::parse(ResponseParser &parser, Duration bodyTimeout)
+{
+    beast::error_code error;
+    while (buffer.size() > 0 && !parser.is_done() && !error) {
+        const bool hadHeader = parser.is_header_done();
+        buffer.consume(parser.put(buffer.data(), error));
+        if (parser.is_header_done() && !hadHeader) {
+            parser.eager(true);
+            if (bodyTimeout > Duration(0)) {
+                setTimeout(bodyTimeout);
+            }
+            buffer.reserve(bodyReadBytes);
+        }
+    }
+    return error == http::error::need_more ? beast::error_code() : error;
+}
+
+beast::error_code ClientConnection::readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout)
+{
+    const std::string &body = parser.get().body().text;
+    beast::error_code error = parse(parser, bodyTimeout);
+    while (!error && !parser.is_done()) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            return beast::error::timeout;
+        }
+        std::size_t received = 0;
+        error = receive(received);
+        if (error == boost::asio::error::eof) {
+            error = {};
+            if (!parser.got_some()) {
+                return http::error::end_of_stream;
+            }
+            parser.put_eof(error);
+            return error;
+        }
+        const std::size_t bodyBefore = body.size();
+        error = error ? error : parse(parser, bodyTimeout);
+        const std::size_t bodyBytes = body.size() - bodyBefore;
+        if (!error && !framing.add(received, bodyBytes)) {
+            error = http::error::body_limit;
+        }
+    }
+    return error;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/http/ClientConnection.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "include/base/Clock.h"
+#include "include/flow/FramingBudget.h"
+#include "include/flow/ReadBudget.h"
+#include "src/http/BudgetedBody.h"
+#include "src/http/ConnectionHistory.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+
+namespace waxwing {
+
+/** One connection of an HttpClient, and the reading of responses on it. Not thread safe. */
+struct ClientConnection {
+    using ResponseParser = boost::beast::http::response_parser<BudgetedBody>;
+
+    /**
+     * Largest number of bytes that were received and not yet parsed. The parser bounds headers, but waits without a
+     * bound for the end of a chunk's size line and of trailers.
+     */
+    static constexpr std::size_t maxBufferBytes = 128UL * 1024;
+
+    /** @p ioContext outlives the connection. */
+    explicit ClientConnection(boost::asio::io_context &ioContext);
+
+    /** Returns true if the peer has neither closed the connection nor sent anything since the last response. */
+    bool isClean();
+    /** Returns true if the connection may be used again at @p now, after it was idle for @p maxIdle at most. */
+    bool isUsable(SteadyTime now, Duration maxIdle);
+    /** Sets the deadline of all that is done on the connection to @p timeout from now. */
+    void setTimeout(Duration timeout);
+    /**
+     * Reads one message. Each read is checked here against the deadline and for a cancellation: while the peer sends
+     * without pause, neither the stream's timer, which starts anew with each read, nor a cancellation finds a read that
+     * waits. The library's composed reads don't return either as long as the last line of a buffer is incomplete.
+     * @p bodyTimeout: new timeout from the end of the headers, unless zero. @pre called from a fiber.
+     */
+    boost::beast::error_code readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout);
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer{maxBufferBytes};
+    SteadyTime deadline;
+    bool isCancelled = false;
+    ConnectionHistory history;
+    /** Identifies the response that is being read. */
+    ReadBudget::Id readId = 0;
+    /** The response was given up because all responses together were too large. */
+    bool isGivenUp = false;
+    /** The last response was complete, and the connection allows another request. */
+    bool reusable = false;
+    SteadyTime idleSince;
+    /** How long the connection may be idle: the time that the peer announced, less a margin. */
+    Duration keepAliveTimeout = Duration::max();
+
+private:
+    /** Reads more bytes into the buffer and sets @p received to their number. */
+    boost::beast::error_code receive(std::size_t &received);
+    /** Parses what is buffered. */
+    boost::beast::error_code parse(ResponseParser &parser, Duration bodyTimeout);
+};
+
+} // namespace waxwing
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,8 +1,7 @@
 #include "src/http/HttpClient.h"
 
-#include "include/flow/FramingBudget.h"
 #include "src/fiber/FiberLoop.h"
-#include "src/http/BudgetedBody.h"
+#include "src/http/ClientConnection.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -17,22 +16,12 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using tcp = boost::asio::ip::tcp;
-using ResponseParser = http::response_parser<BudgetedBody>;
 
 namespace {
 
 constexpr std::size_t maxIdleConnections = 64;
 /** Number of interim responses and responses to other requests that are skipped before the exchange fails. */
 constexpr int maxMismatchedResponses = 4;
-/**
- * Largest number of bytes that were received and not yet parsed. The parser bounds headers, but waits without a bound
- * for the end of a chunk's size line and of trailers.
- */
-constexpr std::size_t maxBufferBytes = 128UL * 1024;
-/** Most bytes that one read takes. */
-constexpr std::size_t maxPartBytes = 64UL * 1024;
-/** Size of the buffer of a body. Each filling of a small buffer costs a turn of the event loop. */
-constexpr std::size_t bodyReadBytes = 16UL * 1024;
 /** A connection is not reused in this last part of the keep-alive time that its peer announced. */
 constexpr Millis keepAliveMargin{1000};
 
@@ -114,125 +103,9 @@
     }
 }
 
-struct HttpClient::Connection {
-    explicit Connection(boost::asio::io_context &context)
-        : stream(context)
-    { }
-
-    /** Returns true if the peer has neither closed the connection nor sent anything since the last response. */
-    bool isClean()
-    {
-        boost::system::error_code error;
-        char byte = 0;
-        stream.socket().non_blocking(true, error);
-        stream.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        return error == boost::asio::error::would_block;
-    }
-
-    /** Returns true if the connection may be used again at @p now, after it was idle for @p maxIdle at most. */
-    bool isUsable(std::chrono::steady_clock::time_point now, Duration maxIdle)
-    {
-        const Duration idle = now - idleSince;
-        return idle <= maxIdle && idle < keepAliveTimeout && isClean();
-    }
-
-    void setTimeout(Duration timeout)
-    {
-        stream.expires_after(timeout);
-        deadline = std::chrono::steady_clock::now() + timeout;
-    }
-
-    /** Reads more bytes into the buffer and sets @p received to their number. */
-    beast::error_code receive(std::size_t &received);
-    /** Parses what is buffered. @p bodyTimeout: new timeout from the end of the headers, unless zero. */
-    beast::error_code parse(ResponseParser &parser, Duration bodyTimeout);
-    /**
-     * Reads one message. Each read is checked here against the deadline and for a cancellation: while the peer sends
-     * without pause, neither the stream's timer, which starts anew with each read, nor a cancellation finds a read that
-     * waits. The library's composed reads don't return either as long as the last line of a buffer is incomplete.
-     */
-    beast::error_code readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout);
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer{maxBufferBytes};
-    std::chrono::steady_clock::time_point deadline;
-    bool isCancelled = false;
-    ConnectionHistory history;
-    /** Identifies the response that is being read. */
-    ReadBudget::Id readId = 0;
-    /** The response was given up because all responses together were too large. */
-    bool isGivenUp = false;
-    /** The last response was complete, and the connection allows another request. */
-    bool reusable = false;
-    std::chrono::steady_clock::time_point idleSince;
-    /** How long the connection may be idle: the time that the peer announced, less keepAliveMargin. */
-    Duration keepAliveTimeout = Duration::max();
-};
-
-beast::error_code HttpClient::Connection::receive(std::size_t &received)
-{
-    const std::size_t size = beast::read_size(buffer, maxPartBytes);
-    if (size == 0) {
-        return http::error::buffer_overflow;
-    }
-    const IoResult read = await([&](auto handle) { stream.async_read_some(buffer.prepare(size), std::move(handle)); });
-    buffer.commit(read.bytes);
-    received = read.bytes;
-    if (isCancelled) {
-        return boost::asio::error::operation_aborted;
-    }
-    return read.error;
-}
-
-beast::error_code HttpClient::Connection::parse(ResponseParser &parser, Duration bodyTimeout)
-{
-    beast::error_code error;
-    while (buffer.size() > 0 && !parser.is_done() && !error) {
-        const bool hadHeader = parser.is_header_done();
-        buffer.consume(parser.put(buffer.data(), error));
-        if (parser.is_header_done() && !hadHeader) {
-            parser.eager(true);
-            if (bodyTimeout > Duration(0)) {
-                setTimeout(bodyTimeout);
-            }
-            buffer.reserve(bodyReadBytes);
-        }
-    }
-    return error == http::error::need_more ? beast::error_code() : error;
-}
-
-beast::error_code HttpClient::Connection::readMessage(ResponseParser &parser, FramingBudget &framing,
-                                                      Duration bodyTimeout)
-{
-    const std::string &body = parser.get().body().text;
-    beast::error_code error = parse(parser, bodyTimeout);
-    while (!error && !parser.is_done()) {
-        if (std::chrono::steady_clock::now() >= deadline) {
-            return beast::error::timeout;
-        }
-        std::size_t received = 0;
-        error = receive(received);
-        if (error == boost::asio::error::eof) {
-            error = {};
-            if (!parser.got_some()) {
-                return http::error::end_of_stream;
-            }
-            parser.put_eof(error);
-            return error;
-        }
-        const std::size_t bodyBefore = body.size();
-        error = error ? error : parse(parser, bodyTimeout);
-        const std::size_t bodyBytes = body.size() - bodyBefore;
-        if (!error && !framing.add(received, bodyBytes)) {
-            error = http::error::body_limit;
-        }
-    }
-    return error;
-}
-
 /** Registers the response on a connection with the budget for as long as it is being read. */
 struct HttpClient::ReadGuard {
-    ReadGuard(HttpClient &client, Connection &connection)
+    ReadGuard(HttpClient &client, ClientConnection &connection)
         : client_(client)
         , id_(client.readBudget_.begin())
     {
@@ -285,7 +158,7 @@
     return nullptr;
 }
 
-tl::expected<void, ExchangeError> HttpClient::connect(Connection &connection, const Endpoint &endpoint)
+tl::expected<void, ExchangeError> HttpClient::connect(ClientConnection &connection, const Endpoint &endpoint)
 {
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address(endpoint.address, error);
@@ -304,7 +177,7 @@
     return {};
 }
 
-bool HttpClient::growResponse(const Connection &connection, std::uint64_t bytes)
+bool HttpClient::growResponse(const ClientConnection &connection, std::uint64_t bytes)
 {
     if (connection.isGivenUp) {
         // The cancellation came when a read had completed already.
@@ -314,7 +187,7 @@
     if (!givenUp) {
         return true;
     }
-    Connection &largest = *reading_.at(*givenUp);
+    ClientConnection &largest = *reading_.at(*givenUp);
     largest.isGivenUp = true;
     if (&largest != &connection) {
         largest.stream.cancel();
@@ -322,13 +195,13 @@
     return &largest != &connection;
 }
 
-HttpClient::ExchangeResult HttpClient::readResponse(Connection &connection, const HttpRequest &request,
+HttpClient::ExchangeResult HttpClient::readResponse(ClientConnection &connection, const HttpRequest &request,
                                                     const ExchangeOptions &options)
 {
     FramingBudget framing;
     for (int mismatched = 0; mismatched <= maxMismatchedResponses; ++mismatched) {
         const ReadGuard guard(*this, connection);
-        ResponseParser parser;
+        ClientConnection::ResponseParser parser;
         parser.body_limit(options.maxResponseBytes);
         parser.get().body().mayGrow = [&](std::uint64_t bytes) { return growResponse(connection, bytes); };
         if (request.method == "HEAD") {
@@ -404,7 +277,7 @@
     ConnectionPtr connection = options.newConnection ? nullptr : takeIdle(endpoint, options);
     const bool reused = connection != nullptr;
     if (!reused) {
-        connection = std::make_shared<Connection>(ioContext_);
+        connection = std::make_shared<ClientConnection>(ioContext_);
     }
     const auto failed = [reused](ExchangeFailure failure, bool sent) {
         return tl::unexpected<ExchangeError>(ExchangeError{failure, sent, reused});
@@ -469,7 +342,7 @@
 {
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address(endpoint.address, error);
-    Connection connection(ioContext_);
+    ClientConnection connection(ioContext_);
     connection.stream.expires_after(timeout);
     const IoResult connected = await(
         [&](auto handle) { connection.stream.async_connect(tcp::endpoint(ip, endpoint.port), std::move(handle)); });
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -19,6 +19,8 @@
 
 namespace waxwing {
 
+struct ClientConnection;
+
 enum class ExchangeFailure {
     /** No connection could be made. */
     Connect,
@@ -131,15 +133,15 @@
     void closeIdle(const Endpoint &endpoint);
 
 private:
-    struct Connection;
     struct ReadGuard;
-    using ConnectionPtr = std::shared_ptr<Connection>;
+    using ConnectionPtr = std::shared_ptr<ClientConnection>;
     using ExchangeResult = tl::expected<HttpResponse, ExchangeError>;
     ConnectionPtr takeIdle(const Endpoint &endpoint, const ExchangeOptions &options);
-    tl::expected<void, ExchangeError> connect(Connection &connection, const Endpoint &endpoint);
-    ExchangeResult readResponse(Connection &connection, const HttpRequest &request, const ExchangeOptions &options);
+    tl::expected<void, ExchangeError> connect(ClientConnection &connection, const Endpoint &endpoint);
+    ExchangeResult readResponse(ClientConnection &connection, const HttpRequest &request,
+                                const ExchangeOptions &options);
     /** Records the growth of the response on @p connection. Returns false if that response is given up. */
-    bool growResponse(const Connection &connection, std::uint64_t bytes);
+    bool growResponse(const ClientConnection &connection, std::uint64_t bytes);
     void returnToPool(const Endpoint &endpoint, ConnectionPtr connection);
 
     boost::asio::io_context &ioContext_;
@@ -147,7 +149,7 @@
     /** Null if the bytes of bodies are not bounded. */
     MemoryBudgetPtr memory_;
     /** The connections on which responses are being read. */
-    std::map<ReadBudget::Id, Connection *> reading_;
+    std::map<ReadBudget::Id, ClientConnection *> reading_;
     std::map<Endpoint, std::vector<ConnectionPtr>> idle_;
 };
 
