Fail a response without a length whose connection was reset under the upload

Callers saw a 200 with a part of the body: a server answered a long upload at once without a length, sent a part and reset the connection.

Cause: the kernel reports a reset once per socket. The write of the upload got it, and the read then saw an ordinary end, which ends such a body. A trace of the system calls shows sendmsg ECONNRESET, then recvmsg 4 bytes, then 0. HttpClient knew the error of the write and used it only for the pool.

Now a response without a length fails as truncated if the write met a reset. A reset that follows the peer's orderly end is reported as a broken pipe and doesn't count: all bytes had arrived by then. Store, waxwingctl and the own path use the same client; links and callers' requests are framed by lengths.

A response that ends in good order, one that is whole by its length, and the connection left with an unread upload held already; their tests stay. The fault proxy can send bytes of its own.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -75,6 +75,25 @@
     return message;
 }
 
+/** The write of a request. It runs while a fiber reads the response and may outlast it. */
+struct RequestWrite {
+    RequestMessage message;
+    Body body;
+    bool isDone = false;
+    beast::error_code error;
+
+    /**
+     * Returns true if the write met a reset before the peer's end of stream. The kernel reports a reset once per
+     * socket; after the write has taken it, reads see an ordinary end of stream, and a response that ends there would
+     * look complete. A reset that follows the peer's end of stream is reported as a broken pipe instead: by then, all
+     * bytes of the response had arrived.
+     */
+    bool wasReset() const
+    {
+        return error && error != boost::asio::error::broken_pipe;
+    }
+};
+
 } // namespace
 
 const char *exchangeFailureName(ExchangeFailure failure)
@@ -305,21 +324,19 @@
             return failed(connection->isCancelled ? ExchangeFailure::Timeout : connected.error().failure, false);
         }
     }
-    // The write runs while this fiber reads and may outlast it, so its handler owns the connection and the message.
-    struct Writing {
-        RequestMessage message;
-        Body body;
-        bool done = false;
-    };
-    const auto writing = std::make_shared<Writing>();
-    writing->message = toBeast(endpoint, request);
-    writing->body = request.body;
+    // The handler owns the connection and the message, because the write may outlast this call.
+    const auto write = std::make_shared<RequestWrite>();
+    write->message = toBeast(endpoint, request);
+    write->body = request.body;
     connection->history.add(options.requestId);
-    http::async_write(connection->stream, writing->message,
-                      [writing, connection](beast::error_code error, std::size_t) { writing->done = !error; });
+    http::async_write(connection->stream, write->message, [write, connection](beast::error_code error, std::size_t) {
+        write->isDone = !error;
+        write->error = error;
+    });
     ExchangeResult result = readResponse(*connection, request, options);
-    if (result && result->isCloseDelimited && !acceptsConnections(endpoint, connectProbeTimeout)) {
-        // The process has ended, and its connection with it: nothing tells how much of the body was still to come.
+    // Neither a reset nor the end of the process tells how much of a response without a length was still to come.
+    if (result && result->isCloseDelimited
+        && (write->wasReset() || !acceptsConnections(endpoint, connectProbeTimeout))) {
         result = tl::unexpected<ExchangeError>(ExchangeError{ExchangeFailure::Truncated, true, false, true});
     }
     if (connection->isCancelled) {
@@ -330,7 +347,7 @@
         result.error().onReusedConnection = reused;
         return result;
     }
-    if (connection->reusable && writing->done && !options.newConnection) {
+    if (connection->reusable && write->isDone && !options.newConnection) {
         returnToPool(endpoint, connection);
     } else {
         connection->stream.close();
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -112,7 +112,8 @@
                                                        Duration timeout, ExchangeCancel *cancel = nullptr);
     /**
      * As above. Reads the response while the request is still being written, because the peer may respond before it has
-     * read a long body. A response without a length fails as truncated if no process listens at its end any more.
+     * read a long body. A response without a length fails as truncated if the connection was reset, or if no process
+     * listens at its end any more.
      */
     tl::expected<HttpResponse, ExchangeError> exchange(const Endpoint &endpoint, const HttpRequest &request,
                                                        const ExchangeOptions &options);
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -1,12 +1,14 @@
 /**
  * TCP proxy that injects faults between two processes: delay, traffic held in one direction, reset, truncation after
- * some bytes, a freeze of all open connections, and a bandwidth limit. Faults are set at run time over a control port.
+ * some bytes, a freeze of all open connections, a bandwidth limit, and bytes that it sends in place of the target's.
+ * Faults are set at run time over a control port.
  */
 #include "include/settings/NodeSettings.h"
 #include "src/http/HttpServer.h"
 #include "tests/standins/StandinMain.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
 
@@ -21,6 +23,8 @@
 
 constexpr std::size_t bufferBytes = 16UL * 1024;
 constexpr Millis holdPollInterval{5};
+/** The caller has read a reply before its connection is reset. */
+constexpr Millis resetDelay{5};
 
 /** Faults of one direction. */
 struct Faults {
@@ -33,6 +37,14 @@
     std::int64_t cutAfter = -1;
 };
 
+/** What new connections get in place of the target's response. */
+struct Reply {
+    /** Sent once the headers of a request have arrived; empty: requests are forwarded. */
+    std::string bytes;
+    /** Resets the connection after these bytes; otherwise only its sending side is closed. */
+    bool reset = false;
+};
+
 class Proxy
 {
 public:
@@ -84,6 +96,9 @@
                 reset(*pair);
             }
         }
+        if (body.contains("reply")) {
+            reply_ = Reply{body["reply"].value("bytes", ""), body["reply"].value("reset", false)};
+        }
         if (body.contains("target")) {
             Findings ignored;
             target_ = parseEndpoint(body["target"].get<std::string>(), "", ignored);
@@ -121,8 +136,41 @@
         }
     }
 
+    /** Sends the reply that is set once the headers of a request have arrived, and ends the connection. */
+    void respond(const std::shared_ptr<Pair> &pair)
+    {
+        const Reply reply = reply_;
+        std::string received;
+        IoResult result = await([&](auto handle) {
+            boost::asio::async_read_until(pair->caller, boost::asio::dynamic_buffer(received), "\r\n\r\n",
+                                          std::move(handle));
+        });
+        if (!result.error) {
+            result = await([&](auto handle) {
+                boost::asio::async_write(pair->caller, boost::asio::buffer(reply.bytes), std::move(handle));
+            });
+        }
+        if (reply.reset) {
+            sleepFor(ioContext_, resetDelay);
+            reset(*pair);
+        } else {
+            boost::system::error_code ignored;
+            pair->caller.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        std::array<char, bufferBytes> buffer{};
+        while (!result.error) {
+            result = await(
+                [&](auto handle) { pair->caller.async_read_some(boost::asio::buffer(buffer), std::move(handle)); });
+        }
+        pairs_.remove(pair);
+    }
+
     void serve(const std::shared_ptr<Pair> &pair)
     {
+        if (!reply_.bytes.empty()) {
+            respond(pair);
+            return;
+        }
         const tcp::endpoint endpoint(boost::asio::ip::make_address(target_.address), target_.port);
         const IoResult connected = await([&](auto handle) { pair->target.async_connect(endpoint, std::move(handle)); });
         if (connected.error) {
@@ -194,6 +242,7 @@
     Endpoint target_;
     Faults toTarget_;
     Faults fromTarget_;
+    Reply reply_;
     std::list<std::shared_ptr<Pair>> pairs_;
 };
 
