Take only 100 to 199 as interim and 200 to 599 as responses

Callers saw 600 and 999 as the server sent them. A status of 000 to 099 without a length held the caller for its whole time (504), and a 200 behind it on the connection was taken for the response.

Cause: HttpClient skipped each status below 200 as interim, with its body, and had no upper bound. Replies on links carried any number as a status.

Now a message with another status fails as malformed as soon as its headers are read, and its connection is closed: a fault of the server, outcome unknown. 101 is among them, since no request asks to switch protocols. The client holds the rule for servers, store and waxwingctl; the decoders of replies turn such a status of another node into an unknown outcome without a response.

--- a/include/base/HttpMessage.h
+++ b/include/base/HttpMessage.h
@@ -31,6 +31,21 @@
     bool isCloseDelimited = false;
 };
 
+/** What a status code says about the message that it is in (RFC 9110, section 15). */
+enum class StatusClass {
+    /** A response to the same request follows. */
+    Interim,
+    /** The response to the request. */
+    Final,
+    /**
+     * No status code of HTTP; or 101, because no request asks to switch protocols and what follows would not be HTTP.
+     * The message is no response.
+     */
+    Invalid,
+};
+
+/** Returns the class of @p status, for any value. Thread safe. */
+StatusClass statusClassOf(unsigned status);
 /** Returns the first value of @p name (case-insensitive), or an empty view. Thread safe. */
 std::string_view headerValue(const HeaderList &headers, std::string_view name);
 /** Returns true for headers that are not forwarded: those of one connection, and Content-Length. Thread safe. */
--- a/src/base/HttpMessage.cpp
+++ b/src/base/HttpMessage.cpp
@@ -16,6 +16,18 @@
 
 } // namespace
 
+StatusClass statusClassOf(unsigned status)
+{
+    constexpr unsigned firstInterim = 100;
+    constexpr unsigned switchingProtocols = 101;
+    constexpr unsigned firstFinal = 200;
+    constexpr unsigned lastFinal = 599;
+    if (status < firstInterim || status > lastFinal || status == switchingProtocols) {
+        return StatusClass::Invalid;
+    }
+    return status < firstFinal ? StatusClass::Interim : StatusClass::Final;
+}
+
 std::string_view headerValue(const HeaderList &headers, std::string_view name)
 {
     for (const auto &[key, value] : headers) {
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,5 +1,6 @@
 #include "src/http/ClientConnection.h"
 
+#include "include/base/HttpMessage.h"
 #include "src/fiber/FiberLoop.h"
 
 namespace waxwing {
@@ -64,6 +65,11 @@
         const bool hadHeader = parser.is_header_done();
         buffer.consume(parser.put(buffer.data(), error));
         if (parser.is_header_done() && !hadHeader) {
+            // A body that belongs to no response is not waited for: it may never end.
+            if (statusClassOf(parser.get().result_int()) == StatusClass::Invalid) {
+                return http::error::bad_status;
+            }
+            isHeadValid = true;
             parser.eager(true);
             if (bodyTimeout > Duration(0)) {
                 setTimeout(bodyTimeout);
@@ -77,6 +83,7 @@
 beast::error_code ClientConnection::readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout)
 {
     const std::string &body = parser.get().body().text;
+    isHeadValid = false;
     beast::error_code error = parse(parser, bodyTimeout);
     while (!error && !parser.is_done()) {
         if (std::chrono::steady_clock::now() >= deadline) {
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -38,7 +38,8 @@
      * Reads one message. Each read is checked here against the deadline and for a cancellation: while the peer sends
      * without pause, neither the stream's timer, which starts anew with each read, nor a cancellation finds a read that
      * waits. The library's composed reads don't return either as long as the last line of a buffer is incomplete.
-     * @p bodyTimeout: new timeout from the end of the headers, unless zero. @pre called from a fiber.
+     * @p bodyTimeout: new timeout from the end of the headers, unless zero. Errors: bad_status for a message that is no
+     * response, before its body is read. @pre called from a fiber.
      */
     boost::beast::error_code readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout);
 
@@ -47,6 +48,8 @@
     SteadyTime deadline;
     bool isCancelled = false;
     ConnectionHistory history;
+    /** The headers of the message that is being read are complete and those of a response. */
+    bool isHeadValid = false;
     /** Identifies the response that is being read. */
     ReadBudget::Id readId = 0;
     /** The response was given up because all responses together were too large. */
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -230,15 +230,14 @@
         if (error) {
             const ExchangeFailure failure = connection.isGivenUp ? ExchangeFailure::TooLarge : failureOf(error);
             const bool truncated =
-                parser.is_header_done() && failure != ExchangeFailure::Timeout && failure != ExchangeFailure::TooLarge;
+                connection.isHeadValid && failure != ExchangeFailure::Timeout && failure != ExchangeFailure::TooLarge;
             const bool ended = failure == ExchangeFailure::Reset || failure == ExchangeFailure::Truncated;
             return tl::unexpected<ExchangeError>(
                 ExchangeError{truncated ? ExchangeFailure::Truncated : failure, true, false, ended});
         }
         const bool isCloseDelimited = parser.need_eof();
         auto message = parser.release();
-        constexpr unsigned firstFinalStatus = 200;
-        if (message.result_int() < firstFinalStatus) {
+        if (statusClassOf(message.result_int()) == StatusClass::Interim) {
             continue;
         }
         HttpResponse response;
--- a/src/wire/ExecCodec.cpp
+++ b/src/wire/ExecCodec.cpp
@@ -48,6 +48,9 @@
     m.freeSlots = in.at(firstField + 5).get<std::int32_t>();
     m.queued = in.at(firstField + 6).get<std::int32_t>();
     m.response = responseFrom(in.at(firstField + 7));
+    if (replaceInvalidResponse(m.response, m.outcome)) {
+        m.reason = invalidStatusReason;
+    }
     return m;
 }
 
@@ -76,6 +79,7 @@
     for (const json &claim : in.at(firstField + 2)) {
         m.claims.push_back(ClaimTransfer{textOf(claim.at(0)), claim.at(1).get<std::uint64_t>(),
                                          outcomeFrom(claim.at(2)), responseFrom(claim.at(3))});
+        replaceInvalidResponse(m.claims.back().response, m.claims.back().outcome);
     }
     return m;
 }
--- a/src/wire/FieldCodec.cpp
+++ b/src/wire/FieldCodec.cpp
@@ -91,6 +91,16 @@
                         value.size() > closeDelimited && value.at(closeDelimited).get<bool>()};
 }
 
+bool replaceInvalidResponse(HttpResponse &response, Outcome &outcome)
+{
+    if (statusClassOf(response.status) == StatusClass::Final) {
+        return false;
+    }
+    response = {};
+    outcome = Outcome::Unknown;
+    return true;
+}
+
 Outcome outcomeFrom(const json &value)
 {
     const int number = value.get<int>();
@@ -229,6 +239,10 @@
     if (!in.at(9).is_null()) {
         m.response = responseFrom(in.at(9));
     }
+    if (replaceInvalidResponse(m.response, m.outcome)) {
+        m.serverFault = true;
+        m.reason = invalidStatusReason;
+    }
     if (!in.at(10).is_null()) {
         m.calls = in.at(10).get<CallRates>();
     }
--- a/src/wire/FieldCodec.h
+++ b/src/wire/FieldCodec.h
@@ -10,12 +10,20 @@
  */
 namespace waxwing::wire {
 
+/** Reason of a reply whose response had a status that is no response's. */
+constexpr const char *invalidStatusReason = "invalid-status";
+
 nlohmann::json bytesOf(const std::string &text);
 std::string textOf(const nlohmann::json &value);
 nlohmann::json requestOf(const HttpRequest &request);
 HttpRequest requestFrom(const nlohmann::json &value);
 nlohmann::json responseOf(const HttpResponse &response);
 HttpResponse responseFrom(const nlohmann::json &value);
+/**
+ * Replaces a response whose status is that of none, and the outcome by an unknown one. Builds without this check pass
+ * on what a server sent; to refuse the whole message would close the link for all requests on it. Returns true if so.
+ */
+bool replaceInvalidResponse(HttpResponse &response, Outcome &outcome);
 Outcome outcomeFrom(const nlohmann::json &value);
 nlohmann::json recordOf(const Record &record);
 Record recordFrom(const nlohmann::json &value);
--- a/tests/integration/BrokenResponseTest.cpp
+++ b/tests/integration/BrokenResponseTest.cpp
@@ -67,3 +67,26 @@
     CAPTURE(response);
     CHECK(response.substr(0, 12) == "HTTP/1.1 502");
 }
+
+// Guards against bytes of a server in trouble that reach the caller as a response, and against a caller who waits for a
+// body that belongs to none.
+TEST_CASE_FIXTURE(BrokenServer, "mesh, message that is no response, is a failure to the caller at once")
+{
+    std::string begin;
+    SUBCASE("status 000 without a length")
+    {
+        begin = "HTTP/1.1 000 X\r\n";
+    }
+    SUBCASE("status 999 with a length")
+    {
+        begin = "HTTP/1.1 999 X\r\nContent-Length: 0\r\n";
+    }
+    for (int node = 0; node < 2; ++node) {
+        const std::string response = book(node, begin + headers(node) + "\r\n", false, 1);
+        CAPTURE(response);
+        // The second may be refused without being sent, because the server looks gray by then.
+        const bool isFailure =
+            response.substr(0, 12) == "HTTP/1.1 502" || (node > 0 && response.substr(0, 12) == "HTTP/1.1 503");
+        CHECK(isFailure);
+    }
+}
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -126,6 +126,39 @@
     }
 }
 
+// Guards against a number that another node took from a server in trouble and that reaches a caller as a status.
+TEST_CASE("replies, status that is none of HTTP, decode as unknown without a response")
+{
+    WorkReply reply;
+    reply.id = 5;
+    FenceReply fenced;
+    ExecReply own;
+    ClaimHandover handover;
+    for (const unsigned status : {0U, 99U, 100U, 199U, 600U, 999U, 70000U}) {
+        CAPTURE(status);
+        reply.outcome = Outcome::Ran;
+        reply.response = HttpResponse{status, {{"A", "b"}}, "body"};
+        fenced.reply = reply;
+        own.outcome = Outcome::NotRun;
+        own.response = reply.response;
+        handover.claims = {{"wx1.n1.9.1.1", 77, Outcome::Ran, reply.response}};
+        const auto work = std::get<WorkReply>(decodeMessage(encodeMessage(reply)).value());
+        CHECK(work.id == 5);
+        CHECK(work.outcome == Outcome::Unknown);
+        CHECK(work.serverFault);
+        CHECK(work.response.headers.empty());
+        const auto fence = std::get<FenceReply>(decodeMessage(encodeMessage(fenced)).value());
+        REQUIRE(fence.reply);
+        CHECK(fence.reply->outcome == Outcome::Unknown);
+        const auto exec = std::get<ExecReply>(decodeMessage(encodeMessage(own)).value());
+        CHECK(exec.outcome == Outcome::Unknown);
+        CHECK(exec.response.body.empty());
+        const auto claims = std::get<ClaimHandover>(decodeMessage(encodeMessage(handover)).value()).claims;
+        REQUIRE(claims.size() == 1);
+        CHECK(claims.front().outcome == Outcome::Unknown);
+    }
+}
+
 TEST_CASE("decoders, mutated input, accept or reject it and never fail otherwise")
 {
     // Guards against a node that crashes on malformed bytes from a faulty peer, server or operator and loses the
--- /dev/null
+++ b/tests/unit/MalformedResponseTest.cpp
@@ -0,0 +1,111 @@
+#include "src/fiber/FiberLoop.h"
+#include "src/http/HttpClient.h"
+#include "tests/support/ScriptedServer.h"
+
+#include <boost/fiber/operations.hpp>
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+using namespace waxwing;
+using namespace waxwing::testing;
+
+namespace {
+
+using ExchangeResult = tl::expected<HttpResponse, ExchangeError>;
+
+/** A client of a server that sends chosen bytes and keeps the connection open. */
+class MalformedResponder
+{
+protected:
+    MalformedResponder()
+        : server_(ioContext_, [this](ScriptedServer::Connection &, const HttpRequest &) { return bytes_; })
+    { }
+
+    /** Sends a request that the server answers with @p bytes. A client that waits fails by its timeout. */
+    ExchangeResult send(const std::string &bytes, const std::string &method = "POST")
+    {
+        bytes_ = bytes;
+        std::optional<ExchangeResult> result;
+        spawnFiber([&] {
+            result = client_.exchange(Endpoint{"127.0.0.1", server_.port()}, HttpRequest{method, "/", {}, {}},
+                                      std::chrono::seconds(2));
+        });
+        runUntil([&] { return result.has_value(); });
+        return *result;
+    }
+
+    void runUntil(const std::function<bool()> &isDone)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!isDone()) {
+            REQUIRE(std::chrono::steady_clock::now() < end);
+            ioContext_.restart();
+            ioContext_.run_for(Millis(1));
+            boost::this_fiber::yield();
+        }
+    }
+
+    /** Checks that @p bytes fail at once as malformed, and that their connection carries no other request. */
+    void checkMalformed(const std::string &bytes, const std::string &method = "POST")
+    {
+        CAPTURE(bytes);
+        CAPTURE(method);
+        const auto result = send(bytes, method);
+        REQUIRE_FALSE(result);
+        CHECK(result.error().failure == ExchangeFailure::Malformed);
+        CHECK(result.error().mayHaveSentBytes);
+        CHECK_FALSE(result.error().connectionEnded);
+        runUntil([&] { return server_.openConnections() == 0; });
+    }
+
+    boost::asio::io_context ioContext_;
+    HttpClient client_{ioContext_};
+    std::string bytes_;
+    ScriptedServer server_;
+};
+
+std::string statusLine(const std::string &status)
+{
+    return "HTTP/1.1 " + status + " X\r\n";
+}
+
+} // namespace
+
+// Guards against bytes of a server in trouble that pass for a response, and against a caller who waits its whole time
+// for a body that belongs to none.
+TEST_CASE_FIXTURE(MalformedResponder, "client, status that is none of HTTP, fails at once as malformed")
+{
+    for (const char *status : {"000", "001", "099", "101", "600", "999"}) {
+        checkMalformed(statusLine(status) + "Content-Length: 4\r\n\r\nbody");
+        checkMalformed(statusLine(status) + "\r\n");
+        checkMalformed(statusLine(status) + "\r\npart");
+        checkMalformed(statusLine(status) + "\r\n", "GET");
+        checkMalformed(statusLine(status) + "\r\n", "HEAD");
+        checkMalformed(statusLine(status) + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n");
+        checkMalformed(statusLine(status) + "\r\n" + responseText(200, {}, "whole"));
+        checkMalformed(statusLine("100") + "\r\n" + statusLine(status) + "\r\n");
+    }
+    for (const char *status : {"", "20", "2000", "2x0", "-20", "20 0"}) {
+        checkMalformed(statusLine(status) + "Content-Length: 4\r\n\r\nbody");
+    }
+}
+
+// Guards against responses that are lost because their status is unusual or an interim response comes before them.
+TEST_CASE_FIXTURE(MalformedResponder, "client, any status of HTTP, is returned")
+{
+    for (const unsigned status : {200U, 299U, 302U, 399U, 404U, 499U, 500U, 599U}) {
+        CAPTURE(status);
+        const auto result = send(responseText(status, {}, "whole"));
+        REQUIRE(result);
+        CHECK(result->status == status);
+        CHECK(result->body == "whole");
+    }
+    for (const char *interim : {"100", "102", "103", "199"}) {
+        CAPTURE(interim);
+        const auto result = send(statusLine(interim) + "\r\n" + responseText(200, {}, "whole"));
+        REQUIRE(result);
+        CHECK(result->body == "whole");
+    }
+}
