Refuse messages with folded header lines, from servers and from callers

Callers saw a body that was not the server's: a line that begins with a blank or a tab was taken for the rest of the value before it. A length or coding in such a line was lost, so that the framing became part of the body. From a caller, it ran the request with an empty body and read its body as the next request.

Cause: folding is obsolete (RFC 9112, 5.2), but the library's parser does it and has no switch for it. Its result doesn't show it, so the bytes of the head are looked at beside the parser, in one place for both sides (MessageHead). A response with such a line is malformed: fault of the server, unknown outcome, connection closed. A request gets 400 and is not run. Trailers are not looked at: they are no headers.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -63,7 +63,12 @@
     beast::error_code error;
     while (buffer.size() > 0 && !parser.is_done() && !error) {
         const bool hadHeader = parser.is_header_done();
-        buffer.consume(parser.put(buffer.data(), error));
+        const std::size_t consumed = parser.put(buffer.data(), error);
+        const std::string_view bytes(static_cast<const char *>(buffer.data().data()), consumed);
+        if (!hadHeader && foldedLines_.add(bytes)) {
+            return http::error::bad_field;
+        }
+        buffer.consume(consumed);
         if (parser.is_header_done() && !hadHeader) {
             // A body that belongs to no response is not waited for: it may never end.
             if (statusClassOf(parser.get().result_int()) == StatusClass::Invalid) {
@@ -84,6 +89,7 @@
 {
     const std::string &body = parser.get().body().text;
     isHeadValid = false;
+    foldedLines_ = {};
     beast::error_code error = parse(parser, bodyTimeout);
     while (!error && !parser.is_done()) {
         if (std::chrono::steady_clock::now() >= deadline) {
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -5,6 +5,7 @@
 #include "include/flow/ReadBudget.h"
 #include "src/http/BudgetedBody.h"
 #include "src/http/ConnectionHistory.h"
+#include "src/http/MessageHead.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -38,8 +39,8 @@
      * Reads one message. Each read is checked here against the deadline and for a cancellation: while the peer sends
      * without pause, neither the stream's timer, which starts anew with each read, nor a cancellation finds a read that
      * waits. The library's composed reads don't return either as long as the last line of a buffer is incomplete.
-     * @p bodyTimeout: new timeout from the end of the headers, unless zero. Errors: bad_status for a message that is no
-     * response, before its body is read. @pre called from a fiber.
+     * @p bodyTimeout: new timeout from the end of the headers, unless zero. Errors: bad_status and bad_field for a
+     * message that is no response, before its body is read. @pre called from a fiber.
      */
     boost::beast::error_code readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout);
 
@@ -65,6 +66,8 @@
     boost::beast::error_code receive(std::size_t &received);
     /** Parses what is buffered. */
     boost::beast::error_code parse(ResponseParser &parser, Duration bodyTimeout);
+
+    FoldedLineDetector foldedLines_;
 };
 
 } // namespace waxwing
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "src/http/HttpConnection.h"
 
 #include "src/fiber/FiberLoop.h"
+#include "src/http/MessageHead.h"
 #include "src/http/ResponseFlow.h"
 
 #include <boost/asio/write.hpp>
@@ -331,10 +332,17 @@
     parser.header_limit(server_->limits.headerBytes);
     parser.body_limit(server_->limits.bodyBytes);
     SteadyTime until = now() + server_->limits.headerTimeout;
+    FoldedLineDetector foldedLines;
     bool headerSeen = false;
     while (!parser.is_done()) {
         beast::error_code error;
-        input_.consume(parser.put(input_.data(), error));
+        const std::size_t consumed = parser.put(input_.data(), error);
+        const std::string_view bytes(static_cast<const char *>(input_.data().data()), consumed);
+        if (!headerSeen && foldedLines.add(bytes)) {
+            reject(badRequest, "folded header line");
+            return std::nullopt;
+        }
+        input_.consume(consumed);
         if (error && error != http::error::need_more) {
             if (body.isRefused) {
                 reject(unavailable, noMemoryReason, noMemoryRetryAfter);
--- a/tests/integration/BrokenResponseTest.cpp
+++ b/tests/integration/BrokenResponseTest.cpp
@@ -81,6 +81,10 @@
     {
         begin = "HTTP/1.1 999 X\r\nContent-Length: 0\r\n";
     }
+    SUBCASE("folded length")
+    {
+        begin = "HTTP/1.1 200 X\r\nA: b\r\n Content-Length: 0\r\n";
+    }
     for (int node = 0; node < 2; ++node) {
         const std::string response = book(node, begin + headers(node) + "\r\n", false, 1);
         CAPTURE(response);
--- a/tests/integration/PipelineTest.cpp
+++ b/tests/integration/PipelineTest.cpp
@@ -43,6 +43,7 @@
     HttpReply handle(const HttpRequest &request, const CallerWatchPtr &watch)
     {
         started.push_back(request.target);
+        headers = request.headers;
         othersRunning.push_back(running);
         maxRunning = std::max(maxRunning, ++running);
         const Millis length = std::stoi(request.target.substr(1)) * unit;
@@ -97,6 +98,8 @@
     std::unique_ptr<HttpServer> server;
     boost::asio::ip::tcp::socket socket{loopContext()};
     Paths started;
+    /** Headers of the request that started last. */
+    HeaderList headers;
     /** How many other requests ran when each one started. */
     std::vector<int> othersRunning;
     int running = 0;
@@ -242,3 +245,28 @@
     CHECK(closed);
     CHECK(answered() == Paths{"/3", "/1"});
 }
+
+// Guards against a request whose length is taken for a part of another header's value, so that its body is read as the
+// next request.
+TEST_CASE_FIXTURE(RawCaller, "caller's request, folded header line, is refused and not run")
+{
+    std::string line;
+    SUBCASE("length")
+    {
+        line = " Content-Length: 4";
+    }
+    SUBCASE("coding")
+    {
+        line = "\tTransfer-Encoding: chunked";
+    }
+    SUBCASE("value")
+    {
+        line = " value";
+    }
+    write("POST /0 HTTP/1.1\r\nHost: desk.example\r\nA: b\r\n" + line + "\r\n\r\nseat");
+    const std::string response = readUntil("");
+    CHECK(response.compare(0, 12, "HTTP/1.1 400") == 0);
+    CHECK(response.find("HTTP/1.1", 12) == std::string::npos);
+    CHECK(closed);
+    CHECK(started.empty());
+}
--- a/tests/unit/MalformedResponseTest.cpp
+++ b/tests/unit/MalformedResponseTest.cpp
@@ -109,3 +109,19 @@
         CHECK(result->body == "whole");
     }
 }
+
+// Guards against a response whose length is taken for a part of another header's value, so that its framing and the
+// bytes behind it become its body.
+TEST_CASE_FIXTURE(MalformedResponder, "client, folded header line, fails as malformed")
+{
+    const std::string begin = statusLine("200") + "A: b\r\n";
+    checkMalformed(begin + " c\r\nContent-Length: 4\r\n\r\nbody");
+    checkMalformed(begin + "\tc\r\nContent-Length: 4\r\n\r\nbody");
+    checkMalformed(begin + "Content-Length: 4\r\n c\r\n\r\nbody");
+    checkMalformed(begin + " Content-Length: 4\r\n\r\nbody");
+    checkMalformed(begin + " Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    checkMalformed(begin + " Content-Length: 4\r\n\r\nbody", "GET");
+    checkMalformed(begin + " Content-Length: 4\r\n\r\n", "HEAD");
+    checkMalformed(statusLine("103") + "A: b\r\n c\r\n\r\n" + responseText(200, {}, "whole"));
+    checkMalformed(statusLine("103") + "\r\n" + begin + " c\r\nContent-Length: 4\r\n\r\nbody");
+}
