Refuse responses whose transfer coding is not chunks alone

Callers saw a body in a coding that nobody undid: a response with "Transfer-Encoding: xchunked" was read until its connection closed and passed on without the header that named the coding.

Cause: the library's parser takes such a body as one that ends with its connection, and the client dropped the header as one of the connection. The callers' port had the rule for requests; it moved to MessageHead, and the client uses it as well: malformed, a fault of the server.

Before: the new test failed (timeout, or a 200). After: it passes, and the requests' test still does (aarch64). Names with a blank, a control byte, NUL, DEL or a byte over 127, an empty name, a line without a colon and control bytes in values were refused before: 16 forms in two places have a test now.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -74,6 +74,9 @@
             if (statusClassOf(parser.get().result_int()) == StatusClass::Invalid) {
                 return http::error::bad_status;
             }
+            if (hasUnknownCoding(parser.get())) {
+                return http::error::bad_transfer_encoding;
+            }
             isHeadValid = true;
             parser.eager(true);
             if (bodyTimeout > Duration(0)) {
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -39,8 +39,9 @@
      * Reads one message. Each read is checked here against the deadline and for a cancellation: while the peer sends
      * without pause, neither the stream's timer, which starts anew with each read, nor a cancellation finds a read that
      * waits. The library's composed reads don't return either as long as the last line of a buffer is incomplete.
-     * @p bodyTimeout: new timeout from the end of the headers, unless zero. Errors: bad_status and bad_field for a
-     * message that is no response, before its body is read. @pre called from a fiber.
+     * @p bodyTimeout: new timeout from the end of the headers, unless zero. Errors: bad_status, bad_field and
+     * bad_transfer_encoding for a message that is no usable response, before its body is read. @pre called from a
+     * fiber.
      */
     boost::beast::error_code readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout);
 
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -51,12 +51,11 @@
     if (message.version() >= 11 && hosts != 1) {
         return hosts == 0 ? "no Host header" : "more than one Host header";
     }
-    const auto codings = message.count(http::field::transfer_encoding);
     // If two parsers disagree about the end of a body, the rest of the body is read as a request that no caller sent.
-    if (codings > 1 || (codings == 1 && !beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
+    if (hasUnknownCoding(message)) {
         return "Transfer-Encoding other than chunked";
     }
-    if (codings == 1 && message.count(http::field::content_length) > 0) {
+    if (message.count(http::field::transfer_encoding) > 0 && message.count(http::field::content_length) > 0) {
         return "both Transfer-Encoding and Content-Length";
     }
     return {};
--- a/src/http/MessageHead.h
+++ b/src/http/MessageHead.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <boost/beast/http/fields.hpp>
+
 #include <string_view>
 
 namespace waxwing {
@@ -20,4 +22,10 @@
     bool isFound_ = false;
 };
 
+/**
+ * Returns true if the body has a coding other than chunks alone. It would reach the next receiver in that coding, but
+ * without the header that names it, or end elsewhere than its sender meant. Thread safe.
+ */
+bool hasUnknownCoding(const boost::beast::http::fields &fields);
+
 } // namespace waxwing
--- a/tests/unit/MalformedResponseTest.cpp
+++ b/tests/unit/MalformedResponseTest.cpp
@@ -125,3 +125,32 @@
     checkMalformed(statusLine("103") + "A: b\r\n c\r\n\r\n" + responseText(200, {}, "whole"));
     checkMalformed(statusLine("103") + "\r\n" + begin + " c\r\nContent-Length: 4\r\n\r\nbody");
 }
+
+// Guards against a body in an unknown coding that reaches the caller without the header that names the coding.
+TEST_CASE_FIXTURE(MalformedResponder, "client, transfer coding other than chunks, fails as malformed")
+{
+    for (const char *coding :
+         {"xchunked", "identity", "gzip, chunked", "chunked, gzip", "chunked\r\nTransfer-Encoding: x"}) {
+        checkMalformed(statusLine("200") + "Transfer-Encoding: " + coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    }
+    checkMalformed(statusLine("200") + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+}
+
+// Guards against bytes of a server in trouble that pass for the headers of a response.
+TEST_CASE_FIXTURE(MalformedResponder, "client, name of a header with a blank or a control byte, fails as malformed")
+{
+    const std::string nul(1, '\0');
+    for (const std::string &line : {std::string("A B: c"), std::string("A : c"), std::string("A\t: c"),
+                                    std::string("A\tB: c"), std::string("A\x01: c"),
+                                    std::string("\x1f"
+                                                "A: c"),
+                                    std::string("A\x7f: c"), std::string("A\x80: c"), std::string("A\xff: c"),
+                                    "A" + nul + ": c", std::string(": c"), std::string("A"), std::string("A: \x01"),
+                                    "A: " + nul, std::string("A: \x7f"), std::string("A: b\rc")}) {
+        checkMalformed(statusLine("200") + line + "\r\nContent-Length: 4\r\n\r\nbody");
+        checkMalformed(statusLine("200") + "Content-Length: 4\r\n" + line + "\r\n\r\nbody", "GET");
+    }
+    checkMalformed(statusLine("200") + " A: b\r\nContent-Length: 4\r\n\r\nbody");
+    const auto trailer = send(statusLine("200") + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA B: c\r\n\r\n");
+    CHECK_FALSE(trailer);
+}
--- a/tests/unit/MessageHeadTest.cpp
+++ b/tests/unit/MessageHeadTest.cpp
@@ -43,3 +43,25 @@
         }
     }
 }
+
+// Guards against a body in a coding that nobody undoes.
+TEST_CASE("unknown coding, header fields, is any but chunks alone")
+{
+    const auto isUnknown = [](std::initializer_list<const char *> codings) {
+        boost::beast::http::fields fields;
+        for (const char *coding : codings) {
+            fields.insert(boost::beast::http::field::transfer_encoding, coding);
+        }
+        return hasUnknownCoding(fields);
+    };
+    CHECK_FALSE(isUnknown({}));
+    CHECK_FALSE(isUnknown({"chunked"}));
+    CHECK_FALSE(isUnknown({"CHUNKED"}));
+    CHECK(isUnknown({"xchunked"}));
+    CHECK(isUnknown({"chunkedx"}));
+    CHECK(isUnknown({"identity"}));
+    CHECK(isUnknown({""}));
+    CHECK(isUnknown({"gzip, chunked"}));
+    CHECK(isUnknown({"chunked, gzip"}));
+    CHECK(isUnknown({"chunked", "chunked"}));
+}
