Keep trailers out of the headers of responses and requests

Callers saw a 200 whose seal stood in a trailer, and a 503 that said "not run" for a response whose trailer held the server's rejection, so that a request that ran could be reported as not run. A caller's trailer passed for a header of its request, past the checks of the headers.

Cause: the library's parser adds trailers to the fields of the message, and they were read after the whole message. Now both sides take the headers, the status and whether the connection stays open at the end of the head. Trailers are dropped, as RFC 9110, 6.5.1 allows. A field that is no valid trailer still fails the message.

Before: the new tests failed at the client and at the callers' port. After: they pass, as do the tests of the client, the evaluator, pipelines and the callers' port (aarch64).

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,8 +1,9 @@
 #include "src/http/ClientConnection.h"
 
-#include "include/base/HttpMessage.h"
 #include "src/fiber/FiberLoop.h"
 
+#include <charconv>
+
 namespace waxwing {
 
 namespace beast = boost::beast;
@@ -16,6 +17,32 @@
 /** Size of the buffer of a body. Each filling of a small buffer costs a turn of the event loop. */
 constexpr std::size_t bodyReadBytes = 16UL * 1024;
 
+/** Returns N of "timeout=N" in a Keep-Alive header; negative if there is none. */
+std::int64_t keepAliveSeconds(std::string_view header)
+{
+    const std::string_view name = "timeout=";
+    const std::size_t at = header.find(name);
+    std::int64_t seconds = -1;
+    if (at != std::string_view::npos) {
+        std::from_chars(header.data() + at + name.size(), header.data() + header.size(), seconds);
+    }
+    return seconds;
+}
+
+ResponseHead headOf(const http::response<BudgetedBody> &message)
+{
+    ResponseHead head;
+    head.status = message.result_int();
+    for (const auto &field : message) {
+        if (!isHopByHop(field.name_string())) {
+            head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+    }
+    head.keepsAlive = message.keep_alive();
+    head.keepAlive = std::chrono::seconds(keepAliveSeconds(message[http::field::keep_alive]));
+    return head;
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(boost::asio::io_context &ioContext)
@@ -77,7 +104,7 @@
             if (hasUnknownCoding(parser.get())) {
                 return http::error::bad_transfer_encoding;
             }
-            isHeadValid = true;
+            head = headOf(parser.get());
             parser.eager(true);
             if (bodyTimeout > Duration(0)) {
                 setTimeout(bodyTimeout);
@@ -91,7 +118,7 @@
 beast::error_code ClientConnection::readMessage(ResponseParser &parser, FramingBudget &framing, Duration bodyTimeout)
 {
     const std::string &body = parser.get().body().text;
-    isHeadValid = false;
+    head.reset();
     foldedLines_ = {};
     beast::error_code error = parse(parser, bodyTimeout);
     while (!error && !parser.is_done()) {
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/base/Clock.h"
+#include "include/base/HttpMessage.h"
 #include "include/flow/FramingBudget.h"
 #include "include/flow/ReadBudget.h"
 #include "src/http/BudgetedBody.h"
@@ -13,9 +14,21 @@
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <optional>
 
 namespace waxwing {
 
+/** What the headers of a response say. */
+struct ResponseHead {
+    unsigned status = 0;
+    /** Without those that concern the connection. */
+    HeaderList headers;
+    /** The connection stays open after the response. */
+    bool keepsAlive = false;
+    /** How long the peer keeps the idle connection open; negative if it doesn't say. */
+    std::chrono::seconds keepAlive{-1};
+};
+
 /** One connection of an HttpClient, and the reading of responses on it. Not thread safe. */
 struct ClientConnection {
     using ResponseParser = boost::beast::http::response_parser<BudgetedBody>;
@@ -50,8 +63,11 @@
     SteadyTime deadline;
     bool isCancelled = false;
     ConnectionHistory history;
-    /** The headers of the message that is being read are complete and those of a response. */
-    bool isHeadValid = false;
+    /**
+     * The head of the message that is being read, once it is complete and that of a response. Trailers are not added: a
+     * seal or a rejection in them would pass for one of the headers.
+     */
+    std::optional<ResponseHead> head;
     /** Identifies the response that is being read. */
     ReadBudget::Id readId = 0;
     /** The response was given up because all responses together were too large. */
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -8,7 +8,6 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/http/span_body.hpp>
 
-#include <charconv>
 #include <optional>
 
 namespace waxwing {
@@ -25,18 +24,6 @@
 /** A connection is not reused in this last part of the keep-alive time that its peer announced. */
 constexpr Millis keepAliveMargin{1000};
 
-/** Returns N of "timeout=N" in a Keep-Alive header; negative if there is none. */
-std::int64_t keepAliveSeconds(std::string_view header)
-{
-    const std::string_view name = "timeout=";
-    const std::size_t at = header.find(name);
-    std::int64_t seconds = -1;
-    if (at != std::string_view::npos) {
-        std::from_chars(header.data() + at + name.size(), header.data() + header.size(), seconds);
-    }
-    return seconds;
-}
-
 ExchangeFailure failureOf(beast::error_code error)
 {
     if (error == beast::error::timeout || error == boost::asio::error::operation_aborted) {
@@ -230,39 +217,33 @@
         if (error) {
             const ExchangeFailure failure = connection.isGivenUp ? ExchangeFailure::TooLarge : failureOf(error);
             const bool truncated =
-                connection.isHeadValid && failure != ExchangeFailure::Timeout && failure != ExchangeFailure::TooLarge;
+                connection.head && failure != ExchangeFailure::Timeout && failure != ExchangeFailure::TooLarge;
             const bool ended = failure == ExchangeFailure::Reset || failure == ExchangeFailure::Truncated;
             return tl::unexpected<ExchangeError>(
                 ExchangeError{truncated ? ExchangeFailure::Truncated : failure, true, false, ended});
         }
-        const bool isCloseDelimited = parser.need_eof();
-        auto message = parser.release();
-        if (statusClassOf(message.result_int()) == StatusClass::Interim) {
+        ResponseHead &head = *connection.head;
+        if (statusClassOf(head.status) == StatusClass::Interim) {
             continue;
         }
         HttpResponse response;
-        response.status = message.result_int();
-        response.isCloseDelimited = isCloseDelimited;
-        for (const auto &field : message) {
-            if (!isHopByHop(field.name_string())) {
-                response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-            }
-        }
-        const std::size_t size = message.body().text.size();
-        response.body = Body(std::move(message.body().text), memory_ ? memory_->add(size) : nullptr);
+        response.status = head.status;
+        response.headers = std::move(head.headers);
+        response.isCloseDelimited = parser.need_eof();
+        std::string body = std::move(parser.get().body().text);
+        const std::size_t size = body.size();
+        response.body = Body(std::move(body), memory_ ? memory_->add(size) : nullptr);
         const ResponseMatch match = options.matchResponse ? options.matchResponse(response) : ResponseMatch::Matches;
         const bool matchesRequest = connection.history.identifies(match);
         // Surplus bytes or a response to another request: later responses may not match their requests either.
-        connection.reusable =
-            message.keep_alive() && connection.buffer.size() == 0 && mismatched == 0 && matchesRequest;
-        const std::int64_t seconds = keepAliveSeconds(message[http::field::keep_alive]);
-        if (seconds >= 0) {
-            connection.keepAliveTimeout = std::max(Millis(0), std::chrono::seconds(seconds) - keepAliveMargin);
+        connection.reusable = head.keepsAlive && connection.buffer.size() == 0 && mismatched == 0 && matchesRequest;
+        if (head.keepAlive >= std::chrono::seconds(0)) {
+            connection.keepAliveTimeout = std::max(Millis(0), head.keepAlive - keepAliveMargin);
         }
         if (matchesRequest) {
             return response;
         }
-        if (!message.keep_alive() || match == ResponseMatch::Unidentified) {
+        if (!head.keepsAlive || match == ResponseMatch::Unidentified) {
             break;
         }
     }
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -82,7 +82,8 @@
     return true;
 }
 
-HttpRequest fromBeast(http::request<BudgetedBody> message, MemoryBudget::ChargePtr charge)
+/** Returns the request without its body. @pre no trailer has been parsed yet: it would pass for a header. */
+HttpRequest headOf(const http::request<BudgetedBody> &message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -90,7 +91,6 @@
     for (const auto &field : message) {
         request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
-    request.body = Body(std::move(message.body().text), std::move(charge));
     return request;
 }
 
@@ -332,6 +332,7 @@
     parser.body_limit(server_->limits.bodyBytes);
     SteadyTime until = now() + server_->limits.headerTimeout;
     FoldedLineDetector foldedLines;
+    ReadRequest read;
     bool headerSeen = false;
     while (!parser.is_done()) {
         beast::error_code error;
@@ -355,6 +356,7 @@
             if (!acceptHeaders(parser, body)) {
                 return std::nullopt;
             }
+            read = ReadRequest{headOf(parser.get()), !parser.get().keep_alive()};
             until = now() + server_->limits.messageTimeout;
             parser.eager(true);
             continue;
@@ -364,8 +366,8 @@
         }
     }
     readAhead();
-    const bool last = !parser.get().keep_alive();
-    return ReadRequest{fromBeast(parser.release(), std::move(body.charge)), last};
+    read.request.body = Body(std::move(parser.get().body().text), std::move(body.charge));
+    return read;
 }
 
 void HttpConnection::start(HttpRequest request)
--- a/tests/integration/PipelineTest.cpp
+++ b/tests/integration/PipelineTest.cpp
@@ -270,3 +270,15 @@
     CHECK(closed);
     CHECK(started.empty());
 }
+
+// Guards against a trailer that passes for a header of the request, past all checks of its headers.
+TEST_CASE_FIXTURE(RawCaller, "caller's request, trailers, are not headers of the request")
+{
+    write("POST /0 HTTP/1.1\r\nHost: desk.example\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "4\r\nseat\r\n0\r\nLate: x\r\nHost: other.example\r\n\r\n");
+    readUntil("</0>");
+    REQUIRE(started.size() == 1);
+    CHECK(headerValue(headers, "A") == "b");
+    CHECK(headerValue(headers, "Host") == "desk.example");
+    CHECK(headerValue(headers, "Late").empty());
+}
--- a/tests/unit/MalformedResponseTest.cpp
+++ b/tests/unit/MalformedResponseTest.cpp
@@ -154,3 +154,17 @@
     const auto trailer = send(statusLine("200") + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA B: c\r\n\r\n");
     CHECK_FALSE(trailer);
 }
+
+// Guards against a trailer that passes for a header: a seal makes a response valid, and a rejection makes a request
+// that ran look as if it had not.
+TEST_CASE_FIXTURE(MalformedResponder, "client, trailers, are not headers of the response")
+{
+    const auto result = send(statusLine("200") + "A: b\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+                             + "Late: x\r\nA: c\r\nConnection: close\r\nKeep-Alive: timeout=1\r\n\r\n");
+    REQUIRE(result);
+    CHECK(result->body == "body");
+    CHECK(result->headers == HeaderList{{"A", "b"}});
+    // They don't end the connection either.
+    REQUIRE(send(responseText(200, {}, "next")));
+    CHECK(server_.connections().size() == 1);
+}
