Bound the nesting of CBOR before it is parsed

A node ended by signal 11 on a message of lists in lists, before its sender had said who it is: the library parses CBOR recursively. Frames of links and the payloads of records are now looked through first, without recursion, and refused as malformed beyond 64 levels. An array that states more items than memory holds made the library throw even where it was told not to; for a record of gossip that exception would have ended the process. Both are in parseCbor.

--- a/src/member/NodeRecord.cpp
+++ b/src/member/NodeRecord.cpp
@@ -1,5 +1,6 @@
 #include "include/member/NodeRecord.h"
 
+#include "include/base/Cbor.h"
 #include <nlohmann/json.hpp>
 
 namespace waxwing {
@@ -29,7 +30,7 @@
 Expected<NodeRecord> nodeFromRecord(const Record &record)
 {
     try {
-        const nlohmann::json body = nlohmann::json::from_cbor(record.payload);
+        const nlohmann::json body = parseCbor(record.payload);
         NodeRecord node;
         node.ref = {body.at(0).get<std::string>(), body.at(1).get<std::uint64_t>()};
         node.address = body.at(2).get<std::string>();
--- a/src/node/GossipService.cpp
+++ b/src/node/GossipService.cpp
@@ -1,5 +1,6 @@
 #include "src/node/GossipService.h"
 
+#include "include/base/Cbor.h"
 #include "include/member/Ring.h"
 #include "src/fiber/FiberLoop.h"
 #include "src/node/NodeCore.h"
@@ -442,8 +443,7 @@
     std::set<NodeRef> seen;
     while (seen.insert(holder).second) {
         const Record *next = table_.find(RecordKind::Successor, holder.text());
-        const nlohmann::json body =
-            next == nullptr ? nlohmann::json() : nlohmann::json::from_cbor(next->payload, true, false);
+        const nlohmann::json body = next == nullptr ? nlohmann::json() : parseCbor(next->payload);
         const bool readable =
             body.is_array() && body.size() == 2 && body[0].is_string() && body[1].is_number_unsigned();
         if (!readable) {
--- a/src/node/IntentService.cpp
+++ b/src/node/IntentService.cpp
@@ -1,5 +1,6 @@
 #include "src/node/IntentService.h"
 
+#include "include/base/Cbor.h"
 #include "include/base/JsonReader.h"
 #include "include/member/Ring.h"
 #include "platform/ObjectApi.h"
@@ -49,7 +50,7 @@
 
 void IntentService::applyRecord(const Record &record)
 {
-    const nlohmann::json body = nlohmann::json::from_cbor(record.payload, true, false);
+    const nlohmann::json body = parseCbor(record.payload);
     const bool readable = body.is_array() && body.size() == 2 && body[0].is_boolean() && body[1].is_string();
     if (!readable) {
         core_.metrics.count("config_bad_records");
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -1,5 +1,6 @@
 #include "include/wire/Messages.h"
 
+#include "include/base/Cbor.h"
 #include "src/wire/ExecCodec.h"
 #include "src/wire/FieldCodec.h"
 #include "src/wire/MessageFrame.h"
@@ -308,8 +309,11 @@
 
 Expected<Message> decodeMessage(const std::string &bytes)
 {
+    const json in = parseCbor(bytes);
+    if (in.is_discarded()) {
+        return fail(ErrorCode::Malformed, "not CBOR, or nested too deeply");
+    }
     try {
-        const json in = json::from_cbor(bytes);
         const int version = in.at(0).get<int>();
         if (version != wireVersion) {
             return fail(ErrorCode::Malformed, "unsupported protocol version " + std::to_string(version));
--- a/tests/unit/DecodersTest.cpp
+++ b/tests/unit/DecodersTest.cpp
@@ -1,3 +1,4 @@
+#include "include/base/Cbor.h"
 #include "include/home/Announcement.h"
 #include "include/intent/ClassIntent.h"
 #include "include/member/NodeRecord.h"
@@ -159,6 +160,35 @@
     }
 }
 
+// Guards against a node that ends because the stack of a fiber doesn't hold the nesting of a message.
+TEST_CASE("messages, nested without a bound, are malformed")
+{
+    constexpr std::size_t levels = 1000000;
+    const auto repeated = [](const std::string &text) {
+        std::string out;
+        for (std::size_t i = 0; i < levels; ++i) {
+            out += text;
+        }
+        return out;
+    };
+    // Arrays, arrays of two, arrays that end with a break, maps, maps that end with a break, tags, strings in parts.
+    for (const char *head : {"\x81", "\x82\x01", "\x9f", "\xa1\x61k", "\xbf\x61k", "\xc1", "\x5f", "\x98\x01",
+                             "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"}) {
+        CAPTURE(head);
+        const std::string bytes = repeated(head);
+        CHECK_FALSE(decodeMessage(bytes));
+        CHECK_FALSE(decodeMessage("\x83" + bytes));
+        CHECK_FALSE(nodeFromRecord(Record{RecordKind::Node, "n1", {9, 3}, {bytes.begin(), bytes.end()}}));
+    }
+    const nlohmann::json wide(std::vector<int>(100000, 7));
+    CHECK(parseCbor(nlohmann::json::to_cbor(wide)) == wide);
+    nlohmann::json deep = 1;
+    for (int i = 0; i < 60; ++i) {
+        deep = i % 2 == 0 ? nlohmann::json::array({deep, "x"}) : nlohmann::json{{"k", deep}};
+    }
+    CHECK(parseCbor(nlohmann::json::to_cbor(deep)) == deep);
+}
+
 TEST_CASE("decoders, mutated input, accept or reject it and never fail otherwise")
 {
     // Guards against a node that crashes on malformed bytes from a faulty peer, server or operator and loses the
