Start long requests at a stopping node only if twice their work time is left

Callers saw a request cut at the end of a planned stop: a stopping node started requests with three seconds left, however long their work was expected to take.

Cause: the time that must be left was capped at three seconds. Now only the route's own time limit caps it; such a request ends by that limit.

--- a/src/sidecar/ingress/StartLimit.cpp
+++ b/src/sidecar/ingress/StartLimit.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/** A stopping node starts a request only if this many times its expected work time is left, within the bounds below. */
+/** A stopping node starts a request only if this many times its expected work time is left. */
 constexpr double stopWorkFactor = 2.0;
+/** Least time that must be left, whatever work time is expected. */
 constexpr Millis minStopReserve{500};
-constexpr Millis maxStopReserve{3000};
 
 } // namespace
 
@@ -28,7 +28,8 @@
         return stopDeadline_;
     }
     const auto reserve = std::chrono::duration_cast<Duration>(stats_.expectedWorkTime(route) * stopWorkFactor);
-    return stopDeadline_ - std::clamp<Duration>(reserve, minStopReserve, maxStopReserve);
+    // A request that reaches its own time limit ends by that, not by the stop.
+    return stopDeadline_ - std::max<Duration>(minStopReserve, std::min<Duration>(reserve, route.timeout));
 }
 
 } // namespace waxwing
--- a/tests/integration/SidecarTest.cpp
+++ b/tests/integration/SidecarTest.cpp
@@ -339,6 +339,41 @@
     }
 }
 
+// Guards against a request that a stopping node takes late, passes on and cuts when it exits, so that its caller
+// doesn't know whether it ran.
+TEST_CASE("mesh, requests whose last byte arrives late in a stop, are not passed on")
+{
+    MeshOptions options;
+    options.services = {"desk", "other"};
+    options.workMs = 1800;
+    options.graceSeconds = 6;
+    options.timeoutMs = 8000;
+    Mesh mesh(options);
+    const int node = 0;
+    const std::vector<Millis> delays = {Millis(2600), Millis(3200), Millis(4200), Millis(5200)};
+    std::vector<std::string> responses(delays.size());
+    std::vector<std::function<void()>> tasks;
+    tasks.reserve(maxTasks);
+    for (std::size_t i = 0; i < delays.size(); ++i) {
+        tasks.emplace_back([&, i] {
+            const bool isBooking = i % 2 == 0;
+            const std::string request = Mesh::requestText(id("late", static_cast<int>(i)),
+                                                          isBooking ? "/seats/1" : "/dates/1", isBooking ? "x" : "");
+            responses[i] = mesh.sendRawInParts(node, request.substr(0, request.size() - 1), delays[i],
+                                               request.substr(request.size() - 1), Millis(7000));
+        });
+    }
+    tasks.emplace_back([&] { mesh.node(node).signal(SIGTERM); });
+    runConcurrently(tasks);
+    auto executions = mesh.executions();
+    for (std::size_t i = 0; i < delays.size(); ++i) {
+        CAPTURE(responses[i]);
+        CHECK(executions[id("late", static_cast<int>(i))] == 0);
+        CHECK((responses[i].empty() || responses[i].compare(0, 12, "HTTP/1.1 503") == 0));
+    }
+    CHECK(mesh.node(node).waitForExit(std::chrono::seconds(8)) == 0);
+}
+
 TEST_CASE("mesh, node stops with a response ready behind a slow one, delivers it before it exits")
 {
     // Two pipelined lookups on one connection. The server takes longer for the first one than the shutdown may, and
--- a/tests/support/Mesh.cpp
+++ b/tests/support/Mesh.cpp
@@ -311,6 +311,12 @@
 }
 
 std::string Mesh::sendRaw(int node, const std::string &bytes, Millis timeout)
+{
+    return sendRawInParts(node, bytes, Millis(0), {}, timeout);
+}
+
+std::string Mesh::sendRawInParts(int node, const std::string &bytes, Millis pause, const std::string &rest,
+                                 Millis timeout)
 {
     boost::asio::ip::tcp::socket socket(loopContext());
     const Endpoint &to = members_.at(static_cast<std::size_t>(node)).callers;
@@ -325,6 +331,11 @@
     });
     IoResult result =
         await([&](auto handle) { boost::asio::async_write(socket, boost::asio::buffer(bytes), std::move(handle)); });
+    if (!result.error && !rest.empty()) {
+        sleepFor(loopContext(), pause);
+        result =
+            await([&](auto handle) { boost::asio::async_write(socket, boost::asio::buffer(rest), std::move(handle)); });
+    }
     std::array<char, 4096> buffer{};
     while (!result.error) {
         result = await([&](auto handle) { socket.async_read_some(boost::asio::buffer(buffer), std::move(handle)); });
--- a/tests/support/Mesh.h
+++ b/tests/support/Mesh.h
@@ -110,6 +110,9 @@
      * @p timeout has passed.
      */
     std::string sendRaw(int node, const std::string &bytes, Millis timeout = std::chrono::milliseconds(1500));
+    /** The same, with @p rest sent @p pause after @p bytes. */
+    std::string sendRawInParts(int node, const std::string &bytes, Millis pause, const std::string &rest,
+                               Millis timeout);
     /** Returns true if the node's readiness check succeeds. */
     bool isReady(int node);
     /** Returns how often each request id was executed. */
