Take an empty page of the store as the end of a list, as before

Since each object is read by itself, a page without an object and with more to come was an error; only a page whose objects are all unreadable is one. ObjectApiTest has the case and passes (aarch64).

--- a/tests/unit/ObjectApiTest.cpp
+++ b/tests/unit/ObjectApiTest.cpp
@@ -127,6 +127,8 @@
         CHECK_FALSE(api_.list("nodes"));
         body_ = R"({"items":[1e400],"more":true,"as_of":9})";
         CHECK_FALSE(api_.list("nodes"));
+        body_ = R"({"items":[],"more":true,"as_of":9})";
+        CHECK(api_.list("nodes"));
         // The store sends the same page again and again.
         body_ = R"({"items":[)" + object("good", "{}") + R"(],"more":true,"as_of":9})";
         CHECK_FALSE(api_.list("nodes"));
