--- a/include/base/HttpMessage.h
+++ b/include/base/HttpMessage.h
@@ -38,8 +38,8 @@
     /** The response to the request. */
     Final,
     /**
-     * No status code of HTTP; or 101, because no request asks to switch protocols and what follows would not be HTTP.
-     * The message is no response.
+     * Not a status code of HTTP; or 101, because no request asks to switch protocols and what follows would not be
+     * HTTP. Such a message is not a response.
      */
     Invalid,
 };
--- a/src/wire/FieldCodec.h
+++ b/src/wire/FieldCodec.h
@@ -10,7 +10,7 @@
  */
 namespace waxwing::wire {
 
-/** Reason of a reply whose response had a status that is no response's. */
+/** Reason of a reply whose response was removed because of its status code. */
 constexpr const char *invalidStatusReason = "invalid-status";
 
 nlohmann::json bytesOf(const std::string &text);
@@ -20,8 +20,9 @@
 nlohmann::json responseOf(const HttpResponse &response);
 HttpResponse responseFrom(const nlohmann::json &value);
 /**
- * Replaces a response whose status is that of none, and the outcome by an unknown one. Builds without this check pass
- * on what a server sent; to refuse the whole message would close the link for all requests on it. Returns true if so.
+ * Removes @p response and sets @p outcome to unknown if the status code is not one of a final response. Builds without
+ * this check pass on any number that a server sent; to refuse the whole message would close the link for all requests
+ * on it. Returns true if the response was removed.
  */
 bool replaceInvalidResponse(HttpResponse &response, Outcome &outcome);
 Outcome outcomeFrom(const nlohmann::json &value);
